--- /dev/null
+++ b/src/features/admission/admissionTypes.ts
@@ -0,0 +1,46 @@
+/** Queues and the choice of an upstream: events and outcomes. */
+import type { ResultCodeName } from "../../base/resultCodes.js";
+import type { WorkClass } from "../config/configTypes.js";
+
+/** A request as the admission controller sees it. */
+export interface WorkItem {
+    readonly requestId: string;
+    readonly team: string;
+    readonly workClass: WorkClass;
+    readonly long: boolean;
+    readonly repeatable: boolean;
+    /** Names of the upstreams that the rule allows, then those that it allows as a fallback. */
+    readonly candidates: readonly string[];
+    readonly fallbacks: readonly string[];
+    /** Weight by upstream name; 1 when absent. */
+    readonly weights: Readonly<Record<string, number>>;
+    readonly maxInFlightPerUpstream: number | undefined;
+    /** Hash of the prompt prefix, for cache affinity. */
+    readonly prefixKey: string | undefined;
+    readonly promptTokens: number;
+    readonly maxOutputTokens: number;
+    /** Longest wait until dispatch, in milliseconds. */
+    readonly deadlineMs: number;
+    /** Upstreams that already failed this request. */
+    readonly excluded: readonly string[];
+}
+
+/** Answer to an admission request. */
+export type AdmissionOutcome =
+    | { readonly status: "dispatch"; readonly upstream: string; }
+    | { readonly status: "refused"; readonly code: ResultCodeName; readonly retryAfterMs: number | undefined; };
+
+/** Events of the admission feature. */
+export type AdmissionEvent =
+    | { readonly type: "admissionRequested"; readonly item: WorkItem; }
+    /** The caller went away while the request waited. */
+    | { readonly type: "admissionCancelled"; readonly requestId: string; }
+    /** Asks whether a retry or a hedge may be sent; answered like an admission. */
+    | { readonly type: "retryRequested"; readonly item: WorkItem; readonly reason: "retry" | "hedge"; };
+
+/** Notification of the admission feature. */
+export interface AdmissionDecided {
+    readonly type: "admissionDecided";
+    readonly requestId: string;
+    readonly outcome: AdmissionOutcome;
+}
--- /dev/null
+++ b/src/features/config/configEvents.ts
@@ -0,0 +1,20 @@
+/** Events of the config feature. */
+import type { ConfigChange, ResourceKind } from "./configTypes.js";
+
+/** A snapshot of all resources at a version. */
+export interface ConfigSnapshot {
+    readonly version: number;
+    readonly resources: readonly { readonly kind: ResourceKind; readonly name: string; readonly value: unknown; }[];
+}
+
+/** Events of the config feature. */
+export type ConfigEvent =
+    /** Accepted changes from the store's watch, in any order; may repeat. */
+    | {
+        readonly type: "configChangesReceived";
+        readonly changes: readonly ConfigChange[];
+        readonly fromStore: boolean;
+    }
+    | { readonly type: "configSnapshotLoaded"; readonly snapshot: ConfigSnapshot; }
+    /** A peer has this version in force. */
+    | { readonly type: "configVersionSeen"; readonly version: number; };
--- /dev/null
+++ b/src/features/config/configTypes.ts
@@ -0,0 +1,139 @@
+/** Configuration resources and the change log. */
+import { z } from "zod";
+import { LabelsSchema, SelectAll, SelectorSchema } from "../../base/labels.js";
+
+/** Names of resources: also used in keys of the store. */
+export const ResourceNameSchema = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/);
+
+const Sha256Schema = z.string().regex(/^[0-9a-f]{64}$/);
+
+/** Classes of work, most urgent first. */
+export const WorkClassSchema = z.enum(["urgent", "normal", "background"]);
+export type WorkClass = z.infer<typeof WorkClassSchema>;
+
+/** A customer. */
+export const TeamSchema = z.strictObject({
+    labels: LabelsSchema.default({}),
+    /** SHA-256 of each API key. */
+    keyHashes: z.array(Sha256Schema).default([]),
+    /** Share of contended capacity relative to other teams. */
+    weight: z.number().positive().default(1),
+});
+export type Team = z.infer<typeof TeamSchema>;
+
+/** A prepaid budget. The paid amount lives in the store's budget object. */
+export const BudgetResourceSchema = z.strictObject({
+    labels: LabelsSchema.default({}),
+    teams: SelectorSchema,
+});
+export type BudgetResource = z.infer<typeof BudgetResourceSchema>;
+
+/** A priority grant. Its uses are held in escrow under `grant/NAME`. */
+export const GrantSchema = z.strictObject({
+    labels: LabelsSchema.default({}),
+    teams: SelectorSchema,
+    kinds: SelectorSchema.default(SelectAll),
+});
+export type Grant = z.infer<typeof GrantSchema>;
+
+/** A kind of request. */
+export const RequestKindSchema = z.strictObject({
+    labels: LabelsSchema.default({}),
+    class: WorkClassSchema.default("normal"),
+    length: z.enum(["short", "long", "auto"]).default("auto"),
+    /** Whether running a request twice does no harm. */
+    repeatable: z.boolean().default(true),
+    deadlineMs: z.number().int().positive().default(30_000),
+});
+export type RequestKind = z.infer<typeof RequestKindSchema>;
+
+/** A routing rule. The matching rule with the lowest order decides. */
+export const RuleSchema = z.strictObject({
+    labels: LabelsSchema.default({}),
+    order: z.number().int().default(100),
+    teams: SelectorSchema.default(SelectAll),
+    kinds: SelectorSchema.default(SelectAll),
+    /** Models or services the rule applies to; empty means all. */
+    models: z.array(z.string()).default([]),
+    services: z.array(z.string()).default([]),
+    upstreams: SelectorSchema,
+    fallbackUpstreams: SelectorSchema.optional(),
+    /** Request kind of requests that name none. */
+    defaultKind: z.string().optional(),
+    /** Weight by upstream name; upstreams without an entry have weight 1. */
+    weights: z.record(z.string(), z.number().nonnegative()).default({}),
+    maxOutputTokens: z.number().int().positive().default(1_024),
+    /** Price of a call to a plain service, in tokens. */
+    serviceCostTokens: z.number().int().nonnegative().default(1),
+    maxInFlightPerUpstream: z.number().int().positive().optional(),
+});
+export type Rule = z.infer<typeof RuleSchema>;
+
+/** A back end: a model engine or a plain service. */
+export const UpstreamSchema = z.strictObject({
+    labels: LabelsSchema.default({}),
+    url: z.url(),
+    zone: z.string().default(""),
+    type: z.enum(["engine", "service"]).default("engine"),
+    models: z.array(z.string()).default([]),
+    /** Name under `/services/`, for plain services. */
+    service: z.string().default(""),
+    /** Requests that it can run at the same time. */
+    slots: z.number().int().positive().default(8),
+    checksFencing: z.boolean().default(false),
+    /** Upper bound of prompt tokens per byte of prompt text. */
+    promptTokensPerByte: z.number().positive().default(1),
+});
+export type Upstream = z.infer<typeof UpstreamSchema>;
+
+/** Kinds of resources and their schemas. */
+export const ResourceSchemas = {
+    Team: TeamSchema,
+    Budget: BudgetResourceSchema,
+    Grant: GrantSchema,
+    RequestKind: RequestKindSchema,
+    Rule: RuleSchema,
+    Upstream: UpstreamSchema,
+} as const;
+
+/** Names of the resource kinds. */
+export const ResourceKindSchema = z.enum(["Team", "Budget", "Grant", "RequestKind", "Rule", "Upstream"]);
+export type ResourceKind = z.infer<typeof ResourceKindSchema>;
+
+/** One edit of one resource: absent `before` creates, absent `after` deletes. */
+export const ResourceEditSchema = z.object({
+    kind: ResourceKindSchema,
+    name: ResourceNameSchema,
+    before: z.unknown().optional(),
+    after: z.unknown().optional(),
+});
+export type ResourceEdit = z.infer<typeof ResourceEditSchema>;
+
+/** An accepted change of the configuration. Stored under {@link configChangeKey}. */
+export const ConfigChangeSchema = z.object({
+    version: z.number().int().positive(),
+    author: z.string(),
+    operationId: z.string(),
+    message: z.string().default(""),
+    atMs: z.number(),
+    changes: z.array(ResourceEditSchema),
+});
+export type ConfigChange = z.infer<typeof ConfigChangeSchema>;
+
+/** Prefix of the change log. */
+export const ConfigChangePrefix = "config/change/";
+
+/** @returns Key of a version in the change log; zero-padded, so that keys sort by version. */
+export function configChangeKey(version: number): string {
+    return `${ConfigChangePrefix}${String(version).padStart(10, "0")}`;
+}
+
+/** The resources that are in force, by kind and name. */
+export interface ConfigResources {
+    readonly teams: ReadonlyMap<string, Team>;
+    readonly budgets: ReadonlyMap<string, BudgetResource>;
+    readonly grants: ReadonlyMap<string, Grant>;
+    readonly requestKinds: ReadonlyMap<string, RequestKind>;
+    readonly rules: ReadonlyMap<string, Rule>;
+    readonly upstreams: ReadonlyMap<string, Upstream>;
+}
--- /dev/null
+++ b/src/features/idempotency/idempotencyTypes.ts
@@ -0,0 +1,77 @@
+/** Claims of idempotency keys: stored object, events and outcomes. */
+import { z } from "zod";
+import { sha256Hex } from "../../base/hashing.js";
+import type { ResultCodeName } from "../../base/resultCodes.js";
+
+/** Largest answer body that a claim stores, in bytes. */
+export const MaxStoredAnswerBytes = 65_536;
+
+/** An answer kept for replay. */
+export const StoredAnswerSchema = z.object({
+    httpStatus: z.number().int(),
+    contentType: z.string(),
+    body: z.string(),
+});
+export type StoredAnswer = z.infer<typeof StoredAnswerSchema>;
+
+/** Claim object in the store, under {@link claimKey}. */
+export const ClaimSchema = z.object({
+    hostKey: z.string(),
+    requestId: z.string(),
+    bodyHash: z.string(),
+    state: z.enum(["claimed", "done", "released"]),
+    /** Absent when the request is not done or its answer was too large. */
+    answer: StoredAnswerSchema.optional(),
+    /** Whether the request ended with an interrupted answer. */
+    interrupted: z.boolean().default(false),
+});
+export type Claim = z.infer<typeof ClaimSchema>;
+
+/** @returns Name of a claim: hides the key and bounds its length. */
+export function claimId(team: string, idempotencyKey: string): string {
+    return sha256Hex(`${team}\n${idempotencyKey}`);
+}
+
+/** @returns Key of a claim object. */
+export function claimKey(id: string): string {
+    return `claim/${id}`;
+}
+
+/** Answer to a claim request. */
+export type ClaimOutcome =
+    /** This request may be dispatched. */
+    | { readonly status: "held"; }
+    /** The store could not be asked; only repeatable work may go on. The claim is written later. */
+    | { readonly status: "deferred"; }
+    | { readonly status: "replay"; readonly answer: StoredAnswer; }
+    | { readonly status: "refused"; readonly code: ResultCodeName; readonly retryAfterMs: number | undefined; };
+
+/** Events of the idempotency feature. */
+export type IdempotencyEvent =
+    | {
+        readonly type: "claimRequested";
+        readonly claimId: string;
+        /** The caller's key as sent; tickets are recognised by their form. */
+        readonly idempotencyKey: string;
+        readonly requestId: string;
+        readonly bodyHash: string;
+        readonly repeatable: boolean;
+    }
+    /** The request ran to its end; `answer` is absent when it is not stored. */
+    | {
+        readonly type: "claimCompleted";
+        readonly claimId: string;
+        readonly requestId: string;
+        readonly answer: StoredAnswer | undefined;
+        readonly interrupted: boolean;
+    }
+    /** The request definitely did not run. */
+    | { readonly type: "claimReleased"; readonly claimId: string; readonly requestId: string; };
+
+/** Notification of the idempotency feature. */
+export interface ClaimDecided {
+    readonly type: "claimDecided";
+    readonly claimId: string;
+    readonly requestId: string;
+    readonly outcome: ClaimOutcome;
+}
--- /dev/null
+++ b/src/features/lifecycle/lifecycleBoard.ts
@@ -0,0 +1,20 @@
+/** Board section of readiness and shutdown. Written by the lifecycle controller only. */
+
+/** Phases of a router process. */
+export type LifecyclePhase = "starting" | "serving" | "draining" | "closing" | "closed";
+
+/** Readiness of this host. */
+export interface LifecycleBoard {
+    phase: LifecyclePhase;
+    /** Whether a request admitted now could run. */
+    ready: boolean;
+    /** Why not, for operators; empty when ready. */
+    reasons: string[];
+    /** Requests in the gateway. */
+    requestsInFlight: number;
+}
+
+/** @returns The section of a process that has just started. */
+export function createLifecycleBoard(): LifecycleBoard {
+    return { phase: "starting", ready: false, reasons: ["starting"], requestsInFlight: 0 };
+}
--- /dev/null
+++ b/src/kernel/events.ts
@@ -0,0 +1,30 @@
+/** All events that controllers handle. */
+import type { AdmissionEvent } from "../features/admission/admissionTypes.js";
+import type { BudgetEvent } from "../features/budget/budgetTypes.js";
+import type { ConfigEvent } from "../features/config/configEvents.js";
+import type { IdempotencyEvent } from "../features/idempotency/idempotencyTypes.js";
+import type { LifecycleEvent } from "../features/lifecycle/lifecycleTypes.js";
+import type { MembershipEvent } from "../features/membership/membershipTypes.js";
+import type { UpstreamEvent } from "../features/upstream/upstreamTypes.js";
+import type { PeerRequested, ResultEvent } from "./effects.js";
+
+/** Interval of the {@link Tick} event. */
+export const TickIntervalMs = 50;
+
+/** Time has passed. */
+export interface Tick {
+    readonly type: "tick";
+}
+
+/** An event of the router. */
+export type RouterEvent =
+    | Tick
+    | ConfigEvent
+    | MembershipEvent
+    | BudgetEvent
+    | IdempotencyEvent
+    | UpstreamEvent
+    | AdmissionEvent
+    | LifecycleEvent
+    | PeerRequested
+    | ResultEvent;
--- /dev/null
+++ b/src/kernel/kernel.ts
@@ -0,0 +1,94 @@
+/** The event queue: one loop on one thread. */
+import type { Clock } from "../base/clock.js";
+import type { Counters } from "../base/counters.js";
+import type { Random } from "../base/random.js";
+import type { Blackboard } from "./blackboard.js";
+import { dumpBlackboard } from "./blackboard.js";
+import type { Controller, ControllerContext } from "./controller.js";
+import type { Effect } from "./effects.js";
+import type { RouterEvent } from "./events.js";
+
+/** Performs effects and posts their results as events. */
+export abstract class EffectRunner {
+    /** Starts an effect. Results arrive later through {@link Kernel.post}, never during this call. */
+    abstract run(effect: Effect): void;
+}
+
+/** Creates the controllers of a router in their order. */
+export type ControllerFactory = (context: ControllerContext) => Controller[];
+
+/** What a kernel is built from. */
+export interface KernelParts {
+    readonly board: Blackboard;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly counters: Counters;
+    readonly createControllers: ControllerFactory;
+}
+
+/** Passes events to the controllers and effects to the runner. */
+export class Kernel {
+    readonly board: Blackboard;
+    readonly counters: Counters;
+    readonly #controllers: readonly Controller[];
+    readonly #queue: RouterEvent[] = [];
+    readonly #outbox: Effect[] = [];
+    #runner: EffectRunner | undefined;
+    #draining = false;
+
+    constructor(parts: KernelParts) {
+        this.board = parts.board;
+        this.counters = parts.counters;
+        this.#controllers = parts.createControllers({
+            board: parts.board,
+            clock: parts.clock,
+            random: parts.random,
+            counters: parts.counters,
+            emit: effect => this.#outbox.push(effect),
+        });
+    }
+
+    /** @param runner Runner of effects; must be set before the first event. */
+    attach(runner: EffectRunner): void {
+        this.#runner = runner;
+    }
+
+    /** Adds an event and handles all queued events before it returns, unless called while handling one. */
+    post(event: RouterEvent): void {
+        this.#queue.push(event);
+        if (this.#draining) {
+            return;
+        }
+        this.#draining = true;
+        try {
+            this.#drain();
+        }
+        finally {
+            this.#draining = false;
+        }
+    }
+
+    /** @returns Everything the process knows, as JSON. */
+    dumpState(): unknown {
+        const controllers = this.#controllers.map(controller => [controller.name, controller.dumpState()]);
+        return {
+            board: dumpBlackboard(this.board),
+            controllers: Object.fromEntries(controllers),
+            counters: this.counters.snapshot(),
+        };
+    }
+
+    #drain(): void {
+        do {
+            for (let event = this.#queue.shift(); event !== undefined; event = this.#queue.shift()) {
+                for (const controller of this.#controllers) {
+                    controller.handle(event);
+                }
+            }
+            for (const effect of this.#outbox.splice(0)) {
+                this.#runner?.run(effect);
+            }
+        }
+        while (this.#queue.length > 0);
+    }
+}
--- /dev/null
+++ b/src/platform/platformStore.ts
@@ -0,0 +1,106 @@
+/** The platform's object API and host list, as the rest of the code sees them. */
+import { z } from "zod";
+
+/** Expected version that means "create only if the key is absent". */
+export const AbsentVersion = 0;
+
+/** Largest value that the object API accepts, in bytes of JSON. */
+export const MaxValueBytes = 1_000_000;
+
+/** A stored object with its version. Versions start at 1 and grow with each change of the key. */
+export const StoredObjectSchema = z.object({
+    key: z.string(),
+    version: z.number().int().nonnegative(),
+    /** Store-wide revision of the last change of this key. */
+    revision: z.number().int().nonnegative(),
+    value: z.unknown(),
+});
+export type StoredObject = z.infer<typeof StoredObjectSchema>;
+
+/** Outcome of a read. Reads may be stale. */
+export type ReadOutcome =
+    | { readonly status: "found"; readonly object: StoredObject; }
+    | { readonly status: "absent"; }
+    | { readonly status: "unavailable"; readonly reason: string; };
+
+/** Outcome of a conditional write. */
+export type WriteOutcome =
+    | { readonly status: "applied"; readonly version: number; }
+    /** Definitely not applied; `current` is `undefined` when the key is absent. */
+    | { readonly status: "conflict"; readonly current: StoredObject | undefined; }
+    /** Definitely not applied. */
+    | { readonly status: "refused"; readonly reason: string; }
+    /** May have been applied, or may still be applied later. */
+    | { readonly status: "unknown"; readonly reason: string; };
+
+/** Outcome of a listing. */
+export type ListOutcome =
+    | { readonly status: "listed"; readonly objects: readonly StoredObject[]; readonly more: boolean; }
+    | { readonly status: "unavailable"; readonly reason: string; };
+
+/** A change reported by a watch; `object` is `undefined` after a deletion. */
+export interface WatchedChange {
+    readonly key: string;
+    readonly object: StoredObject | undefined;
+}
+
+/** Outcome of a watch. Without changes the list is empty and the revision is the newest one. */
+export type WatchOutcome =
+    | { readonly status: "changed"; readonly changes: readonly WatchedChange[]; readonly revision: number; }
+    /** The changes since that revision are no longer kept; list the prefix again. */
+    | { readonly status: "tooOld"; readonly revision: number; }
+    | { readonly status: "unavailable"; readonly reason: string; };
+
+/** A host as the platform's host list shows it. The list lags behind the actual state. */
+export const ListedHostSchema = z.object({
+    hostId: z.string(),
+    zone: z.string(),
+    /** `IP:port` of the peer listener. */
+    peerAddress: z.string(),
+    /** `IP:port` of the operator listener. */
+    operatorAddress: z.string().default(""),
+    state: z.enum(["live", "leaving"]),
+});
+export type ListedHost = z.infer<typeof ListedHostSchema>;
+
+/** Outcome of reading the host list. */
+export type HostsOutcome =
+    | { readonly status: "changed"; readonly hosts: readonly ListedHost[]; readonly revision: number; }
+    | { readonly status: "unchanged"; readonly revision: number; }
+    | { readonly status: "unavailable"; readonly reason: string; };
+
+/** The platform's object API. Values are plain JSON. */
+export abstract class PlatformStore {
+    /** Reads a key. */
+    abstract get(key: string): Promise<ReadOutcome>;
+
+    /**
+     * Writes a key if its version is the expected one.
+     * @param expectedVersion Version to replace; {@link AbsentVersion} creates the key.
+     */
+    abstract put(key: string, value: unknown, expectedVersion: number): Promise<WriteOutcome>;
+
+    /** Deletes a key if its version is the expected one. */
+    abstract delete(key: string, expectedVersion: number): Promise<WriteOutcome>;
+
+    /**
+     * Lists keys in order.
+     * @param prefix Common prefix of the keys.
+     * @param afterKey Last key of the previous page; empty for the first page.
+     * @param limit Largest number of objects to return.
+     */
+    abstract list(prefix: string, afterKey: string, limit: number): Promise<ListOutcome>;
+
+    /**
+     * Waits for changes below a prefix (long poll).
+     * @param afterRevision Changes after this store revision are reported.
+     * @param waitMs Longest wait in milliseconds.
+     */
+    abstract watch(prefix: string, afterRevision: number, waitMs: number): Promise<WatchOutcome>;
+}
+
+/** The platform's list of live and leaving hosts. */
+export abstract class HostList {
+    /** @param sinceRevision Revision of the list already known; -1 for none. */
+    abstract hosts(sinceRevision: number): Promise<HostsOutcome>;
+}
--- /dev/null
+++ b/src/programs/toucanRouter.ts
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+/** The entry process. */
