--- /dev/null
+++ b/src/features/budget/budgetAccount.ts
@@ -0,0 +1,175 @@
+/** One budget of the current host incarnation: numbers, waiting reservations and the share in the store. */
+import { type BudgetEntry, createBudgetEntry, usedTokens } from "./budgetBoard.js";
+import { DemandAverage, drawSize, isShareLow, limitSize, WindowMaximum } from "./budgetMath.js";
+import type { BudgetSettings } from "./budgetSettings.js";
+import { type BudgetObject, freeTokens } from "./budgetTypes.js";
+import type { ShareWriter } from "./shareWriter.js";
+
+/** A reservation that waits for tokens. */
+export interface WaitingReservation {
+    readonly reservationId: string;
+    readonly costTokens: number;
+    readonly sinceMs: number;
+    readonly deadlineMs: number;
+}
+
+/** What an account needs to know of the host. */
+export interface HostView {
+    readonly nowMs: number;
+    readonly liveHostCount: number;
+    /** Whether this host holds a share of this budget without demand. */
+    readonly isHome: boolean;
+    /** L that may be spent, and the highest one that the stored record may hold. */
+    readonly limitTokens: number;
+    readonly highestLimitTokens: number;
+}
+
+/** Share of the own demand, in time, that is not given to peers. */
+const KeepHorizonMs = 5_000;
+
+/** Time for which the limit is raised after a peer asked for more than it covers. */
+const PeerNeedMs = 2_000;
+
+/** One budget of one host incarnation. */
+export class BudgetAccount {
+    readonly name: string;
+    readonly entry: BudgetEntry = createBudgetEntry();
+    readonly writer: ShareWriter;
+    readonly waiting: WaitingReservation[] = [];
+    readonly #settings: BudgetSettings;
+    readonly #demand: DemandAverage;
+    readonly #largest: WindowMaximum;
+    #lastDemandMs: number;
+    #peerNeed = { tokens: 0, untilMs: Number.NEGATIVE_INFINITY };
+    #exhausted = { costTokens: Number.POSITIVE_INFINITY, untilMs: Number.NEGATIVE_INFINITY };
+
+    constructor(name: string, settings: BudgetSettings, writer: ShareWriter, nowMs: number) {
+        this.name = name;
+        this.writer = writer;
+        this.#settings = settings;
+        this.#demand = new DemandAverage(settings.demandWindowMs, nowMs);
+        this.#largest = new WindowMaximum(settings.largestCostWindowMs, nowMs);
+        this.#lastDemandMs = nowMs;
+    }
+
+    /** @returns Tokens that may be reserved or given now: L + I - S - R - O. */
+    spareTokens(limitTokens: number): number {
+        return limitTokens - usedTokens(this.entry);
+    }
+
+    /** @returns Sum of the costs of the waiting reservations. */
+    get waitingTokens(): number {
+        return this.waiting.reduce((sum, item) => sum + item.costTokens, 0);
+    }
+
+    /** Records that a request wants tokens. */
+    noteDemand(costTokens: number, nowMs: number): void {
+        this.#demand.add(costTokens, nowMs);
+        this.#largest.add(costTokens, nowMs);
+        this.#lastDemandMs = nowMs;
+    }
+
+    /** Records that a peer wants tokens that the limit does not cover. */
+    notePeerNeed(tokens: number, nowMs: number): void {
+        this.#peerNeed = { tokens, untilMs: nowMs + PeerNeedMs };
+    }
+
+    /** @returns Tokens that are kept from peers for own demand. */
+    keepTokens(nowMs: number): number {
+        return this.waitingTokens + this.#demand.tokensPerS(nowMs) * KeepHorizonMs / 1_000;
+    }
+
+    /** Remembers that a cost could not be covered by anybody. */
+    noteExhausted(costTokens: number, nowMs: number): void {
+        this.#exhausted = { costTokens, untilMs: nowMs + this.#settings.exhaustedMemoryMs };
+    }
+
+    /** @returns Whether a cost was found to exceed the budget a moment ago. */
+    isExhausted(costTokens: number, nowMs: number): boolean {
+        return nowMs < this.#exhausted.untilMs && costTokens >= this.#exhausted.costTokens;
+    }
+
+    /** @returns Whether a peer waits for a higher limit. */
+    hasPeerNeed(nowMs: number): boolean {
+        return nowMs < this.#peerNeed.untilMs;
+    }
+
+    /** Recomputes the derived numbers of the entry. */
+    update(host: HostView): void {
+        const { nowMs } = host;
+        this.entry.grantedTokens = this.writer.grantedTokens;
+        this.entry.demandTokensPerS = this.#demand.tokensPerS(nowMs);
+        this.entry.largestCostTokens = this.#largest.maximum(nowMs);
+        this.entry.wantedLimitTokens = limitSize({
+            usedTokens: usedTokens(this.entry),
+            grantedTokens: this.entry.grantedTokens,
+            largestCostTokens: this.entry.largestCostTokens,
+            demandTokensPerS: this.entry.demandTokensPerS,
+            horizonMs: this.#settings.limitHorizonMs,
+            standingTokens: this.#isGrant ? this.#settings.standingLimitUses : this.#settings.standingLimitTokens,
+            neededTokens: this.waitingTokens + (this.hasPeerNeed(nowMs) ? this.#peerNeed.tokens : 0),
+        });
+    }
+
+    /** @returns Tokens that the waiting reservations need beyond the own share. */
+    missingTokens(): number {
+        const unused = this.entry.grantedTokens - usedTokens(this.entry);
+        return this.waiting.length === 0 ? 0 : Math.max(0, this.waitingTokens - unused);
+    }
+
+    /**
+     * Decides the share from the newest object.
+     * @param mayDraw Whether a draw is allowed now; a return always is.
+     * @returns The granted amount to write, or `undefined` for no write.
+     */
+    planShare(object: BudgetObject, host: HostView, mayDraw: boolean): number | undefined {
+        const granted = this.entry.grantedTokens;
+        const used = usedTokens(this.entry);
+        const free = freeTokens(object);
+        const neededTokens = this.missingTokens();
+        const input = {
+            demandTokensPerS: this.entry.demandTokensPerS,
+            horizonMs: this.#settings.drawHorizonMs,
+            largestCostTokens: this.entry.largestCostTokens,
+            standingTokens: host.isHome ? this.#settings.standingShareTokens : 0,
+            unusedTokens: granted - used,
+            freeTokens: Math.max(0, free),
+            liveHostCount: host.liveHostCount,
+            neededTokens,
+        };
+        if (mayDraw && isShareLow(input)) {
+            const size = drawSize(input);
+            // A share of 0 lets later folds return what this host receives from peers.
+            return size > 0 || (neededTokens > 0 && !this.writer.hasShare) ? granted + size : undefined;
+        }
+        return this.#planReturn(input.unusedTokens, input.freeTokens, host);
+    }
+
+    /** @returns Whether a draw would be wanted if the object allowed it. */
+    wantsShare(host: HostView): boolean {
+        return this.missingTokens() > 0 || (host.isHome && !this.writer.hasShare)
+            || this.entry.demandTokensPerS * this.#settings.drawHorizonMs / 2_000
+                > this.entry.grantedTokens - usedTokens(this.entry);
+    }
+
+    /** @returns Whether nothing was asked of this budget for the idle time. */
+    isIdle(nowMs: number): boolean {
+        return this.waiting.length === 0 && nowMs - this.#lastDemandMs >= this.#settings.idleReturnMs;
+    }
+
+    get #isGrant(): boolean {
+        return this.name.startsWith("grant/");
+    }
+
+    #planReturn(unusedTokens: number, free: number, host: HostView): number | undefined {
+        if (!this.isIdle(host.nowMs)) {
+            return undefined;
+        }
+        const fairPart = Math.floor((free + unusedTokens) / (2 * host.liveHostCount));
+        const keep = host.isHome ? Math.min(this.#settings.standingShareTokens, fairPart) : 0;
+        const declared = Math.max(host.highestLimitTokens, this.entry.wantedLimitTokens);
+        const granted = Math.max(0, usedTokens(this.entry) + keep, declared);
+        // Half of the unused tokens at least: a return is a store write.
+        return this.entry.grantedTokens - granted >= Math.max(1, unusedTokens / 2) ? granted : undefined;
+    }
+}
--- a/src/features/budget/budgetBoard.ts
+++ b/src/features/budget/budgetBoard.ts
@@ -1,4 +1,5 @@
 /** Board section of budgets. Written by the budget controller only. */
+import type { BillDraft } from "./budgetTypes.js";
 
 /** A host's cumulative numbers for one budget; see docs/design.md, section 4. */
 export interface BudgetEntry {
@@ -20,19 +21,55 @@
     largestCostTokens: number;
 }
 
+/** A settled reservation whose bill line the journal has not taken yet. */
+export interface SettledBill {
+    /** Number of the bill within the process, from 1. */
+    readonly ordinal: number;
+    /** Incarnation that the reservation belongs to. */
+    readonly hostKey: string;
+    /** Draft with the tokens capped by the reservation. */
+    readonly draft: BillDraft;
+}
+
 /** Budgets of this host incarnation. */
 export interface BudgetBoard {
     entries: Map<string, BudgetEntry>;
+    /** Entries of sealed incarnations of this process, by host key, until their requests are settled and billed. */
+    sealedEntries: Map<string, Map<string, BudgetEntry>>;
+    /** Reservations in flight, by host key. */
+    openReservations: Map<string, number>;
+    /** Bills that the journal has not taken yet, in order. */
+    bills: SettledBill[];
     /** Whether an admission waits for a higher limit, so that the record is to be written at once. */
     flushWanted: boolean;
 }
 
 /** @returns An empty section. */
 export function createBudgetBoard(): BudgetBoard {
-    return { entries: new Map(), flushWanted: false };
+    return {
+        entries: new Map(),
+        sealedEntries: new Map(),
+        openReservations: new Map(),
+        bills: [],
+        flushWanted: false,
+    };
 }
 
 /** @returns Net consumption including reservations: S + R + O - I. */
 export function usedTokens(entry: BudgetEntry): number {
     return entry.settledTokens + entry.reservedTokens + entry.sentTokens - entry.receivedTokens;
 }
+
+/** @returns An entry without tokens. */
+export function createBudgetEntry(): BudgetEntry {
+    return {
+        grantedTokens: 0,
+        wantedLimitTokens: 0,
+        settledTokens: 0,
+        reservedTokens: 0,
+        sentTokens: 0,
+        receivedTokens: 0,
+        demandTokensPerS: 0,
+        largestCostTokens: 0,
+    };
+}
--- /dev/null
+++ b/src/features/budget/budgetController.ts
@@ -0,0 +1,422 @@
+/** Holds this host's authority to spend: reservations, shares and transfers. */
+import { match } from "ts-pattern";
+import { Controller, type ControllerContext } from "../../kernel/controller.js";
+import type { PeerRequested } from "../../kernel/effects.js";
+import type { RouterEvent } from "../../kernel/events.js";
+import type { PeerReply, TransferReply, TransferRequest } from "../../peer/peerMessages.js";
+import { BudgetAccount, type HostView } from "./budgetAccount.js";
+import { usedTokens } from "./budgetBoard.js";
+import { giveSize } from "./budgetMath.js";
+import type { BudgetSettings } from "./budgetSettings.js";
+import { budgetKey, freeTokens, type ReservationOutcome } from "./budgetTypes.js";
+import { HomePlacement } from "./homePlacement.js";
+import { ReservationLedger } from "./reservationLedger.js";
+import { ShareWriter } from "./shareWriter.js";
+import { TransferGiver } from "./transferGiver.js";
+import { TransferRequester } from "./transferRequester.js";
+
+/** Interval of the review of accounts that nothing waits for. */
+const ReviewIntervalMs = 1_000;
+
+/** Store calls without a waiting request: a burst at the start, then a steady rate. */
+const ProactiveBurst = 128;
+const ProactiveCallsPerS = 2;
+
+/** Time that a draw gets before peers are asked, and that home hosts get before another host draws. */
+const FirstChoiceMs = 100;
+
+/** Controller of budgets and grants. */
+export class BudgetController extends Controller {
+    override readonly name = "budget";
+    readonly #settings: BudgetSettings;
+    readonly #accounts = new Map<string, BudgetAccount>();
+    readonly #active = new Set<BudgetAccount>();
+    readonly #storeCalls = new Map<string, BudgetAccount>();
+    readonly #ledger: ReservationLedger;
+    readonly #giver: TransferGiver;
+    readonly #requester: TransferRequester;
+    readonly #placement: HomePlacement;
+    #hostKey: string;
+    #lastCallId = 0;
+    #reviewedMs = Number.NEGATIVE_INFINITY;
+    #proactiveCalls = ProactiveBurst;
+
+    constructor(context: ControllerContext, settings: BudgetSettings) {
+        super(context);
+        this.#settings = settings;
+        this.#hostKey = context.board.journal.hostKey;
+        this.#ledger = new ReservationLedger(context.board.budget, context.counters);
+        this.#giver = new TransferGiver(settings.rememberedTransferCount, context.counters);
+        this.#placement = new HomePlacement(context.board, settings);
+        this.#requester = new TransferRequester(settings, {
+            call: (callId, address, request) =>
+                context.emit({
+                    type: "peerCall",
+                    owner: "budget",
+                    callId,
+                    address,
+                    request,
+                    timeoutMs: settings.transferTimeoutMs,
+                }),
+            nextId: () => `${this.#hostKey}#${++this.#lastCallId}`,
+            credit: (budget, tokens) => {
+                const account = this.#accountOf(budget);
+                account.entry.receivedTokens += tokens;
+                this.#active.add(account);
+            },
+        }, context.counters);
+    }
+
+    override handle(event: RouterEvent): void {
+        this.#followIncarnation();
+        match(event)
+            .with({ type: "tick" }, () => this.#tick())
+            .with({ type: "reservationRequested" }, request =>
+                this.#reserve(request.reservationId, request.budget, request.costTokens, request.waitMs))
+            .with({ type: "reservationSettled" }, settled =>
+                this.#activate(this.#ledger.settle(settled.reservationId, settled.bill, this.#hostKey)))
+            .with({ type: "reservationReleased" }, released =>
+                this.#activate(this.#ledger.release(released.reservationId)))
+            .with({ type: "peerRequested" }, requested => this.#answer(requested))
+            .with({ type: "peerCallDone", owner: "budget" }, done => {
+                this.#requester.callDone(done.callId, done.outcome, this.#hostKey, this.#nowMs);
+            })
+            .with({ type: "storeGetDone", owner: "budget" }, done => {
+                this.#storeAccount(done.callId)?.writer.readDone(done.outcome, this.#nowMs);
+            })
+            .with({ type: "storePutDone", owner: "budget" }, done => {
+                const { sentSequence } = this.context.board.journal;
+                this.#storeAccount(done.callId)?.writer.writeDone(done.outcome, sentSequence, this.#nowMs);
+            })
+            .otherwise(() => undefined);
+        this.#pumpActive();
+    }
+
+    override dumpState(): unknown {
+        return {
+            waiting: Object.fromEntries(
+                [...this.#accounts.values()].map(account => [account.name, account.waiting.length]),
+            ),
+            openTransfers: this.#requester.openCount,
+            homes: this.#placement.homes.size,
+        };
+    }
+
+    get #nowMs(): number {
+        return this.context.clock.monotonicMs();
+    }
+
+    /** After a seal, the old entries only settle; waiting requests move to the new incarnation. */
+    #followIncarnation(): void {
+        const { board } = this.context;
+        this.#ledger.forgetTaken(board.journal.takenBillOrdinal);
+        for (const hostKey of board.journal.settledIncarnations.keys()) {
+            board.budget.sealedEntries.delete(hostKey);
+            board.budget.openReservations.delete(hostKey);
+        }
+        if (board.journal.hostKey === this.#hostKey) {
+            return;
+        }
+        const old = [...this.#accounts.values()];
+        board.budget.sealedEntries.set(this.#hostKey, new Map(old.map(account => [account.name, account.entry])));
+        board.budget.entries.clear();
+        this.#accounts.clear();
+        this.#active.clear();
+        this.#storeCalls.clear();
+        this.#hostKey = board.journal.hostKey;
+        this.#requester.abandon(this.#nowMs);
+        for (const account of old) {
+            this.#accountOf(account.name).waiting.push(...account.waiting);
+        }
+    }
+
+    #tick(): void {
+        const nowMs = this.#nowMs;
+        this.#requester.tick(this.context.board.membership, nowMs);
+        if (nowMs - this.#reviewedMs < ReviewIntervalMs) {
+            return;
+        }
+        const elapsedMs = Math.min(nowMs - this.#reviewedMs, ProactiveBurst * 1_000);
+        this.#proactiveCalls = Math.min(ProactiveBurst, this.#proactiveCalls + elapsedMs * ProactiveCallsPerS / 1_000);
+        this.#reviewedMs = nowMs;
+        this.#placement.step();
+        for (const budget of this.#placement.homes) {
+            this.#accountOf(budget);
+        }
+        for (const account of this.#accounts.values()) {
+            this.#active.add(account);
+        }
+    }
+
+    #reserve(reservationId: string, budget: string, costTokens: number, waitMs: number): void {
+        const nowMs = this.#nowMs;
+        const { phase } = this.context.board.lifecycle;
+        if (this.#ledger.has(reservationId)) {
+            this.context.counters.add("budget.reservation.repeated");
+            return;
+        }
+        if (phase === "closing" || phase === "closed" || this.context.board.journal.closing) {
+            this.#decide(reservationId, { status: "refused", code: "ShuttingDown", retryAfterMs: 0 });
+            return;
+        }
+        const account = this.#accountOf(budget);
+        account.noteDemand(costTokens, nowMs);
+        if (account.isExhausted(costTokens, nowMs)) {
+            this.#decide(reservationId, { status: "refused", code: "BudgetExhausted", retryAfterMs: undefined });
+            return;
+        }
+        if (account.waiting.length >= this.#settings.maxWaitingCount) {
+            this.#decide(reservationId, this.#later("BudgetUnavailable"));
+            return;
+        }
+        const deadlineMs = nowMs + Math.min(waitMs, this.#settings.maxWaitMs);
+        account.waiting.push({ reservationId, costTokens, sinceMs: nowMs, deadlineMs });
+        this.#active.add(account);
+    }
+
+    #pumpActive(): void {
+        let flushWanted = false;
+        for (const account of this.#active) {
+            this.#pump(account);
+            const busy = account.waiting.length > 0 || account.hasPeerNeed(this.#nowMs);
+            flushWanted ||= busy && account.entry.wantedLimitTokens > this.#highestLimit(account.name);
+            if (!busy && !account.writer.isWriting && !account.writer.needsProof) {
+                this.#active.delete(account);
+            }
+            else if (account.writer.needsProof) {
+                flushWanted = true;
+            }
+        }
+        this.context.board.budget.flushWanted = flushWanted;
+    }
+
+    #pump(account: BudgetAccount): void {
+        const { board } = this.context;
+        const host = this.#hostView(account.name);
+        this.#grantWaiting(account, host);
+        account.update(host);
+        if (board.journal.closing) {
+            return;
+        }
+        const spent = board.journal.established && this.#obtain(account, host);
+        this.#refuseWaiting(account, host, spent);
+        if (account.waiting.length === 0) {
+            this.#requester.reset(account.name);
+        }
+    }
+
+    #grantWaiting(account: BudgetAccount, host: HostView): void {
+        if (this.context.board.journal.closing) {
+            return;
+        }
+        // A smaller request may pass a larger one: the larger one's wait is bounded by its deadline.
+        let index = 0;
+        while (index < account.waiting.length) {
+            const item = account.waiting[index]!;
+            if (item.costTokens <= account.spareTokens(host.limitTokens)) {
+                account.waiting.splice(index, 1);
+                this.#ledger.open(item.reservationId, account.name, account.entry, item.costTokens, this.#hostKey);
+                this.context.counters.add("budget.reservation.granted");
+                this.#decide(item.reservationId, { status: "granted" });
+            }
+            else {
+                index++;
+            }
+        }
+    }
+
+    /**
+     * Draws, returns and asks peers.
+     * @returns Whether the waiting requests need more than anybody has, now or later.
+     */
+    #obtain(account: BudgetAccount, host: HostView): boolean {
+        const { nowMs } = host;
+        const { writer } = account;
+        const first = account.waiting[0];
+        const waitedMs = first === undefined ? 0 : nowMs - first.sinceMs;
+        const mayDraw = host.isHome || waitedMs >= FirstChoiceMs;
+        if (first !== undefined || this.#proactiveCalls >= 1) {
+            const before = writer.isWriting;
+            writer.step(
+                object => account.planShare(object, host, mayDraw),
+                this.context.board.journal.acknowledgedSequence,
+                nowMs,
+            );
+            const reads = writer.known === undefined && (first !== undefined || account.wantsShare(host));
+            // A return that has just started lowers G, and with it the limit that the next record may declare.
+            account.update(host);
+            this.#proactiveCalls -= first === undefined && ((writer.isWriting && !before) || reads) ? 1 : 0;
+            if (reads) {
+                writer.refresh(Number.NEGATIVE_INFINITY, nowMs);
+            }
+        }
+        const missing = account.missingTokens();
+        if (first === undefined || missing === 0) {
+            return false;
+        }
+        if (!writer.isWriting) {
+            writer.refresh(first.sinceMs, nowMs);
+        }
+        const fresh = writer.known !== undefined && writer.known.readMs >= first.sinceMs;
+        const free = writer.known === undefined ? 0 : freeTokens(writer.known.object);
+        const shortage = fresh && free < missing;
+        if (host.isHome && !shortage && !writer.isFailing && waitedMs < FirstChoiceMs) {
+            return false;
+        }
+        const shares = Object.entries(writer.known?.object.shares ?? {});
+        const emptyPeers = this.#requester.ask(
+            account.name,
+            this.#hostKey,
+            missing,
+            new Map(shares.map(([hostKey, share]) => [hostKey, share.grantedTokens])),
+            this.context.board.membership,
+            nowMs,
+        );
+        return emptyPeers && shortage && !writer.isWriting && !writer.isFailing && account.entry.reservedTokens === 0;
+    }
+
+    #refuseWaiting(account: BudgetAccount, host: HostView, spent: boolean): void {
+        const { nowMs } = host;
+        const unused = account.entry.grantedTokens - usedTokens(account.entry);
+        const { known, absentMs } = account.writer;
+        for (const item of [...account.waiting]) {
+            const fresh = known !== undefined && known.readMs >= item.sinceMs;
+            const { object } = known ?? {};
+            const backed = object === undefined ? 0 : backedTokens(object);
+            let outcome: ReservationOutcome | undefined;
+            if (known === undefined && absentMs !== undefined && absentMs >= item.sinceMs) {
+                outcome = { status: "refused", code: "NoBudget", retryAfterMs: undefined };
+            }
+            else if (item.costTokens > unused && fresh && (spent || backed < item.costTokens)) {
+                account.noteExhausted(item.costTokens, nowMs);
+                outcome = { status: "refused", code: "BudgetExhausted", retryAfterMs: undefined };
+            }
+            else if (nowMs >= item.deadlineMs) {
+                outcome = this.#later(fresh && item.costTokens > unused ? "BudgetExhausted" : "BudgetUnavailable");
+            }
+            if (outcome !== undefined) {
+                account.waiting.splice(account.waiting.indexOf(item), 1);
+                this.#decide(item.reservationId, outcome);
+            }
+        }
+    }
+
+    #answer(requested: PeerRequested): void {
+        const { request } = requested;
+        const reply: PeerReply | undefined = match(request)
+            .with({ method: "TransferTokens" }, ({ body }) => ({
+                method: "TransferTokens" as const,
+                body: this.#give(body),
+            }))
+            .with({ method: "CancelTransfer" }, ({ body }) => {
+                const { budget, journal } = this.context.board;
+                const isCurrent = body.giver === journal.hostKey && !journal.closing;
+                this.#giver.cancel(body.transferId, body.giver, isCurrent || budget.sealedEntries.has(body.giver));
+                return { method: "CancelTransfer" as const, body: { transferId: body.transferId } };
+            })
+            .otherwise(() => undefined);
+        if (reply !== undefined) {
+            this.context.emit({ type: "peerAnswer", exchangeId: requested.exchangeId, reply });
+        }
+    }
+
+    #give(request: TransferRequest): TransferReply {
+        const { transferId } = request;
+        const { journal } = this.context.board;
+        const repeated = this.#giver.repeated(transferId);
+        const account = this.#accounts.get(request.budget);
+        if (repeated !== undefined) {
+            return { transferId, givenTokens: repeated };
+        }
+        if (request.giver !== journal.hostKey || journal.closing || account === undefined) {
+            this.context.counters.add("budget.transfer.refused");
+            return { transferId, givenTokens: 0, laterTokens: 0 };
+        }
+        const nowMs = this.#nowMs;
+        const givenTokens = giveSize({
+            spareTokens: account.spareTokens(journal.limits.get(request.budget) ?? 0),
+            keepTokens: account.keepTokens(nowMs),
+            wantedTokens: request.wantedTokens,
+            minimumTokens: request.minimumTokens,
+        });
+        this.#giver.give(request, account.entry, givenTokens);
+        const { entry } = account;
+        const laterTokens = Math.max(0, entry.grantedTokens - usedTokens(entry) + entry.reservedTokens);
+        if (givenTokens < request.wantedTokens && laterTokens > 0) {
+            account.notePeerNeed(request.wantedTokens - givenTokens, nowMs);
+        }
+        this.#active.add(account);
+        return { transferId, givenTokens, laterTokens };
+    }
+
+    #accountOf(budget: string): BudgetAccount {
+        let account = this.#accounts.get(budget);
+        if (account === undefined) {
+            const key = budgetKey(budget);
+            const identify = (): { owner: "budget"; callId: string; key: string; } => {
+                const callId = `s${++this.#lastCallId}`;
+                this.#storeCalls.set(callId, created);
+                return { owner: "budget", callId, key };
+            };
+            const writer = new ShareWriter(this.#hostKey, {
+                get: () => this.context.emit({ type: "storeGet", ...identify() }),
+                put: (value, expectedVersion) =>
+                    this.context.emit({ type: "storePut", ...identify(), value, expectedVersion }),
+                count: (name, amount) => this.context.counters.add(name, amount),
+            }, this.#settings.storeRetryMs);
+            const created = new BudgetAccount(budget, this.#settings, writer, this.#nowMs);
+            account = created;
+            this.#accounts.set(budget, account);
+            this.context.board.budget.entries.set(budget, account.entry);
+        }
+        return account;
+    }
+
+    #storeAccount(callId: string): BudgetAccount | undefined {
+        const account = this.#storeCalls.get(callId);
+        this.#storeCalls.delete(callId);
+        return this.#activate(account?.name);
+    }
+
+    #activate(budget: string | undefined): BudgetAccount | undefined {
+        const account = budget === undefined ? undefined : this.#accounts.get(budget);
+        if (account !== undefined) {
+            this.#active.add(account);
+        }
+        return account;
+    }
+
+    #hostView(budget: string): HostView {
+        const { limits } = this.context.board.journal;
+        return {
+            nowMs: this.#nowMs,
+            liveHostCount: this.#placement.liveHostCount,
+            isHome: this.#placement.isHome(budget),
+            limitTokens: limits.get(budget) ?? 0,
+            highestLimitTokens: this.#highestLimit(budget),
+        };
+    }
+
+    #highestLimit(budget: string): number {
+        return this.context.board.journal.highestLimits.get(budget) ?? 0;
+    }
+
+    #later(code: "BudgetExhausted" | "BudgetUnavailable"): ReservationOutcome {
+        return { status: "refused", code, retryAfterMs: this.#settings.retryAfterMs };
+    }
+
+    #decide(reservationId: string, outcome: ReservationOutcome): void {
+        if (outcome.status === "refused") {
+            this.context.counters.add(`budget.reservation.refused.${outcome.code}`);
+        }
+        this.context.emit({
+            type: "notify",
+            notification: { type: "reservationDecided", reservationId, outcome },
+        });
+    }
+}
+
+/** @returns Tokens of a budget that are neither consumed by closed incarnations nor at risk. */
+function backedTokens(object: Parameters<typeof freeTokens>[0]): number {
+    return freeTokens({ ...object, shares: {} });
+}
--- /dev/null
+++ b/src/features/budget/budgetMath.ts
@@ -0,0 +1,144 @@
+/** Sizes of draws, limits, returns and transfers. Pure functions over token counts. */
+
+/** What the size of a draw depends on. */
+export interface DrawInput {
+    readonly demandTokensPerS: number;
+    readonly horizonMs: number;
+    readonly largestCostTokens: number;
+    /** Share that is held without demand. */
+    readonly standingTokens: number;
+    /** G minus net consumption: what is left of the own share. */
+    readonly unusedTokens: number;
+    /** Tokens that no host holds. */
+    readonly freeTokens: number;
+    readonly liveHostCount: number;
+    /** Tokens that waiting requests need beyond the own share. */
+    readonly neededTokens: number;
+}
+
+/** @returns Tokens to draw; 0 when the share suffices or nothing is free. */
+export function drawSize(input: DrawInput): number {
+    const demand = input.demandTokensPerS * input.horizonMs / 1_000;
+    const target = Math.ceil(Math.max(demand, input.largestCostTokens, input.standingTokens));
+    // A single free token is still worth drawing: grants are counted in uses.
+    const fairPart = Math.max(Math.floor(input.freeTokens / (2 * Math.max(1, input.liveHostCount))), 1);
+    const wished = Math.min(target - input.unusedTokens, fairPart);
+    return Math.max(0, Math.min(input.freeTokens, Math.max(wished, input.neededTokens)));
+}
+
+/**
+ * Whether a share is low enough for a draw. The gap between this bound and the draw target keeps small requests from
+ * causing a store write each.
+ */
+export function isShareLow(input: DrawInput): boolean {
+    const demand = input.demandTokensPerS * input.horizonMs / 1_000;
+    const target = Math.max(demand, input.largestCostTokens, input.standingTokens);
+    return input.neededTokens > 0 || input.unusedTokens < target / 2;
+}
+
+/** What the size of a limit depends on. */
+export interface LimitInput {
+    /** S + R + O - I. */
+    readonly usedTokens: number;
+    readonly grantedTokens: number;
+    readonly largestCostTokens: number;
+    readonly demandTokensPerS: number;
+    readonly horizonMs: number;
+    /** Headroom that is declared without demand. */
+    readonly standingTokens: number;
+    /** Tokens that waiting requests and transfers need. */
+    readonly neededTokens: number;
+}
+
+/** @returns The limit to declare: the net consumption plus headroom, at most the granted tokens. */
+export function limitSize(input: LimitInput): number {
+    const headroom = Math.max(
+        2 * input.largestCostTokens,
+        input.demandTokensPerS * input.horizonMs / 1_000,
+        input.standingTokens,
+        input.neededTokens,
+    );
+    return Math.max(0, Math.min(input.grantedTokens, Math.ceil(input.usedTokens + headroom)));
+}
+
+/** What a host can give to a peer. */
+export interface GiveInput {
+    /** L + I - S - R - O. */
+    readonly spareTokens: number;
+    /** Own demand that the giver keeps tokens for. */
+    readonly keepTokens: number;
+    readonly wantedTokens: number;
+    readonly minimumTokens: number;
+}
+
+/** @returns Tokens to give; 0 when the minimum cannot be spared. */
+export function giveSize(input: GiveInput): number {
+    const available = Math.floor(input.spareTokens - input.keepTokens);
+    return available < input.minimumTokens ? 0 : Math.min(input.wantedTokens, available);
+}
+
+/** Exponential moving average of an amount per second. */
+export class DemandAverage {
+    #tokens = 0;
+    #atMs: number;
+    readonly #windowMs: number;
+
+    /**
+     * @param windowMs Time constant.
+     * @param nowMs Monotonic time.
+     */
+    constructor(windowMs: number, nowMs: number) {
+        this.#windowMs = windowMs;
+        this.#atMs = nowMs;
+    }
+
+    /** Adds tokens that are demanded now. */
+    add(tokens: number, nowMs: number): void {
+        this.#decay(nowMs);
+        this.#tokens += tokens;
+    }
+
+    /** @returns The average in tokens per second; 0 when it is below a thousandth. */
+    tokensPerS(nowMs: number): number {
+        this.#decay(nowMs);
+        const rate = this.#tokens * 1_000 / this.#windowMs;
+        return rate < 0.001 ? 0 : rate;
+    }
+
+    #decay(nowMs: number): void {
+        this.#tokens *= Math.exp((this.#atMs - nowMs) / this.#windowMs);
+        this.#atMs = nowMs;
+    }
+}
+
+/** Largest amount of a sliding window, in two halves. */
+export class WindowMaximum {
+    #current = 0;
+    #previous = 0;
+    #rotatedMs: number;
+    readonly #halfWindowMs: number;
+
+    constructor(windowMs: number, nowMs: number) {
+        this.#halfWindowMs = windowMs / 2;
+        this.#rotatedMs = nowMs;
+    }
+
+    add(amount: number, nowMs: number): void {
+        this.#rotate(nowMs);
+        this.#current = Math.max(this.#current, amount);
+    }
+
+    maximum(nowMs: number): number {
+        this.#rotate(nowMs);
+        return Math.max(this.#current, this.#previous);
+    }
+
+    #rotate(nowMs: number): void {
+        const elapsedMs = nowMs - this.#rotatedMs;
+        if (elapsedMs >= this.#halfWindowMs) {
+            this.#previous = elapsedMs >= 2 * this.#halfWindowMs ? 0 : this.#current;
+            this.#current = 0;
+            this.#rotatedMs = nowMs;
+        }
+    }
+}
--- a/src/features/budget/budgetTypes.ts
+++ b/src/features/budget/budgetTypes.ts
@@ -11,6 +11,7 @@
     /** Number of the host's last write that took effect; settles writes with lost answers. */
     sequence: z.number().int().nonnegative(),
 });
+export type Share = z.infer<typeof ShareSchema>;
 
 /** A top-up, kept so that a repeated command is recognised. */
 export const TopUpSchema = z.object({ operationId: z.string(), tokens: TokensSchema, atMs: z.number() });
--- /dev/null
+++ b/src/features/budget/reservationLedger.ts
@@ -0,0 +1,102 @@
+/** Reservations in flight and the bills made from them. */
+import type { Counters } from "../../base/counters.js";
+import type { BudgetBoard, BudgetEntry } from "./budgetBoard.js";
+import type { BillDraft } from "./budgetTypes.js";
+
+interface OpenReservation {
+    readonly hostKey: string;
+    readonly budget: string;
+    readonly entry: BudgetEntry;
+    readonly costTokens: number;
+}
+
+/** Opens, settles and releases reservations, each once. */
+export class ReservationLedger {
+    readonly #board: BudgetBoard;
+    readonly #counters: Counters;
+    readonly #open = new Map<string, OpenReservation>();
+    #lastOrdinal = 0;
+
+    constructor(board: BudgetBoard, counters: Counters) {
+        this.#board = board;
+        this.#counters = counters;
+    }
+
+    /** @returns Whether a reservation is open. */
+    has(reservationId: string): boolean {
+        return this.#open.has(reservationId);
+    }
+
+    /** Opens a reservation: its worst-case cost counts as reserved. */
+    open(reservationId: string, budget: string, entry: BudgetEntry, costTokens: number, hostKey: string): void {
+        entry.reservedTokens += costTokens;
+        this.#open.set(reservationId, { hostKey, budget, entry, costTokens });
+        this.#board.openReservations.set(hostKey, (this.#board.openReservations.get(hostKey) ?? 0) + 1);
+    }
+
+    /**
+     * Bills a reservation. The tokens are capped by the reservation; a reversal needs no reservation.
+     * @returns The budget whose entry changed.
+     */
+    settle(reservationId: string, bill: BillDraft, currentHostKey: string): string | undefined {
+        const reservation = this.#close(reservationId);
+        if (reservation === undefined) {
+            return this.#reverse(bill, currentHostKey);
+        }
+        const tokens = Math.max(0, Math.min(bill.tokens, reservation.costTokens));
+        if (tokens !== bill.tokens) {
+            this.#counters.add("budget.bill.capped");
+        }
+        reservation.entry.settledTokens += tokens;
+        this.#addBill(reservation.hostKey, { ...bill, budget: reservation.budget, tokens });
+        return reservation.budget;
+    }
+
+    /**
+     * Gives a reservation back without a bill.
+     * @returns The budget whose entry changed.
+     */
+    release(reservationId: string): string | undefined {
+        const reservation = this.#close(reservationId);
+        this.#counters.add(reservation === undefined ? "budget.release.unknown" : "budget.reservation.released");
+        return reservation?.budget;
+    }
+
+    /** Drops the bills that the journal has taken. */
+    forgetTaken(ordinal: number): void {
+        const { bills } = this.#board;
+        let count = 0;
+        while (count < bills.length && bills[count]!.ordinal <= ordinal) {
+            count++;
+        }
+        bills.splice(0, count);
+    }
+
+    #reverse(bill: BillDraft, hostKey: string): string | undefined {
+        const entry = this.#board.entries.get(bill.budget);
+        if (bill.outcome !== "reversal" || bill.tokens > 0 || entry === undefined) {
+            this.#counters.add("budget.settle.unknown");
+            return undefined;
+        }
+        entry.settledTokens += bill.tokens;
+        this.#addBill(hostKey, bill);
+        return bill.budget;
+    }
+
+    #addBill(hostKey: string, draft: BillDraft): void {
+        this.#lastOrdinal++;
+        this.#counters.add("budget.bills");
+        this.#board.bills.push({ ordinal: this.#lastOrdinal, hostKey, draft });
+    }
+
+    #close(reservationId: string): OpenReservation | undefined {
+        const reservation = this.#open.get(reservationId);
+        if (reservation !== undefined) {
+            this.#open.delete(reservationId);
+            reservation.entry.reservedTokens -= reservation.costTokens;
+            const open = this.#board.openReservations.get(reservation.hostKey) ?? 1;
+            this.#board.openReservations.set(reservation.hostKey, open - 1);
+        }
+        return reservation;
+    }
+}
--- /dev/null
+++ b/src/features/journal/lateSettlement.ts
@@ -0,0 +1,68 @@
+/** Settles a sealed incarnation of this process: stores the bill lines that its record does not hold. */
+import type { WriteOutcome } from "../../platform/platformStore.js";
+import type { BillBook } from "./billBook.js";
+import { type BillLine, billSegmentKey, type HostRecord } from "./journalTypes.js";
+
+interface Chunk {
+    readonly key: string;
+    readonly lines: readonly BillLine[];
+}
+
+/** Late bill lines of one incarnation. */
+export class LateSettlement {
+    readonly hostKey: string;
+    readonly book: BillBook;
+    readonly sealedRecord: HostRecord;
+    #chunks: Chunk[] | undefined;
+    #inFlight = false;
+    #notBeforeMs = Number.NEGATIVE_INFINITY;
+
+    /** @param sealedRecord The record as it was sealed. */
+    constructor(hostKey: string, book: BillBook, sealedRecord: HostRecord) {
+        this.hostKey = hostKey;
+        this.book = book;
+        this.sealedRecord = sealedRecord;
+        book.markDurable(sealedRecord.bills);
+    }
+
+    /** @returns Whether all lines are stored. */
+    get isStored(): boolean {
+        return this.#chunks?.length === 0;
+    }
+
+    /**
+     * Writes the next chunk. Called only when no request of the incarnation is open.
+     * @param put Creates a key if it is absent.
+     */
+    step(linesPerChunk: number, put: (key: string, lines: readonly BillLine[]) => void, nowMs: number): void {
+        this.#chunks ??= this.#split(linesPerChunk);
+        const chunk = this.#chunks[0];
+        if (chunk !== undefined && !this.#inFlight && nowMs >= this.#notBeforeMs) {
+            this.#inFlight = true;
+            put(chunk.key, chunk.lines);
+        }
+    }
+
+    /** Handles the result of a write. Only this process writes these keys, so a conflict shows an earlier attempt. */
+    writeDone(outcome: WriteOutcome, retryMs: number, nowMs: number): void {
+        this.#inFlight = false;
+        if (outcome.status === "applied" || outcome.status === "conflict") {
+            this.#chunks?.shift();
+        }
+        else {
+            this.#notBeforeMs = nowMs + retryMs;
+        }
+    }
+
+    #split(linesPerChunk: number): Chunk[] {
+        const lines = this.book.notDurable();
+        const chunks: Chunk[] = [];
+        let segment = this.book.unusedSegment;
+        for (let start = 0; start < lines.length; start += linesPerChunk) {
+            const isLast = start + linesPerChunk >= lines.length;
+            const key = billSegmentKey(this.hostKey, isLast ? "late" : segment++);
+            chunks.push({ key, lines: lines.slice(start, start + linesPerChunk) });
+        }
+        return chunks;
+    }
+}
--- /dev/null
+++ b/src/features/recovery/recoveryController.ts
@@ -0,0 +1,266 @@
+/** Seals dead hosts and folds closed and sealed incarnations into the budgets. */
+import { rendezvousOrder } from "../../base/hashing.js";
+import { Controller, type ControllerContext } from "../../kernel/controller.js";
+import type { RouterEvent } from "../../kernel/events.js";
+import type { StoredObject } from "../../platform/platformStore.js";
+import { BudgetObjectSchema, BudgetPrefix, budgetKey, grantBudgetName } from "../budget/budgetTypes.js";
+import { type HostRecord, hostKeyOf, hostRecordKey } from "../journal/journalTypes.js";
+import { liveHostIds } from "../membership/membershipBoard.js";
+import { foldByRecord, foldExactly } from "./foldMath.js";
+import { FoldQueue } from "./foldQueue.js";
+import { HostWatch } from "./hostWatch.js";
+import type { RecoverySettings } from "./recoverySettings.js";
+
+type CallTarget =
+    | { readonly kind: "fold"; readonly budget: string; }
+    | { readonly kind: "watch"; readonly watch: HostWatch; readonly sealed: HostRecord | undefined; };
+
+interface Watched {
+    readonly watch: HostWatch;
+    /** Whether this host looks for all shares of the dead host, not only for those that it saw. */
+    readonly isSealer: boolean;
+    searched: boolean;
+    lastSeenMs: number;
+}
+
+/** Controller of recovery. */
+export class RecoveryController extends Controller {
+    override readonly name = "recovery";
+    readonly #settings: RecoverySettings;
+    readonly #watched = new Map<string, Watched>();
+    readonly #calls = new Map<string, CallTarget>();
+    readonly #folds: FoldQueue;
+    readonly #settled = new Set<string>();
+    readonly #ownKeys = new Set<string>();
+    #lastCallId = 0;
+    #ownFoldsQueued = false;
+
+    constructor(context: ControllerContext, settings: RecoverySettings) {
+        super(context);
+        this.#settings = settings;
+        this.#folds = new FoldQueue({
+            get: budget =>
+                this.context.emit({
+                    type: "storeGet",
+                    ...this.#identify({ kind: "fold", budget }),
+                    key: budgetKey(budget),
+                }),
+            put: (budget, value, expectedVersion) =>
+                this.context.emit({
+                    type: "storePut",
+                    ...this.#identify({ kind: "fold", budget }),
+                    key: budgetKey(budget),
+                    value,
+                    expectedVersion,
+                }),
+        }, context.counters, settings.retryMs);
+    }
+
+    override handle(event: RouterEvent): void {
+        this.#ownKeys.add(this.context.board.journal.hostKey);
+        if (event.type === "storeGetDone") {
+            this.#seeShares(event.key, event.outcome.status === "found" ? event.outcome.object : undefined);
+        }
+        if (event.type === "storePutDone") {
+            this.#seeShares(event.key, event.outcome.status === "conflict" ? event.outcome.current : undefined);
+        }
+        if ((event.type === "storeGetDone" || event.type === "storePutDone") && event.owner === "recovery") {
+            this.#callDone(event);
+        }
+        if (event.type === "tick") {
+            this.#tick();
+        }
+    }
+
+    override dumpState(): unknown {
+        return { watched: [...this.#watched.keys()], folds: this.#folds.size };
+    }
+
+    get #nowMs(): number {
+        return this.context.clock.monotonicMs();
+    }
+
+    #tick(): void {
+        const nowMs = this.#nowMs;
+        for (const hostKey of this.context.board.membership.suspects) {
+            this.#watch(hostKey, undefined);
+        }
+        for (const [hostKey, watched] of this.#watched) {
+            this.#follow(hostKey, watched, nowMs);
+        }
+        this.#foldSettledIncarnations();
+        this.#foldOwnShares();
+        this.#folds.step(this.#settings.foldConcurrency, nowMs);
+    }
+
+    /** Notices shares of incarnations that are not known to be alive. */
+    #seeShares(key: string, stored: StoredObject | undefined): void {
+        const parsed = key.startsWith(BudgetPrefix) ? BudgetObjectSchema.safeParse(stored?.value) : undefined;
+        if (parsed?.success !== true) {
+            return;
+        }
+        const budget = key.slice(BudgetPrefix.length);
+        for (const hostKey of Object.keys(parsed.data.shares)) {
+            if (!this.#isAlive(hostKey)) {
+                this.#watch(hostKey, budget);
+            }
+        }
+    }
+
+    #isAlive(hostKey: string): boolean {
+        const { membership } = this.context.board;
+        const member = membership.members.get(hostKey.slice(0, hostKey.lastIndexOf("~")));
+        const isCurrent = member !== undefined && hostKeyOf(member.hostId, member.incarnation) === hostKey;
+        const isRunning = member?.state === "live" || member?.state === "leaving";
+        return this.#ownKeys.has(hostKey) || (isCurrent && isRunning && !membership.suspects.has(hostKey));
+    }
+
+    #watch(hostKey: string, seenBudget: string | undefined): void {
+        if (this.#ownKeys.has(hostKey)) {
+            return;
+        }
+        const nowMs = this.#nowMs;
+        let watched = this.#watched.get(hostKey);
+        if (watched === undefined) {
+            const { board } = this.context;
+            const order = rendezvousOrder(hostKey, liveHostIds(board.membership, board.journal.hostId));
+            const rank = order.indexOf(board.journal.hostId);
+            const isSealer = rank >= 0 && rank < this.#settings.sealerCount;
+            if (!isSealer && seenBudget === undefined) {
+                return;
+            }
+            const delayMs = Math.min(rank < 0 ? 0 : rank, this.#settings.sealerCount) * this.#settings.sealerDelayMs;
+            const created = new HostWatch(hostKey, {
+                get: () =>
+                    this.context.emit({
+                        type: "storeGet",
+                        ...this.#identify({ kind: "watch", watch: created, sealed: undefined }),
+                        key: hostRecordKey(hostKey),
+                    }),
+                put: (sealed, expectedVersion) =>
+                    this.context.emit({
+                        type: "storePut",
+                        ...this.#identify({ kind: "watch", watch: created, sealed }),
+                        key: hostRecordKey(hostKey),
+                        value: sealed,
+                        expectedVersion,
+                    }),
+                count: name => this.context.counters.add(name),
+            }, { ...this.#settings, firstReadMs: nowMs + delayMs });
+            watched = { watch: created, isSealer, searched: false, lastSeenMs: nowMs };
+            this.#watched.set(hostKey, watched);
+            this.context.counters.add("recovery.watched");
+        }
+        watched.lastSeenMs = nowMs;
+        if (seenBudget !== undefined) {
+            watched.watch.seenBudgets.add(seenBudget);
+        }
+    }
+
+    #follow(hostKey: string, watched: Watched, nowMs: number): void {
+        const { watch } = watched;
+        const record = watch.ended;
+        if (record === undefined) {
+            if (this.#isAlive(hostKey)) {
+                this.#watched.delete(hostKey);
+            }
+            else {
+                watch.step(nowMs);
+            }
+            return;
+        }
+        const budgets = new Set(watch.seenBudgets);
+        watch.seenBudgets.clear();
+        if (watched.isSealer && !watched.searched) {
+            watched.searched = true;
+            for (const budget of [...Object.keys(record.entries), ...this.#searchedBudgets()]) {
+                budgets.add(budget);
+            }
+        }
+        for (const budget of budgets) {
+            const entry = record.entries[budget];
+            this.#folds.add(
+                `${hostKey} ${budget}`,
+                budget,
+                object => foldByRecord(object, hostKey, entry, record.state === "sealed"),
+            );
+        }
+        if (nowMs - watched.lastSeenMs >= this.#settings.rememberedMs) {
+            this.#watched.delete(hostKey);
+        }
+    }
+
+    #searchedBudgets(): string[] {
+        const { budgets, grants } = this.context.board.config.resources;
+        const isSmall = budgets.size + grants.size <= this.#settings.searchedBudgetCount;
+        return isSmall ? [...budgets.keys(), ...[...grants.keys()].map(grantBudgetName)] : [];
+    }
+
+    #foldSettledIncarnations(): void {
+        for (const [hostKey, settled] of this.context.board.journal.settledIncarnations) {
+            if (this.#settled.has(hostKey)) {
+                continue;
+            }
+            this.#settled.add(hostKey);
+            for (const [budget, netTokens] of settled.netTokens) {
+                const entry = settled.sealedRecord.entries[budget];
+                this.#folds.add(
+                    `${hostKey} ${budget} exact`,
+                    budget,
+                    object => foldExactly(object, hostKey, entry, netTokens),
+                );
+            }
+        }
+    }
+
+    /** After the closing record, this host returns its own shares. */
+    #foldOwnShares(): void {
+        const { board } = this.context;
+        if (!board.journal.closed) {
+            return;
+        }
+        const { hostKey } = board.journal;
+        if (!this.#ownFoldsQueued) {
+            this.#ownFoldsQueued = true;
+            for (const [budget, entry] of board.budget.entries) {
+                const declared = { ...entry, limitTokens: 0 };
+                this.#folds.add(
+                    `${hostKey} ${budget} closed`,
+                    budget,
+                    object => foldByRecord(object, hostKey, declared, false),
+                );
+            }
+        }
+        board.recovery.ownSharesReturned = this.#folds.size === 0;
+    }
+
+    #callDone(event: Extract<RouterEvent, { type: "storeGetDone" | "storePutDone"; }>): void {
+        const nowMs = this.#nowMs;
+        const target = this.#calls.get(event.callId);
+        this.#calls.delete(event.callId);
+        if (target === undefined) {
+            return;
+        }
+        if (target.kind === "fold") {
+            if (event.type === "storeGetDone") {
+                this.#folds.readDone(target.budget, event.outcome, nowMs);
+            }
+            else {
+                this.#folds.writeDone(target.budget, event.outcome, nowMs);
+            }
+            this.#folds.step(this.#settings.foldConcurrency, nowMs);
+        }
+        else if (event.type === "storeGetDone") {
+            target.watch.readDone(event.outcome, nowMs);
+        }
+        else if (target.sealed !== undefined) {
+            target.watch.writeDone(event.outcome, target.sealed, nowMs);
+        }
+    }
+
+    #identify(target: CallTarget): { owner: "recovery"; callId: string; } {
+        const callId = `v${++this.#lastCallId}`;
+        this.#calls.set(callId, target);
+        return { owner: "recovery", callId };
+    }
+}
--- a/src/kernel/blackboard.ts
+++ b/src/kernel/blackboard.ts
@@ -5,6 +5,7 @@
 import { createJournalBoard, type JournalBoard } from "../features/journal/journalBoard.js";
 import { createLifecycleBoard, type LifecycleBoard } from "../features/lifecycle/lifecycleBoard.js";
 import { createMembershipBoard, type MembershipBoard } from "../features/membership/membershipBoard.js";
+import { createRecoveryBoard, type RecoveryBoard } from "../features/recovery/recoveryBoard.js";
 import { createUpstreamBoard, type UpstreamBoard } from "../features/upstream/upstreamBoard.js";
 
 /** All sections. */
@@ -13,6 +14,7 @@
     readonly membership: MembershipBoard;
     readonly journal: JournalBoard;
     readonly budget: BudgetBoard;
+    readonly recovery: RecoveryBoard;
     readonly upstream: UpstreamBoard;
     readonly admission: AdmissionBoard;
     readonly lifecycle: LifecycleBoard;
@@ -29,6 +31,7 @@
         membership: createMembershipBoard(),
         journal: createJournalBoard(hostId, incarnation),
         budget: createBudgetBoard(),
+        recovery: createRecoveryBoard(),
         upstream: createUpstreamBoard(),
         admission: createAdmissionBoard(),
         lifecycle: createLifecycleBoard(),
--- a/src/peer/peerMessages.ts
+++ b/src/peer/peerMessages.ts
@@ -21,7 +21,12 @@
 export type TransferRequest = z.infer<typeof TransferRequestSchema>;
 
 /** Tokens given; 0 when there are none to spare. */
-export const TransferReplySchema = z.object({ transferId: z.string(), givenTokens: z.number().int().nonnegative() });
+export const TransferReplySchema = z.object({
+    transferId: z.string(),
+    givenTokens: z.number().int().nonnegative(),
+    /** Tokens that the giver could give later: reserved by requests in flight, or not yet covered by its limit. */
+    laterTokens: z.number().int().nonnegative().optional(),
+});
 export type TransferReply = z.infer<typeof TransferReplySchema>;
 
 /** Cancels a transfer that the receiver will never credit. */
