Plan routes from the configuration

Requests have to be classified against up to 11,000 teams, 41,000 budgets and hundreds of rules. planRoute keeps lookups per resources object: rules and budgets by team, and complete routes by team, kind and model or service.

RequestKind.repeatable becomes optional, because a default of true made every POST to a service repeatable as soon as it named a kind. When it is absent, the method decides.

--- a/src/features/config/configTypes.ts
+++ b/src/features/config/configTypes.ts
@@ -41,8 +41,8 @@
     labels: LabelsSchema.default({}),
     class: WorkClassSchema.default("normal"),
     length: z.enum(["short", "long", "auto"]).default("auto"),
-    /** Whether running a request twice does no harm. */
-    repeatable: z.boolean().default(true),
+    /** Whether running a request twice does no harm. When absent, the method decides for calls to services. */
+    repeatable: z.boolean().optional(),
     deadlineMs: z.number().int().positive().default(30_000),
 });
 export type RequestKind = z.infer<typeof RequestKindSchema>;
--- /dev/null
+++ b/src/routing/planRoute.ts
@@ -0,0 +1,198 @@
+/** Classifies requests against the configuration in force. Pure: the same resources and query give the same plan. */
+import { Result } from "true-myth";
+import { hash32 } from "../base/hashing.js";
+import { matchesSelector } from "../base/labels.js";
+import type { ResultCodeName } from "../base/resultCodes.js";
+import type { ConfigResources, RequestKind, Rule, Upstream } from "../features/config/configTypes.js";
+import type { RoutePlan, RouteQuery } from "./routePlan.js";
+import { type NamedRule, routingIndexOf } from "./routingIndex.js";
+
+/** Prompts from this size on are predicted to be long work when the kind leaves the length open. */
+export const LongPromptBytes = 16_384;
+/** Requests whose caller asks for this many output tokens are predicted to be long work. */
+export const LongOutputTokens = 1_024;
+/** Upper bound of the tokens that a chat template adds for each message, and once for the answer. */
+export const MessageOverheadTokens = 8;
+
+/** Deadline and class of requests that belong to no kind. */
+const UnnamedKind: RequestKind = { labels: {}, class: "normal", length: "auto", deadlineMs: 30_000 };
+/** Methods that by definition change nothing. */
+const SafeMethods: ReadonlySet<string> = new Set(["GET", "HEAD", "OPTIONS"]);
+
+/** The part of a plan that is the same for all requests of a team with the same kind and model or service. */
+export interface Route {
+    readonly rule: NamedRule;
+    /** Name of the kind; empty when the request belongs to none. */
+    readonly requestKind: string;
+    readonly kind: RequestKind;
+    readonly budget: string;
+    readonly candidates: readonly string[];
+    readonly fallbacks: readonly string[];
+    /** Largest bound over all upstreams that may get the request. */
+    readonly promptTokensPerByte: number;
+}
+
+/**
+ * Classifies a request.
+ * @param resources Configuration in force; must not change later, because lookups are kept per resources object.
+ * @param query What is known of the request.
+ * @returns How the request is to be served, or `UnknownKey`, `UnknownRequestKind`, `UnknownModel`, `UnknownService`,
+ * `NoUpstream`, `NoBudget` or `UnknownGrant`.
+ */
+export function planRoute(resources: ConfigResources, query: RouteQuery): Result<RoutePlan, ResultCodeName> {
+    return findRoute(resources, query).andThen(route => {
+        if (query.grant !== undefined && !holdsGrant(resources, query, route.kind)) {
+            return Result.err("UnknownGrant");
+        }
+        return Result.ok(completePlan(route, query));
+    });
+}
+
+/**
+ * Finds the rule, budget and upstreams of a request.
+ * @returns The route, or the code of the refusal.
+ */
+export function findRoute(resources: ConfigResources, query: RouteQuery): Result<Route, ResultCodeName> {
+    const key = JSON.stringify([query.team, query.requestKind, query.model, query.service]);
+    const { routes } = routingIndexOf(resources);
+    return routes.getOrCreate(key, () => computeRoute(resources, query)) as Result<Route, ResultCodeName>;
+}
+
+/** @returns The models that the rules offer to a team, sorted. */
+export function listModels(resources: ConfigResources, team: string): string[] {
+    const models = new Set([...resources.upstreams.values()].flatMap(upstream => upstream.models));
+    return [...models].sort().filter(model => {
+        const query = { team, model, service: undefined, requestKind: undefined };
+        return offersModel(resources, query);
+    });
+}
+
+/** @returns Why a rule does not apply to a request, or `undefined` when it applies. The team must match already. */
+export function ruleMismatch(
+    resources: ConfigResources,
+    rule: Rule,
+    query: Pick<RouteQuery, "model" | "service" | "requestKind">,
+): string | undefined {
+    const restricted = rule.models.length > 0 || rule.services.length > 0;
+    if (query.model !== undefined && restricted && !rule.models.includes(query.model)) {
+        return `the model ${query.model} is not listed`;
+    }
+    if (query.service !== undefined && restricted && !rule.services.includes(query.service)) {
+        return `the service ${query.service} is not listed`;
+    }
+    const kindName = query.requestKind ?? rule.defaultKind;
+    const kind = kindName === undefined ? UnnamedKind : resources.requestKinds.get(kindName);
+    if (kind === undefined) {
+        return `the request kind ${kindName} does not exist`;
+    }
+    return matchesSelector(rule.kinds, kind.labels) ? undefined : "the labels of the request kind do not match";
+}
+
+/** @returns Whether an upstream offers the model or service of a request. */
+export function offersRequest(upstream: Upstream, query: Pick<RouteQuery, "model" | "service">): boolean {
+    return query.model !== undefined ?
+        upstream.models.includes(query.model) :
+        query.service !== undefined && upstream.service === query.service;
+}
+
+function computeRoute(resources: ConfigResources, query: RouteQuery): Result<Route, ResultCodeName> {
+    const index = routingIndexOf(resources);
+    const team = resources.teams.get(query.team);
+    if (team === undefined) {
+        return Result.err("UnknownKey");
+    }
+    if (query.requestKind !== undefined && !resources.requestKinds.has(query.requestKind)) {
+        return Result.err("UnknownRequestKind");
+    }
+    const unknown = query.model === undefined ? "UnknownService" : "UnknownModel";
+    const rule = index.rulesOf(query.team, team).find(entry =>
+        ruleMismatch(resources, entry.rule, query) === undefined
+    );
+    if (rule === undefined) {
+        return Result.err(unknown);
+    }
+    const offers = (name: string): boolean => offersRequest(resources.upstreams.get(name)!, query);
+    const { upstreams, fallbackUpstreams } = rule.rule;
+    const candidates = index.upstreamsOf(upstreams, offers);
+    const fallbacks = fallbackUpstreams === undefined ?
+        [] :
+        index.upstreamsOf(fallbackUpstreams, name => offers(name) && !candidates.includes(name));
+    if (candidates.length + fallbacks.length === 0) {
+        return Result.err([...resources.upstreams.keys()].some(offers) ? "NoUpstream" : unknown);
+    }
+    // When several budgets match, the lowest name pays, so that every host charges the same one.
+    const budget = index.budgetsOf(query.team, team)[0];
+    if (budget === undefined) {
+        return Result.err("NoBudget");
+    }
+    const requestKind = query.requestKind ?? rule.rule.defaultKind ?? "";
+    const promptTokensPerByte = Math.max(
+        ...[...candidates, ...fallbacks].map(name => resources.upstreams.get(name)!.promptTokensPerByte),
+    );
+    const kind = resources.requestKinds.get(requestKind) ?? UnnamedKind;
+    return Result.ok({ rule, requestKind, kind, budget, candidates, fallbacks, promptTokensPerByte });
+}
+
+function completePlan(route: Route, query: RouteQuery): RoutePlan {
+    const { rule, kind } = route;
+    const isModel = query.model !== undefined;
+    const promptTokens = isModel ?
+        Math.ceil(query.promptBytes * route.promptTokensPerByte) + (query.messageCount + 1) * MessageOverheadTokens :
+        0;
+    const maxOutputTokens = isModel ?
+        Math.min(query.maxOutputTokens ?? rule.rule.maxOutputTokens, rule.rule.maxOutputTokens) :
+        0;
+    return {
+        rule: rule.name,
+        requestKind: route.requestKind,
+        workClass: kind.class,
+        long: isLong(kind, query),
+        repeatable: kind.repeatable ?? (isModel || SafeMethods.has(query.method)),
+        budget: route.budget,
+        grant: query.grant,
+        candidates: route.candidates,
+        fallbacks: route.fallbacks,
+        weights: rule.rule.weights,
+        maxInFlightPerUpstream: rule.rule.maxInFlightPerUpstream,
+        prefixKey: query.promptPrefix === undefined || query.promptPrefix === "" ?
+            undefined :
+            hash32(`${query.model}\n${query.promptPrefix}`).toString(16),
+        promptTokens,
+        maxOutputTokens,
+        costTokens: isModel ? promptTokens + maxOutputTokens : rule.rule.serviceCostTokens,
+        deadlineMs: kind.deadlineMs,
+    };
+}
+
+function isLong(kind: RequestKind, query: RouteQuery): boolean {
+    if (kind.length !== "auto") {
+        return kind.length === "long";
+    }
+    // Only a limit that the caller chose predicts the length; the rule's limit is a ceiling for all requests.
+    return query.promptBytes >= LongPromptBytes || (query.maxOutputTokens ?? 0) >= LongOutputTokens;
+}
+
+function holdsGrant(resources: ConfigResources, query: RouteQuery, kind: RequestKind): boolean {
+    const grant = query.grant === undefined ? undefined : resources.grants.get(query.grant);
+    const team = resources.teams.get(query.team);
+    return grant !== undefined && team !== undefined &&
+        matchesSelector(grant.teams, team.labels) && matchesSelector(grant.kinds, kind.labels);
+}
+
+function offersModel(resources: ConfigResources, query: Pick<RouteQuery, "team" | "model" | "service">): boolean {
+    const team = resources.teams.get(query.team);
+    if (team === undefined) {
+        return false;
+    }
+    const index = routingIndexOf(resources);
+    // A rule may serve only some kinds, so that every rule that offers the model to any kind counts.
+    return index.rulesOf(query.team, team).some(({ rule }) => {
+        if ((rule.models.length > 0 || rule.services.length > 0) && !rule.models.includes(query.model!)) {
+            return false;
+        }
+        const selectors = [rule.upstreams, ...(rule.fallbackUpstreams === undefined ? [] : [rule.fallbackUpstreams])];
+        return selectors.some(selector =>
+            index.upstreamsOf(selector, name => offersRequest(resources.upstreams.get(name)!, query)).length > 0
+        );
+    });
+}
