--- /dev/null
+++ b/src/standins/upstream/serviceHandler.ts
@@ -0,0 +1,47 @@
+/** Answers any call to a plain service. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { refuse } from "./chatHandler.js";
+import type { ExecutionLog } from "./executionLog.js";
+import type { FaultSwitches, UpstreamSettings } from "./upstreamSettings.js";
+
+/** What the handler works with. */
+export interface ServiceHandlerParts {
+    readonly settings: UpstreamSettings;
+    readonly faults: FaultSwitches;
+    readonly executions: ExecutionLog;
+}
+
+/** Runs one call and answers with the number of executions so far and an echo of the body. */
+export function handleService(
+    parts: ServiceHandlerParts,
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+): void {
+    const { settings, faults, executions } = parts;
+    const requestId = String(incoming.headers["x-request-id"] ?? "");
+    const key = incoming.headers["idempotency-key"];
+    const fencingNumber = Number(incoming.headers["x-fencing-number"] ?? Number.NaN);
+    const keyText = typeof key === "string" ? key : undefined;
+    if (
+        settings.checksFencing && keyText !== undefined && !Number.isNaN(fencingNumber) &&
+        executions.isFenced(keyText, fencingNumber)
+    ) {
+        refuse(response, requestId, 412);
+        return;
+    }
+    const execution = executions.start(requestId, keyText, 0);
+    const answerId = faults.take("crossedRequests") ? `${requestId}-other` : requestId;
+    const silent = faults.take("silentRequests");
+    const dying = faults.take("dyingRequests");
+    setTimeout(() => {
+        execution.state = dying ? "failed" : "complete";
+        if (dying) {
+            response.destroy();
+        }
+        else if (!silent) {
+            response.writeHead(200, { "content-type": "application/json", "x-request-id": answerId });
+            response.end(JSON.stringify({ executed: executions.all().length, path: incoming.url, echo: body }));
+        }
+    }, settings.serviceTimeMs * faults.current.slowFactor);
+}
