Add claims of idempotency keys and tickets

Cause: a sale or an order that is retried at another host must not run twice, and sales must go on while the store is down. Change: claim objects created if absent, with replays, deferred claims and reversals for repeatable work; tickets that are handed over between hosts. After: 13 specs pass, among them lost answers, a store outage and a sealed holder.

--- a/src/features/budget/budgetTypes.ts
+++ b/src/features/budget/budgetTypes.ts
@@ -83,7 +83,9 @@
     /** The request ended and costs `bill.tokens`, at most the reservation. */
     | { readonly type: "reservationSettled"; readonly reservationId: string; readonly bill: BillDraft; }
     /** The request definitely did not run. */
-    | { readonly type: "reservationReleased"; readonly reservationId: string; };
+    | { readonly type: "reservationReleased"; readonly reservationId: string; }
+    /** A bill line of this host is cancelled by a line with negative tokens and outcome `reversal`. */
+    | { readonly type: "billReversed"; readonly bill: BillDraft; };
 
 /** Notification of the budget feature. */
 export interface ReservationDecided {
--- /dev/null
+++ b/src/features/idempotency/idempotency.spec.ts
@@ -0,0 +1,329 @@
+import { beforeEach, describe, expect, it } from "vitest";
+import { ManualClock } from "../../base/clock.js";
+import { Counters } from "../../base/counters.js";
+import { SeededRandom } from "../../base/random.js";
+import { createBlackboard } from "../../kernel/blackboard.js";
+import type { Effect, Notification } from "../../kernel/effects.js";
+import type { RouterEvent } from "../../kernel/events.js";
+import { EffectRunner, Kernel } from "../../kernel/kernel.js";
+import type { PeerRequest } from "../../peer/peerMessages.js";
+import { ObjectStore } from "../../standins/platform/objectStore.js";
+import type { BillDraft } from "../budget/budgetTypes.js";
+import { hostRecordKey } from "../journal/journalTypes.js";
+import { IdempotencyController } from "./idempotencyController.js";
+import { claimId, type ClaimOutcome, IdempotencySettingsSchema } from "./idempotencyTypes.js";
+
+type StoreFault = "none" | "refuse" | "loseAnswer" | "delay";
+
+const stored = { httpStatus: 200, contentType: "application/json", body: "{\"sold\":1}" };
+
+/** One host with an idempotency controller on a shared store. */
+class TestHost extends EffectRunner {
+    readonly clock: ManualClock;
+    readonly notifications: Notification[] = [];
+    readonly kernel: Kernel;
+    readonly reversals: BillDraft[] = [];
+    fault: StoreFault = "none";
+    peers: TestHost[] = [];
+    readonly #store: ObjectStore;
+    readonly #delayed: RouterEvent[] = [];
+    readonly #delayedWrites: (() => void)[] = [];
+
+    constructor(hostId: string, store: ObjectStore, clock: ManualClock, seed: number) {
+        super();
+        this.clock = clock;
+        this.#store = store;
+        this.kernel = new Kernel({
+            board: createBlackboard(hostId, "1"),
+            clock,
+            random: new SeededRandom(seed),
+            counters: new Counters(),
+            createControllers: context => [
+                new IdempotencyController(context, IdempotencySettingsSchema.parse({})),
+            ],
+        });
+        this.kernel.board.journal.ticketLimit = 10;
+        this.kernel.attach(this);
+    }
+
+    override run(effect: Effect): void {
+        if (effect.type === "notify") {
+            this.notifications.push(effect.notification);
+        }
+        else if (effect.type === "storePut") {
+            this.#put(effect);
+        }
+        else if (effect.type === "storeGet") {
+            const outcome = this.fault === "none" ?
+                this.#store.get(effect.key) :
+                { status: "unavailable" as const, reason: "down" };
+            this.#delayed.push({ ...effect, type: "storeGetDone", outcome });
+        }
+        else if (effect.type === "peerCall") {
+            this.#call(effect);
+        }
+        else if (effect.type === "peerAnswer") {
+            const caller = this.peers.find(peer => effect.exchangeId.startsWith(peer.kernel.board.journal.hostId));
+            const callId = effect.exchangeId.split("/")[1]!;
+            caller?.later({
+                type: "peerCallDone",
+                owner: "idempotency",
+                callId,
+                address: "",
+                outcome: { status: "replied", reply: effect.reply },
+            });
+        }
+    }
+
+    later(event: RouterEvent): void {
+        this.#delayed.push(event);
+    }
+
+    /** Delivers results until nothing is left, without moving the clock. */
+    flush(): void {
+        for (let event = this.#delayed.shift(); event !== undefined; event = this.#delayed.shift()) {
+            this.kernel.post(event);
+        }
+    }
+
+    advance(durationMs: number): void {
+        this.clock.advance(durationMs);
+        this.kernel.post({ type: "tick" });
+        this.flush();
+    }
+
+    /** Applies writes that were held back and delivers their answers. */
+    applyDelayedWrites(): void {
+        this.#delayedWrites.splice(0).forEach(write => write());
+        this.flush();
+    }
+
+    claim(
+        requestId: string,
+        key: string,
+        fields: { repeatable?: boolean; bodyHash?: string; } = {},
+    ): ClaimOutcome | undefined {
+        this.kernel.post({
+            type: "claimRequested",
+            claimId: claimId("team", key),
+            idempotencyKey: key,
+            requestId,
+            bodyHash: fields.bodyHash ?? "body",
+            repeatable: fields.repeatable ?? false,
+        });
+        this.flush();
+        return this.outcome(requestId);
+    }
+
+    outcome(requestId: string): ClaimOutcome | undefined {
+        const found = this.notifications.find(entry => entry.type === "claimDecided" && entry.requestId === requestId);
+        return found?.type === "claimDecided" ? found.outcome : undefined;
+    }
+
+    complete(requestId: string, key: string, answer: typeof stored | undefined = stored): void {
+        const id = claimId("team", key);
+        this.kernel.post({ type: "claimCompleted", claimId: id, requestId, answer, interrupted: answer === undefined });
+        this.flush();
+    }
+
+    ticket(): string {
+        this.kernel.post({ type: "ticketRequested", requestId: "t" });
+        const issued = this.notifications.findLast(entry => entry.type === "ticketIssued");
+        return issued?.type === "ticketIssued" ? issued.ticket! : "";
+    }
+
+    #put(effect: Extract<Effect, { type: "storePut"; }>): void {
+        const { key, value, expectedVersion } = effect;
+        if (this.fault === "refuse") {
+            this.#delayed.push({ ...effect, type: "storePutDone", outcome: { status: "refused", reason: "down" } });
+            return;
+        }
+        if (this.fault === "delay") {
+            this.#delayedWrites.push(() => {
+                const outcome = this.#store.put(key, value, expectedVersion);
+                this.#delayed.push({ ...effect, type: "storePutDone", outcome });
+            });
+            return;
+        }
+        const outcome = this.#store.put(key, value, expectedVersion);
+        const seen = this.fault === "loseAnswer" ? { status: "unknown" as const, reason: "lost" } : outcome;
+        this.#delayed.push({ ...effect, type: "storePutDone", outcome: seen });
+    }
+
+    #call(effect: Extract<Effect, { type: "peerCall"; }>): void {
+        const request: PeerRequest = effect.request;
+        const peer = this.peers.find(host => host.kernel.board.journal.hostId === effect.address);
+        const exchangeId = `${this.kernel.board.journal.hostId}/${effect.callId}`;
+        peer?.kernel.post({ type: "peerRequested", exchangeId, request });
+    }
+}
+
+function knowEachOther(left: TestHost, right: TestHost): void {
+    for (const [host, other] of [[left, right], [right, left]] as const) {
+        const { hostId, incarnation } = other.kernel.board.journal;
+        host.peers.push(other);
+        host.kernel.board.membership.members.set(hostId, {
+            hostId,
+            incarnation,
+            zone: "z1",
+            peerAddress: hostId,
+            operatorAddress: "",
+            state: "live",
+            heartbeat: 1,
+            configVersion: 1,
+            heardAtMs: 0,
+        });
+    }
+}
+
+describe("IdempotencyController", () => {
+    let store: ObjectStore;
+    let clock: ManualClock;
+    let first: TestHost;
+    let second: TestHost;
+    beforeEach(() => {
+        store = new ObjectStore();
+        clock = new ManualClock();
+        first = new TestHost("h1", store, clock, 1);
+        second = new TestHost("h2", store, clock, 2);
+        knowEachOther(first, second);
+    });
+
+    describe("when the same key arrives at two hosts", () => {
+        it("lets one run and tells the other that it is running (guards against a doubled sale)", () => {
+            expect(first.claim("r1", "k")).toMatchObject({ status: "held", fencingNumber: 1 });
+            expect(second.claim("r2", "k")).toMatchObject({ status: "refused", code: "RequestRunning" });
+        });
+
+        it("replays the stored answer at the other host (guards against a lost reply)", () => {
+            first.claim("r1", "k");
+            first.complete("r1", "k");
+            expect(second.claim("r2", "k")).toEqual({ status: "replay", answer: stored });
+            expect(first.claim("r3", "k")).toEqual({ status: "replay", answer: stored });
+        });
+
+        it("refuses another body with the same key", () => {
+            first.claim("r1", "k");
+            expect(first.claim("r2", "k", { bodyHash: "x" })).toMatchObject({ code: "KeyReused" });
+            expect(second.claim("r3", "k", { bodyHash: "x" })).toMatchObject({ code: "KeyReused" });
+        });
+
+        it("answers unknown when the holder is sealed (guards against a second run after a host died)", () => {
+            first.claim("r1", "k");
+            const record = {
+                hostId: "h1",
+                incarnation: "1",
+                zone: "z1",
+                state: "sealed",
+                sequence: 1,
+                configVersion: 1,
+                entries: {},
+                bills: [],
+                billSegments: 0,
+                ticketLimit: 0,
+            };
+            store.put(hostRecordKey("h1~1"), record, 0);
+            expect(second.claim("r2", "k")).toMatchObject({ status: "refused", code: "OutcomeUnknown" });
+        });
+    });
+
+    describe("when the answer of the claiming write is lost", () => {
+        it("recognises its own claim when it repeats the write (guards against a sale that blocks itself)", () => {
+            first.fault = "loseAnswer";
+            expect(first.claim("r1", "k")).toBeUndefined();
+            first.fault = "none";
+            first.advance(100);
+            expect(first.outcome("r1")).toMatchObject({ status: "held" });
+        });
+    });
+
+    describe("when the store is down", () => {
+        it("refuses work that may not be repeated and frees the key (guards against a key that stays blocked)", () => {
+            first.fault = "delay";
+            first.claim("r1", "k");
+            first.advance(2_001);
+            expect(first.outcome("r1")).toMatchObject({ status: "refused", code: "ClaimUnavailable" });
+            first.fault = "none";
+            first.applyDelayedWrites();
+            expect(second.claim("r2", "k")).toMatchObject({ status: "held" });
+        });
+
+        it("lets repeatable work go on and stores its answer later", () => {
+            first.fault = "refuse";
+            first.claim("r1", "k", { repeatable: true });
+            first.advance(301);
+            expect(first.outcome("r1")).toEqual({ status: "deferred" });
+            first.complete("r1", "k");
+            first.fault = "none";
+            first.advance(1_000);
+            expect(second.claim("r2", "k", { repeatable: true })).toEqual({ status: "replay", answer: stored });
+        });
+
+        it("reverses its bill when another host ran the same key (guards against a request billed twice)", () => {
+            first.fault = "refuse";
+            first.claim("r1", "k", { repeatable: true });
+            first.advance(301);
+            expect(second.claim("r2", "k", { repeatable: true })).toMatchObject({ status: "held" });
+            const bill: BillDraft = {
+                requestId: "r1",
+                billId: claimId("team", "k"),
+                team: "team",
+                budget: "b",
+                model: "m",
+                promptTokens: 3,
+                outputTokens: 4,
+                tokens: 7,
+                requestKind: "chat",
+                upstream: "u",
+                outcome: "complete",
+            };
+            first.kernel.post({ type: "reservationSettled", reservationId: "r1", bill });
+            first.complete("r1", "k");
+            first.fault = "none";
+            first.advance(1_000);
+            expect(first.kernel.counters.get("idempotency.reversals")).toBe(1);
+        });
+    });
+
+    describe("when a request is given up before it ran", () => {
+        it("can be claimed again, also on the same host (guards against a refusal that blocks the key)", () => {
+            first.claim("r1", "k");
+            first.kernel.post({ type: "claimReleased", claimId: claimId("team", "k"), requestId: "r1" });
+            first.flush();
+            expect(second.claim("r2", "k")).toMatchObject({ status: "held", fencingNumber: 3 });
+            expect(first.claim("r3", "k")).toMatchObject({ status: "refused", code: "RequestRunning" });
+        });
+    });
+
+    describe("when the key is a ticket", () => {
+        it("runs in a store outage, and once only (guards against sales that stop with the store)", () => {
+            first.fault = "refuse";
+            const ticket = first.ticket();
+            expect(first.claim("r1", ticket)).toMatchObject({ status: "held" });
+            expect(first.claim("r2", ticket)).toMatchObject({ code: "RequestRunning" });
+            first.complete("r1", ticket);
+            expect(first.claim("r3", ticket)).toEqual({ status: "replay", answer: stored });
+        });
+
+        it("is handed over to the host where it arrives, once only", () => {
+            second.fault = "refuse";
+            const ticket = first.ticket();
+            second.claim("r1", ticket);
+            expect(second.outcome("r1")).toMatchObject({ status: "held" });
+            expect(first.claim("r2", ticket)).toMatchObject({ code: "OutcomeUnknown" });
+        });
+
+        it("has an unknown outcome when its issuer cannot be reached (guards against a second run)", () => {
+            const ticket = first.ticket();
+            second.kernel.board.membership.members.clear();
+            expect(second.claim("r1", ticket)).toMatchObject({ status: "refused", code: "OutcomeUnknown" });
+        });
+
+        it("is not issued beyond the declared limit, and not accepted when forged", () => {
+            const tickets = Array.from({ length: 11 }, () => first.ticket());
+            expect(tickets.filter(ticket => ticket !== undefined)).toHaveLength(10);
+            const forged = tickets[0]!.replace(/.$/, digit => digit === "0" ? "1" : "0");
+            expect(first.claim("r1", forged)).toMatchObject({ code: "OutcomeUnknown" });
+        });
+    });
+});
--- /dev/null
+++ b/src/features/idempotency/idempotencyController.ts
@@ -0,0 +1,394 @@
+/** Claims idempotency keys, so that work that may not be repeated runs at most once in the whole fleet. */
+import { match, P } from "ts-pattern";
+import type { ResultCodeName } from "../../base/resultCodes.js";
+import { Controller, type ControllerContext } from "../../kernel/controller.js";
+import type { ResultEvent } from "../../kernel/effects.js";
+import type { RouterEvent } from "../../kernel/events.js";
+import { AbsentVersion, type ReadOutcome, type StoredObject, type WriteOutcome } from "../../platform/platformStore.js";
+import type { BillDraft } from "../budget/budgetTypes.js";
+import { hostRecordKey, HostRecordSchema } from "../journal/journalTypes.js";
+import {
+    type Claim,
+    claimKey,
+    type ClaimOutcome,
+    type IdempotencyEvent,
+    type IdempotencySettings,
+} from "./idempotencyTypes.js";
+import { claimValue, judgeClaim, type LocalClaim } from "./localClaim.js";
+import { TicketDesk } from "./ticketDesk.js";
+
+type ClaimRequested = Extract<IdempotencyEvent, { type: "claimRequested"; }>;
+type ClaimCompleted = Extract<IdempotencyEvent, { type: "claimCompleted"; }>;
+
+/** Time after which a caller should ask again for the outcome of a running request. */
+const RunningRetryAfterMs = 1_000;
+
+/** Controller of the idempotency feature. */
+export class IdempotencyController extends Controller {
+    override readonly name = "idempotency";
+    readonly #settings: IdempotencySettings;
+    readonly #claims = new Map<string, LocalClaim>();
+    /** Requests that wait for the record of the host that holds their key, by call id. */
+    readonly #holderChecks = new Map<string, LocalClaim>();
+    readonly #tickets: TicketDesk;
+
+    constructor(context: ControllerContext, settings: IdempotencySettings) {
+        super(context);
+        this.#settings = settings;
+        this.#tickets = new TicketDesk(context, settings, {
+            findClaim: id => this.#claims.get(id),
+            hold: claim => this.#hold(claim),
+            decide: (claimId, requestId, outcome) => this.#notify(claimId, requestId, outcome),
+        });
+    }
+
+    override handle(event: RouterEvent): void {
+        match(event)
+            .with({ type: "claimRequested" }, request => this.#request(request))
+            .with({ type: "claimCompleted" }, completion => this.#complete(completion))
+            .with({ type: "claimReleased" }, ({ claimId, requestId }) => this.#release(claimId, requestId))
+            .with({ type: "reservationSettled" }, ({ bill }) => this.#rememberBill(bill))
+            .with({ type: "storePutDone", owner: "idempotency" }, done => this.#written(done.callId, done.outcome))
+            .with({ type: "storeGetDone", owner: "idempotency" }, done => this.#read(done))
+            .with({ type: "tick" }, () => this.#tick())
+            .with(
+                P.union({ type: "ticketRequested" }, { type: "peerRequested" }, { type: "peerCallDone" }),
+                other => this.#tickets.handle(other),
+            )
+            .otherwise(() => undefined);
+    }
+
+    override dumpState(): unknown {
+        return { claims: this.#claims.size, ticketsIssued: this.#tickets.issued };
+    }
+
+    #request(request: ClaimRequested): void {
+        const existing = this.#claims.get(request.claimId);
+        if (existing !== undefined && !this.#isForgotten(existing)) {
+            this.#notify(request.claimId, request.requestId, outcomeOfLocal(existing, request.bodyHash));
+            return;
+        }
+        if (this.#tickets.takes(request)) {
+            return;
+        }
+        const { repeatableWaitMs, exclusiveWaitMs } = this.#settings;
+        const waitMs = request.repeatable ? repeatableWaitMs : exclusiveWaitMs;
+        const claim = this.#createClaim(request, waitMs, existing?.expectedVersion ?? AbsentVersion);
+        this.#claims.set(claim.claimId, claim);
+        this.#write(claim);
+    }
+
+    /** A released claim of this host leaves only the version to continue from. */
+    #isForgotten(claim: LocalClaim): boolean {
+        return claim.stage === "settled" && claim.end === undefined;
+    }
+
+    #createClaim(request: ClaimRequested, waitMs: number, expectedVersion: number): LocalClaim {
+        return {
+            claimId: request.claimId,
+            requestId: request.requestId,
+            bodyHash: request.bodyHash,
+            repeatable: request.repeatable,
+            hostKey: this.context.board.journal.hostKey,
+            ticket: undefined,
+            deadlineMs: this.context.clock.monotonicMs() + waitMs,
+            stage: "claiming",
+            decided: false,
+            abandoned: false,
+            expectedVersion,
+            writing: false,
+            nextWriteMs: 0,
+            retryMs: this.#settings.firstRetryMs,
+            end: undefined,
+            bill: undefined,
+            expiresAtMs: Number.POSITIVE_INFINITY,
+        };
+    }
+
+    /** Takes over a claim that needs no acknowledgement before its dispatch: a ticket. */
+    #hold(claim: LocalClaim): void {
+        this.#claims.set(claim.claimId, claim);
+        this.context.counters.add("idempotency.ticketsUsed");
+        this.#decide(claim, { status: "held", fencingNumber: 1 });
+    }
+
+    #complete(completion: ClaimCompleted): void {
+        const claim = this.#claims.get(completion.claimId);
+        if (claim === undefined || claim.requestId !== completion.requestId || claim.end !== undefined) {
+            return;
+        }
+        claim.end = { answer: completion.answer, interrupted: completion.interrupted };
+        if (claim.stage === "held") {
+            claim.stage = "finishing";
+            this.#write(claim);
+        }
+        else if (claim.stage === "lost") {
+            this.#claims.delete(claim.claimId);
+        }
+    }
+
+    #release(claimId: string, requestId: string): void {
+        const claim = this.#claims.get(claimId);
+        if (claim === undefined || claim.requestId !== requestId) {
+            return;
+        }
+        if (claim.ticket !== undefined) {
+            this.#tickets.giveBack(claim.ticket);
+            this.#claims.delete(claimId);
+        }
+        else if (claim.stage === "held") {
+            claim.stage = "releasing";
+            this.#write(claim);
+        }
+        else if (claim.stage === "claiming") {
+            claim.abandoned = true;
+        }
+        else if (claim.stage === "lost") {
+            this.#claims.delete(claimId);
+        }
+    }
+
+    #rememberBill(bill: BillDraft): void {
+        const claim = this.#claims.get(bill.billId);
+        if (claim === undefined || claim.requestId !== bill.requestId) {
+            return;
+        }
+        claim.bill = bill;
+        if (claim.stage === "lost") {
+            this.#reverse(claim);
+        }
+    }
+
+    /** Cancels the bill of a request that ran although another request with the same key holds the claim. */
+    #reverse(claim: LocalClaim): void {
+        if (claim.bill === undefined || claim.bill.tokens === 0) {
+            return;
+        }
+        const bill: BillDraft = { ...claim.bill, tokens: -claim.bill.tokens, outcome: "reversal" };
+        claim.bill = undefined;
+        this.context.counters.add("idempotency.reversals");
+        this.context.emit({ type: "postEvent", event: { type: "billReversed", bill } });
+    }
+
+    #write(claim: LocalClaim): void {
+        claim.writing = true;
+        this.context.emit({
+            type: "storePut",
+            owner: "idempotency",
+            callId: claim.claimId,
+            key: claimKey(claim.claimId),
+            value: claimValue(claim),
+            expectedVersion: claim.expectedVersion,
+        });
+    }
+
+    #written(claimId: string, outcome: WriteOutcome): void {
+        const claim = this.#claims.get(claimId);
+        if (claim === undefined) {
+            return;
+        }
+        claim.writing = false;
+        match(outcome)
+            .with({ status: "applied" }, ({ version }) => this.#applied(claim, version))
+            .with({ status: "conflict" }, ({ current }) => this.#conflicted(claim, current))
+            // Both repeat the same conditional write. After `unknown` only its repetition can tell what happened.
+            .with({ status: P.union("refused", "unknown") }, () => this.#retryLater(claim))
+            .exhaustive();
+    }
+
+    #retryLater(claim: LocalClaim): void {
+        claim.nextWriteMs = this.context.clock.monotonicMs() + claim.retryMs;
+        claim.retryMs = Math.min(claim.retryMs * 2, this.#settings.longestRetryMs);
+    }
+
+    #applied(claim: LocalClaim, version: number): void {
+        claim.expectedVersion = version;
+        claim.retryMs = this.#settings.firstRetryMs;
+        if (claim.stage !== "claiming") {
+            this.#settle(claim);
+            return;
+        }
+        if (claim.abandoned) {
+            claim.stage = "releasing";
+            this.#write(claim);
+            return;
+        }
+        claim.stage = "held";
+        if (claim.end !== undefined) {
+            claim.stage = "finishing";
+            this.#write(claim);
+        }
+        else if (!claim.decided) {
+            this.context.counters.add("idempotency.held");
+            this.#decide(claim, { status: "held", fencingNumber: version });
+        }
+    }
+
+    #settle(claim: LocalClaim): void {
+        claim.stage = "settled";
+        claim.expiresAtMs = this.context.clock.monotonicMs() + this.#settings.replayCacheMs;
+    }
+
+    #conflicted(claim: LocalClaim, current: StoredObject | undefined): void {
+        if (current === undefined) {
+            // The key was deleted meanwhile.
+            claim.expectedVersion = AbsentVersion;
+            this.#retryLater(claim);
+            return;
+        }
+        const verdict = judgeClaim(current, claim);
+        if (claim.stage !== "claiming") {
+            this.#conflictedAtEnd(claim, verdict.kind === "ours" ? verdict.claim : undefined, current.version);
+            return;
+        }
+        match(verdict)
+            .with({ kind: "ours" }, () => this.#applied(claim, current.version))
+            .with({ kind: "free" }, () => {
+                claim.expectedVersion = current.version;
+                this.#write(claim);
+            })
+            .with({ kind: "otherRequest" }, () => this.#lose(claim, refused("KeyReused")))
+            .with({ kind: "unreadable" }, () => this.#lose(claim, refused("OutcomeUnknown")))
+            .with({ kind: "done" }, done => this.#lose(claim, outcomeOfDone(done.claim)))
+            .with({ kind: "running" }, ({ hostKey }) => this.#checkHolder(claim, hostKey))
+            .exhaustive();
+    }
+
+    /** The final write met another version: an earlier try of it, or of the claim before it, took effect. */
+    #conflictedAtEnd(claim: LocalClaim, stored: Claim | undefined, version: number): void {
+        const wanted = claim.stage === "finishing" ? "done" : "released";
+        if (stored === undefined || stored.state === wanted) {
+            if (stored === undefined) {
+                this.context.counters.add("idempotency.claimOverwritten");
+            }
+            claim.expectedVersion = version;
+            this.#settle(claim);
+            return;
+        }
+        claim.expectedVersion = version;
+        this.#write(claim);
+    }
+
+    /** The key belongs to another request. */
+    #lose(claim: LocalClaim, outcome: ClaimOutcome): void {
+        if (!claim.decided) {
+            this.#claims.delete(claim.claimId);
+            this.#decide(claim, outcome);
+        }
+        else if (claim.abandoned) {
+            this.#claims.delete(claim.claimId);
+        }
+        else {
+            claim.stage = "lost";
+            this.#reverse(claim);
+            if (claim.end !== undefined) {
+                this.#claims.delete(claim.claimId);
+            }
+        }
+    }
+
+    /** Reads the record of the host that holds the key: only a sealed one changes the answer. */
+    #checkHolder(claim: LocalClaim, hostKey: string): void {
+        if (claim.decided) {
+            this.#lose(claim, refused("RequestRunning", RunningRetryAfterMs));
+            return;
+        }
+        this.#claims.delete(claim.claimId);
+        this.#holderChecks.set(claim.requestId, claim);
+        this.context.emit({
+            type: "storeGet",
+            owner: "idempotency",
+            callId: claim.requestId,
+            key: hostRecordKey(hostKey),
+        });
+    }
+
+    #read(done: Extract<ResultEvent, { type: "storeGetDone"; }>): void {
+        const claim = this.#holderChecks.get(done.callId);
+        if (claim === undefined) {
+            this.#tickets.read(done);
+            return;
+        }
+        this.#holderChecks.delete(done.callId);
+        const outcome = isSealed(done.outcome) ?
+            refused("OutcomeUnknown") :
+            refused("RequestRunning", RunningRetryAfterMs);
+        this.#decide(claim, outcome);
+    }
+
+    #tick(): void {
+        const nowMs = this.context.clock.monotonicMs();
+        let unsettled = 0;
+        for (const claim of this.#claims.values()) {
+            if (claim.expiresAtMs <= nowMs) {
+                this.#claims.delete(claim.claimId);
+                continue;
+            }
+            if (claim.stage === "claiming" && !claim.decided && claim.deadlineMs <= nowMs) {
+                this.#expire(claim);
+            }
+            if (claim.stage !== "settled" && claim.stage !== "lost") {
+                unsettled++;
+            }
+            const waiting = !claim.writing && claim.stage !== "settled" && claim.stage !== "lost";
+            if (waiting && claim.stage !== "held" && claim.nextWriteMs <= nowMs) {
+                this.#write(claim);
+            }
+        }
+        this.context.board.idempotency.unsettledClaims = unsettled;
+        this.#tickets.tick();
+    }
+
+    /** The store did not answer in time. The write goes on, since it may still take effect. */
+    #expire(claim: LocalClaim): void {
+        if (claim.repeatable) {
+            this.context.counters.add("idempotency.deferred");
+            this.#decide(claim, { status: "deferred" });
+            return;
+        }
+        claim.abandoned = true;
+        this.#decide(claim, refused("ClaimUnavailable", RunningRetryAfterMs));
+    }
+
+    #decide(claim: LocalClaim, outcome: ClaimOutcome): void {
+        claim.decided = true;
+        this.#notify(claim.claimId, claim.requestId, outcome);
+    }
+
+    #notify(claimId: string, requestId: string, outcome: ClaimOutcome): void {
+        if (outcome.status === "replay") {
+            this.context.counters.add("idempotency.replayed");
+        }
+        else if (outcome.status === "refused") {
+            this.context.counters.add(`idempotency.refused.${outcome.code}`);
+        }
+        this.context.emit({ type: "notify", notification: { type: "claimDecided", claimId, requestId, outcome } });
+    }
+}
+
+function refused(code: ResultCodeName, retryAfterMs?: number): ClaimOutcome {
+    return { status: "refused", code, retryAfterMs };
+}
+
+function outcomeOfDone(claim: Pick<Claim, "answer" | "interrupted">): ClaimOutcome {
+    if (claim.answer !== undefined) {
+        return { status: "replay", answer: claim.answer };
+    }
+    return refused(claim.interrupted ? "OutcomeUnknown" : "AnswerNotStored");
+}
+
+/** @returns The answer to a second request with the key of a claim of this host. */
+export function outcomeOfLocal(claim: LocalClaim, bodyHash: string): ClaimOutcome {
+    if (claim.bodyHash !== bodyHash) {
+        return refused("KeyReused");
+    }
+    if (claim.end === undefined || claim.stage === "lost") {
+        return refused("RequestRunning", RunningRetryAfterMs);
+    }
+    return outcomeOfDone(claim.end);
+}
+
+function isSealed(outcome: ReadOutcome): boolean {
+    const record = outcome.status === "found" ? HostRecordSchema.safeParse(outcome.object.value) : undefined;
+    return record?.success === true && record.data.state === "sealed";
+}
--- a/src/features/idempotency/idempotencyTypes.ts
+++ b/src/features/idempotency/idempotencyTypes.ts
@@ -39,8 +39,8 @@
 
 /** Answer to a claim request. */
 export type ClaimOutcome =
-    /** This request may be dispatched. */
-    | { readonly status: "held"; }
+    /** This request may be dispatched. The fencing number is higher than that of any earlier dispatch of the key. */
+    | { readonly status: "held"; readonly fencingNumber: number; }
     /** The store could not be asked; only repeatable work may go on. The claim is written later. */
     | { readonly status: "deferred"; }
     | { readonly status: "replay"; readonly answer: StoredAnswer; }
@@ -66,7 +66,8 @@
         readonly interrupted: boolean;
     }
     /** The request definitely did not run. */
-    | { readonly type: "claimReleased"; readonly claimId: string; readonly requestId: string; };
+    | { readonly type: "claimReleased"; readonly claimId: string; readonly requestId: string; }
+    | { readonly type: "ticketRequested"; readonly requestId: string; };
 
 /** Notification of the idempotency feature. */
 export interface ClaimDecided {
@@ -75,3 +76,26 @@
     readonly requestId: string;
     readonly outcome: ClaimOutcome;
 }
+
+/** Notification of the idempotency feature: a ticket, or `undefined` when none may be issued. */
+export interface TicketIssued {
+    readonly type: "ticketIssued";
+    readonly requestId: string;
+    readonly ticket: string | undefined;
+}
+
+/** Settings of the idempotency feature. */
+export const IdempotencySettingsSchema = z.strictObject({
+    /** Longest wait for the store before repeatable work goes on without a claim. */
+    repeatableWaitMs: z.number().int().positive().default(300),
+    /** Longest wait for the store before work that may not be repeated is refused. */
+    exclusiveWaitMs: z.number().int().positive().default(2_000),
+    firstRetryMs: z.number().int().positive().default(50),
+    longestRetryMs: z.number().int().positive().default(2_000),
+    /** Time for which answers stay in memory after they are stored. */
+    replayCacheMs: z.number().int().positive().default(60_000),
+    /** Tickets that are declared in the host record beyond those issued, so that sales go on in a store outage. */
+    ticketReserve: z.number().int().positive().default(1_000),
+    peerTimeoutMs: z.number().int().positive().default(1_000),
+});
+export type IdempotencySettings = z.infer<typeof IdempotencySettingsSchema>;
--- /dev/null
+++ b/src/features/idempotency/localClaim.ts
@@ -0,0 +1,93 @@
+/** A claim as the host that runs the request sees it, and the judgement of a claim found in the store. */
+import type { StoredObject } from "../../platform/platformStore.js";
+import type { BillDraft } from "../budget/budgetTypes.js";
+import { type Claim, ClaimSchema, type StoredAnswer } from "./idempotencyTypes.js";
+import type { Ticket } from "./tickets.js";
+
+/**
+ * Stages of a local claim.
+ * - `claiming`: the store has not acknowledged the claim.
+ * - `held`: the claim is acknowledged and the request may run.
+ * - `finishing`, `releasing`: the final state is being written.
+ * - `settled`: the final state is acknowledged; kept for replays.
+ * - `lost`: the request ran without a claim and another request turned out to hold it.
+ */
+export type ClaimStage = "claiming" | "held" | "finishing" | "releasing" | "settled" | "lost";
+
+/** How a claimed request ended. */
+export interface ClaimEnd {
+    readonly answer: StoredAnswer | undefined;
+    readonly interrupted: boolean;
+}
+
+/** A claim of a request of this host. */
+export interface LocalClaim {
+    readonly claimId: string;
+    readonly requestId: string;
+    readonly bodyHash: string;
+    readonly repeatable: boolean;
+    /** Host key under which the claim is written. */
+    readonly hostKey: string;
+    /** Set when the key is a ticket; such a claim is written only at its end. */
+    readonly ticket: Ticket | undefined;
+    readonly deadlineMs: number;
+    stage: ClaimStage;
+    /** Whether the gateway has its answer. */
+    decided: boolean;
+    /** Whether the request will not run, so that the claim is to be released as soon as it is held. */
+    abandoned: boolean;
+    expectedVersion: number;
+    writing: boolean;
+    nextWriteMs: number;
+    retryMs: number;
+    end: ClaimEnd | undefined;
+    bill: BillDraft | undefined;
+    expiresAtMs: number;
+}
+
+/** What a claim found in the store means for a request that wants the same key. */
+export type ClaimVerdict =
+    /** An earlier write of the same request took effect. */
+    | { readonly kind: "ours"; readonly claim: Claim; }
+    | { readonly kind: "free"; }
+    | { readonly kind: "otherRequest"; }
+    | { readonly kind: "done"; readonly claim: Claim; }
+    | { readonly kind: "running"; readonly hostKey: string; }
+    | { readonly kind: "unreadable"; };
+
+/**
+ * Judges a claim found in the store.
+ * @param object Object found under the claim's key.
+ * @param local Claim of the request that wants the key.
+ */
+export function judgeClaim(
+    object: StoredObject,
+    local: Pick<LocalClaim, "requestId" | "bodyHash">,
+): ClaimVerdict {
+    const parsed = ClaimSchema.safeParse(object.value);
+    if (!parsed.success) {
+        return { kind: "unreadable" };
+    }
+    const claim = parsed.data;
+    if (claim.requestId === local.requestId) {
+        return { kind: "ours", claim };
+    }
+    if (claim.state === "released") {
+        return { kind: "free" };
+    }
+    if (claim.bodyHash !== local.bodyHash) {
+        return { kind: "otherRequest" };
+    }
+    return claim.state === "done" ? { kind: "done", claim } : { kind: "running", hostKey: claim.hostKey };
+}
+
+/** @returns The value that the next write of the claim stores. */
+export function claimValue(local: LocalClaim): Claim {
+    const { hostKey, requestId, bodyHash } = local;
+    if (local.stage === "finishing") {
+        const interrupted = local.end?.interrupted ?? false;
+        return { hostKey, requestId, bodyHash, state: "done", answer: local.end?.answer, interrupted };
+    }
+    const state = local.stage === "releasing" ? "released" : "claimed";
+    return { hostKey, requestId, bodyHash, state, interrupted: false };
+}
--- /dev/null
+++ b/src/features/idempotency/ticketDesk.ts
@@ -0,0 +1,276 @@
+/** Issues tickets, and settles with their issuer what became of a ticket that arrives at another host. */
+import { match } from "ts-pattern";
+import type { ControllerContext } from "../../kernel/controller.js";
+import type { PeerRequested, ResultEvent } from "../../kernel/effects.js";
+import type { PeerOutcome, TicketRequest } from "../../peer/peerMessages.js";
+import { AbsentVersion } from "../../platform/platformStore.js";
+import { liveHostIds } from "../membership/membershipBoard.js";
+import {
+    type Claim,
+    claimKey,
+    type ClaimOutcome,
+    ClaimSchema,
+    type IdempotencyEvent,
+    type IdempotencySettings,
+} from "./idempotencyTypes.js";
+import type { LocalClaim } from "./localClaim.js";
+import { parseTicket, type Ticket, TicketBook } from "./tickets.js";
+
+type ClaimRequested = Extract<IdempotencyEvent, { type: "claimRequested"; }>;
+type TicketRequested = Extract<IdempotencyEvent, { type: "ticketRequested"; }>;
+type PeerCallDone = Extract<ResultEvent, { type: "peerCallDone"; }>;
+type StoreGetDone = Extract<ResultEvent, { type: "storeGetDone"; }>;
+
+/** What the desk needs from the claim table. */
+export interface ClaimTable {
+    findClaim(claimId: string): LocalClaim | undefined;
+    hold(claim: LocalClaim): void;
+    decide(claimId: string, requestId: string, outcome: ClaimOutcome): void;
+}
+
+/** A request with a ticket of another host. */
+interface ForeignTicket {
+    readonly request: ClaimRequested;
+    readonly ticket: Ticket;
+}
+
+/** Time after which a caller should ask again. */
+const TicketRetryAfterMs = 1_000;
+
+/** The tickets of a host. */
+export class TicketDesk {
+    readonly #context: ControllerContext;
+    readonly #settings: IdempotencySettings;
+    readonly #table: ClaimTable;
+    readonly #book: TicketBook;
+    readonly #foreign = new Map<string, ForeignTicket>();
+
+    constructor(context: ControllerContext, settings: IdempotencySettings, table: ClaimTable) {
+        this.#context = context;
+        this.#settings = settings;
+        this.#table = table;
+        this.#book = new TicketBook(context.random.hex(64));
+    }
+
+    /** @returns Number of tickets issued in this incarnation. */
+    get issued(): number {
+        return this.#book.issued;
+    }
+
+    /** Handles the events that concern tickets only. */
+    handle(event: TicketRequested | PeerRequested | PeerCallDone): void {
+        match(event)
+            .with({ type: "ticketRequested" }, ({ requestId }) => this.#issue(requestId))
+            .with({ type: "peerRequested", request: { method: "ForwardTicket" } }, ({ exchangeId, request }) => {
+                const body = this.#answerPeer(request.body);
+                const reply = { method: "ForwardTicket" as const, body };
+                this.#context.emit({ type: "peerAnswer", exchangeId, reply });
+            })
+            .with({ type: "peerCallDone", owner: "idempotency" }, done => this.#peerAnswered(done))
+            .otherwise(() => undefined);
+    }
+
+    /** Keeps the declared limit ahead of the tickets issued. */
+    tick(): void {
+        const { board } = this.#context;
+        this.#book.useIncarnation(board.journal.hostKey);
+        const wanted = this.#book.issued + this.#settings.ticketReserve;
+        // Raised in halves of the reserve, so that not every ticket changes the host record.
+        if (board.idempotency.wantedTicketLimit - this.#book.issued < this.#settings.ticketReserve / 2) {
+            board.idempotency.wantedTicketLimit = wanted;
+        }
+    }
+
+    /** @returns Whether the key is a ticket; its request is then decided here. */
+    takes(request: ClaimRequested): boolean {
+        const ticket = parseTicket(request.idempotencyKey);
+        if (ticket === undefined) {
+            return false;
+        }
+        if (this.#book.isOwn(ticket)) {
+            this.#useOwn(request, ticket);
+        }
+        else {
+            this.#foreign.set(request.requestId, { request, ticket });
+            this.#context.emit({
+                type: "storeGet",
+                owner: "idempotency",
+                callId: request.requestId,
+                key: claimKey(request.claimId),
+            });
+        }
+        return true;
+    }
+
+    /** Makes a ticket usable again; only when its request definitely did not run. */
+    giveBack(ticket: Ticket): void {
+        this.#book.giveBack(ticket);
+    }
+
+    /** The claim object of a foreign ticket was read: it holds the answer, or the issuer is asked. */
+    read(done: StoreGetDone): void {
+        const foreign = this.#foreign.get(done.callId);
+        if (foreign === undefined) {
+            return;
+        }
+        const stored = done.outcome.status === "found" ? ClaimSchema.safeParse(done.outcome.object.value) : undefined;
+        if (stored?.success === true && stored.data.state === "done") {
+            this.#finishForeign(foreign, outcomeOfStored(stored.data, foreign.request.bodyHash));
+            return;
+        }
+        this.#askIssuer(foreign);
+    }
+
+    #issue(requestId: string): void {
+        this.#book.useIncarnation(this.#context.board.journal.hostKey);
+        const ticket = this.#book.issue(this.#context.board.journal.ticketLimit);
+        this.#context.counters.add(ticket === undefined ? "idempotency.ticketsRefused" : "idempotency.ticketsIssued");
+        this.#context.emit({ type: "notify", notification: { type: "ticketIssued", requestId, ticket } });
+    }
+
+    #useOwn(request: ClaimRequested, ticket: Ticket): void {
+        if (this.#book.use(ticket)) {
+            this.#table.hold(this.#createClaim(request, ticket));
+            return;
+        }
+        // Used before, and its answer is no longer in memory or it was handed to another host.
+        this.#foreign.set(request.requestId, { request, ticket });
+        this.#context.emit({
+            type: "storeGet",
+            owner: "idempotency",
+            callId: request.requestId,
+            key: claimKey(request.claimId),
+        });
+    }
+
+    #createClaim(request: ClaimRequested, ticket: Ticket): LocalClaim {
+        return {
+            claimId: request.claimId,
+            requestId: request.requestId,
+            bodyHash: request.bodyHash,
+            repeatable: request.repeatable,
+            hostKey: this.#context.board.journal.hostKey,
+            ticket,
+            deadlineMs: Number.POSITIVE_INFINITY,
+            stage: "held",
+            decided: false,
+            abandoned: false,
+            expectedVersion: AbsentVersion,
+            writing: false,
+            nextWriteMs: 0,
+            retryMs: this.#settings.firstRetryMs,
+            end: undefined,
+            bill: undefined,
+            expiresAtMs: Number.POSITIVE_INFINITY,
+        };
+    }
+
+    #askIssuer(foreign: ForeignTicket): void {
+        const { request, ticket } = foreign;
+        const address = this.#issuerAddress(ticket);
+        if (address === undefined || this.#book.isOwn(ticket)) {
+            this.#finishForeign(foreign, unknownOutcome());
+            return;
+        }
+        const body: TicketRequest = {
+            claimId: request.claimId,
+            ticket: request.idempotencyKey,
+            bodyHash: request.bodyHash,
+        };
+        this.#context.emit({
+            type: "peerCall",
+            owner: "idempotency",
+            callId: request.requestId,
+            address,
+            request: { method: "ForwardTicket", body },
+            timeoutMs: this.#settings.peerTimeoutMs,
+        });
+    }
+
+    #issuerAddress(ticket: Ticket): string | undefined {
+        const { membership, journal } = this.#context.board;
+        for (const hostId of liveHostIds(membership, journal.hostId)) {
+            const member = membership.members.get(hostId);
+            if (member !== undefined && `${member.hostId}~${member.incarnation}` === ticket.hostKey) {
+                return member.peerAddress;
+            }
+        }
+        return undefined;
+    }
+
+    /** Answers another host. An unused ticket is handed over: this host never dispatches it afterwards. */
+    #answerPeer(request: TicketRequest): {
+        state: "unused" | "running" | "done" | "unknown";
+        answer?: NonNullable<LocalClaim["end"]>["answer"];
+    } {
+        const ticket = parseTicket(request.ticket);
+        if (ticket === undefined || !this.#book.isOwn(ticket)) {
+            return { state: "unknown" };
+        }
+        const claim = this.#table.findClaim(request.claimId);
+        if (claim !== undefined) {
+            if (claim.bodyHash !== request.bodyHash) {
+                return { state: "unknown" };
+            }
+            return claim.end?.answer === undefined ? { state: "running" } : { state: "done", answer: claim.end.answer };
+        }
+        return { state: this.#book.use(ticket) ? "unused" : "unknown" };
+    }
+
+    #peerAnswered(done: PeerCallDone): void {
+        const foreign = this.#foreign.get(done.callId);
+        if (foreign === undefined) {
+            return;
+        }
+        const { outcome } = done;
+        if (outcome.status === "replied" && isHandedOver(outcome)) {
+            this.#foreign.delete(done.callId);
+            this.#table.hold(this.#createClaim(foreign.request, foreign.ticket));
+            return;
+        }
+        this.#finishForeign(foreign, outcomeOfReply(outcome));
+    }
+
+    #finishForeign(foreign: ForeignTicket, outcome: ClaimOutcome): void {
+        const { claimId, requestId } = foreign.request;
+        this.#foreign.delete(requestId);
+        this.#table.decide(claimId, requestId, outcome);
+    }
+}
+
+function unknownOutcome(): ClaimOutcome {
+    return { status: "refused", code: "OutcomeUnknown", retryAfterMs: TicketRetryAfterMs };
+}
+
+function isHandedOver(outcome: PeerOutcome): boolean {
+    return outcome.status === "replied" && outcome.reply.method === "ForwardTicket" &&
+        outcome.reply.body.state === "unused";
+}
+
+function outcomeOfReply(outcome: PeerOutcome): ClaimOutcome {
+    if (outcome.status !== "replied" || outcome.reply.method !== "ForwardTicket") {
+        return unknownOutcome();
+    }
+    const { state, answer } = outcome.reply.body;
+    if (state === "done" && answer !== undefined) {
+        return { status: "replay", answer };
+    }
+    if (state === "running") {
+        return { status: "refused", code: "RequestRunning", retryAfterMs: TicketRetryAfterMs };
+    }
+    return unknownOutcome();
+}
+
+function outcomeOfStored(claim: Claim, bodyHash: string): ClaimOutcome {
+    if (claim.bodyHash !== bodyHash) {
+        return { status: "refused", code: "KeyReused", retryAfterMs: undefined };
+    }
+    if (claim.answer !== undefined) {
+        return { status: "replay", answer: claim.answer };
+    }
+    return {
+        status: "refused",
+        code: claim.interrupted ? "OutcomeUnknown" : "AnswerNotStored",
+        retryAfterMs: undefined,
+    };
+}
--- a/src/kernel/blackboard.ts
+++ b/src/kernel/blackboard.ts
@@ -2,6 +2,7 @@
 import { type AdmissionBoard, createAdmissionBoard } from "../features/admission/admissionBoard.js";
 import { type BudgetBoard, createBudgetBoard } from "../features/budget/budgetBoard.js";
 import { type ConfigBoard, createConfigBoard } from "../features/config/configBoard.js";
+import { createIdempotencyBoard, type IdempotencyBoard } from "../features/idempotency/idempotencyBoard.js";
 import { createJournalBoard, type JournalBoard } from "../features/journal/journalBoard.js";
 import { createLifecycleBoard, type LifecycleBoard } from "../features/lifecycle/lifecycleBoard.js";
 import { createMembershipBoard, type MembershipBoard } from "../features/membership/membershipBoard.js";
@@ -13,6 +14,7 @@
     readonly membership: MembershipBoard;
     readonly journal: JournalBoard;
     readonly budget: BudgetBoard;
+    readonly idempotency: IdempotencyBoard;
     readonly upstream: UpstreamBoard;
     readonly admission: AdmissionBoard;
     readonly lifecycle: LifecycleBoard;
@@ -29,6 +31,7 @@
         membership: createMembershipBoard(),
         journal: createJournalBoard(hostId, incarnation),
         budget: createBudgetBoard(),
+        idempotency: createIdempotencyBoard(),
         upstream: createUpstreamBoard(),
         admission: createAdmissionBoard(),
         lifecycle: createLifecycleBoard(),
--- a/src/kernel/effects.ts
+++ b/src/kernel/effects.ts
@@ -1,10 +1,11 @@
 /** Effects that controllers ask for, and the events that report their results. */
 import type { AdmissionDecided } from "../features/admission/admissionTypes.js";
 import type { ReservationDecided } from "../features/budget/budgetTypes.js";
-import type { ClaimDecided } from "../features/idempotency/idempotencyTypes.js";
+import type { ClaimDecided, TicketIssued } from "../features/idempotency/idempotencyTypes.js";
 import type { ShutdownCompleted } from "../features/lifecycle/lifecycleTypes.js";
 import type { PeerOutcome, PeerReply, PeerRequest } from "../peer/peerMessages.js";
 import type { ListOutcome, ReadOutcome, WriteOutcome } from "../platform/platformStore.js";
+import type { RouterEvent } from "./events.js";
 
 /** Names of the features, in the order in which their controllers run. */
 export const FeatureNames = [
@@ -28,7 +29,7 @@
 }
 
 /** Notifications from controllers to the gateway. */
-export type Notification = ReservationDecided | ClaimDecided | AdmissionDecided | ShutdownCompleted;
+export type Notification = ReservationDecided | ClaimDecided | TicketIssued | AdmissionDecided | ShutdownCompleted;
 
 /** Work for the outside world. */
 export type Effect =
@@ -53,7 +54,9 @@
     })
     /** Answers a request that arrived as {@link PeerRequested}. */
     | { readonly type: "peerAnswer"; readonly exchangeId: string; readonly reply: PeerReply; }
-    | { readonly type: "notify"; readonly notification: Notification; };
+    | { readonly type: "notify"; readonly notification: Notification; }
+    /** Hands an event to the controllers of this process; performed by the kernel. */
+    | { readonly type: "postEvent"; readonly event: RouterEvent; };
 
 /** A request from a peer. Exactly one controller answers it. */
 export interface PeerRequested {
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -86,9 +86,18 @@
                 }
             }
             for (const effect of this.#outbox.splice(0)) {
-                this.#runner?.run(effect);
+                this.#perform(effect);
             }
         }
         while (this.#queue.length > 0);
     }
+
+    #perform(effect: Effect): void {
+        if (effect.type === "postEvent") {
+            this.#queue.push(effect.event);
+        }
+        else {
+            this.#runner?.run(effect);
+        }
+    }
 }
--- a/src/kernel/requestPort.ts
+++ b/src/kernel/requestPort.ts
@@ -31,6 +31,9 @@
         else if (notification.type === "claimDecided") {
             this.#settle(`claim/${notification.requestId}`, notification.outcome);
         }
+        else if (notification.type === "ticketIssued") {
+            this.#settle(`ticket/${notification.requestId}`, notification.ticket);
+        }
         else if (notification.type === "admissionDecided") {
             this.#settle(`admission/${notification.requestId}`, notification.outcome);
         }
@@ -41,6 +44,11 @@
         return this.#ask(`claim/${request.requestId}`, () => this.#kernel.post({ type: "claimRequested", ...request }));
     }
 
+    /** @returns A new ticket; `undefined` when none may be issued at the moment. */
+    ticket(requestId: string): Promise<string | undefined> {
+        return this.#ask(`ticket/${requestId}`, () => this.#kernel.post({ type: "ticketRequested", requestId }));
+    }
+
     /** Records the end of a claimed request. */
     completeClaim(claimId: string, requestId: string, answer: StoredAnswer | undefined, interrupted: boolean): void {
         this.#kernel.post({ type: "claimCompleted", claimId, requestId, answer, interrupted });
--- a/src/peer/peerMessages.ts
+++ b/src/peer/peerMessages.ts
@@ -34,6 +34,7 @@
 
 /** Asks the owner of a ticket for its outcome. */
 export const TicketRequestSchema = z.object({ claimId: z.string(), ticket: z.string(), bodyHash: z.string() });
+export type TicketRequest = z.infer<typeof TicketRequestSchema>;
 export const TicketReplySchema = z.object({
     state: z.enum(["unused", "running", "done", "unknown"]),
     answer: StoredAnswerSchema.optional(),
