Add the HTTP platform store and the platform stand-in

Routers and tools need the platform's object API over HTTP, and tests need a platform that fails on request. The HTTP store reports a write as refused only when the connect call failed or the platform stated that it had no effect; every other missing answer is unknown. The stand-in serves the object store with watches, a host list made from the callers' identity headers, rate limits, call accounting and faults. A watch whose revision is newer than the store now reports tooOld, so that watchers list again after the stand-in restarts empty.

--- /dev/null
+++ b/src/platform/httpPlatformStore.spec.ts
@@ -0,0 +1,194 @@
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import type { FaultInput } from "../standins/platform/faults.js";
+import { PlatformServer } from "../standins/platform/platformServer.js";
+import { HttpHostList, HttpPlatformStore } from "./httpPlatformStore.js";
+import { PlatformConnection } from "./platformConnection.js";
+import type { ListedHost } from "./platformStore.js";
+
+const Timeouts = { timeoutMs: 200, connectTimeoutMs: 100 };
+
+function identity(hostId: string, state: ListedHost["state"] = "live"): ListedHost {
+    return { hostId, zone: "z1", peerAddress: "127.0.0.1:1", operatorAddress: "127.0.0.1:2", state };
+}
+
+describe("HttpPlatformStore", () => {
+    let server: PlatformServer;
+    let url: string;
+    const connections: PlatformConnection[] = [];
+    const connect = (host?: ListedHost, target: string = url): PlatformConnection => {
+        const connection = new PlatformConnection({ url: target, ...Timeouts }, () => host);
+        connections.push(connection);
+        return connection;
+    };
+    const open = (host?: ListedHost, target: string = url): HttpPlatformStore =>
+        new HttpPlatformStore(connect(host, target));
+
+    beforeEach(async () => {
+        server = new PlatformServer({ hostListLagMs: 100, hostExpiryMs: 60_000 });
+        url = await server.start(0);
+    });
+    afterEach(async () => {
+        await Promise.all(connections.splice(0).map(connection => connection.close()));
+        await server.stop();
+    });
+
+    describe("without faults", () => {
+        it("keeps the contract of each operation (guards against lost fields on the wire)", async () => {
+            const store = open();
+            expect(await store.get("a/1")).toEqual({ status: "absent" });
+            expect(await store.put("a/1", { x: "é" }, 0)).toEqual({ status: "applied", version: 1 });
+            expect(await store.put("a/1", 2, 0)).toMatchObject({ status: "conflict", current: { value: { x: "é" } } });
+            expect(await store.put("a/2", 2, 7)).toEqual({ status: "conflict", current: undefined });
+            expect(await store.put("a/~ ?&", null, 0)).toMatchObject({ status: "applied" });
+            expect(await store.get("a/~ ?&")).toMatchObject({ status: "found", object: { value: null } });
+            expect(await store.list("a/", "", 1)).toMatchObject({ more: true, objects: [{ key: "a/1" }] });
+            expect(await store.list("a/", "a/1", 5)).toMatchObject({ more: false, objects: [{ key: "a/~ ?&" }] });
+            expect(await store.delete("a/1", 1)).toEqual({ status: "applied", version: 1 });
+        });
+
+        it("refuses a value over 1 MB (guards against records that only some hosts can store)", async () => {
+            const tooLarge = "x".repeat(1_000_000);
+            expect(await open().put("a", tooLarge, 0)).toMatchObject({ status: "refused" });
+            expect(await open().put("a", tooLarge.slice(2), 0)).toMatchObject({ status: "applied" });
+        });
+    });
+
+    describe("when a prefix is watched", () => {
+        it("waits for the next change below the prefix (guards against missed or foreign changes)", async () => {
+            const store = open();
+            const waiting = store.watch("p/", 0, 5_000);
+            await store.put("q/a", 1, 0);
+            await store.put("p/a", 1, 0);
+            const outcome = await waiting;
+            expect(outcome).toMatchObject({ status: "changed", revision: 2, changes: [{ key: "p/a" }] });
+            expect(await store.watch("p/", 2, 20)).toEqual({ status: "changed", changes: [], revision: 2 });
+        });
+
+        it("reports a revision of another store as too old (guards against waiting forever after a restart)", async () => {
+            expect(await open().watch("p/", 99, 10)).toEqual({ status: "tooOld", revision: 0 });
+        });
+
+        it("is cut by an outage (guards against watches that outlive a partition)", async () => {
+            const waiting = open(identity("h1")).watch("p/", 0, 10_000);
+            await expect.poll(() => server.dumpState()).toMatchObject({ waitingWatches: 1 });
+            server.setFaults([{ type: "cutOff", hosts: ["h1"] }]);
+            expect(await waiting).toMatchObject({ status: "unavailable" });
+        });
+    });
+
+    describe("when writes fail", () => {
+        const writeWith = async (fault: FaultInput) => {
+            server.setFaults([fault]);
+            const outcome = await open().put("k", 1, 0);
+            server.setFaults([]);
+            return { outcome: outcome.status, stored: (await open().get("k")).status };
+        };
+
+        it("classifies each fault (guards against a lost write taken for refused, which doubles effects)", async () => {
+            const silent = await writeWith({ type: "outage", manner: "silent" });
+            expect(silent).toEqual({ outcome: "unknown", stored: "absent" });
+            const drop = await writeWith({ type: "outage", manner: "drop" });
+            expect(drop).toEqual({ outcome: "unknown", stored: "absent" });
+            const refuse = await writeWith({ type: "outage", manner: "refuse" });
+            expect(refuse).toEqual({ outcome: "refused", stored: "absent" });
+            const lost = await writeWith({ type: "answerLost" });
+            expect(lost).toEqual({ outcome: "unknown", stored: "found" });
+        });
+
+        it("reports a write that is applied after the timeout as unknown (guards against late effects)", async () => {
+            const slow = await writeWith({ type: "latency", delayMs: 400, kinds: ["write"] });
+            expect(slow).toEqual({ outcome: "unknown", stored: "absent" });
+            await expect.poll(async () => (await open().get("k")).status, { timeout: 3_000 }).toBe("found");
+        });
+
+        it("reports a write whose connection closes first as unknown (guards against late effects)", async () => {
+            const late = await writeWith({ type: "appliedLate", delayMs: 200 });
+            expect(late).toEqual({ outcome: "unknown", stored: "absent" });
+            await expect.poll(async () => (await open().get("k")).status, { timeout: 3_000 }).toBe("found");
+        });
+
+        it("reports a refused connection as refused (guards against waiting for a platform that is gone)", async () => {
+            await server.stop();
+            expect(await open().put("k", 1, 0)).toMatchObject({ status: "refused" });
+            expect(await open().get("k")).toMatchObject({ status: "unavailable" });
+        });
+
+        it("reports writes over the rate limit as refused", async () => {
+            const limited = new PlatformServer({ writesPerS: 1, readsPerS: 1 });
+            const store = open(undefined, await limited.start(0));
+            await store.put("a", 1, 0);
+            expect(await store.put("b", 1, 0)).toMatchObject({ status: "refused" });
+            expect(limited.objects.get("b")).toEqual({ status: "absent" });
+            await limited.stop();
+        });
+    });
+
+    describe("when an answer has an unexpected form", () => {
+        let foreign: Server;
+        afterEach(() => foreign.close());
+        const answerWith = async (status: number, body: string) => {
+            foreign = createServer((_request, response) => response.writeHead(status).end(body));
+            await new Promise<void>(resolve => foreign.listen(0, "127.0.0.1", resolve));
+            const target = `http://127.0.0.1:${(foreign.address() as AddressInfo).port}`;
+            const outcome = await open(undefined, target).put("k", 1, 0);
+            foreign.close();
+            return outcome.status;
+        };
+
+        it("takes only an explicit refusal as one (guards against an intermediary's error taken for a refusal)", async () => {
+            expect(await answerWith(200, "<html>")).toBe("unknown");
+            expect(await answerWith(500, "{}")).toBe("unknown");
+            expect(await answerWith(503, "busy")).toBe("unknown");
+            expect(await answerWith(408, "")).toBe("unknown");
+            expect(await answerWith(409, "")).toBe("unknown");
+            expect(await answerWith(429, "")).toBe("refused");
+        });
+    });
+
+    describe("when faults concern some hosts only", () => {
+        it("cuts off exactly the named hosts and counts calls per host", async () => {
+            server.setFaults([{ type: "cutOff", hosts: ["h1"] }]);
+            expect(await open(identity("h1")).get("k")).toMatchObject({ status: "unavailable" });
+            expect(await open(identity("h2")).get("k")).toEqual({ status: "absent" });
+            expect(server.dumpState()).toMatchObject({ calls: { h2: { reads: 1, writes: 0, watches: 0 } } });
+        });
+
+        it("shows past states and still checks versions (guards against tests that never see a stale read)", async () => {
+            const store = open();
+            await store.put("k", "old", 0);
+            await new Promise(resolve => setTimeout(resolve, 60));
+            server.setFaults([{ type: "staleReads", ageMs: 50 }]);
+            await store.put("k", "new", 1);
+            expect(await store.get("k")).toMatchObject({ object: { value: "old", version: 1 } });
+            expect(await store.list("k", "", 10)).toMatchObject({ objects: [{ value: "old" }] });
+            expect(await store.put("k", "x", 1)).toMatchObject({ status: "conflict", current: { value: "new" } });
+        });
+    });
+
+    describe("the host list", () => {
+        it("follows the callers' identities with a lag (guards against a list that needs its own calls)", async () => {
+            const connection = connect(identity("h1"));
+            const list = new HttpHostList(connection);
+            await new HttpPlatformStore(connection).get("k");
+            expect(await list.hosts(-1)).toEqual({ status: "changed", hosts: [], revision: 0 });
+            await open(identity("h2", "leaving")).get("k");
+            const hosts = [identity("h1"), identity("h2", "leaving")];
+            await expect.poll(() => list.hosts(-1)).toEqual({ status: "changed", hosts, revision: 2 });
+            const { calls } = server.dumpState() as { calls: Record<string, { reads: number; }>; };
+            expect(await list.hosts(2)).toEqual({ status: "unchanged", revision: 2 });
+            expect(server.dumpState()).toMatchObject({ calls });
+        });
+
+        it("shows a host as leaving when the administrator sets it", async () => {
+            const connection = connect(identity("h1"));
+            await new HttpPlatformStore(connection).get("k");
+            const body = JSON.stringify({ hostId: "h1", state: "leaving" });
+            await fetch(`${url}/hosts`, { method: "POST", body });
+            await new HttpPlatformStore(connection).get("k");
+            const shown = () => new HttpHostList(connection).hosts(-1);
+            await expect.poll(shown).toMatchObject({ hosts: [{ hostId: "h1", state: "leaving" }] });
+        });
+    });
+});
--- a/src/standins/platform/objectStore.ts
+++ b/src/standins/platform/objectStore.ts
@@ -92,7 +92,8 @@
     /** @returns The changes below a prefix after a revision, one per key, without waiting. */
     changesAfter(prefix: string, afterRevision: number): WatchOutcome {
         const oldest = this.#history[0]?.revision ?? this.#revision + 1;
-        if (afterRevision + 1 < oldest) {
+        // A revision from the future was issued before this store was restarted empty.
+        if (afterRevision + 1 < oldest || afterRevision > this.#revision) {
             return { status: "tooOld", revision: this.#revision };
         }
         const newest = new Map<string, WatchedChange>();
--- /dev/null
+++ b/src/standins/platform/platformServer.ts
@@ -0,0 +1,330 @@
+/** The platform stand-in: object API, host list, faults and call accounting over HTTP. */
+import { type HttpBindings, serve, type ServerType } from "@hono/node-server";
+import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
+import { type Context, Hono } from "hono";
+import type { AddressInfo } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { match } from "ts-pattern";
+import { z } from "zod";
+import { type Clock, SystemClock } from "../../base/clock.js";
+import { Counters } from "../../base/counters.js";
+import { log } from "../../base/log.js";
+import { SystemRandom } from "../../base/random.js";
+import { PlatformHeaders, PlatformPaths } from "../../platform/platformProtocol.js";
+import { ListedHostSchema, MaxValueBytes, type WatchOutcome, type WriteOutcome } from "../../platform/platformStore.js";
+import { CallLedger } from "./callLedger.js";
+import { type CallKind, type FaultDecision, type FaultInput, FaultPlan, FaultSchema } from "./faults.js";
+import { HostRegistry } from "./hostRegistry.js";
+import { ObjectStore } from "./objectStore.js";
+import { type PlatformSettings, PlatformSettingsSchema } from "./platformSettings.js";
+import { StaleView } from "./staleView.js";
+import { WatchHub } from "./watchHub.js";
+
+/** Largest number of objects and of bytes on a page of a listing. */
+const MaxPageObjects = 1_000;
+const MaxPageBytes = 4 * MaxValueBytes;
+
+type Env = { Bindings: HttpBindings; };
+
+/** An answer before faults are applied to it. */
+interface Answer {
+    readonly httpStatus: number;
+    readonly body?: unknown;
+    /** Whether the answer states that the call had no effect. */
+    readonly notApplied?: boolean;
+}
+
+/** A call while it is handled. */
+interface Call {
+    readonly context: Context<Env>;
+    readonly hostId: string;
+    readonly zone: string;
+    readonly kind: CallKind;
+    readonly key: string;
+    readonly body: string;
+}
+
+const FaultsBodySchema = z.strictObject({ faults: z.array(FaultSchema) });
+const HostBodySchema = z.strictObject({ hostId: z.string(), state: z.enum(["live", "leaving", "gone"]) });
+const PageQuerySchema = z.object({
+    prefix: z.string().default(""),
+    after: z.string().default(""),
+    limit: z.coerce.number().int().positive().default(MaxPageObjects),
+});
+const WatchQuerySchema = z.object({
+    prefix: z.string().default(""),
+    after: z.coerce.number().int(),
+    waitMs: z.coerce.number().nonnegative().default(0),
+});
+
+/** Serves an {@link ObjectStore}. */
+export class PlatformServer {
+    readonly objects = new ObjectStore();
+    readonly faults: FaultPlan;
+    readonly #settings: PlatformSettings;
+    readonly #stale: StaleView;
+    readonly #watches: WatchHub;
+    readonly #hosts: HostRegistry;
+    readonly #ledger: CallLedger;
+    #server: ServerType | undefined;
+
+    /** @param settings Settings that differ from the defaults. */
+    constructor(
+        settings: z.input<typeof PlatformSettingsSchema> = {},
+        clock: Clock = new SystemClock(),
+        counters: Counters = new Counters(),
+    ) {
+        this.#settings = PlatformSettingsSchema.parse(settings);
+        this.faults = new FaultPlan(clock, new SystemRandom());
+        this.#stale = new StaleView(this.objects, clock);
+        this.#watches = new WatchHub(this.objects);
+        this.#hosts = new HostRegistry(this.#settings, clock);
+        this.#ledger = new CallLedger(this.#settings, clock, counters);
+    }
+
+    /**
+     * Starts listening.
+     * @param port Port; 0 takes a free one.
+     * @returns Base URL of the object API.
+     */
+    start(port: number = this.#settings.port): Promise<string> {
+        return new Promise((resolve, reject) => {
+            const options = { fetch: this.#routes().fetch, port, hostname: this.#settings.host };
+            const server = serve(options, (address: AddressInfo) => {
+                resolve(`http://${this.#settings.host}:${address.port}`);
+            });
+            server.once("error", reject);
+            if ("keepAliveTimeout" in server) {
+                server.keepAliveTimeout = 60_000;
+            }
+            this.#server = server;
+        });
+    }
+
+    /** Stops listening and closes all connections. */
+    async stop(): Promise<void> {
+        const server = this.#server;
+        this.#server = undefined;
+        if (server === undefined) {
+            return;
+        }
+        this.#watches.cut(() => true);
+        const closed = new Promise<void>(resolve => server.close(() => resolve()));
+        if ("closeAllConnections" in server) {
+            server.closeAllConnections();
+        }
+        await closed;
+    }
+
+    /** Replaces the faults and cuts the watches that they concern. */
+    setFaults(faults: readonly FaultInput[]): void {
+        this.faults.set(faults);
+        const cutting = this.faults.faults.filter(fault => fault.type === "outage" || fault.type === "cutOff");
+        this.#watches.cut((hostId, prefix) =>
+            cutting.some(fault =>
+                (fault.hosts.length === 0 || fault.hosts.includes(hostId)) &&
+                (fault.kinds.length === 0 || fault.kinds.includes("watch")) &&
+                prefix.startsWith(fault.keyPrefix)
+            )
+        );
+        log.info("faults set", { faults: this.faults.faults.map(fault => fault.type) });
+    }
+
+    /** @returns What the process knows, without the stored values. */
+    dumpState(): unknown {
+        return {
+            storeRevision: this.objects.revision,
+            waitingWatches: this.#watches.waiting,
+            faults: this.faults.faults,
+            ...this.#hosts.view(),
+            calls: this.#ledger.snapshot(),
+        };
+    }
+
+    #routes(): Hono<Env> {
+        const routes = new Hono<Env>();
+        routes.get(PlatformPaths.object, context => this.#handle(context, "read", "key", this.#get));
+        routes.put(PlatformPaths.object, context => this.#handle(context, "write", "key", this.#put));
+        routes.delete(PlatformPaths.object, context => this.#handle(context, "write", "key", this.#delete));
+        routes.get(PlatformPaths.list, context => this.#handle(context, "read", "prefix", this.#list));
+        routes.get(PlatformPaths.watch, context => this.#handle(context, "watch", "prefix", this.#watch));
+        routes.get(PlatformPaths.hosts, context => this.#handle(context, "read", "", this.#listHosts));
+        this.#addAdminRoutes(routes);
+        routes.onError((error, context) => {
+            const badRequest = error instanceof z.ZodError || error instanceof SyntaxError;
+            return context.json({ error: error.message }, badRequest ? 400 : 500);
+        });
+        return routes;
+    }
+
+    #addAdminRoutes(routes: Hono<Env>): void {
+        routes.get("/faults", context => context.json({ faults: this.faults.faults }));
+        routes.post("/faults", async context => {
+            this.setFaults(FaultsBodySchema.parse(await context.req.json()).faults);
+            return context.json({ faults: this.faults.faults });
+        });
+        routes.post("/hosts", async context => {
+            const { hostId, state } = HostBodySchema.parse(await context.req.json());
+            this.#hosts.setState(hostId, state);
+            return context.json({ hostId, state });
+        });
+        routes.get("/calls", context => context.json(this.#ledger.snapshot()));
+        routes.get("/state", context => context.json(this.dumpState()));
+        routes.get("/healthz", context => context.json({ status: "ok" }));
+    }
+
+    async #handle(
+        context: Context<Env>,
+        kind: CallKind,
+        keyParameter: string,
+        perform: (call: Call, decision: FaultDecision) => Answer | Promise<Answer | undefined>,
+    ): Promise<Response> {
+        const hostId = context.req.header(PlatformHeaders.hostId) ?? "";
+        const zone = context.req.header(PlatformHeaders.zone) ?? "";
+        const key = context.req.query(keyParameter) ?? "";
+        const body = kind === "write" ? await context.req.text() : "";
+        const call: Call = { context, hostId, zone, kind, key, body };
+        const decision = this.faults.decide({ hostId, kind, key });
+        if (decision.failure !== undefined) {
+            return this.#fail(context, decision.failure);
+        }
+        this.#noteHost(context);
+        if (!this.#ledger.admit(hostId, kind, body.length)) {
+            return this.#send(call, { httpStatus: 429, body: { error: "rate limit" } });
+        }
+        const zoneDelayMs = this.#settings.zoneDelaysMs[zone] ?? 0;
+        await delay(decision.delayMs + zoneDelayMs);
+        if (decision.appliedLateMs !== undefined) {
+            void sleep(decision.appliedLateMs)
+                .then(() => perform(call, decision))
+                .catch((error: unknown) => log.warn("a late write failed", { reason: String(error) }));
+            return destroy(context);
+        }
+        const answer = await perform(call, decision);
+        if (decision.answerLost || answer === undefined) {
+            return destroy(context);
+        }
+        await delay(zoneDelayMs);
+        return this.#send(call, answer);
+    }
+
+    #get = (call: Call, decision: FaultDecision): Answer => {
+        const outcome = this.#stale.get(call.key, decision.staleMs);
+        return outcome.status === "found" ?
+            { httpStatus: 200, body: outcome.object } :
+            { httpStatus: 404, body: { error: "absent" } };
+    };
+
+    #put = (call: Call): Answer => {
+        if (Buffer.byteLength(call.body) > MaxValueBytes) {
+            return { httpStatus: 413, body: { error: "the value is too large" } };
+        }
+        return writeAnswer(this.objects.put(call.key, JSON.parse(call.body), expectedVersionOf(call)));
+    };
+
+    #delete = (call: Call): Answer => writeAnswer(this.objects.delete(call.key, expectedVersionOf(call)));
+
+    #list = (call: Call, decision: FaultDecision): Answer => {
+        const { prefix, after, limit } = PageQuerySchema.parse(call.context.req.query());
+        const page = this.#stale.list(prefix, after, Math.min(limit, MaxPageObjects), decision.staleMs);
+        if (page.status !== "listed") {
+            return { httpStatus: 503, body: { error: page.reason } };
+        }
+        let bytes = 0;
+        const objects = page.objects.filter((object, index) => {
+            bytes += JSON.stringify(object).length;
+            return index === 0 || bytes <= MaxPageBytes;
+        });
+        return { httpStatus: 200, body: { objects, more: page.more || objects.length < page.objects.length } };
+    };
+
+    #watch = async (call: Call): Promise<Answer | undefined> => {
+        const { prefix, after, waitMs } = WatchQuerySchema.parse(call.context.req.query());
+        const outcome = await this.#watches.wait(
+            call.hostId,
+            prefix,
+            after,
+            Math.min(waitMs, this.#settings.maxWaitMs),
+        );
+        return outcome === undefined ? undefined : watchAnswer(outcome);
+    };
+
+    #listHosts = (call: Call): Answer => {
+        const view = this.#hosts.view();
+        const known = call.context.req.query("since") === String(view.revision);
+        return known ? { httpStatus: 304 } : { httpStatus: 200, body: view };
+    };
+
+    #send(call: Call, answer: Answer): Response {
+        const text = answer.body === undefined ? null : JSON.stringify(answer.body);
+        this.#ledger.answered(call.hostId, text?.length ?? 0);
+        const headers: Record<string, string> = {
+            "content-type": "application/json",
+            [PlatformHeaders.hostsRevision]: String(this.#hosts.view().revision),
+        };
+        if (answer.notApplied === true || answer.httpStatus === 429 || answer.httpStatus === 413) {
+            headers[PlatformHeaders.notApplied] = "true";
+        }
+        return new Response(text, { status: answer.httpStatus, headers });
+    }
+
+    #fail(context: Context<Env>, manner: NonNullable<FaultDecision["failure"]>): Response | Promise<Response> {
+        return match(manner)
+            .with(
+                "refuse",
+                () =>
+                    context.json({ error: "the platform is not available" }, 503, {
+                        [PlatformHeaders.notApplied]: "true",
+                    }),
+            )
+            .with("drop", () => destroy(context))
+            .with("silent", () =>
+                new Promise<Response>(resolve => {
+                    context.env.outgoing.once("close", () => resolve(RESPONSE_ALREADY_SENT));
+                }))
+            .exhaustive();
+    }
+
+    #noteHost(context: Context<Env>): void {
+        const host = ListedHostSchema.safeParse({
+            hostId: context.req.header(PlatformHeaders.hostId),
+            zone: context.req.header(PlatformHeaders.zone),
+            peerAddress: context.req.header(PlatformHeaders.peerAddress),
+            operatorAddress: context.req.header(PlatformHeaders.operatorAddress),
+            state: context.req.header(PlatformHeaders.hostState),
+        });
+        if (host.success) {
+            this.#hosts.seen(host.data);
+        }
+    }
+}
+
+function delay(durationMs: number): Promise<void> | undefined {
+    return durationMs > 0 ? sleep(durationMs) : undefined;
+}
+
+function destroy(context: Context<Env>): Response {
+    context.env.outgoing.destroy();
+    return RESPONSE_ALREADY_SENT;
+}
+
+function expectedVersionOf(call: Call): number {
+    return z.coerce.number().int().nonnegative().parse(call.context.req.header(PlatformHeaders.expectedVersion));
+}
+
+function writeAnswer(outcome: WriteOutcome): Answer {
+    return match(outcome)
+        .with({ status: "applied" }, ({ version }) => ({ httpStatus: 200, body: { version } }))
+        .with({ status: "conflict" }, ({ current }) => ({ httpStatus: 409, body: { current } }))
+        .with({ status: "refused" }, ({ reason }) => ({ httpStatus: 413, body: { error: reason } }))
+        .with({ status: "unknown" }, ({ reason }) => ({ httpStatus: 500, body: { error: reason } }))
+        .exhaustive();
+}
+
+function watchAnswer(outcome: WatchOutcome): Answer {
+    return match(outcome)
+        .with({ status: "changed" }, ({ changes, revision }) => ({ httpStatus: 200, body: { changes, revision } }))
+        .with({ status: "tooOld" }, ({ revision }) => ({ httpStatus: 410, body: { revision } }))
+        .with({ status: "unavailable" }, ({ reason }) => ({ httpStatus: 503, body: { error: reason } }))
+        .exhaustive();
+}
--- /dev/null
+++ b/src/standins/platform/watchHub.ts
@@ -0,0 +1,69 @@
+/** Waiting watches of the platform stand-in. */
+import type { WatchOutcome } from "../../platform/platformStore.js";
+import type { ObjectStore } from "./objectStore.js";
+
+interface Waiter {
+    readonly hostId: string;
+    readonly prefix: string;
+    readonly afterRevision: number;
+    readonly finish: (outcome: WatchOutcome | undefined) => void;
+}
+
+/** Answers watches when something below their prefix changes. */
+export class WatchHub {
+    readonly #objects: ObjectStore;
+    readonly #waiters = new Set<Waiter>();
+
+    constructor(objects: ObjectStore) {
+        this.#objects = objects;
+        objects.onChange(change => {
+            for (const waiter of this.#waiters) {
+                if (change.key.startsWith(waiter.prefix)) {
+                    waiter.finish(objects.changesAfter(waiter.prefix, waiter.afterRevision));
+                }
+            }
+        });
+    }
+
+    /** @returns Number of waiting watches. */
+    get waiting(): number {
+        return this.#waiters.size;
+    }
+
+    /**
+     * Waits for changes below a prefix.
+     * @returns The changes, or `undefined` when the watch was cut.
+     */
+    wait(hostId: string, prefix: string, afterRevision: number, waitMs: number): Promise<WatchOutcome | undefined> {
+        const outcome = this.#objects.changesAfter(prefix, afterRevision);
+        if (outcome.status !== "changed" || outcome.changes.length > 0 || waitMs <= 0) {
+            return Promise.resolve(outcome);
+        }
+        return new Promise(resolve => {
+            const waiter: Waiter = {
+                hostId,
+                prefix,
+                afterRevision,
+                finish: result => {
+                    clearTimeout(timer);
+                    this.#waiters.delete(waiter);
+                    resolve(result);
+                },
+            };
+            const timer = setTimeout(
+                () => waiter.finish(this.#objects.changesAfter(prefix, afterRevision)),
+                waitMs,
+            );
+            this.#waiters.add(waiter);
+        });
+    }
+
+    /** Cuts waiting watches. */
+    cut(concerned: (hostId: string, prefix: string) => boolean): void {
+        for (const waiter of [...this.#waiters]) {
+            if (concerned(waiter.hostId, waiter.prefix)) {
+                waiter.finish(undefined);
+            }
+        }
+    }
+}
