Add the peer service and the config controller

Cause: routers need to call each other, and the configuration has to come into force in order and without copies of 52,000 resources per change.

The config controller applies the change log in order and pulls gaps from peers and the store. Received changes keep kinds and fields of newer releases, so that an older host passes them on complete.

--- /dev/null
+++ b/src/features/config/configController.ts
@@ -0,0 +1,205 @@
+/** Applies the change log in order, pulls missing versions and answers peers that miss some. */
+import { log } from "../../base/log.js";
+import { Controller, type ControllerContext } from "../../kernel/controller.js";
+import type { RouterEvent } from "../../kernel/events.js";
+import { digestIn } from "../membership/digestEvents.js";
+import type { Digest } from "../membership/membershipTypes.js";
+import { ChangeLog } from "./changeLog.js";
+import { ChangePuller } from "./changePuller.js";
+import type { ConfigSnapshot } from "./configEvents.js";
+import type { ConfigSettings } from "./configSettings.js";
+import { type ReceivedChange, ReceivedChangeSchema } from "./configTypes.js";
+import { ResourceTable, type ResourceValue } from "./resourceTable.js";
+
+/** Largest number of changes that wait for a gap to be filled. Dropped ones are pulled again. */
+const MaxPendingChanges = 2_048;
+
+/** Decides which configuration is in force. The version never decreases. */
+export class ConfigController extends Controller {
+    override readonly name = "config";
+    readonly #settings: ConfigSettings;
+    readonly #log: ChangeLog;
+    readonly #puller: ChangePuller;
+    /** Accepted changes above the version in force. */
+    readonly #pending = new Map<number, ReceivedChange>();
+    /** Hosts heard since the start, until the configuration is confirmed. */
+    readonly #heardHosts = new Set<string>();
+    #table = ResourceTable.empty();
+    #hostsListed = false;
+    #storeReadMs: number | undefined;
+
+    constructor(context: ControllerContext, settings: ConfigSettings) {
+        super(context);
+        this.#settings = settings;
+        this.#log = new ChangeLog(settings);
+        this.#puller = new ChangePuller(context, settings);
+        context.board.config.resources = this.#table.resources;
+        context.board.config.teamByKeyHash = this.#table.teamByKeyHash;
+    }
+
+    override handle(event: RouterEvent): void {
+        const digest = digestIn(event);
+        if (digest !== undefined) {
+            this.#learnFrom(digest);
+        }
+        if (event.type === "configChangesReceived") {
+            this.#receive(event.changes, event.fromStore);
+        }
+        else if (event.type === "configSnapshotLoaded") {
+            this.#loadSnapshot(event.snapshot);
+        }
+        else if (event.type === "configVersionSeen") {
+            this.#raiseFloor(event.version);
+        }
+        else if (event.type === "hostsListed") {
+            this.#hostsListed ||= event.outcome.status !== "unavailable";
+        }
+        else if (event.type === "peerRequested" && event.request.method === "ConfigChanges") {
+            const changes = this.#log.changesAfter(event.request.body.afterVersion);
+            const reply = { method: "ConfigChanges", body: { changes } } as const;
+            this.context.emit({ type: "peerAnswer", exchangeId: event.exchangeId, reply });
+        }
+        else if (event.type === "peerCallDone" && event.owner === "config") {
+            const { outcome } = event;
+            const isReply = outcome.status === "replied" && outcome.reply.method === "ConfigChanges";
+            this.#finishPull(event.callId, isReply ? outcome.reply.body.changes : undefined, false);
+        }
+        else if (event.type === "storeListDone" && event.owner === "config") {
+            const values = event.outcome.status === "listed" ?
+                event.outcome.objects.map(object => object.value) :
+                undefined;
+            this.#finishPull(event.callId, values === undefined ? undefined : this.#readChanges(values), true);
+        }
+        else if (event.type === "tick") {
+            this.#puller.tick();
+        }
+        this.#confirm();
+    }
+
+    override dumpState(): unknown {
+        return {
+            pendingVersions: [...this.#pending.keys()],
+            keptChanges: this.#log.length,
+            heardHosts: [...this.#heardHosts],
+            pull: this.#puller.dumpState(),
+        };
+    }
+
+    #learnFrom(digest: Digest): void {
+        this.#raiseFloor(Math.max(digest.self.configVersion, digest.floorVersion ?? 0));
+        if (!this.context.board.config.confirmed) {
+            this.#heardHosts.add(digest.self.hostId);
+        }
+    }
+
+    #raiseFloor(version: number): void {
+        const { config } = this.context.board;
+        config.floorVersion = Math.max(config.floorVersion, version);
+    }
+
+    #readChanges(values: readonly unknown[]): ReceivedChange[] {
+        const changes: ReceivedChange[] = [];
+        for (const value of values) {
+            const parsed = ReceivedChangeSchema.safeParse(value);
+            if (parsed.success) {
+                changes.push(parsed.data);
+            }
+            else {
+                this.context.counters.add("config.unreadableChanges");
+            }
+        }
+        return changes;
+    }
+
+    #finishPull(callId: string, changes: readonly ReceivedChange[] | undefined, fromStore: boolean): void {
+        const versionBefore = this.context.board.config.version;
+        if (changes !== undefined) {
+            this.#receive(changes, fromStore);
+        }
+        this.#puller.finish(callId, this.context.board.config.version > versionBefore);
+    }
+
+    #receive(changes: readonly ReceivedChange[], fromStore: boolean): void {
+        const { config } = this.context.board;
+        for (const change of changes) {
+            this.#raiseFloor(change.version);
+            const isNear = this.#pending.size < MaxPendingChanges || change.version === config.version + 1;
+            if (change.version > config.version && isNear) {
+                this.#pending.set(change.version, change);
+            }
+        }
+        if (fromStore) {
+            this.#storeReadMs ??= this.context.clock.monotonicMs();
+        }
+        this.#applyPending();
+    }
+
+    #applyPending(): void {
+        const { config } = this.context.board;
+        const versionBefore = config.version;
+        for (
+            let change = this.#pending.get(config.version + 1);
+            change !== undefined;
+            change = this.#pending.get(config.version + 1)
+        ) {
+            this.#pending.delete(change.version);
+            const values = change.changes.map(({ kind, name, after }) => ({ kind, name, value: after }));
+            this.#putInForce(this.#table, values, change.version);
+            this.#log.add(change);
+        }
+        if (config.version > versionBefore) {
+            this.context.counters.set("config.version", config.version);
+            log.debug("configuration in force", { version: config.version });
+        }
+    }
+
+    #loadSnapshot(snapshot: ConfigSnapshot): void {
+        this.#raiseFloor(snapshot.version);
+        if (snapshot.version <= this.context.board.config.version) {
+            return;
+        }
+        this.#putInForce(ResourceTable.empty(), snapshot.resources, snapshot.version);
+        this.#log.clear();
+        for (const version of [...this.#pending.keys()].filter(version => version <= snapshot.version)) {
+            this.#pending.delete(version);
+        }
+        this.#applyPending();
+    }
+
+    /** Replaces all references of the board at once: readers that still hold the old ones keep a complete version. */
+    #putInForce(base: ResourceTable, values: readonly ResourceValue[], version: number): void {
+        const { table, unreadableCount } = base.with(values);
+        const { config } = this.context.board;
+        this.#table = table;
+        config.resources = table.resources;
+        config.teamByKeyHash = table.teamByKeyHash;
+        config.version = version;
+        if (unreadableCount > 0) {
+            this.context.counters.add("config.unreadableResources", unreadableCount);
+            log.warn("configuration contains values that this release cannot read", { version, unreadableCount });
+        }
+    }
+
+    /**
+     * A store read may be stale. The configuration counts as confirmed when some peers have told their versions too,
+     * or when they did not answer in time.
+     */
+    #confirm(): void {
+        const { config, membership } = this.context.board;
+        if (config.confirmed) {
+            return;
+        }
+        const peerCount = [...membership.members.values()].filter(member => member.state === "live").length;
+        const enoughPeers = this.#heardHosts.size >= Math.min(this.#settings.confirmingPeers, peerCount);
+        if (this.#storeReadMs === undefined) {
+            const byPeers = enoughPeers && this.#heardHosts.size > 0 && this.#settings.confirmingPeers > 0;
+            config.confirmed = byPeers && config.version > 0 && config.version >= config.floorVersion;
+            return;
+        }
+        const isGraceOver = this.context.clock.monotonicMs() >= this.#storeReadMs + this.#settings.confirmGraceMs;
+        config.confirmed = (this.#hostsListed && enoughPeers) || isGraceOver;
+        if (config.confirmed) {
+            this.#heardHosts.clear();
+        }
+    }
+}
--- a/src/features/config/configEvents.ts
+++ b/src/features/config/configEvents.ts
@@ -1,18 +1,18 @@
 /** Events of the config feature. */
-import type { ConfigChange, ResourceKind } from "./configTypes.js";
+import type { ReceivedChange } from "./configTypes.js";
 
 /** A snapshot of all resources at a version. */
 export interface ConfigSnapshot {
     readonly version: number;
-    readonly resources: readonly { readonly kind: ResourceKind; readonly name: string; readonly value: unknown; }[];
+    readonly resources: readonly { readonly kind: string; readonly name: string; readonly value: unknown; }[];
 }
 
 /** Events of the config feature. */
 export type ConfigEvent =
-    /** Accepted changes from the store's watch, in any order; may repeat. */
+    /** Accepted changes from the store's watch, in any order; may repeat. From the store, an empty list means "no newer ones". */
     | {
         readonly type: "configChangesReceived";
-        readonly changes: readonly ConfigChange[];
+        readonly changes: readonly ReceivedChange[];
         readonly fromStore: boolean;
     }
     | { readonly type: "configSnapshotLoaded"; readonly snapshot: ConfigSnapshot; }
--- a/src/features/config/configTypes.ts
+++ b/src/features/config/configTypes.ts
@@ -120,6 +120,16 @@
 });
 export type ConfigChange = z.infer<typeof ConfigChangeSchema>;
 
+/**
+ * A change as it is read from the store or from a peer. Unlike {@link ConfigChangeSchema} it keeps kinds and fields of
+ * newer releases, so that a host that does not know them still passes the complete change on.
+ */
+export const ReceivedChangeSchema = z.looseObject({
+    version: z.number().int().positive(),
+    changes: z.array(z.looseObject({ kind: z.string(), name: ResourceNameSchema, after: z.unknown().optional() })),
+});
+export type ReceivedChange = z.infer<typeof ReceivedChangeSchema>;
+
 /** Prefix of the change log. */
 export const ConfigChangePrefix = "config/change/";
 
--- /dev/null
+++ b/src/features/config/resourceTable.ts
@@ -0,0 +1,142 @@
+/** The resources in force, with the changes of one version applied as a whole. */
+import { PersistentMap } from "../../base/persistentMap.js";
+import {
+    type BudgetResource,
+    type ConfigResources,
+    type Grant,
+    type RequestKind,
+    type ResourceKind,
+    ResourceKindSchema,
+    ResourceSchemas,
+    type Rule,
+    type Team,
+    type Upstream,
+} from "./configTypes.js";
+
+/** A new value of a resource, or its removal. Kinds of newer releases are possible. */
+export interface ResourceValue {
+    readonly kind: string;
+    readonly name: string;
+    readonly value: unknown;
+}
+
+type Resource = Team | BudgetResource | Grant | RequestKind | Rule | Upstream;
+type Tables = { readonly [K in keyof ConfigResources]: PersistentMap<never>; };
+type TableName = keyof ConfigResources;
+
+const TableByKind: Readonly<Record<ResourceKind, TableName>> = {
+    Team: "teams",
+    Budget: "budgets",
+    Grant: "grants",
+    RequestKind: "requestKinds",
+    Rule: "rules",
+    Upstream: "upstreams",
+};
+
+/** Immutable tables of all resources, and the index of API keys. */
+export class ResourceTable {
+    readonly resources: ConfigResources;
+    readonly teamByKeyHash: PersistentMap<string>;
+
+    private constructor(resources: ConfigResources, teamByKeyHash: PersistentMap<string>) {
+        this.resources = resources;
+        this.teamByKeyHash = teamByKeyHash;
+    }
+
+    /** @returns A table without resources. */
+    static empty(): ResourceTable {
+        const empty = PersistentMap.empty<never>();
+        const resources = { teams: empty, budgets: empty, grants: empty, requestKinds: empty, rules: empty };
+        return new ResourceTable({ ...resources, upstreams: empty }, PersistentMap.empty());
+    }
+
+    /**
+     * Applies a set of values. Values that cannot be read keep the resource as it was: operators' tools check values
+     * before they write them, so only the values of a newer release can be unreadable.
+     * @returns The new table, which shares unchanged parts with this one, and the number of unreadable values.
+     */
+    with(values: readonly ResourceValue[]): { table: ResourceTable; unreadableCount: number; } {
+        const edits = new Map<TableName, Map<string, Resource | undefined>>();
+        let unreadableCount = 0;
+        for (const { kind, name, value } of values) {
+            const parsed = parseResource(kind, value);
+            if (parsed === undefined) {
+                unreadableCount++;
+                continue;
+            }
+            const table = TableByKind[parsed.kind];
+            edits.set(table, (edits.get(table) ?? new Map()).set(name, parsed.resource));
+        }
+        return { table: this.#edited(edits), unreadableCount };
+    }
+
+    #edited(edits: ReadonlyMap<TableName, ReadonlyMap<string, Resource | undefined>>): ResourceTable {
+        const tables: Record<string, PersistentMap<never>> = { ...(this.resources as Tables) };
+        for (const [table, tableEdits] of edits) {
+            tables[table] = tables[table]!.with(tableEdits as ReadonlyMap<string, never>);
+        }
+        const resources = tables as unknown as ConfigResources;
+        return new ResourceTable(resources, this.#editedKeys(edits.get("teams"), resources));
+    }
+
+    #editedKeys(
+        teamEdits: ReadonlyMap<string, Resource | undefined> | undefined,
+        resources: ConfigResources,
+    ): PersistentMap<string> {
+        const keyEdits = new Map<string, string | undefined>();
+        for (const name of teamEdits?.keys() ?? []) {
+            for (const hash of this.resources.teams.get(name)?.keyHashes ?? []) {
+                // A key that another team took over earlier stays with that team.
+                if (this.teamByKeyHash.get(hash) === name) {
+                    keyEdits.set(hash, undefined);
+                }
+            }
+        }
+        for (const name of teamEdits?.keys() ?? []) {
+            for (const hash of resources.teams.get(name)?.keyHashes ?? []) {
+                keyEdits.set(hash, name);
+            }
+        }
+        return keyEdits.size === 0 ? this.teamByKeyHash : this.teamByKeyHash.with(keyEdits);
+    }
+}
+
+function parseResource(
+    kind: string,
+    value: unknown,
+): { kind: ResourceKind; resource: Resource | undefined; } | undefined {
+    const known = ResourceKindSchema.safeParse(kind);
+    if (!known.success) {
+        return undefined;
+    }
+    if (value === undefined || value === null) {
+        return { kind: known.data, resource: undefined };
+    }
+    const schema = ResourceSchemas[known.data];
+    const strict = schema.safeParse(value);
+    const parsed = strict.success ? strict : schema.strip().safeParse(value);
+    return parsed.success ? { kind: known.data, resource: shareEmptyParts(parsed.data) } : undefined;
+}
+
+const EmptyLabels = Object.freeze({});
+const EmptyList: readonly never[] = Object.freeze([]);
+
+/** Replaces empty objects and lists by shared ones: 41,000 budgets would otherwise hold as many copies of each. */
+function shareEmptyParts<T extends Resource>(resource: T): T {
+    return shareEmpty(resource) as T;
+}
+
+function shareEmpty(value: unknown): unknown {
+    if (Array.isArray(value)) {
+        return value.length === 0 ? EmptyList : value.map(shareEmpty);
+    }
+    if (typeof value !== "object" || value === null) {
+        return value;
+    }
+    const record = value as Record<string, unknown>;
+    const keys = Object.keys(record);
+    for (const key of keys) {
+        record[key] = shareEmpty(record[key]);
+    }
+    return keys.length === 0 ? EmptyLabels : record;
+}
--- /dev/null
+++ b/src/features/membership/digestEvents.ts
@@ -0,0 +1,20 @@
+/** Finds the digests in events. */
+import type { RouterEvent } from "../../kernel/events.js";
+import type { Digest } from "./membershipTypes.js";
+
+/** @returns The digest of a peer that an event carries, if any. */
+export function digestIn(event: RouterEvent): Digest | undefined {
+    if (event.type === "digestReceived") {
+        return event.digest;
+    }
+    if (event.type === "peerRequested" && event.request.method === "Exchange") {
+        return event.request.body;
+    }
+    if (
+        event.type === "peerCallDone" && event.outcome.status === "replied" &&
+        event.outcome.reply.method === "Exchange"
+    ) {
+        return event.outcome.reply.body;
+    }
+    return undefined;
+}
--- a/src/features/membership/membershipTypes.ts
+++ b/src/features/membership/membershipTypes.ts
@@ -23,6 +23,8 @@
 export const DigestSchema = z.object({
     protocolVersion: z.number().int().positive(),
     self: MemberSchema,
+    /** Highest configuration version that the host knows of; may be above the one in force. */
+    floorVersion: z.number().int().nonnegative().optional(),
     /** Own requests in flight, by upstream name. */
     inFlight: z.record(z.string(), z.number().int().nonnegative()).default({}),
     /** Upstreams seen leaving, by name. */
--- /dev/null
+++ b/src/peer/grpcPeerClient.ts
@@ -0,0 +1,223 @@
+/** Calls to other routers over gRPC. */
+import { Client, credentials, Metadata, type ServiceError, status } from "@grpc/grpc-js";
+import { readFileSync } from "node:fs";
+import type { Clock } from "../base/clock.js";
+import type { Counters } from "../base/counters.js";
+import { PeerAuth, SenderEntry, SignatureEntry } from "./peerAuth.js";
+import { decodeReply, encodeMessage, methodPath } from "./peerCodec.js";
+import {
+    MaxPeerMessageBytes,
+    PeerClient,
+    type PeerMethod,
+    type PeerOutcome,
+    type PeerRequest,
+} from "./peerMessages.js";
+import { isLoopbackAddress, type PeerSettings } from "./peerSettings.js";
+
+/** Bounds of the wait between two attempts to connect: a restarted peer must be reachable again soon. */
+const ReconnectMinMs = 200;
+const ReconnectMaxMs = 2_000;
+
+/** Unanswered calls in a row after which a connection is replaced: it may be silent in one direction. */
+const MaxUnansweredCalls = 2;
+
+interface Connection {
+    readonly client: Client;
+    lastUsedMs: number;
+    unansweredCount: number;
+    activeCount: number;
+}
+
+/** What the client needs from the router. */
+export interface GrpcPeerClientParts {
+    readonly settings: PeerSettings;
+    /** Name of this host, for the peers' rate limits. */
+    readonly hostId: string;
+    readonly clock: Clock;
+    readonly counters: Counters;
+}
+
+interface Attempt {
+    readonly method: PeerMethod;
+    readonly payload: Buffer;
+    readonly signature: string;
+    readonly timeoutMs: number;
+}
+
+/** One connection per peer, opened at the first call and closed when unused. */
+export class GrpcPeerClient extends PeerClient {
+    readonly #parts: GrpcPeerClientParts;
+    readonly #auth: PeerAuth;
+    readonly #credentials: ReturnType<typeof credentials.createInsecure>;
+    readonly #connections = new Map<string, Connection>();
+    readonly #sweepTimer: NodeJS.Timeout;
+
+    constructor(parts: GrpcPeerClientParts) {
+        super();
+        this.#parts = parts;
+        const { settings } = parts;
+        this.#auth = new PeerAuth(settings.sharedKey, settings.maxClockDifferenceMs);
+        this.#credentials = channelCredentials(settings);
+        this.#sweepTimer = setInterval(() => this.#closeUnused(), Math.ceil(settings.idleCloseMs / 4));
+        this.#sweepTimer.unref();
+    }
+
+    /** @returns Number of open connections. */
+    get connectionCount(): number {
+        return this.#connections.size;
+    }
+
+    override async call(address: string, request: PeerRequest, timeoutMs: number): Promise<PeerOutcome> {
+        const { counters, clock, settings, hostId } = this.#parts;
+        if (!this.#auth.isEnabled && settings.tls === undefined && !isLoopbackAddress(address)) {
+            return { status: "failed", reason: "only loopback addresses are called without a key" };
+        }
+        const payload = encodeMessage(request.body);
+        if (payload.isErr) {
+            return { status: "failed", reason: payload.error };
+        }
+        const signed = { sender: hostId, method: request.method, payload: payload.value };
+        const signature = this.#auth.isEnabled ? this.#auth.signRequest(signed, clock.wallMs()) : "";
+        counters.add(`peer.client.calls.${request.method}`);
+        counters.add("peer.client.sentBytes", payload.value.length);
+        const attempt = { method: request.method, payload: payload.value, signature, timeoutMs };
+        const outcome = await this.#send(address, attempt);
+        if (outcome.status === "failed") {
+            counters.add(`peer.client.failures.${request.method}`);
+        }
+        return outcome;
+    }
+
+    /** Closes all connections. Calls in progress fail. */
+    close(): void {
+        clearInterval(this.#sweepTimer);
+        for (const connection of this.#connections.values()) {
+            connection.client.close();
+        }
+        this.#connections.clear();
+    }
+
+    async #send(address: string, attempt: Attempt): Promise<PeerOutcome> {
+        const connection = this.#connect(address);
+        connection.activeCount++;
+        const { error, payload, signature } = await invoke(connection.client, attempt, this.#metadata(attempt));
+        connection.activeCount--;
+        connection.lastUsedMs = this.#parts.clock.monotonicMs();
+        if (error !== undefined || payload === undefined) {
+            this.#noteFailure(address, connection, error);
+            return { status: "failed", reason: error?.details ?? "no answer" };
+        }
+        connection.unansweredCount = 0;
+        this.#parts.counters.add("peer.client.receivedBytes", payload.length);
+        if (!this.#auth.checkReply(attempt.signature, payload, signature)) {
+            return { status: "failed", reason: "the signature of the reply is missing or wrong" };
+        }
+        const reply = decodeReply(attempt.method, payload);
+        return reply.isOk ?
+            { status: "replied", reply: reply.value } :
+            { status: "failed", reason: `invalid reply: ${reply.error}` };
+    }
+
+    #metadata(attempt: Attempt): Metadata {
+        const metadata = new Metadata();
+        metadata.set(SenderEntry, this.#parts.hostId);
+        if (attempt.signature !== "") {
+            metadata.set(SignatureEntry, attempt.signature);
+        }
+        return metadata;
+    }
+
+    #connect(address: string): Connection {
+        let connection = this.#connections.get(address);
+        if (connection === undefined) {
+            const client = new Client(address, this.#credentials, this.#channelOptions());
+            connection = { client, lastUsedMs: 0, unansweredCount: 0, activeCount: 0 };
+            this.#connections.set(address, connection);
+            this.#parts.counters.set("peer.client.connections", this.#connections.size);
+        }
+        connection.lastUsedMs = this.#parts.clock.monotonicMs();
+        return connection;
+    }
+
+    #channelOptions(): Record<string, number | string> {
+        const { settings } = this.#parts;
+        const serverName = settings.tls?.serverName ?? "";
+        return {
+            "grpc.keepalive_time_ms": settings.keepaliveMs,
+            "grpc.keepalive_timeout_ms": settings.keepaliveTimeoutMs,
+            "grpc.initial_reconnect_backoff_ms": ReconnectMinMs,
+            "grpc.max_reconnect_backoff_ms": ReconnectMaxMs,
+            "grpc.max_receive_message_length": MaxPeerMessageBytes,
+            // Retries are decided by the controllers, and the service configuration is not looked up.
+            "grpc.enable_retries": 0,
+            "grpc.service_config_disable_resolution": 1,
+            // A shared pool would hand a replaced connection out again.
+            "grpc.use_local_subchannel_pool": 1,
+            ...(serverName === "" ? {} : { "grpc.ssl_target_name_override": serverName }),
+        };
+    }
+
+    #noteFailure(address: string, connection: Connection, error: ServiceError | undefined): void {
+        if (error?.code !== status.DEADLINE_EXCEEDED) {
+            return;
+        }
+        connection.unansweredCount++;
+        if (connection.unansweredCount >= MaxUnansweredCalls && this.#connections.get(address) === connection) {
+            this.#parts.counters.add("peer.client.replacedConnections");
+            this.#close(address, connection);
+        }
+    }
+
+    #closeUnused(): void {
+        const oldestUseMs = this.#parts.clock.monotonicMs() - this.#parts.settings.idleCloseMs;
+        for (const [address, connection] of this.#connections) {
+            if (connection.activeCount === 0 && connection.lastUsedMs < oldestUseMs) {
+                this.#close(address, connection);
+            }
+        }
+    }
+
+    #close(address: string, connection: Connection): void {
+        connection.client.close();
+        this.#connections.delete(address);
+        this.#parts.counters.set("peer.client.connections", this.#connections.size);
+    }
+}
+
+interface Answer {
+    readonly error: ServiceError | undefined;
+    readonly payload: Buffer | undefined;
+    readonly signature: string;
+}
+
+function invoke(client: Client, attempt: Attempt, metadata: Metadata): Promise<Answer> {
+    return new Promise(resolve => {
+        let signature = "";
+        const call = client.makeUnaryRequest<Buffer, Buffer>(
+            methodPath(attempt.method),
+            keepBuffer,
+            keepBuffer,
+            attempt.payload,
+            metadata,
+            { deadline: Date.now() + attempt.timeoutMs },
+            (error, payload) => resolve({ error: error ?? undefined, payload, signature }),
+        );
+        call.on("metadata", (received: Metadata) => {
+            signature = String(received.get(SignatureEntry)[0] ?? "");
+        });
+    });
+}
+
+function keepBuffer(buffer: Buffer): Buffer {
+    return buffer;
+}
+
+function channelCredentials({ tls }: PeerSettings): ReturnType<typeof credentials.createInsecure> {
+    return tls === undefined ?
+        credentials.createInsecure() :
+        credentials.createSsl(
+            readFileSync(tls.authorityFile),
+            readFileSync(tls.privateKeyFile),
+            readFileSync(tls.certificateFile),
+        );
+}
--- a/src/peer/peerMessages.ts
+++ b/src/peer/peerMessages.ts
@@ -1,6 +1,6 @@
 /** Messages between routers. Unknown fields are ignored; new fields are optional. */
 import { z } from "zod";
-import { ConfigChangeSchema } from "../features/config/configTypes.js";
+import { ReceivedChangeSchema } from "../features/config/configTypes.js";
 import { StoredAnswerSchema } from "../features/idempotency/idempotencyTypes.js";
 import { DigestSchema } from "../features/membership/membershipTypes.js";
 
@@ -30,7 +30,7 @@
 
 /** Asks for configuration changes after a version. */
 export const ChangesRequestSchema = z.object({ afterVersion: z.number().int().nonnegative() });
-export const ChangesReplySchema = z.object({ changes: z.array(ConfigChangeSchema) });
+export const ChangesReplySchema = z.object({ changes: z.array(ReceivedChangeSchema) });
 
 /** Asks the owner of a ticket for its outcome. */
 export const TicketRequestSchema = z.object({ claimId: z.string(), ticket: z.string(), bodyHash: z.string() });
