--- a/src/features/budget/budgetAccount.ts
+++ b/src/features/budget/budgetAccount.ts
@@ -147,9 +147,9 @@
 
     /** @returns Whether a draw would be wanted if the object allowed it. */
     wantsShare(host: HostView): boolean {
-        return this.missingTokens() > 0 || (host.isHome && !this.writer.hasShare)
-            || this.entry.demandTokensPerS * this.#settings.drawHorizonMs / 2_000
-                > this.entry.grantedTokens - usedTokens(this.entry);
+        return this.missingTokens() > 0 || (host.isHome && !this.writer.hasShare) ||
+            this.entry.demandTokensPerS * this.#settings.drawHorizonMs / 2_000 >
+                this.entry.grantedTokens - usedTokens(this.entry);
     }
 
     /** @returns Whether nothing was asked of this budget for the idle time. */
--- a/src/features/budget/budgetController.ts
+++ b/src/features/budget/budgetController.ts
@@ -71,12 +71,23 @@
         this.#followIncarnation();
         match(event)
             .with({ type: "tick" }, () => this.#tick())
-            .with({ type: "reservationRequested" }, request =>
-                this.#reserve(request.reservationId, request.budget, request.costTokens, request.waitMs))
-            .with({ type: "reservationSettled" }, settled =>
-                this.#activate(this.#ledger.settle(settled.reservationId, settled.bill, this.#hostKey)))
-            .with({ type: "reservationReleased" }, released =>
-                this.#activate(this.#ledger.release(released.reservationId)))
+            .with(
+                { type: "reservationRequested" },
+                request => this.#reserve(request.reservationId, request.budget, request.costTokens, request.waitMs),
+            )
+            .with(
+                { type: "reservationSettled" },
+                settled => this.#activate(this.#ledger.settle(settled.reservationId, settled.bill)),
+            )
+            .with(
+                { type: "reservationReleased" },
+                released => this.#activate(this.#ledger.release(released.reservationId)),
+            )
+            .with({ type: "billReversed" }, ({ bill }) => {
+                const account = this.#accountOf(bill.budget);
+                this.#ledger.reverse(bill, account.entry, this.#hostKey);
+                this.#active.add(account);
+            })
             .with({ type: "peerRequested" }, requested => this.#answer(requested))
             .with({ type: "peerCallDone", owner: "budget" }, done => {
                 this.#requester.callDone(done.callId, done.outcome, this.#hostKey, this.#nowMs);
--- a/src/features/budget/reservationLedger.ts
+++ b/src/features/budget/reservationLedger.ts
@@ -35,13 +35,14 @@
     }
 
     /**
-     * Bills a reservation. The tokens are capped by the reservation; a reversal needs no reservation.
+     * Bills a reservation. The tokens are capped by the reservation.
      * @returns The budget whose entry changed.
      */
-    settle(reservationId: string, bill: BillDraft, currentHostKey: string): string | undefined {
+    settle(reservationId: string, bill: BillDraft): string | undefined {
         const reservation = this.#close(reservationId);
         if (reservation === undefined) {
-            return this.#reverse(bill, currentHostKey);
+            this.#counters.add("budget.settle.unknown");
+            return undefined;
         }
         const tokens = Math.max(0, Math.min(bill.tokens, reservation.costTokens));
         if (tokens !== bill.tokens) {
@@ -62,6 +63,20 @@
         return reservation?.budget;
     }
 
+    /**
+     * Cancels a bill line of this process by a line with negative tokens.
+     * @param entry Current entry of the bill's budget.
+     * @param hostKey Current incarnation.
+     */
+    reverse(bill: BillDraft, entry: BudgetEntry, hostKey: string): void {
+        if (bill.outcome !== "reversal" || bill.tokens > 0) {
+            this.#counters.add("budget.reversal.invalid");
+            return;
+        }
+        entry.settledTokens += bill.tokens;
+        this.#addBill(hostKey, bill);
+    }
+
     /** Drops the bills that the journal has taken. */
     forgetTaken(ordinal: number): void {
         const { bills } = this.#board;
@@ -72,17 +87,6 @@
         bills.splice(0, count);
     }
 
-    #reverse(bill: BillDraft, hostKey: string): string | undefined {
-        const entry = this.#board.entries.get(bill.budget);
-        if (bill.outcome !== "reversal" || bill.tokens > 0 || entry === undefined) {
-            this.#counters.add("budget.settle.unknown");
-            return undefined;
-        }
-        entry.settledTokens += bill.tokens;
-        this.#addBill(hostKey, bill);
-        return bill.budget;
-    }
-
     #addBill(hostKey: string, draft: BillDraft): void {
         this.#lastOrdinal++;
         this.#counters.add("budget.bills");
--- a/src/features/budget/transferRequester.ts
+++ b/src/features/budget/transferRequester.ts
@@ -147,8 +147,8 @@
             else if (!cancel.inFlight && nowMs >= cancel.nextMs) {
                 cancel.attempts++;
                 cancel.inFlight = true;
-                cancel.nextMs = nowMs
-                    + Math.min(MaxCancelDelayMs, this.#settings.cancelRetryMs * cancel.attempts);
+                cancel.nextMs = nowMs +
+                    Math.min(MaxCancelDelayMs, this.#settings.cancelRetryMs * cancel.attempts);
                 this.#calls.call(`c${cancel.attempts}:${transferId}`, cancel.address, {
                     method: "CancelTransfer",
                     body: { transferId, giver: cancel.giver },
--- a/src/features/journal/journalController.ts
+++ b/src/features/journal/journalController.ts
@@ -6,7 +6,7 @@
 import { type BudgetEntry, usedTokens } from "../budget/budgetBoard.js";
 import { BillBook } from "./billBook.js";
 import type { JournalSettings } from "./journalSettings.js";
-import { billSegmentKey, type HostRecord, hostKeyOf, hostRecordKey, type RecordEntry } from "./journalTypes.js";
+import { billSegmentKey, hostKeyOf, type HostRecord, hostRecordKey, type RecordEntry } from "./journalTypes.js";
 import { LateSettlement } from "./lateSettlement.js";
 import { RecordWriter } from "./recordWriter.js";
 
@@ -128,7 +128,7 @@
             entries,
             bills: [...lines],
             billSegments: this.#book.segmentCount,
-            ticketLimit: this.#settings.ticketLimit,
+            ticketLimit: board.idempotency.wantedTicketLimit,
         };
     }
 
@@ -177,7 +177,8 @@
     #openIncarnation(sealedRecord: HostRecord | undefined): void {
         const { board, counters, random } = this.context;
         const { journal } = board;
-        const sealed = sealedRecord ?? { ...this.#buildRecord("live"), state: "sealed" as const, entries: {}, bills: [] };
+        const sealed = sealedRecord ??
+            { ...this.#buildRecord("live"), state: "sealed" as const, entries: {}, bills: [] };
         this.#late.set(journal.hostKey, new LateSettlement(journal.hostKey, this.#book, sealed));
         counters.add("journal.sealed");
         for (const [callId, target] of this.#calls) {
@@ -206,7 +207,11 @@
             if (entries === undefined || (budget.openReservations.get(hostKey) ?? 0) > 0) {
                 continue;
             }
-            late.step(this.#settings.linesPerWrite, (key, lines) => this.#put({ kind: "late", late }, key, lines), this.#nowMs);
+            late.step(
+                this.#settings.linesPerWrite,
+                (key, lines) => this.#put({ kind: "late", late }, key, lines),
+                this.#nowMs,
+            );
             if (late.isStored) {
                 this.#late.delete(hostKey);
                 this.context.counters.add("journal.lateSettled");
@@ -281,9 +286,9 @@
 
 /** @returns The numbers to declare. A closed incarnation declares exactly what it consumed. */
 function declare(entry: BudgetEntry, excludedTokens: number, closed: boolean): RecordEntry {
-    const limitTokens = closed
-        ? Math.max(0, entry.settledTokens + entry.sentTokens - entry.receivedTokens)
-        : Math.min(entry.wantedLimitTokens, entry.grantedTokens);
+    const limitTokens = closed ?
+        Math.max(0, entry.settledTokens + entry.sentTokens - entry.receivedTokens) :
+        Math.min(entry.wantedLimitTokens, entry.grantedTokens);
     return {
         limitTokens: Math.max(0, limitTokens),
         settledTokens: entry.settledTokens - excludedTokens,
--- a/src/features/journal/journalSettings.ts
+++ b/src/features/journal/journalSettings.ts
@@ -15,8 +15,6 @@
     segmentBytes: z.number().int().positive().default(8_192),
     /** Bill lines per record or segment; the rest follows in the next write. */
     linesPerWrite: z.number().int().positive().default(1_500),
-    /** Tickets that an incarnation may dispatch. */
-    ticketLimit: z.number().int().nonnegative().default(1_000),
     /** Longest wait for sealed incarnations to settle before the closing record is written. */
     closingWaitMs: z.number().int().nonnegative().default(5_000),
 });
--- a/src/features/journal/recordWriter.ts
+++ b/src/features/journal/recordWriter.ts
@@ -92,11 +92,11 @@
         }
         if (outcome.status === "conflict") {
             const stored = HostRecordSchema.safeParse(outcome.current?.value);
-            const own = stored.success && stored.data.state !== "sealed"
-                && stored.data.sequence === pending.record.sequence;
-            return own
-                ? this.#acknowledge(pending.record, outcome.current!.version)
-                : { status: "sealed", record: stored.success ? stored.data : undefined };
+            const own = stored.success && stored.data.state !== "sealed" &&
+                stored.data.sequence === pending.record.sequence;
+            return own ?
+                this.#acknowledge(pending.record, outcome.current!.version) :
+                { status: "sealed", record: stored.success ? stored.data : undefined };
         }
         this.#notBeforeMs = nowMs + this.#retryMs;
         pending.uncertain ||= outcome.status === "unknown";
--- a/src/features/recovery/hostWatch.ts
+++ b/src/features/recovery/hostWatch.ts
@@ -97,8 +97,8 @@
 /** @returns The record with the state `sealed`; an empty one when the host has none. */
 export function sealedForm(record: HostRecord | undefined, hostKey: string): HostRecord {
     const separator = hostKey.lastIndexOf("~");
-    return record === undefined
-        ? {
+    return record === undefined ?
+        {
             hostId: hostKey.slice(0, separator),
             incarnation: hostKey.slice(separator + 1),
             zone: "",
@@ -109,6 +109,6 @@
             bills: [],
             billSegments: 0,
             ticketLimit: 0,
-        }
-        : { ...record, state: "sealed" };
+        } :
+        { ...record, state: "sealed" };
 }
--- a/src/features/recovery/recoveryController.ts
+++ b/src/features/recovery/recoveryController.ts
@@ -3,8 +3,8 @@
 import { Controller, type ControllerContext } from "../../kernel/controller.js";
 import type { RouterEvent } from "../../kernel/events.js";
 import type { StoredObject } from "../../platform/platformStore.js";
-import { BudgetObjectSchema, BudgetPrefix, budgetKey, grantBudgetName } from "../budget/budgetTypes.js";
-import { type HostRecord, hostKeyOf, hostRecordKey } from "../journal/journalTypes.js";
+import { budgetKey, BudgetObjectSchema, BudgetPrefix, grantBudgetName } from "../budget/budgetTypes.js";
+import { hostKeyOf, type HostRecord, hostRecordKey } from "../journal/journalTypes.js";
 import { liveHostIds } from "../membership/membershipBoard.js";
 import { foldByRecord, foldExactly } from "./foldMath.js";
 import { FoldQueue } from "./foldQueue.js";
@@ -38,22 +38,26 @@
     constructor(context: ControllerContext, settings: RecoverySettings) {
         super(context);
         this.#settings = settings;
-        this.#folds = new FoldQueue({
-            get: budget =>
-                this.context.emit({
-                    type: "storeGet",
-                    ...this.#identify({ kind: "fold", budget }),
-                    key: budgetKey(budget),
-                }),
-            put: (budget, value, expectedVersion) =>
-                this.context.emit({
-                    type: "storePut",
-                    ...this.#identify({ kind: "fold", budget }),
-                    key: budgetKey(budget),
-                    value,
-                    expectedVersion,
-                }),
-        }, context.counters, settings.retryMs);
+        this.#folds = new FoldQueue(
+            {
+                get: budget =>
+                    this.context.emit({
+                        type: "storeGet",
+                        ...this.#identify({ kind: "fold", budget }),
+                        key: budgetKey(budget),
+                    }),
+                put: (budget, value, expectedVersion) =>
+                    this.context.emit({
+                        type: "storePut",
+                        ...this.#identify({ kind: "fold", budget }),
+                        key: budgetKey(budget),
+                        value,
+                        expectedVersion,
+                    }),
+            },
+            context.counters,
+            settings.retryMs,
+        );
     }
 
     override handle(event: RouterEvent): void {
--- a/src/kernel/blackboard.ts
+++ b/src/kernel/blackboard.ts
@@ -2,6 +2,7 @@
 import { type AdmissionBoard, createAdmissionBoard } from "../features/admission/admissionBoard.js";
 import { type BudgetBoard, createBudgetBoard } from "../features/budget/budgetBoard.js";
 import { type ConfigBoard, createConfigBoard } from "../features/config/configBoard.js";
+import { createIdempotencyBoard, type IdempotencyBoard } from "../features/idempotency/idempotencyBoard.js";
 import { createJournalBoard, type JournalBoard } from "../features/journal/journalBoard.js";
 import { createLifecycleBoard, type LifecycleBoard } from "../features/lifecycle/lifecycleBoard.js";
 import { createMembershipBoard, type MembershipBoard } from "../features/membership/membershipBoard.js";
@@ -15,6 +16,7 @@
     readonly journal: JournalBoard;
     readonly budget: BudgetBoard;
     readonly recovery: RecoveryBoard;
+    readonly idempotency: IdempotencyBoard;
     readonly upstream: UpstreamBoard;
     readonly admission: AdmissionBoard;
     readonly lifecycle: LifecycleBoard;
@@ -32,6 +34,7 @@
         journal: createJournalBoard(hostId, incarnation),
         budget: createBudgetBoard(),
         recovery: createRecoveryBoard(),
+        idempotency: createIdempotencyBoard(),
         upstream: createUpstreamBoard(),
         admission: createAdmissionBoard(),
         lifecycle: createLifecycleBoard(),
