--- a/src/features/budget/budgetAccount.ts
+++ b/src/features/budget/budgetAccount.ts
@@ -27,6 +27,9 @@
 /** Share of the own demand, in time, that is not given to peers. */
 const KeepHorizonMs = 5_000;
 
+/** A draw without a waiting request is at least this part of a host's even share of the paid tokens. */
+const SmallestDrawParts = 50;
+
 /** Time for which the limit is raised after a peer asked for more than it covers. */
 const PeerNeedMs = 2_000;
 
@@ -131,7 +134,8 @@
             demandTokensPerS: this.entry.demandTokensPerS,
             horizonMs: this.#settings.drawHorizonMs,
             largestCostTokens: this.entry.largestCostTokens,
-            standingTokens: host.isHome ? this.#settings.standingShareTokens : 0,
+            standingTokens: host.isHome ? this.#standingShare : 0,
+            minimumTokens: this.#smallestDraw(object.paidTokens, host.liveHostCount),
             unusedTokens: granted - used,
             freeTokens: Math.max(0, free),
             liveHostCount: host.liveHostCount,
@@ -139,15 +143,24 @@
         };
         if (mayDraw && isShareLow(input)) {
             const size = drawSize(input);
-            // A share of 0 lets later folds return what this host receives from peers.
-            return size > 0 || (neededTokens > 0 && !this.writer.hasShare) ? granted + size : undefined;
+            if (size > 0) {
+                return granted + size;
+            }
+        }
+        if (!this.writer.hasShare && (neededTokens > 0 || this.entry.receivedTokens > 0)) {
+            return 0;
         }
         return this.#planReturn(input.unusedTokens, input.freeTokens, host);
     }
 
+    /** @returns Whether received tokens could not be returned: a fold needs a share, if only of 0 tokens. */
+    get lacksShare(): boolean {
+        return this.entry.receivedTokens > 0 && !this.writer.hasShare;
+    }
+
     /** @returns Whether a draw would be wanted if the object allowed it. */
     wantsShare(host: HostView): boolean {
-        return this.missingTokens() > 0 || (host.isHome && !this.writer.hasShare) ||
+        return this.missingTokens() > 0 || this.lacksShare || (host.isHome && !this.writer.hasShare) ||
             this.entry.demandTokensPerS * this.#settings.drawHorizonMs / 2_000 >
                 this.entry.grantedTokens - usedTokens(this.entry);
     }
@@ -157,6 +170,16 @@
         return this.waiting.length === 0 && nowMs - this.#lastDemandMs >= this.#settings.idleReturnMs;
     }
 
+    get #standingShare(): number {
+        return this.#isGrant ? this.#settings.standingShareUses : this.#settings.standingShareTokens;
+    }
+
+    /** A grant's single use is worth a draw; tokens are left to those that need them when few are free. */
+    #smallestDraw(paidTokens: number, liveHostCount: number): number {
+        const part = Math.ceil(paidTokens / (SmallestDrawParts * liveHostCount));
+        return this.#isGrant ? 1 : Math.max(1, part, this.entry.largestCostTokens);
+    }
+
     get #isGrant(): boolean {
         return this.name.startsWith("grant/");
     }
@@ -166,7 +189,7 @@
             return undefined;
         }
         const fairPart = Math.floor((free + unusedTokens) / (2 * host.liveHostCount));
-        const keep = host.isHome ? Math.min(this.#settings.standingShareTokens, fairPart) : 0;
+        const keep = host.isHome ? Math.min(this.#standingShare, fairPart) : 0;
         const declared = Math.max(host.highestLimitTokens, this.entry.wantedLimitTokens);
         const granted = Math.max(0, usedTokens(this.entry) + keep, declared);
         // Half of the unused tokens at least: a return is a store write.
--- a/src/features/budget/budgetBoard.ts
+++ b/src/features/budget/budgetBoard.ts
@@ -40,6 +40,8 @@
     openReservations: Map<string, number>;
     /** Bills that the journal has not taken yet, in order. */
     bills: SettledBill[];
+    /** Budgets whose received tokens would be lost if the closing record were written now. */
+    unreturnableCount: number;
     /** Whether an admission waits for a higher limit, so that the record is to be written at once. */
     flushWanted: boolean;
 }
@@ -51,6 +53,7 @@
         sealedEntries: new Map(),
         openReservations: new Map(),
         bills: [],
+        unreturnableCount: 0,
         flushWanted: false,
     };
 }
--- a/src/features/budget/budgetController.ts
+++ b/src/features/budget/budgetController.ts
@@ -38,6 +38,7 @@
     readonly #placement: HomePlacement;
     #hostKey: string;
     #lastCallId = 0;
+    #wasEstablished = false;
     #reviewedMs = Number.NEGATIVE_INFINITY;
     #proactiveCalls = ProactiveBurst;
 
@@ -144,9 +145,11 @@
     #tick(): void {
         const nowMs = this.#nowMs;
         this.#requester.tick(this.context.board.membership, nowMs);
-        if (nowMs - this.#reviewedMs < ReviewIntervalMs) {
+        const { established } = this.context.board.journal;
+        if (nowMs - this.#reviewedMs < ReviewIntervalMs && established === this.#wasEstablished) {
             return;
         }
+        this.#wasEstablished = established;
         const elapsedMs = Math.min(nowMs - this.#reviewedMs, ProactiveBurst * 1_000);
         this.#proactiveCalls = Math.min(ProactiveBurst, this.#proactiveCalls + elapsedMs * ProactiveCallsPerS / 1_000);
         this.#reviewedMs = nowMs;
@@ -187,18 +190,20 @@
 
     #pumpActive(): void {
         let flushWanted = false;
+        let unreturnableCount = 0;
         for (const account of this.#active) {
             this.#pump(account);
+            const limitTokens = this.#highestLimit(account.name);
             const busy = account.waiting.length > 0 || account.hasPeerNeed(this.#nowMs);
-            flushWanted ||= busy && account.entry.wantedLimitTokens > this.#highestLimit(account.name);
-            if (!busy && !account.writer.isWriting && !account.writer.needsProof) {
+            const isHigher = account.entry.wantedLimitTokens > limitTokens;
+            flushWanted ||= account.writer.needsProof || ((busy || limitTokens === 0) && isHigher);
+            unreturnableCount += account.lacksShare ? 1 : 0;
+            if (!busy && !isHigher && !account.lacksShare && !account.writer.isWriting && !account.writer.needsProof) {
                 this.#active.delete(account);
             }
-            else if (account.writer.needsProof) {
-                flushWanted = true;
-            }
         }
         this.context.board.budget.flushWanted = flushWanted;
+        this.context.board.budget.unreturnableCount = unreturnableCount;
     }
 
     #pump(account: BudgetAccount): void {
@@ -250,7 +255,7 @@
             const before = writer.isWriting;
             writer.step(
                 object => account.planShare(object, host, mayDraw),
-                this.context.board.journal.acknowledgedSequence,
+                this.context.board.journal,
                 nowMs,
             );
             const reads = writer.known === undefined && (first !== undefined || account.wantsShare(host));
@@ -292,13 +297,13 @@
         const { known, absentMs } = account.writer;
         for (const item of [...account.waiting]) {
             const fresh = known !== undefined && known.readMs >= item.sinceMs;
-            const { object } = known ?? {};
-            const backed = object === undefined ? 0 : backedTokens(object);
+            // Tokens that closed hosts sent to others count as closed, so only the paid tokens bound what can be obtained.
+            const isTooLarge = item.costTokens > (known?.object.paidTokens ?? 0);
             let outcome: ReservationOutcome | undefined;
             if (known === undefined && absentMs !== undefined && absentMs >= item.sinceMs) {
                 outcome = { status: "refused", code: "NoBudget", retryAfterMs: undefined };
             }
-            else if (item.costTokens > unused && fresh && (spent || backed < item.costTokens)) {
+            else if (item.costTokens > unused && fresh && (spent || isTooLarge)) {
                 account.noteExhausted(item.costTokens, nowMs);
                 outcome = { status: "refused", code: "BudgetExhausted", retryAfterMs: undefined };
             }
@@ -352,7 +357,8 @@
         });
         this.#giver.give(request, account.entry, givenTokens);
         const { entry } = account;
-        const laterTokens = Math.max(0, entry.grantedTokens - usedTokens(entry) + entry.reservedTokens);
+        const laterTokens = Math.max(0, entry.grantedTokens - usedTokens(entry) + entry.reservedTokens) +
+            account.writer.drawingTokens;
         if (givenTokens < request.wantedTokens && laterTokens > 0) {
             account.notePeerNeed(request.wantedTokens - givenTokens, nowMs);
         }
@@ -426,8 +432,3 @@
         });
     }
 }
-
-/** @returns Tokens of a budget that are neither consumed by closed incarnations nor at risk. */
-function backedTokens(object: Parameters<typeof freeTokens>[0]): number {
-    return freeTokens({ ...object, shares: {} });
-}
--- a/src/features/budget/budgetMath.ts
+++ b/src/features/budget/budgetMath.ts
@@ -12,18 +12,26 @@
     /** Tokens that no host holds. */
     readonly freeTokens: number;
     readonly liveHostCount: number;
+    /** Smallest draw that is worth a store write when nothing waits. */
+    readonly minimumTokens: number;
     /** Tokens that waiting requests need beyond the own share. */
     readonly neededTokens: number;
 }
 
-/** @returns Tokens to draw; 0 when the share suffices or nothing is free. */
+/**
+ * Size of a draw. What a draw without a waiting request would leave too small stays free for those that need it.
+ * @returns Tokens to draw; 0 when the share suffices or nothing is free.
+ */
 export function drawSize(input: DrawInput): number {
     const demand = input.demandTokensPerS * input.horizonMs / 1_000;
     const target = Math.ceil(Math.max(demand, input.largestCostTokens, input.standingTokens));
-    // A single free token is still worth drawing: grants are counted in uses.
-    const fairPart = Math.max(Math.floor(input.freeTokens / (2 * Math.max(1, input.liveHostCount))), 1);
+    const fairPart = Math.max(
+        Math.floor(input.freeTokens / (2 * Math.max(1, input.liveHostCount))),
+        input.minimumTokens === 1 ? 1 : 0,
+    );
     const wished = Math.min(target - input.unusedTokens, fairPart);
-    return Math.max(0, Math.min(input.freeTokens, Math.max(wished, input.neededTokens)));
+    const worthwhile = wished >= input.minimumTokens ? wished : 0;
+    return Math.max(0, Math.min(input.freeTokens, Math.max(worthwhile, input.neededTokens)));
 }
 
 /**
--- a/src/features/budget/budgetSettings.ts
+++ b/src/features/budget/budgetSettings.ts
@@ -17,6 +17,8 @@
     homeHostCount: z.number().int().positive().default(2),
     /** Largest share of a budget that a host holds without demand. */
     standingShareTokens: z.number().int().nonnegative().default(20_000),
+    /** Largest share of a grant that a host holds without demand, in uses. */
+    standingShareUses: z.number().int().nonnegative().default(20),
     /** Declared headroom of a host without demand. */
     standingLimitTokens: z.number().int().nonnegative().default(4_000),
     /** Declared headroom of a grant, in uses, on a host without demand. */
--- a/src/features/budget/shareWriter.ts
+++ b/src/features/budget/shareWriter.ts
@@ -19,6 +19,12 @@
     inFlight: boolean;
 }
 
+/** Sequences of the newest host record that was sent, and of the newest that was acknowledged. */
+export interface RecordSequences {
+    readonly sentSequence: number;
+    readonly acknowledgedSequence: number;
+}
+
 /** Decides the next granted amount from the newest known object; `undefined` leaves the share as it is. */
 export type SharePlan = (object: BudgetObject) => number | undefined;
 
@@ -59,6 +65,11 @@
         return this.#pending !== undefined;
     }
 
+    /** @returns Tokens of a draw that is being written. */
+    get drawingTokens(): number {
+        return Math.max(0, (this.#pending?.share.grantedTokens ?? 0) - this.#share.grantedTokens);
+    }
+
     /** @returns Whether the last store call failed. */
     get isFailing(): boolean {
         return this.#failing;
@@ -92,10 +103,10 @@
 
     /**
      * Repeats an unresolved write, or starts the write that the plan asks for.
-     * @param recordSequence Sequence of the last acknowledged host record.
+     * @param record Sequences of the newest host records.
      */
-    step(plan: SharePlan, recordSequence: number, nowMs: number): void {
-        if (this.#verifyAfterSequence !== undefined && recordSequence > this.#verifyAfterSequence) {
+    step(plan: SharePlan, record: RecordSequences, nowMs: number): void {
+        if (this.#verifyAfterSequence !== undefined && record.acknowledgedSequence > this.#verifyAfterSequence) {
             this.#verifyAfterSequence = undefined;
         }
         if (nowMs < this.#notBeforeMs) {
@@ -109,6 +120,10 @@
             return;
         }
         const { object, version } = this.#known;
+        if (this.hasShare && object.shares[this.#hostKey] === undefined) {
+            this.#demandProof(record.sentSequence);
+            return;
+        }
         const granted = plan(object);
         if (granted === undefined || (granted === this.#share.grantedTokens && this.hasShare)) {
             return;
@@ -182,15 +197,23 @@
             this.#acknowledge(pending);
         }
         else if (share === undefined && (this.hasShare || pending.uncertain)) {
-            // Someone may have folded this incarnation's share after a seal. Drawing again would let it be folded twice.
-            this.#verifyAfterSequence = recordSequence;
-            this.#calls.count("budget.share.missing");
+            this.#demandProof(recordSequence);
         }
         else {
             this.#calls.count("budget.write.conflict");
         }
     }
 
+    /**
+     * Stops draws: someone may have folded this incarnation's share after a seal, and a new share would be folded a
+     * second time. An acknowledged record that was sent later proves that there was no seal.
+     */
+    #demandProof(sentSequence: number): void {
+        this.#verifyAfterSequence = sentSequence;
+        this.#known = undefined;
+        this.#calls.count("budget.share.missing");
+    }
+
     #acknowledge(pending: PendingWrite): void {
         this.#share = pending.share;
         this.#pending = undefined;
--- a/src/features/journal/journalController.ts
+++ b/src/features/journal/journalController.ts
@@ -251,9 +251,10 @@
         const { budget, journal } = this.context.board;
         const nowMs = this.#nowMs;
         this.#closingSinceMs ??= nowMs;
-        const lateDone = this.#late.size === 0 || nowMs - this.#closingSinceMs >= this.#settings.closingWaitMs;
+        const prepared = (this.#late.size === 0 && budget.unreturnableCount === 0) ||
+            nowMs - this.#closingSinceMs >= this.#settings.closingWaitMs;
         const open = [...budget.openReservations.values()].some(count => count > 0);
-        if (journal.closed || open || !lateDone || !this.#writer.isFree(nowMs)) {
+        if (journal.closed || open || !prepared || !this.#writer.isFree(nowMs)) {
             return;
         }
         if (this.#book.lineCount > this.#settings.linesPerWrite) {
--- /dev/null
+++ b/test/fuzz/fakeGateway.ts
@@ -0,0 +1,134 @@
+/** The gateway and the upstreams as far as money is concerned: runs requests and counts executions and tokens. */
+import type { Notification } from "../../src/kernel/effects.js";
+import type { HostProcess } from "./hostProcess.js";
+import type { Scheduler } from "./scheduler.js";
+
+/** A request to run. */
+export interface RequestPlan {
+    readonly budget: string;
+    readonly costTokens: number;
+    /** Tokens that the upstream produces; at most the cost. */
+    readonly usedTokens: number;
+    readonly durationMs: number;
+}
+
+/** What became of a request. */
+export interface RequestRecord extends RequestPlan {
+    readonly requestId: string;
+    readonly process: HostProcess;
+    state: "waiting" | "refused" | "running" | "ended";
+    executions: number;
+    /** Tokens that the upstream has really produced. */
+    spentTokens: number;
+    /** Whether the answer broke off; what was delivered is billed. */
+    cut: boolean;
+    /** Whether the gateway saw the end, so that a bill is due. */
+    settled: boolean;
+    refusedCode: string | undefined;
+    /** Whether the budget could have covered the request when it was refused. */
+    falselyRefused: boolean;
+}
+
+/** Longest wait of a reservation, as the gateway asks for it. */
+const ReservationWaitMs = 2_000;
+
+/** Requests of all hosts. */
+export class FakeGateway {
+    readonly requests = new Map<string, RequestRecord>();
+    readonly #scheduler: Scheduler;
+    /** Tells whether a budget has tokens for a cost that nobody has spent or reserved. */
+    readonly #isCovered: (budget: string, costTokens: number) => boolean;
+    #lastId = 0;
+
+    constructor(scheduler: Scheduler, isCovered: (budget: string, costTokens: number) => boolean) {
+        this.#scheduler = scheduler;
+        this.#isCovered = isCovered;
+    }
+
+    /** Starts a request at a host. */
+    start(process: HostProcess, plan: RequestPlan): RequestRecord {
+        const requestId = `r${++this.#lastId}`;
+        const request: RequestRecord = {
+            ...plan,
+            requestId,
+            process,
+            state: "waiting",
+            executions: 0,
+            spentTokens: 0,
+            cut: false,
+            settled: false,
+            refusedCode: undefined,
+            falselyRefused: false,
+        };
+        this.requests.set(requestId, request);
+        process.post({
+            type: "reservationRequested",
+            reservationId: requestId,
+            budget: plan.budget,
+            costTokens: plan.costTokens,
+            waitMs: ReservationWaitMs,
+        });
+        return request;
+    }
+
+    /** Takes a decision of a host. */
+    notified(notification: Notification): void {
+        if (notification.type !== "reservationDecided") {
+            return;
+        }
+        const request = this.requests.get(notification.reservationId)!;
+        if (notification.outcome.status === "refused") {
+            request.state = "refused";
+            request.refusedCode = notification.outcome.code;
+            request.falselyRefused = this.#isCovered(request.budget, request.costTokens);
+            return;
+        }
+        request.state = "running";
+        this.#scheduler.after(0, () => request.process.perform(() => this.dispatch(request)));
+    }
+
+    /** Sends a request to its upstream. */
+    protected dispatch(request: RequestRecord): void {
+        request.executions++;
+        const startMs = this.#scheduler.nowMs;
+        const finish = (): void => {
+            if (request.state !== "running") {
+                return;
+            }
+            const share = Math.min(1, (this.#scheduler.nowMs - startMs) / Math.max(1, request.durationMs));
+            request.spentTokens = request.cut ? Math.floor(request.usedTokens * share) : request.usedTokens;
+            request.state = "ended";
+            request.process.perform(() => this.settle(request));
+        };
+        this.#scheduler.after(request.durationMs, finish);
+        this.cutters.set(request.requestId, () => {
+            request.cut = true;
+            finish();
+        });
+    }
+
+    /** Reports the end of a request to its host. */
+    protected settle(request: RequestRecord): void {
+        request.settled = true;
+        request.process.post({
+            type: "reservationSettled",
+            reservationId: request.requestId,
+            bill: {
+                requestId: request.requestId,
+                billId: request.requestId,
+                team: "team",
+                budget: request.budget,
+                model: "model",
+                promptTokens: 0,
+                outputTokens: request.spentTokens,
+                tokens: request.spentTokens,
+                requestKind: "chat",
+                upstream: "upstream",
+                outcome: request.cut ? "cut" : "complete",
+            },
+        });
+    }
+
+    /** Breaks off running requests, by request id. */
+    readonly cutters = new Map<string, () => void>();
+}
--- /dev/null
+++ b/test/fuzz/fakeMembership.ts
@@ -0,0 +1,71 @@
+/** Membership as the peers' exchanges would find it: hosts that were not heard of for a while are suspects. */
+import { hostKeyOf } from "../../src/features/journal/journalTypes.js";
+import type { MembershipBoard } from "../../src/features/membership/membershipBoard.js";
+import type { HostProcess } from "./hostProcess.js";
+
+/** Time without contact after which a host is suspected. */
+const SuspectAfterMs = 1_500;
+
+/** What one process has observed. */
+export class FakeMembership {
+    readonly #heardMs = new Map<string, number>();
+
+    /**
+     * Updates the board section of a process.
+     * @param reachable Running processes that the process can exchange digests with.
+     * @param showReplaced Whether replaced incarnations are listed as suspects.
+     */
+    update(process: HostProcess, reachable: readonly HostProcess[], showReplaced: boolean, nowMs: number): void {
+        const { membership } = process.board;
+        for (const other of reachable) {
+            this.#hear(membership, other, showReplaced, nowMs);
+        }
+        for (const member of membership.members.values()) {
+            const hostKey = hostKeyOf(member.hostId, member.incarnation);
+            const isSilent = nowMs - (this.#heardMs.get(hostKey) ?? nowMs) >= SuspectAfterMs;
+            if (isSilent && member.state !== "suspect") {
+                member.state = "suspect";
+                membership.suspects.add(hostKey);
+            }
+        }
+        const { phase } = process.board.lifecycle;
+        membership.ownDigest = {
+            protocolVersion: 1,
+            self: {
+                hostId: process.hostId,
+                incarnation: process.board.journal.incarnation,
+                zone: "z",
+                peerAddress: process.hostId,
+                operatorAddress: "",
+                state: phase === "serving" ? "live" : "leaving",
+                heartbeat: nowMs,
+                configVersion: 1,
+            },
+            inFlight: {},
+            leavingUpstreams: [],
+            members: [],
+        };
+    }
+
+    #hear(membership: MembershipBoard, other: HostProcess, showReplaced: boolean, nowMs: number): void {
+        const { incarnation } = other.board.journal;
+        const hostKey = hostKeyOf(other.hostId, incarnation);
+        const known = membership.members.get(other.hostId);
+        if (known !== undefined && known.incarnation !== incarnation && showReplaced) {
+            membership.suspects.add(hostKeyOf(known.hostId, known.incarnation));
+        }
+        this.#heardMs.set(hostKey, nowMs);
+        membership.suspects.delete(hostKey);
+        membership.members.set(other.hostId, {
+            hostId: other.hostId,
+            incarnation,
+            zone: "z",
+            peerAddress: other.hostId,
+            operatorAddress: "",
+            state: other.board.lifecycle.phase === "serving" ? "live" : "leaving",
+            heartbeat: nowMs,
+            configVersion: 1,
+            heardAtMs: nowMs,
+        });
+    }
+}
--- /dev/null
+++ b/test/fuzz/hostProcess.ts
@@ -0,0 +1,143 @@
+/** One router process: the real kernel and controllers on fake surroundings. It can be paused and killed. */
+import { Counters } from "../../src/base/counters.js";
+import { SeededRandom } from "../../src/base/random.js";
+import { type Blackboard, createBlackboard } from "../../src/kernel/blackboard.js";
+import type { Effect, Notification } from "../../src/kernel/effects.js";
+import type { RouterEvent } from "../../src/kernel/events.js";
+import { type ControllerFactory, EffectRunner, Kernel } from "../../src/kernel/kernel.js";
+import type { FaultyStore } from "./faultyStore.js";
+import type { PeerNetwork } from "./peerNetwork.js";
+import type { Scheduler } from "./scheduler.js";
+
+/** Interval of ticks: longer than the product's, to run more sequences. */
+const TickMs = 100;
+
+/** What a process is attached to. */
+export interface Surroundings {
+    readonly scheduler: Scheduler;
+    readonly store: FaultyStore;
+    readonly network: PeerNetwork;
+    readonly notified: (process: HostProcess, notification: Notification) => void;
+    /** Called before each tick. */
+    readonly ticked: (process: HostProcess) => void;
+}
+
+/** A process from start to end. */
+export class HostProcess extends EffectRunner {
+    readonly hostId: string;
+    readonly kernel: Kernel;
+    /** Ended cleanly, or killed. */
+    end: "closed" | "killed" | undefined;
+    readonly #surroundings: Surroundings;
+    readonly #inbox: (() => void)[] = [];
+    #paused = false;
+
+    constructor(
+        hostId: string,
+        incarnation: string,
+        seed: number,
+        parts: Surroundings,
+        controllers: ControllerFactory,
+    ) {
+        super();
+        this.hostId = hostId;
+        this.#surroundings = parts;
+        this.kernel = new Kernel({
+            board: createBlackboard(hostId, incarnation),
+            clock: parts.scheduler.clock,
+            random: new SeededRandom(seed),
+            counters: new Counters(),
+            createControllers: controllers,
+        });
+        this.kernel.attach(this);
+        parts.scheduler.after(seed % TickMs, () => this.#tick());
+    }
+
+    get board(): Blackboard {
+        return this.kernel.board;
+    }
+
+    get isPaused(): boolean {
+        return this.#paused;
+    }
+
+    get isAlive(): boolean {
+        return this.end === undefined;
+    }
+
+    /** Does something in this process, after a pause if it is paused, or never if it has ended. */
+    perform(action: () => void): void {
+        if (this.#paused) {
+            this.#inbox.push(action);
+        }
+        else if (this.isAlive) {
+            action();
+        }
+    }
+
+    post(event: RouterEvent): void {
+        this.perform(() => this.kernel.post(event));
+    }
+
+    pause(durationMs: number): void {
+        if (!this.#paused) {
+            this.#paused = true;
+            this.#surroundings.scheduler.after(durationMs, () => this.#resume());
+        }
+    }
+
+    override run(effect: Effect): void {
+        const { store, network, notified } = this.#surroundings;
+        if (effect.type === "storeGet") {
+            const { owner, callId, key } = effect;
+            store.get(
+                this.hostId,
+                key,
+                outcome => this.post({ type: "storeGetDone", owner, callId, key, outcome }),
+            );
+        }
+        else if (effect.type === "storePut") {
+            const { owner, callId, key, value, expectedVersion } = effect;
+            store.put(
+                this.hostId,
+                key,
+                value,
+                expectedVersion,
+                outcome => this.post({ type: "storePutDone", owner, callId, key, outcome }),
+            );
+        }
+        else if (effect.type === "peerCall") {
+            const { owner, callId, address } = effect;
+            network.call(
+                this.hostId,
+                address,
+                effect.request,
+                effect.timeoutMs,
+                outcome => this.post({ type: "peerCallDone", owner, callId, address, outcome }),
+            );
+        }
+        else if (effect.type === "peerAnswer") {
+            network.answer(effect.exchangeId, effect.reply);
+        }
+        else if (effect.type === "notify") {
+            notified(this, effect.notification);
+        }
+    }
+
+    #tick(): void {
+        if (this.isAlive) {
+            this.#surroundings.scheduler.after(TickMs, () => this.#tick());
+            if (!this.#paused) {
+                this.#surroundings.ticked(this);
+                this.kernel.post({ type: "tick" });
+            }
+        }
+    }
+
+    #resume(): void {
+        this.#paused = false;
+        for (const action of this.#inbox.splice(0)) {
+            this.perform(action);
+        }
+    }
+}
--- /dev/null
+++ b/test/fuzz/moneyPath.spec.ts
@@ -0,0 +1,121 @@
+import { beforeEach, describe, expect, it } from "vitest";
+import { budgetObject, checkAlways, checkSettled, storedBillLines, stuckTokens } from "./oracle.js";
+import { World } from "./world.js";
+
+/** A request that uses its whole reservation. */
+function plan(costTokens: number, durationMs = 10) {
+    return { budget: "b0", costTokens, usedTokens: costTokens, durationMs };
+}
+
+describe("reservations, shares and bills", () => {
+    let world: World;
+    beforeEach(() => {
+        world = new World({ seed: 1, hostCount: 3, budgets: { b0: 3_000 }, homesOnly: false });
+        world.scheduler.advance(1_500);
+    });
+
+    describe("when a host has just started", () => {
+        it("holds a share and a limit before any request (guards against a first request that waits for the store)", () => {
+            const { journal, budget } = world.processOf("h0")!.board;
+            expect(journal.established).toBe(true);
+            expect(journal.limits.get("b0")).toBeGreaterThan(0);
+            expect(budget.entries.get("b0")!.grantedTokens).toBeGreaterThanOrEqual(journal.limits.get("b0")!);
+        });
+    });
+
+    describe("when a request ends", () => {
+        it("bills it once and charges it to the budget (guards against lost and doubled bills)", () => {
+            const request = world.gateway.start(world.processOf("h0")!, plan(90));
+            world.settle(5_000);
+            expect(request).toMatchObject({ state: "ended", executions: 1 });
+            expect(storedBillLines(world)).toMatchObject([{
+                requestId: request.requestId,
+                tokens: 90,
+                outcome: "complete",
+            }]);
+            checkSettled(world);
+        });
+    });
+
+    describe("when the usage reported exceeds the reservation", () => {
+        it("bills the reservation (guards against spending beyond the declared limit)", () => {
+            const request = world.gateway.start(world.processOf("h0")!, { ...plan(50), usedTokens: 80 });
+            world.settle(5_000);
+            expect(storedBillLines(world)).toMatchObject([{ requestId: request.requestId, tokens: 50 }]);
+        });
+    });
+
+    describe("when one host needs more than is free", () => {
+        it("gets idle tokens from its peers (guards against refusals while others hold unused shares)", () => {
+            const requests = Array.from({ length: 10 }, () => world.gateway.start(world.processOf("h1")!, plan(290)));
+            world.scheduler.advance(3_000);
+            checkAlways(world);
+            expect(requests.filter(request => request.state === "ended")).toHaveLength(10);
+        });
+    });
+
+    describe("when the budget is spent", () => {
+        it("refuses at once and names no time (guards against callers that wait and retry for nothing)", () => {
+            world.gateway.start(world.processOf("h0")!, plan(3_000));
+            world.scheduler.advance(3_000);
+            const request = world.gateway.start(world.processOf("h0")!, plan(10));
+            world.scheduler.advance(600);
+            expect(request).toMatchObject({ state: "refused", refusedCode: "BudgetExhausted", executions: 0 });
+        });
+    });
+
+    describe("when the store is down", () => {
+        it("goes on within the declared limits (guards against an outage that stops all work)", () => {
+            world.store.faults.outage = true;
+            const requests = Array.from({ length: 3 }, () => world.gateway.start(world.processOf("h0")!, plan(50)));
+            world.scheduler.advance(2_000);
+            expect(requests.filter(request => request.state === "ended")).toHaveLength(2);
+            world.settle();
+            checkSettled(world);
+        });
+    });
+
+    describe("when a host dies with a request in flight", () => {
+        it("charges its limit as at risk and frees the rest (guards against overspend and against lost shares)", () => {
+            const request = world.gateway.start(world.processOf("h0")!, plan(90, 60_000));
+            world.scheduler.advance(100);
+            const hostKey = world.processOf("h0")!.board.journal.hostKey;
+            world.kill("h0");
+            world.settle(20_000);
+            const object = budgetObject(world, "b0");
+            expect(object.shares[hostKey]).toBeUndefined();
+            expect(object.atRiskTokens[hostKey]).toBeGreaterThanOrEqual(90);
+            expect(request.settled).toBe(false);
+        });
+    });
+
+    describe("when a host is paused for longer than the suspicion time", () => {
+        it("settles late under its old incarnation (guards against a bill that is lost with the seal)", () => {
+            const process = world.processOf("h0")!;
+            const request = world.gateway.start(process, plan(90, 500));
+            world.scheduler.advance(100);
+            const oldKey = process.board.journal.hostKey;
+            process.pause(10_000);
+            world.settle(40_000);
+            expect(process.board.journal.hostKey).not.toBe(oldKey);
+            expect(storedBillLines(world)).toMatchObject([{ requestId: request.requestId, tokens: 90 }]);
+            expect(budgetObject(world, "b0").atRiskTokens).toEqual({});
+            expect(stuckTokens(world, "b0")).toBe(0);
+            checkSettled(world);
+        });
+    });
+
+    describe("when a host shuts down", () => {
+        it("returns its share and leaves nothing at risk (guards against tokens that a rolling restart uses up)", () => {
+            world.gateway.start(world.processOf("h0")!, plan(90, 500));
+            world.scheduler.advance(100);
+            const hostKey = world.processOf("h0")!.board.journal.hostKey;
+            world.shutdown("h0");
+            world.scheduler.advance(4_000);
+            expect(world.processOf("h0")).toBeUndefined();
+            const object = budgetObject(world, "b0");
+            expect(object.shares[hostKey]).toBeUndefined();
+            expect(object).toMatchObject({ closedTokens: 90, atRiskTokens: {} });
+        });
+    });
+});
--- /dev/null
+++ b/test/fuzz/oracle.ts
@@ -0,0 +1,145 @@
+/** What must hold: a simple account of tokens and executions, compared with what the hosts and the store say. */
+import { usedTokens } from "../../src/features/budget/budgetBoard.js";
+import { budgetKey, type BudgetObject, BudgetObjectSchema, freeTokens } from "../../src/features/budget/budgetTypes.js";
+import {
+    type BillLine,
+    BillLineSchema,
+    hostRecordKey,
+    HostRecordPrefix,
+    HostRecordSchema,
+} from "../../src/features/journal/journalTypes.js";
+import type { StoredObject } from "../../src/platform/platformStore.js";
+import type { World } from "./world.js";
+
+/** A violated property. */
+export class PropertyViolation extends Error {
+    constructor(property: string, detail: string) {
+        super(`${property}: ${detail}`);
+    }
+}
+
+function require(holds: boolean, property: string, detail: () => string): void {
+    if (!holds) {
+        throw new PropertyViolation(property, detail());
+    }
+}
+
+/** Checks that hold at any moment. */
+export function checkAlways(world: World): void {
+    for (const budget of world.budgets) {
+        const object = budgetObject(world, budget);
+        const worstTokens = object.paidTokens - world.unspentTokens(budget);
+        require(
+            worstTokens <= object.paidTokens,
+            "P1 overspend",
+            () => `${budget}: ${worstTokens} spent or promised of ${object.paidTokens} paid`,
+        );
+        require(freeTokens(object) >= 0, "P1 overdrawn", () => `${budget}: ${JSON.stringify(object)}`);
+    }
+    for (const request of world.gateway.requests.values()) {
+        require(
+            request.state !== "refused" || request.executions === 0,
+            "P4 refused but ran",
+            () => request.requestId,
+        );
+        require(request.executions <= 1, "P2 ran twice", () => request.requestId);
+    }
+}
+
+/** Checks that hold after faults have ended and everything has settled. */
+export function checkSettled(world: World): void {
+    checkAlways(world);
+    checkBills(world);
+    for (const budget of world.budgets) {
+        checkAudit(world, budget);
+    }
+}
+
+function checkBills(world: World): void {
+    const bills = new Map<string, BillLine[]>();
+    for (const line of storedBillLines(world)) {
+        bills.set(line.requestId, [...(bills.get(line.requestId) ?? []), line]);
+    }
+    for (const request of world.gateway.requests.values()) {
+        const lines = bills.get(request.requestId) ?? [];
+        require(lines.length <= 1, "P2 billed twice", () => `${request.requestId}: ${JSON.stringify(lines)}`);
+        const isDue = request.settled && request.process.end !== "killed";
+        require(!isDue || lines.length === 1, "P2 not billed", () => request.requestId);
+        require(
+            lines.every(line => line.tokens === request.spentTokens),
+            "P2 wrong amount",
+            () => `${request.requestId}: ${JSON.stringify(lines)}`,
+        );
+    }
+}
+
+/** Paid = closed + at risk + held + free; what was spent is in the first three. */
+function checkAudit(world: World, budget: string): void {
+    const object = budgetObject(world, budget);
+    const requests = [...world.gateway.requests.values()].filter(request => request.budget === budget);
+    const spent = requests.reduce((sum, request) => sum + request.spentTokens, 0);
+    const charged = object.closedTokens + atRiskTokens(object) + heldNetTokens(world, budget);
+    require(
+        spent <= charged,
+        "audit",
+        () => `${budget}: ${spent} spent, ${charged} charged, ${JSON.stringify(object)}`,
+    );
+    const alive = new Set(
+        world.processes.filter(process => process.isAlive).map(process => process.board.journal.hostKey),
+    );
+    const stale = Object.keys(object.shares).filter(hostKey => !alive.has(hostKey));
+    // A first draw that is applied after the fold leaves a share without an entry. The next reader of the budget folds it.
+    const folded = stale.filter(hostKey => hasRecordEntry(world, hostKey, budget));
+    require(folded.length === 0, "share of a dead host is left", () => `${budget}: ${folded.join(" ")}`);
+}
+
+/** @returns Tokens that may be at risk or lost with transfers of dead hosts: charged, but not spent. */
+export function stuckTokens(world: World, budget: string): number {
+    const object = budgetObject(world, budget);
+    const requests = [...world.gateway.requests.values()].filter(request => request.budget === budget);
+    const spent = requests.reduce((sum, request) => sum + request.spentTokens, 0);
+    return object.closedTokens + atRiskTokens(object) + heldNetTokens(world, budget) - spent;
+}
+
+/** @returns The budget object in the store. */
+export function budgetObject(world: World, budget: string): BudgetObject {
+    const stored = world.store.objects.get(budgetKey(budget));
+    return BudgetObjectSchema.parse(stored.status === "found" ? stored.object.value : undefined);
+}
+
+/** @returns Every bill line in the store, once. */
+export function storedBillLines(world: World): BillLine[] {
+    const lines = new Map<string, BillLine>();
+    const add = (hostKey: string, line: BillLine): void => {
+        lines.set(`${hostKey} ${line.sequence}`, line);
+    };
+    for (const object of listAll(world, HostRecordPrefix)) {
+        const hostKey = object.key.slice(HostRecordPrefix.length);
+        HostRecordSchema.parse(object.value).bills.forEach(line => add(hostKey, line));
+    }
+    for (const object of listAll(world, "bills/")) {
+        BillLineSchema.array().parse(object.value).forEach(line => add(object.key.split("/")[1]!, line));
+    }
+    return [...lines.values()];
+}
+
+function listAll(world: World, prefix: string): readonly StoredObject[] {
+    const outcome = world.store.objects.list(prefix, "", Number.MAX_SAFE_INTEGER);
+    return outcome.status === "listed" ? outcome.objects : [];
+}
+
+function atRiskTokens(object: BudgetObject): number {
+    return Object.values(object.atRiskTokens).reduce((sum, tokens) => sum + tokens, 0);
+}
+
+function heldNetTokens(world: World, budget: string): number {
+    return world.processes.filter(process => process.isAlive).reduce((sum, process) => {
+        const entry = process.board.budget.entries.get(budget);
+        return sum + (entry === undefined ? 0 : usedTokens(entry));
+    }, 0);
+}
+
+function hasRecordEntry(world: World, hostKey: string, budget: string): boolean {
+    const stored = world.store.objects.get(hostRecordKey(hostKey));
+    return stored.status === "found" && HostRecordSchema.parse(stored.object.value).entries[budget] !== undefined;
+}
--- /dev/null
+++ b/test/fuzz/world.ts
@@ -0,0 +1,228 @@
+/** A fleet of router kernels on fake surroundings, driven by simulated time and a seed. */
+import { SelectAll } from "../../src/base/labels.js";
+import { SeededRandom } from "../../src/base/random.js";
+import { BudgetController } from "../../src/features/budget/budgetController.js";
+import { BudgetSettingsSchema } from "../../src/features/budget/budgetSettings.js";
+import { budgetKey, BudgetObjectSchema } from "../../src/features/budget/budgetTypes.js";
+import { JournalController } from "../../src/features/journal/journalController.js";
+import { JournalSettingsSchema } from "../../src/features/journal/journalSettings.js";
+import { RecoveryController } from "../../src/features/recovery/recoveryController.js";
+import { RecoverySettingsSchema } from "../../src/features/recovery/recoverySettings.js";
+import type { Controller, ControllerContext } from "../../src/kernel/controller.js";
+import { FakeGateway } from "./fakeGateway.js";
+import { FakeMembership } from "./fakeMembership.js";
+import { FaultyStore } from "./faultyStore.js";
+import { HostProcess, type Surroundings } from "./hostProcess.js";
+import { PeerNetwork } from "./peerNetwork.js";
+import { Scheduler } from "./scheduler.js";
+
+/** Settings with shorter times than the product's, so that a sequence needs less simulated time. */
+export const FuzzBudgetSettings = BudgetSettingsSchema.parse({
+    drawHorizonMs: 5_000,
+    limitHorizonMs: 2_000,
+    demandWindowMs: 2_000,
+    largestCostWindowMs: 4_000,
+    standingShareTokens: 400,
+    standingLimitTokens: 100,
+    idleReturnMs: 2_000,
+    cancelRetryMs: 300,
+});
+export const FuzzJournalSettings = JournalSettingsSchema.parse({
+    writeIntervalMs: 500,
+    recordBytesPerS: 1_000_000,
+    segmentBytes: 2_000,
+    linesPerWrite: 12,
+    closingWaitMs: 2_000,
+});
+export const FuzzRecoverySettings = RecoverySettingsSchema.parse({
+    suspicionMs: 2_000,
+    readIntervalMs: 700,
+    sealerDelayMs: 300,
+    retryMs: 200,
+});
+
+/** What a world is built from; deliberate breaks replace parts of it. */
+export interface WorldParts {
+    readonly seed: number;
+    readonly hostCount: number;
+    readonly budgets: Readonly<Record<string, number>>;
+    /** Whether only home hosts hold standing shares. */
+    readonly homesOnly: boolean;
+    readonly createControllers?: (context: ControllerContext, homesOnly: boolean) => Controller[];
+    readonly createGateway?: (...args: ConstructorParameters<typeof FakeGateway>) => FakeGateway;
+}
+
+/** The controllers that hold authority over money, with the settings for fuzzing. */
+export function createMoneyControllers(context: ControllerContext, homesOnly: boolean): Controller[] {
+    const budget = homesOnly ? { ...FuzzBudgetSettings, standingBudgetCount: 0 } : FuzzBudgetSettings;
+    return [
+        new JournalController(context, FuzzJournalSettings),
+        new BudgetController(context, budget),
+        new RecoveryController(context, FuzzRecoverySettings),
+    ];
+}
+
+/** Time after which a process that does not finish its shutdown is ended by its supervisor. */
+const ShutdownTimeoutMs = 15_000;
+
+/** The world. */
+export class World implements Surroundings {
+    readonly scheduler = new Scheduler();
+    readonly random: SeededRandom;
+    readonly store: FaultyStore;
+    readonly network: PeerNetwork;
+    readonly gateway: FakeGateway;
+    /** All processes, also ended ones. */
+    readonly processes: HostProcess[] = [];
+    readonly hostIds: readonly string[];
+    readonly #parts: WorldParts;
+    readonly #current = new Map<string, HostProcess>();
+    readonly #memberships = new Map<HostProcess, FakeMembership>();
+    #lastOperation = 0;
+
+    constructor(parts: WorldParts) {
+        this.#parts = parts;
+        this.random = new SeededRandom(parts.seed);
+        this.store = new FaultyStore(this.scheduler, this.random);
+        this.network = new PeerNetwork(this.scheduler, this.random, address => this.#current.get(address));
+        const create = parts.createGateway ?? ((...args) => new FakeGateway(...args));
+        this.gateway = create(this.scheduler, (budget, cost) => this.unspentTokens(budget) >= cost);
+        for (const [budget, tokens] of Object.entries(parts.budgets)) {
+            this.store.objects.put(
+                budgetKey(budget),
+                { paidTokens: tokens, closedTokens: 0, atRiskTokens: {}, shares: {}, topUps: [] },
+                0,
+            );
+        }
+        this.hostIds = Array.from({ length: parts.hostCount }, (_, index) => `h${index}`);
+        for (const hostId of this.hostIds) {
+            this.restart(hostId);
+        }
+    }
+
+    get budgets(): string[] {
+        return Object.keys(this.#parts.budgets);
+    }
+
+    /** @returns The running process of a host. */
+    processOf(hostId: string): HostProcess | undefined {
+        return this.#current.get(hostId);
+    }
+
+    /** Starts a process on a host that has none. */
+    restart(hostId: string): void {
+        if (this.#current.has(hostId)) {
+            return;
+        }
+        const seed = this.random.integer(1_000_000);
+        const process = new HostProcess(
+            hostId,
+            `${this.processes.length}`,
+            seed,
+            this,
+            context => (this.#parts.createControllers ?? createMoneyControllers)(context, this.#parts.homesOnly),
+        );
+        const { config, lifecycle } = process.board;
+        const resource = { labels: {}, teams: SelectAll };
+        config.version = 1;
+        config.resources = { ...config.resources, budgets: new Map(this.budgets.map(name => [name, resource])) };
+        lifecycle.phase = "serving";
+        this.processes.push(process);
+        this.#current.set(hostId, process);
+        this.#memberships.set(process, new FakeMembership());
+    }
+
+    kill(hostId: string): void {
+        this.#end(this.#current.get(hostId), "killed");
+    }
+
+    /** Starts a graceful shutdown. */
+    shutdown(hostId: string): void {
+        const process = this.#current.get(hostId);
+        if (process?.board.lifecycle.phase === "serving") {
+            process.board.lifecycle.phase = "draining";
+            this.scheduler.after(ShutdownTimeoutMs, () => this.#end(process, "killed"));
+        }
+    }
+
+    /** Pays tokens into a budget, as an operator that reaches the store does. */
+    topUp(budget: string, tokens: number): void {
+        const stored = this.store.objects.get(budgetKey(budget));
+        if (stored.status === "found" && !this.store.faults.outage) {
+            const object = BudgetObjectSchema.parse(stored.object.value);
+            const topUp = { operationId: `t${++this.#lastOperation}`, tokens, atMs: 0 };
+            const value = { ...object, paidTokens: object.paidTokens + tokens, topUps: [...object.topUps, topUp] };
+            this.store.objects.put(budgetKey(budget), value, stored.object.version);
+        }
+    }
+
+    /** @returns Paid tokens of a budget. */
+    paidTokens(budget: string): number {
+        const stored = this.store.objects.get(budgetKey(budget));
+        return stored.status === "found" ? BudgetObjectSchema.parse(stored.object.value).paidTokens : 0;
+    }
+
+    /** @returns Paid tokens that were neither spent nor are promised to a request in flight. */
+    unspentTokens(budget: string): number {
+        let tokens = this.paidTokens(budget);
+        for (const request of this.gateway.requests.values()) {
+            if (request.budget === budget) {
+                tokens -= request.state === "running" ? request.costTokens : request.spentTokens;
+            }
+        }
+        return tokens;
+    }
+
+    /** Ends all faults, starts missing hosts again, and waits until everything has settled. */
+    settle(durationMs = 30_000): void {
+        Object.assign(this.store.faults, {
+            outage: false,
+            latencyMs: 2,
+            lostAnswerShare: 0,
+            lateWriteShare: 0,
+            staleReadShare: 0,
+        });
+        this.store.cutHosts.clear();
+        this.network.heal();
+        this.network.lostReplyShare = 0;
+        this.hostIds.forEach(hostId => this.restart(hostId));
+        this.scheduler.advance(durationMs);
+    }
+
+    notified: Surroundings["notified"] = (_process, notification) => this.gateway.notified(notification);
+
+    ticked: Surroundings["ticked"] = process => {
+        const reachable = [...this.#current.values()].filter(other =>
+            other !== process && !other.isPaused && !this.network.isCut(process.hostId, other.hostId)
+        );
+        const showReplaced = this.#parts.seed % 2 === 0;
+        this.#memberships.get(process)!.update(process, reachable, showReplaced, this.scheduler.nowMs);
+        this.#followShutdown(process);
+    };
+
+    #followShutdown(process: HostProcess): void {
+        const { lifecycle, recovery } = process.board;
+        const inFlight = [...this.gateway.requests.values()].some(request =>
+            request.process === process && (request.state === "waiting" || request.state === "running")
+        );
+        if (lifecycle.phase === "draining" && !inFlight) {
+            lifecycle.phase = "closing";
+        }
+        else if (lifecycle.phase === "closing" && recovery.ownSharesReturned) {
+            this.#end(process, "closed");
+        }
+    }
+
+    #end(process: HostProcess | undefined, end: "closed" | "killed"): void {
+        if (process === undefined || !process.isAlive) {
+            return;
+        }
+        process.end = end;
+        this.#current.delete(process.hostId);
+        for (const request of this.gateway.requests.values()) {
+            if (request.process === process && request.state === "waiting") {
+                request.state = "refused";
+            }
+        }
+    }
+}
