Draw towards a target share

Cause: each acknowledged draw started the next one until nothing was free, and idle returns undid them. Change: the even part counts the own unused tokens in; draw and return use the same target with hysteresis.

--- a/src/features/budget/budgetAccount.ts
+++ b/src/features/budget/budgetAccount.ts
@@ -1,6 +1,6 @@
 /** One budget of the current host incarnation: numbers, waiting reservations and the share in the store. */
 import { type BudgetEntry, createBudgetEntry, usedTokens } from "./budgetBoard.js";
-import { DemandAverage, drawSize, isShareLow, limitSize, WindowMaximum } from "./budgetMath.js";
+import { DemandAverage, type DrawInput, drawSize, limitSize, shareTarget, WindowMaximum } from "./budgetMath.js";
 import type { BudgetSettings } from "./budgetSettings.js";
 import { type BudgetObject, freeTokens } from "./budgetTypes.js";
 import type { ShareWriter } from "./shareWriter.js";
@@ -126,31 +126,26 @@
      * @returns The granted amount to write, or `undefined` for no write.
      */
     planShare(object: BudgetObject, host: HostView, mayDraw: boolean): number | undefined {
-        const granted = this.entry.grantedTokens;
-        const used = usedTokens(this.entry);
-        const free = freeTokens(object);
         const neededTokens = this.missingTokens();
-        const input = {
+        const input: DrawInput = {
             demandTokensPerS: this.entry.demandTokensPerS,
             horizonMs: this.#settings.drawHorizonMs,
             largestCostTokens: this.entry.largestCostTokens,
             standingTokens: host.isHome ? this.#standingShare : 0,
             minimumTokens: this.#smallestDraw(object.paidTokens, host.liveHostCount),
-            unusedTokens: granted - used,
-            freeTokens: Math.max(0, free),
+            unusedTokens: this.entry.grantedTokens - usedTokens(this.entry),
+            freeTokens: Math.max(0, freeTokens(object)),
             liveHostCount: host.liveHostCount,
             neededTokens,
         };
-        if (mayDraw && isShareLow(input)) {
-            const size = drawSize(input);
-            if (size > 0) {
-                return granted + size;
-            }
+        const size = mayDraw ? drawSize(input) : 0;
+        if (size > 0) {
+            return this.entry.grantedTokens + size;
         }
         if (!this.writer.hasShare && (neededTokens > 0 || this.entry.receivedTokens > 0)) {
             return 0;
         }
-        return this.#planReturn(input.unusedTokens, input.freeTokens, host);
+        return this.#planReturn(input, host);
     }
 
     /** @returns Whether received tokens could not be returned: a fold needs a share, if only of 0 tokens. */
@@ -184,15 +179,13 @@
         return this.name.startsWith("grant/");
     }
 
-    #planReturn(unusedTokens: number, free: number, host: HostView): number | undefined {
+    #planReturn(input: DrawInput, host: HostView): number | undefined {
         if (!this.isIdle(host.nowMs)) {
             return undefined;
         }
-        const fairPart = Math.floor((free + unusedTokens) / (2 * host.liveHostCount));
-        const keep = host.isHome ? Math.min(this.#standingShare, fairPart) : 0;
         const declared = Math.max(host.highestLimitTokens, this.entry.wantedLimitTokens);
-        const granted = Math.max(0, usedTokens(this.entry) + keep, declared);
+        const granted = Math.max(0, usedTokens(this.entry) + shareTarget(input), declared);
         // Half of the unused tokens at least: a return is a store write.
-        return this.entry.grantedTokens - granted >= Math.max(1, unusedTokens / 2) ? granted : undefined;
+        return this.entry.grantedTokens - granted >= Math.max(1, input.unusedTokens / 2) ? granted : undefined;
     }
 }
--- a/src/features/budget/budgetMath.ts
+++ b/src/features/budget/budgetMath.ts
@@ -19,29 +19,27 @@
 }
 
 /**
- * Size of a draw. What a draw without a waiting request would leave too small stays free for those that need it.
- * @returns Tokens to draw; 0 when the share suffices or nothing is free.
+ * What a host should hold unused: the demand of the horizon, at most an even part of half of what can be had. Counting
+ * the own unused tokens in keeps a host from drawing part after part until nothing is free.
  */
-export function drawSize(input: DrawInput): number {
+export function shareTarget(input: DrawInput): number {
     const demand = input.demandTokensPerS * input.horizonMs / 1_000;
-    const target = Math.ceil(Math.max(demand, input.largestCostTokens, input.standingTokens));
-    const fairPart = Math.max(
-        Math.floor(input.freeTokens / (2 * Math.max(1, input.liveHostCount))),
-        input.minimumTokens === 1 ? 1 : 0,
-    );
-    const wished = Math.min(target - input.unusedTokens, fairPart);
-    const worthwhile = wished >= input.minimumTokens ? wished : 0;
-    return Math.max(0, Math.min(input.freeTokens, Math.max(worthwhile, input.neededTokens)));
+    const wished = Math.ceil(Math.max(demand, input.largestCostTokens, input.standingTokens));
+    const obtainable = input.freeTokens + Math.max(0, input.unusedTokens);
+    const fairPart = Math.floor(obtainable / (2 * Math.max(1, input.liveHostCount)));
+    return Math.min(wished, Math.max(fairPart, input.minimumTokens === 1 ? 1 : 0));
 }
 
 /**
- * Whether a share is low enough for a draw. The gap between this bound and the draw target keeps small requests from
- * causing a store write each.
+ * Size of a draw. What a draw without a waiting request would leave too small stays free for those that need it.
+ * @returns Tokens to draw; 0 when the share suffices or nothing is free.
  */
-export function isShareLow(input: DrawInput): boolean {
-    const demand = input.demandTokensPerS * input.horizonMs / 1_000;
-    const target = Math.max(demand, input.largestCostTokens, input.standingTokens);
-    return input.neededTokens > 0 || input.unusedTokens < target / 2;
+export function drawSize(input: DrawInput): number {
+    const target = shareTarget(input);
+    // The lower bound keeps small requests from causing a store write each.
+    const wished = input.unusedTokens < target / 2 ? target - input.unusedTokens : 0;
+    const worthwhile = wished >= input.minimumTokens ? wished : 0;
+    return Math.max(0, Math.min(input.freeTokens, Math.max(worthwhile, input.neededTokens)));
 }
 
 /** What the size of a limit depends on. */
