Watch replaced incarnations and confirm folds

Change: recovery watches the incarnation that a restarted host replaces, searches twice, and confirms with a conditional write that nothing is left of its own incarnations.

--- a/src/features/recovery/foldQueue.ts
+++ b/src/features/recovery/foldQueue.ts
@@ -16,6 +16,7 @@
     readonly id: string;
     readonly budget: string;
     readonly fold: Fold;
+    readonly isConfirmed: boolean;
     inFlight: boolean;
     notBeforeMs: number;
 }
@@ -39,18 +40,17 @@
         return this.#tasks.size;
     }
 
-    /** @param id Identity of the fold; the same fold is not queued twice. */
-    add(id: string, budget: string, fold: Fold): void {
+    /**
+     * @param id Identity of the fold; the same fold is not queued twice.
+     * @param isConfirmed Whether nothing is left to do only when a conditional write shows it: plain reads may be stale.
+     */
+    add(id: string, budget: string, fold: Fold, isConfirmed: boolean): void {
         if (!this.#tasks.has(id)) {
-            this.#tasks.set(id, { id, budget, fold, inFlight: false, notBeforeMs: Number.NEGATIVE_INFINITY });
+            const notBeforeMs = Number.NEGATIVE_INFINITY;
+            this.#tasks.set(id, { id, budget, fold, isConfirmed, inFlight: false, notBeforeMs });
         }
     }
 
-    /** @returns Whether a fold is queued. */
-    has(id: string): boolean {
-        return this.#tasks.has(id);
-    }
-
     /** Starts or repeats folds. */
     step(concurrency: number, nowMs: number): void {
         for (const task of this.#tasks.values()) {
@@ -75,7 +75,7 @@
             this.#delay(task, nowMs);
         }
         else {
-            this.#apply(task, outcome.status === "found" ? outcome.object : undefined);
+            this.#apply(task, outcome.status === "found" ? outcome.object : undefined, !task.isConfirmed);
         }
     }
 
@@ -90,7 +90,7 @@
             this.#end(task);
         }
         else if (outcome.status === "conflict") {
-            this.#apply(task, outcome.current);
+            this.#apply(task, outcome.current, true);
         }
         else {
             // A late effect of this write makes the next one conflict, and the fold then finds nothing left to do.
@@ -98,14 +98,19 @@
         }
     }
 
-    #apply(task: Task, stored: StoredObject | undefined): void {
+    #apply(task: Task, stored: StoredObject | undefined, isCurrent: boolean): void {
         const parsed = BudgetObjectSchema.safeParse(stored?.value);
         const folded = parsed.success ? task.fold(parsed.data) : undefined;
-        if (stored === undefined || folded === undefined) {
+        if (folded !== undefined) {
+            this.#calls.put(task.budget, folded, stored!.version);
+        }
+        else if (!isCurrent && parsed.success) {
+            // Rewriting the value unchanged succeeds only if the read was current.
+            this.#calls.put(task.budget, parsed.data, stored!.version);
+        }
+        else {
             this.#end(task);
-            return;
         }
-        this.#calls.put(task.budget, folded, stored.version);
     }
 
     #delay(task: Task, nowMs: number): void {
--- a/src/features/recovery/recoveryController.ts
+++ b/src/features/recovery/recoveryController.ts
@@ -19,7 +19,8 @@
     readonly watch: HostWatch;
     /** Whether this host looks for all shares of the dead host, not only for those that it saw. */
     readonly isSealer: boolean;
-    searched: boolean;
+    /** When it looks for them next; infinite when it has done so twice. */
+    nextSearchMs: number;
     lastSeenMs: number;
 }
 
@@ -32,6 +33,8 @@
     readonly #folds: FoldQueue;
     readonly #settled = new Set<string>();
     readonly #ownKeys = new Set<string>();
+    /** Newest known incarnation by host id. */
+    readonly #incarnations = new Map<string, string>();
     #lastCallId = 0;
     #ownFoldsQueued = false;
 
@@ -89,6 +92,7 @@
         for (const hostKey of this.context.board.membership.suspects) {
             this.#watch(hostKey, undefined);
         }
+        this.#watchReplaced();
         for (const [hostKey, watched] of this.#watched) {
             this.#follow(hostKey, watched, nowMs);
         }
@@ -97,6 +101,19 @@
         this.#folds.step(this.#settings.foldConcurrency, nowMs);
     }
 
+    /** A restarted host leaves its old incarnation behind, which no peer misses. */
+    #watchReplaced(): void {
+        for (const { hostId, incarnation } of this.context.board.membership.members.values()) {
+            const known = this.#incarnations.get(hostId);
+            if (known !== incarnation) {
+                this.#incarnations.set(hostId, incarnation);
+                if (known !== undefined) {
+                    this.#watch(hostKeyOf(hostId, known), undefined);
+                }
+            }
+        }
+    }
+
     /** Notices shares of incarnations that are not known to be alive. */
     #seeShares(key: string, stored: StoredObject | undefined): void {
         const parsed = key.startsWith(BudgetPrefix) ? BudgetObjectSchema.safeParse(stored?.value) : undefined;
@@ -151,7 +168,7 @@
                     }),
                 count: name => this.context.counters.add(name),
             }, { ...this.#settings, firstReadMs: nowMs + delayMs });
-            watched = { watch: created, isSealer, searched: false, lastSeenMs: nowMs };
+            watched = { watch: created, isSealer, nextSearchMs: Number.NEGATIVE_INFINITY, lastSeenMs: nowMs };
             this.#watched.set(hostKey, watched);
             this.context.counters.add("recovery.watched");
         }
@@ -175,8 +192,10 @@
         }
         const budgets = new Set(watch.seenBudgets);
         watch.seenBudgets.clear();
-        if (watched.isSealer && !watched.searched) {
-            watched.searched = true;
+        if (watched.isSealer && nowMs >= watched.nextSearchMs) {
+            // The first search may have read a stale object, or come before a draw that was applied late.
+            const isFirst = watched.nextSearchMs === Number.NEGATIVE_INFINITY;
+            watched.nextSearchMs = isFirst ? nowMs + this.#settings.searchAgainMs : Number.POSITIVE_INFINITY;
             for (const budget of [...Object.keys(record.entries), ...this.#searchedBudgets()]) {
                 budgets.add(budget);
             }
@@ -187,6 +206,7 @@
                 `${hostKey} ${budget}`,
                 budget,
                 object => foldByRecord(object, hostKey, entry, record.state === "sealed"),
+                false,
             );
         }
         if (nowMs - watched.lastSeenMs >= this.#settings.rememberedMs) {
@@ -212,6 +232,7 @@
                     `${hostKey} ${budget} exact`,
                     budget,
                     object => foldExactly(object, hostKey, entry, netTokens),
+                    true,
                 );
             }
         }
@@ -232,6 +253,7 @@
                     `${hostKey} ${budget} closed`,
                     budget,
                     object => foldByRecord(object, hostKey, declared, false),
+                    true,
                 );
             }
         }
--- a/src/features/recovery/recoverySettings.ts
+++ b/src/features/recovery/recoverySettings.ts
@@ -11,6 +11,8 @@
     sealerCount: z.number().int().positive().default(3),
     /** Head start of a sealer before the next one. */
     sealerDelayMs: z.number().int().nonnegative().default(3_000),
+    /** A sealer looks a second time for shares after this time. */
+    searchAgainMs: z.number().int().positive().default(60_000),
     /** Folds in flight. */
     foldConcurrency: z.number().int().positive().default(8),
     /** Delay before a failed call is repeated. */
