Add toucanctl with the change log, budgets and audit

Operators need one tool for configuration, budgets and status. A top-up is recognised by its operation id in the budget object, and older ids in archive objects. Budget objects get an optional field releasedTokens, so that a repeated release can be told from an amount that the host itself settled.

--- /dev/null
+++ b/src/control/budgets/release.ts
@@ -0,0 +1,182 @@
+/** Release of at-risk tokens: the operator states what a dead host's requests cost. */
+import { Result } from "true-myth";
+import type { Unit } from "true-myth/unit";
+import { z } from "zod";
+import { ExitCodes } from "../../base/exitCodes.js";
+import { budgetKey } from "../../features/budget/budgetTypes.js";
+import { type BillLine, BillLineSchema, billSegmentKey } from "../../features/journal/journalTypes.js";
+import { AbsentVersion, type StoredObject } from "../../platform/platformStore.js";
+import { type CommandFailure, fail, storeUnavailable } from "../commandResult.js";
+import type { ControlContext } from "../controlContext.js";
+import { putUntilKnown } from "../storeAccess.js";
+import { parseBudget, readBudget, type StoredBudget } from "./budgetStore.js";
+
+/** Sequences of release lines start above those of any host, because readers drop lines with equal sequences. */
+const FirstReleaseSequence = 1_000_000_001;
+const MaxAttempts = 20;
+
+/** A release command. */
+export interface ReleaseRequest {
+    readonly hostKey: string;
+    readonly budget: string;
+    /** Tokens that the upstreams' records show as used. */
+    readonly settledTokens: number;
+}
+
+/** Result of a release. */
+export interface ReleaseResult {
+    readonly status: "released" | "repeated";
+    readonly settledTokens: number;
+    /** Tokens that are free again; 0 for a repetition. */
+    readonly freedTokens: number;
+}
+
+const LinesSchema = z.array(BillLineSchema);
+
+/** Replaces an at-risk amount by a bill line. The line is written first, so that no charge lacks its bill. */
+export async function release(
+    context: ControlContext,
+    request: ReleaseRequest,
+): Promise<Result<ReleaseResult, CommandFailure>> {
+    const budget = await readBudget(context, request.budget);
+    if (budget.isErr) {
+        return Result.err(budget.error);
+    }
+    const atRiskTokens = budget.value.object.atRiskTokens[request.hostKey];
+    if (atRiskTokens === undefined) {
+        return settledBefore(context, request, budget.value);
+    }
+    if (request.settledTokens > atRiskTokens) {
+        return fail(ExitCodes.Failed, `only ${atRiskTokens} tokens are at risk`);
+    }
+    const line = await writeLine(context, request);
+    return line.isErr ? Result.err(line.error) : foldRelease(context, request, budget.value);
+}
+
+async function foldRelease(
+    context: ControlContext,
+    request: ReleaseRequest,
+    first: StoredBudget,
+): Promise<Result<ReleaseResult, CommandFailure>> {
+    let budget = first;
+    for (let attempt = 0; attempt < MaxAttempts; attempt++) {
+        const { object, raw } = budget;
+        const { [request.hostKey]: atRiskTokens, ...otherAtRisk } = object.atRiskTokens;
+        if (atRiskTokens === undefined) {
+            return settledBefore(context, request, budget);
+        }
+        const value = {
+            ...raw,
+            closedTokens: object.closedTokens + request.settledTokens,
+            atRiskTokens: otherAtRisk,
+            releasedTokens: { ...object.releasedTokens, [request.hostKey]: request.settledTokens },
+        };
+        const key = budgetKey(request.budget);
+        const written = await putUntilKnown(context, key, value, budget.version, current => isFolded(current, request));
+        if (written.status === "applied") {
+            const freedTokens = atRiskTokens - request.settledTokens;
+            return Result.ok({ status: "released", settledTokens: request.settledTokens, freedTokens });
+        }
+        if (written.status === "unavailable") {
+            return storeUnavailable(`${written.reason}; repeat the command`);
+        }
+        const current = parseBudget(request.budget, written.current);
+        if (current.isErr) {
+            return Result.err(current.error);
+        }
+        budget = current.value;
+    }
+    return storeUnavailable("the budget object changes too often; repeat the command");
+}
+
+function isFolded(current: StoredObject, request: ReleaseRequest): boolean {
+    const budget = parseBudget(request.budget, current);
+    return budget.isOk && budget.value.object.releasedTokens?.[request.hostKey] === request.settledTokens;
+}
+
+/** Nothing is at risk: either an operator released it, or the host came back and settled it. */
+async function settledBefore(
+    context: ControlContext,
+    request: ReleaseRequest,
+    { object }: StoredBudget,
+): Promise<Result<ReleaseResult, CommandFailure>> {
+    const released = object.releasedTokens?.[request.hostKey];
+    if (released === request.settledTokens) {
+        return Result.ok({ status: "repeated", settledTokens: released, freedTokens: 0 });
+    }
+    if (released !== undefined) {
+        return fail(ExitCodes.Conflict, `the release was already settled with ${released} tokens`);
+    }
+    const removed = await removeLine(context, request);
+    const message = `nothing of "${request.budget}" is at risk for ${request.hostKey}`;
+    return removed.isErr ? Result.err(removed.error) : fail(ExitCodes.Conflict, message);
+}
+
+async function writeLine(context: ControlContext, request: ReleaseRequest): Promise<Result<Unit, CommandFailure>> {
+    return changeLines(context, request, lines => {
+        const existing = lines.find(line => line.budget === request.budget);
+        if (existing === undefined) {
+            return Result.ok([...lines, lineOf(context, request, lines)]);
+        }
+        return existing.tokens === request.settledTokens ?
+            Result.ok(lines) :
+            fail(ExitCodes.Conflict, `a release with ${existing.tokens} tokens was started before`);
+    });
+}
+
+async function removeLine(context: ControlContext, request: ReleaseRequest): Promise<Result<Unit, CommandFailure>> {
+    return changeLines(context, request, lines => Result.ok(lines.filter(line => line.budget !== request.budget)));
+}
+
+/** Changes the release lines of a host. */
+async function changeLines(
+    context: ControlContext,
+    request: ReleaseRequest,
+    edit: (lines: readonly BillLine[]) => Result<readonly BillLine[], CommandFailure>,
+): Promise<Result<Unit, CommandFailure>> {
+    const key = billSegmentKey(request.hostKey, "release");
+    const read = await context.store.get(key);
+    if (read.status === "unavailable") {
+        return storeUnavailable(read.reason);
+    }
+    let stored = read.status === "found" ? read.object : undefined;
+    for (let attempt = 0; attempt < MaxAttempts; attempt++) {
+        const lines = LinesSchema.catch([]).parse(stored?.value ?? []);
+        const edited = edit(lines);
+        if (edited.isErr) {
+            return Result.err(edited.error);
+        }
+        if (edited.value.length === lines.length) {
+            return Result.ok();
+        }
+        const version = stored?.version ?? AbsentVersion;
+        const written = await putUntilKnown(context, key, edited.value, version, () => false);
+        if (written.status === "applied") {
+            return Result.ok();
+        }
+        if (written.status === "unavailable") {
+            return storeUnavailable(`${written.reason}; repeat the command`);
+        }
+        stored = written.current;
+    }
+    return storeUnavailable("the release lines change too often; repeat the command");
+}
+
+function lineOf(context: ControlContext, request: ReleaseRequest, lines: readonly BillLine[]): BillLine {
+    const lastSequence = lines.at(-1)?.sequence ?? FirstReleaseSequence - 1;
+    return {
+        sequence: lastSequence + 1,
+        atMs: context.clock.wallMs(),
+        requestId: `release/${request.hostKey}`,
+        billId: `release/${request.hostKey}`,
+        team: "",
+        budget: request.budget,
+        model: "",
+        promptTokens: 0,
+        outputTokens: 0,
+        tokens: request.settledTokens,
+        requestKind: "",
+        upstream: "",
+        outcome: "complete",
+    };
+}
--- /dev/null
+++ b/src/control/budgets/topUp.ts
@@ -0,0 +1,137 @@
+/** Top-ups: each operation id adds its tokens exactly once. */
+import { Result } from "true-myth";
+import { ExitCodes } from "../../base/exitCodes.js";
+import { budgetKey, type BudgetObject, TopUpSchema } from "../../features/budget/budgetTypes.js";
+import { AbsentVersion, type StoredObject } from "../../platform/platformStore.js";
+import { type CommandFailure, fail, storeUnavailable } from "../commandResult.js";
+import type { ControlContext } from "../controlContext.js";
+import { putUntilKnown } from "../storeAccess.js";
+import { parseBudget, readBudget, type StoredBudget } from "./budgetStore.js";
+
+/**
+ * Top-ups that a budget object may hold. Every draw of a host writes the whole object, so that older top-ups are
+ * moved to objects of their own.
+ */
+const MaxKeptTopUps = 32;
+const ArchivedAtOnce = 16;
+/** A version that no object ever has: a write that expects it shows the current object, which a read may not. */
+const ImpossibleVersion = Number.MAX_SAFE_INTEGER;
+
+/** A top-up command. */
+export interface TopUpRequest {
+    readonly budget: string;
+    readonly tokens: number;
+    readonly operationId: string;
+}
+
+/** Result of a top-up. */
+export interface TopUpResult {
+    readonly status: "added" | "repeated";
+    readonly paidTokens: number;
+}
+
+type TopUp = BudgetObject["topUps"][number];
+
+/** Adds tokens to a budget. */
+export async function topUp(
+    context: ControlContext,
+    request: TopUpRequest,
+): Promise<Result<TopUpResult, CommandFailure>> {
+    const deadlineMs = context.clock.monotonicMs() + context.retryMs;
+    let budget = await readBudget(context, request.budget);
+    while (budget.isOk) {
+        const earlier = await findEarlier(context, budget.value, request);
+        if (earlier.isErr) {
+            return Result.err(earlier.error);
+        }
+        if (earlier.value !== undefined) {
+            return checkRepetition(earlier.value, request, budget.value);
+        }
+        const kept = await archiveOld(context, budget.value);
+        if (kept.isErr) {
+            return Result.err(kept.error);
+        }
+        const paidTokens = budget.value.object.paidTokens + request.tokens;
+        const added = { operationId: request.operationId, tokens: request.tokens, atMs: context.clock.wallMs() };
+        const value = { ...budget.value.raw, paidTokens, topUps: [...kept.value, added] };
+        const isOwn = (current: StoredObject): boolean => contains(current, request);
+        const written = await putUntilKnown(context, budgetKey(request.budget), value, budget.value.version, isOwn);
+        if (written.status === "applied") {
+            return Result.ok({ status: "added", paidTokens });
+        }
+        if (written.status === "unavailable") {
+            return unfinished(request, written.reason, written.mayApply);
+        }
+        if (context.clock.monotonicMs() > deadlineMs) {
+            return unfinished(request, "the budget object changes too often", false);
+        }
+        // A draw of a host came first. The conflict shows the current object, so that no read is needed.
+        budget = parseBudget(request.budget, written.current);
+    }
+    return Result.err(budget.error);
+}
+
+function unfinished<T>(request: TopUpRequest, reason: string, mayApply: boolean): Result<T, CommandFailure> {
+    const state = mayApply ? "may still take effect" : "was not applied";
+    const message = `${reason}; the top-up ${state}; repeat it with --operation-id ${request.operationId}`;
+    return fail(ExitCodes.StoreUnavailable, message);
+}
+
+function contains(current: StoredObject, request: TopUpRequest): boolean {
+    const budget = parseBudget(request.budget, current);
+    return budget.isOk &&
+        budget.value.object.topUps.some(entry =>
+            entry.operationId === request.operationId && entry.tokens === request.tokens
+        );
+}
+
+function checkRepetition(
+    earlier: TopUp,
+    request: TopUpRequest,
+    budget: StoredBudget,
+): Result<TopUpResult, CommandFailure> {
+    if (earlier.tokens !== request.tokens) {
+        const message = `the operation ${request.operationId} added ${earlier.tokens} tokens, not ${request.tokens}`;
+        return fail(ExitCodes.Conflict, message, { earlier });
+    }
+    return Result.ok({ status: "repeated", paidTokens: budget.object.paidTokens });
+}
+
+async function findEarlier(
+    context: ControlContext,
+    { name, object }: StoredBudget,
+    { operationId }: TopUpRequest,
+): Promise<Result<TopUp | undefined, CommandFailure>> {
+    const kept = object.topUps.find(entry => entry.operationId === operationId);
+    // Archiving leaves half of the entries, so that a shorter list has never been archived.
+    if (kept !== undefined || object.topUps.length < MaxKeptTopUps - ArchivedAtOnce) {
+        return Result.ok(kept);
+    }
+    const probe = await context.store.put(archiveKey(name, operationId), {}, ImpossibleVersion);
+    if (probe.status !== "conflict") {
+        return storeUnavailable("the archive of top-ups cannot be read");
+    }
+    const archived = TopUpSchema.safeParse(probe.current?.value);
+    return Result.ok(archived.success ? archived.data : undefined);
+}
+
+async function archiveOld(
+    context: ControlContext,
+    { name, object }: StoredBudget,
+): Promise<Result<readonly TopUp[], CommandFailure>> {
+    if (object.topUps.length < MaxKeptTopUps) {
+        return Result.ok(object.topUps);
+    }
+    for (const entry of object.topUps.slice(0, ArchivedAtOnce)) {
+        const key = archiveKey(name, entry.operationId);
+        const written = await putUntilKnown(context, key, entry, AbsentVersion, () => true);
+        if (written.status !== "applied") {
+            return storeUnavailable("the archive of top-ups cannot be written");
+        }
+    }
+    return Result.ok(object.topUps.slice(ArchivedAtOnce));
+}
+
+function archiveKey(budget: string, operationId: string): string {
+    return `topup/${budget}/${encodeURIComponent(operationId)}`;
+}
--- /dev/null
+++ b/src/control/command.ts
@@ -0,0 +1,43 @@
+/** Definition of one command of the operator tool. */
+import type { InferredOptionTypes, Options } from "yargs";
+import type { CommandResult } from "./commandResult.js";
+import type { ControlContext } from "./controlContext.js";
+
+/** Options or positional arguments by name. */
+export type OptionTable = Record<string, Options>;
+
+/** A command as the command line sees it. */
+export interface ControlCommand {
+    /** Name and positional arguments in the notation of yargs. */
+    readonly command: string;
+    readonly describe: string;
+    readonly positionals: OptionTable;
+    readonly options: OptionTable;
+    readonly run: (context: ControlContext, args: Record<string, unknown>) => Promise<CommandResult>;
+}
+
+/** Defines a command whose `run` gets typed arguments. */
+export function defineCommand<P extends OptionTable, O extends OptionTable>(definition: {
+    readonly command: string;
+    readonly describe: string;
+    readonly positionals: P;
+    readonly options: O;
+    readonly run: (context: ControlContext, args: InferredOptionTypes<P & O>) => Promise<CommandResult>;
+}): ControlCommand {
+    const run: ControlCommand["run"] = (context, args) =>
+        definition.run(context, args as unknown as InferredOptionTypes<P & O>);
+    return { ...definition, run };
+}
+
+/** Options of commands that change something. */
+export const OperationOptions = {
+    "operation-id": {
+        type: "string",
+        describe: "identity of the operation; repeat a command with the same one after an unknown outcome",
+    },
+} as const satisfies OptionTable;
+
+/** @returns The given operation id, or a new one. */
+export function operationIdOf(context: ControlContext, given: string | undefined): string {
+    return given ?? `op-${context.random.hex(24)}`;
+}
--- /dev/null
+++ b/src/control/commands/apply.ts
@@ -0,0 +1,88 @@
+/** `toucanctl apply`. */
+import { Result } from "true-myth";
+import type { ResourceEdit } from "../../features/config/configTypes.js";
+import { defineCommand, operationIdOf } from "../command.js";
+import type { CommandFailure, CommandResult } from "../commandResult.js";
+import { commitEdits, type CommitResult, loadForCommand, MaxChangeBytes } from "../config/changeCommit.js";
+import { type EditArguments, EditOptions, finishEdit, runEdit } from "../config/editCommand.js";
+import { readResourceFile } from "../config/resourceFile.js";
+import { editOf, type FileResource, type ResourceSet } from "../config/resourceSet.js";
+import { formatProblem, validateResources } from "../config/validation.js";
+import type { ControlContext } from "../controlContext.js";
+
+/** Size of a part of a split change; leaves room for the change's own fields. */
+const PartBytes = MaxChangeBytes * 0.8;
+/** Order of the parts: selectors may use only labels that are already carried. */
+const KindOrder = ["Team", "RequestKind", "Upstream", "Budget", "Grant", "Rule"];
+
+export const applyCommand = defineCommand({
+    command: "apply",
+    describe: "create or replace the resources of a file as one new version",
+    positionals: {},
+    options: {
+        file: { type: "string", alias: "f", demandOption: true, describe: "JSON file; - reads standard input" },
+        split: { type: "boolean", default: false, describe: "commit a large file as several versions" },
+        ...EditOptions,
+    },
+    run: async (context, args) => {
+        const file = readResourceFile(args.file);
+        if (file.isErr) {
+            return Result.err(file.error);
+        }
+        const warnings: string[] = [];
+        const plan = (set: ResourceSet): Result<ResourceEdit[], CommandFailure> => {
+            const edits = editsOf(set, file.value);
+            warnings.push(...validateResources(set.with(edits)).warnings.map(formatProblem));
+            return Result.ok(edits);
+        };
+        return args.split ? applyInParts(context, args, file.value) : runEdit(context, args, plan, warnings);
+    },
+});
+
+async function applyInParts(
+    context: ControlContext,
+    args: EditArguments,
+    resources: readonly FileResource[],
+): Promise<CommandResult> {
+    const base = await loadForCommand(context);
+    if (base.isErr) {
+        return Result.err(base.error);
+    }
+    const operationId = operationIdOf(context, args["operation-id"]);
+    const edits: ResourceEdit[] = [];
+    let last: CommitResult = { status: "unchanged", version: base.value.loaded.version, edits: [] };
+    for (const [index, part] of splitParts(base.value.set, resources).entries()) {
+        const committed = await commitEdits(context, {
+            operationId: `${operationId}.${index}`,
+            mayBeRepeated: args["operation-id"] !== undefined,
+            message: args.message,
+            plan: set => Result.ok(editsOf(set, part)),
+        });
+        if (committed.isErr) {
+            return Result.err(committed.error);
+        }
+        last = committed.value;
+        edits.push(...last.edits);
+    }
+    return finishEdit(context, args, { ...last, edits });
+}
+
+function editsOf(set: ResourceSet, resources: readonly FileResource[]): ResourceEdit[] {
+    return resources.map(({ kind, name, spec }) => editOf(set, kind, name, spec));
+}
+
+function splitParts(set: ResourceSet, resources: readonly FileResource[]): FileResource[][] {
+    const sorted = [...resources].sort((a, b) => KindOrder.indexOf(a.kind) - KindOrder.indexOf(b.kind));
+    const parts: FileResource[][] = [];
+    let partBytes = PartBytes;
+    for (const resource of sorted) {
+        const bytes = Buffer.byteLength(JSON.stringify(editOf(set, resource.kind, resource.name, resource.spec))) + 1;
+        if (partBytes + bytes > PartBytes) {
+            parts.push([]);
+            partBytes = 0;
+        }
+        parts.at(-1)!.push(resource);
+        partBytes += bytes;
+    }
+    return parts;
+}
--- /dev/null
+++ b/src/control/commands/balances.ts
@@ -0,0 +1,28 @@
+/** `toucanctl balances`. */
+import { Result } from "true-myth";
+import { auditBudgets } from "../budgets/audit.js";
+import { readBooks } from "../budgets/billReading.js";
+import { readBudgets } from "../budgets/budgetStore.js";
+import { defineCommand } from "../command.js";
+import { both } from "../commandResult.js";
+
+/** Columns of tables with the sums of budgets. */
+export const SumColumns = ["BUDGET", "PAID", "SETTLED", "IN TRANSFER", "HELD", "AT RISK", "FREE"];
+
+export const balancesCommand = defineCommand({
+    command: "balances [budget]",
+    describe: "show the tokens of each budget",
+    positionals: { budget: { type: "string", describe: "only this budget" } },
+    options: {},
+    run: async (context, args) => {
+        const read = both(await readBudgets(context), await readBooks(context));
+        if (read.isErr) {
+            return Result.err(read.error);
+        }
+        const [budgets, books] = read.value;
+        const chosen = budgets.filter(({ name }) => args.budget === undefined || name === args.budget);
+        const { budgets: sums } = auditBudgets(chosen, books);
+        const rows = sums.map(sum => Object.values(sum) as (string | number)[]);
+        return Result.ok({ value: sums, table: { columns: SumColumns, rows } });
+    },
+});
--- /dev/null
+++ b/src/control/commands/release.ts
@@ -0,0 +1,26 @@
+/** `toucanctl release`. */
+import { ExitCodes } from "../../base/exitCodes.js";
+import { release } from "../budgets/release.js";
+import { defineCommand } from "../command.js";
+import { fail } from "../commandResult.js";
+
+export const releaseCommand = defineCommand({
+    command: "release <host-key> <budget>",
+    describe: "settle the at-risk tokens of a dead host by what the upstreams' records show",
+    positionals: {
+        "host-key": { type: "string", demandOption: true, describe: "HOST~INCARNATION" },
+        budget: { type: "string", demandOption: true },
+    },
+    options: { settled: { type: "number", demandOption: true, describe: "tokens that were used" } },
+    run: async (context, args) => {
+        if (!Number.isSafeInteger(args.settled) || args.settled < 0) {
+            return fail(ExitCodes.Usage, "the number of tokens must be a whole number");
+        }
+        const request = { hostKey: args["host-key"], budget: args.budget, settledTokens: args.settled };
+        const result = await release(context, request);
+        return result.map(value => ({
+            value,
+            lines: [`${value.status}: ${value.settledTokens} tokens billed, ${value.freedTokens} free again`],
+        }));
+    },
+});
--- /dev/null
+++ b/src/control/commands/status.ts
@@ -0,0 +1,23 @@
+/** `toucanctl status`. */
+import { Result } from "true-myth";
+import { defineCommand } from "../command.js";
+import { both } from "../commandResult.js";
+import { loadForCommand } from "../config/changeCommit.js";
+import { hostsBehind, readFleetStatus, statusTable } from "../fleetStatus.js";
+
+export const statusCommand = defineCommand({
+    command: "status",
+    describe: "show the configuration version in force on each host",
+    positionals: {},
+    options: {},
+    run: async context => {
+        const read = both(await loadForCommand(context), await readFleetStatus(context));
+        if (read.isErr) {
+            return Result.err(read.error);
+        }
+        const [{ loaded: { version } }, hosts] = read.value;
+        const behind = hostsBehind(hosts, version).map(({ hostId }) => hostId);
+        const lines = [`newest version: ${version}; hosts behind: ${behind.length === 0 ? "none" : behind.join(", ")}`];
+        return Result.ok({ value: { version, behind, hosts }, table: statusTable(hosts), lines });
+    },
+});
--- /dev/null
+++ b/src/control/config/changeCommit.ts
@@ -0,0 +1,262 @@
+/** Commits edits to the change log: one create-if-absent per version, with rebase and conflict detection. */
+import { isDeepStrictEqual } from "node:util";
+import { Result } from "true-myth";
+import { ExitCodes } from "../../base/exitCodes.js";
+import {
+    loadConfiguration,
+    type LoadedConfiguration,
+    readChanges,
+    SnapshotIntervalVersions,
+    writeSnapshot,
+} from "../../features/config/configSnapshot.js";
+import {
+    type ConfigChange,
+    configChangeKey,
+    ConfigChangeSchema,
+    type ResourceEdit,
+} from "../../features/config/configTypes.js";
+import { AbsentVersion, type StoredObject } from "../../platform/platformStore.js";
+import { type CommandFailure, fail, storeUnavailable } from "../commandResult.js";
+import type { ControlContext } from "../controlContext.js";
+import { putUntilKnown } from "../storeAccess.js";
+import { ResourceSet } from "./resourceSet.js";
+import { formatProblem, newErrors, validateResources } from "./validation.js";
+
+/** Largest change, in bytes of JSON. Routers hand changes to each other in messages of at most 256 KB. */
+export const MaxChangeBytes = 200_000;
+/** A tool that ended before it wrote a due snapshot leaves it to whoever finds it this many versions late. */
+const SnapshotDelayVersions = 16;
+
+/** A request to edit the configuration. */
+export interface EditRequest {
+    /** Identity of the command across repetitions. */
+    readonly operationId: string;
+    /** Whether the operation may have been sent before, so that the log is searched for it. */
+    readonly mayBeRepeated: boolean;
+    readonly message: string;
+    /** @returns The edits against a configuration. */
+    readonly plan: (set: ResourceSet, version: number) => Result<ResourceEdit[], CommandFailure>;
+}
+
+/** Result of an edit. */
+export interface CommitResult {
+    readonly status: "committed" | "repeated" | "unchanged";
+    /** Version that contains the edits. */
+    readonly version: number;
+    readonly edits: readonly ResourceEdit[];
+}
+
+/** Both sides of a conflict. */
+export interface EditConflict {
+    readonly kind: string;
+    readonly name: string;
+    readonly base: unknown;
+    readonly mine: unknown;
+    readonly theirs: unknown;
+    readonly theirVersion: number;
+    readonly theirAuthor: string;
+}
+
+/** Loads the configuration, or fails with {@link ExitCodes.StoreUnavailable}. */
+export async function loadForCommand(
+    context: ControlContext,
+): Promise<Result<{ readonly set: ResourceSet; readonly loaded: LoadedConfiguration; }, CommandFailure>> {
+    const loaded = await loadConfiguration(context.store);
+    return loaded.isErr ?
+        storeUnavailable(loaded.error) :
+        Result.ok({ set: ResourceSet.of(loaded.value), loaded: loaded.value });
+}
+
+/** Commits edits as a new version. */
+export async function commitEdits(
+    context: ControlContext,
+    request: EditRequest,
+): Promise<Result<CommitResult, CommandFailure>> {
+    const base = await loadForCommand(context);
+    if (base.isErr) {
+        return Result.err(base.error);
+    }
+    const { set, loaded } = base.value;
+    if (request.mayBeRepeated) {
+        const earlier = await findOperation(context, request.operationId, loaded.version);
+        if (earlier.isErr || earlier.value !== undefined) {
+            return earlier.map(change => repeated(change!));
+        }
+    }
+    const edits = request.plan(set, loaded.version);
+    return edits.isErr ? Result.err(edits.error) : new Committer(context, request, set, loaded).commit(edits.value);
+}
+
+/** @returns The accepted change of an operation up to a version, newest first. */
+async function findOperation(
+    context: ControlContext,
+    operationId: string,
+    lastVersion: number,
+): Promise<Result<ConfigChange | undefined, CommandFailure>> {
+    const pageVersions = 500;
+    for (let end = lastVersion; end > 0; end -= pageVersions) {
+        const changes = await readChanges(context.store, Math.max(0, end - pageVersions), end);
+        if (changes.isErr) {
+            return storeUnavailable(changes.error);
+        }
+        const found = changes.value.find(change => change.operationId === operationId);
+        if (found !== undefined) {
+            return Result.ok(found);
+        }
+    }
+    return Result.ok(undefined);
+}
+
+class Committer {
+    readonly #context: ControlContext;
+    readonly #request: EditRequest;
+    readonly #set: ResourceSet;
+    readonly #snapshotVersion: number;
+    #version: number;
+
+    constructor(context: ControlContext, request: EditRequest, set: ResourceSet, loaded: LoadedConfiguration) {
+        this.#context = context;
+        this.#request = request;
+        this.#set = set;
+        this.#version = loaded.version;
+        this.#snapshotVersion = loaded.snapshotVersion;
+    }
+
+    async commit(planned: readonly ResourceEdit[]): Promise<Result<CommitResult, CommandFailure>> {
+        let edits = planned;
+        for (;;) {
+            edits = edits.filter(edit => !isDeepStrictEqual(edit.before, edit.after));
+            if (edits.length === 0) {
+                return Result.ok({ status: "unchanged", version: this.#version, edits });
+            }
+            const change = this.#changeOf(edits);
+            const refusal = this.#check(change);
+            if (refusal !== undefined) {
+                return Result.err(refusal);
+            }
+            const key = configChangeKey(change.version);
+            const written = await putUntilKnown(
+                this.#context,
+                key,
+                change,
+                AbsentVersion,
+                current => parseChange(current)?.operationId === change.operationId,
+            );
+            if (written.status === "applied") {
+                return this.#finish(change);
+            }
+            if (written.status === "unavailable") {
+                const state = written.mayApply ?
+                    "may still take effect; repeat it with" :
+                    "was not applied; repeat it with";
+                const message = `${written.reason}; the change ${state} --operation-id ${change.operationId}`;
+                return fail(ExitCodes.StoreUnavailable, message);
+            }
+            const rebased = await this.#rebase(edits, written.current);
+            if (rebased.isErr) {
+                return Result.err(rebased.error);
+            }
+            if (!Array.isArray(rebased.value)) {
+                return Result.ok(repeated(rebased.value as ConfigChange));
+            }
+            edits = rebased.value;
+        }
+    }
+
+    #changeOf(edits: readonly ResourceEdit[]): ConfigChange {
+        return {
+            version: this.#version + 1,
+            author: this.#context.author,
+            operationId: this.#request.operationId,
+            message: this.#request.message,
+            atMs: this.#context.clock.wallMs(),
+            changes: [...edits],
+        };
+    }
+
+    #check(change: ConfigChange): CommandFailure | undefined {
+        const bytes = Buffer.byteLength(JSON.stringify(change));
+        if (bytes > MaxChangeBytes) {
+            const message = `the change has ${bytes} bytes, the limit is ${MaxChangeBytes}; use --split`;
+            return { exitCode: ExitCodes.Failed, message };
+        }
+        const problems = newErrors(validateResources(this.#set), validateResources(this.#set.with(change.changes)));
+        if (problems.length > 0) {
+            const message = `the change is refused:\n${problems.map(formatProblem).join("\n")}`;
+            return { exitCode: ExitCodes.Failed, message, details: problems };
+        }
+        return undefined;
+    }
+
+    async #finish(change: ConfigChange): Promise<Result<CommitResult, CommandFailure>> {
+        this.#set.apply(change);
+        const age = change.version - this.#snapshotVersion;
+        if (
+            change.version % SnapshotIntervalVersions === 0 || age >= SnapshotIntervalVersions + SnapshotDelayVersions
+        ) {
+            await writeSnapshot(this.#context.store, change.version, this.#set.list());
+        }
+        return Result.ok({ status: "committed", version: change.version, edits: change.changes });
+    }
+
+    /**
+     * Moves the edits onto the versions that others committed meanwhile.
+     * @returns The edits that remain, or the change that already contains this operation.
+     */
+    async #rebase(
+        edits: readonly ResourceEdit[],
+        current: StoredObject | undefined,
+    ): Promise<Result<ResourceEdit[] | ConfigChange, CommandFailure>> {
+        // The winner comes from the conflict itself, because a listing may be too old to show it.
+        const winner = current === undefined ? undefined : parseChange(current);
+        if (winner === undefined || winner.version !== this.#version + 1) {
+            return storeUnavailable(`the change log has no valid version ${this.#version + 1}`);
+        }
+        const later = await readChanges(this.#context.store, winner.version);
+        let remaining = [...edits];
+        for (const change of [winner, ...later.isOk ? later.value : []]) {
+            if (change.operationId === this.#request.operationId) {
+                return Result.ok(change);
+            }
+            const conflicts = remaining.flatMap(edit => conflictsWith(edit, change));
+            if (conflicts.length > 0) {
+                const names = conflicts.map(conflict => `${conflict.kind}/${conflict.name}`).join(", ");
+                const message = `version ${change.version} by ${change.author} also changed ${names}`;
+                return fail(ExitCodes.Conflict, message, conflicts);
+            }
+            remaining = remaining.filter(edit => editOfSame(edit, change) === undefined);
+            this.#set.apply(change);
+            this.#version = change.version;
+        }
+        return Result.ok(remaining);
+    }
+}
+
+function repeated(change: ConfigChange): CommitResult {
+    return { status: "repeated", version: change.version, edits: change.changes };
+}
+
+function parseChange(object: StoredObject): ConfigChange | undefined {
+    const parsed = ConfigChangeSchema.safeParse(object.value);
+    return parsed.success ? parsed.data : undefined;
+}
+
+function editOfSame(edit: ResourceEdit, change: ConfigChange): ResourceEdit | undefined {
+    return change.changes.find(other => other.kind === edit.kind && other.name === edit.name);
+}
+
+function conflictsWith(edit: ResourceEdit, change: ConfigChange): EditConflict[] {
+    const other = editOfSame(edit, change);
+    if (other === undefined || isDeepStrictEqual(other.after, edit.after)) {
+        return [];
+    }
+    return [{
+        kind: edit.kind,
+        name: edit.name,
+        base: edit.before ?? null,
+        mine: edit.after ?? null,
+        theirs: other.after ?? null,
+        theirVersion: change.version,
+        theirAuthor: change.author,
+    }];
+}
--- /dev/null
+++ b/src/control/config/editCommand.ts
@@ -0,0 +1,70 @@
+/** What the commands that edit the configuration have in common. */
+import { Result } from "true-myth";
+import { ExitCodes } from "../../base/exitCodes.js";
+import { operationIdOf, OperationOptions, type OptionTable } from "../command.js";
+import type { CommandResult } from "../commandResult.js";
+import type { ControlContext } from "../controlContext.js";
+import { waitInForce } from "../fleetStatus.js";
+import { commitEdits, type CommitResult, type EditRequest } from "./changeCommit.js";
+
+/** Options of all edits. */
+export const EditOptions = {
+    ...OperationOptions,
+    message: { type: "string", alias: "m", default: "", describe: "reason, kept in the history" },
+    wait: { type: "boolean", default: false, describe: "wait until the version is in force on every host" },
+    "wait-timeout-ms": { type: "number", default: 30_000, describe: "longest wait" },
+} as const satisfies OptionTable;
+
+/** Values of {@link EditOptions}. */
+export interface EditArguments {
+    readonly "operation-id": string | undefined;
+    readonly message: string;
+    readonly wait: boolean;
+    readonly "wait-timeout-ms": number;
+}
+
+/** Commits edits, and waits for them when asked to. */
+export async function runEdit(
+    context: ControlContext,
+    args: EditArguments,
+    plan: EditRequest["plan"],
+    warnings: readonly string[] = [],
+): Promise<CommandResult> {
+    const committed = await commitEdits(context, {
+        operationId: operationIdOf(context, args["operation-id"]),
+        mayBeRepeated: args["operation-id"] !== undefined,
+        message: args.message,
+        plan,
+    });
+    return committed.isErr ? Result.err(committed.error) : finishEdit(context, args, committed.value, warnings);
+}
+
+/** Reports a commit, and waits for it when asked to. */
+export async function finishEdit(
+    context: ControlContext,
+    args: EditArguments,
+    commit: CommitResult,
+    warnings: readonly string[] = [],
+): Promise<CommandResult> {
+    const names = commit.edits.map(({ kind, name }) => `${kind}/${name}`);
+    const value = { status: commit.status, version: commit.version, changed: names, warnings };
+    const lines = [
+        ...warnings.map(warning => `warning: ${warning}`),
+        ...names.map(name => `changed ${name}`),
+        `${commit.status}: version ${commit.version}`,
+    ];
+    if (!args.wait) {
+        return Result.ok({ value, lines });
+    }
+    const behind = await waitInForce(context, commit.version, args["wait-timeout-ms"]);
+    if (behind.isErr) {
+        return Result.err(behind.error);
+    }
+    const notInForce = behind.value.map(({ hostId, configVersion }) => ({ hostId, configVersion }));
+    if (notInForce.length === 0) {
+        return Result.ok({ value: { ...value, notInForce }, lines: [...lines, "in force on every host"] });
+    }
+    const missing = notInForce.map(host => `not in force on ${host.hostId}: version ${host.configVersion}`);
+    const exitCode = ExitCodes.Failed;
+    return Result.ok({ value: { ...value, notInForce }, lines: [...lines, ...missing], exitCode });
+}
--- a/src/features/budget/budgetTypes.ts
+++ b/src/features/budget/budgetTypes.ts
@@ -24,6 +24,8 @@
     atRiskTokens: z.record(z.string(), TokensSchema.nonnegative()),
     shares: z.record(z.string(), ShareSchema),
     topUps: z.array(TopUpSchema),
+    /** At-risk amounts that an operator settled: tokens billed by host key. */
+    releasedTokens: z.record(z.string(), TokensSchema.nonnegative()).optional(),
 });
 export type BudgetObject = z.infer<typeof BudgetObjectSchema>;
 
--- /dev/null
+++ b/src/programs/toucanctl.ts
@@ -0,0 +1,42 @@
+#!/usr/bin/env node
+/** The operator tool. */
+import { setTimeout as sleep } from "node:timers/promises";
+import { hideBin } from "yargs/helpers";
+import { SystemClock } from "../base/clock.js";
+import { SystemRandom } from "../base/random.js";
+import { formatProblems, readSettings } from "../base/settings.js";
+import { type OpenContext, runCli } from "../control/cli.js";
+import { ControlSettingsSchema } from "../control/controlSettings.js";
+import { HttpOperatorClient } from "../control/httpOperatorClient.js";
+import { HttpHostList, HttpPlatformStore } from "../platform/httpPlatformStore.js";
+import { PlatformConnection } from "../platform/platformConnection.js";
+
+let connection: PlatformConnection | undefined;
+
+const openContext: OpenContext = args => {
+    const settings = readSettings(ControlSettingsSchema, args.settings);
+    if (settings.isErr) {
+        return formatProblems(settings.error);
+    }
+    const { platformUrl, timeoutMs, connectTimeoutMs, operatorToken, author, retryMs } = settings.value;
+    connection = new PlatformConnection(
+        { url: args.platform ?? platformUrl, timeoutMs, connectTimeoutMs },
+        () => undefined,
+    );
+    return {
+        store: new HttpPlatformStore(connection),
+        hosts: new HttpHostList(connection),
+        operator: new HttpOperatorClient(operatorToken, timeoutMs),
+        clock: new SystemClock(),
+        random: new SystemRandom(),
+        sleep: durationMs => sleep(durationMs),
+        author: args.author ?? author,
+        retryMs,
+    };
+};
+
+const result = await runCli(hideBin(process.argv), openContext);
+process.stdout.write(result.stdout);
+process.stderr.write(result.stderr);
+await connection?.close();
+process.exitCode = result.exitCode;
