Form the same parts when a split apply is repeated

The parts depended on the values in the store, so that a repeated command with the same operation id formed other parts, took some of them for done and dropped their resources. Parts now depend on the file alone, and a repeated operation id with another file ends with exit code 3. Found by a new test.

--- a/src/control/commands/apply.ts
+++ b/src/control/commands/apply.ts
@@ -1,5 +1,7 @@
 /** `toucanctl apply`. */
+import { isDeepStrictEqual } from "node:util";
 import { Result } from "true-myth";
+import { ExitCodes } from "../../base/exitCodes.js";
 import type { ResourceEdit } from "../../features/config/configTypes.js";
 import { defineCommand, operationIdOf } from "../command.js";
 import type { CommandFailure, CommandResult } from "../commandResult.js";
@@ -10,8 +12,11 @@
 import { formatProblem, validateResources } from "../config/validation.js";
 import type { ControlContext } from "../controlContext.js";
 
-/** Size of a part of a split change; leaves room for the change's own fields. */
-const PartBytes = MaxChangeBytes * 0.8;
+/**
+ * Size of the resources in a part of a split change. It leaves room for the values that they replace, and does not
+ * depend on them, so that a repeated command forms the same parts.
+ */
+const PartBytes = MaxChangeBytes * 0.45;
 /** Order of the parts: selectors may use only labels that are already carried. */
 const KindOrder = ["Team", "RequestKind", "Upstream", "Budget", "Grant", "Rule"];
 
@@ -35,7 +40,10 @@
             warnings.push(...validateResources(set.with(edits)).warnings.map(formatProblem));
             return Result.ok(edits);
         };
-        return args.split ? applyInParts(context, args, file.value) : runEdit(context, args, plan, warnings);
+        const check = (commit: CommitResult): CommandFailure | undefined => checkReuse(commit, file.value);
+        return args.split ?
+            applyInParts(context, args, file.value) :
+            runEdit(context, args, plan, { warnings, check });
     },
 });
 
@@ -51,7 +59,7 @@
     const operationId = operationIdOf(context, args["operation-id"]);
     const edits: ResourceEdit[] = [];
     let last: CommitResult = { status: "unchanged", version: base.value.loaded.version, edits: [] };
-    for (const [index, part] of splitParts(base.value.set, resources).entries()) {
+    for (const [index, part] of splitParts(resources).entries()) {
         const committed = await commitEdits(context, {
             operationId: `${operationId}.${index}`,
             mayBeRepeated: args["operation-id"] !== undefined,
@@ -61,22 +69,38 @@
         if (committed.isErr) {
             return Result.err(committed.error);
         }
+        const reused = checkReuse(committed.value, part);
+        if (reused !== undefined) {
+            return Result.err(reused);
+        }
         last = committed.value;
         edits.push(...last.edits);
     }
     return finishEdit(context, args, { ...last, edits });
 }
 
+/** A repeated operation id must come with the file of the first time. */
+function checkReuse(commit: CommitResult, resources: readonly FileResource[]): CommandFailure | undefined {
+    const isSame = commit.status !== "repeated" ||
+        commit.edits.every(edit =>
+            resources.some(({ kind, name, spec }) =>
+                kind === edit.kind && name === edit.name && isDeepStrictEqual(spec, edit.after)
+            )
+        );
+    const message = `the operation id belongs to a different change, version ${commit.version}`;
+    return isSame ? undefined : { exitCode: ExitCodes.Conflict, message };
+}
+
 function editsOf(set: ResourceSet, resources: readonly FileResource[]): ResourceEdit[] {
     return resources.map(({ kind, name, spec }) => editOf(set, kind, name, spec));
 }
 
-function splitParts(set: ResourceSet, resources: readonly FileResource[]): FileResource[][] {
+function splitParts(resources: readonly FileResource[]): FileResource[][] {
     const sorted = [...resources].sort((a, b) => KindOrder.indexOf(a.kind) - KindOrder.indexOf(b.kind));
     const parts: FileResource[][] = [];
     let partBytes = PartBytes;
     for (const resource of sorted) {
-        const bytes = Buffer.byteLength(JSON.stringify(editOf(set, resource.kind, resource.name, resource.spec))) + 1;
+        const bytes = Buffer.byteLength(JSON.stringify(resource)) + 1;
         if (partBytes + bytes > PartBytes) {
             parts.push([]);
             partBytes = 0;
--- /dev/null
+++ b/src/control/config/configCommands.spec.ts
@@ -0,0 +1,256 @@
+import { Result } from "true-myth";
+import { beforeEach, describe, expect, it } from "vitest";
+import { loadConfiguration, resourceId, SnapshotIndexKey } from "../../features/config/configSnapshot.js";
+import { ControlFixture } from "../../standins/control/controlFixture.js";
+import { ObjectStore } from "../../standins/platform/objectStore.js";
+import { commitEdits } from "./changeCommit.js";
+import { editOf } from "./resourceSet.js";
+
+const team = (name: string, labels: Record<string, string> = { chain: name }, weight = 1) => ({
+    kind: "Team",
+    name,
+    spec: { labels, weight },
+});
+const budget = (name: string, chain: string) => ({
+    kind: "Budget",
+    name,
+    spec: { teams: { matchLabels: { chain } } },
+});
+
+describe("toucanctl configuration commands", () => {
+    let objects: ObjectStore;
+    let ann: ControlFixture;
+    let bob: ControlFixture;
+    beforeEach(() => {
+        objects = new ObjectStore();
+        ann = new ControlFixture(objects, "ann", 1);
+        bob = new ControlFixture(objects, "bob", 2);
+    });
+    const resources = async () => {
+        const loaded = (await loadConfiguration(ann.store)).unwrapOrElse(reason => {
+            throw new Error(reason);
+        });
+        const entries = loaded.resources.map(entry => [resourceId(entry.kind, entry.name), entry.value]);
+        return { version: loaded.version, values: Object.fromEntries(entries) as Record<string, unknown> };
+    };
+    /** Commits another operator's edit between the first operator's read and write. */
+    const raceWith = (file: unknown): void => {
+        const put = ann.store.put.bind(ann.store);
+        ann.store.put = async (...call) => {
+            ann.store.put = put;
+            await bob.withFile(file, "apply");
+            return put(...call);
+        };
+    };
+
+    describe("when a file is applied", () => {
+        it("commits all of it as one version, once (guards against versions without changes)", async () => {
+            const file = [team("cork"), budget("cork", "cork")];
+            const first = await ann.withFile(file, "apply");
+            expect(first).toMatchObject({ exitCode: 0, json: { status: "committed", version: 1 } });
+            const second = await ann.withFile(file, "apply");
+            expect(second).toMatchObject({ exitCode: 0, json: { status: "unchanged", version: 1 } });
+        });
+
+        it("refuses fields with their path and unknown labels (guards against rules that silently match nothing)", async () => {
+            const typo = await ann.withFile([{ kind: "Rule", name: "r", spec: { upstream: {} } }], "apply");
+            expect(typo.exitCode).toBe(1);
+            expect(JSON.stringify(typo.json)).toContain("Rule/r: upstreams");
+            const label = await ann.withFile([team("cork"), budget("b", "x")], "apply");
+            expect(label).toMatchObject({ exitCode: 0, json: { warnings: ["Budget/b: teams: matches no Team"] } });
+            const selector = { matchExpressions: [{ key: "tier", operator: "Exists" }] };
+            const unknown = { kind: "Budget", name: "c", spec: { teams: selector } };
+            const refused = await ann.withFile([unknown], "apply");
+            expect(refused).toMatchObject({ exitCode: 1 });
+            expect(JSON.stringify(refused.json)).toContain("Budget/c: teams: no Team carries the label");
+            expect((await resources()).version).toBe(1);
+        });
+
+        it("refuses an edit that takes the last label from under a selector, by deletion too", async () => {
+            await ann.withFile([team("cork"), budget("cork", "cork")], "apply");
+            expect(await ann.json("delete", "team", "cork")).toMatchObject({ exitCode: 1 });
+            expect(await ann.json("label", "team", "chain-", "-l", "")).toMatchObject({ exitCode: 1 });
+            expect((await resources()).version).toBe(1);
+        });
+
+        it("refuses an API key of another team (guards against bills to the wrong team)", async () => {
+            const keyHashes = ["a".repeat(64)];
+            const teams = ["cork", "kerry"].map(name => ({ kind: "Team", name, spec: { keyHashes } }));
+            expect(await ann.withFile(teams, "validate")).toMatchObject({ exitCode: 1 });
+        });
+
+        it("commits a large file in parts only when asked to (guards against changes that peers cannot send)", async () => {
+            const teams = Array.from({ length: 2_000 }, (_value, index) => team(`t${index}`));
+            const file = [...teams.map(entry => budget(entry.name, entry.name)), ...teams];
+            expect(await ann.withFile(file, "apply")).toMatchObject({ exitCode: 1 });
+            const split = await ann.withFile(file, "apply", "--split", "--operation-id", "load");
+            expect(split).toMatchObject({ exitCode: 0, json: { status: "committed" } });
+            const { version, values } = await resources();
+            expect(Object.keys(values)).toHaveLength(4_000);
+            const again = await ann.withFile(file, "apply", "--split", "--operation-id", "load");
+            expect(again).toMatchObject({ json: { status: "repeated", version } });
+        });
+    });
+
+    describe("when operators race", () => {
+        it("rebases over changes of other objects (guards against refusals without a reason)", async () => {
+            raceWith([team("kerry")]);
+            expect(await ann.withFile([team("cork")], "apply")).toMatchObject({ json: { version: 2 } });
+            expect((await resources()).values).toHaveProperty("Team/kerry");
+        });
+
+        it("shows both sides of a change of the same object (guards against silently lost edits)", async () => {
+            await ann.withFile([team("cork")], "apply");
+            raceWith([team("cork", { chain: "cork" }, 3)]);
+            const conflict = await ann.withFile([team("cork", { chain: "cork" }, 2)], "apply");
+            expect(conflict).toMatchObject({
+                exitCode: 3,
+                json: { error: { details: [{ base: { weight: 1 }, mine: { weight: 2 }, theirs: { weight: 3 } }] } },
+            });
+            expect((await resources()).values["Team/cork"]).toMatchObject({ weight: 3 });
+        });
+
+        it("checks selectors again after a rebase (guards against a label that disappears in the race)", async () => {
+            await ann.withFile([team("cork"), team("kerry", { other: "x" })], "apply");
+            raceWith([team("cork", { other: "x" })]);
+            expect(await ann.withFile([budget("b", "cork")], "apply")).toMatchObject({ exitCode: 1 });
+        });
+    });
+
+    describe("when answers are lost", () => {
+        it("commits once (guards against doubled versions)", async () => {
+            ann.store.faults.set([{ type: "answerLost", count: 2 }]);
+            const result = await ann.withFile([team("cork")], "apply");
+            expect(result).toMatchObject({ exitCode: 0, json: { status: "committed", version: 1 } });
+            expect((await resources()).version).toBe(1);
+        });
+
+        it("leaves a late write without effect when the operation is repeated", async () => {
+            ann.store.faults.set([{ type: "appliedLate", delayMs: 1 }]);
+            const first = await ann.withFile([team("cork")], "apply", "--operation-id", "op");
+            expect(first).toMatchObject({ exitCode: 4 });
+            ann.store.faults.set([]);
+            const repeat = () => ann.withFile([team("cork")], "apply", "--operation-id", "op");
+            expect(await repeat()).toMatchObject({ json: { status: "committed", version: 1 } });
+            ann.store.applyLateWrites();
+            expect(await repeat()).toMatchObject({ json: { status: "repeated", version: 1 } });
+            expect((await resources()).version).toBe(1);
+        });
+
+        it("refuses an operation id of another change (guards against edits that are dropped as repeated)", async () => {
+            await ann.withFile([team("cork")], "apply", "--operation-id", "op");
+            const other = await ann.withFile([team("kerry")], "apply", "--operation-id", "op");
+            expect(other).toMatchObject({ exitCode: 3 });
+        });
+
+        it("repeats no operation, also when another object changed since (guards against reverting others)", async () => {
+            await ann.withFile([team("cork", { chain: "cork" }, 2)], "apply", "--operation-id", "op");
+            await bob.withFile([team("cork", { chain: "cork" }, 5)], "apply");
+            const again = await ann.withFile([team("cork", { chain: "cork" }, 2)], "apply", "--operation-id", "op");
+            expect(again).toMatchObject({ json: { status: "repeated", version: 1 } });
+            expect((await resources()).values["Team/cork"]).toMatchObject({ weight: 5 });
+        });
+    });
+
+    describe("when versions are undone", () => {
+        it("restores the objects as a new version, and refuses when they changed since", async () => {
+            await ann.withFile([team("cork"), team("kerry")], "apply");
+            await ann.json("label", "teams", "size=big", "-l", "chain in (cork,kerry)");
+            await ann.withFile([team("kerry", { chain: "kerry" }, 4)], "apply");
+            expect(await ann.json("undo", "2")).toMatchObject({ exitCode: 3 });
+            expect(await ann.json("undo", "3")).toMatchObject({ exitCode: 0, json: { version: 4 } });
+            expect(await ann.json("undo", "2")).toMatchObject({ exitCode: 0, json: { version: 5 } });
+            expect((await resources()).values["Team/cork"]).toMatchObject({ labels: { chain: "cork" } });
+            expect(await ann.json("diff", "--from", "1")).toMatchObject({ json: [] });
+            expect(await ann.json("history", "--resource", "Team/cork")).toMatchObject({
+                json: [{ version: 5, author: "ann" }, { version: 2 }, { version: 1 }],
+            });
+        });
+    });
+
+    describe("when resources are read", () => {
+        it("selects by kind, name and label", async () => {
+            await ann.withFile([team("cork"), team("kerry"), budget("cork", "cork")], "apply");
+            expect(await ann.json("get", "teams", "-l", "chain!=cork")).toMatchObject({ json: [{ name: "kerry" }] });
+            expect(await ann.json("get", "Budget", "cork")).toMatchObject({ json: [{ kind: "Budget" }] });
+            expect(await ann.json("get", "Team", "-l", "tier=x")).toMatchObject({ exitCode: 1 });
+            expect(await ann.json("get", "Planet")).toMatchObject({ exitCode: 2 });
+            expect(await ann.run("get", "Team")).toMatchObject({ stdout: expect.stringContaining("chain=cork") });
+        });
+    });
+
+    describe("when 128 versions have gathered", () => {
+        it("loads the same configuration from the snapshot (guards against resources lost at a cold start)", async () => {
+            for (let index = 0; index < 300; index++) {
+                const { name, spec: after } = team(`t${index % 50}`, { chain: "x" }, index + 1);
+                await commitEdits(ann.context, {
+                    operationId: `op${index}`,
+                    mayBeRepeated: false,
+                    message: "",
+                    plan: set => Result.ok([editOf(set, "Team", name, after)]),
+                });
+            }
+            await ann.json("delete", "team", "t7");
+            expect(objects.get(SnapshotIndexKey)).toMatchObject({ object: { value: { version: 256 } } });
+            const { version, values } = await resources();
+            expect(version).toBe(301);
+            expect(Object.keys(values)).toHaveLength(49);
+            expect(values["Team/t49"]).toMatchObject({ weight: 300 });
+        });
+    });
+
+    describe("when a version must be in force everywhere", () => {
+        const record = (hostId: string, configVersion: number) => ({
+            hostId,
+            incarnation: "1",
+            zone: "z1",
+            state: "live",
+            sequence: 1,
+            configVersion,
+            entries: {},
+            bills: [],
+            billSegments: 0,
+            ticketLimit: 0,
+        });
+        const listed = (hostId: string) => ({
+            hostId,
+            zone: "z1",
+            peerAddress: "",
+            operatorAddress: `${hostId}:1`,
+            state: "live" as const,
+        });
+
+        it("waits for records and reports the hosts that are behind (guards against a false all-clear)", async () => {
+            objects.put("host/h1~1", record("h1", 1), 0);
+            objects.put("host/h2~1", record("h2", 0), 0);
+            objects.put("host/gone~1", record("gone", 0), 0);
+            ann.hosts.set([listed("h1"), listed("h2")]);
+            const late = await ann.withFile([team("cork")], "apply", "--wait");
+            expect(late).toMatchObject({ exitCode: 1, json: { notInForce: [{ hostId: "h2", configVersion: 0 }] } });
+            ann.onSleep = () => objects.put("host/h2~1", record("h2", 2), 1);
+            objects.put("host/h1~1", record("h1", 2), 1);
+            const inForce = await ann.withFile([team("kerry")], "apply", "--wait");
+            expect(inForce).toMatchObject({ exitCode: 0, json: { notInForce: [] } });
+        });
+
+        it("asks the operator endpoints when it has a token", async () => {
+            ann.hosts.set([listed("h1")]);
+            ann.operator.hasToken = true;
+            ann.operator.bodies.set("GET h1:1/state", { board: { config: { version: 9 } } });
+            ann.operator.bodies.set("POST h1:1/drain", { draining: true });
+            const status = await ann.json("status");
+            expect(status).toMatchObject({ json: { hosts: [{ hostId: "h1", configVersion: 9, source: "endpoint" }] } });
+            expect(await ann.json("drain", "h1")).toMatchObject({ exitCode: 0, json: { draining: true } });
+            expect(await ann.json("state", "h2")).toMatchObject({ exitCode: 1 });
+        });
+    });
+
+    describe("when the store is unavailable", () => {
+        it("ends with exit code 4", async () => {
+            ann.store.faults.set([{ type: "outage" }]);
+            expect(await ann.json("get", "Team")).toMatchObject({ exitCode: 4 });
+            ann.store.faults.set([{ type: "outage", kinds: ["write"] }]);
+            expect(await ann.withFile([team("cork")], "apply")).toMatchObject({ exitCode: 4 });
+        });
+    });
+});
--- a/src/control/config/editCommand.ts
+++ b/src/control/config/editCommand.ts
@@ -2,7 +2,7 @@
 import { Result } from "true-myth";
 import { ExitCodes } from "../../base/exitCodes.js";
 import { operationIdOf, OperationOptions, type OptionTable } from "../command.js";
-import type { CommandResult } from "../commandResult.js";
+import type { CommandFailure, CommandResult } from "../commandResult.js";
 import type { ControlContext } from "../controlContext.js";
 import { waitInForce } from "../fleetStatus.js";
 import { commitEdits, type CommitResult, type EditRequest } from "./changeCommit.js";
@@ -23,12 +23,19 @@
     readonly "wait-timeout-ms": number;
 }
 
+/** What a command adds to an edit. */
+export interface EditExtras {
+    readonly warnings: readonly string[];
+    /** @returns Why the commit is not what the command asked for. */
+    readonly check: (commit: CommitResult) => CommandFailure | undefined;
+}
+
 /** Commits edits, and waits for them when asked to. */
 export async function runEdit(
     context: ControlContext,
     args: EditArguments,
     plan: EditRequest["plan"],
-    warnings: readonly string[] = [],
+    extras?: EditExtras,
 ): Promise<CommandResult> {
     const committed = await commitEdits(context, {
         operationId: operationIdOf(context, args["operation-id"]),
@@ -36,7 +43,13 @@
         message: args.message,
         plan,
     });
-    return committed.isErr ? Result.err(committed.error) : finishEdit(context, args, committed.value, warnings);
+    if (committed.isErr) {
+        return Result.err(committed.error);
+    }
+    const failure = extras?.check(committed.value);
+    return failure === undefined ?
+        finishEdit(context, args, committed.value, extras?.warnings) :
+        Result.err(failure);
 }
 
 /** Reports a commit, and waits for it when asked to. */
--- /dev/null
+++ b/src/standins/control/controlFixture.ts
@@ -0,0 +1,89 @@
+/** The operator tool on an in-memory platform, for tests. */
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { ManualClock } from "../../base/clock.js";
+import { SeededRandom } from "../../base/random.js";
+import { type CliResult, runCli } from "../../control/cli.js";
+import { type ControlContext, OperatorClient } from "../../control/controlContext.js";
+import { LocalHostList, LocalPlatformStore } from "../platform/localStore.js";
+import { ObjectStore } from "../platform/objectStore.js";
+
+/** Operator endpoints with prepared answers. */
+export class FakeOperatorClient extends OperatorClient {
+    override hasToken = false;
+    /** Bodies by `METHOD address path`. */
+    readonly bodies = new Map<string, unknown>();
+
+    override call(
+        address: string,
+        method: "GET" | "POST",
+        path: string,
+    ): Promise<{ readonly httpStatus: number; readonly body: unknown; } | undefined> {
+        const body = this.bodies.get(`${method} ${address}${path}`);
+        return Promise.resolve(body === undefined ? undefined : { httpStatus: 200, body });
+    }
+}
+
+/** Result of a command whose output is JSON. */
+export interface JsonResult {
+    readonly exitCode: CliResult["exitCode"];
+    /** Parsed standard output, or the parsed error. */
+    readonly json: unknown;
+}
+
+/** Runs commands against one store; each operator has its own connection with its own faults. */
+export class ControlFixture {
+    readonly objects: ObjectStore;
+    readonly clock = new ManualClock();
+    readonly store: LocalPlatformStore;
+    readonly hosts = new LocalHostList();
+    readonly operator = new FakeOperatorClient();
+    readonly context: ControlContext;
+    /** Called whenever a command waits. */
+    onSleep: () => void = () => undefined;
+
+    /** @param objects Store to share with other operators. */
+    constructor(objects: ObjectStore = new ObjectStore(), author = "operator", seed = 1) {
+        this.objects = objects;
+        this.store = new LocalPlatformStore(objects, { hostId: author, clock: this.clock });
+        this.context = {
+            store: this.store,
+            hosts: this.hosts,
+            operator: this.operator,
+            clock: this.clock,
+            random: new SeededRandom(seed),
+            sleep: durationMs => {
+                this.clock.advance(durationMs);
+                this.onSleep();
+                return Promise.resolve();
+            },
+            author,
+            retryMs: 2_000,
+        };
+    }
+
+    /** Runs a command line. */
+    run(...argv: string[]): Promise<CliResult> {
+        return runCli(argv, () => this.context);
+    }
+
+    /** Runs a command line with JSON output. */
+    async json(...argv: string[]): Promise<JsonResult> {
+        const { exitCode, stdout, stderr } = await this.run(...argv, "--output", "json");
+        return { exitCode, json: JSON.parse(stdout === "" ? stderr : stdout) };
+    }
+
+    /** Runs a command with a file as its `--file` option. */
+    async withFile(contents: unknown, ...argv: string[]): Promise<JsonResult> {
+        const folder = mkdtempSync(join(tmpdir(), "toucanctl-"));
+        try {
+            const path = join(folder, "resources.json");
+            writeFileSync(path, JSON.stringify(contents));
+            return await this.json(...argv, "--file", path);
+        }
+        finally {
+            rmSync(folder, { recursive: true });
+        }
+    }
+}
