Keep every planned edit until its change is committed

The racing test found that an edit equal to another operator's edit, or to the value in force, was dropped at the first look, although the value was changed again before the commit, so that the command reported success without effect. All planned edits now stay until the commit and conflict when the newest value is neither the one they started from nor their own. A repeated operation also finds its version when its search reads an older state than the load did.

--- a/src/control/config/changeCommit.ts
+++ b/src/control/config/changeCommit.ts
@@ -19,7 +19,7 @@
 import { type CommandFailure, fail, storeUnavailable } from "../commandResult.js";
 import type { ControlContext } from "../controlContext.js";
 import { putUntilKnown, readCurrent } from "../storeAccess.js";
-import { ResourceSet } from "./resourceSet.js";
+import { editOf, ResourceSet } from "./resourceSet.js";
 import { formatProblem, newErrors, validateResources } from "./validation.js";
 
 /** Largest change, in bytes of JSON. Routers hand changes to each other in messages of at most 256 KB. */
@@ -106,11 +106,18 @@
 ): Promise<Result<ConfigChange | undefined, CommandFailure>> {
     const pageVersions = 500;
     for (let end = lastVersion; end > 0; end -= pageVersions) {
-        const changes = await readChanges(context.store, Math.max(0, end - pageVersions), end);
-        if (changes.isErr) {
-            return storeUnavailable(changes.error);
+        const start = Math.max(0, end - pageVersions);
+        const listed = await readChanges(context.store, start, end);
+        if (listed.isErr) {
+            return storeUnavailable(listed.error);
         }
-        const found = changes.value.find(change => change.operationId === operationId);
+        // This listing may be older than the one that showed the last version.
+        const lastListed = listed.value.at(-1)?.version ?? start;
+        const unseen = lastListed < end ? await readUnseen(context, lastListed) : Result.ok<ConfigChange[]>([]);
+        if (unseen.isErr) {
+            return Result.err(unseen.error);
+        }
+        const found = [...listed.value, ...unseen.value].find(change => change.operationId === operationId);
         if (found !== undefined) {
             return Result.ok(found);
         }
@@ -155,11 +162,12 @@
     async commit(planned: readonly ResourceEdit[]): Promise<Result<CommitResult, CommandFailure>> {
         let edits = planned;
         for (;;) {
-            edits = edits.filter(edit => !isDeepStrictEqual(edit.before, edit.after));
-            if (edits.length === 0) {
-                return Result.ok({ status: "unchanged", version: this.#version, edits });
+            // Edits without an effect stay in the list: a rebase must notice when others change their objects.
+            const effective = edits.filter(edit => !isDeepStrictEqual(edit.before, edit.after));
+            if (effective.length === 0) {
+                return Result.ok({ status: "unchanged", version: this.#version, edits: effective });
             }
-            const change = this.#changeOf(edits);
+            const change = this.#changeOf(effective);
             const refusal = this.#check(change);
             if (refusal !== undefined) {
                 return Result.err(refusal);
@@ -243,22 +251,42 @@
             return storeUnavailable(`the change log has no valid version ${this.#version + 1}`);
         }
         const later = await readChanges(this.#context.store, winner.version);
-        let remaining = [...edits];
-        for (const change of [winner, ...later.isOk ? later.value : []]) {
-            if (change.operationId === this.#request.operationId) {
-                return Result.ok(change);
-            }
-            const conflicts = remaining.flatMap(edit => conflictsWith(edit, change));
-            if (conflicts.length > 0) {
-                const names = conflicts.map(conflict => `${conflict.kind}/${conflict.name}`).join(", ");
-                const message = `version ${change.version} by ${change.author} also changed ${names}`;
-                return fail(ExitCodes.Conflict, message, conflicts);
-            }
-            remaining = remaining.filter(edit => editOfSame(edit, change) === undefined);
-            this.#set.apply(change);
-            this.#version = change.version;
+        const changes = [winner, ...later.isOk ? later.value : []];
+        const own = changes.find(change => change.operationId === this.#request.operationId);
+        if (own !== undefined) {
+            return Result.ok(own);
         }
-        return Result.ok(remaining);
+        changes.forEach(change => this.#set.apply(change));
+        this.#version = changes.at(-1)!.version;
+        const conflicts = edits.flatMap(edit => this.#conflictOf(edit, changes));
+        if (conflicts.length === 0) {
+            return Result.ok(edits.map(({ kind, name, after }) => editOf(this.#set, kind, name, after)));
+        }
+        const names = conflicts.map(conflict => `${conflict.kind}/${conflict.name}`).join(", ");
+        const { theirVersion, theirAuthor } = conflicts[0]!;
+        const message = `version ${theirVersion} by ${theirAuthor} also changed ${names}`;
+        return fail(ExitCodes.Conflict, message, conflicts);
+    }
+
+    /** Only the newest value counts: an equal edit of another operator may have been reverted since. */
+    #conflictOf(edit: ResourceEdit, changes: readonly ConfigChange[]): EditConflict[] {
+        const { kind, name } = edit;
+        const theirs = this.#set.get(kind, name);
+        const last = changes.findLast(change =>
+            change.changes.some(other => other.kind === kind && other.name === name)
+        );
+        if (last === undefined || [edit.before, edit.after].some(side => isDeepStrictEqual(theirs, side))) {
+            return [];
+        }
+        return [{
+            kind,
+            name,
+            base: edit.before ?? null,
+            mine: edit.after ?? null,
+            theirs: theirs ?? null,
+            theirVersion: last.version,
+            theirAuthor: last.author,
+        }];
     }
 }
 
@@ -270,23 +298,3 @@
     const parsed = ConfigChangeSchema.safeParse(object.value);
     return parsed.success ? parsed.data : undefined;
 }
-
-function editOfSame(edit: ResourceEdit, change: ConfigChange): ResourceEdit | undefined {
-    return change.changes.find(other => other.kind === edit.kind && other.name === edit.name);
-}
-
-function conflictsWith(edit: ResourceEdit, change: ConfigChange): EditConflict[] {
-    const other = editOfSame(edit, change);
-    if (other === undefined || isDeepStrictEqual(other.after, edit.after)) {
-        return [];
-    }
-    return [{
-        kind: edit.kind,
-        name: edit.name,
-        base: edit.before ?? null,
-        mine: edit.after ?? null,
-        theirs: other.after ?? null,
-        theirVersion: change.version,
-        theirAuthor: change.author,
-    }];
-}
--- a/src/control/config/configCommands.spec.ts
+++ b/src/control/config/configCommands.spec.ts
@@ -34,11 +34,14 @@
         return { version: loaded.version, values: Object.fromEntries(entries) as Record<string, unknown> };
     };
     /** Commits another operator's edit between the first operator's read and write. */
-    const raceWith = (file: unknown): void => {
+    const raceWith = (file: unknown, next: string[] = []): void => {
         const put = ann.store.put.bind(ann.store);
         ann.store.put = async (...call) => {
             ann.store.put = put;
             await bob.withFile(file, "apply");
+            if (next.length > 0) {
+                expect(await bob.json(...next)).toMatchObject({ exitCode: 0 });
+            }
             return put(...call);
         };
     };
@@ -110,6 +113,27 @@
             expect((await resources()).values["Team/cork"]).toMatchObject({ weight: 3 });
         });
 
+        it("conflicts when an equal edit was reverted meanwhile (guards against an accepted edit without effect)", async () => {
+            await ann.withFile([team("cork")], "apply");
+            const edit = [team("cork", { chain: "cork" }, 7)];
+            raceWith(edit, ["delete", "team", "cork"]);
+            expect(await ann.withFile(edit, "apply")).toMatchObject({ exitCode: 3 });
+        });
+
+        it("rebases when an equal edit was undone meanwhile", async () => {
+            await ann.withFile([team("cork")], "apply");
+            const edit = [team("cork", { chain: "cork" }, 7)];
+            raceWith(edit, ["undo", "2"]);
+            expect(await ann.withFile(edit, "apply")).toMatchObject({ json: { status: "committed", version: 4 } });
+        });
+
+        it("conflicts when an object that already had its value changes meanwhile", async () => {
+            await ann.withFile([team("cork")], "apply");
+            raceWith([team("cork", { chain: "cork" }, 5)]);
+            expect(await ann.withFile([team("cork"), team("kerry")], "apply")).toMatchObject({ exitCode: 3 });
+            expect((await resources()).values).not.toHaveProperty("Team/kerry");
+        });
+
         it("checks selectors again after a rebase (guards against a label that disappears in the race)", async () => {
             await ann.withFile([team("cork"), team("kerry", { other: "x" })], "apply");
             raceWith([team("cork", { other: "x" })]);
@@ -152,6 +176,22 @@
         });
     });
 
+    describe("when an operation is repeated and its search reads an older state than the load", () => {
+        it("still finds the operation (guards against repeating an edit that others have replaced)", async () => {
+            const edit = [team("cork", { chain: "cork" }, 2)];
+            await ann.withFile(edit, "apply", "--operation-id", "op");
+            await ann.withFile([team("cork", { chain: "cork" }, 5)], "apply");
+            const list = ann.store.list.bind(ann.store);
+            let calls = 0;
+            ann.store.list = async (...call) => {
+                calls++;
+                return calls === 1 ? list(...call) : { status: "listed", objects: [], more: false };
+            };
+            const again = await ann.withFile(edit, "apply", "--operation-id", "op");
+            expect(again).toMatchObject({ json: { status: "repeated", version: 1 } });
+        });
+    });
+
     describe("when versions are undone", () => {
         it("restores the objects as a new version, and refuses when they changed since", async () => {
             await ann.withFile([team("cork"), team("kerry")], "apply");
--- a/test/fuzz/operatorRace.spec.ts
+++ b/test/fuzz/operatorRace.spec.ts
@@ -37,6 +37,8 @@
     readonly edit: Edit;
     /** Whether the operator chose the id; a generated one is known only after the first run. */
     readonly hasChosenId: boolean;
+    /** Values that the runs of the operation saw when they planned their edits. */
+    readonly seen: ResourceEdit[];
     readonly results: Result<CommitResult, CommandFailure>[];
     runs: number;
 }
@@ -87,7 +89,11 @@
             operationId: operation.id,
             mayBeRepeated: isRepeated || operation.hasChosenId,
             message: "",
-            plan: set => Result.ok(planEdit(set, operation.edit)),
+            plan: set => {
+                const planned = planEdit(set, operation.edit);
+                operation.seen.push(...planned);
+                return Result.ok(planned);
+            },
         }).then(result => {
             operation.results.push(result);
             this.#running--;
@@ -154,16 +160,33 @@
     return resources;
 }
 
+/** @returns Whether the team's value is what the edit asked for. Labels depend on the teams that existed. */
+function isInForce(edit: Edit, resources: ReadonlyMap<string, SnapshotResource>): boolean {
+    const valueOf = (team: number): unknown => resources.get(`Team/${Teams[team]}`)?.value;
+    if (edit.type === "set") {
+        return edit.teams.every(team => (valueOf(team) as { weight: number; } | undefined)?.weight === edit.weight);
+    }
+    return edit.type === "label" || valueOf(edit.team) === undefined;
+}
+
 function checkResults(operations: readonly Operation[], changes: readonly ConfigChange[]): void {
-    for (const { id, edit, results } of operations) {
+    const states = [new Map<string, SnapshotResource>()];
+    for (const change of changes) {
+        const state = new Map(states.at(-1));
+        applyChange(state, change);
+        states.push(state);
+    }
+    for (const { id, edit, results, seen } of operations) {
         const change = changes.find(entry => entry.operationId === id);
-        const versions = results.flatMap(result =>
-            result.isOk && result.value.status !== "unchanged" ? [result.value.version] : []
-        );
-        versions.forEach(version => expect(version, `${id} was accepted and is not in the log`).toBe(change?.version));
-        if (versions.length > 0 && edit.type === "set") {
-            const afters = change!.changes.map(({ after }) => after as { weight: number; });
-            afters.forEach(after => expect(after.weight).toBe(edit.weight));
+        for (const { name, before } of change?.changes ?? []) {
+            const isSeen = seen.some(entry => entry.name === name && isDeepStrictEqual(entry.before, before));
+            expect(isSeen, `${id} replaced a value of ${name} that its operator had not seen`).toBe(true);
+        }
+        for (const { status, version } of results.flatMap(result => result.isOk ? [result.value] : [])) {
+            if (status !== "unchanged") {
+                expect(version, `${id} was accepted and is not in the log`).toBe(change?.version);
+            }
+            expect(isInForce(edit, states[version]!), `${id} was accepted and is not in force`).toBe(true);
         }
         const definite = [ExitCodes.Conflict, ExitCodes.Failed] as readonly number[];
         const isRefused = results.every(result => result.isErr && definite.includes(result.error.exitCode));
@@ -211,7 +234,14 @@
 const commands = [
     fc.tuple(operatorIndex, edits, fc.boolean()).map(([operator, edit, hasChosenId]) =>
         command(`edit(${operator}, ${JSON.stringify(edit)}, ${hasChosenId})`, operators => {
-            const operation = { id: `op${operators.operations.length}`, edit, hasChosenId, results: [], runs: 0 };
+            const operation = {
+                id: `op${operators.operations.length}`,
+                edit,
+                hasChosenId,
+                seen: [],
+                results: [],
+                runs: 0,
+            };
             operators.operations.push(operation);
             operators.start(operator, operation);
         })
