Add the gateway: caller listener, request flow and upstream client

Cause: callers and upstreams were not connected yet. Change: caller listener with header checks, body limit, authentication and parsing; request flow from the plan to the bill with undo of every step; attempts with id check, whole-answer check and classification of refusals; hedging group; undici client with one request per connection, where a connection is used again only after a whole answer. A controller that grants everything serves the specs until the real controllers are merged. Before: no request could be relayed.

--- /dev/null
+++ b/src/gateway/authentication.ts
@@ -0,0 +1,22 @@
+/** Authentication of callers and operators by hashed keys. */
+import { equalHashes, sha256Hex } from "../base/hashing.js";
+import type { ConfigBoard } from "../features/config/configBoard.js";
+
+const BearerPrefixLength = "Bearer ".length;
+
+/** @returns The key of an `Authorization` header whose form was checked. */
+export function bearerKey(authorization: string | undefined): string | undefined {
+    return authorization?.slice(BearerPrefixLength);
+}
+
+/** @returns Name of the team that the key belongs to. */
+export function authenticateTeam(config: ConfigBoard, authorization: string | undefined): string | undefined {
+    const key = bearerKey(authorization);
+    if (key === undefined) {
+        return undefined;
+    }
+    const hash = sha256Hex(key);
+    const name = config.teamByKeyHash.get(hash);
+    const hashes = name === undefined ? [] : config.resources.teams.get(name)?.keyHashes ?? [];
+    return hashes.some(stored => equalHashes(stored, hash)) ? name : undefined;
+}
--- /dev/null
+++ b/src/gateway/callerListener.ts
@@ -0,0 +1,212 @@
+/** The caller listener: HTTP endpoints for callers. */
+import { getRequestListener, type HttpBindings } from "@hono/node-server";
+import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
+import { Hono } from "hono";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import type { Result } from "true-myth";
+import { errorBody, type ResultCodeName, ResultCodes } from "../base/resultCodes.js";
+import { authenticateTeam } from "./authentication.js";
+import { discardRest, readBody } from "./bodyReader.js";
+import { CallerAnswer, writeFailure } from "./callerAnswer.js";
+import type { CallerRequest, GatewayParts } from "./gatewayParts.js";
+import { findHeaderFault } from "./headerCheck.js";
+import { RequestFlow } from "./requestFlow.js";
+import { parseChatRequest, parseServiceRequest, type RequestOrigin } from "./requestParser.js";
+
+/** Hexadecimal digits of a request id. */
+const RequestIdDigits = 24;
+
+type ListenerBindings = { Bindings: HttpBindings; };
+type RequestParser = (origin: RequestOrigin) => Result<CallerRequest, ResultCodeName>;
+
+/** Serves callers. */
+export class CallerListener {
+    readonly #parts: GatewayParts;
+    readonly #server: Server;
+
+    constructor(parts: GatewayParts) {
+        this.#parts = parts;
+        const listener = getRequestListener(this.#createApp().fetch, { overrideGlobalObjects: false });
+        this.#server = createServer(
+            { requireHostHeader: false, keepAliveTimeout: 65_000 },
+            (incoming, outgoing) => this.#accept(incoming, outgoing, listener),
+        );
+        this.#server.on("clientError", (_error, socket) => refuseMalformed(socket as Socket));
+    }
+
+    /** @returns `HOST:PORT` of the listener. */
+    async start(host: string, port: number): Promise<string> {
+        await new Promise<void>((resolve, reject) => {
+            this.#server.once("error", reject);
+            this.#server.listen(port, host, resolve);
+        });
+        return `${host}:${(this.#server.address() as AddressInfo).port}`;
+    }
+
+    /** Stops listening; destroys idle connections at once and the others when their requests have ended. */
+    async stop(): Promise<void> {
+        const closed = new Promise<void>(resolve => this.#server.close(() => resolve()));
+        this.#server.closeIdleConnections();
+        await closed;
+    }
+
+    /** Destroys all connections. */
+    destroy(): void {
+        this.#server.closeAllConnections();
+    }
+
+    #accept(
+        incoming: IncomingMessage,
+        outgoing: ServerResponse,
+        listener: (incoming: IncomingMessage, outgoing: ServerResponse) => Promise<void>,
+    ): void {
+        const fault = findHeaderFault(incoming);
+        if (fault === undefined) {
+            void listener(incoming, outgoing);
+        }
+        else {
+            this.#refuse(incoming, outgoing, this.#createRequestId(), "MalformedHeader", fault);
+        }
+    }
+
+    #createApp(): Hono<ListenerBindings> {
+        const app = new Hono<ListenerBindings>();
+        app.get("/healthz", context => context.json({ status: "ok" }));
+        app.get("/readyz", context => {
+            const { ready, phase, reasons } = this.#parts.kernel.board.lifecycle;
+            return context.json({ ready, phase, reasons }, ready ? 200 : 503);
+        });
+        app.post("/v1/chat/completions", context => this.#serve(context.env, parseChatRequest));
+        app.get("/v1/models", context => this.#listModels(context.env));
+        app.all("/services/*", context => this.#serve(context.env, parseServiceRequest));
+        app.notFound(context => {
+            const { incoming, outgoing } = context.env;
+            this.#refuse(incoming, outgoing, this.#createRequestId(), "UnknownPath");
+            return RESPONSE_ALREADY_SENT;
+        });
+        return app;
+    }
+
+    async #serve(env: HttpBindings, parse: RequestParser): Promise<Response> {
+        const { kernel } = this.#parts;
+        kernel.post({ type: "requestEntered" });
+        try {
+            await this.#serveEntered(env.incoming, env.outgoing, parse);
+        }
+        finally {
+            kernel.post({ type: "requestLeft" });
+        }
+        return RESPONSE_ALREADY_SENT;
+    }
+
+    async #serveEntered(incoming: IncomingMessage, outgoing: ServerResponse, parse: RequestParser): Promise<void> {
+        const { settings } = this.#parts;
+        const requestId = this.#createRequestId();
+        const team = this.#identify(incoming);
+        if (typeof team !== "string") {
+            this.#refuse(incoming, outgoing, requestId, team.refusal);
+            return;
+        }
+        const read = await readBody(incoming, settings.maxBodyBytes, settings.bodyTimeoutMs);
+        if (read.status !== "read") {
+            this.#refuse(incoming, outgoing, requestId, read.status === "tooLarge" ? "BodyTooLarge" : "MalformedBody");
+            return;
+        }
+        const request = parse({ requestId, team, incoming, body: read.body });
+        if (request.isErr) {
+            this.#refuse(incoming, outgoing, requestId, request.error);
+            return;
+        }
+        if (this.#parts.kernel.board.lifecycle.phase === "draining") {
+            outgoing.setHeader("connection", "close");
+        }
+        await new RequestFlow(this.#parts, request.value, new CallerAnswer(outgoing, requestId)).run();
+    }
+
+    /** @returns The team, or why the request is refused before its body is read. */
+    #identify(incoming: IncomingMessage): string | { readonly refusal: ResultCodeName; } {
+        const { config, lifecycle } = this.#parts.kernel.board;
+        if (lifecycle.phase === "closing" || lifecycle.phase === "closed") {
+            return { refusal: "ShuttingDown" };
+        }
+        if (config.version === 0) {
+            return { refusal: "NotReady" };
+        }
+        return authenticateTeam(config, incoming.headers.authorization) ?? { refusal: "UnknownKey" };
+    }
+
+    #listModels(env: HttpBindings): Response {
+        const { incoming, outgoing } = env;
+        const requestId = this.#createRequestId();
+        const team = this.#identify(incoming);
+        if (typeof team !== "string") {
+            this.#refuse(incoming, outgoing, requestId, team.refusal);
+            return RESPONSE_ALREADY_SENT;
+        }
+        const body = JSON.stringify({ object: "list", data: this.#modelsOf(team) });
+        outgoing.writeHead(200, { "content-type": "application/json", "x-request-id": requestId });
+        outgoing.end(body);
+        discardRest(incoming);
+        return RESPONSE_ALREADY_SENT;
+    }
+
+    #modelsOf(team: string): unknown[] {
+        const { resources } = this.#parts.kernel.board.config;
+        const names = new Set([...resources.upstreams.values()].flatMap(upstream => upstream.models));
+        const isOffered = (model: string): boolean =>
+            this.#parts.planRoute(resources, {
+                team,
+                model,
+                service: undefined,
+                method: "POST",
+                requestKind: undefined,
+                grant: undefined,
+                promptBytes: 0,
+                messageCount: 1,
+                maxOutputTokens: undefined,
+                promptPrefix: undefined,
+            }).isOk;
+        return [...names].filter(isOffered).sort().map(id => ({ id, object: "model" }));
+    }
+
+    #createRequestId(): string {
+        return this.#parts.random.hex(RequestIdDigits);
+    }
+
+    /** Refuses a request whose body is perhaps not read: its connection is not used for another request. */
+    #refuse(
+        incoming: IncomingMessage,
+        outgoing: ServerResponse,
+        requestId: string,
+        code: ResultCodeName,
+        detail?: string,
+    ): void {
+        this.#parts.kernel.counters.add(`gateway.refused.${code}`);
+        if (outgoing.destroyed) {
+            return;
+        }
+        if (!incoming.complete) {
+            outgoing.setHeader("connection", "close");
+        }
+        writeFailure(outgoing, requestId, { code, detail });
+        discardRest(incoming);
+    }
+}
+
+/**
+ * Answers a request that the HTTP parser refused. A connection on which another request is still being answered is
+ * destroyed instead: the refusal would be taken for the answer to that request.
+ */
+function refuseMalformed(socket: Socket): void {
+    const answering = (socket as Socket & { _httpMessage?: unknown; })._httpMessage;
+    if (!socket.writable || (answering !== undefined && answering !== null)) {
+        socket.destroy();
+        return;
+    }
+    const body = JSON.stringify(errorBody(ResultCodes.MalformedHeader));
+    socket.end(
+        "HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\nConnection: close\r\n" +
+            `Content-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+    );
+}
--- /dev/null
+++ b/src/gateway/requestFlow.ts
@@ -0,0 +1,443 @@
+/** The course of one request: plan, claim, reserve, admit, dispatch, relay, settle. */
+import { isUtf8 } from "node:buffer";
+import type { RanState, ResultCodeName } from "../base/resultCodes.js";
+import type { WorkItem } from "../features/admission/admissionTypes.js";
+import { type BillDraft, grantBudgetName } from "../features/budget/budgetTypes.js";
+import { claimId, MaxStoredAnswerBytes, type StoredAnswer } from "../features/idempotency/idempotencyTypes.js";
+import type { RoutePlan } from "../routing/routePlan.js";
+import { Attempt, type AttemptListener } from "./attempt.js";
+import { AttemptGroup, type GroupEnd, type GroupOwner } from "./attemptGroup.js";
+import type { CallerAnswer, Failure } from "./callerAnswer.js";
+import type { CallerRequest, GatewayParts } from "./gatewayParts.js";
+import { answerHeaders, upstreamHeaders } from "./relayHeaders.js";
+
+/** Ends the course of a request with an error answer. */
+class RequestFailure extends Error {
+    readonly failure: Failure;
+
+    constructor(failure: Failure) {
+        super(failure.code);
+        this.failure = failure;
+    }
+}
+
+function refusal(code: ResultCodeName, retryAfterMs?: number): RequestFailure {
+    return new RequestFailure({ code, retryAfterMs });
+}
+
+/** Serves one request from its plan to its bill. */
+export class RequestFlow implements GroupOwner {
+    readonly #parts: GatewayParts;
+    readonly #request: CallerRequest;
+    readonly #answer: CallerAnswer;
+    readonly #startedAtMs: number;
+    readonly #claimId: string | undefined;
+    #plan!: RoutePlan;
+    #claimHeld = false;
+    #grantReserved = false;
+    #tokensReserved = false;
+    /** What is known about whether the request ran, over all attempts. */
+    #ran: RanState = "no";
+    #group: AttemptGroup | undefined;
+    #waitsForAdmission = false;
+    #storedPieces: Buffer[] | undefined = [];
+    #storedBytes = 0;
+    #pausedAttempt: Attempt | undefined;
+
+    constructor(parts: GatewayParts, request: CallerRequest, answer: CallerAnswer) {
+        this.#parts = parts;
+        this.#request = request;
+        this.#answer = answer;
+        this.#startedAtMs = parts.clock.monotonicMs();
+        this.#claimId = request.idempotencyKey === undefined ?
+            undefined :
+            claimId(request.team, request.idempotencyKey);
+    }
+
+    /** Serves the request. Never throws. */
+    async run(): Promise<void> {
+        this.#answer.onGone(() => this.#onCallerGone());
+        try {
+            this.#plan = this.#makePlan();
+            if (await this.#claim()) {
+                return;
+            }
+            await this.#reserveGrant();
+            await this.#reserveTokens();
+            await this.#dispatch();
+        }
+        catch (error) {
+            const failure: Failure = error instanceof RequestFailure ?
+                error.failure :
+                { code: "InternalError", detail: String(error) };
+            if (this.#group !== undefined) {
+                // A program fault during a dispatch: the request may have run.
+                this.#group.cancel();
+                this.#ran = "unknown";
+            }
+            this.#parts.kernel.counters.add(`gateway.failed.${failure.code}`);
+            this.#conclude("cut", undefined);
+            this.#answer.fail({ ...failure, ran: this.#ranFor(failure) });
+        }
+    }
+
+    #makePlan(): RoutePlan {
+        const plan = this.#parts.planRoute(this.#parts.kernel.board.config.resources, this.#request.query);
+        if (plan.isErr) {
+            throw refusal(plan.error);
+        }
+        if (!plan.value.repeatable && this.#claimId === undefined) {
+            throw refusal("KeyRequired");
+        }
+        return plan.value;
+    }
+
+    /** @returns Whether a stored answer was replayed. */
+    async #claim(): Promise<boolean> {
+        const { idempotencyKey, requestId, bodyHash } = this.#request;
+        if (this.#claimId === undefined || idempotencyKey === undefined) {
+            return false;
+        }
+        const { repeatable } = this.#plan;
+        const outcome = await this.#parts.port.claim({
+            claimId: this.#claimId,
+            idempotencyKey,
+            requestId,
+            bodyHash,
+            repeatable,
+        });
+        if (outcome.status === "refused") {
+            throw refusal(outcome.code, outcome.retryAfterMs);
+        }
+        if (outcome.status === "replay") {
+            this.#replay(outcome.answer);
+            return true;
+        }
+        if (outcome.status === "deferred" && !repeatable) {
+            throw refusal("ClaimUnavailable");
+        }
+        this.#claimHeld = true;
+        return false;
+    }
+
+    #replay(stored: StoredAnswer): void {
+        this.#parts.kernel.counters.add("gateway.replayed");
+        const body = Buffer.from(stored.body);
+        this.#answer.start(stored.httpStatus, {
+            "content-type": stored.contentType,
+            "content-length": body.length,
+            "idempotent-replay": "true",
+        });
+        this.#answer.write(body);
+        this.#answer.end();
+    }
+
+    /** A grant that has no use left at this host does not refuse the request: it runs in its ordinary class. */
+    async #reserveGrant(): Promise<void> {
+        const { grant } = this.#plan;
+        if (grant === undefined) {
+            return;
+        }
+        const outcome = await this.#parts.port.reserve(this.#grantReservation, grantBudgetName(grant), 1, 0);
+        this.#grantReserved = outcome.status === "granted";
+    }
+
+    async #reserveTokens(): Promise<void> {
+        const { budget, costTokens, deadlineMs } = this.#plan;
+        const waitMs = Math.min(deadlineMs, this.#parts.settings.budgetWaitMs);
+        const outcome = await this.#parts.port.reserve(this.#request.requestId, budget, costTokens, waitMs);
+        if (outcome.status === "refused") {
+            throw refusal(outcome.code, outcome.retryAfterMs);
+        }
+        this.#tokensReserved = true;
+    }
+
+    async #dispatch(): Promise<void> {
+        const excluded: string[] = [];
+        let upstream = await this.#admit(() => this.#parts.port.admit(this.#workItem(excluded)));
+        for (let attempts = 1;; attempts++) {
+            const group = new AttemptGroup(this);
+            this.#group = group;
+            const hedgeAfterMs = this.#plan.repeatable ? this.#parts.settings.hedgeAfterMs : 0;
+            const end = await group.run(upstream, hedgeAfterMs);
+            this.#group = undefined;
+            this.#noteRan(end);
+            if (end.status !== "failed") {
+                this.#finish(end);
+                return;
+            }
+            excluded.push(...group.tried);
+            if (attempts >= this.#parts.settings.maxAttempts || !this.#mayRetry(end)) {
+                throw this.#failureOf(end);
+            }
+            upstream = await this.#readmit(end, excluded);
+        }
+    }
+
+    /** Asks for another upstream; when there is none, the request ends with the failure of the last attempt. */
+    async #readmit(end: GroupEnd, excluded: readonly string[]): Promise<string> {
+        try {
+            return await this.#admit(() => this.#parts.port.readmit(this.#workItem(excluded), "retry"));
+        }
+        catch (error) {
+            const nothingSent = end.result?.result === "unreachable";
+            throw error instanceof RequestFailure && nothingSent ? error : this.#failureOf(end);
+        }
+    }
+
+    async #admit(ask: () => ReturnType<GatewayParts["port"]["admit"]>): Promise<string> {
+        if (this.#answer.gone) {
+            throw refusal("Overloaded");
+        }
+        this.#waitsForAdmission = true;
+        const outcome = await ask();
+        this.#waitsForAdmission = false;
+        if (outcome.status === "refused") {
+            throw refusal(outcome.code, outcome.retryAfterMs);
+        }
+        return outcome.upstream;
+    }
+
+    /** Work that may not be repeated is sent again only if no byte of it can have left this host. */
+    #mayRetry(end: GroupEnd): boolean {
+        const result = end.result?.result;
+        if (this.#answer.gone) {
+            return false;
+        }
+        if (!this.#plan.repeatable) {
+            return result === "unreachable" && this.#ran === "no";
+        }
+        return result !== "refused" || end.attempt?.head?.statusCode === 429;
+    }
+
+    #failureOf(end: GroupEnd): RequestFailure {
+        const { result } = end;
+        return new RequestFailure({
+            code: result?.code ?? "UpstreamFailed",
+            retryAfterMs: result?.retryAfterMs,
+            detail: result?.detail,
+        });
+    }
+
+    #noteRan(end: GroupEnd): void {
+        if (end.status === "whole" || end.status === "cut") {
+            this.#ran = "yes";
+        }
+        else if (!end.notRun && this.#ran === "no") {
+            this.#ran = "unknown";
+        }
+    }
+
+    /** An error that says "not run" is overruled by an earlier attempt that may have run. */
+    #ranFor(failure: Failure): RanState | undefined {
+        const earlier = failure.code === "RequestRunning" || failure.code === "OutcomeUnknown" ||
+            failure.code === "AnswerNotStored";
+        return earlier ? undefined : this.#ran;
+    }
+
+    #finish(end: GroupEnd): void {
+        const { attempt } = end;
+        if (end.status === "whole" && attempt !== undefined) {
+            this.#answer.end();
+            this.#conclude("complete", attempt);
+            this.#parts.kernel.counters.add("gateway.complete");
+            return;
+        }
+        this.#conclude("cut", attempt);
+        this.#parts.kernel.counters.add(`gateway.${end.status}`);
+        if (end.status === "cut") {
+            const code = end.result?.code === "AnswerMismatch" ? "AnswerMismatch" : "StreamCut";
+            this.#answer.interrupt({ code, ran: "yes" }, this.#request.answerKind === "chatStream");
+        }
+    }
+
+    /** Bills what was delivered and ends the claim; gives everything back if nothing can have run. */
+    #conclude(outcome: "complete" | "cut", attempt: Attempt | undefined): void {
+        const { port } = this.#parts;
+        const { requestId } = this.#request;
+        const notRun = this.#ran === "no";
+        if (this.#tokensReserved && notRun) {
+            port.release(requestId);
+        }
+        else if (this.#tokensReserved) {
+            port.settle(requestId, this.#bill(outcome, attempt));
+        }
+        if (this.#grantReserved && notRun) {
+            port.release(this.#grantReservation);
+        }
+        else if (this.#grantReserved) {
+            port.settle(this.#grantReservation, this.#grantBill(outcome, attempt));
+        }
+        if (this.#claimHeld && this.#claimId !== undefined && notRun) {
+            port.releaseClaim(this.#claimId, requestId);
+        }
+        else if (this.#claimHeld && this.#claimId !== undefined) {
+            const complete = outcome === "complete";
+            port.completeClaim(this.#claimId, requestId, complete ? this.#storedAnswer(attempt) : undefined, !complete);
+        }
+        this.#tokensReserved = false;
+        this.#grantReserved = false;
+        this.#claimHeld = false;
+    }
+
+    #bill(outcome: "complete" | "cut", attempt: Attempt | undefined): BillDraft {
+        const { costTokens, promptTokens: promptBound } = this.#plan;
+        const delivered = attempt !== undefined && (outcome === "complete" || attempt.reader.contentChunks > 0);
+        if (this.#request.answerKind === "service") {
+            const whole = attempt !== undefined && this.#ran === "yes";
+            return this.#billLine(this.#plan.budget, this.#claimId, attempt, outcome, 0, 0, whole ? costTokens : 0);
+        }
+        const promptTokens = delivered ? attempt.reader.usage?.promptTokens ?? promptBound : 0;
+        const outputTokens = delivered ? attempt.reader.outputTokens : 0;
+        const unreported = outcome === "complete" && attempt?.reader.usage === undefined;
+        const tokens = unreported && this.#request.answerKind === "chatJson" ? costTokens : promptTokens + outputTokens;
+        return this.#billLine(
+            this.#plan.budget,
+            this.#claimId,
+            attempt,
+            outcome,
+            promptTokens,
+            outputTokens,
+            Math.min(tokens, costTokens),
+        );
+    }
+
+    #grantBill(outcome: "complete" | "cut", attempt: Attempt | undefined): BillDraft {
+        const billId = `${this.#claimId ?? this.#request.requestId}/grant`;
+        return this.#billLine(grantBudgetName(this.#plan.grant ?? ""), billId, attempt, outcome, 0, 0, 1);
+    }
+
+    #billLine(
+        budget: string,
+        billId: string | undefined,
+        attempt: Attempt | undefined,
+        outcome: "complete" | "cut",
+        promptTokens: number,
+        outputTokens: number,
+        tokens: number,
+    ): BillDraft {
+        const { requestId, team, query } = this.#request;
+        return {
+            requestId,
+            billId: billId ?? requestId,
+            team,
+            budget,
+            model: query.model ?? query.service ?? "",
+            promptTokens,
+            outputTokens,
+            tokens,
+            requestKind: this.#plan.requestKind,
+            upstream: attempt?.upstream ?? "",
+            outcome,
+        };
+    }
+
+    #storedAnswer(attempt: Attempt | undefined): StoredAnswer | undefined {
+        const head = attempt?.head;
+        const body = Buffer.concat(this.#storedPieces ?? []);
+        if (head === undefined || this.#storedPieces === undefined || !isUtf8(body)) {
+            return undefined;
+        }
+        return {
+            httpStatus: head.statusCode,
+            contentType: head.headers["content-type"] ?? "application/octet-stream",
+            body: body.toString("utf8"),
+        };
+    }
+
+    get #grantReservation(): string {
+        return `${this.#request.requestId}/grant`;
+    }
+
+    #workItem(excluded: readonly string[]): WorkItem {
+        const plan = this.#plan;
+        const elapsedMs = this.#parts.clock.monotonicMs() - this.#startedAtMs;
+        return {
+            requestId: this.#request.requestId,
+            team: this.#request.team,
+            workClass: this.#grantReserved ? "urgent" : plan.workClass,
+            long: plan.long,
+            repeatable: plan.repeatable,
+            candidates: plan.candidates,
+            fallbacks: plan.fallbacks,
+            weights: plan.weights,
+            maxInFlightPerUpstream: plan.maxInFlightPerUpstream,
+            prefixKey: plan.prefixKey,
+            promptTokens: plan.promptTokens,
+            maxOutputTokens: plan.maxOutputTokens,
+            deadlineMs: Math.max(0, plan.deadlineMs - elapsedMs),
+            excluded: [...excluded],
+        };
+    }
+
+    startAttempt(upstream: string, listener: AttemptListener): Attempt {
+        const { kernel, client, settings } = this.#parts;
+        const { requestId, answerKind, method, path } = this.#request;
+        const plan = this.#plan;
+        const urgent = this.#grantReserved || plan.workClass === "urgent";
+        return new Attempt(kernel, client, {
+            requestId,
+            upstream,
+            long: plan.long,
+            answerKind,
+            call: {
+                url: kernel.board.config.resources.upstreams.get(upstream)?.url ?? "",
+                method,
+                path,
+                headers: upstreamHeaders(this.#request, urgent ? "urgent" : plan.workClass),
+                body: this.#request.buildBody(plan),
+                firstByteTimeoutMs: answerKind === "chatStream" ?
+                    settings.firstByteTimeoutMs :
+                    settings.answerTimeoutMs,
+            },
+        }, listener);
+    }
+
+    async admitHedge(excluded: readonly string[]): Promise<string | undefined> {
+        const outcome = await this.#parts.port.readmit(this.#workItem(excluded), "hedge");
+        return outcome.status === "dispatch" ? outcome.upstream : undefined;
+    }
+
+    onWinner(attempt: Attempt): void {
+        const { head } = attempt;
+        if (head !== undefined) {
+            this.#answer.start(head.statusCode, answerHeaders(this.#request.answerKind, head.headers));
+        }
+    }
+
+    onBytes(attempt: Attempt, bytes: Buffer): void {
+        this.#keepForReplay(bytes);
+        if (!this.#answer.write(bytes)) {
+            attempt.pause();
+            this.#pausedAttempt = attempt;
+            this.#answer.onDrain(() => this.#resumeAttempt());
+        }
+    }
+
+    #resumeAttempt(): void {
+        this.#pausedAttempt?.resume();
+        this.#pausedAttempt = undefined;
+    }
+
+    #keepForReplay(bytes: Buffer): void {
+        this.#storedBytes += bytes.length;
+        if (this.#claimId === undefined || this.#storedBytes > MaxStoredAnswerBytes) {
+            this.#storedPieces = undefined;
+        }
+        else {
+            // A copy: undici hands out views of a buffer that it uses again.
+            this.#storedPieces?.push(Buffer.from(bytes));
+        }
+    }
+
+    /** Work that may not be repeated runs on, so that its answer is stored for the caller's retry. */
+    #onCallerGone(): void {
+        if (this.#waitsForAdmission) {
+            this.#parts.port.cancelAdmission(this.#request.requestId);
+        }
+        else if (this.#group !== undefined && (this.#plan.repeatable || this.#claimId === undefined)) {
+            this.#group.cancel();
+        }
+        this.#resumeAttempt();
+    }
+}
--- /dev/null
+++ b/src/standins/router/gatewayHarness.ts
@@ -0,0 +1,137 @@
+/** A gateway with real listeners and a controller that grants everything, for tests and measurements. */
+import { Result } from "true-myth";
+import { SystemClock } from "../../base/clock.js";
+import { Counters } from "../../base/counters.js";
+import { sha256Hex } from "../../base/hashing.js";
+import { SystemRandom } from "../../base/random.js";
+import type { ResultCodeName } from "../../base/resultCodes.js";
+import { type Upstream, UpstreamSchema } from "../../features/config/configTypes.js";
+import { CallerListener } from "../../gateway/callerListener.js";
+import type { PlanRoute } from "../../gateway/gatewayParts.js";
+import { type GatewaySettings, GatewaySettingsSchema } from "../../gateway/gatewaySettings.js";
+import { UndiciUpstreamClient } from "../../gateway/undiciUpstreamClient.js";
+import { createBlackboard } from "../../kernel/blackboard.js";
+import { EffectRunner, Kernel } from "../../kernel/kernel.js";
+import { RequestPort } from "../../kernel/requestPort.js";
+import type { RoutePlan, RouteQuery } from "../../routing/routePlan.js";
+import { GrantingController } from "./grantingController.js";
+
+/** Key of the harness's only team. */
+export const HarnessKey = "test-key";
+const HarnessTeam = "suds";
+
+class NotifyingRunner extends EffectRunner {
+    port: RequestPort | undefined;
+
+    override run(effect: Parameters<EffectRunner["run"]>[0]): void {
+        if (effect.type === "notify") {
+            this.port?.deliver(effect.notification);
+        }
+    }
+}
+
+/** The gateway under test and the state of its controller. */
+export class GatewayHarness {
+    readonly kernel: Kernel;
+    controller!: GrantingController;
+    url = "";
+    readonly #client: UndiciUpstreamClient;
+    readonly #listener: CallerListener;
+
+    constructor(settings: Partial<GatewaySettings> = {}) {
+        const board = createBlackboard("h1", "i1");
+        const clock = new SystemClock();
+        const random = new SystemRandom();
+        this.kernel = new Kernel({
+            board,
+            clock,
+            random,
+            counters: new Counters(),
+            createControllers: context => {
+                this.controller = new GrantingController(context);
+                return [this.controller];
+            },
+        });
+        const runner = new NotifyingRunner();
+        const port = new RequestPort(this.kernel);
+        runner.port = port;
+        this.kernel.attach(runner);
+        const parsed = GatewaySettingsSchema.parse(settings);
+        this.#client = new UndiciUpstreamClient(parsed);
+        this.#listener = new CallerListener({
+            kernel: this.kernel,
+            port,
+            client: this.#client,
+            clock,
+            random,
+            settings: parsed,
+            planRoute: planForHarness,
+        });
+    }
+
+    /** Starts listening in front of the given upstreams; those named `NAME-service` serve `/services/NAME`. */
+    async start(urls: Readonly<Record<string, string>>): Promise<void> {
+        const { config } = this.kernel.board;
+        const teams = new Map([[HarnessTeam, { labels: {}, keyHashes: [sha256Hex(HarnessKey)], weight: 1 }]]);
+        const upstreams = new Map(Object.entries(urls).map(([name, url]) => [name, harnessUpstream(name, url)]));
+        config.version = 1;
+        config.resources = { ...config.resources, teams, upstreams };
+        config.teamByKeyHash = new Map([[sha256Hex(HarnessKey), HarnessTeam]]);
+        this.url = `http://${await this.#listener.start("127.0.0.1", 0)}`;
+    }
+
+    /** Stops at once. */
+    async stop(): Promise<void> {
+        this.#listener.destroy();
+        await this.#listener.stop();
+        await this.#client.close();
+    }
+
+    /** Stops accepting connections and waits for the open ones. */
+    async drain(): Promise<void> {
+        await this.#listener.stop();
+    }
+}
+
+function harnessUpstream(name: string, url: string): Upstream {
+    const service = name.endsWith("-service") ? name.slice(0, -"-service".length) : "";
+    return UpstreamSchema.parse({
+        url,
+        type: service === "" ? "engine" : "service",
+        models: service === "" ? ["assistant"] : [],
+        service,
+    });
+}
+
+/** Classifies by name alone: `POST` to a service is not repeatable, everything else is. */
+const planForHarness: PlanRoute = (resources, query): Result<RoutePlan, ResultCodeName> => {
+    const offers = (upstream: Upstream): boolean =>
+        query.service === undefined ? upstream.models.includes(query.model ?? "") : upstream.service === query.service;
+    const candidates = [...resources.upstreams].filter(([, upstream]) => offers(upstream)).map(([name]) => name);
+    return candidates.length === 0 ?
+        Result.err(query.service === undefined ? "UnknownModel" : "UnknownService") :
+        Result.ok(harnessPlan(query, candidates));
+};
+
+function harnessPlan(query: RouteQuery, candidates: readonly string[]): RoutePlan {
+    const maxOutputTokens = query.maxOutputTokens ?? 1_024;
+    const promptTokens = query.promptBytes + 4 * query.messageCount;
+    return {
+        rule: "all",
+        requestKind: query.requestKind ?? "",
+        workClass: "normal",
+        long: false,
+        repeatable: query.service === undefined || query.method !== "POST",
+        budget: "main",
+        grant: query.grant,
+        candidates,
+        fallbacks: [],
+        weights: {},
+        maxInFlightPerUpstream: undefined,
+        prefixKey: undefined,
+        promptTokens,
+        maxOutputTokens,
+        costTokens: query.service === undefined ? promptTokens + maxOutputTokens : 1,
+        deadlineMs: 30_000,
+    };
+}
--- /dev/null
+++ b/src/standins/router/grantingController.ts
@@ -0,0 +1,158 @@
+/** A controller that grants everything, for tests and measurements of the gateway alone. */
+import type { AdmissionOutcome, WorkItem } from "../../features/admission/admissionTypes.js";
+import type { BillDraft } from "../../features/budget/budgetTypes.js";
+import type { ClaimOutcome, StoredAnswer } from "../../features/idempotency/idempotencyTypes.js";
+import { Controller } from "../../kernel/controller.js";
+import type { Notification } from "../../kernel/effects.js";
+import type { RouterEvent } from "../../kernel/events.js";
+
+interface HeldClaim {
+    readonly bodyHash: string;
+    answer: StoredAnswer | undefined;
+    done: boolean;
+    interrupted: boolean;
+}
+
+/** Decides at once: every budget has tokens, every claim is free unless it was made before, every upstream is idle. */
+export class GrantingController extends Controller {
+    override readonly name = "lifecycle";
+    /** Tokens left by budget; a budget without an entry has no end. */
+    readonly tokensLeft = new Map<string, number>();
+    readonly claims = new Map<string, HeldClaim>();
+    readonly bills: BillDraft[] = [];
+    readonly events: RouterEvent[] = [];
+    hedgesAllowed = 0;
+    /** Whether admissions wait until they are cancelled. */
+    holdAdmissions = false;
+    /** Whether {@link events} is filled. */
+    recordEvents = true;
+    readonly #reservations = new Map<string, { readonly budget: string; readonly costTokens: number; }>();
+    #turn = 0;
+
+    /** @returns Reservations that are neither settled nor released. */
+    get openReservations(): number {
+        return this.#reservations.size;
+    }
+
+    override handle(event: RouterEvent): void {
+        if (this.recordEvents && event.type !== "tick") {
+            this.events.push(event);
+        }
+        switch (event.type) {
+            case "reservationRequested":
+                this.#reserve(event.reservationId, event.budget, event.costTokens);
+                break;
+            case "reservationSettled":
+                this.bills.push(event.bill);
+                this.#giveBack(event.reservationId, event.bill.tokens);
+                break;
+            case "reservationReleased":
+                this.#giveBack(event.reservationId, 0);
+                break;
+            case "claimRequested":
+                this.#claim(event.claimId, event.requestId, event.bodyHash);
+                break;
+            case "claimCompleted":
+                Object.assign(this.claims.get(event.claimId) ?? {}, {
+                    answer: event.answer,
+                    done: true,
+                    interrupted: event.interrupted,
+                });
+                break;
+            case "claimReleased":
+                this.claims.delete(event.claimId);
+                break;
+            default:
+                this.#handleAdmission(event);
+        }
+    }
+
+    #handleAdmission(event: RouterEvent): void {
+        if (event.type === "admissionRequested" && !this.holdAdmissions) {
+            this.#admit(event.item);
+        }
+        else if (event.type === "admissionCancelled") {
+            this.#decide(event.requestId, { status: "refused", code: "Overloaded", retryAfterMs: undefined });
+        }
+        else if (event.type === "retryRequested") {
+            const allowed = event.reason === "retry" || this.hedgesAllowed-- > 0;
+            this.#admit(allowed ? event.item : { ...event.item, candidates: [] });
+        }
+        else if (event.type === "requestEntered") {
+            this.context.board.lifecycle.requestsInFlight++;
+        }
+        else if (event.type === "requestLeft") {
+            this.context.board.lifecycle.requestsInFlight--;
+        }
+    }
+
+    #reserve(reservationId: string, budget: string, costTokens: number): void {
+        const left = this.tokensLeft.get(budget);
+        if (left !== undefined && left < costTokens) {
+            this.#notify({
+                type: "reservationDecided",
+                reservationId,
+                outcome: { status: "refused", code: "BudgetExhausted", retryAfterMs: 2_000 },
+            });
+            return;
+        }
+        this.#reservations.set(reservationId, { budget, costTokens });
+        this.#addTokens(budget, -costTokens);
+        this.#notify({ type: "reservationDecided", reservationId, outcome: { status: "granted" } });
+    }
+
+    #giveBack(reservationId: string, billedTokens: number): void {
+        const reservation = this.#reservations.get(reservationId);
+        this.#reservations.delete(reservationId);
+        if (reservation !== undefined) {
+            this.#addTokens(reservation.budget, reservation.costTokens - billedTokens);
+        }
+    }
+
+    #addTokens(budget: string, tokens: number): void {
+        const left = this.tokensLeft.get(budget);
+        if (left !== undefined) {
+            this.tokensLeft.set(budget, left + tokens);
+        }
+    }
+
+    #claim(claimId: string, requestId: string, bodyHash: string): void {
+        this.#notify({ type: "claimDecided", claimId, requestId, outcome: this.#claimOutcome(claimId, bodyHash) });
+    }
+
+    #claimOutcome(claimId: string, bodyHash: string): ClaimOutcome {
+        const held = this.claims.get(claimId);
+        if (held === undefined) {
+            this.claims.set(claimId, { bodyHash, answer: undefined, done: false, interrupted: false });
+            return { status: "held" };
+        }
+        if (held.bodyHash !== bodyHash) {
+            return { status: "refused", code: "KeyReused", retryAfterMs: undefined };
+        }
+        if (held.answer !== undefined) {
+            return { status: "replay", answer: held.answer };
+        }
+        return held.done ?
+            { status: "refused", code: "OutcomeUnknown", retryAfterMs: undefined } :
+            { status: "refused", code: "RequestRunning", retryAfterMs: 1_000 };
+    }
+
+    #admit(item: WorkItem): void {
+        const free = [...item.candidates, ...item.fallbacks].filter(name => !item.excluded.includes(name));
+        const upstream = free[this.#turn++ % Math.max(1, free.length)];
+        this.#decide(
+            item.requestId,
+            upstream === undefined ?
+                { status: "refused", code: "NoUpstream", retryAfterMs: undefined } :
+                { status: "dispatch", upstream },
+        );
+    }
+
+    #decide(requestId: string, outcome: AdmissionOutcome): void {
+        this.#notify({ type: "admissionDecided", requestId, outcome });
+    }
+
+    #notify(notification: Notification): void {
+        this.context.emit({ type: "notify", notification });
+    }
+}
