Add the router process, its operator listener and the lifecycle controller

Cause: nothing assembled kernel, gateway and outside systems into a process. Change: RouterProcess with abstract parts for store, peers and watchers; effect runner; operator listener with state, metrics and drain; lifecycle controller with readiness and drain phases; load poller.

--- a/src/features/lifecycle/lifecycleBoard.ts
+++ b/src/features/lifecycle/lifecycleBoard.ts
@@ -8,6 +8,8 @@
     phase: LifecyclePhase;
     /** Whether a request admitted now could run. */
     ready: boolean;
+    /** Whether new requests are served; false once the balancer's lag has passed during a shutdown. */
+    accepting: boolean;
     /** Why not, for operators; empty when ready. */
     reasons: string[];
     /** Requests in the gateway. */
@@ -16,5 +18,5 @@
 
 /** @returns The section of a process that has just started. */
 export function createLifecycleBoard(): LifecycleBoard {
-    return { phase: "starting", ready: false, reasons: ["starting"], requestsInFlight: 0 };
+    return { phase: "starting", ready: false, accepting: true, reasons: ["starting"], requestsInFlight: 0 };
 }
--- /dev/null
+++ b/src/features/lifecycle/lifecycleSettings.ts
@@ -0,0 +1,13 @@
+/** Settings of the lifecycle feature. */
+import { z } from "zod";
+
+/** Settings of readiness and shutdown. */
+export const LifecycleSettingsSchema = z.strictObject({
+    /** Time that the balancer needs to notice that this host is not ready; requests are served until then. */
+    balancerLagMs: z.number().int().nonnegative().default(5_000),
+    /** Longest wait for the closing record. Without it the peers seal this incarnation, which loses nothing. */
+    closeTimeoutMs: z.number().int().positive().default(10_000),
+    /** Age of the last acknowledged record from which on the store counts as out of reach. */
+    storeSilenceMs: z.number().int().positive().default(15_000),
+});
+export type LifecycleSettings = z.infer<typeof LifecycleSettingsSchema>;
--- a/src/gateway/callerListener.ts
+++ b/src/gateway/callerListener.ts
@@ -14,6 +14,9 @@
 import { RequestFlow } from "./requestFlow.js";
 import { parseChatRequest, parseServiceRequest, type RequestOrigin } from "./requestParser.js";
 
+/** Interval at which connections that became idle are closed while the listener stops. */
+const IdleCheckIntervalMs = 50;
+
 /** Hexadecimal digits of a request id. */
 const RequestIdDigits = 24;
 
@@ -44,11 +47,11 @@
         return `${host}:${(this.#server.address() as AddressInfo).port}`;
     }
 
-    /** Stops listening; destroys idle connections at once and the others when their requests have ended. */
+    /** Stops listening; closes idle connections at once and the others when their answers have been sent. */
     async stop(): Promise<void> {
-        const closed = new Promise<void>(resolve => this.#server.close(() => resolve()));
-        this.#server.closeIdleConnections();
-        await closed;
+        const timer = setInterval(() => this.#server.closeIdleConnections(), IdleCheckIntervalMs);
+        await new Promise<void>(resolve => this.#server.close(() => resolve()));
+        clearInterval(timer);
     }
 
     /** Destroys all connections. */
@@ -127,7 +130,7 @@
     /** @returns The team, or why the request is refused before its body is read. */
     #identify(incoming: IncomingMessage): string | { readonly refusal: ResultCodeName; } {
         const { config, lifecycle } = this.#parts.kernel.board;
-        if (lifecycle.phase === "closing" || lifecycle.phase === "closed") {
+        if (!lifecycle.accepting) {
             return { refusal: "ShuttingDown" };
         }
         if (config.version === 0) {
--- /dev/null
+++ b/src/router/routerParts.ts
@@ -0,0 +1,48 @@
+/** What a router process is connected to. Tests and benches attach their own parts here. */
+import type { Blackboard } from "../kernel/blackboard.js";
+import type { PeerRequested } from "../kernel/effects.js";
+import type { RouterEvent } from "../kernel/events.js";
+import type { PeerClient, PeerReply } from "../peer/peerMessages.js";
+import type { ListedHost, PlatformStore } from "../platform/platformStore.js";
+
+/** Calls to and from other routers. */
+export abstract class PeerLink {
+    abstract readonly client: PeerClient;
+
+    /**
+     * Starts to listen.
+     * @param post Takes a request; a controller answers it later.
+     * @returns Port of the listener.
+     */
+    abstract start(post: (event: PeerRequested) => void): Promise<number>;
+
+    /** Answers a request. */
+    abstract answer(exchangeId: string, reply: PeerReply): void;
+
+    /** Closes the listener and all connections. */
+    abstract stop(): Promise<void>;
+}
+
+/** Where watchers post what they find. */
+export interface WatchTarget {
+    readonly board: Blackboard;
+    readonly post: (event: RouterEvent) => void;
+}
+
+/** Follows an outside system for the whole life of the process and posts events. */
+export abstract class Watcher {
+    abstract start(target: WatchTarget): void;
+    abstract stop(): void;
+}
+
+/** The outside systems of a router process. */
+export interface RouterParts {
+    readonly store: PlatformStore;
+    readonly peerLink: PeerLink;
+    readonly watchers: readonly Watcher[];
+    /** Closes the connections to the platform, after everything else has stopped. */
+    closeStore(): Promise<void>;
+}
+
+/** Builds the parts. `identity` tells how the host shows itself to the platform; it is known once it listens. */
+export type RouterPartsFactory = (identity: () => ListedHost | undefined) => RouterParts;
--- /dev/null
+++ b/src/router/routerProcess.ts
@@ -0,0 +1,249 @@
+/** The router process: listeners, kernel and gateway. Several can live in one operating system process. */
+import { type Clock, SystemClock } from "../base/clock.js";
+import { Counters, startMetrics } from "../base/counters.js";
+import { log } from "../base/log.js";
+import { type Random, SystemRandom } from "../base/random.js";
+import { createControllerFactory } from "../features/registry.js";
+import { CallerListener } from "../gateway/callerListener.js";
+import type { PlanRoute } from "../gateway/gatewayParts.js";
+import { LoadPoller } from "../gateway/loadPoller.js";
+import { UndiciUpstreamClient } from "../gateway/undiciUpstreamClient.js";
+import { createBlackboard } from "../kernel/blackboard.js";
+import type { Notification } from "../kernel/effects.js";
+import { TickIntervalMs } from "../kernel/events.js";
+import { type ControllerFactory, Kernel } from "../kernel/kernel.js";
+import { RequestPort } from "../kernel/requestPort.js";
+import type { ListedHost } from "../platform/platformStore.js";
+import { RouterEffectRunner } from "./effectRunner.js";
+import { OperatorListener } from "./operatorListener.js";
+import type { RouterParts, RouterPartsFactory } from "./routerParts.js";
+import type { RouterSettings } from "./routerSettings.js";
+
+/** Where a router can be reached, as `IP:port`. */
+export interface RouterAddresses {
+    readonly caller: string;
+    readonly operator: string;
+    readonly peer: string;
+}
+
+/** What a router is built from beyond its settings. */
+export interface RouterOptions {
+    readonly createParts: RouterPartsFactory;
+    readonly planRoute: PlanRoute;
+    /** Replaces the controllers of the registry. */
+    readonly createControllers?: ControllerFactory;
+}
+
+/** Hexadecimal digits of the random part of an incarnation. */
+const IncarnationDigits = 6;
+
+/** Longest wait, after the last request has ended, for callers to take their answers. */
+const ListenerStopMs = 5_000;
+
+/** A router. */
+export class RouterProcess {
+    readonly #settings: RouterSettings;
+    readonly #options: RouterOptions;
+    readonly #clock: Clock = new SystemClock();
+    readonly #random: Random = new SystemRandom();
+    readonly #counters = new Counters();
+    readonly #parts: RouterParts;
+    readonly #operator: OperatorListener;
+    readonly #client: UndiciUpstreamClient;
+    #kernel: Kernel | undefined;
+    #runner: RouterEffectRunner | undefined;
+    #caller: CallerListener | undefined;
+    #poller: LoadPoller | undefined;
+    #addresses: RouterAddresses | undefined;
+    #tickTimer: NodeJS.Timeout | undefined;
+    #stopMetrics: () => void = () => undefined;
+    #shutdownDone: () => void = () => undefined;
+    /** Settles when the lifecycle controller reports the end of the shutdown. */
+    readonly drained: Promise<void>;
+
+    constructor(settings: RouterSettings, options: RouterOptions) {
+        this.#settings = settings;
+        this.#options = options;
+        this.#parts = options.createParts(() => this.#identity());
+        this.#client = new UndiciUpstreamClient(settings.gateway);
+        this.#operator = new OperatorListener(settings.operator, {
+            dumpState: () => this.dumpState(),
+            readMetrics: () => this.#counters.snapshot(),
+            drain: () => this.drain(),
+            readReadiness: () => this.readReadiness(),
+        });
+        this.drained = new Promise(resolve => {
+            this.#shutdownDone = resolve;
+        });
+    }
+
+    /** @returns Addresses of the listeners. */
+    get addresses(): RouterAddresses {
+        if (this.#addresses === undefined) {
+            throw new Error("the router has not started");
+        }
+        return this.#addresses;
+    }
+
+    /** Opens the listeners and starts the kernel. */
+    async start(): Promise<void> {
+        const { caller, operator } = this.#settings;
+        // The controllers announce the addresses of these listeners, so these listeners are opened first.
+        const peerPort = await this.#parts.peerLink.start(event => this.#kernel?.post(event));
+        const operatorPort = await this.#operator.start();
+        const peer = `${this.#advertised(caller.host)}:${peerPort}`;
+        const operatorAddress = `${this.#advertised(operator.host)}:${operatorPort}`;
+        const { kernel, port } = this.#createKernel(peer, operatorAddress);
+        const listener = new CallerListener({
+            kernel,
+            port,
+            client: this.#client,
+            clock: this.#clock,
+            random: this.#random,
+            settings: this.#settings.gateway,
+            planRoute: this.#options.planRoute,
+        });
+        this.#caller = listener;
+        const address = await listener.start(caller.host, caller.port);
+        this.#addresses = { caller: address, operator: operatorAddress, peer };
+        this.#run(kernel);
+    }
+
+    /** Begins a graceful shutdown; {@link drained} tells when it is complete. */
+    drain(): void {
+        this.#kernel?.post({ type: "shutdownRequested" });
+    }
+
+    /** Shuts down gracefully: serves until the balancer has noticed, finishes every stream, returns its shares. */
+    async stop(): Promise<void> {
+        this.drain();
+        await withTimeout(this.drained, this.#settings.shutdownTimeoutMs);
+        await withTimeout(this.#caller?.stop() ?? Promise.resolve(), ListenerStopMs);
+        await this.kill();
+        log.info("router stopped", { hostId: this.#settings.hostId });
+    }
+
+    /** Stops at once, like a process that is killed: streams break off and nothing is written any more. */
+    async kill(): Promise<void> {
+        clearInterval(this.#tickTimer);
+        this.#stopMetrics();
+        this.#runner?.stop();
+        this.#poller?.stop();
+        for (const watcher of this.#parts.watchers) {
+            watcher.stop();
+        }
+        this.#caller?.destroy();
+        await Promise.all([
+            this.#caller?.stop(),
+            this.#operator.stop(),
+            this.#client.close(),
+            this.#parts.peerLink.stop(),
+        ]);
+        await this.#parts.closeStore();
+    }
+
+    /** @returns Everything the process knows, as JSON. */
+    dumpState(): unknown {
+        return { hostId: this.#settings.hostId, addresses: this.#addresses, ...(this.#kernel?.dumpState() ?? {}) };
+    }
+
+    /** @returns Whether a request admitted now could run, and why not. */
+    readReadiness(): { ready: boolean; phase: string; reasons: readonly string[]; } {
+        const lifecycle = this.#kernel?.board.lifecycle;
+        return lifecycle === undefined ?
+            { ready: false, phase: "starting", reasons: ["starting"] } :
+            { ready: lifecycle.ready, phase: lifecycle.phase, reasons: lifecycle.reasons };
+    }
+
+    /** @returns The kernel, for tests. */
+    get kernel(): Kernel {
+        if (this.#kernel === undefined) {
+            throw new Error("the router has not started");
+        }
+        return this.#kernel;
+    }
+
+    #createKernel(peerAddress: string, operatorAddress: string): { kernel: Kernel; port: RequestPort; } {
+        const { hostId } = this.#settings;
+        const incarnation = `${Math.floor(this.#clock.wallMs()).toString(36)}${this.#random.hex(IncarnationDigits)}`;
+        const features = withAddresses(this.#settings, peerAddress, operatorAddress);
+        const kernel = new Kernel({
+            board: createBlackboard(hostId, incarnation),
+            clock: this.#clock,
+            random: this.#random,
+            counters: this.#counters,
+            createControllers: this.#options.createControllers ?? createControllerFactory(features),
+        });
+        const port = new RequestPort(kernel);
+        this.#runner = new RouterEffectRunner({
+            store: this.#parts.store,
+            peerClient: this.#parts.peerLink.client,
+            post: event => kernel.post(event),
+            notify: notification => this.#notify(port, notification),
+            answerPeer: (exchangeId, reply) => this.#parts.peerLink.answer(exchangeId, reply),
+        });
+        kernel.attach(this.#runner);
+        this.#kernel = kernel;
+        return { kernel, port };
+    }
+
+    #notify(port: RequestPort, notification: Notification): void {
+        if (notification.type === "shutdownCompleted") {
+            this.#shutdownDone();
+        }
+        port.deliver(notification);
+    }
+
+    #run(kernel: Kernel): void {
+        this.#poller = new LoadPoller(kernel, this.#client, this.#settings.gateway.loadPollMs);
+        this.#poller.start();
+        for (const watcher of this.#parts.watchers) {
+            watcher.start({ board: kernel.board, post: event => kernel.post(event) });
+        }
+        this.#tickTimer = setInterval(() => kernel.post({ type: "tick" }), TickIntervalMs);
+        this.#stopMetrics = startMetrics(this.#counters, this.#settings.metrics);
+        log.info("router listens", { hostId: this.#settings.hostId, ...this.#addresses });
+    }
+
+    #identity(): ListedHost | undefined {
+        if (this.#addresses === undefined || this.#kernel === undefined) {
+            return undefined;
+        }
+        const { phase } = this.#kernel.board.lifecycle;
+        return {
+            hostId: this.#settings.hostId,
+            zone: this.#settings.zone,
+            peerAddress: this.#addresses.peer,
+            operatorAddress: this.#addresses.operator,
+            state: phase === "starting" || phase === "serving" ? "live" : "leaving",
+        };
+    }
+
+    #advertised(listenHost: string): string {
+        return this.#settings.advertisedHost === "" ? listenHost : this.#settings.advertisedHost;
+    }
+}
+
+/** Fills in what the membership feature announces. */
+function withAddresses(
+    settings: RouterSettings,
+    peerAddress: string,
+    operatorAddress: string,
+): RouterSettings["features"] {
+    const features = settings.features as Record<string, unknown>;
+    if (features["membership"] === undefined) {
+        return settings.features;
+    }
+    const membership = { ...features["membership"] as object, zone: settings.zone, peerAddress, operatorAddress };
+    return { ...features, membership } as unknown as RouterSettings["features"];
+}
+
+/** Waits for a promise, but not for ever. */
+async function withTimeout(promise: Promise<void>, timeoutMs: number): Promise<void> {
+    let timer: NodeJS.Timeout | undefined;
+    const timeout = new Promise<void>(resolve => {
+        timer = setTimeout(resolve, timeoutMs);
+    });
+    await Promise.race([promise, timeout]);
+    clearTimeout(timer);
+}
--- /dev/null
+++ b/src/router/routerSettings.ts
@@ -0,0 +1,38 @@
+/** Settings of the router process. */
+import { hostname } from "node:os";
+import { z } from "zod";
+import { FeatureSettingsSchema } from "../features/registry.js";
+import { GatewaySettingsSchema } from "../gateway/gatewaySettings.js";
+
+const PortSchema = z.number().int().min(0).max(65_535);
+
+/** Settings with their defaults. Port 0 takes a free port. */
+export const RouterSettingsSchema = z.strictObject({
+    /** Name of this host; unique within the fleet. */
+    hostId: z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/).default(() => hostname()),
+    zone: z.string().default(""),
+    /** Address that others use to reach this host; empty: the listener's own address. */
+    advertisedHost: z.string().default(""),
+    caller: z.strictObject({
+        host: z.string().default("127.0.0.1"),
+        port: PortSchema.default(8_080),
+    }).prefault({}),
+    operator: z.strictObject({
+        host: z.string().default("127.0.0.1"),
+        port: PortSchema.default(8_081),
+        /** SHA-256 of the operator token; without one the listener must be on a loopback address. */
+        tokenHash: z.string().regex(/^[0-9a-f]{64}$/).optional(),
+    }).prefault({}),
+    platform: z.strictObject({
+        url: z.url().default("http://127.0.0.1:7100"),
+    }).prefault({}),
+    gateway: GatewaySettingsSchema.prefault({}),
+    features: FeatureSettingsSchema.prefault({}),
+    /** Longest graceful shutdown; connections that are still open then are destroyed. */
+    shutdownTimeoutMs: z.number().int().positive().default(600_000),
+    /** StatsD server for metrics. */
+    metrics: z.strictObject({ host: z.string(), port: PortSchema }).optional(),
+});
+export type RouterSettings = z.infer<typeof RouterSettingsSchema>;
+/** Settings as they are written in a file: fields with defaults may be absent. */
+export type RouterSettingsInput = z.input<typeof RouterSettingsSchema>;
