--- a/src/features/registry.ts
+++ b/src/features/registry.ts
@@ -1,11 +1,17 @@
 /** The features of a router: their settings and, in running order, their controllers. */
 import { z } from "zod";
 import type { ControllerFactory } from "../kernel/kernel.js";
+import { ConfigController } from "./config/configController.js";
+import { ConfigSettingsSchema } from "./config/configSettings.js";
+import { IdempotencyController } from "./idempotency/idempotencyController.js";
+import { IdempotencySettingsSchema } from "./idempotency/idempotencyTypes.js";
 import { LifecycleController } from "./lifecycle/lifecycleController.js";
 import { LifecycleSettingsSchema } from "./lifecycle/lifecycleSettings.js";
 
-/** Settings of all features. A feature adds `name: NameSettingsSchema.prefault({})` here. */
+/** Settings of all features. */
 export const FeatureSettingsSchema = z.strictObject({
+    config: ConfigSettingsSchema.prefault({}),
+    idempotency: IdempotencySettingsSchema.prefault({}),
     lifecycle: LifecycleSettingsSchema.prefault({}),
 });
 export type FeatureSettings = z.infer<typeof FeatureSettingsSchema>;
@@ -16,6 +22,8 @@
  */
 export function createControllerFactory(settings: FeatureSettings): ControllerFactory {
     return context => [
+        new ConfigController(context, settings.config),
+        new IdempotencyController(context, settings.idempotency),
         new LifecycleController(context, settings.lifecycle),
     ];
 }
--- a/src/gateway/callerListener.ts
+++ b/src/gateway/callerListener.ts
@@ -22,6 +22,8 @@
 
 type ListenerBindings = { Bindings: HttpBindings; };
 type RequestParser = (origin: RequestOrigin) => Result<CallerRequest, ResultCodeName>;
+/** Serves a request whose caller is known and whose body was read. */
+type RequestHandler = (origin: RequestOrigin, outgoing: ServerResponse) => Promise<void> | void;
 
 /** Serves callers. */
 export class CallerListener {
@@ -80,9 +82,12 @@
             const { ready, phase, reasons } = this.#parts.kernel.board.lifecycle;
             return context.json({ ready, phase, reasons }, ready ? 200 : 503);
         });
-        app.post("/v1/chat/completions", context => this.#serve(context.env, parseChatRequest));
-        app.get("/v1/models", context => this.#listModels(context.env));
-        app.all("/services/*", context => this.#serve(context.env, parseServiceRequest));
+        const chat = this.#flowOf(parseChatRequest);
+        const service = this.#flowOf(parseServiceRequest);
+        app.post("/v1/chat/completions", context => this.#serve(context.env, chat));
+        app.get("/v1/models", context => this.#serve(context.env, (...args) => this.#listModels(...args)));
+        app.post("/v1/tickets", context => this.#serve(context.env, (...args) => this.#issueTicket(...args)));
+        app.all("/services/*", context => this.#serve(context.env, service));
         app.notFound(context => {
             const { incoming, outgoing } = context.env;
             this.#refuse(incoming, outgoing, this.#createRequestId(), "UnknownPath");
@@ -91,11 +96,11 @@
         return app;
     }
 
-    async #serve(env: HttpBindings, parse: RequestParser): Promise<Response> {
+    async #serve(env: HttpBindings, handle: RequestHandler): Promise<Response> {
         const { kernel } = this.#parts;
         kernel.post({ type: "requestEntered" });
         try {
-            await this.#serveEntered(env.incoming, env.outgoing, parse);
+            await this.#serveEntered(env.incoming, env.outgoing, handle);
         }
         finally {
             kernel.post({ type: "requestLeft" });
@@ -103,7 +108,7 @@
         return RESPONSE_ALREADY_SENT;
     }
 
-    async #serveEntered(incoming: IncomingMessage, outgoing: ServerResponse, parse: RequestParser): Promise<void> {
+    async #serveEntered(incoming: IncomingMessage, outgoing: ServerResponse, handle: RequestHandler): Promise<void> {
         const { settings } = this.#parts;
         const requestId = this.#createRequestId();
         const team = this.#identify(incoming);
@@ -116,15 +121,21 @@
             this.#refuse(incoming, outgoing, requestId, read.status === "tooLarge" ? "BodyTooLarge" : "MalformedBody");
             return;
         }
-        const request = parse({ requestId, team, incoming, body: read.body });
-        if (request.isErr) {
-            this.#refuse(incoming, outgoing, requestId, request.error);
-            return;
-        }
         if (this.#parts.kernel.board.lifecycle.phase === "draining") {
             outgoing.setHeader("connection", "close");
         }
-        await new RequestFlow(this.#parts, request.value, new CallerAnswer(outgoing, requestId)).run();
+        await handle({ requestId, team, incoming, body: read.body }, outgoing);
+    }
+
+    #flowOf(parse: RequestParser): RequestHandler {
+        return async (origin, outgoing) => {
+            const request = parse(origin);
+            if (request.isErr) {
+                this.#refuse(origin.incoming, outgoing, origin.requestId, request.error);
+                return;
+            }
+            await new RequestFlow(this.#parts, request.value, new CallerAnswer(outgoing, origin.requestId)).run();
+        };
     }
 
     /** @returns The team, or why the request is refused before its body is read. */
@@ -139,19 +150,18 @@
         return authenticateTeam(config, incoming.headers.authorization) ?? { refusal: "UnknownKey" };
     }
 
-    #listModels(env: HttpBindings): Response {
-        const { incoming, outgoing } = env;
-        const requestId = this.#createRequestId();
-        const team = this.#identify(incoming);
-        if (typeof team !== "string") {
-            this.#refuse(incoming, outgoing, requestId, team.refusal);
-            return RESPONSE_ALREADY_SENT;
+    #listModels({ team, requestId }: RequestOrigin, outgoing: ServerResponse): void {
+        writeJson(outgoing, requestId, { object: "list", data: this.#modelsOf(team) });
+    }
+
+    async #issueTicket({ incoming, requestId }: RequestOrigin, outgoing: ServerResponse): Promise<void> {
+        const ticket = await this.#parts.port.ticket(requestId);
+        if (ticket === undefined) {
+            this.#refuse(incoming, outgoing, requestId, "ClaimUnavailable");
+        }
+        else {
+            writeJson(outgoing, requestId, { ticket });
         }
-        const body = JSON.stringify({ object: "list", data: this.#modelsOf(team) });
-        outgoing.writeHead(200, { "content-type": "application/json", "x-request-id": requestId });
-        outgoing.end(body);
-        discardRest(incoming);
-        return RESPONSE_ALREADY_SENT;
     }
 
     #modelsOf(team: string): unknown[] {
@@ -197,6 +207,16 @@
     }
 }
 
+function writeJson(outgoing: ServerResponse, requestId: string, value: unknown): void {
+    const body = JSON.stringify(value);
+    outgoing.writeHead(200, {
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(body),
+        "x-request-id": requestId,
+    });
+    outgoing.end(body);
+}
+
 /**
  * Answers a request that the HTTP parser refused. A connection on which another request is still being answered is
  * destroyed instead: the refusal would be taken for the answer to that request.
--- a/src/gateway/relayHeaders.ts
+++ b/src/gateway/relayHeaders.ts
@@ -33,17 +33,6 @@
 /** Value of `X-Priority` by class. */
 const PriorityByClass: Readonly<Record<WorkClass, string>> = { urgent: "0", normal: "1", background: "2" };
 
-/** Microseconds per millisecond: room for numbers between two ticks of the wall clock. */
-const FencingNumbersPerMs = 1_000;
-
-let lastFencingNumber = 0;
-
-/** Fencing numbers grow within a process; between hosts they follow the wall clock, and a wrong one only refuses. */
-function nextFencingNumber(): number {
-    lastFencingNumber = Math.max(lastFencingNumber + 1, Date.now() * FencingNumbersPerMs);
-    return lastFencingNumber;
-}
-
 function withoutConnectionHeaders(headers: IncomingHttpHeaders): Record<string, string | string[]> {
     const listed = new Set((headers.connection ?? "").split(",").map(name => name.trim().toLowerCase()));
     const kept: Record<string, string | string[]> = {};
@@ -62,15 +51,24 @@
     );
 }
 
-/** @returns All headers of a dispatch. */
-export function upstreamHeaders(request: CallerRequest, workClass: WorkClass): Record<string, string | string[]> {
+/**
+ * @param fencingNumber Number of the claim, when the request holds one.
+ * @returns All headers of a dispatch.
+ */
+export function upstreamHeaders(
+    request: CallerRequest,
+    workClass: WorkClass,
+    fencingNumber: number | undefined,
+): Record<string, string | string[]> {
     const { headers, requestId, idempotencyKey } = request;
     const all: Record<string, string | string[]> = {
         ...headers,
         "x-request-id": requestId,
         "x-priority": PriorityByClass[workClass],
-        "x-fencing-number": String(nextFencingNumber()),
     };
+    if (fencingNumber !== undefined) {
+        all["x-fencing-number"] = String(fencingNumber);
+    }
     if (idempotencyKey !== undefined) {
         all["idempotency-key"] = idempotencyKey;
     }
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -34,6 +34,7 @@
     readonly #claimId: string | undefined;
     #plan!: RoutePlan;
     #claimHeld = false;
+    #fencingNumber: number | undefined;
     #grantReserved = false;
     #tokensReserved = false;
     /** What is known about whether the request ran, over all attempts. */
@@ -117,6 +118,7 @@
             throw refusal("ClaimUnavailable");
         }
         this.#claimHeld = true;
+        this.#fencingNumber = outcome.status === "held" ? outcome.fencingNumber : undefined;
         return false;
     }
 
@@ -384,7 +386,7 @@
                 url: kernel.board.config.resources.upstreams.get(upstream)?.url ?? "",
                 method,
                 path,
-                headers: upstreamHeaders(this.#request, urgent ? "urgent" : plan.workClass),
+                headers: upstreamHeaders(this.#request, urgent ? "urgent" : plan.workClass, this.#fencingNumber),
                 body: this.#request.buildBody(plan),
                 firstByteTimeoutMs: answerKind === "chatStream" ?
                     settings.firstByteTimeoutMs :
--- a/src/router/effectRunner.ts
+++ b/src/router/effectRunner.ts
@@ -40,6 +40,7 @@
             .with({ type: "peerCall" }, call => void this.#call(call))
             .with({ type: "peerAnswer" }, answer => this.#parts.answerPeer(answer.exchangeId, answer.reply))
             .with({ type: "notify" }, ({ notification }) => this.#parts.notify(notification))
+            .with({ type: "postEvent" }, ({ event }) => queueMicrotask(() => this.#post(event)))
             .exhaustive();
     }
 
--- a/src/standins/router/grantingController.ts
+++ b/src/standins/router/grantingController.ts
@@ -28,6 +28,7 @@
     recordEvents = true;
     readonly #reservations = new Map<string, { readonly budget: string; readonly costTokens: number; }>();
     #turn = 0;
+    #fencingNumber = 0;
 
     /** @returns Reservations that are neither settled nor released. */
     get openReservations(): number {
@@ -78,6 +79,9 @@
             const allowed = event.reason === "retry" || this.hedgesAllowed-- > 0;
             this.#admit(allowed ? event.item : { ...event.item, candidates: [] });
         }
+        else if (event.type === "ticketRequested") {
+            this.#notify({ type: "ticketIssued", requestId: event.requestId, ticket: `tkt.${event.requestId}` });
+        }
         else if (event.type === "requestEntered") {
             this.context.board.lifecycle.requestsInFlight++;
         }
@@ -124,7 +128,7 @@
         const held = this.claims.get(claimId);
         if (held === undefined) {
             this.claims.set(claimId, { bodyHash, answer: undefined, done: false, interrupted: false });
-            return { status: "held" };
+            return { status: "held", fencingNumber: ++this.#fencingNumber };
         }
         if (held.bodyHash !== bodyHash) {
             return { status: "refused", code: "KeyReused", retryAfterMs: undefined };
