Test the gateway end to end with faults at the upstreams

Cause: the request flow had specs for the plain course only. Change: specs with real listeners for header smuggling, over-long bodies, exhausted budgets, grants, repeated keys, dying, silent, crossed, late and leaving upstreams, hedges and callers that go away. Before: 3 specs.

--- a/src/gateway/gateway.spec.ts
+++ b/src/gateway/gateway.spec.ts
@@ -1,4 +1,5 @@
-import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { connect } from "node:net";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { GatewayHarness, HarnessKey } from "../standins/router/gatewayHarness.js";
 import { UpstreamServer } from "../standins/upstream/upstreamServer.js";
 
@@ -73,4 +74,296 @@
             expect(await refused(await chat({ n: 2 }))).toBe("MalformedBody");
         });
     });
+
+    describe("when a body or a head is not acceptable", () => {
+        const send = (text: string): Promise<string> =>
+            new Promise((resolve, reject) => {
+                const { hostname, port } = new URL(gateway.url);
+                const socket = connect(Number(port), hostname, () => socket.write(text));
+                let answer = "";
+                socket.on("data", data => {
+                    answer += data.toString();
+                });
+                socket.on("close", () => resolve(answer));
+                socket.on("error", reject);
+            });
+        const head = (...lines: string[]): string =>
+            ["POST /v1/chat/completions HTTP/1.1", "Host: h", "Connection: close", ...lines, "", ""].join("\r\n");
+        const key = `Authorization: Bearer ${HarnessKey}`;
+
+        it.each([
+            ["repeated authorization", head(key, "Authorization: Bearer other", "Content-Length: 0")],
+            ["repeated key", head(key, "Idempotency-Key: a", "Idempotency-Key: b", "Content-Length: 0")],
+            ["two lengths", head(key, "Content-Length: 0", "Content-Length: 5")],
+            ["length and encoding", head(key, "Content-Length: 3", "Transfer-Encoding: chunked")],
+            ["malformed length", head(key, "Content-Length: +3")],
+            ["malformed authorization", head("Authorization: Basic x", "Content-Length: 0")],
+            ["control character", head(key, "Idempotency-Key: a\x01b", "Content-Length: 0")],
+            ["key with a space", head(key, "Idempotency-Key: a b", "Content-Length: 0")],
+            ["missing host", `GET /v1/models HTTP/1.1\r\n${key}\r\nConnection: close\r\n\r\n`],
+            ["space before the colon", head("Authorization : Bearer x", "Content-Length: 0")],
+        ])("answers %s with one code and runs nothing (guards against request smuggling)", async (_name, text) => {
+            const answer = await send(text);
+            expect(answer).toContain("400 Bad Request");
+            expect(answer).toContain("\"code\":1008");
+            expect(answer.match(/HTTP\/1\.1/g)).toHaveLength(1);
+            expect(executions()).toBe(0);
+        });
+
+        it("refuses a body over the limit by its length and while reading (guards against memory use)", async () => {
+            const big = Buffer.alloc(20_000_000, 32);
+            const stated = await fetch(`${gateway.url}/services/sales/x`, {
+                method: "POST",
+                headers: { authorization: `Bearer ${HarnessKey}` },
+                body: big,
+            });
+            const unstated = await fetch(`${gateway.url}/v1/chat/completions`, {
+                method: "POST",
+                headers: { authorization: `Bearer ${HarnessKey}` },
+                body: new Blob([big]).stream(),
+                duplex: "half",
+            } as RequestInit);
+            for (const response of [stated, unstated]) {
+                expect(response.status).toBe(413);
+                expect((await response.json() as ErrorJson).error.name).toBe("BodyTooLarge");
+            }
+            expect(sales.executions()).toHaveLength(0);
+        });
+    });
+
+    describe("when the budget is exhausted", () => {
+        it("refuses with Retry-After and keeps nothing reserved (guards against leaked reservations)", async () => {
+            gateway.controller.tokensLeft.set("main", 10);
+            const response = await chat({}, { "idempotency-key": "k1" });
+            expect(response.status).toBe(402);
+            expect(response.headers.get("retry-after")).toBe("2");
+            expect(await response.json()).toMatchObject({ error: { name: "BudgetExhausted", ran: "no" } });
+            expect(gateway.controller.claims.size).toBe(0);
+            expect(executions()).toBe(0);
+        });
+    });
+
+    describe("when a grant is claimed", () => {
+        const priorities = (): unknown[] =>
+            gateway.controller.events.filter(event => event.type === "admissionRequested")
+                .map(event => event.item.workClass);
+
+        it("runs as urgent and bills one use (guards against free priority)", async () => {
+            await (await chat({}, { "x-priority-grant": "storm" })).text();
+            expect(priorities()).toEqual(["urgent"]);
+            expect(gateway.controller.bills.map(bill => [bill.budget, bill.tokens])).toContainEqual(["grant/storm", 1]);
+        });
+
+        it("runs in its ordinary class when no use is left (guards against a false refusal)", async () => {
+            gateway.controller.tokensLeft.set("grant/storm", 0);
+            expect((await chat({}, { "x-priority-grant": "storm" })).status).toBe(200);
+            expect(priorities()).toEqual(["normal"]);
+        });
+    });
+
+    describe("when work may not be repeated", () => {
+        const sell = (headers: Record<string, string>, body = "10 tokens"): Promise<Response> =>
+            fetch(`${gateway.url}/services/sales/buy?card=1`, {
+                method: "POST",
+                headers: { authorization: `Bearer ${HarnessKey}`, ...headers },
+                body,
+            });
+
+        it("needs a key (guards against a doubled sale on retry)", async () => {
+            const response = await sell({});
+            expect(response.status).toBe(400);
+            expect(await response.json()).toMatchObject({ error: { name: "KeyRequired", ran: "no" } });
+            expect(sales.executions()).toHaveLength(0);
+        });
+
+        it("replays the stored answer to a repetition and refuses another body (guards against a second run)", async () => {
+            const answers = [await sell({ "idempotency-key": "k1" }), await sell({ "idempotency-key": "k1" })];
+            const [text, repeated] = await Promise.all(answers.map(answer => answer.text()));
+            expect(repeated).toBe(text);
+            expect(JSON.parse(text!)).toMatchObject({ path: "/buy?card=1", echo: "10 tokens" });
+            expect(answers.map(answer => answer.headers.get("idempotent-replay"))).toEqual([null, "true"]);
+            expect((await sell({ "idempotency-key": "k1" }, "20 tokens")).status).toBe(422);
+            expect(sales.executions()).toMatchObject([{ idempotencyKey: "k1" }]);
+            expect(gateway.controller.bills).toHaveLength(1);
+        });
+
+        it("is not sent again after a failure and its outcome stays unknown (guards against a second run)", async () => {
+            sales.setFaults({ dyingRequests: 1 });
+            const response = await sell({ "idempotency-key": "k1" });
+            expect(await response.json()).toMatchObject({ error: { name: "UpstreamFailed", ran: "unknown" } });
+            expect(await (await sell({ "idempotency-key": "k1" })).json()).toMatchObject({
+                error: { name: "OutcomeUnknown" },
+            });
+            expect(sales.executions()).toHaveLength(1);
+        });
+
+        it("runs on when the caller goes away, so that the retry gets the answer (guards against a lost reply)", async () => {
+            sales.setFaults({ slowFactor: 40 });
+            const abort = new AbortController();
+            const lost = fetch(`${gateway.url}/services/sales/buy`, {
+                method: "POST",
+                headers: { authorization: `Bearer ${HarnessKey}`, "idempotency-key": "k1" },
+                body: "x",
+                signal: abort.signal,
+            });
+            await vi.waitFor(() => expect(sales.executions()).toHaveLength(1));
+            abort.abort();
+            await expect(lost).rejects.toThrow();
+            await vi.waitFor(() => expect([...gateway.controller.claims.values()][0]?.done).toBe(true));
+            expect(sales.executions()).toMatchObject([{ state: "complete" }]);
+            expect([...gateway.controller.claims.values()][0]?.answer?.body).toContain("echo");
+        });
+
+        it("is released when the upstream refuses definitely (guards against a key that stays blocked)", async () => {
+            sales.setFaults({ refusedRequests: 1 });
+            expect(await (await sell({ "idempotency-key": "k1" })).json()).toMatchObject({
+                error: { name: "UpstreamRefused", ran: "no" },
+            });
+            expect(gateway.controller.bills).toHaveLength(0);
+            expect((await sell({ "idempotency-key": "k1" })).status).toBe(200);
+        });
+    });
+
+    describe("when an upstream fails", () => {
+        const faultBoth = (faults: Parameters<UpstreamServer["setFaults"]>[0]): void => {
+            first.setFaults(faults);
+            second.setFaults(faults);
+        };
+        const readAll = async (response: Response): Promise<{ text: string; broken: boolean; }> => {
+            let text = "";
+            try {
+                for await (const chunk of response.body!) {
+                    text += Buffer.from(chunk).toString();
+                }
+                return { text, broken: false };
+            }
+            catch {
+                return { text, broken: true };
+            }
+        };
+
+        it("interrupts a stream visibly and bills what was delivered (guards against a cut that looks whole)", async () => {
+            faultBoth({ dyingRequests: 1, dieAfterTokens: 2 });
+            const { text, broken } = await readAll(await chat({ stream: true }));
+            expect(broken).toBe(true);
+            expect(text).toContain("\"name\":\"StreamCut\"");
+            expect(text).not.toContain("[DONE]");
+            expect(executions()).toBe(1);
+            const delivered = text.match(/w\d /g)!.length;
+            expect(gateway.controller.bills).toMatchObject([{ outcome: "cut", outputTokens: delivered }]);
+        });
+
+        it("tries another upstream while nothing was delivered (guards against needless failures)", async () => {
+            faultBoth({ dyingRequests: 1, dieAfterTokens: 0 });
+            second.setFaults({ dyingRequests: 0 });
+            await first.stop();
+            for (let round = 0; round < 2; round++) {
+                expect((await readAll(await chat({ stream: true }))).text).toContain("[DONE]");
+            }
+            expect(gateway.controller.bills).toHaveLength(2);
+        });
+
+        it("ends silence by a timeout and never uses the connection again (guards against late answers)", async () => {
+            faultBoth({ silentRequests: 1 });
+            const response = await chat({ stream: true });
+            expect(response.status).toBe(504);
+            expect(await response.json()).toMatchObject({ error: { name: "UpstreamTimeout", ran: "unknown" } });
+            for (let round = 0; round < 4; round++) {
+                expect((await readAll(await chat({ stream: true }))).text).toContain("[DONE]");
+            }
+        });
+
+        it("discards an answer with another id (guards against another caller's answer)", async () => {
+            faultBoth({ crossedRequests: 1 });
+            const response = await chat();
+            expect(response.status).toBe(502);
+            expect(await response.json()).toMatchObject({ error: { name: "AnswerMismatch", ran: "unknown" } });
+            expect(gateway.controller.bills).toMatchObject([{ tokens: 0, outcome: "cut" }]);
+        });
+
+        it("gives a late answer to nobody (guards against answers that shift to the next caller)", async () => {
+            faultBoth({ lateRequests: 1, lateMs: 600 });
+            expect((await chat({ max_tokens: 3 })).status).toBe(504);
+            const answers = await Promise.all([1, 2, 3, 4].map(async tokens => {
+                const answer = await (await chat({ max_tokens: tokens })).json() as {
+                    usage: { completion_tokens: number; };
+                };
+                return answer.usage.completion_tokens;
+            }));
+            expect(answers).toEqual([1, 2, 3, 4]);
+        });
+
+        it("takes work elsewhere when the upstream is leaving (guards against refusals during a change)", async () => {
+            first.setFaults({ leaving: true });
+            for (let round = 0; round < 4; round++) {
+                expect((await chat()).status).toBe(200);
+            }
+            expect(first.executions()).toHaveLength(0);
+            const ends = gateway.controller.events.filter(event => event.type === "dispatchEnded");
+            expect(ends.some(event => event.result === "leaving" && event.upstream === "first")).toBe(true);
+        });
+    });
+
+    describe("when a hedge is allowed", () => {
+        it("answers from the faster upstream and bills once (guards against a doubled bill)", async () => {
+            await gateway.stop();
+            gateway = new GatewayHarness({ hedgeAfterMs: 30, firstByteTimeoutMs: 2_000 });
+            await gateway.start({ first: await restart(first), second: await restart(second) });
+            gateway.controller.hedgesAllowed = 1;
+            first.setFaults({ silentRequests: -1 });
+            second.setFaults({ silentRequests: 0 });
+            const texts = [await (await chat({ stream: true })).text()];
+            expect(texts[0]).toContain("[DONE]");
+            expect(gateway.controller.bills).toMatchObject([{ upstream: "second", outcome: "complete" }]);
+            const results = gateway.controller.events.filter(event => event.type === "dispatchEnded")
+                .map(event => [event.upstream, event.result]);
+            expect(results).toContainEqual(["second", "complete"]);
+        });
+    });
+
+    describe("when a caller goes away", () => {
+        it("cancels a stream at the upstream and bills what was delivered (guards against wasted tokens)", async () => {
+            const abort = new AbortController();
+            const response = await fetch(`${gateway.url}/v1/chat/completions`, {
+                method: "POST",
+                headers: { authorization: `Bearer ${HarnessKey}` },
+                body: JSON.stringify({
+                    model: "assistant",
+                    messages: [{ role: "user", content: "x" }],
+                    stream: true,
+                    metadata: { outputTokens: "500" },
+                }),
+                signal: abort.signal,
+            });
+            await response.body!.getReader().read();
+            abort.abort();
+            await vi.waitFor(() => expect(gateway.controller.bills).toMatchObject([{ outcome: "cut" }]));
+            expect(gateway.controller.bills[0]!.outputTokens).toBeGreaterThan(0);
+            await vi.waitFor(() =>
+                expect([...first.executions(), ...second.executions()]).toMatchObject([{ state: "cancelled" }])
+            );
+        });
+
+        it("gives everything back while the request waits (guards against leaked reservations and claims)", async () => {
+            gateway.controller.holdAdmissions = true;
+            const abort = new AbortController();
+            const lost = fetch(`${gateway.url}/v1/chat/completions`, {
+                method: "POST",
+                headers: { authorization: `Bearer ${HarnessKey}`, "idempotency-key": "k1" },
+                body: JSON.stringify({ model: "assistant", messages: [{ role: "user", content: "x" }] }),
+                signal: abort.signal,
+            });
+            await vi.waitFor(() => expect(gateway.controller.openReservations).toBe(1));
+            abort.abort();
+            await expect(lost).rejects.toThrow();
+            await vi.waitFor(() => expect(gateway.controller.openReservations).toBe(0));
+            expect(gateway.controller.claims.size).toBe(0);
+            expect(executions()).toBe(0);
+        });
+    });
 });
+
+async function restart(upstream: UpstreamServer): Promise<string> {
+    await upstream.stop();
+    return upstream.start();
+}
