Measure the router's cost against direct calls

Cause: the targets on added latency, short requests and relayed chunks were not measured. Change: npm run bench:router, with router and upstreams as processes of their own.

--- /dev/null
+++ b/src/bench/routerCost.ts
@@ -0,0 +1,130 @@
+/**
+ * Measures what the router adds, against the same client that calls the upstream directly, in one run. Router and
+ * upstreams are processes of their own. `npm run bench:router`; the result is one line of JSON.
+ */
+import { type ChildProcess, fork } from "node:child_process";
+import { fileURLToPath } from "node:url";
+import { GatewayHarness, HarnessKey } from "../standins/router/gatewayHarness.js";
+import { BenchClient } from "./benchClient.js";
+import { startBenchUpstream } from "./benchUpstream.js";
+
+const UpstreamCount = 3;
+const LatencyRounds = 3_000;
+/** Until the compilers of all processes have settled. */
+const WarmUpRounds = 4_000;
+const RateLanes = 32;
+const RateDurationMs = 4_000;
+const StreamCount = 600;
+const StreamShape = { chunkCount: 150, chunkIntervalMs: 24 };
+
+interface CpuReport {
+    readonly cpuMs: number;
+}
+
+/** Child process: an upstream or the router; sends its URL, and its CPU time on request. */
+async function runChild(role: string, upstreamUrls: readonly string[]): Promise<void> {
+    process.on("message", () => {
+        const { user, system } = process.cpuUsage();
+        process.send?.({ cpuMs: (user + system) / 1_000 } satisfies CpuReport);
+    });
+    if (role === "upstream") {
+        process.send?.({ url: await startBenchUpstream(StreamShape) });
+        return;
+    }
+    const gateway = new GatewayHarness();
+    gateway.controller.recordEvents = false;
+    await gateway.start(Object.fromEntries(upstreamUrls.map((url, index) => [`upstream${index}`, url])));
+    process.send?.({ url: gateway.url });
+}
+
+async function startChild(
+    role: string,
+    upstreamUrls: readonly string[] = [],
+): Promise<{ child: ChildProcess; url: string; }> {
+    const child = fork(fileURLToPath(import.meta.url), [role, ...upstreamUrls]);
+    const { url } = await new Promise<{ url: string; }>(resolve => {
+        child.once("message", message => resolve(message as { url: string; }));
+    });
+    return { child, url };
+}
+
+async function cpuMsOf(child: ChildProcess): Promise<number> {
+    const answer = new Promise<CpuReport>(resolve => {
+        child.once("message", message => resolve(message as CpuReport));
+    });
+    child.send("cpu");
+    return (await answer).cpuMs;
+}
+
+function median(values: number[]): number {
+    values.sort((a, b) => a - b);
+    return values[Math.floor(values.length / 2)] ?? 0;
+}
+
+/** Alternates between both paths, so that a change of the machine's load meets both. */
+async function measureLatency(direct: BenchClient, routed: BenchClient): Promise<Record<string, number>> {
+    const directMs: number[] = [];
+    const routedMs: number[] = [];
+    for (let round = 0; round < WarmUpRounds + LatencyRounds; round++) {
+        const pair = [await direct.short(), await routed.short()] as const;
+        if (round >= WarmUpRounds) {
+            directMs.push(pair[0]);
+            routedMs.push(pair[1]);
+        }
+    }
+    const directMedianMs = median(directMs);
+    const routedMedianMs = median(routedMs);
+    return { directMedianMs, routedMedianMs, addedMedianMs: routedMedianMs - directMedianMs };
+}
+
+/** @returns Chunks per second over the middle of the run, when all streams are open. */
+async function measureChunks(client: BenchClient): Promise<number> {
+    const durationMs = StreamShape.chunkCount * StreamShape.chunkIntervalMs;
+    const startedAtMs = performance.now();
+    let counted = 0;
+    const streams = Array.from({ length: StreamCount }, () =>
+        client.stream(count => {
+            const elapsedMs = performance.now() - startedAtMs;
+            if (elapsedMs >= durationMs * 0.25 && elapsedMs < durationMs * 0.75) {
+                counted += count;
+            }
+        }));
+    await Promise.all(streams);
+    return counted / (durationMs * 0.5) * 1_000;
+}
+
+async function main(): Promise<void> {
+    const upstreams = await Promise.all(Array.from({ length: UpstreamCount }, () => startChild("upstream")));
+    const router = await startChild("router", upstreams.map(upstream => upstream.url));
+    const direct = new BenchClient(upstreams[0]!.url, HarnessKey);
+    const routed = new BenchClient(router.url, HarnessKey);
+    const latency = await measureLatency(direct, routed);
+    const cpuBeforeRateMs = await cpuMsOf(router.child);
+    const shortPerS = await routed.shortRate(RateLanes, RateDurationMs);
+    const cpuBeforeChunksMs = await cpuMsOf(router.child);
+    const startedAtMs = performance.now();
+    const chunksPerS = await measureChunks(routed);
+    const chunksCpuShare = (await cpuMsOf(router.child) - cpuBeforeChunksMs) / (performance.now() - startedAtMs);
+    const result = {
+        ...latency,
+        directShortPerS: await direct.shortRate(RateLanes, RateDurationMs),
+        shortPerS,
+        shortCpuMsPerRequest: (cpuBeforeChunksMs - cpuBeforeRateMs) / (shortPerS * RateDurationMs / 1_000),
+        offeredChunksPerS: StreamCount * 1_000 / StreamShape.chunkIntervalMs,
+        chunksPerS,
+        chunksCpuShare,
+    };
+    process.stdout.write(`${JSON.stringify(result)}\n`);
+    await Promise.all([direct.close(), routed.close()]);
+    for (const { child } of [router, ...upstreams]) {
+        child.kill();
+    }
+}
+
+const [role, ...upstreamUrls] = process.argv.slice(2);
+if (role === undefined) {
+    await main();
+}
+else {
+    await runChild(role, upstreamUrls);
+}
