Add the gRPC peer link of the router process

Cause: the router process had no peers. Change: peer settings, platform timeouts and a peer link on the gRPC peer server and client.

--- a/src/features/lifecycle/lifecycleController.ts
+++ b/src/features/lifecycle/lifecycleController.ts
@@ -75,7 +75,7 @@
     }
 
     #closeWhenRecorded(): void {
-        const recorded = isRecordClosed(this.context.board);
+        const recorded = this.context.board.journal.closed;
         if (!recorded && this.#nowMs - this.#closingSinceMs < this.#settings.closeTimeoutMs) {
             return;
         }
@@ -149,8 +149,3 @@
     }
     return false;
 }
-
-/** The journal tells when its closing record is stored; a router without a journal has nothing to record. */
-function isRecordClosed(board: Blackboard): boolean {
-    return !("closed" in board.journal) || board.journal.closed === true;
-}
--- /dev/null
+++ b/src/router/grpcPeerLink.ts
@@ -0,0 +1,46 @@
+/** Calls to and from other routers over gRPC. */
+import type { Clock } from "../base/clock.js";
+import type { Counters } from "../base/counters.js";
+import type { PeerRequested } from "../kernel/effects.js";
+import { GrpcPeerClient } from "../peer/grpcPeerClient.js";
+import type { PeerReply } from "../peer/peerMessages.js";
+import { PeerServer } from "../peer/peerServer.js";
+import type { PeerSettings } from "../peer/peerSettings.js";
+import { PeerLink } from "./routerParts.js";
+
+/** What the link works with. */
+export interface GrpcPeerLinkParts {
+    readonly settings: PeerSettings;
+    /** Name of this host, for the peers' rate limits. */
+    readonly hostId: string;
+    readonly clock: Clock;
+    readonly counters: Counters;
+}
+
+/** The peer listener and the peer client of one router. */
+export class GrpcPeerLink extends PeerLink {
+    override readonly client: GrpcPeerClient;
+    readonly #parts: GrpcPeerLinkParts;
+    #server: PeerServer | undefined;
+
+    constructor(parts: GrpcPeerLinkParts) {
+        super();
+        this.#parts = parts;
+        this.client = new GrpcPeerClient(parts);
+    }
+
+    override start(post: (event: PeerRequested) => void): Promise<number> {
+        const { settings, clock, counters } = this.#parts;
+        this.#server = new PeerServer({ settings, clock, counters, post });
+        return this.#server.listen();
+    }
+
+    override answer(exchangeId: string, reply: PeerReply): void {
+        this.#server?.answer(exchangeId, reply);
+    }
+
+    override async stop(): Promise<void> {
+        this.#server?.close();
+        this.client.close();
+    }
+}
--- a/src/router/routerParts.ts
+++ b/src/router/routerParts.ts
@@ -1,4 +1,6 @@
 /** What a router process is connected to. Tests and benches attach their own parts here. */
+import type { Clock } from "../base/clock.js";
+import type { Counters } from "../base/counters.js";
 import type { Blackboard } from "../kernel/blackboard.js";
 import type { PeerRequested } from "../kernel/effects.js";
 import type { RouterEvent } from "../kernel/events.js";
@@ -44,5 +46,13 @@
     closeStore(): Promise<void>;
 }
 
-/** Builds the parts. `identity` tells how the host shows itself to the platform; it is known once it listens. */
-export type RouterPartsFactory = (identity: () => ListedHost | undefined) => RouterParts;
+/** What parts may use of the process. */
+export interface PartsContext {
+    readonly clock: Clock;
+    readonly counters: Counters;
+    /** @returns How the host shows itself to the platform; `undefined` until it listens. */
+    readonly identity: () => ListedHost | undefined;
+}
+
+/** Builds the parts. */
+export type RouterPartsFactory = (context: PartsContext) => RouterParts;
--- a/src/router/routerProcess.ts
+++ b/src/router/routerProcess.ts
@@ -64,7 +64,11 @@
     constructor(settings: RouterSettings, options: RouterOptions) {
         this.#settings = settings;
         this.#options = options;
-        this.#parts = options.createParts(() => this.#identity());
+        this.#parts = options.createParts({
+            clock: this.#clock,
+            counters: this.#counters,
+            identity: () => this.#identity(),
+        });
         this.#client = new UndiciUpstreamClient(settings.gateway);
         this.#operator = new OperatorListener(settings.operator, {
             dumpState: () => this.dumpState(),
@@ -91,7 +95,7 @@
         // The controllers announce the addresses of these listeners, so these listeners are opened first.
         const peerPort = await this.#parts.peerLink.start(event => this.#kernel?.post(event));
         const operatorPort = await this.#operator.start();
-        const peer = `${this.#advertised(caller.host)}:${peerPort}`;
+        const peer = `${this.#advertised(this.#settings.peer.listenHost)}:${peerPort}`;
         const operatorAddress = `${this.#advertised(operator.host)}:${operatorPort}`;
         const { kernel, port } = this.#createKernel(peer, operatorAddress);
         const listener = new CallerListener({
--- a/src/router/routerSettings.ts
+++ b/src/router/routerSettings.ts
@@ -3,6 +3,8 @@
 import { z } from "zod";
 import { FeatureSettingsSchema } from "../features/registry.js";
 import { GatewaySettingsSchema } from "../gateway/gatewaySettings.js";
+import { DefaultPlatformTimeouts } from "../platform/platformConnection.js";
+import { PeerSettingsSchema } from "../peer/peerSettings.js";
 
 const PortSchema = z.number().int().min(0).max(65_535);
 
@@ -23,8 +25,11 @@
         /** SHA-256 of the operator token; without one the listener must be on a loopback address. */
         tokenHash: z.string().regex(/^[0-9a-f]{64}$/).optional(),
     }).prefault({}),
+    peer: PeerSettingsSchema.prefault({}),
     platform: z.strictObject({
         url: z.url().default("http://127.0.0.1:7100"),
+        timeoutMs: z.number().int().positive().default(DefaultPlatformTimeouts.timeoutMs),
+        connectTimeoutMs: z.number().int().positive().default(DefaultPlatformTimeouts.connectTimeoutMs),
     }).prefault({}),
     gateway: GatewaySettingsSchema.prefault({}),
     features: FeatureSettingsSchema.prefault({}),
