Add the membership controller

Cause: routers have to find each other, notice dead hosts and learn configuration versions without cost that grows with the fleet.

Change: each host exchanges a digest of at most 1 KB per second with six ring successors in turn, every fourth time with a random host. Only watchers suspect a silent host and offer it for sealing; changed facts are told a logarithmic number of times. A heartbeat is the host's own time, so that a suspicion carries the value the host would have reached.

--- /dev/null
+++ b/src/features/membership/memberTable.ts
@@ -0,0 +1,213 @@
+/** The known hosts: takes facts, suspects silent hosts and remembers ended ones. */
+import type { Clock } from "../../base/clock.js";
+import { hash32 } from "../../base/hashing.js";
+import type { ListedHost } from "../../platform/platformStore.js";
+import { hostKeyOf } from "../journal/journalTypes.js";
+import { FactQueue } from "./factQueue.js";
+import { differsInSubstance, hasEnded, supersedes } from "./memberMerge.js";
+import type { KnownMember, MembershipBoard } from "./membershipBoard.js";
+import type { MembershipSettings } from "./membershipSettings.js";
+import type { Member } from "./membershipTypes.js";
+import type { EndedRecord } from "./recordEvents.js";
+import { findNeighbours, type Neighbours } from "./ring.js";
+
+/** An incarnation that is to be sealed. */
+interface Suspicion {
+    readonly hostId: string;
+    readonly sinceMs: number;
+}
+
+/** What follows from the members' states. Kept until one of them changes, as 400 members are looked at with each call. */
+interface FleetView {
+    readonly neighbours: Neighbours;
+    /** Ids of the hosts that have not ended. */
+    readonly candidates: readonly string[];
+    /** Ids of the hosts whose incarnation is known. */
+    readonly heardIds: readonly string[];
+    readonly liveCount: number;
+}
+
+/** Margin by which a suspicion stays below the heartbeat that the host would have reached. */
+const HeartbeatMarginMs = 1_000;
+
+/** Writes the members and suspects of the board. */
+export class MemberTable {
+    readonly facts = new FactQueue();
+    readonly #board: MembershipBoard;
+    readonly #clock: Clock;
+    readonly #settings: MembershipSettings;
+    /** Incarnations that are silent or were replaced, by host key. */
+    readonly #suspicions = new Map<string, Suspicion>();
+    /** Times from which the silence of the watched hosts counts. */
+    readonly #watchedSinceMs = new Map<string, number>();
+    #listedIds: ReadonlySet<string> = new Set();
+    #view: FleetView | undefined;
+
+    constructor(board: MembershipBoard, clock: Clock, settings: MembershipSettings) {
+        this.#board = board;
+        this.#clock = clock;
+        this.#settings = settings;
+    }
+
+    /** @returns What follows from the members' states for this host. */
+    view(ownHostId: string): FleetView {
+        this.#view ??= this.#createView(ownHostId);
+        return this.#view;
+    }
+
+    /**
+     * Takes a fact about another host.
+     * @returns Whether it is newer than what was known.
+     */
+    take(fact: Member): boolean {
+        const known = this.#board.members.get(fact.hostId);
+        if (!supersedes(fact, known)) {
+            return false;
+        }
+        const heartbeatGrew = known === undefined || fact.heartbeat > known.heartbeat;
+        const heardAtMs = heartbeatGrew ? this.#now() : known.heardAtMs;
+        const changed = differsInSubstance(fact, known);
+        this.#board.members.set(fact.hostId, { ...fact, heardAtMs });
+        if (changed) {
+            this.#noteChange(fact, known);
+        }
+        return true;
+    }
+
+    /** Takes the platform's list. It only introduces hosts; peers know better which ones live. */
+    takeList(hosts: readonly ListedHost[], ownHostId: string): void {
+        this.#listedIds = new Set(hosts.map(host => host.hostId));
+        for (const host of hosts) {
+            const known = this.#board.members.get(host.hostId);
+            const isNews = known === undefined || (known.incarnation === "" && known.peerAddress !== host.peerAddress);
+            if (host.hostId !== ownHostId && isNews) {
+                const unheard = { ...host, incarnation: "", heartbeat: 0, configVersion: 0 };
+                this.#board.members.set(host.hostId, { ...unheard, heardAtMs: this.#now() });
+                this.#view = undefined;
+            }
+        }
+    }
+
+    /** Takes the end of an incarnation from its record. */
+    takeEnd(record: EndedRecord): void {
+        this.#suspicions.delete(hostKeyOf(record.hostId, record.incarnation));
+        const known = this.#board.members.get(record.hostId);
+        if (known !== undefined && known.incarnation === record.incarnation) {
+            const { hostId, incarnation, zone, peerAddress, operatorAddress, heartbeat, configVersion } = known;
+            const facts = { hostId, incarnation, zone, peerAddress, operatorAddress, heartbeat, configVersion };
+            this.take({ ...facts, state: record.state });
+        }
+    }
+
+    /** Suspects watched hosts that were silent for too long, and forgets hosts that ended long ago. */
+    review(ownHostId: string): void {
+        const now = this.#now();
+        const { successors } = this.view(ownHostId).neighbours;
+        for (const hostId of [...this.#watchedSinceMs.keys()].filter(hostId => !successors.includes(hostId))) {
+            this.#watchedSinceMs.delete(hostId);
+        }
+        for (const hostId of successors) {
+            const member = this.#board.members.get(hostId)!;
+            const watchedSinceMs = this.#watchedSinceMs.get(hostId) ?? now;
+            this.#watchedSinceMs.set(hostId, watchedSinceMs);
+            if (now - Math.max(member.heardAtMs, watchedSinceMs) > this.#settings.suspectAfterMs) {
+                this.#suspect(member);
+            }
+        }
+        this.#forgetEnded(now);
+        this.#publishSuspects(ownHostId, now);
+    }
+
+    /** Restarts the watch, because this process did not run and could not hear anybody. */
+    restartWatch(): void {
+        for (const hostId of this.#watchedSinceMs.keys()) {
+            this.#watchedSinceMs.set(hostId, this.#now());
+        }
+    }
+
+    /** Suspects other hosts at an address that a newly heard host uses. */
+    suspectOthersAt(address: string, hostId: string): void {
+        for (const member of [...this.#board.members.values()]) {
+            const isOther = member.hostId !== hostId && member.peerAddress === address;
+            if (isOther && !hasEnded(member.state) && member.state !== "suspect") {
+                this.#suspect(member);
+            }
+        }
+    }
+
+    #createView(ownHostId: string): FleetView {
+        const members = [...this.#board.members.values()];
+        const hosts = members.filter(member => !hasEnded(member.state));
+        const ringHosts = hosts.map(({ hostId, state }) => ({ hostId, suspected: state === "suspect" }));
+        return {
+            neighbours: findNeighbours(ownHostId, ringHosts, this.#settings.successorCount),
+            candidates: hosts.map(({ hostId }) => hostId),
+            heardIds: members.filter(({ incarnation }) => incarnation !== "").map(({ hostId }) => hostId),
+            liveCount: members.filter(({ state }) => state === "live").length,
+        };
+    }
+
+    #suspect(member: KnownMember): void {
+        const silenceMs = Math.floor(this.#now() - member.heardAtMs);
+        const heartbeat = member.heartbeat + Math.max(0, silenceMs - HeartbeatMarginMs);
+        const suspected: KnownMember = { ...member, heartbeat, state: "suspect" };
+        this.#board.members.set(member.hostId, suspected);
+        this.#watchedSinceMs.delete(member.hostId);
+        this.#noteChange(suspected, member);
+    }
+
+    #noteChange(fact: Member, known: KnownMember | undefined): void {
+        this.#view = undefined;
+        const hostKey = hostKeyOf(fact.hostId, fact.incarnation);
+        if (known !== undefined && known.incarnation !== fact.incarnation && !hasEnded(known.state)) {
+            this.#addSuspicion(known);
+        }
+        if (fact.state === "suspect") {
+            this.#addSuspicion(fact);
+        }
+        else {
+            this.#suspicions.delete(hostKey);
+        }
+        // Hosts that the platform lists are known everywhere; only other news is worth telling.
+        const isFirstSign = known?.incarnation === "" && fact.state === "live";
+        if (fact.incarnation !== "" && !isFirstSign) {
+            this.facts.add(fact.hostId, this.#board.members.size);
+        }
+    }
+
+    /** A host that was only listed has no record that could be sealed. */
+    #addSuspicion({ hostId, incarnation }: Member): void {
+        const hostKey = hostKeyOf(hostId, incarnation);
+        if (incarnation !== "" && !this.#suspicions.has(hostKey)) {
+            this.#suspicions.set(hostKey, { hostId, sinceMs: this.#now() });
+        }
+    }
+
+    /** Only the hosts that watch a suspect offer it for sealing, so that the reads of its record stay few. */
+    #publishSuspects(ownHostId: string, now: number): void {
+        const { successors, suspects } = this.view(ownHostId).neighbours;
+        const watched = new Set([...successors, ...suspects]);
+        this.#board.suspects.clear();
+        for (const [hostKey, { hostId, sinceMs }] of this.#suspicions) {
+            const jitter = 1 + hash32(`${ownHostId}|${hostKey}`) / 2 ** 32;
+            if (watched.has(hostId) || now - sinceMs > this.#settings.escalateAfterMs * jitter) {
+                this.#board.suspects.add(hostKey);
+            }
+        }
+    }
+
+    #forgetEnded(now: number): void {
+        for (const member of [...this.#board.members.values()]) {
+            const canForget = hasEnded(member.state) || (member.state === "suspect" && member.incarnation === "");
+            const isOld = now - member.heardAtMs > this.#settings.forgetAfterMs;
+            if (canForget && isOld && !this.#listedIds.has(member.hostId)) {
+                this.#board.members.delete(member.hostId);
+                this.#view = undefined;
+            }
+        }
+    }
+
+    #now(): number {
+        return this.#clock.monotonicMs();
+    }
+}
--- /dev/null
+++ b/src/features/membership/membershipController.ts
@@ -0,0 +1,297 @@
+/** Finds the hosts of the fleet, exchanges digests with a fixed subset of them and suspects silent ones. */
+import { log } from "../../base/log.js";
+import { Controller, type ControllerContext } from "../../kernel/controller.js";
+import type { RouterEvent } from "../../kernel/events.js";
+import { digestIn } from "./digestEvents.js";
+import { fitMembers, trimInFlight, trimNames } from "./digestSize.js";
+import { hasEnded } from "./memberMerge.js";
+import type { KnownMember } from "./membershipBoard.js";
+import type { MembershipSettings } from "./membershipSettings.js";
+import { type Digest, type Member, PeerProtocolVersion } from "./membershipTypes.js";
+import { MemberTable } from "./memberTable.js";
+import { PeerLoads } from "./peerLoads.js";
+import { endedRecordIn } from "./recordEvents.js";
+
+/** Number of successors asked at once when the first hosts become known. */
+const FirstExchangeCount = 3;
+
+/** Least time between two rounds of extra exchanges. */
+const ExtraRoundIntervalMs = 2_000;
+
+/** Attempts at a silent successor before the next one takes its turn. */
+const MaxRetries = 2;
+
+/** Writes the membership section. Answers `Exchange`. */
+export class MembershipController extends Controller {
+    override readonly name = "membership";
+    readonly #settings: MembershipSettings;
+    readonly #table: MemberTable;
+    readonly #loads: PeerLoads;
+    /** Host that an exchange was sent to, by call. */
+    readonly #openExchanges = new Map<string, string>();
+    /** Difference between wall-clock and monotonic time at the start; later steps of the wall clock have no effect. */
+    readonly #clockOffsetMs: number;
+    #heartbeat = 0;
+    #lastTickMs: number | undefined;
+    #nextExchangeMs = 0;
+    #nextExtraRoundMs = 0;
+    #exchangeCount = 0;
+    #turn = 0;
+    #retry: { readonly hostId: string; readonly count: number; } | undefined;
+    #told = { state: "live" as Member["state"], leavingUpstreams: [] as readonly string[] };
+    #hasMet = false;
+
+    constructor(context: ControllerContext, settings: MembershipSettings) {
+        super(context);
+        this.#settings = settings;
+        this.#clockOffsetMs = context.clock.wallMs() - context.clock.monotonicMs();
+        this.#table = new MemberTable(context.board.membership, context.clock, settings);
+        this.#loads = new PeerLoads(settings.loadAgeLimitMs);
+        // Hosts that start together must not exchange in step.
+        this.#nextExchangeMs = context.clock.monotonicMs() + context.random.next() * settings.exchangeIntervalMs;
+    }
+
+    override handle(event: RouterEvent): void {
+        const digest = digestIn(event);
+        if (digest !== undefined) {
+            this.#takeDigest(digest);
+        }
+        const ended = endedRecordIn(event);
+        if (ended !== undefined) {
+            this.#table.takeEnd(ended);
+        }
+        if (event.type === "peerRequested" && event.request.method === "Exchange") {
+            const body = this.#buildDigest(event.request.body.self);
+            const reply = { method: "Exchange", body } as const;
+            this.context.emit({ type: "peerAnswer", exchangeId: event.exchangeId, reply });
+        }
+        else if (event.type === "peerCallDone" && event.owner === "membership") {
+            this.#finishExchange(event.callId, event.outcome.status === "replied");
+        }
+        else if (event.type === "hostsListed" && event.outcome.status === "changed") {
+            this.#table.takeList(event.outcome.hosts, this.#ownHostId());
+        }
+        else if (event.type === "tick") {
+            this.#tick();
+        }
+    }
+
+    override dumpState(): unknown {
+        return {
+            neighbours: this.#table.view(this.#ownHostId()).neighbours,
+            factsToTell: this.#table.facts.size,
+            exchangeCount: this.#exchangeCount,
+        };
+    }
+
+    #tick(): void {
+        const now = this.context.clock.monotonicMs();
+        if (now - (this.#lastTickMs ?? now) > this.#settings.pauseToleranceMs) {
+            log.warn("the process was paused", { pauseMs: Math.round(now - this.#lastTickMs!) });
+            this.#table.restartWatch();
+        }
+        this.#lastTickMs = now;
+        this.context.board.membership.ownDigest ??= this.#baseDigest();
+        const { successors } = this.#table.view(this.#ownHostId()).neighbours;
+        if (!this.#hasMet && successors.length > 0) {
+            this.#hasMet = true;
+            successors.slice(0, FirstExchangeCount).forEach(hostId => this.#exchangeWith(hostId));
+        }
+        if (now >= this.#nextExchangeMs) {
+            this.#nextExchangeMs = Math.max(this.#nextExchangeMs, now - this.#settings.exchangeIntervalMs) +
+                this.#settings.exchangeIntervalMs;
+            this.#round(now);
+        }
+        this.#tellUrgentChanges(now);
+    }
+
+    #round(now: number): void {
+        this.#table.review(this.#ownHostId());
+        this.#loads.expire(now);
+        this.#publishLoads();
+        this.context.board.membership.ownDigest = this.#baseDigest();
+        this.context.counters.set("membership.members", this.context.board.membership.members.size);
+        this.context.counters.set("membership.suspects", this.context.board.membership.suspects.size);
+        const target = this.#chooseTarget();
+        if (target !== undefined) {
+            this.#exchangeWith(target);
+        }
+    }
+
+    /** Upstreams that leave, and this host's own departure, are told to all successors at once. */
+    #tellUrgentChanges(now: number): void {
+        const state = this.#ownState();
+        const leavingUpstreams = this.#leavingUpstreams();
+        const isUrgent = state !== this.#told.state ||
+            leavingUpstreams.some(name => !this.#told.leavingUpstreams.includes(name));
+        if (isUrgent && now < this.#nextExtraRoundMs) {
+            return;
+        }
+        this.#told = { state, leavingUpstreams };
+        if (isUrgent) {
+            this.#nextExtraRoundMs = now + ExtraRoundIntervalMs;
+            this.context.board.membership.ownDigest = this.#baseDigest();
+            this.#table.view(this.#ownHostId()).neighbours.successors.forEach(hostId => this.#exchangeWith(hostId));
+        }
+    }
+
+    #chooseTarget(): string | undefined {
+        this.#exchangeCount++;
+        const { successors } = this.#table.view(this.#ownHostId()).neighbours;
+        if (successors.length === 0 || this.#exchangeCount % this.#settings.randomExchangePeriod === 0) {
+            return this.#chooseRandom();
+        }
+        if (this.#retry !== undefined && successors.includes(this.#retry.hostId)) {
+            return this.#retry.hostId;
+        }
+        this.#turn++;
+        return successors[this.#turn % successors.length];
+    }
+
+    /** Suspects are among the candidates, so that two halves of a healed partition find each other again. */
+    #chooseRandom(): string | undefined {
+        return this.#pick(this.#table.view(this.#ownHostId()).candidates);
+    }
+
+    #exchangeWith(hostId: string): void {
+        const address = this.context.board.membership.members.get(hostId)?.peerAddress ?? "";
+        if (address === "") {
+            return;
+        }
+        const callId = `exchange/${hostId}/${this.context.clock.monotonicMs()}/${this.#openExchanges.size}`;
+        this.#openExchanges.set(callId, hostId);
+        this.context.counters.add("membership.exchanges");
+        this.context.emit({
+            type: "peerCall",
+            owner: "membership",
+            callId,
+            address,
+            request: { method: "Exchange", body: this.#buildDigest(undefined) },
+            timeoutMs: this.#settings.exchangeTimeoutMs,
+        });
+    }
+
+    #finishExchange(callId: string, replied: boolean): void {
+        const hostId = this.#openExchanges.get(callId);
+        this.#openExchanges.delete(callId);
+        if (hostId === undefined) {
+            return;
+        }
+        if (replied) {
+            this.#retry = this.#retry?.hostId === hostId ? undefined : this.#retry;
+            return;
+        }
+        const count = this.#retry?.hostId === hostId ? this.#retry.count + 1 : 1;
+        this.#retry = count <= MaxRetries ? { hostId, count } : undefined;
+    }
+
+    #takeDigest(digest: Digest): void {
+        const { self } = digest;
+        const ownHostId = this.#ownHostId();
+        if (self.hostId !== ownHostId) {
+            const wasKnown = this.context.board.membership.members.get(self.hostId)?.incarnation === self.incarnation;
+            this.#table.take(self);
+            if (!wasKnown) {
+                this.#table.suspectOthersAt(self.peerAddress, self.hostId);
+            }
+            this.#takeLoad(digest);
+        }
+        for (const fact of digest.members) {
+            if (fact.hostId !== ownHostId) {
+                this.#table.take(fact);
+            }
+            else if (fact.heartbeat >= this.#heartbeat) {
+                // Only a heartbeat above every known one replaces an earlier incarnation or ends a suspicion.
+                this.#heartbeat = fact.heartbeat;
+            }
+        }
+    }
+
+    #takeLoad(digest: Digest): void {
+        if (hasEnded(digest.self.state)) {
+            this.#loads.remove(digest.self.hostId);
+        }
+        else {
+            this.#loads.add(digest, this.context.clock.monotonicMs());
+        }
+        this.#publishLoads();
+    }
+
+    #publishLoads(): void {
+        const { membership } = this.context.board;
+        this.#loads.sumInto(membership.peerInFlight, this.#table.view(this.#ownHostId()).liveCount);
+        this.#loads.leavingInto(membership.leavingUpstreams);
+    }
+
+    /** @param receiver The host that will read the digest, as it described itself; it is corrected if need be. */
+    #buildDigest(receiver: Member | undefined): Digest {
+        const base = this.#baseDigest();
+        const told = fitMembers(base, this.#factsFor(receiver));
+        for (const fact of told) {
+            this.#table.facts.told(fact.hostId);
+        }
+        return { ...base, members: told };
+    }
+
+    #factsFor(receiver: Member | undefined): Member[] {
+        const { members } = this.context.board.membership;
+        const known = receiver === undefined ? undefined : members.get(receiver.hostId);
+        const isOutdated = known !== undefined && known.incarnation !== "" &&
+            (known.incarnation !== receiver!.incarnation || known.state === "suspect");
+        const correction = isOutdated ? [known] : [];
+        const changed = this.#table.facts.next().filter(hostId => hostId !== receiver?.hostId)
+            .map(hostId => members.get(hostId)).filter(member => member !== undefined);
+        // A random fact lets hosts agree even when they missed all of the times at which a change was told.
+        const random = members.get(this.#pick(this.#table.view(this.#ownHostId()).heardIds) ?? "");
+        return [...correction, ...changed, ...(random === undefined ? [] : [random])].map(toFact);
+    }
+
+    #pick(hostIds: readonly string[]): string | undefined {
+        return hostIds[this.context.random.integer(Math.max(1, hostIds.length))];
+    }
+
+    #baseDigest(): Digest {
+        const { config, journal, upstream } = this.context.board;
+        const ownTimeMs = Math.floor(this.#clockOffsetMs + this.context.clock.monotonicMs());
+        this.#heartbeat = Math.max(this.#heartbeat + 1, ownTimeMs);
+        return {
+            protocolVersion: PeerProtocolVersion,
+            self: {
+                hostId: journal.hostId,
+                incarnation: journal.incarnation,
+                zone: this.#settings.zone,
+                peerAddress: this.#settings.peerAddress,
+                operatorAddress: this.#settings.operatorAddress,
+                state: this.#ownState(),
+                heartbeat: this.#heartbeat,
+                configVersion: config.version,
+            },
+            floorVersion: config.floorVersion,
+            inFlight: trimInFlight(upstream.statuses),
+            leavingUpstreams: trimNames(this.#leavingUpstreams()),
+            members: [],
+        };
+    }
+
+    #leavingUpstreams(): string[] {
+        return [...this.context.board.upstream.statuses].filter(([, status]) => status.leaving)
+            .map(([name]) => name).sort();
+    }
+
+    #ownState(): Member["state"] {
+        const { phase } = this.context.board.lifecycle;
+        if (phase === "closed") {
+            return "closed";
+        }
+        return phase === "draining" || phase === "closing" ? "leaving" : "live";
+    }
+
+    #ownHostId(): string {
+        return this.context.board.journal.hostId;
+    }
+}
+
+function toFact(member: KnownMember): Member {
+    const { hostId, incarnation, zone, peerAddress, operatorAddress, state, heartbeat, configVersion } = member;
+    return { hostId, incarnation, zone, peerAddress, operatorAddress, state, heartbeat, configVersion };
+}
--- a/src/features/registry.ts
+++ b/src/features/registry.ts
@@ -5,10 +5,13 @@
 import { ConfigSettingsSchema } from "./config/configSettings.js";
 import { IdempotencyController } from "./idempotency/idempotencyController.js";
 import { IdempotencySettingsSchema } from "./idempotency/idempotencyTypes.js";
+import { MembershipController } from "./membership/membershipController.js";
+import { MembershipSettingsSchema } from "./membership/membershipSettings.js";
 
 /** Settings of all features. */
 export const FeatureSettingsSchema = z.strictObject({
     config: ConfigSettingsSchema.prefault({}),
+    membership: MembershipSettingsSchema.prefault({}),
     idempotency: IdempotencySettingsSchema.prefault({}),
 });
 export type FeatureSettings = z.infer<typeof FeatureSettingsSchema>;
@@ -20,6 +23,7 @@
 export function createControllerFactory(settings: FeatureSettings): ControllerFactory {
     return context => [
         new ConfigController(context, settings.config),
+        new MembershipController(context, settings.membership),
         new IdempotencyController(context, settings.idempotency),
     ];
 }
