--- a/src/features/registry.ts
+++ b/src/features/registry.ts
@@ -1,18 +1,30 @@
 /** The features of a router: their settings and, in running order, their controllers. */
 import { z } from "zod";
 import type { ControllerFactory } from "../kernel/kernel.js";
+import { BudgetController } from "./budget/budgetController.js";
+import { BudgetSettingsSchema } from "./budget/budgetSettings.js";
 import { ConfigController } from "./config/configController.js";
 import { ConfigSettingsSchema } from "./config/configSettings.js";
 import { IdempotencyController } from "./idempotency/idempotencyController.js";
 import { IdempotencySettingsSchema } from "./idempotency/idempotencyTypes.js";
+import { JournalController } from "./journal/journalController.js";
+import { JournalSettingsSchema } from "./journal/journalSettings.js";
+import { LifecycleController } from "./lifecycle/lifecycleController.js";
+import { LifecycleSettingsSchema } from "./lifecycle/lifecycleSettings.js";
 import { MembershipController } from "./membership/membershipController.js";
 import { MembershipSettingsSchema } from "./membership/membershipSettings.js";
+import { RecoveryController } from "./recovery/recoveryController.js";
+import { RecoverySettingsSchema } from "./recovery/recoverySettings.js";
 
 /** Settings of all features. */
 export const FeatureSettingsSchema = z.strictObject({
     config: ConfigSettingsSchema.prefault({}),
     membership: MembershipSettingsSchema.prefault({}),
+    journal: JournalSettingsSchema.prefault({}),
+    budget: BudgetSettingsSchema.prefault({}),
+    recovery: RecoverySettingsSchema.prefault({}),
     idempotency: IdempotencySettingsSchema.prefault({}),
+    lifecycle: LifecycleSettingsSchema.prefault({}),
 });
 export type FeatureSettings = z.infer<typeof FeatureSettingsSchema>;
 
@@ -24,6 +36,10 @@
     return context => [
         new ConfigController(context, settings.config),
         new MembershipController(context, settings.membership),
+        new JournalController(context, settings.journal),
+        new BudgetController(context, settings.budget),
+        new RecoveryController(context, settings.recovery),
         new IdempotencyController(context, settings.idempotency),
+        new LifecycleController(context, settings.lifecycle),
     ];
 }
