--- a/src/features/registry.ts
+++ b/src/features/registry.ts
@@ -11,12 +11,15 @@
 import { JournalSettingsSchema } from "./journal/journalSettings.js";
 import { LifecycleController } from "./lifecycle/lifecycleController.js";
 import { LifecycleSettingsSchema } from "./lifecycle/lifecycleSettings.js";
+import { MembershipController } from "./membership/membershipController.js";
+import { MembershipSettingsSchema } from "./membership/membershipSettings.js";
 import { RecoveryController } from "./recovery/recoveryController.js";
 import { RecoverySettingsSchema } from "./recovery/recoverySettings.js";
 
 /** Settings of all features. */
 export const FeatureSettingsSchema = z.strictObject({
     config: ConfigSettingsSchema.prefault({}),
+    membership: MembershipSettingsSchema.prefault({}),
     journal: JournalSettingsSchema.prefault({}),
     budget: BudgetSettingsSchema.prefault({}),
     recovery: RecoverySettingsSchema.prefault({}),
@@ -32,6 +35,7 @@
 export function createControllerFactory(settings: FeatureSettings): ControllerFactory {
     return context => [
         new ConfigController(context, settings.config),
+        new MembershipController(context, settings.membership),
         new JournalController(context, settings.journal),
         new BudgetController(context, settings.budget),
         new RecoveryController(context, settings.recovery),
