Add the upstream and admission features

Requests need an upstream chosen from late and partial load figures, with urgent work ahead of other work, long work capped, background work served and late work refused early.

The upstream controller keeps load, slowness relative to upstreams with the same models, ejection after failures and signs of leaving. The admission controller holds a queue per class and length, fair between teams, and lets each host use its share of the slots; round robin, least requests and a single queue are selectable as baselines.

--- /dev/null
+++ b/src/features/admission/admissionController.ts
@@ -0,0 +1,185 @@
+/** Decides when and where admitted requests are sent. */
+import { match } from "ts-pattern";
+import type { ResultCodeName } from "../../base/resultCodes.js";
+import { Controller, type ControllerContext } from "../../kernel/controller.js";
+import type { RouterEvent } from "../../kernel/events.js";
+import type { DispatchResult } from "../upstream/upstreamTypes.js";
+import { AdaptivePolicy } from "./adaptivePolicy.js";
+import type { AdmissionPolicy, PolicyContext, UpstreamView } from "./admissionPolicy.js";
+import type { AdmissionSettings, PolicyName } from "./admissionSettings.js";
+import type { AdmissionOutcome, WorkItem } from "./admissionTypes.js";
+import { LeastRequestsPolicy, RoundRobinPolicy, SingleQueuePolicy } from "./baselinePolicies.js";
+import { InFlightLedger } from "./inFlightLedger.js";
+import { RetryBudget } from "./retryBudget.js";
+
+/** Answers every admission request once and writes the admission section of the blackboard. */
+export class AdmissionController extends Controller {
+    override readonly name = "admission" as const;
+    readonly #settings: AdmissionSettings;
+    readonly #ledger = new InFlightLedger();
+    readonly #budget: RetryBudget;
+    readonly #policy: AdmissionPolicy;
+    #hostCount = 1;
+
+    constructor(context: ControllerContext, settings: AdmissionSettings) {
+        super(context);
+        this.#settings = settings;
+        this.#budget = new RetryBudget(settings);
+        this.#policy = createPolicy(settings.policy, this.#createPolicyContext());
+    }
+
+    override handle(event: RouterEvent): void {
+        match(event)
+            .with({ type: "tick" }, () => this.#tick())
+            .with({ type: "admissionRequested" }, ({ item }) => {
+                this.#budget.countRequest(this.context.clock.monotonicMs());
+                this.#policy.submit(item);
+            })
+            .with({ type: "retryRequested" }, ({ item, reason }) => this.#retry(item, reason))
+            .with({ type: "admissionCancelled" }, ({ requestId }) => this.#cancel(requestId))
+            .with(
+                { type: "dispatchStarted" },
+                ({ requestId, upstream, long }) => this.#started(requestId, upstream, long),
+            )
+            .with(
+                { type: "dispatchEnded" },
+                ({ requestId, upstream, result, durationMs }) => this.#ended(requestId, upstream, result, durationMs),
+            )
+            .otherwise(() => undefined);
+    }
+
+    override dumpState(): unknown {
+        const { upstreams } = this.context.board.config.resources;
+        return {
+            policy: this.#settings.policy,
+            hostCount: this.#hostCount,
+            loads: Object.fromEntries([...upstreams.keys()].map(name => [name, this.#ledger.load(name)])),
+        };
+    }
+
+    #createPolicyContext(): PolicyContext {
+        const { clock, random } = this.context;
+        return {
+            settings: this.#settings,
+            random,
+            nowMs: () => clock.monotonicMs(),
+            hostCount: () => this.#hostCount,
+            teamWeight: team => this.context.board.config.resources.teams.get(team)?.weight ?? 1,
+            upstream: name => this.#view(name),
+            dispatch: (item, upstream, pool) => this.#dispatch(item, upstream, pool),
+            refuse: (item, code, retryAfterMs) => this.#refuse(item, code, retryAfterMs),
+            takeProbe: () => this.#takeProbe(),
+        };
+    }
+
+    #view(name: string): UpstreamView | undefined {
+        const { config, upstream } = this.context.board;
+        const resource = config.resources.upstreams.get(name);
+        const status = upstream.statuses.get(name);
+        if (resource === undefined || status === undefined) {
+            return undefined;
+        }
+        const preempts = resource.type === "engine";
+        return { name, slots: resource.slots, preempts, status, load: this.#ledger.load(name) };
+    }
+
+    #tick(): void {
+        const nowMs = this.context.clock.monotonicMs();
+        let hosts = 1;
+        for (const member of this.context.board.membership.members.values()) {
+            hosts += member.state === "live" ? 1 : 0;
+        }
+        this.#hostCount = hosts;
+        this.#ledger.expire(nowMs - this.#settings.dispatchStartTimeoutMs);
+        this.#policy.tick();
+        this.context.board.admission.queued = this.#policy.queued();
+    }
+
+    #retry(item: WorkItem, reason: "retry" | "hedge"): void {
+        const nowMs = this.context.clock.monotonicMs();
+        const requests = this.#budget.requests(nowMs);
+        if (reason === "retry") {
+            if (this.#budget.retries.take(requests, nowMs)) {
+                this.#policy.submit(item);
+            }
+            else {
+                this.context.counters.add("admission.retryBudgetSpent");
+                this.#refuse(item, "Overloaded", this.#settings.minRetryAfterMs);
+            }
+            return;
+        }
+        const upstream = this.#mayHedge(item) ? this.#policy.findFree(item) : undefined;
+        if (upstream !== undefined && this.#budget.hedges.take(requests, nowMs)) {
+            this.context.counters.add("admission.hedged");
+            this.#dispatch(item, upstream, "");
+        }
+        else {
+            this.#refuse(item, "Overloaded", undefined);
+        }
+    }
+
+    /** Long work is late by nature; a second run pays only when its upstream is known to be slow. */
+    #mayHedge(item: WorkItem): boolean {
+        const { statuses } = this.context.board.upstream;
+        return item.repeatable &&
+            (!item.long || item.excluded.some(name => (statuses.get(name)?.slownessFactor ?? 1) > 1));
+    }
+
+    #cancel(requestId: string): void {
+        const item = this.#policy.cancel(requestId);
+        if (item === undefined) {
+            this.#ledger.abandon(requestId);
+        }
+        else {
+            this.#refuse(item, "Overloaded", undefined);
+        }
+        this.#policy.pump();
+    }
+
+    #started(requestId: string, upstream: string, long: boolean): void {
+        if (!this.#ledger.start(requestId, upstream)) {
+            const decidedAtMs = this.context.clock.monotonicMs();
+            this.#ledger.add({ requestId, upstream, workClass: "normal", long, decidedAtMs, pool: "" }, true);
+        }
+    }
+
+    #ended(requestId: string, upstream: string, result: DispatchResult, durationMs: number): void {
+        const dispatch = this.#ledger.end(requestId, upstream);
+        if (dispatch !== undefined && result === "complete") {
+            this.#policy.completed(dispatch, durationMs);
+        }
+        this.#policy.pump();
+    }
+
+    #takeProbe(): boolean {
+        const nowMs = this.context.clock.monotonicMs();
+        return this.#budget.probes.take(this.#budget.requests(nowMs), nowMs);
+    }
+
+    #dispatch(item: WorkItem, upstream: string, pool: string): void {
+        const { requestId, workClass, long } = item;
+        const decidedAtMs = this.context.clock.monotonicMs();
+        this.#ledger.add({ requestId, upstream, workClass, long, decidedAtMs, pool });
+        this.context.counters.add(`admission.dispatched.${workClass}`);
+        this.#decide(item, { status: "dispatch", upstream });
+    }
+
+    #refuse(item: WorkItem, code: ResultCodeName, retryAfterMs: number | undefined): void {
+        this.context.counters.add(`admission.refused.${code}`);
+        this.#decide(item, { status: "refused", code, retryAfterMs });
+    }
+
+    #decide(item: WorkItem, outcome: AdmissionOutcome): void {
+        const { requestId } = item;
+        this.context.emit({ type: "notify", notification: { type: "admissionDecided", requestId, outcome } });
+    }
+}
+
+function createPolicy(name: PolicyName, context: PolicyContext): AdmissionPolicy {
+    return match(name)
+        .with("adaptive", () => new AdaptivePolicy(context))
+        .with("roundRobin", () => new RoundRobinPolicy(context))
+        .with("leastRequests", () => new LeastRequestsPolicy(context))
+        .with("singleQueue", () => new SingleQueuePolicy(context))
+        .exhaustive();
+}
--- /dev/null
+++ b/src/features/admission/inFlightLedger.ts
@@ -0,0 +1,118 @@
+/** Requests that this host has sent, or decided to send, to upstreams. */
+import type { WorkClass } from "../config/configTypes.js";
+
+/** Numbers of requests at one upstream. */
+export interface UpstreamLoad {
+    readonly byClass: Record<WorkClass, number>;
+    total: number;
+    /** Long requests that are not urgent. */
+    long: number;
+}
+
+/** One dispatch. */
+export interface ActiveDispatch {
+    readonly requestId: string;
+    readonly upstream: string;
+    readonly workClass: WorkClass;
+    readonly long: boolean;
+    readonly decidedAtMs: number;
+    /** Pool whose durations it contributes to; empty when the decision was not made here. */
+    readonly pool: string;
+}
+
+interface Entry {
+    readonly dispatch: ActiveDispatch;
+    started: boolean;
+}
+
+const NoLoad: UpstreamLoad = { byClass: { urgent: 0, normal: 0, background: 0 }, total: 0, long: 0 };
+
+/** Counts dispatches from the decision to the end. */
+export class InFlightLedger {
+    readonly #entries = new Map<string, Entry>();
+    readonly #loads = new Map<string, UpstreamLoad>();
+    /** Dispatches that have not started, oldest first. */
+    readonly #pending = new Map<string, Entry>();
+
+    /** @returns Load of an upstream; must not be changed. */
+    load(upstream: string): Readonly<UpstreamLoad> {
+        return this.#loads.get(upstream) ?? NoLoad;
+    }
+
+    /** Records a decision. */
+    add(dispatch: ActiveDispatch, started = false): void {
+        const key = keyOf(dispatch.requestId, dispatch.upstream);
+        if (this.#entries.has(key)) {
+            return;
+        }
+        const entry = { dispatch, started };
+        this.#entries.set(key, entry);
+        if (!started) {
+            this.#pending.set(key, entry);
+        }
+        this.#count(dispatch, 1);
+    }
+
+    /** @returns Whether the dispatch was known. */
+    start(requestId: string, upstream: string): boolean {
+        const key = keyOf(requestId, upstream);
+        const entry = this.#entries.get(key);
+        if (entry !== undefined) {
+            entry.started = true;
+            this.#pending.delete(key);
+        }
+        return entry !== undefined;
+    }
+
+    /** @returns The dispatch that ended, or `undefined` when it was unknown. */
+    end(requestId: string, upstream: string): ActiveDispatch | undefined {
+        const key = keyOf(requestId, upstream);
+        const entry = this.#entries.get(key);
+        if (entry === undefined) {
+            return undefined;
+        }
+        this.#entries.delete(key);
+        this.#pending.delete(key);
+        this.#count(entry.dispatch, -1);
+        return entry.dispatch;
+    }
+
+    /** Forgets decisions of a request whose dispatch has not started. */
+    abandon(requestId: string): void {
+        for (const { dispatch } of [...this.#pending.values()]) {
+            if (dispatch.requestId === requestId) {
+                this.end(requestId, dispatch.upstream);
+            }
+        }
+    }
+
+    /** Forgets decisions made before a time whose dispatch has not started. */
+    expire(beforeMs: number): void {
+        for (const { dispatch } of this.#pending.values()) {
+            if (dispatch.decidedAtMs >= beforeMs) {
+                return;
+            }
+            this.end(dispatch.requestId, dispatch.upstream);
+        }
+    }
+
+    #count(dispatch: ActiveDispatch, change: 1 | -1): void {
+        let load = this.#loads.get(dispatch.upstream);
+        if (load === undefined) {
+            load = { byClass: { urgent: 0, normal: 0, background: 0 }, total: 0, long: 0 };
+            this.#loads.set(dispatch.upstream, load);
+        }
+        load.total += change;
+        load.byClass[dispatch.workClass] += change;
+        if (dispatch.long && dispatch.workClass !== "urgent") {
+            load.long += change;
+        }
+        if (load.total === 0) {
+            this.#loads.delete(dispatch.upstream);
+        }
+    }
+}
+
+function keyOf(requestId: string, upstream: string): string {
+    return `${requestId}\n${upstream}`;
+}
--- /dev/null
+++ b/src/features/admission/retryBudget.ts
@@ -0,0 +1,101 @@
+/** Bounds retries and hedges to shares of the recent requests. */
+
+/** Number of buckets that make up the window. */
+const Buckets = 10;
+
+/** Counts events within a sliding window. */
+class SlidingCount {
+    readonly #bucketMs: number;
+    readonly #counts = new Array<number>(Buckets).fill(0);
+    #bucket = 0;
+
+    constructor(windowMs: number) {
+        this.#bucketMs = windowMs / Buckets;
+    }
+
+    add(nowMs: number): void {
+        this.#advance(nowMs);
+        this.#counts[this.#bucket % Buckets]!++;
+    }
+
+    sum(nowMs: number): number {
+        this.#advance(nowMs);
+        return this.#counts.reduce((total, count) => total + count, 0);
+    }
+
+    #advance(nowMs: number): void {
+        const bucket = Math.floor(nowMs / this.#bucketMs);
+        for (let step = Math.max(this.#bucket + 1, bucket - Buckets + 1); step <= bucket; step++) {
+            this.#counts[step % Buckets] = 0;
+        }
+        this.#bucket = Math.max(this.#bucket, bucket);
+    }
+}
+
+/** Allowance of one kind of extra attempts. */
+export class AttemptBudget {
+    readonly #ratio: number;
+    readonly #minimum: number;
+    readonly #attempts: SlidingCount;
+
+    /**
+     * @param ratio Attempts as a share of the requests.
+     * @param minimum Attempts that are allowed within the window however few requests there are.
+     */
+    constructor(ratio: number, minimum: number, windowMs: number) {
+        this.#ratio = ratio;
+        this.#minimum = minimum;
+        this.#attempts = new SlidingCount(windowMs);
+    }
+
+    /**
+     * @param requests Requests within the window.
+     * @returns Whether another attempt is allowed; counts it if so.
+     */
+    take(requests: number, nowMs: number): boolean {
+        const allowed = Math.max(this.#minimum, requests * this.#ratio);
+        if (this.#attempts.sum(nowMs) + 1 > allowed) {
+            return false;
+        }
+        this.#attempts.add(nowMs);
+        return true;
+    }
+}
+
+/** Settings of {@link RetryBudget}. */
+export interface RetryBudgetSettings {
+    readonly retryRatio: number;
+    readonly hedgeRatio: number;
+    readonly probeRatio: number;
+    readonly retryWindowMs: number;
+}
+
+/** Retries allowed within the window at any rate; without them the first failures of a quiet host reach the caller. */
+const MinRetries = 10;
+/** Hedges and probes allowed within the window at any rate. */
+const MinHedges = 1;
+
+/** Budgets of retries, hedges and probes. */
+export class RetryBudget {
+    readonly retries: AttemptBudget;
+    readonly hedges: AttemptBudget;
+    readonly probes: AttemptBudget;
+    readonly #requests: SlidingCount;
+
+    constructor(settings: RetryBudgetSettings) {
+        this.retries = new AttemptBudget(settings.retryRatio, MinRetries, settings.retryWindowMs);
+        this.hedges = new AttemptBudget(settings.hedgeRatio, MinHedges, settings.retryWindowMs);
+        this.probes = new AttemptBudget(settings.probeRatio, MinHedges, settings.retryWindowMs);
+        this.#requests = new SlidingCount(settings.retryWindowMs);
+    }
+
+    /** Counts a first attempt. */
+    countRequest(nowMs: number): void {
+        this.#requests.add(nowMs);
+    }
+
+    /** @returns First attempts within the window. */
+    requests(nowMs: number): number {
+        return this.#requests.sum(nowMs);
+    }
+}
--- /dev/null
+++ b/src/features/upstream/upstream.spec.ts
@@ -0,0 +1,169 @@
+import { beforeEach, describe, expect, it } from "vitest";
+import { ManualClock } from "../../base/clock.js";
+import { Counters } from "../../base/counters.js";
+import { SeededRandom } from "../../base/random.js";
+import { type Blackboard, createBlackboard } from "../../kernel/blackboard.js";
+import { UpstreamSchema } from "../config/configTypes.js";
+import { ConcurrencyLimit } from "./concurrencyLimit.js";
+import { FailureEjection } from "./failureEjection.js";
+import { LatencyWindow } from "./latencyWindow.js";
+import { UpstreamController } from "./upstreamController.js";
+import { UpstreamSettingsSchema } from "./upstreamSettings.js";
+import type { DispatchResult } from "./upstreamTypes.js";
+
+const settings = UpstreamSettingsSchema.parse({});
+const names = ["u0", "u1", "u2", "u3"];
+
+describe("UpstreamController", () => {
+    let clock: ManualClock;
+    let board: Blackboard;
+    let controller: UpstreamController;
+    let requests: number;
+    beforeEach(() => {
+        clock = new ManualClock();
+        board = createBlackboard("h", "1");
+        const upstream = UpstreamSchema.parse({ url: "http://127.0.0.1:1", models: ["m"] });
+        board.config.resources = { ...board.config.resources, upstreams: new Map(names.map(name => [name, upstream])) };
+        const context = { board, clock, random: new SeededRandom(1), counters: new Counters(), emit: () => undefined };
+        controller = new UpstreamController(context, settings);
+        requests = 0;
+        controller.handle({ type: "tick" });
+    });
+
+    const status = (name: string) => board.upstream.statuses.get(name)!;
+    const advance = (durationMs: number) => {
+        for (let passedMs = 0; passedMs < durationMs; passedMs += 50) {
+            clock.advance(50);
+            controller.handle({ type: "tick" });
+        }
+    };
+    const start = (upstream: string) => {
+        const requestId = `r${++requests}`;
+        controller.handle({ type: "dispatchStarted", requestId, upstream, long: false });
+        return requestId;
+    };
+    const end = (upstream: string, requestId: string, result: DispatchResult = "complete", durationMs = 400) =>
+        controller.handle({ type: "dispatchEnded", requestId, upstream, result, durationMs, outputTokens: 16 });
+    const run = (upstream: string, firstTokenMs: number) => {
+        const requestId = start(upstream);
+        controller.handle({ type: "firstTokenSeen", requestId, upstream, latencyMs: firstTokenMs });
+        end(upstream, requestId, "complete", firstTokenMs * 16);
+    };
+    const report = (upstream: string, load: object) =>
+        controller.handle({
+            type: "loadReported",
+            upstream,
+            report: { running: 0, waiting: 0, ageMs: 0, leaving: false, ...load },
+        });
+
+    describe("when one upstream becomes slow", () => {
+        it("notices within 2 s while its requests still wait (guards against a tail that lasts)", () => {
+            names.forEach(name => run(name, 25));
+            start("u0");
+            advance(1_000);
+            expect(status("u0").slownessFactor).toBeGreaterThan(3);
+            expect(status("u1").slownessFactor).toBe(1);
+        });
+
+        it("asks for probes and returns after good ones (guards against capacity that is lost for ever)", () => {
+            names.forEach(name => run(name, name === "u0" ? 250 : 25));
+            advance(settings.probeIntervalMs + 200);
+            expect(status("u0")).toMatchObject({ probeDue: true });
+            for (let probe = 0; probe < settings.recoverySamples + 1; probe++) {
+                run("u0", 25);
+                advance(1_000);
+            }
+            expect(status("u0").slownessFactor).toBe(1);
+        });
+    });
+
+    describe("when all upstreams are equally slow", () => {
+        it("lowers none (guards against a fleet without upstreams under load)", () => {
+            names.forEach(name => run(name, 900));
+            advance(400);
+            expect(names.map(name => status(name).slownessFactor)).toEqual([1, 1, 1, 1]);
+        });
+    });
+
+    describe("when a late report arrives", () => {
+        it("subtracts this host's own part at that time (guards against counting requests twice)", () => {
+            const first = start("u0");
+            start("u0");
+            advance(1_000);
+            end("u0", first);
+            report("u0", { running: 5, ageMs: 500 });
+            expect(status("u0")).toMatchObject({ inFlight: 1, otherLoad: 3, reportedLoad: 5 });
+        });
+    });
+
+    describe("when an upstream is leaving", () => {
+        it("believes its refusal until a later report denies it (guards against work on a leaving upstream)", () => {
+            end("u0", start("u0"), "leaving");
+            expect(status("u0")).toMatchObject({ leaving: true, leavingSeenHere: true });
+            report("u0", { ageMs: 10 });
+            expect(status("u0").leaving).toBe(true);
+            advance(100);
+            report("u0", {});
+            expect(status("u0").leaving).toBe(false);
+        });
+
+        it("believes peers without repeating them (guards against hosts that keep each other's sign alive)", () => {
+            board.membership.leavingUpstreams.add("u1");
+            advance(200);
+            expect(status("u1")).toMatchObject({ leaving: true, leavingSeenHere: false });
+            advance(settings.peerSignMarginMs + 200);
+            report("u1", {});
+            expect(status("u1").leaving).toBe(false);
+        });
+    });
+
+    describe("when an upstream fails repeatedly", () => {
+        it("ejects it and then tests it with one request at a time (guards against a flood on recovery)", () => {
+            for (let count = 0; count < settings.ejectAfterFailures; count++) {
+                end("u0", start("u0"), "unreachable");
+            }
+            expect(status("u0").usable).toBe(false);
+            advance(settings.ejectionMs + 200);
+            expect(status("u0")).toMatchObject({ usable: true, concurrencyLimit: 1 });
+            end("u0", start("u0"));
+            expect(status("u0").concurrencyLimit).toBe(8);
+        });
+    });
+});
+
+describe("FailureEjection", () => {
+    it("doubles the time after a failed probe (guards against steady retries at a dead upstream)", () => {
+        const ejection = new FailureEjection({ ejectAfterFailures: 1, ejectionMs: 100, maxEjectionMs: 150 });
+        ejection.failed(0);
+        expect([ejection.state(99), ejection.state(100)]).toEqual(["ejected", "probing"]);
+        ejection.failed(100);
+        expect([ejection.state(249), ejection.state(250)]).toEqual(["ejected", "probing"]);
+        ejection.succeeded();
+        expect(ejection.state(250)).toBe("healthy");
+    });
+});
+
+describe("ConcurrencyLimit", () => {
+    it("falls once per burst of refusals and recovers (guards against a limit that collapses)", () => {
+        const limit = new ConcurrencyLimit(8, 0.5);
+        limit.overloaded(0);
+        limit.overloaded(10);
+        expect(limit.value).toBe(4);
+        for (let count = 0; count < 40; count++) {
+            limit.succeeded();
+        }
+        expect(limit.value).toBe(8);
+    });
+});
+
+describe("LatencyWindow", () => {
+    it("follows recent samples and counts unfinished ones as lower bounds (guards against late detection)", () => {
+        const window = new LatencyWindow(1_000, 10_000);
+        window.add(10, 0);
+        window.add(100, 5_000);
+        expect(window.estimate(5_000)).toBeGreaterThan(95);
+        expect(window.estimate(5_000, [50])).toBe(window.estimate(5_000));
+        expect(window.estimate(5_000, [1_000])).toBeGreaterThan(500);
+        expect(window.estimate(20_000)).toBeUndefined();
+    });
+});
--- a/src/features/upstream/upstreamBoard.ts
+++ b/src/features/upstream/upstreamBoard.ts
@@ -7,6 +7,8 @@
     longInFlight: number;
     /** Requests in flight through peers, from their digests. */
     peerInFlight: number;
+    /** Requests of everybody else: the larger of the peers' sum and the report without this host's own part. */
+    otherLoad: number;
     /** Running and waiting by the last report, and the monotonic time the figures were taken. */
     reportedLoad: number;
     reportedAtMs: number;
@@ -16,6 +18,12 @@
     concurrencyLimit: number;
     /** Whether no new work may be sent because the upstream is leaving. */
     leaving: boolean;
+    /** Whether this host saw a sign itself. Only this is told to peers, so that their reports do not echo. */
+    leavingSeenHere: boolean;
+    /** Time without a first token after which a hedge is worth while; `undefined` while nothing is known. */
+    hedgeAfterMs: number | undefined;
+    /** Whether a slow upstream is due for a request that tests its recovery. */
+    probeDue: boolean;
     /** Whether the upstream is usable at all; false after repeated failures until a probe succeeds. */
     usable: boolean;
 }
@@ -36,11 +44,15 @@
         inFlight: 0,
         longInFlight: 0,
         peerInFlight: 0,
+        otherLoad: 0,
         reportedLoad: 0,
         reportedAtMs: Number.NEGATIVE_INFINITY,
         slownessFactor: 1,
         concurrencyLimit: slots,
         leaving: false,
+        leavingSeenHere: false,
+        hedgeAfterMs: undefined,
+        probeDue: false,
         usable: true,
     };
 }
--- a/src/features/upstream/upstreamTypes.ts
+++ b/src/features/upstream/upstreamTypes.ts
@@ -36,6 +36,8 @@
         readonly requestId: string;
         readonly upstream: string;
         readonly long: boolean;
+        /** Whether the answer is streamed, so that a first token can be seen; absent means yes. */
+        readonly streaming?: boolean;
     }
     | {
         readonly type: "firstTokenSeen";
--- /dev/null
+++ b/src/standins/admissionHarness.ts
@@ -0,0 +1,156 @@
+/** Drives the upstream and admission controllers in tests and records every decision. */
+import { ManualClock } from "../base/clock.js";
+import { Counters } from "../base/counters.js";
+import { SeededRandom } from "../base/random.js";
+import { AdmissionController } from "../features/admission/admissionController.js";
+import { AdmissionSettingsSchema } from "../features/admission/admissionSettings.js";
+import type { AdmissionOutcome, WorkItem } from "../features/admission/admissionTypes.js";
+import { UpstreamSchema } from "../features/config/configTypes.js";
+import { UpstreamController } from "../features/upstream/upstreamController.js";
+import { UpstreamSettingsSchema } from "../features/upstream/upstreamSettings.js";
+import type { DispatchResult } from "../features/upstream/upstreamTypes.js";
+import { type Blackboard, createBlackboard } from "../kernel/blackboard.js";
+import type { Controller, ControllerContext } from "../kernel/controller.js";
+import type { Effect } from "../kernel/effects.js";
+import { type RouterEvent, TickIntervalMs } from "../kernel/events.js";
+
+/** A dispatch that runs. */
+export interface RunningDispatch {
+    readonly item: WorkItem;
+    readonly upstream: string;
+}
+
+/** Two controllers, a clock and the requests that go through them. */
+export class AdmissionHarness {
+    readonly clock = new ManualClock();
+    readonly board: Blackboard = createBlackboard("h", "1");
+    /** Outcomes by request id, in the order of the decisions. */
+    readonly decisions = new Map<string, AdmissionOutcome[]>();
+    readonly running: RunningDispatch[] = [];
+    readonly #controllers: Controller[];
+    readonly #items = new Map<string, WorkItem>();
+
+    /**
+     * @param settings Fields of the admission settings.
+     * @param slots Slots of each upstream `u0`, `u1`, ...
+     * @param type Type of all upstreams.
+     */
+    constructor(settings: object, slots: readonly number[], type: "engine" | "service" = "engine") {
+        const upstreams = new Map(slots.map((count, index) => {
+            const upstream = { url: "http://127.0.0.1:1", models: ["m"], slots: count, type };
+            return [`u${index}`, UpstreamSchema.parse(upstream)];
+        }));
+        this.board.config.resources = { ...this.board.config.resources, upstreams };
+        const context: ControllerContext = {
+            board: this.board,
+            clock: this.clock,
+            random: new SeededRandom(7),
+            counters: new Counters(),
+            emit: effect => this.#onEffect(effect),
+        };
+        this.#controllers = [
+            new UpstreamController(context, UpstreamSettingsSchema.parse({})),
+            new AdmissionController(context, AdmissionSettingsSchema.parse(settings)),
+        ];
+        this.post({ type: "tick" });
+    }
+
+    /** @returns Names of the upstreams. */
+    get names(): string[] {
+        return [...this.board.config.resources.upstreams.keys()];
+    }
+
+    /** @returns Requests without a decision. */
+    get undecided(): WorkItem[] {
+        return [...this.#items.values()].filter(item => !this.decisions.has(item.requestId));
+    }
+
+    /** @returns Ids of all requests, decided or not. */
+    get requestIds(): string[] {
+        return [...this.#items.keys()];
+    }
+
+    /** Passes an event to both controllers. */
+    post(event: RouterEvent): void {
+        this.#controllers.forEach(controller => controller.handle(event));
+        this.#startDispatches();
+    }
+
+    /** Asks for an admission; missing fields take plain values. */
+    submit(requestId: string, fields: Partial<WorkItem> = {}): void {
+        this.post({ type: "admissionRequested", item: this.#createItem(requestId, fields) });
+    }
+
+    /** Asks for a retry or a hedge. */
+    retry(requestId: string, fields: Partial<WorkItem>, reason: "retry" | "hedge"): void {
+        this.post({ type: "retryRequested", item: this.#createItem(requestId, fields), reason });
+    }
+
+    /** Ends a running dispatch. */
+    end(dispatch: RunningDispatch, durationMs = 100, result: DispatchResult = "complete"): void {
+        this.running.splice(this.running.indexOf(dispatch), 1);
+        const { item: { requestId }, upstream } = dispatch;
+        this.post({ type: "dispatchEnded", requestId, upstream, result, durationMs, outputTokens: 8 });
+    }
+
+    /** Lets time pass, with its ticks. */
+    advance(durationMs: number): void {
+        for (let passedMs = 0; passedMs < durationMs; passedMs += TickIntervalMs) {
+            this.clock.advance(TickIntervalMs);
+            this.post({ type: "tick" });
+        }
+    }
+
+    /** @returns The first outcome of a request. */
+    outcome(requestId: string): AdmissionOutcome | undefined {
+        return this.decisions.get(requestId)?.[0];
+    }
+
+    /** @returns Running requests at an upstream that match. */
+    count(upstream: string, matches: (item: WorkItem) => boolean = () => true): number {
+        return this.running.filter(one => one.upstream === upstream && matches(one.item)).length;
+    }
+
+    #createItem(requestId: string, fields: Partial<WorkItem>): WorkItem {
+        const item: WorkItem = {
+            requestId,
+            team: "t",
+            workClass: "normal",
+            long: false,
+            repeatable: true,
+            candidates: this.names,
+            fallbacks: [],
+            weights: {},
+            maxInFlightPerUpstream: undefined,
+            prefixKey: undefined,
+            promptTokens: 100,
+            maxOutputTokens: 16,
+            deadlineMs: 30_000,
+            excluded: [],
+            ...fields,
+        };
+        this.#items.set(requestId, item);
+        return item;
+    }
+
+    readonly #unstarted: RunningDispatch[] = [];
+
+    #onEffect(effect: Effect): void {
+        if (effect.type !== "notify" || effect.notification.type !== "admissionDecided") {
+            return;
+        }
+        const { requestId, outcome } = effect.notification;
+        this.decisions.set(requestId, [...this.decisions.get(requestId) ?? [], outcome]);
+        if (outcome.status === "dispatch") {
+            this.#unstarted.push({ item: this.#items.get(requestId)!, upstream: outcome.upstream });
+        }
+    }
+
+    #startDispatches(): void {
+        for (const dispatch of this.#unstarted.splice(0)) {
+            this.running.push(dispatch);
+            const { item: { requestId, long }, upstream } = dispatch;
+            this.post({ type: "dispatchStarted", requestId, upstream, long });
+        }
+    }
+}
