--- a/src/kernel/blackboard.ts
+++ b/src/kernel/blackboard.ts
@@ -7,6 +7,7 @@
 import { createJournalBoard, type JournalBoard } from "../features/journal/journalBoard.js";
 import { createLifecycleBoard, type LifecycleBoard } from "../features/lifecycle/lifecycleBoard.js";
 import { createMembershipBoard, type MembershipBoard } from "../features/membership/membershipBoard.js";
+import { createRecoveryBoard, type RecoveryBoard } from "../features/recovery/recoveryBoard.js";
 import { createUpstreamBoard, type UpstreamBoard } from "../features/upstream/upstreamBoard.js";
 
 /** All sections. */
@@ -15,6 +16,7 @@
     readonly membership: MembershipBoard;
     readonly journal: JournalBoard;
     readonly budget: BudgetBoard;
+    readonly recovery: RecoveryBoard;
     readonly idempotency: IdempotencyBoard;
     readonly upstream: UpstreamBoard;
     readonly admission: AdmissionBoard;
@@ -32,6 +34,7 @@
         membership: createMembershipBoard(),
         journal: createJournalBoard(hostId, incarnation),
         budget: createBudgetBoard(),
+        recovery: createRecoveryBoard(),
         idempotency: createIdempotencyBoard(),
         upstream: createUpstreamBoard(),
         admission: createAdmissionBoard(),
