Explain routes as data and as text

Operators need to see which rule decides and why an upstream is chosen. explainRoute uses the planner and the score of the admission policy, so that it cannot differ from them.

--- /dev/null
+++ b/src/routing/explain.ts
@@ -0,0 +1,160 @@
+/** Explains the routing of a request: which rules were tried, which one decides, and which upstream it leads to. */
+import { matchesSelector, type Selector } from "../base/labels.js";
+import { type ResultCodeName, ResultCodes } from "../base/resultCodes.js";
+import { type Choice, scoreOf } from "../features/admission/score.js";
+import type { ConfigResources } from "../features/config/configTypes.js";
+import type { UpstreamStatus } from "../features/upstream/upstreamBoard.js";
+import { offersRequest, planRoute, ruleMismatch } from "./planRoute.js";
+import type { RoutePlan, RouteQuery } from "./routePlan.js";
+import { routingIndexOf } from "./routingIndex.js";
+
+/** A rule that was tried. */
+export interface ExplainedRule {
+    readonly rule: string;
+    readonly order: number;
+    /** Why it does not apply; absent when it decides. */
+    readonly mismatch?: string;
+}
+
+/** An upstream and its part in the route. */
+export interface ExplainedUpstream {
+    readonly upstream: string;
+    readonly role: "candidate" | "fallback" | "none";
+    /** Why it gets no request, or how its score comes about. */
+    readonly reason: string;
+    /** Lower is better; absent when it gets no request. */
+    readonly score?: number;
+}
+
+/** The explanation of one request. */
+export interface RouteExplanation {
+    readonly rules: readonly ExplainedRule[];
+    /** Budgets that match the team; the first one pays. */
+    readonly budgets: readonly string[];
+    readonly upstreams: readonly ExplainedUpstream[];
+    /** The plan, unless the request is refused. */
+    readonly plan?: RoutePlan;
+    readonly refusal?: ResultCodeName;
+    /** Upstream with the best score. The router draws two at random and may take another one. */
+    readonly upstream?: string;
+}
+
+/**
+ * Explains a request.
+ * @param statuses Load and health from a router; without them all upstreams count as idle and usable.
+ */
+export function explainRoute(
+    resources: ConfigResources,
+    query: RouteQuery,
+    statuses: ReadonlyMap<string, Partial<UpstreamStatus>> = new Map(),
+): RouteExplanation {
+    const planned = planRoute(resources, query);
+    const team = resources.teams.get(query.team);
+    const budgets = team === undefined ? [] : routingIndexOf(resources).budgetsOf(query.team, team);
+    const rules = explainRules(resources, query);
+    if (planned.isErr) {
+        return { rules, budgets, upstreams: [], refusal: planned.error };
+    }
+    const plan = planned.value;
+    const upstreams = [...resources.upstreams.keys()].sort().map(name =>
+        explainUpstream(resources, query, plan, name, statuses.get(name) ?? {})
+    );
+    const best = bestOf(upstreams, "candidate") ?? bestOf(upstreams, "fallback");
+    return { rules, budgets, upstreams, plan, ...(best === undefined ? {} : { upstream: best.upstream }) };
+}
+
+/** @returns The explanation as lines of text. */
+export function formatExplanation(explanation: RouteExplanation): string {
+    const { rules, budgets, plan, refusal, upstreams, upstream } = explanation;
+    const lines = rules.map(({ rule, order, mismatch }) =>
+        `rule ${rule} (order ${order}): ${mismatch === undefined ? "applies" : `skipped, ${mismatch}`}`
+    );
+    if (refusal !== undefined) {
+        lines.push(`refused: ${refusal} (${ResultCodes[refusal].code}), ${ResultCodes[refusal].message}`);
+    }
+    if (plan !== undefined) {
+        const kind = plan.requestKind === "" ? "no request kind" : `kind ${plan.requestKind}`;
+        const length = plan.long ? "long" : "short";
+        lines.push(
+            `${kind}: class ${plan.workClass}, ${length}, ${plan.repeatable ? "repeatable" : "at most once"}`,
+            `budget ${plan.budget}: reserves ${plan.costTokens} tokens${othersNote(budgets)}`,
+        );
+        if (plan.grant !== undefined) {
+            lines.push(`grant ${plan.grant}: urgent if a use is left`);
+        }
+        for (const entry of upstreams.filter(one => one.role !== "none" || one.reason !== NotSelected)) {
+            lines.push(`${entry.role === "none" ? "upstream" : entry.role} ${entry.upstream}: ${entry.reason}`);
+        }
+        lines.push(upstream === undefined ? "no usable upstream" : `would go to ${upstream}`);
+    }
+    return lines.join("\n");
+}
+
+const NotSelected = "not selected by the rule";
+
+function explainRules(resources: ConfigResources, query: RouteQuery): ExplainedRule[] {
+    const team = resources.teams.get(query.team);
+    const explained: ExplainedRule[] = [];
+    for (const { name, rule } of routingIndexOf(resources).rules) {
+        const mismatch = team === undefined || !matchesSelector(rule.teams, team.labels) ?
+            "the labels of the team do not match" :
+            ruleMismatch(resources, rule, query);
+        explained.push({ rule: name, order: rule.order, ...(mismatch === undefined ? {} : { mismatch }) });
+        if (mismatch === undefined) {
+            break;
+        }
+    }
+    return explained;
+}
+
+function explainUpstream(
+    resources: ConfigResources,
+    query: RouteQuery,
+    plan: RoutePlan,
+    name: string,
+    status: Partial<UpstreamStatus>,
+): ExplainedUpstream {
+    const resource = resources.upstreams.get(name)!;
+    const role = plan.candidates.includes(name) ? "candidate" : plan.fallbacks.includes(name) ? "fallback" : "none";
+    if (role === "none") {
+        const rule = resources.rules.get(plan.rule)!;
+        const selected = selects(rule.upstreams, resource.labels) || selects(rule.fallbackUpstreams, resource.labels);
+        const reason = selected && !offersRequest(resource, query) ? "does not offer what is asked for" : NotSelected;
+        return { upstream: name, role, reason };
+    }
+    const weight = plan.weights[name] ?? 1;
+    if (weight === 0 || status.leaving === true || status.usable === false) {
+        const reason = weight === 0 ? "has weight 0" : status.leaving === true ? "is leaving" : "is ejected";
+        return { upstream: name, role, reason };
+    }
+    const choice: Choice = {
+        name,
+        slots: resource.slots,
+        own: status.inFlight ?? 0,
+        others: status.otherLoad ?? 0,
+        slownessFactor: status.slownessFactor ?? 1,
+        weight,
+    };
+    const score = scoreOf(choice);
+    const reason =
+        `score ${score.toFixed(3)} = (${choice.own} own + ${choice.others} others + 1) / ${choice.slots} slots` +
+        ` x slowness ${choice.slownessFactor} / weight ${weight}`;
+    return { upstream: name, role, reason, score };
+}
+
+function selects(selector: Selector | undefined, labels: Record<string, string>): boolean {
+    return selector !== undefined && matchesSelector(selector, labels);
+}
+
+function bestOf(
+    upstreams: readonly ExplainedUpstream[],
+    role: ExplainedUpstream["role"],
+): ExplainedUpstream | undefined {
+    return upstreams
+        .filter(entry => entry.role === role && entry.score !== undefined)
+        .sort((a, b) => a.score! - b.score!)[0];
+}
+
+function othersNote(budgets: readonly string[]): string {
+    return budgets.length > 1 ? ` (lowest name of ${budgets.join(", ")})` : "";
+}
--- a/src/routing/planRoute.spec.ts
+++ b/src/routing/planRoute.spec.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "vitest";
 import { parseSelector } from "../base/labels.js";
 import { type ConfigResources, ResourceSchemas } from "../features/config/configTypes.js";
+import { explainRoute, formatExplanation } from "./explain.js";
 import { listModels, planRoute } from "./planRoute.js";
 import type { RouteQuery } from "./routePlan.js";
 
@@ -161,6 +162,25 @@
     });
 });
 
+describe("explainRoute", () => {
+    it("names the deciding rule, the budget and the upstream (guards against an explanation that differs from the plan)", () => {
+        const statuses = new Map([["a1", { inFlight: 5 }]]);
+        const explanation = explainRoute(resources, query({}), statuses);
+        expect(explanation).toMatchObject({ upstream: "a2", budgets: ["a-suds", "b-suds"], plan: plan({}) });
+        expect(explanation.rules.map(rule => rule.mismatch)).toEqual(["the model m1 is not listed", undefined]);
+        expect(formatExplanation(explanation)).toContain("would go to a2");
+    });
+
+    it("falls back when no candidate is usable", () => {
+        const statuses = new Map([["a1", { usable: false }], ["a2", { leaving: true }]]);
+        expect(explainRoute(resources, query({}), statuses).upstream).toBe("b1");
+    });
+
+    it("shows the code of a refusal", () => {
+        expect(formatExplanation(explainRoute(resources, query({ model: "m2" })))).toContain("UnknownModel (1002)");
+    });
+});
+
 function largeResources(): ConfigResources {
     const numbers = (count: number) => Array.from({ length: count }, (_, index) => index);
     return {
