--- /dev/null
+++ b/src/load/loadClient.ts
@@ -0,0 +1,201 @@
+/** Sends one request and observes its answer. */
+import { randomUUID } from "node:crypto";
+import { Agent, request } from "undici";
+import type { Random } from "../base/random.js";
+import type { Arrival } from "./arrivals.js";
+import type { LoadRecord } from "./loadRecord.js";
+import type { Range, RequestClass } from "./loadScenario.js";
+import { SseReader } from "./sseReader.js";
+
+/** Called while answers arrive. */
+export interface LoadListener {
+    /** Output tokens arrived; `gapMs` is the time since the ones before, if there were any. */
+    onTokens(arrival: Arrival, count: number, gapMs: number | undefined): void;
+}
+
+/** A request that is ready to be sent. */
+interface Prepared {
+    readonly url: string;
+    readonly method: "GET" | "POST";
+    readonly headers: Record<string, string>;
+    readonly body: string | undefined;
+    readonly promptBytes: number;
+}
+
+type AnswerFacts = Pick<LoadRecord, "outcome" | "code" | "ran" | "promptTokens" | "outputTokens"> & {
+    readonly firstTokenAtMs?: number;
+    readonly retryAfterS?: number;
+    readonly requestId?: string;
+};
+
+interface JsonAnswer {
+    readonly usage?: { readonly prompt_tokens?: number; readonly completion_tokens?: number; };
+    readonly error?: { readonly name?: string; readonly ran?: string; };
+}
+
+/** Sends requests over kept-alive connections. */
+export class LoadClient {
+    readonly #agent = new Agent({ connections: 1_024, pipelining: 1, keepAliveTimeout: 3_000 });
+    readonly #random: Random;
+    readonly #timeoutMs: number;
+    readonly #listener: LoadListener;
+    readonly #nowMs: () => number;
+
+    /** @param nowMs Time since the start of the run. */
+    constructor(random: Random, timeoutMs: number, listener: LoadListener, nowMs: () => number) {
+        this.#random = random;
+        this.#timeoutMs = timeoutMs;
+        this.#listener = listener;
+        this.#nowMs = nowMs;
+    }
+
+    /** Sends a request. Never throws. */
+    async send(arrival: Arrival, requestClass: RequestClass, router: string): Promise<LoadRecord> {
+        const prepared = this.#prepare(requestClass, router);
+        let facts: AnswerFacts;
+        try {
+            facts = await this.#exchange(arrival, requestClass, prepared);
+        }
+        catch (error) {
+            const code = (error as { code?: string; }).code ?? (error as Error).name;
+            facts = { outcome: "failed", code, ran: "unknown", promptTokens: 0, outputTokens: 0 };
+        }
+        const { firstTokenAtMs, retryAfterS, requestId, ...rest } = facts;
+        return {
+            phase: arrival.phase,
+            requestClass: arrival.requestClass,
+            requestId: requestId ?? "",
+            router,
+            dueAtMs: arrival.atMs,
+            endedAtMs: this.#nowMs(),
+            ...(firstTokenAtMs === undefined ? {} : { firstTokenMs: firstTokenAtMs - arrival.atMs }),
+            ...(retryAfterS === undefined ? {} : { retryAfterS }),
+            ...rest,
+            promptBytes: prepared.promptBytes,
+            ...(requestClass.maxTokens === undefined ? {} : { maxTokens: requestClass.maxTokens }),
+        };
+    }
+
+    close(): Promise<void> {
+        return this.#agent.destroy();
+    }
+
+    #prepare(requestClass: RequestClass, router: string): Prepared {
+        const { key, kind, grant, keyed, model, method, path } = requestClass;
+        const headers: Record<string, string> = { authorization: `Bearer ${key}`, "content-type": "application/json" };
+        if (kind !== "") {
+            headers["x-request-kind"] = kind;
+        }
+        if (grant !== "") {
+            headers["x-priority-grant"] = grant;
+        }
+        if (keyed) {
+            headers["idempotency-key"] = randomUUID();
+        }
+        const prompt = this.#createPrompt(requestClass);
+        const isChat = model !== "";
+        const body = isChat ? this.#chatBody(requestClass, prompt) : method === "GET" ? undefined : prompt;
+        const url = `${router}${isChat ? "/v1/chat/completions" : path}`;
+        return { url, method: isChat ? "POST" : method, headers, body, promptBytes: Buffer.byteLength(prompt) };
+    }
+
+    #createPrompt({ promptBytes, prefixes }: RequestClass): string {
+        const length = this.#draw(promptBytes);
+        const start = prefixes === 0 ? this.#random.hex(16) : `prefix ${this.#random.integer(prefixes)} `;
+        return start.padEnd(length, "lorem ipsum ").slice(0, Math.max(1, length));
+    }
+
+    #chatBody({ model, stream, outputTokens, maxTokens }: RequestClass, prompt: string): string {
+        return JSON.stringify({
+            model,
+            messages: [{ role: "user", content: prompt }],
+            stream,
+            ...(maxTokens === undefined ? {} : { max_tokens: maxTokens }),
+            // The upstream stand-in takes the length of its answer from here.
+            metadata: { outputTokens: String(Math.max(1, this.#draw(outputTokens))) },
+        });
+    }
+
+    #draw(range: Range): number {
+        return Math.round(range.min + this.#random.next() * (range.max - range.min));
+    }
+
+    async #exchange(arrival: Arrival, requestClass: RequestClass, prepared: Prepared): Promise<AnswerFacts> {
+        const { url, method, headers, body } = prepared;
+        const signal = AbortSignal.timeout(this.#timeoutMs);
+        const answer = await request(url, { method, headers, body, signal, dispatcher: this.#agent });
+        const requestId = String(answer.headers["x-request-id"] ?? "");
+        if (answer.statusCode >= 300) {
+            const retryAfter = answer.headers["retry-after"];
+            const error = (await answer.body.json() as JsonAnswer).error;
+            return {
+                requestId,
+                outcome: error?.ran === "no" ? "refused" : "failed",
+                code: error?.name ?? String(answer.statusCode),
+                ran: error?.ran ?? "unknown",
+                promptTokens: 0,
+                outputTokens: 0,
+                ...(retryAfter === undefined ? {} : { retryAfterS: Number(retryAfter) }),
+            };
+        }
+        const facts = requestClass.model !== "" && requestClass.stream ?
+            await this.#readStream(arrival, answer.body) :
+            await this.#readWhole(arrival, requestClass, answer.body);
+        return { requestId, ...facts };
+    }
+
+    async #readStream(arrival: Arrival, body: AsyncIterable<Buffer>): Promise<AnswerFacts> {
+        const reader = new SseReader();
+        let firstTokenAtMs: number | undefined;
+        let lastTokenAtMs: number | undefined;
+        let broken = false;
+        try {
+            for await (const piece of body) {
+                const count = reader.push(piece.toString("utf8"));
+                if (count > 0) {
+                    const nowMs = this.#nowMs();
+                    firstTokenAtMs ??= nowMs;
+                    this.#listener.onTokens(
+                        arrival,
+                        count,
+                        lastTokenAtMs === undefined ? undefined : nowMs - lastTokenAtMs,
+                    );
+                    lastTokenAtMs = nowMs;
+                }
+            }
+        }
+        catch {
+            broken = true;
+        }
+        const { facts } = reader;
+        const whole = facts.done && !broken && facts.errorName === undefined;
+        return {
+            outcome: whole ? "complete" : "cut",
+            code: whole ? "" : facts.errorName ?? "ConnectionLost",
+            ran: whole ? "yes" : facts.errorRan ?? "unknown",
+            promptTokens: facts.promptTokens ?? 0,
+            outputTokens: facts.outputTokens ?? facts.tokens,
+            ...(firstTokenAtMs === undefined ? {} : { firstTokenAtMs }),
+        };
+    }
+
+    async #readWhole(
+        arrival: Arrival,
+        requestClass: RequestClass,
+        body: { text(): Promise<string>; },
+    ): Promise<AnswerFacts> {
+        const text = await body.text();
+        const firstTokenAtMs = this.#nowMs();
+        const usage = requestClass.model === "" ? undefined : (JSON.parse(text) as JsonAnswer).usage;
+        const outputTokens = usage?.completion_tokens ?? 0;
+        this.#listener.onTokens(arrival, outputTokens, undefined);
+        return {
+            outcome: "complete",
+            code: "",
+            ran: "yes",
+            promptTokens: usage?.prompt_tokens ?? 0,
+            outputTokens,
+            firstTokenAtMs,
+        };
+    }
+}
