Hedge streamed requests after a measured delay

A fixed delay of 500 ms is late for engines that answer in 40 ms and spends hedges on whole answers, whose first byte arrives at the end. The delay now follows the median first-token latency of the upstreams with the same models, and whole answers are not hedged. Dispatches say whether they are streamed, so that whole answers do not count as slow first tokens.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -72,7 +72,8 @@
         this.#listener = listener;
         this.reader = request.answerKind === "chatStream" ? new ChatStreamReader() : new ChatJsonReader();
         const { requestId, upstream, long } = request;
-        kernel.post({ type: "dispatchStarted", requestId, upstream, long });
+        const streaming = request.answerKind === "chatStream";
+        kernel.post({ type: "dispatchStarted", requestId, upstream, long, streaming });
         this.#call = client.call(request.call, this);
     }
 
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -9,6 +9,7 @@
 import { AttemptGroup, type GroupEnd, type GroupOwner } from "./attemptGroup.js";
 import type { CallerAnswer, Failure } from "./callerAnswer.js";
 import type { CallerRequest, GatewayParts } from "./gatewayParts.js";
+import { hedgeDelayMs } from "./hedgeDelay.js";
 import { answerHeaders, upstreamHeaders } from "./relayHeaders.js";
 
 /** Ends the course of a request with an error answer. */
@@ -160,8 +161,7 @@
         for (let attempts = 1;; attempts++) {
             const group = new AttemptGroup(this);
             this.#group = group;
-            const hedgeAfterMs = this.#plan.repeatable ? this.#parts.settings.hedgeAfterMs : 0;
-            const end = await group.run(upstream, hedgeAfterMs);
+            const end = await group.run(upstream, this.#plan.repeatable ? this.#hedgeAfterMs(upstream) : 0);
             this.#group = undefined;
             this.#noteRan(end);
             if (end.status !== "failed") {
@@ -176,6 +176,11 @@
         }
     }
 
+    #hedgeAfterMs(upstream: string): number {
+        const { settings, kernel } = this.#parts;
+        return hedgeDelayMs(settings, this.#request.answerKind, kernel.board.upstream.statuses.get(upstream));
+    }
+
     /** Asks for another upstream; when there is none, the request ends with the failure of the last attempt. */
     async #readmit(end: GroupEnd, excluded: readonly string[]): Promise<string> {
         try {
