--- a/src/features/registry.ts
+++ b/src/features/registry.ts
@@ -1,6 +1,8 @@
 /** The features of a router: their settings and, in running order, their controllers. */
 import { z } from "zod";
 import type { ControllerFactory } from "../kernel/kernel.js";
+import { AdmissionController } from "./admission/admissionController.js";
+import { AdmissionSettingsSchema } from "./admission/admissionSettings.js";
 import { BudgetController } from "./budget/budgetController.js";
 import { BudgetSettingsSchema } from "./budget/budgetSettings.js";
 import { ConfigController } from "./config/configController.js";
@@ -15,6 +17,8 @@
 import { MembershipSettingsSchema } from "./membership/membershipSettings.js";
 import { RecoveryController } from "./recovery/recoveryController.js";
 import { RecoverySettingsSchema } from "./recovery/recoverySettings.js";
+import { UpstreamController } from "./upstream/upstreamController.js";
+import { UpstreamSettingsSchema } from "./upstream/upstreamSettings.js";
 
 /** Settings of all features. */
 export const FeatureSettingsSchema = z.strictObject({
@@ -24,6 +28,8 @@
     budget: BudgetSettingsSchema.prefault({}),
     recovery: RecoverySettingsSchema.prefault({}),
     idempotency: IdempotencySettingsSchema.prefault({}),
+    upstream: UpstreamSettingsSchema.prefault({}),
+    admission: AdmissionSettingsSchema.prefault({}),
     lifecycle: LifecycleSettingsSchema.prefault({}),
 });
 export type FeatureSettings = z.infer<typeof FeatureSettingsSchema>;
@@ -40,6 +46,8 @@
         new BudgetController(context, settings.budget),
         new RecoveryController(context, settings.recovery),
         new IdempotencyController(context, settings.idempotency),
+        new UpstreamController(context, settings.upstream),
+        new AdmissionController(context, settings.admission),
         new LifecycleController(context, settings.lifecycle),
     ];
 }
