--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -1,6 +1,6 @@
 /** The course of one request: plan, claim, reserve, admit, dispatch, relay, settle. */
 import { isUtf8 } from "node:buffer";
-import type { RanState, ResultCodeName } from "../base/resultCodes.js";
+import type { RanState } from "../base/resultCodes.js";
 import type { WorkItem } from "../features/admission/admissionTypes.js";
 import { type BillDraft, grantBudgetName } from "../features/budget/budgetTypes.js";
 import { claimId, MaxStoredAnswerBytes, type StoredAnswer } from "../features/idempotency/idempotencyTypes.js";
@@ -11,20 +11,7 @@
 import type { CallerRequest, GatewayParts } from "./gatewayParts.js";
 import { hedgeDelayMs } from "./hedgeDelay.js";
 import { answerHeaders, upstreamHeaders } from "./relayHeaders.js";
-
-/** Ends the course of a request with an error answer. */
-class RequestFailure extends Error {
-    readonly failure: Failure;
-
-    constructor(failure: Failure) {
-        super(failure.code);
-        this.failure = failure;
-    }
-}
-
-function refusal(code: ResultCodeName, retryAfterMs?: number): RequestFailure {
-    return new RequestFailure({ code, retryAfterMs });
-}
+import { refusal, RequestFailure } from "./requestFailure.js";
 
 /** Serves one request from its plan to its bill. */
 export class RequestFlow implements GroupOwner {
