--- /dev/null
+++ b/scripts/settingsDocs.mjs
@@ -0,0 +1,86 @@
+// Writes docs/settings.md from the settings schemas of the programs; with --check only compares. Needs a build.
+import { readdirSync, readFileSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { z } from "zod";
+import { RouterSettingsSchema } from "../dist/router/routerSettings.js";
+import { PlatformSettingsSchema } from "../dist/standins/platform/platformSettings.js";
+import { UpstreamSettingsSchema } from "../dist/standins/upstream/upstreamSettings.js";
+
+const DocumentPath = join("docs", "settings.md");
+
+/** Reads the doc comments of fields in the sources of a folder. */
+function readComments(folder) {
+    const comments = new Map();
+    for (const name of readdirSync(folder).filter(entry => /(Settings|Types)\.ts$/.test(entry))) {
+        const source = readFileSync(join(folder, name), "utf8");
+        for (const [, text, field] of source.matchAll(/\/\*\* ([^*]*?) \*\/\s*(\w+): /g)) {
+            comments.set(field, text.replace(/\s+/g, " "));
+        }
+    }
+    return comments;
+}
+
+/** Folder whose comments describe the field at a path of the router's settings. */
+function routerFolder(path) {
+    if (path[0] === "features") {
+        return join("src", "features", path[1]);
+    }
+    return join("src", path[0] === "peer" || path[0] === "gateway" ? path[0] : "router");
+}
+
+function describeType(schema) {
+    if (schema.enum !== undefined) {
+        return schema.enum.join(", ");
+    }
+    const type = schema.type ?? schema.anyOf?.map(describeType).join(" or ") ?? "any";
+    const low = schema.exclusiveMinimum === undefined ? schema.minimum : `more than ${schema.exclusiveMinimum}`;
+    const bounded = Math.abs(schema.minimum ?? 0) < Number.MAX_SAFE_INTEGER && low !== undefined;
+    const high = schema.maximum === undefined || schema.maximum >= Number.MAX_SAFE_INTEGER ?
+        "" :
+        ` to ${schema.maximum}`;
+    return bounded ?
+        `${type} (${low}${high === "" && schema.exclusiveMinimum === undefined ? " or more" : high})` :
+        type;
+}
+
+function rowsOf(schema, path, folderOf) {
+    return Object.entries(schema.properties ?? {}).flatMap(([name, field]) => {
+        const fieldPath = [...path, name];
+        if (field.properties !== undefined) {
+            return rowsOf(field, fieldPath, folderOf);
+        }
+        const folder = folderOf(fieldPath);
+        const value = name === "hostId" ? "the machine's name" : JSON.stringify(field.default) ?? "none";
+        return [
+            `| \`${fieldPath.join(".")}\` | ${describeType(field)} | ${value} | ${
+                readComments(folder).get(name) ?? ""
+            } |`,
+        ];
+    });
+}
+
+function section(title, schema, folderOf) {
+    const json = z.toJSONSchema(schema, { io: "input", unrepresentable: "any" });
+    const head = [`## ${title}`, "", "| field | type | default | meaning |", "| --- | --- | --- | --- |"];
+    return [...head, ...rowsOf(json, [], folderOf), ""];
+}
+
+const text = [
+    "# Settings",
+    "",
+    "Written by `npm run docs` from the schemas. Settings are a JSON file (`--settings FILE`); `--check` checks it and exits.",
+    "Unknown fields are refused, and an error names the path of the field.",
+    "",
+    ...section("toucan-router", RouterSettingsSchema, routerFolder),
+    ...section("toucan-platform", PlatformSettingsSchema, () => join("src", "standins", "platform")),
+    ...section("toucan-upstream", UpstreamSettingsSchema, () => join("src", "standins", "upstream")),
+].join("\n");
+
+if (process.argv.includes("--check")) {
+    const isCurrent = readFileSync(DocumentPath, "utf8") === text;
+    console.log(isCurrent ? "docs/settings.md is current" : "docs/settings.md is out of date: run npm run docs");
+    process.exitCode = isCurrent ? 0 : 1;
+}
+else {
+    writeFileSync(DocumentPath, text);
+}
