Follow the change log and the host list, and push new versions

A host tells a new version to the successors that do not have it, at most once per second. Suspects are published on all hosts, because the recovery controller chooses the sealers by rendezvous hash.

--- /dev/null
+++ b/src/features/config/fleetModel.spec.ts
@@ -0,0 +1,137 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { FakeFleet, type FakeHost } from "../../standins/fakeFleet.js";
+import { hostKeyOf } from "../journal/journalTypes.js";
+
+const HostCount = 8;
+const Second = 1_000;
+
+/** Newest version that each process had in force. */
+type Model = Map<FakeHost, number>;
+
+/** The fleet's failures, one at a time. */
+const Steps = {
+    commit: (fleet: FakeFleet): void => void fleet.commit(),
+    cut: (fleet: FakeFleet, hostId: string, part: number): void => void fleet.parts.set(hostId, part % 3),
+    heal: (fleet: FakeFleet): void => fleet.parts.clear(),
+    loseStore: (fleet: FakeFleet, hostId: string): void => {
+        fleet.hosts.get(hostId)!.reachesStore = false;
+    },
+    findStore: (fleet: FakeFleet, hostId: string): void => {
+        fleet.hosts.get(hostId)!.reachesStore = true;
+    },
+    kill: (fleet: FakeFleet, hostId: string): void => {
+        fleet.hosts.get(hostId)!.isRunning = false;
+    },
+    restart: (fleet: FakeFleet, hostId: string): void => void fleet.start(hostId),
+    restartStale: (fleet: FakeFleet, hostId: string, amount: number): void => {
+        fleet.start(hostId, host => host.staleVersion = Math.max(0, fleet.log.length - amount));
+    },
+    pause: (fleet: FakeFleet, hostId: string): void => {
+        fleet.hosts.get(hostId)!.isPaused = true;
+    },
+    resume: (fleet: FakeFleet, hostId: string): void => {
+        fleet.hosts.get(hostId)!.isPaused = false;
+    },
+    wait: (fleet: FakeFleet, _hostId: string, amount: number): void => fleet.advance(amount * 2 * Second),
+} as const;
+
+type StepName = keyof typeof Steps;
+
+class Step implements fc.Command<Model, FakeFleet> {
+    readonly name: StepName;
+    readonly host: number;
+    readonly amount: number;
+
+    constructor(name: StepName, host: number, amount: number) {
+        this.name = name;
+        this.host = host;
+        this.amount = amount;
+    }
+
+    check(): boolean {
+        return true;
+    }
+
+    run(model: Model, fleet: FakeFleet): void {
+        Steps[this.name](fleet, `h${this.host}`, this.amount);
+        fleet.advance(200, () => checkVersions(model, fleet));
+    }
+
+    toString(): string {
+        return `${this.name}(${this.host}, ${this.amount})`;
+    }
+}
+
+/** Versions only increase, and the resources are those of the log up to the version. */
+function checkVersions(model: Model, fleet: FakeFleet): void {
+    for (const host of fleet.running) {
+        expect(host.version).toBeGreaterThanOrEqual(model.get(host) ?? 0);
+        if (host.version !== model.get(host)) {
+            const expected = new Map<string, string>();
+            for (const change of fleet.log.slice(0, host.version)) {
+                expected.set(change.changes[0]!.name, String(change.version));
+            }
+            const teams = [...host.kernel.board.config.resources.teams];
+            expect(new Map(teams.map(([name, team]) => [name, team.labels["version"]]))).toEqual(expected);
+        }
+        const { version, floorVersion } = host.kernel.board.config;
+        expect(floorVersion).toBeGreaterThanOrEqual(version);
+        expect(floorVersion).toBeLessThanOrEqual(fleet.log.length);
+        model.set(host, host.version);
+    }
+}
+
+function expectNewest(fleet: FakeFleet): void {
+    expect(fleet.running.map(host => host.version)).toEqual(fleet.running.map(() => fleet.log.length));
+}
+
+function healAll(fleet: FakeFleet): void {
+    fleet.parts.clear();
+    for (const host of fleet.running) {
+        host.reachesStore = true;
+        host.isPaused = false;
+        host.staleVersion = Number.POSITIVE_INFINITY;
+    }
+}
+
+/** Nobody that runs is suspected, and everybody is known with the incarnation that runs. */
+function expectAgreement(fleet: FakeFleet): void {
+    const keys = fleet.running.map(host => hostKeyOf(host.hostId, host.incarnation));
+    for (const { hostId, kernel } of fleet.running) {
+        const { members, suspects } = kernel.board.membership;
+        expect([...suspects].filter(hostKey => keys.includes(hostKey))).toEqual([]);
+        const live = [...members.values()].filter(member => member.state === "live")
+            .map(member => hostKeyOf(member.hostId, member.incarnation));
+        expect(live.sort()).toEqual(keys.filter(key => !key.startsWith(`${hostId}~`)).sort());
+    }
+}
+
+describe("config and membership under random failures", () => {
+    it("keep their promises (guards against reverted, skipped or undelivered versions and lost hosts)", () => {
+        const step = fc.tuple(
+            fc.constantFrom(...Object.keys(Steps) as StepName[], "commit" as const, "wait" as const),
+            fc.nat(HostCount - 1),
+            fc.integer({ min: 1, max: 10 }),
+        ).map(([name, host, amount]) => new Step(name, host, amount));
+        const run = (commands: Iterable<fc.Command<Model, FakeFleet>>): void => {
+            const fleet = new FakeFleet();
+            const model: Model = new Map();
+            fleet.startMany(HostCount);
+            fleet.advance(2 * Second);
+            fc.modelRun(() => ({ model, real: fleet }), commands);
+            healAll(fleet);
+            fleet.advance(5 * Second, () => checkVersions(model, fleet));
+            expectNewest(fleet);
+            fleet.advance(25 * Second, () => checkVersions(model, fleet));
+            expectAgreement(fleet);
+            fleet.running.slice(1).forEach(host => host.reachesStore = false);
+            fleet.commit();
+            fleet.advance(5 * Second, () => checkVersions(model, fleet));
+            expectNewest(fleet);
+        };
+        const runCount = Number(process.env["FLEET_RUNS"] ?? 60);
+        const seed = Number(process.env["FLEET_SEED"] ?? 1);
+        fc.assert(fc.property(fc.commands([step], { maxCommands: 40 }), run), { numRuns: runCount, seed });
+    });
+});
--- a/src/features/membership/memberTable.ts
+++ b/src/features/membership/memberTable.ts
@@ -1,6 +1,5 @@
 /** The known hosts: takes facts, suspects silent hosts and remembers ended ones. */
 import type { Clock } from "../../base/clock.js";
-import { hash32 } from "../../base/hashing.js";
 import type { ListedHost } from "../../platform/platformStore.js";
 import { hostKeyOf } from "../journal/journalTypes.js";
 import { FactQueue } from "./factQueue.js";
@@ -11,19 +10,14 @@
 import type { EndedRecord } from "./recordEvents.js";
 import { findNeighbours, type Neighbours } from "./ring.js";
 
-/** An incarnation that is to be sealed. */
-interface Suspicion {
-    readonly hostId: string;
-    readonly sinceMs: number;
-}
-
 /** What follows from the members' states. Kept until one of them changes, as 400 members are looked at with each call. */
 interface FleetView {
     readonly neighbours: Neighbours;
     /** Ids of the hosts that have not ended. */
     readonly candidates: readonly string[];
-    /** Ids of the hosts whose incarnation is known. */
+    /** Ids of the hosts whose incarnation is known, and of those that were only listed. */
     readonly heardIds: readonly string[];
+    readonly unheardIds: readonly string[];
     readonly liveCount: number;
 }
 
@@ -36,8 +30,8 @@
     readonly #board: MembershipBoard;
     readonly #clock: Clock;
     readonly #settings: MembershipSettings;
-    /** Incarnations that are silent or were replaced, by host key. */
-    readonly #suspicions = new Map<string, Suspicion>();
+    /** Host keys of incarnations that are silent or were replaced. */
+    readonly #suspicions = new Set<string>();
     /** Times from which the silence of the watched hosts counts. */
     readonly #watchedSinceMs = new Map<string, number>();
     #listedIds: ReadonlySet<string> = new Set();
@@ -115,7 +109,7 @@
             }
         }
         this.#forgetEnded(now);
-        this.#publishSuspects(ownHostId, now);
+        this.#publishSuspects();
     }
 
     /** Restarts the watch, because this process did not run and could not hear anybody. */
@@ -143,6 +137,7 @@
             neighbours: findNeighbours(ownHostId, ringHosts, this.#settings.successorCount),
             candidates: hosts.map(({ hostId }) => hostId),
             heardIds: members.filter(({ incarnation }) => incarnation !== "").map(({ hostId }) => hostId),
+            unheardIds: members.filter(({ incarnation }) => incarnation === "").map(({ hostId }) => hostId),
             liveCount: members.filter(({ state }) => state === "live").length,
         };
     }
@@ -177,22 +172,15 @@
 
     /** A host that was only listed has no record that could be sealed. */
     #addSuspicion({ hostId, incarnation }: Member): void {
-        const hostKey = hostKeyOf(hostId, incarnation);
-        if (incarnation !== "" && !this.#suspicions.has(hostKey)) {
-            this.#suspicions.set(hostKey, { hostId, sinceMs: this.#now() });
+        if (incarnation !== "") {
+            this.#suspicions.add(hostKeyOf(hostId, incarnation));
         }
     }
 
-    /** Only the hosts that watch a suspect offer it for sealing, so that the reads of its record stay few. */
-    #publishSuspects(ownHostId: string, now: number): void {
-        const { successors, suspects } = this.view(ownHostId).neighbours;
-        const watched = new Set([...successors, ...suspects]);
+    #publishSuspects(): void {
         this.#board.suspects.clear();
-        for (const [hostKey, { hostId, sinceMs }] of this.#suspicions) {
-            const jitter = 1 + hash32(`${ownHostId}|${hostKey}`) / 2 ** 32;
-            if (watched.has(hostId) || now - sinceMs > this.#settings.escalateAfterMs * jitter) {
-                this.#board.suspects.add(hostKey);
-            }
+        for (const hostKey of this.#suspicions) {
+            this.#board.suspects.add(hostKey);
         }
     }
 
--- a/src/features/membership/membershipController.ts
+++ b/src/features/membership/membershipController.ts
@@ -16,11 +16,14 @@
 const FirstExchangeCount = 3;
 
 /** Least time between two rounds of extra exchanges. */
-const ExtraRoundIntervalMs = 2_000;
+const ExtraRoundIntervalMs = 1_000;
 
 /** Attempts at a silent successor before the next one takes its turn. */
 const MaxRetries = 2;
 
+/** Largest number of hosts about which a digest asks. */
+const MaxWantedHosts = 6;
+
 /** Writes the membership section. Answers `Exchange`. */
 export class MembershipController extends Controller {
     override readonly name = "membership";
@@ -38,7 +41,7 @@
     #exchangeCount = 0;
     #turn = 0;
     #retry: { readonly hostId: string; readonly count: number; } | undefined;
-    #told = { state: "live" as Member["state"], leavingUpstreams: [] as readonly string[] };
+    #told = { state: "live" as Member["state"], leavingUpstreams: [] as readonly string[], configVersion: 0 };
     #hasMet = false;
 
     constructor(context: ControllerContext, settings: MembershipSettings) {
@@ -61,7 +64,7 @@
             this.#table.takeEnd(ended);
         }
         if (event.type === "peerRequested" && event.request.method === "Exchange") {
-            const body = this.#buildDigest(event.request.body.self);
+            const body = this.#buildDigest(event.request.body);
             const reply = { method: "Exchange", body } as const;
             this.context.emit({ type: "peerAnswer", exchangeId: event.exchangeId, reply });
         }
@@ -118,20 +121,25 @@
         }
     }
 
-    /** Upstreams that leave, and this host's own departure, are told to all successors at once. */
+    /** Some news must not wait for a turn: a departure, an upstream that leaves, a new configuration version. */
     #tellUrgentChanges(now: number): void {
+        const { config, membership } = this.context.board;
         const state = this.#ownState();
         const leavingUpstreams = this.#leavingUpstreams();
-        const isUrgent = state !== this.#told.state ||
+        const isLeaveNews = state !== this.#told.state ||
             leavingUpstreams.some(name => !this.#told.leavingUpstreams.includes(name));
-        if (isUrgent && now < this.#nextExtraRoundMs) {
+        const isVersionNews = config.version > this.#told.configVersion;
+        if ((isLeaveNews || isVersionNews) && now < this.#nextExtraRoundMs) {
             return;
         }
-        this.#told = { state, leavingUpstreams };
-        if (isUrgent) {
+        this.#told = { state, leavingUpstreams, configVersion: config.version };
+        if (isLeaveNews || isVersionNews) {
             this.#nextExtraRoundMs = now + ExtraRoundIntervalMs;
-            this.context.board.membership.ownDigest = this.#baseDigest();
-            this.#table.view(this.#ownHostId()).neighbours.successors.forEach(hostId => this.#exchangeWith(hostId));
+            membership.ownDigest = this.#baseDigest();
+            const { successors } = this.#table.view(this.#ownHostId()).neighbours;
+            successors
+                .filter(hostId => isLeaveNews || membership.members.get(hostId)!.configVersion < config.version)
+                .forEach(hostId => this.#exchangeWith(hostId));
         }
     }
 
@@ -223,17 +231,21 @@
         this.#loads.leavingInto(membership.leavingUpstreams);
     }
 
-    /** @param receiver The host that will read the digest, as it described itself; it is corrected if need be. */
-    #buildDigest(receiver: Member | undefined): Digest {
-        const base = this.#baseDigest();
-        const told = fitMembers(base, this.#factsFor(receiver));
+    /** @param request The digest that is answered: its sender is corrected if need be and told what it asks for. */
+    #buildDigest(request: Digest | undefined): Digest {
+        const { unheardIds } = this.#table.view(this.#ownHostId());
+        const start = this.context.random.integer(Math.max(1, unheardIds.length));
+        const wantedHostIds = unheardIds.slice(start, start + MaxWantedHosts);
+        const base = { ...this.#baseDigest(), ...(wantedHostIds.length === 0 ? {} : { wantedHostIds }) };
+        const told = fitMembers(base, this.#factsFor(request));
         for (const fact of told) {
             this.#table.facts.told(fact.hostId);
         }
         return { ...base, members: told };
     }
 
-    #factsFor(receiver: Member | undefined): Member[] {
+    #factsFor(request: Digest | undefined): Member[] {
+        const receiver = request?.self;
         const { members } = this.context.board.membership;
         const known = receiver === undefined ? undefined : members.get(receiver.hostId);
         const isOutdated = known !== undefined && known.incarnation !== "" &&
@@ -243,7 +255,9 @@
             .map(hostId => members.get(hostId)).filter(member => member !== undefined);
         // A random fact lets hosts agree even when they missed all of the times at which a change was told.
         const random = members.get(this.#pick(this.#table.view(this.#ownHostId()).heardIds) ?? "");
-        return [...correction, ...changed, ...(random === undefined ? [] : [random])].map(toFact);
+        const wanted = (request?.wantedHostIds ?? []).map(hostId => members.get(hostId))
+            .filter(member => member !== undefined && member.incarnation !== "") as KnownMember[];
+        return [...correction, ...changed, ...wanted, ...(random === undefined ? [] : [random])].map(toFact);
     }
 
     #pick(hostIds: readonly string[]): string | undefined {
--- a/src/features/membership/membershipSettings.ts
+++ b/src/features/membership/membershipSettings.ts
@@ -19,8 +19,6 @@
     suspectAfterMs: z.number().int().positive().default(10_000),
     /** A pause of this process that is longer than this restarts the watch over its successors. */
     pauseToleranceMs: z.number().int().positive().default(2_000),
-    /** Wait after which hosts that do not watch a suspect offer it for sealing too; doubled at random. */
-    escalateAfterMs: z.number().int().positive().default(60_000),
     /** Time after which the loads that a peer reported are no longer counted. */
     loadAgeLimitMs: z.number().int().positive().default(10_000),
     /** Time for which ended hosts are remembered after they left the host list. */
--- a/src/features/membership/membershipTypes.ts
+++ b/src/features/membership/membershipTypes.ts
@@ -29,6 +29,8 @@
     inFlight: z.record(z.string(), z.number().int().nonnegative()).default({}),
     /** Upstreams seen leaving, by name. */
     leavingUpstreams: z.array(z.string()).default([]),
+    /** Hosts that the sender knows from the platform's list only; the reply describes them. */
+    wantedHostIds: z.array(z.string()).optional(),
     /** Changed facts about other hosts. */
     members: z.array(MemberSchema).default([]),
 });
--- /dev/null
+++ b/src/router/hostListPoller.ts
@@ -0,0 +1,61 @@
+/** Follows the platform's list of hosts. */
+import type { Random } from "../base/random.js";
+import type { HostList } from "../platform/platformStore.js";
+import { Backoff } from "./backoff.js";
+import { Watcher, type WatchTarget } from "./routerParts.js";
+
+/** Interval of the polls. */
+const PollIntervalMs = 10_000;
+
+/** Interval of the first polls: the list lags, and a new host needs to find its peers soon. */
+const FirstPollIntervalMs = 1_000;
+const FirstPollCount = 3;
+
+/** Bounds of the waits after a failure. */
+const BackoffBounds = { minMs: 500, maxMs: PollIntervalMs } as const;
+
+/** What the poller works with. */
+export interface HostListPollerParts {
+    readonly hostList: HostList;
+    readonly random: Random;
+}
+
+/** Posts the list of hosts, with the whole list only when its revision has changed. */
+export class HostListPoller extends Watcher {
+    readonly #parts: HostListPollerParts;
+    readonly #backoff: Backoff;
+    #revision = -1;
+    #pollCount = 0;
+
+    constructor(parts: HostListPollerParts) {
+        super();
+        this.#parts = parts;
+        this.#backoff = new Backoff(BackoffBounds, parts.random);
+    }
+
+    override start(target: WatchTarget): void {
+        void this.#run(target);
+    }
+
+    override stop(): void {
+        this.#backoff.stop();
+    }
+
+    async #run(target: WatchTarget): Promise<void> {
+        while (!this.#backoff.isStopped) {
+            const outcome = await this.#parts.hostList.hosts(this.#revision);
+            if (this.#backoff.isStopped) {
+                return;
+            }
+            target.post({ type: "hostsListed", outcome });
+            if (outcome.status === "unavailable") {
+                await this.#backoff.afterFailure();
+                continue;
+            }
+            this.#revision = outcome.revision;
+            this.#backoff.reset();
+            this.#pollCount++;
+            await this.#backoff.wait(this.#pollCount <= FirstPollCount ? FirstPollIntervalMs : PollIntervalMs);
+        }
+    }
+}
--- /dev/null
+++ b/src/router/storeWatcher.ts
@@ -0,0 +1,146 @@
+/** Loads the configuration from the store and follows its change log. */
+import type { Result } from "true-myth";
+import { log } from "../base/log.js";
+import type { Random } from "../base/random.js";
+import type { ConfigSnapshot } from "../features/config/configEvents.js";
+import {
+    configChangeKey,
+    ConfigChangePrefix,
+    type ReceivedChange,
+    ReceivedChangeSchema,
+} from "../features/config/configTypes.js";
+import type { PlatformStore, StoredObject } from "../platform/platformStore.js";
+import { Backoff } from "./backoff.js";
+import { Watcher, type WatchTarget } from "./routerParts.js";
+
+/** Longest wait of one long poll. A waiting watch counts as one call. */
+const WatchWaitMs = 25_000;
+
+/** Least time between two polls without changes, for a store that does not hold its answer back. */
+const QuietWaitMs = 200;
+
+/** Bounds of the waits after a failure. */
+const BackoffBounds = { minMs: 200, maxMs: 10_000 } as const;
+
+/** Number of changes read with one call. */
+const PageLimit = 256;
+
+/** Reads the newest snapshot; its version is 0 when there is none. */
+export type LoadSnapshot = (store: PlatformStore) => Promise<Result<ConfigSnapshot, string>>;
+
+/** What the watcher works with. */
+export interface StoreWatcherParts {
+    readonly store: PlatformStore;
+    readonly random: Random;
+    readonly loadSnapshot: LoadSnapshot;
+    readonly watchWaitMs?: number;
+}
+
+/** Posts a snapshot, the changes after it, and then each change as it appears. */
+export class StoreWatcher extends Watcher {
+    readonly #parts: StoreWatcherParts;
+    readonly #backoff: Backoff;
+    #revision = 0;
+    #isLoaded = false;
+    #isReachable = true;
+
+    constructor(parts: StoreWatcherParts) {
+        super();
+        this.#parts = parts;
+        this.#backoff = new Backoff(BackoffBounds, parts.random);
+    }
+
+    override start(target: WatchTarget): void {
+        void this.#run(target);
+    }
+
+    override stop(): void {
+        this.#backoff.stop();
+    }
+
+    async #run(target: WatchTarget): Promise<void> {
+        while (!this.#backoff.isStopped) {
+            const failure = this.#isLoaded ? await this.#watch(target) : await this.#load(target);
+            this.#noteOutcome(failure);
+            if (failure === undefined) {
+                this.#backoff.reset();
+            }
+            else {
+                await this.#backoff.afterFailure();
+            }
+        }
+    }
+
+    async #load(target: WatchTarget): Promise<string | undefined> {
+        if (target.board.config.version === 0) {
+            const snapshot = await this.#parts.loadSnapshot(this.#parts.store);
+            if (snapshot.isErr) {
+                return snapshot.error;
+            }
+            if (snapshot.value.version > 0 && !this.#backoff.isStopped) {
+                target.post({ type: "configSnapshotLoaded", snapshot: snapshot.value });
+            }
+        }
+        return this.#readTail(target);
+    }
+
+    /** Reads the change log after the version in force. */
+    async #readTail(target: WatchTarget): Promise<string | undefined> {
+        let afterKey = configChangeKey(target.board.config.version);
+        for (let more = true; more;) {
+            const page = await this.#parts.store.list(ConfigChangePrefix, afterKey, PageLimit);
+            if (page.status !== "listed") {
+                return page.reason;
+            }
+            this.#post(target, page.objects, true);
+            afterKey = page.objects.at(-1)?.key ?? afterKey;
+            more = page.more && page.objects.length > 0;
+        }
+        this.#isLoaded = true;
+        return undefined;
+    }
+
+    async #watch(target: WatchTarget): Promise<string | undefined> {
+        const waitMs = Math.round((this.#parts.watchWaitMs ?? WatchWaitMs) * (0.8 + 0.4 * this.#parts.random.next()));
+        const outcome = await this.#parts.store.watch(ConfigChangePrefix, this.#revision, waitMs);
+        if (outcome.status === "unavailable") {
+            return outcome.reason;
+        }
+        if (outcome.status === "tooOld") {
+            // The revision is taken before the log is read, so that no change between the two is missed.
+            this.#revision = outcome.revision;
+            return this.#readTail(target);
+        }
+        this.#post(target, outcome.changes.map(change => change.object).filter(object => object !== undefined), false);
+        this.#revision = Math.max(this.#revision, outcome.revision);
+        if (outcome.changes.length === 0) {
+            await this.#backoff.wait(QuietWaitMs);
+        }
+        return undefined;
+    }
+
+    #post(target: WatchTarget, objects: readonly StoredObject[], postEmpty: boolean): void {
+        const changes: ReceivedChange[] = [];
+        for (const object of objects) {
+            this.#revision = Math.max(this.#revision, object.revision);
+            const change = ReceivedChangeSchema.safeParse(object.value);
+            if (change.success) {
+                changes.push(change.data);
+            }
+            else {
+                log.error("a configuration change cannot be read", { key: object.key });
+            }
+        }
+        if ((changes.length > 0 || postEmpty) && !this.#backoff.isStopped) {
+            target.post({ type: "configChangesReceived", changes, fromStore: true });
+        }
+    }
+
+    #noteOutcome(failure: string | undefined): void {
+        const isReachable = failure === undefined;
+        if (isReachable !== this.#isReachable && !this.#backoff.isStopped) {
+            this.#isReachable = isReachable;
+            log.warn(isReachable ? "the store answers again" : "the store does not answer", { reason: failure });
+        }
+    }
+}
