--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -1,6 +1,6 @@
 /** The course of one request: plan, claim, reserve, admit, dispatch, relay, settle. */
 import { isUtf8 } from "node:buffer";
-import type { RanState, ResultCodeName } from "../base/resultCodes.js";
+import type { RanState } from "../base/resultCodes.js";
 import type { WorkItem } from "../features/admission/admissionTypes.js";
 import { type BillDraft, grantBudgetName } from "../features/budget/budgetTypes.js";
 import { claimId, MaxStoredAnswerBytes, type StoredAnswer } from "../features/idempotency/idempotencyTypes.js";
@@ -9,21 +9,9 @@
 import { AttemptGroup, type GroupEnd, type GroupOwner } from "./attemptGroup.js";
 import type { CallerAnswer, Failure } from "./callerAnswer.js";
 import type { CallerRequest, GatewayParts } from "./gatewayParts.js";
+import { hedgeDelayMs } from "./hedgeDelay.js";
 import { answerHeaders, upstreamHeaders } from "./relayHeaders.js";
-
-/** Ends the course of a request with an error answer. */
-class RequestFailure extends Error {
-    readonly failure: Failure;
-
-    constructor(failure: Failure) {
-        super(failure.code);
-        this.failure = failure;
-    }
-}
-
-function refusal(code: ResultCodeName, retryAfterMs?: number): RequestFailure {
-    return new RequestFailure({ code, retryAfterMs });
-}
+import { refusal, RequestFailure } from "./requestFailure.js";
 
 /** Serves one request from its plan to its bill. */
 export class RequestFlow implements GroupOwner {
@@ -160,8 +148,7 @@
         for (let attempts = 1;; attempts++) {
             const group = new AttemptGroup(this);
             this.#group = group;
-            const hedgeAfterMs = this.#plan.repeatable ? this.#parts.settings.hedgeAfterMs : 0;
-            const end = await group.run(upstream, hedgeAfterMs);
+            const end = await group.run(upstream, this.#plan.repeatable ? this.#hedgeAfterMs(upstream) : 0);
             this.#group = undefined;
             this.#noteRan(end);
             if (end.status !== "failed") {
@@ -176,6 +163,11 @@
         }
     }
 
+    #hedgeAfterMs(upstream: string): number {
+        const { settings, kernel } = this.#parts;
+        return hedgeDelayMs(settings, this.#request.answerKind, kernel.board.upstream.statuses.get(upstream));
+    }
+
     /** Asks for another upstream; when there is none, the request ends with the failure of the last attempt. */
     async #readmit(end: GroupEnd, excluded: readonly string[]): Promise<string> {
         try {
