--- a/src/gateway/callerAnswer.ts
+++ b/src/gateway/callerAnswer.ts
@@ -65,6 +65,11 @@
         this.#outgoing.once("drain", callback);
     }
 
+    /** Destroys the connection. */
+    destroy(): void {
+        this.#outgoing.destroy();
+    }
+
     /** Ends a whole answer. */
     end(): void {
         if (!this.gone) {
--- a/src/gateway/callerListener.ts
+++ b/src/gateway/callerListener.ts
@@ -17,6 +17,9 @@
 /** Interval at which connections that became idle are closed while the listener stops. */
 const IdleCheckIntervalMs = 50;
 
+/** Wait before a caller whom this host cannot serve tries again; the balancer then chooses another host. */
+const RetryElsewhereMs = 1_000;
+
 /** Hexadecimal digits of a request id. */
 const RequestIdDigits = 24;
 
@@ -103,7 +106,8 @@
             await this.#serveEntered(env.incoming, env.outgoing, handle);
         }
         finally {
-            kernel.post({ type: "requestLeft" });
+            // A shutdown waits until the caller has taken the answer, not only until it was written.
+            whenClosed(env.outgoing, () => kernel.post({ type: "requestLeft" }));
         }
         return RESPONSE_ALREADY_SENT;
     }
@@ -202,11 +206,21 @@
         if (!incoming.complete) {
             outgoing.setHeader("connection", "close");
         }
-        writeFailure(outgoing, requestId, { code, detail });
+        const passing = code === "NotReady" || code === "ShuttingDown" || code === "ClaimUnavailable";
+        writeFailure(outgoing, requestId, { code, detail, retryAfterMs: passing ? RetryElsewhereMs : undefined });
         discardRest(incoming);
     }
 }
 
+function whenClosed(outgoing: ServerResponse, callback: () => void): void {
+    if (outgoing.closed || outgoing.destroyed) {
+        callback();
+    }
+    else {
+        outgoing.once("close", callback);
+    }
+}
+
 function writeJson(outgoing: ServerResponse, requestId: string, value: unknown): void {
     const body = JSON.stringify(value);
     outgoing.writeHead(200, {
--- a/src/gateway/gateway.spec.ts
+++ b/src/gateway/gateway.spec.ts
@@ -1,5 +1,6 @@
-import { connect } from "node:net";
-import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createServer } from "node:http";
+import { type AddressInfo, connect } from "node:net";
+import { afterEach, beforeEach, describe, expect, it, onTestFinished, vi } from "vitest";
 import { GatewayHarness, HarnessKey } from "../standins/router/gatewayHarness.js";
 import { UpstreamServer } from "../standins/upstream/upstreamServer.js";
 
@@ -58,6 +59,32 @@
         });
     });
 
+    describe("when a plain service is called with another method", () => {
+        it.each(["GET", "HEAD", "OPTIONS", "DELETE", "PUT"])(
+            "passes %s on (guards against lost methods)",
+            async method => {
+                const response = await fetch(`${gateway.url}/services/sales/a/b?c=d`, {
+                    method,
+                    headers: { authorization: `Bearer ${HarnessKey}` },
+                });
+                expect(response.status).toBe(200);
+                const text = await response.text();
+                expect(method === "HEAD" ? "" : JSON.parse(text).path).toBe(method === "HEAD" ? text : "/a/b?c=d");
+            },
+        );
+
+        it("refuses paths that lead elsewhere (guards against calls to another service)", async () => {
+            for (
+                const path of ["/services/sales/..%2f..%2fload", "/services/sales/%2e%2e/load", "/services/", "/load"]
+            ) {
+                const response = await fetch(`${gateway.url}${path}`, {
+                    headers: { authorization: `Bearer ${HarnessKey}` },
+                });
+                expect(response.status).toBe(path.includes("..%2f") ? 200 : 404);
+            }
+        });
+    });
+
     describe("when a request is refused before anything runs", () => {
         const refused = async (response: Response): Promise<string> => {
             const { error } = await response.json() as ErrorJson;
@@ -344,6 +371,28 @@
             );
         });
 
+        it("cancels the work of a caller that never reads (guards against slots that are held for ever)", async () => {
+            await gateway.stop();
+            gateway = new GatewayHarness({ callerStallMs: 50 });
+            await gateway.start({ flood: await startFlood() });
+            const { hostname, port } = new URL(gateway.url);
+            const body = JSON.stringify({
+                model: "assistant",
+                messages: [{ role: "user", content: "x" }],
+                stream: true,
+            });
+            const socket = connect(Number(port), hostname, () => {
+                socket.write(
+                    `POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer ${HarnessKey}\r\n` +
+                        `Content-Length: ${body.length}\r\n\r\n${body}`,
+                );
+                socket.pause();
+            });
+            socket.on("error", () => undefined);
+            await vi.waitFor(() => expect(gateway.controller.bills).toMatchObject([{ outcome: "cut" }]), 5_000);
+            socket.destroy();
+        });
+
         it("gives everything back while the request waits (guards against leaked reservations and claims)", async () => {
             gateway.controller.holdAdmissions = true;
             const abort = new AbortController();
@@ -363,6 +412,25 @@
     });
 });
 
+/** Starts an upstream that streams without an end. */
+async function startFlood(): Promise<string> {
+    const server = createServer((request, response) => {
+        request.resume();
+        response.writeHead(200, { "x-request-id": request.headers["x-request-id"] });
+        const chunk = { id: "c", choices: [{ index: 0, delta: { content: "x".repeat(10_000) }, finish_reason: null }] };
+        const pump = (): void => {
+            while (!response.destroyed && response.write(`data: ${JSON.stringify(chunk)}\n\n`)) {
+                // Until the buffer is full.
+            }
+        };
+        response.on("drain", pump);
+        pump();
+    });
+    onTestFinished(() => void server.close());
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
 async function restart(upstream: UpstreamServer): Promise<string> {
     await upstream.stop();
     return upstream.start();
--- a/src/gateway/gatewaySettings.ts
+++ b/src/gateway/gatewaySettings.ts
@@ -14,6 +14,8 @@
     answerTimeoutMs: z.number().int().positive().default(120_000),
     /** Longest pause between two pieces of an answer. */
     progressTimeoutMs: z.number().int().positive().default(10_000),
+    /** Longest time for which a caller may leave its answer unread; its connection is destroyed then. */
+    callerStallMs: z.number().int().positive().default(30_000),
     keepAliveMs: z.number().int().positive().default(4_000),
     /** Longest wait for budget tokens. */
     budgetWaitMs: z.number().int().nonnegative().default(1_500),
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -44,6 +44,7 @@
     #storedPieces: Buffer[] | undefined = [];
     #storedBytes = 0;
     #pausedAttempt: Attempt | undefined;
+    #stallTimer: NodeJS.Timeout | undefined;
 
     constructor(parts: GatewayParts, request: CallerRequest, answer: CallerAnswer) {
         this.#parts = parts;
@@ -412,11 +413,13 @@
         if (!this.#answer.write(bytes)) {
             attempt.pause();
             this.#pausedAttempt = attempt;
+            this.#stallTimer = setTimeout(() => this.#answer.destroy(), this.#parts.settings.callerStallMs);
             this.#answer.onDrain(() => this.#resumeAttempt());
         }
     }
 
     #resumeAttempt(): void {
+        clearTimeout(this.#stallTimer);
         this.#pausedAttempt?.resume();
         this.#pausedAttempt = undefined;
     }
