--- a/src/gateway/callerListener.ts
+++ b/src/gateway/callerListener.ts
@@ -32,9 +32,11 @@
 export class CallerListener {
     readonly #parts: GatewayParts;
     readonly #server: Server;
+    readonly #service: RequestHandler;
 
     constructor(parts: GatewayParts) {
         this.#parts = parts;
+        this.#service = this.#flowOf(parseServiceRequest);
         const listener = getRequestListener(this.#createApp().fetch, { overrideGlobalObjects: false });
         this.#server = createServer(
             { requireHostHeader: false, keepAliveTimeout: 65_000 },
@@ -70,11 +72,15 @@
         listener: (incoming: IncomingMessage, outgoing: ServerResponse) => Promise<void>,
     ): void {
         const fault = findHeaderFault(incoming);
-        if (fault === undefined) {
-            void listener(incoming, outgoing);
+        if (fault !== undefined) {
+            this.#refuse(incoming, outgoing, this.#createRequestId(), "MalformedHeader", fault);
+        }
+        else if (incoming.method === "HEAD" && incoming.url?.startsWith("/services/") === true) {
+            // hono answers HEAD by itself from the route for GET, without waiting for the relay.
+            void this.#serve({ incoming, outgoing }, this.#service);
         }
         else {
-            this.#refuse(incoming, outgoing, this.#createRequestId(), "MalformedHeader", fault);
+            void listener(incoming, outgoing);
         }
     }
 
@@ -86,11 +92,10 @@
             return context.json({ ready, phase, reasons }, ready ? 200 : 503);
         });
         const chat = this.#flowOf(parseChatRequest);
-        const service = this.#flowOf(parseServiceRequest);
         app.post("/v1/chat/completions", context => this.#serve(context.env, chat));
         app.get("/v1/models", context => this.#serve(context.env, (...args) => this.#listModels(...args)));
         app.post("/v1/tickets", context => this.#serve(context.env, (...args) => this.#issueTicket(...args)));
-        app.all("/services/*", context => this.#serve(context.env, service));
+        app.all("/services/*", context => this.#serve(context.env, this.#service));
         app.notFound(context => {
             const { incoming, outgoing } = context.env;
             this.#refuse(incoming, outgoing, this.#createRequestId(), "UnknownPath");
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -2,11 +2,12 @@
 import { isUtf8 } from "node:buffer";
 import type { RanState, ResultCodeName } from "../base/resultCodes.js";
 import type { WorkItem } from "../features/admission/admissionTypes.js";
-import { type BillDraft, grantBudgetName } from "../features/budget/budgetTypes.js";
+import { grantBudgetName } from "../features/budget/budgetTypes.js";
 import { claimId, MaxStoredAnswerBytes, type StoredAnswer } from "../features/idempotency/idempotencyTypes.js";
 import type { RoutePlan } from "../routing/routePlan.js";
 import { Attempt, type AttemptListener } from "./attempt.js";
 import { AttemptGroup, type GroupEnd, type GroupOwner } from "./attemptGroup.js";
+import { type BillFacts, grantBill, requestBill } from "./billing.js";
 import type { CallerAnswer, Failure } from "./callerAnswer.js";
 import type { CallerRequest, GatewayParts } from "./gatewayParts.js";
 import { hedgeDelayMs } from "./hedgeDelay.js";
@@ -228,7 +229,7 @@
     }
 
     #noteRan(end: GroupEnd): void {
-        if (end.status === "whole" || end.status === "cut") {
+        if (end.status === "whole" || end.status === "cut" || end.status === "cancelled" && end.attempt !== undefined) {
             this.#ran = "yes";
         }
         else if (!end.notRun && this.#ran === "no") {
@@ -264,17 +265,25 @@
         const { port } = this.#parts;
         const { requestId } = this.#request;
         const notRun = this.#ran === "no";
+        const facts: BillFacts = {
+            request: this.#request,
+            plan: this.#plan,
+            claimId: this.#claimId,
+            outcome,
+            ran: this.#ran,
+            attempt,
+        };
         if (this.#tokensReserved && notRun) {
             port.release(requestId);
         }
         else if (this.#tokensReserved) {
-            port.settle(requestId, this.#bill(outcome, attempt));
+            port.settle(requestId, requestBill(facts));
         }
         if (this.#grantReserved && notRun) {
             port.release(this.#grantReservation);
         }
         else if (this.#grantReserved) {
-            port.settle(this.#grantReservation, this.#grantBill(outcome, attempt));
+            port.settle(this.#grantReservation, grantBill(facts));
         }
         if (this.#claimHeld && this.#claimId !== undefined && notRun) {
             port.releaseClaim(this.#claimId, requestId);
@@ -288,58 +297,6 @@
         this.#claimHeld = false;
     }
 
-    #bill(outcome: "complete" | "cut", attempt: Attempt | undefined): BillDraft {
-        const { costTokens, promptTokens: promptBound } = this.#plan;
-        const delivered = attempt !== undefined && (outcome === "complete" || attempt.reader.contentChunks > 0);
-        if (this.#request.answerKind === "service") {
-            const whole = attempt !== undefined && this.#ran === "yes";
-            return this.#billLine(this.#plan.budget, this.#claimId, attempt, outcome, 0, 0, whole ? costTokens : 0);
-        }
-        const promptTokens = delivered ? attempt.reader.usage?.promptTokens ?? promptBound : 0;
-        const outputTokens = delivered ? attempt.reader.outputTokens : 0;
-        const unreported = outcome === "complete" && attempt?.reader.usage === undefined;
-        const tokens = unreported && this.#request.answerKind === "chatJson" ? costTokens : promptTokens + outputTokens;
-        return this.#billLine(
-            this.#plan.budget,
-            this.#claimId,
-            attempt,
-            outcome,
-            promptTokens,
-            outputTokens,
-            Math.min(tokens, costTokens),
-        );
-    }
-
-    #grantBill(outcome: "complete" | "cut", attempt: Attempt | undefined): BillDraft {
-        const billId = `${this.#claimId ?? this.#request.requestId}/grant`;
-        return this.#billLine(grantBudgetName(this.#plan.grant ?? ""), billId, attempt, outcome, 0, 0, 1);
-    }
-
-    #billLine(
-        budget: string,
-        billId: string | undefined,
-        attempt: Attempt | undefined,
-        outcome: "complete" | "cut",
-        promptTokens: number,
-        outputTokens: number,
-        tokens: number,
-    ): BillDraft {
-        const { requestId, team, query } = this.#request;
-        return {
-            requestId,
-            billId: billId ?? requestId,
-            team,
-            budget,
-            model: query.model ?? query.service ?? "",
-            promptTokens,
-            outputTokens,
-            tokens,
-            requestKind: this.#plan.requestKind,
-            upstream: attempt?.upstream ?? "",
-            outcome,
-        };
-    }
-
     #storedAnswer(attempt: Attempt | undefined): StoredAnswer | undefined {
         const head = attempt?.head;
         const body = Buffer.concat(this.#storedPieces ?? []);
@@ -415,7 +372,7 @@
 
     onBytes(attempt: Attempt, bytes: Buffer): void {
         this.#keepForReplay(bytes);
-        if (!this.#answer.write(bytes)) {
+        if (!this.#answer.write(bytes) && this.#pausedAttempt === undefined) {
             attempt.pause();
             this.#pausedAttempt = attempt;
             this.#stallTimer = setTimeout(() => this.#answer.destroy(), this.#parts.settings.callerStallMs);
@@ -425,8 +382,10 @@
 
     #resumeAttempt(): void {
         clearTimeout(this.#stallTimer);
-        this.#pausedAttempt?.resume();
+        const attempt = this.#pausedAttempt;
         this.#pausedAttempt = undefined;
+        // More bytes may arrive, and pause the attempt again, before this call returns.
+        attempt?.resume();
     }
 
     #keepForReplay(bytes: Buffer): void {
