--- a/src/gateway/hedgeDelay.ts
+++ b/src/gateway/hedgeDelay.ts
@@ -1,21 +1,21 @@
 /** When a second attempt is worth while. */
-import type { UpstreamStatus } from "../features/upstream/upstreamBoard.js";
-import type { CallerRequest } from "./gatewayParts.js";
-import type { GatewaySettings } from "./gatewaySettings.js";
+import type { RoutePlan } from "../routing/routePlan.js";
+import type { CallerRequest, GatewayParts } from "./gatewayParts.js";
 
 /**
- * @param status What is known of the upstream that runs the request.
+ * @param upstream Name of the upstream that runs the request.
  * @returns Time without a first byte after which a hedge is asked for; 0 never asks.
  */
 export function hedgeDelayMs(
-    settings: GatewaySettings,
-    answerKind: CallerRequest["answerKind"],
-    status: UpstreamStatus | undefined,
+    { settings, kernel }: Pick<GatewayParts, "settings" | "kernel">,
+    { answerKind }: Pick<CallerRequest, "answerKind">,
+    plan: RoutePlan,
+    upstream: string,
 ): number {
-    if (answerKind === "chatJson") {
+    if (!plan.repeatable || answerKind === "chatJson") {
         // The first byte of a whole answer arrives when it is complete, which tells nothing about the upstream.
         return 0;
     }
-    const measuredMs = answerKind === "chatStream" ? status?.hedgeAfterMs : undefined;
-    return Math.min(settings.hedgeAfterMs, measuredMs ?? settings.hedgeAfterMs);
+    const status = answerKind === "chatStream" ? kernel.board.upstream.statuses.get(upstream) : undefined;
+    return Math.min(settings.hedgeAfterMs, status?.hedgeAfterMs ?? settings.hedgeAfterMs);
 }
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -161,7 +161,7 @@
         for (let attempts = 1;; attempts++) {
             const group = new AttemptGroup(this);
             this.#group = group;
-            const end = await group.run(upstream, this.#plan.repeatable ? this.#hedgeAfterMs(upstream) : 0);
+            const end = await group.run(upstream, hedgeDelayMs(this.#parts, this.#request, this.#plan, upstream));
             this.#group = undefined;
             this.#noteRan(end);
             if (end.status !== "failed") {
@@ -176,11 +176,6 @@
         }
     }
 
-    #hedgeAfterMs(upstream: string): number {
-        const { settings, kernel } = this.#parts;
-        return hedgeDelayMs(settings, this.#request.answerKind, kernel.board.upstream.statuses.get(upstream));
-    }
-
     /** Asks for another upstream; when there is none, the request ends with the failure of the last attempt. */
     async #readmit(end: GroupEnd, excluded: readonly string[]): Promise<string> {
         try {
