Bound the time for which a peer's sign of leaving holds

Hosts repeat the signs of other hosts, so that two hosts could keep an old sign alive for ever when an upstream has no load reports.

--- a/src/features/upstream/upstreamController.ts
+++ b/src/features/upstream/upstreamController.ts
@@ -133,8 +133,7 @@
         status.usable = ejection !== "ejected";
         // After an ejection a single request at a time tests the upstream.
         status.concurrencyLimit = ejection === "probing" ? 1 : tracker.limit.value;
-        status.leavingSeenHere = tracker.seesLeaving(nowMs);
-        status.leaving = status.leavingSeenHere || this.#peersSeeLeaving(name, entry, nowMs);
+        status.leaving = tracker.seesLeaving(nowMs) || this.#peersSeeLeaving(name, entry, nowMs);
         status.probeDue = status.slownessFactor > 1 && nowMs - entry.lastProbeMs >= this.#settings.probeIntervalMs;
     }
 
@@ -144,7 +143,9 @@
             return false;
         }
         entry.peerSignMs ??= nowMs;
-        return !entry.tracker.deniesLeavingSince(entry.peerSignMs + this.#settings.peerSignMarginMs);
+        // Hosts repeat each other's signs. Without this limit a group of hosts would keep an old sign alive for ever.
+        return nowMs - entry.peerSignMs < this.#settings.leavingHoldMs &&
+            !entry.tracker.deniesLeavingSince(entry.peerSignMs + this.#settings.peerSignMarginMs);
     }
 
     #compareAll(nowMs: number): void {
--- a/src/router/routerSettings.ts
+++ b/src/router/routerSettings.ts
@@ -3,8 +3,8 @@
 import { z } from "zod";
 import { FeatureSettingsSchema } from "../features/registry.js";
 import { GatewaySettingsSchema } from "../gateway/gatewaySettings.js";
-import { DefaultPlatformTimeouts } from "../platform/platformConnection.js";
 import { PeerSettingsSchema } from "../peer/peerSettings.js";
+import { DefaultPlatformTimeouts } from "../platform/platformConnection.js";
 
 const PortSchema = z.number().int().min(0).max(65_535);
 
