--- /dev/null
+++ b/src/bench/benchDeployment.ts
@@ -0,0 +1,128 @@
+/** Description of a deployment that is measured: its upstreams, resources and load. */
+import { z } from "zod";
+import { parseSelector } from "../base/labels.js";
+import { BudgetResourceSchema, GrantSchema, RequestKindSchema, RuleSchema } from "../features/config/configTypes.js";
+import { RequestClassSchema } from "../load/loadScenario.js";
+import { UpstreamSettingsSchema } from "../standins/upstream/upstreamSettings.js";
+
+/** The text form of a selector. */
+const SelectorTextSchema = z.string().transform((text, context) => {
+    const selector = parseSelector(text);
+    if (selector === undefined) {
+        context.addIssue({ code: "custom", message: "the selector is malformed" });
+        return z.NEVER;
+    }
+    return selector;
+});
+
+const UpstreamGroupSchema = z.strictObject({
+    /** Names are the prefix and a number. */
+    prefix: z.string(),
+    count: z.number().int().positive(),
+    labels: z.record(z.string(), z.string()).default({}),
+    /** Name under `/services/`, for plain services. */
+    service: z.string().default(""),
+    /** Upper bound that the configuration states. */
+    promptTokensPerByte: z.number().positive().default(0.3),
+    settings: UpstreamSettingsSchema.partial(),
+});
+
+/** Roles of phases; figures compare them. */
+export const PhaseRoleSchema = z.enum(["idle", "crest", "short", "shortWithLong", "slowed", "other"]);
+export type PhaseRole = z.infer<typeof PhaseRoleSchema>;
+
+const BenchPhaseSchema = z.strictObject({
+    role: PhaseRoleSchema,
+    /** Duration of a quick run; longer runs scale it. */
+    durationMs: z.number().int().positive(),
+    rampMs: z.number().int().nonnegative().default(0),
+    rates: z.record(z.string(), z.number().nonnegative()),
+});
+
+/** A deployment with its load. */
+export const BenchDeploymentSchema = z.strictObject({
+    name: z.string(),
+    routers: z.number().int().positive().default(6),
+    zones: z.array(z.string()).min(1),
+    /** One-way delay between a host and the platform. */
+    platformDelayMs: z.number().nonnegative().default(1),
+    upstreams: z.array(UpstreamGroupSchema).min(1),
+    /** Group whose slots make up the capacity, and number of its members that are slowed. */
+    capacityGroup: z.string(),
+    slowedCount: z.number().int().positive().default(2),
+    slowFactor: z.number().positive().default(10),
+    teams: z.record(z.string(), z.strictObject({ labels: z.record(z.string(), z.string()), weight: z.number() })),
+    budgets: z.record(z.string(), z.strictObject({ teams: SelectorTextSchema, paidTokens: z.number().int() })),
+    grants: z.record(
+        z.string(),
+        z.strictObject({ teams: SelectorTextSchema, kinds: SelectorTextSchema, uses: z.number().int() }),
+    ),
+    requestKinds: z.record(z.string(), RequestKindSchema),
+    rules: z.record(
+        z.string(),
+        RuleSchema.extend({ kinds: SelectorTextSchema.prefault(""), upstreams: SelectorTextSchema }),
+    ),
+    classes: z.record(z.string(), RequestClassSchema),
+    /** Classes whose first-token latency counts as priority, as short work, and with slowed upstreams. */
+    priorityClasses: z.array(z.string()),
+    shortClasses: z.array(z.string()),
+    phases: z.array(BenchPhaseSchema).min(1),
+});
+export type BenchDeployment = z.infer<typeof BenchDeploymentSchema>;
+export type UpstreamGroup = BenchDeployment["upstreams"][number];
+
+/** @returns Names of the upstreams of a group. */
+export function groupNames(group: UpstreamGroup): string[] {
+    return Array.from({ length: group.count }, (_, index) => `${group.prefix}${index + 1}`);
+}
+
+/** @returns The group whose slots make up the capacity. */
+export function capacityGroupOf(deployment: BenchDeployment): UpstreamGroup {
+    return deployment.upstreams.find(group => group.prefix === deployment.capacityGroup)!;
+}
+
+/** @returns Output tokens per second that the capacity group can produce with all slots busy. */
+export function capacityTokensPerS(deployment: BenchDeployment): number {
+    const group = capacityGroupOf(deployment);
+    const { slots, tokenIntervalMs, batchPenaltyMs } = UpstreamSettingsSchema.parse(group.settings);
+    return group.count * slots * 1_000 / (tokenIntervalMs + batchPenaltyMs * (slots - 1));
+}
+
+/** @returns Resources of the configuration, as a list of edits that create them. */
+export function resourceEdits(
+    deployment: BenchDeployment,
+    urls: ReadonlyMap<string, string>,
+    keyHashOf: (team: string) => string,
+): { readonly kind: string; readonly name: string; readonly after: unknown; }[] {
+    const edits = (kind: string, resources: Readonly<Record<string, unknown>>) =>
+        Object.entries(resources).map(([name, after]) => ({ kind, name, after }));
+    const upstreams = deployment.upstreams.flatMap(group =>
+        groupNames(group).map(name => {
+            const { type, models, slots, checksFencing } = UpstreamSettingsSchema.parse(group.settings);
+            const { labels, service, promptTokensPerByte } = group;
+            const offered = type === "engine" ? models : [];
+            const url = urls.get(name)!;
+            return [name, { labels, url, type, models: offered, service, slots, checksFencing, promptTokensPerByte }];
+        })
+    );
+    const teams = Object.entries(deployment.teams).map(([name, { labels, weight }]) => [name, {
+        labels,
+        weight,
+        keyHashes: [keyHashOf(name)],
+    }]);
+    const withoutAmount = <T extends object>(resources: Record<string, T>, schema: z.ZodType, amount: keyof T) =>
+        Object.fromEntries(
+            Object.entries(resources).map(([name, resource]) => {
+                const rest = Object.fromEntries(Object.entries(resource).filter(([key]) => key !== amount));
+                return [name, schema.parse(rest)];
+            }),
+        );
+    return [
+        ...edits("Team", Object.fromEntries(teams)),
+        ...edits("Budget", withoutAmount(deployment.budgets, BudgetResourceSchema, "paidTokens")),
+        ...edits("Grant", withoutAmount(deployment.grants, GrantSchema, "uses")),
+        ...edits("RequestKind", deployment.requestKinds),
+        ...edits("Upstream", Object.fromEntries(upstreams)),
+        ...edits("Rule", deployment.rules),
+    ];
+}
--- /dev/null
+++ b/src/bench/benchRun.ts
@@ -0,0 +1,250 @@
+/** Runs one deployment with one policy and collects everything the figures are computed from. */
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
+import { z } from "zod";
+import { sha256Hex } from "../base/hashing.js";
+import { grantBudgetName } from "../features/budget/budgetTypes.js";
+import { configChangeKey } from "../features/config/configTypes.js";
+import { type LoadRecords, LoadRecordsSchema } from "../load/loadRecord.js";
+import { type LoadScenario, LoadScenarioSchema } from "../load/loadScenario.js";
+import { HttpPlatformStore } from "../platform/httpPlatformStore.js";
+import { DefaultPlatformTimeouts, PlatformConnection } from "../platform/platformConnection.js";
+import { type Execution, ExecutionSchema } from "../standins/upstream/executionLog.js";
+import { type BenchDeployment, capacityGroupOf, groupNames, type PhaseRole, resourceEdits } from "./benchDeployment.js";
+import { findFreePorts, ProcessGroup, waitForReady } from "./processes.js";
+import { type LoadSample, UpstreamSampler } from "./upstreamSampler.js";
+
+const StartTimeoutMs = 20_000;
+/** Time for the routers to find each other, so that each knows its share. */
+const GossipMs = 2_500;
+/** Time after the last phase for answers that are still due. */
+const DrainMs = 3_000;
+
+/** How a run is done. */
+export interface RunOptions {
+    /** Name of the run, for logs. */
+    readonly label: string;
+    /** Admission settings of the routers. */
+    readonly admission: Readonly<Record<string, unknown>>;
+    /** Factor on the durations of the phases. */
+    readonly timeScale: number;
+    readonly keepFiles: boolean;
+    readonly onProgress: (message: string) => void;
+}
+
+/** A phase as it was run. */
+export interface RanPhase {
+    readonly name: string;
+    readonly role: PhaseRole;
+    /** Start and end since the start of the load. */
+    readonly startMs: number;
+    readonly endMs: number;
+    readonly rampMs: number;
+}
+
+/** Everything that was observed. */
+export interface RunObservations {
+    readonly phases: readonly RanPhase[];
+    readonly load: LoadRecords;
+    readonly samples: readonly LoadSample[];
+    /** Executions by upstream name. */
+    readonly executions: ReadonlyMap<string, readonly Execution[]>;
+}
+
+/** Addresses of a started deployment. */
+interface Started {
+    readonly upstreamUrls: ReadonlyMap<string, string>;
+    readonly routerUrls: readonly string[];
+}
+
+/** @returns The API key of a team. */
+export function keyOfTeam(team: string): string {
+    return `key-${team}`;
+}
+
+/** Runs a deployment from start to stop. */
+export async function runDeployment(deployment: BenchDeployment, options: RunOptions): Promise<RunObservations> {
+    const group = new ProcessGroup();
+    try {
+        const started = await startDeployment(deployment, options, group);
+        return await measure(deployment, options, group, started);
+    }
+    finally {
+        await group.stop(options.keepFiles);
+        if (options.keepFiles) {
+            options.onProgress(`${options.label}: files are in ${group.directory}`);
+        }
+    }
+}
+
+async function startDeployment(
+    deployment: BenchDeployment,
+    options: RunOptions,
+    group: ProcessGroup,
+): Promise<Started> {
+    const upstreams = deployment.upstreams.flatMap(one => groupNames(one).map(name => ({ name, one })));
+    const ports = await findFreePorts(1 + upstreams.length + 2 * deployment.routers);
+    const platformUrl = `http://127.0.0.1:${ports[0]}`;
+    const zoneDelaysMs = Object.fromEntries(deployment.zones.map(zone => [zone, deployment.platformDelayMs]));
+    group.start("toucanPlatform", "platform", { port: ports[0], zoneDelaysMs });
+    const upstreamUrls = new Map<string, string>();
+    for (const [index, { name, one }] of upstreams.entries()) {
+        const port = ports[1 + index]!;
+        group.start("toucanUpstream", name, { ...one.settings, name, port });
+        upstreamUrls.set(name, `http://127.0.0.1:${port}`);
+    }
+    await waitForStore(platformUrl);
+    await seed(deployment, platformUrl, upstreamUrls);
+    const routerPorts = ports.slice(1 + upstreams.length);
+    const routerUrls = Array.from({ length: deployment.routers }, (_, index) => {
+        const [caller, operator] = routerPorts.slice(2 * index, 2 * index + 2);
+        group.start("toucanRouter", `router${index + 1}`, {
+            hostId: `router${index + 1}`,
+            zone: deployment.zones[index % deployment.zones.length],
+            caller: { port: caller },
+            operator: { port: operator },
+            platform: { url: platformUrl },
+            features: { admission: options.admission },
+        });
+        return `http://127.0.0.1:${caller}`;
+    });
+    await Promise.all([...upstreamUrls.values()].map(url => waitForReady(`${url}/load`, StartTimeoutMs)));
+    await Promise.all(routerUrls.map(url => waitForReady(`${url}/readyz`, StartTimeoutMs)));
+    await new Promise(resolve => setTimeout(resolve, GossipMs));
+    return { upstreamUrls, routerUrls };
+}
+
+async function waitForStore(url: string): Promise<void> {
+    const endMs = performance.now() + StartTimeoutMs;
+    while (performance.now() < endMs) {
+        const reachable = await fetch(url).then(() => true, () => false);
+        if (reachable) {
+            return;
+        }
+        await new Promise(resolve => setTimeout(resolve, 50));
+    }
+    throw new Error(`the platform at ${url} does not answer`);
+}
+
+/** Writes the configuration and the budgets. */
+async function seed(
+    deployment: BenchDeployment,
+    platformUrl: string,
+    upstreamUrls: ReadonlyMap<string, string>,
+): Promise<void> {
+    const connection = new PlatformConnection({ url: platformUrl, ...DefaultPlatformTimeouts }, () => undefined);
+    const store = new HttpPlatformStore(connection);
+    const amounts = [
+        ...Object.entries(deployment.budgets).map(([name, { paidTokens }]) => [name, paidTokens] as const),
+        ...Object.entries(deployment.grants).map(([name, { uses }]) => [grantBudgetName(name), uses] as const),
+    ];
+    const budgets = amounts.map(([name, paidTokens]) => ({
+        key: `budget/${name}`,
+        value: { paidTokens, closedTokens: 0, atRiskTokens: {}, shares: {}, topUps: [] },
+    }));
+    const change = {
+        version: 1,
+        author: "bench",
+        operationId: "bench-1",
+        message: "bench deployment",
+        atMs: Date.now(),
+        changes: resourceEdits(deployment, upstreamUrls, team => sha256Hex(keyOfTeam(team))),
+    };
+    for (const { key, value } of [...budgets, { key: configChangeKey(1), value: change }]) {
+        const outcome = await store.put(key, value, 0);
+        if (outcome.status !== "applied") {
+            throw new Error(`cannot write ${key}: ${JSON.stringify(outcome)}`);
+        }
+    }
+    await connection.close();
+}
+
+async function measure(
+    deployment: BenchDeployment,
+    options: RunOptions,
+    group: ProcessGroup,
+    { upstreamUrls, routerUrls }: Started,
+): Promise<RunObservations> {
+    const phases = layOut(deployment, options.timeScale);
+    const scenario = scenarioOf(deployment, phases, routerUrls);
+    const recordsPath = join(group.directory, "records.json");
+    const sampled = new Set(deployment.upstreams.filter(one => one.settings.type !== "service").flatMap(groupNames));
+    const sampler = new UpstreamSampler(new Map([...upstreamUrls].filter(([name]) => sampled.has(name))));
+    sampler.start();
+    const child = group.start("toucanLoad", "load", scenario, ["--records", recordsPath]);
+    const exit = new Promise<number>(resolve => child.once("exit", code => resolve(code ?? 1)));
+    const startedAtMs = performance.now();
+    const faults = phases.filter(phase => phase.role === "slowed").flatMap(phase => [
+        scheduleFault(deployment, upstreamUrls, phase.startMs, deployment.slowFactor),
+        scheduleFault(deployment, upstreamUrls, phase.endMs, 1),
+    ]);
+    const lastMs = phases.at(-1)!.endMs + scenario.timeoutMs + DrainMs;
+    const code = await Promise.race([
+        exit,
+        new Promise<number>(resolve => setTimeout(resolve, lastMs, -1).unref()),
+    ]);
+    sampler.stop();
+    await Promise.all(faults);
+    if (code !== 0) {
+        throw new Error(`${options.label}: toucan-load ended with ${code}; see ${group.directory}`);
+    }
+    options.onProgress(`${options.label}: done in ${((performance.now() - startedAtMs) / 1_000).toFixed(0)} s`);
+    const load = LoadRecordsSchema.parse(JSON.parse(readFileSync(recordsPath, "utf8")));
+    return { phases, load, samples: sampler.samples, executions: await readExecutions(upstreamUrls) };
+}
+
+function layOut(deployment: BenchDeployment, timeScale: number): RanPhase[] {
+    const phases: RanPhase[] = [];
+    let startMs = 0;
+    for (const [index, { role, durationMs, rampMs }] of deployment.phases.entries()) {
+        const scaledMs = Math.round(durationMs * timeScale);
+        phases.push({ name: `${index}-${role}`, role, startMs, endMs: startMs + scaledMs, rampMs });
+        startMs += scaledMs;
+    }
+    return phases;
+}
+
+function scenarioOf(
+    deployment: BenchDeployment,
+    phases: readonly RanPhase[],
+    routers: readonly string[],
+): LoadScenario {
+    const load = {
+        routers,
+        timeoutMs: 20_000,
+        classes: Object.fromEntries(
+            Object.entries(deployment.classes).map(([name, one]) => [name, { ...one, key: keyOfTeam(one.team) }]),
+        ),
+        phases: phases.map(({ name, startMs, endMs }, index) => {
+            const { rates, rampMs } = deployment.phases[index]!;
+            return { name, durationMs: endMs - startMs, rates, rampMs };
+        }),
+    };
+    return LoadScenarioSchema.parse(load);
+}
+
+async function scheduleFault(
+    deployment: BenchDeployment,
+    upstreamUrls: ReadonlyMap<string, string>,
+    atMs: number,
+    slowFactor: number,
+): Promise<void> {
+    await new Promise(resolve => setTimeout(resolve, atMs + LoadStartMs));
+    const names = groupNames(capacityGroupOf(deployment)).slice(0, deployment.slowedCount);
+    await Promise.all(
+        names.map(name =>
+            fetch(`${upstreamUrls.get(name)}/faults`, { method: "POST", body: JSON.stringify({ slowFactor }) })
+        ),
+    );
+}
+
+/** Time that the load generator needs to start, about; the fault may fall a little before or after its phase starts. */
+const LoadStartMs = 300;
+
+async function readExecutions(urls: ReadonlyMap<string, string>): Promise<Map<string, Execution[]>> {
+    const entries = await Promise.all([...urls].map(async ([name, url]) => {
+        const answer: unknown = await (await fetch(`${url}/executions`)).json();
+        return [name, z.array(ExecutionSchema).parse(answer)] as const;
+    }));
+    return new Map(entries);
+}
--- a/src/features/upstream/upstreamController.ts
+++ b/src/features/upstream/upstreamController.ts
@@ -134,7 +134,9 @@
         // After an ejection a single request at a time tests the upstream.
         status.concurrencyLimit = ejection === "probing" ? 1 : tracker.limit.value;
         status.leaving = tracker.seesLeaving(nowMs) || this.#peersSeeLeaving(name, entry, nowMs);
-        status.probeDue = status.slownessFactor > 1 && nowMs - entry.lastProbeMs >= this.#settings.probeIntervalMs;
+        // After a good sample the next one follows at once, so that a recovered upstream returns quickly.
+        const probeIntervalMs = entry.goodSamples > 0 ? 0 : this.#settings.probeIntervalMs;
+        status.probeDue = status.slownessFactor > 1 && nowMs - entry.lastProbeMs >= probeIntervalMs;
     }
 
     #peersSeeLeaving(name: string, entry: Entry, nowMs: number): boolean {
@@ -164,6 +166,15 @@
         }
     }
 
+    #hedgeDelay(typicalMs: number | undefined, slow: boolean): number | undefined {
+        const { hedgeDelayRatio, hedgeMinDelayMs, slowHedgeDelayMs } = this.#settings;
+        if (slow) {
+            // A request that tests a slow upstream gets its answer from another one if the test fails.
+            return slowHedgeDelayMs;
+        }
+        return typicalMs === undefined ? undefined : Math.max(hedgeMinDelayMs, typicalMs * hedgeDelayRatio);
+    }
+
     #applyRatio(entry: Entry, ratio: number): void {
         const { status, tracker } = entry;
         const newestMs = tracker.newestSampleMs;
--- a/src/features/upstream/upstreamSettings.ts
+++ b/src/features/upstream/upstreamSettings.ts
@@ -16,7 +16,7 @@
     /** Largest slowness factor; bounds how far the weight is lowered. */
     maxSlownessFactor: z.number().min(1).default(20),
     /** Interval at which a slow upstream is sent one request that tests its recovery. */
-    probeIntervalMs: z.number().positive().default(5_000),
+    probeIntervalMs: z.number().positive().default(3_000),
     /** Successive good samples that end slowness. */
     recoverySamples: z.number().int().positive().default(2),
     /** Successive failures that eject an upstream. */
@@ -33,7 +33,9 @@
     /** A peer's sign of leaving is ignored when a report taken this long after it denies it. */
     peerSignMarginMs: z.number().nonnegative().default(3_000),
     /** Hedge delay relative to the median first-token latency. */
-    hedgeDelayRatio: z.number().min(1).default(3),
+    hedgeDelayRatio: z.number().min(1).default(2),
     hedgeMinDelayMs: z.number().nonnegative().default(50),
+    /** Hedge delay of requests at an upstream that is known to be slow. */
+    slowHedgeDelayMs: z.number().positive().default(5),
 });
 export type UpstreamSettings = z.infer<typeof UpstreamSettingsSchema>;
