--- a/src/features/upstream/upstreamController.ts
+++ b/src/features/upstream/upstreamController.ts
@@ -156,12 +156,9 @@
             const estimates = entries.map(entry => entry.tracker.estimates(nowMs));
             const ratios = slownessRatios(estimates, this.#settings);
             const typicalMs = mediansOf(estimates).firstTokenMs;
-            const { hedgeDelayRatio, hedgeMinDelayMs } = this.#settings;
             for (const [index, entry] of entries.entries()) {
-                entry.status.hedgeAfterMs = typicalMs === undefined ?
-                    undefined :
-                    Math.max(hedgeMinDelayMs, typicalMs * hedgeDelayRatio);
                 this.#applyRatio(entry, ratios[index]!);
+                entry.status.hedgeAfterMs = this.#hedgeDelay(typicalMs, entry.status.slownessFactor > 1);
             }
         }
     }
