--- a/src/features/upstream/upstreamController.ts
+++ b/src/features/upstream/upstreamController.ts
@@ -133,9 +133,10 @@
         status.usable = ejection !== "ejected";
         // After an ejection a single request at a time tests the upstream.
         status.concurrencyLimit = ejection === "probing" ? 1 : tracker.limit.value;
-        status.leavingSeenHere = tracker.seesLeaving(nowMs);
-        status.leaving = status.leavingSeenHere || this.#peersSeeLeaving(name, entry, nowMs);
-        status.probeDue = status.slownessFactor > 1 && nowMs - entry.lastProbeMs >= this.#settings.probeIntervalMs;
+        status.leaving = tracker.seesLeaving(nowMs) || this.#peersSeeLeaving(name, entry, nowMs);
+        // After a good sample the next one follows at once, so that a recovered upstream returns quickly.
+        const probeIntervalMs = entry.goodSamples > 0 ? 0 : this.#settings.probeIntervalMs;
+        status.probeDue = status.slownessFactor > 1 && nowMs - entry.lastProbeMs >= probeIntervalMs;
     }
 
     #peersSeeLeaving(name: string, entry: Entry, nowMs: number): boolean {
@@ -144,7 +145,9 @@
             return false;
         }
         entry.peerSignMs ??= nowMs;
-        return !entry.tracker.deniesLeavingSince(entry.peerSignMs + this.#settings.peerSignMarginMs);
+        // Hosts repeat each other's signs. Without this limit a group of hosts would keep an old sign alive for ever.
+        return nowMs - entry.peerSignMs < this.#settings.leavingHoldMs &&
+            !entry.tracker.deniesLeavingSince(entry.peerSignMs + this.#settings.peerSignMarginMs);
     }
 
     #compareAll(nowMs: number): void {
@@ -153,16 +156,22 @@
             const estimates = entries.map(entry => entry.tracker.estimates(nowMs));
             const ratios = slownessRatios(estimates, this.#settings);
             const typicalMs = mediansOf(estimates).firstTokenMs;
-            const { hedgeDelayRatio, hedgeMinDelayMs } = this.#settings;
             for (const [index, entry] of entries.entries()) {
-                entry.status.hedgeAfterMs = typicalMs === undefined ?
-                    undefined :
-                    Math.max(hedgeMinDelayMs, typicalMs * hedgeDelayRatio);
                 this.#applyRatio(entry, ratios[index]!);
+                entry.status.hedgeAfterMs = this.#hedgeDelay(typicalMs, entry.status.slownessFactor > 1);
             }
         }
     }
 
+    #hedgeDelay(typicalMs: number | undefined, slow: boolean): number | undefined {
+        const { hedgeDelayRatio, hedgeMinDelayMs, slowHedgeDelayMs } = this.#settings;
+        if (slow) {
+            // A request that tests a slow upstream gets its answer from another one if the test fails.
+            return slowHedgeDelayMs;
+        }
+        return typicalMs === undefined ? undefined : Math.max(hedgeMinDelayMs, typicalMs * hedgeDelayRatio);
+    }
+
     #applyRatio(entry: Entry, ratio: number): void {
         const { status, tracker } = entry;
         const newestMs = tracker.newestSampleMs;
