--- a/src/features/budget/budgetTypes.ts
+++ b/src/features/budget/budgetTypes.ts
@@ -11,6 +11,7 @@
     /** Number of the host's last write that took effect; settles writes with lost answers. */
     sequence: z.number().int().nonnegative(),
 });
+export type Share = z.infer<typeof ShareSchema>;
 
 /** A top-up, kept so that a repeated command is recognised. */
 export const TopUpSchema = z.object({ operationId: z.string(), tokens: TokensSchema, atMs: z.number() });
@@ -85,7 +86,9 @@
     /** The request ended and costs `bill.tokens`, at most the reservation. */
     | { readonly type: "reservationSettled"; readonly reservationId: string; readonly bill: BillDraft; }
     /** The request definitely did not run. */
-    | { readonly type: "reservationReleased"; readonly reservationId: string; };
+    | { readonly type: "reservationReleased"; readonly reservationId: string; }
+    /** A bill line of this host is cancelled by a line with negative tokens and outcome `reversal`. */
+    | { readonly type: "billReversed"; readonly bill: BillDraft; };
 
 /** Notification of the budget feature. */
 export interface ReservationDecided {
--- a/src/features/membership/membershipTypes.ts
+++ b/src/features/membership/membershipTypes.ts
@@ -23,10 +23,14 @@
 export const DigestSchema = z.object({
     protocolVersion: z.number().int().positive(),
     self: MemberSchema,
+    /** Highest configuration version that the host knows of; may be above the one in force. */
+    floorVersion: z.number().int().nonnegative().optional(),
     /** Own requests in flight, by upstream name. */
     inFlight: z.record(z.string(), z.number().int().nonnegative()).default({}),
     /** Upstreams seen leaving, by name. */
     leavingUpstreams: z.array(z.string()).default([]),
+    /** Hosts that the sender knows from the platform's list only; the reply describes them. */
+    wantedHostIds: z.array(z.string()).optional(),
     /** Changed facts about other hosts. */
     members: z.array(MemberSchema).default([]),
 });
--- a/src/kernel/blackboard.ts
+++ b/src/kernel/blackboard.ts
@@ -1,10 +1,13 @@
 /** The blackboard of a router: one section per feature, each written by that feature's controller only. */
+import { PersistentMap } from "../base/persistentMap.js";
 import { type AdmissionBoard, createAdmissionBoard } from "../features/admission/admissionBoard.js";
 import { type BudgetBoard, createBudgetBoard } from "../features/budget/budgetBoard.js";
 import { type ConfigBoard, createConfigBoard } from "../features/config/configBoard.js";
+import { createIdempotencyBoard, type IdempotencyBoard } from "../features/idempotency/idempotencyBoard.js";
 import { createJournalBoard, type JournalBoard } from "../features/journal/journalBoard.js";
 import { createLifecycleBoard, type LifecycleBoard } from "../features/lifecycle/lifecycleBoard.js";
 import { createMembershipBoard, type MembershipBoard } from "../features/membership/membershipBoard.js";
+import { createRecoveryBoard, type RecoveryBoard } from "../features/recovery/recoveryBoard.js";
 import { createUpstreamBoard, type UpstreamBoard } from "../features/upstream/upstreamBoard.js";
 
 /** All sections. */
@@ -13,6 +16,8 @@
     readonly membership: MembershipBoard;
     readonly journal: JournalBoard;
     readonly budget: BudgetBoard;
+    readonly recovery: RecoveryBoard;
+    readonly idempotency: IdempotencyBoard;
     readonly upstream: UpstreamBoard;
     readonly admission: AdmissionBoard;
     readonly lifecycle: LifecycleBoard;
@@ -29,6 +34,8 @@
         membership: createMembershipBoard(),
         journal: createJournalBoard(hostId, incarnation),
         budget: createBudgetBoard(),
+        recovery: createRecoveryBoard(),
+        idempotency: createIdempotencyBoard(),
         upstream: createUpstreamBoard(),
         admission: createAdmissionBoard(),
         lifecycle: createLifecycleBoard(),
@@ -38,7 +45,7 @@
 /** Makes the blackboard readable as JSON for the state dump. */
 export function dumpBlackboard(board: Blackboard): unknown {
     return JSON.parse(JSON.stringify(board, (_key, value: unknown) => {
-        if (value instanceof Map) {
+        if (value instanceof Map || value instanceof PersistentMap) {
             return Object.fromEntries(value);
         }
         return value instanceof Set ? [...value] : value;
--- a/src/peer/peerMessages.ts
+++ b/src/peer/peerMessages.ts
@@ -1,6 +1,6 @@
 /** Messages between routers. Unknown fields are ignored; new fields are optional. */
 import { z } from "zod";
-import { ConfigChangeSchema } from "../features/config/configTypes.js";
+import { ReceivedChangeSchema } from "../features/config/configTypes.js";
 import { StoredAnswerSchema } from "../features/idempotency/idempotencyTypes.js";
 import { DigestSchema } from "../features/membership/membershipTypes.js";
 
@@ -21,7 +21,12 @@
 export type TransferRequest = z.infer<typeof TransferRequestSchema>;
 
 /** Tokens given; 0 when there are none to spare. */
-export const TransferReplySchema = z.object({ transferId: z.string(), givenTokens: z.number().int().nonnegative() });
+export const TransferReplySchema = z.object({
+    transferId: z.string(),
+    givenTokens: z.number().int().nonnegative(),
+    /** Tokens that the giver could give later: reserved by requests in flight, or not yet covered by its limit. */
+    laterTokens: z.number().int().nonnegative().optional(),
+});
 export type TransferReply = z.infer<typeof TransferReplySchema>;
 
 /** Cancels a transfer that the receiver will never credit. */
@@ -30,10 +35,11 @@
 
 /** Asks for configuration changes after a version. */
 export const ChangesRequestSchema = z.object({ afterVersion: z.number().int().nonnegative() });
-export const ChangesReplySchema = z.object({ changes: z.array(ConfigChangeSchema) });
+export const ChangesReplySchema = z.object({ changes: z.array(ReceivedChangeSchema) });
 
 /** Asks the owner of a ticket for its outcome. */
 export const TicketRequestSchema = z.object({ claimId: z.string(), ticket: z.string(), bodyHash: z.string() });
+export type TicketRequest = z.infer<typeof TicketRequestSchema>;
 export const TicketReplySchema = z.object({
     state: z.enum(["unused", "running", "done", "unknown"]),
     answer: StoredAnswerSchema.optional(),
