--- /dev/null
+++ b/src/capacity/processSample.ts
@@ -0,0 +1,62 @@
+/** Resources that a process has used, as the operating system counts them. */
+import { readdirSync, readFileSync } from "node:fs";
+
+/** Counters of a process since its start. */
+export interface ProcessSample {
+    readonly atMs: number;
+    readonly cpuMs: number;
+    /** Bytes read and written through system calls; for a router that logs nothing these are its sockets. */
+    readonly receivedBytes: number;
+    readonly sentBytes: number;
+    readonly residentMb: number;
+}
+
+/** Use of a process between two samples. */
+export interface ProcessUse {
+    readonly cpuPercent: number;
+    readonly receivedBytesPerS: number;
+    readonly sentBytesPerS: number;
+    readonly residentMb: number;
+}
+
+/** @returns The counters of a running process. */
+export function sampleProcess(processId: number): ProcessSample {
+    const folder = `/proc/${processId}`;
+    return {
+        atMs: performance.now(),
+        cpuMs: readCpuMs(folder),
+        receivedBytes: readField(`${folder}/io`, "rchar"),
+        sentBytes: readField(`${folder}/io`, "wchar"),
+        residentMb: readField(`${folder}/status`, "VmRSS") / 1_024,
+    };
+}
+
+/** @returns What was used between two samples of a process. */
+export function useBetween(first: ProcessSample, last: ProcessSample): ProcessUse {
+    const seconds = (last.atMs - first.atMs) / 1_000;
+    return {
+        cpuPercent: (last.cpuMs - first.cpuMs) / seconds / 10,
+        receivedBytesPerS: (last.receivedBytes - first.receivedBytes) / seconds,
+        sentBytesPerS: (last.sentBytes - first.sentBytes) / seconds,
+        residentMb: last.residentMb,
+    };
+}
+
+/** The scheduler counts in nanoseconds; the totals of `stat` are too coarse for an idle process. */
+function readCpuMs(folder: string): number {
+    const threads = readdirSync(`${folder}/task`);
+    const nanoseconds = threads.map(thread => {
+        try {
+            return Number(readFileSync(`${folder}/task/${thread}/schedstat`, "utf8").split(" ")[0]);
+        }
+        catch {
+            return 0;
+        }
+    });
+    return nanoseconds.reduce((sum, value) => sum + value, 0) / 1e6;
+}
+
+function readField(file: string, name: string): number {
+    const line = readFileSync(file, "utf8").split("\n").find(text => text.startsWith(`${name}:`)) ?? "";
+    return Number(/\d+/.exec(line)?.[0] ?? Number.NaN);
+}
--- a/src/features/membership/membershipController.ts
+++ b/src/features/membership/membershipController.ts
@@ -288,7 +288,7 @@
     }
 
     #leavingUpstreams(): string[] {
-        return [...this.context.board.upstream.statuses].filter(([, status]) => status.leaving)
+        return [...this.context.board.upstream.statuses].filter(([, status]) => status.leavingSeenHere)
             .map(([name]) => name).sort();
     }
 
