Assemble toucan-router from its real parts and test it end to end

Cause: the program did nothing; a shutdown ended before the shares were folded back into the budgets. Change: createRouter joins platform, gRPC peers, store watcher, host list poller and planRoute; toucan-router runs it; the lifecycle controller waits until the shares are returned. Specs with the platform stand-in and the real controllers: replay at another host, store outage with and without a ticket, operator listener, SIGTERM of the real program in mid-stream. Before: closedTokens was 0 after a graceful stop of both hosts.

--- a/src/features/config/configSnapshot.ts
+++ b/src/features/config/configSnapshot.ts
@@ -162,7 +162,11 @@
 
 type Snapshot = Pick<LoadedConfiguration, "version" | "resources">;
 
-async function loadSnapshot(store: PlatformStore): Promise<Result<Snapshot, string>> {
+/**
+ * Loads the newest complete snapshot.
+ * @returns The snapshot, with version 0 when there is none, or why the store could not be read.
+ */
+export async function loadSnapshot(store: PlatformStore): Promise<Result<Snapshot, string>> {
     for (let attempt = 0; attempt < MaxLoadAttempts; attempt++) {
         const read = await store.get(SnapshotIndexKey);
         if (read.status === "unavailable") {
--- a/src/features/lifecycle/lifecycle.spec.ts
+++ b/src/features/lifecycle/lifecycle.spec.ts
@@ -91,7 +91,7 @@
             expect(board.lifecycle).toMatchObject({ accepting: false, phase: "draining" });
         });
 
-        it("closes after the last request and reports the stored record (guards against cut streams)", () => {
+        it("closes after the last request and reports the returned shares (guards against cut streams)", () => {
             tickAfter(60_000);
             expect(board.lifecycle.phase).toBe("draining");
             controller.handle({ type: "requestLeft" });
@@ -99,6 +99,9 @@
             expect(effects).toEqual([]);
             board.journal.closed = true;
             tickAfter(50);
+            expect(effects).toEqual([]);
+            board.recovery.ownSharesReturned = true;
+            tickAfter(50);
             expect(effects).toEqual([{ type: "notify", notification: { type: "shutdownCompleted" } }]);
             expect(board.lifecycle.phase).toBe("closed");
         });
--- a/src/features/lifecycle/lifecycleController.ts
+++ b/src/features/lifecycle/lifecycleController.ts
@@ -9,7 +9,8 @@
 
 /**
  * Phases: `starting` until ready for the first time, `serving`, `draining` from the request to shut down until the
- * balancer's lag has passed and no request is in flight, `closing` until the closing record is stored, `closed`.
+ * balancer's lag has passed and no request is in flight, `closing` until the closing record is stored and the shares
+ * are returned, `closed`.
  */
 export class LifecycleController extends Controller {
     override readonly name = "lifecycle";
@@ -70,17 +71,18 @@
             }
         }
         if (board.phase === "closing") {
-            this.#closeWhenRecorded();
+            this.#closeWhenReturned();
         }
     }
 
-    #closeWhenRecorded(): void {
-        const recorded = this.context.board.journal.closed;
-        if (!recorded && this.#nowMs - this.#closingSinceMs < this.#settings.closeTimeoutMs) {
+    #closeWhenReturned(): void {
+        const { journal, recovery } = this.context.board;
+        const returned = journal.closed && recovery.ownSharesReturned;
+        if (!returned && this.#nowMs - this.#closingSinceMs < this.#settings.closeTimeoutMs) {
             return;
         }
-        if (!recorded) {
-            log.warn("the closing record could not be written; the peers will seal this incarnation");
+        if (!returned) {
+            log.warn("the shares could not be returned; the peers will return them", { recordClosed: journal.closed });
         }
         this.#board.phase = "closed";
         this.context.emit({ type: "notify", notification: { type: "shutdownCompleted" } });
--- a/src/programs/toucanRouter.ts
+++ b/src/programs/toucanRouter.ts
@@ -1,2 +1,23 @@
 #!/usr/bin/env node
 /** The entry process. */
+import { log } from "../base/log.js";
+import { runProgram } from "../base/program.js";
+import { createRouter } from "../router/createRouter.js";
+import { RouterSettingsSchema } from "../router/routerSettings.js";
+
+await runProgram({
+    name: "toucan-router",
+    description: "Relays requests of callers to upstreams within prepaid budgets.",
+    schema: RouterSettingsSchema,
+    start: async settings => {
+        const router = createRouter(settings);
+        await router.start();
+        process.stdout.write(`${JSON.stringify(router.addresses)}\n`);
+        // A drain by an operator ends the process like a signal.
+        void router.drained.then(() => {
+            log.info("drained");
+            process.kill(process.pid, "SIGTERM");
+        });
+        return { dumpState: () => router.dumpState(), stop: () => router.stop() };
+    },
+});
--- /dev/null
+++ b/src/router/createRouter.ts
@@ -0,0 +1,40 @@
+/** Builds a router process with the platform, the peers and the watchers of a deployment. */
+import type { Result } from "true-myth";
+import type { ConfigSnapshot } from "../features/config/configEvents.js";
+import { loadSnapshot } from "../features/config/configSnapshot.js";
+import { HttpHostList, HttpPlatformStore } from "../platform/httpPlatformStore.js";
+import { PlatformConnection } from "../platform/platformConnection.js";
+import type { PlatformStore } from "../platform/platformStore.js";
+import { planRoute } from "../routing/planRoute.js";
+import { GrpcPeerLink } from "./grpcPeerLink.js";
+import { HostListPoller } from "./hostListPoller.js";
+import type { PartsContext, RouterParts } from "./routerParts.js";
+import { RouterProcess } from "./routerProcess.js";
+import type { RouterSettings } from "./routerSettings.js";
+import { StoreWatcher } from "./storeWatcher.js";
+
+/** @returns A router that is not started. */
+export function createRouter(settings: RouterSettings): RouterProcess {
+    return new RouterProcess(settings, { createParts: context => createParts(settings, context), planRoute });
+}
+
+function createParts(settings: RouterSettings, context: PartsContext): RouterParts {
+    const { clock, random, counters, identity } = context;
+    const connection = new PlatformConnection(settings.platform, identity, clock);
+    const store = new HttpPlatformStore(connection);
+    return {
+        store,
+        peerLink: new GrpcPeerLink({ settings: settings.peer, hostId: settings.hostId, clock, counters }),
+        watchers: [
+            new StoreWatcher({ store, random, loadSnapshot: loadConfigSnapshot }),
+            new HostListPoller({ hostList: new HttpHostList(connection), random }),
+        ],
+        closeStore: () => connection.close(),
+    };
+}
+
+/** The config controller skips kinds that this release does not know. */
+async function loadConfigSnapshot(store: PlatformStore): Promise<Result<ConfigSnapshot, string>> {
+    const snapshot = await loadSnapshot(store);
+    return snapshot as Result<ConfigSnapshot, string>;
+}
--- /dev/null
+++ b/src/router/router.spec.ts
@@ -0,0 +1,164 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { PlatformServer } from "../standins/platform/platformServer.js";
+import { seedStore, SudsKey, SudsPaidTokens, sudsResources } from "../standins/router/routerFixture.js";
+import { UpstreamServer } from "../standins/upstream/upstreamServer.js";
+import { createRouter } from "./createRouter.js";
+import type { RouterProcess } from "./routerProcess.js";
+import { type RouterSettingsInput, RouterSettingsSchema } from "./routerSettings.js";
+
+const WaitMs = 10_000;
+
+describe("RouterProcess", () => {
+    let platform: PlatformServer;
+    let platformUrl: string;
+    let engine: UpstreamServer;
+    let sales: UpstreamServer;
+    let routers: RouterProcess[];
+    beforeEach(async () => {
+        platform = new PlatformServer({ hostListLagMs: 100 });
+        engine = new UpstreamServer({ port: 0, tokenIntervalMs: 10 });
+        sales = new UpstreamServer({ port: 0, type: "service" });
+        routers = [];
+        platformUrl = await platform.start(0);
+        const urls = { engines: [await engine.start()], sales: await sales.start() };
+        seedStore(platform.objects, sudsResources(urls), SudsPaidTokens);
+    });
+    afterEach(async () => {
+        await Promise.all(routers.map(router => router.kill()));
+        await Promise.all([engine.stop(), sales.stop(), platform.stop()]);
+    });
+
+    const settingsOf = (hostId: string): RouterSettingsInput => ({
+        hostId,
+        zone: "z1",
+        caller: { port: 0 },
+        operator: { port: 0 },
+        platform: { url: platformUrl },
+        features: { lifecycle: { balancerLagMs: 200 } },
+    });
+    const startRouter = async (hostId: string): Promise<RouterProcess> => {
+        const router = createRouter(RouterSettingsSchema.parse(settingsOf(hostId)));
+        routers.push(router);
+        await router.start();
+        await untilReady(`http://${router.addresses.caller}`);
+        return router;
+    };
+    const untilReady = (url: string): Promise<void> =>
+        vi.waitFor(async () => expect((await fetch(`${url}/readyz`)).status).toBe(200), { timeout: WaitMs });
+    const chat = (url: string, body: Record<string, unknown> = {}): Promise<Response> =>
+        fetch(`${url}/v1/chat/completions`, {
+            method: "POST",
+            headers: { authorization: `Bearer ${SudsKey}` },
+            body: JSON.stringify({ model: "assistant", messages: [{ role: "user", content: "hello" }], ...body }),
+        });
+    const sell = (url: string, key: string): Promise<Response> =>
+        fetch(`${url}/services/sales/buy`, {
+            method: "POST",
+            headers: { authorization: `Bearer ${SudsKey}`, "idempotency-key": key },
+            body: "10 tokens",
+        });
+
+    describe("with the real controllers", () => {
+        it("serves, bills, replays at another host and returns its shares (guards against faults of the assembly)", async () => {
+            const [first, second] = [await startRouter("h1"), await startRouter("h2")];
+            const [firstUrl, secondUrl] = [first, second].map(router => `http://${router.addresses.caller}`) as [
+                string,
+                string,
+            ];
+            const answer = await (await chat(firstUrl)).json() as { usage: { total_tokens: number; }; };
+            const models = await (await fetch(`${firstUrl}/v1/models`, {
+                headers: { authorization: `Bearer ${SudsKey}` },
+            })).json();
+            expect(models).toMatchObject({ data: [{ id: "assistant" }] });
+            const sold = await sell(firstUrl, "sale-1");
+            expect(sold.status).toBe(200);
+            await vi.waitFor(async () => {
+                const repeated = await sell(secondUrl, "sale-1");
+                expect(repeated.headers.get("idempotent-replay")).toBe("true");
+            }, { timeout: WaitMs });
+            expect(sales.executions()).toHaveLength(1);
+            await first.stop();
+            await second.stop();
+            const budget = platform.objects.get("budget/cork-2026");
+            expect(budget).toMatchObject({ object: { value: { closedTokens: answer.usage.total_tokens + 1 } } });
+        });
+    });
+
+    describe("when the store is out of reach", () => {
+        it("refuses a sale without a ticket and goes on with chat (guards against outages that stop all work)", async () => {
+            const url = `http://${(await startRouter("h1")).addresses.caller}`;
+            expect((await chat(url)).status).toBe(200);
+            const { ticket } = await (await fetch(`${url}/v1/tickets`, {
+                method: "POST",
+                headers: { authorization: `Bearer ${SudsKey}` },
+            })).json() as { ticket: string; };
+            platform.setFaults([{ type: "outage" }]);
+            const refused = await sell(url, "sale-1");
+            expect(await refused.json()).toMatchObject({ error: { name: "ClaimUnavailable", ran: "no" } });
+            expect((await chat(url)).status).toBe(200);
+            expect((await sell(url, ticket)).status).toBe(200);
+            expect(sales.executions()).toMatchObject([{ idempotencyKey: ticket }]);
+        });
+    });
+
+    describe("when an operator asks", () => {
+        it("shows its state and counters, and drains (guards against an operator listener without a process)", async () => {
+            const router = await startRouter("h1");
+            const operator = `http://${router.addresses.operator}`;
+            expect(await (await fetch(`${operator}/state`)).json()).toMatchObject({
+                hostId: "h1",
+                board: { config: { version: 1 }, lifecycle: { ready: true } },
+            });
+            await chat(`http://${router.addresses.caller}`);
+            expect(await (await fetch(`${operator}/metrics`)).json()).toMatchObject({ "gateway.complete": 1 });
+            expect((await fetch(`${operator}/drain`, { method: "POST" })).status).toBe(202);
+            expect(router.readReadiness()).toMatchObject({ ready: false, phase: "draining" });
+            await router.drained;
+        });
+    });
+
+    describe("when the program gets SIGTERM in mid-stream", () => {
+        let folder: string;
+        beforeEach(() => {
+            folder = mkdtempSync(join(tmpdir(), "toucan-router-"));
+        });
+        afterEach(() => rmSync(folder, { recursive: true }));
+
+        it("finishes the stream, closes its record and exits with 0 (guards against interrupted requests)", async () => {
+            const file = join(folder, "settings.json");
+            writeFileSync(file, JSON.stringify(settingsOf("h9")));
+            const child = spawn(process.execPath, [
+                "--import",
+                "tsx",
+                "src/programs/toucanRouter.ts",
+                "--settings",
+                file,
+            ], {
+                stdio: ["ignore", "pipe", "inherit"],
+            });
+            const url = `http://${(await firstLine(child)).caller}`;
+            await untilReady(url);
+            const response = await chat(url, { stream: true, max_tokens: 60, metadata: { outputTokens: "60" } });
+            const ended = new Promise<number | null>(resolve => child.once("exit", resolve));
+            child.kill("SIGTERM");
+            await vi.waitFor(async () => expect((await fetch(`${url}/readyz`)).status).toBe(503), { timeout: WaitMs });
+            const text = await response.text();
+            expect(text.match(/w\d+ /g)).toHaveLength(60);
+            expect(text.endsWith("data: [DONE]\n\n")).toBe(true);
+            expect(await ended).toBe(0);
+            const records = platform.objects.list("host/h9~", "", 10);
+            expect(records).toMatchObject({ objects: [{ value: { state: "closed" } }] });
+        });
+    });
+});
+
+async function firstLine(child: ChildProcess): Promise<{ caller: string; }> {
+    for await (const chunk of child.stdout!) {
+        return JSON.parse(String(chunk)) as { caller: string; };
+    }
+    throw new Error("the program ended without output");
+}
--- a/src/router/routerParts.ts
+++ b/src/router/routerParts.ts
@@ -1,6 +1,7 @@
 /** What a router process is connected to. Tests and benches attach their own parts here. */
 import type { Clock } from "../base/clock.js";
 import type { Counters } from "../base/counters.js";
+import type { Random } from "../base/random.js";
 import type { Blackboard } from "../kernel/blackboard.js";
 import type { PeerRequested } from "../kernel/effects.js";
 import type { RouterEvent } from "../kernel/events.js";
@@ -49,6 +50,7 @@
 /** What parts may use of the process. */
 export interface PartsContext {
     readonly clock: Clock;
+    readonly random: Random;
     readonly counters: Counters;
     /** @returns How the host shows itself to the platform; `undefined` until it listens. */
     readonly identity: () => ListedHost | undefined;
--- a/src/router/routerProcess.ts
+++ b/src/router/routerProcess.ts
@@ -66,6 +66,7 @@
         this.#options = options;
         this.#parts = options.createParts({
             clock: this.#clock,
+            random: this.#random,
             counters: this.#counters,
             identity: () => this.#identity(),
         });
