--- a/src/bench/benchRun.ts
+++ b/src/bench/benchRun.ts
@@ -83,7 +83,7 @@
     group: ProcessGroup,
 ): Promise<Started> {
     const upstreams = deployment.upstreams.flatMap(one => groupNames(one).map(name => ({ name, one })));
-    const ports = await findFreePorts(1 + upstreams.length + 2 * deployment.routers);
+    const ports = await findFreePorts(1 + upstreams.length + 3 * deployment.routers);
     const platformUrl = `http://127.0.0.1:${ports[0]}`;
     const zoneDelaysMs = Object.fromEntries(deployment.zones.map(zone => [zone, deployment.platformDelayMs]));
     group.start("toucanPlatform", "platform", { port: ports[0], zoneDelaysMs });
@@ -97,12 +97,13 @@
     await seed(deployment, platformUrl, upstreamUrls);
     const routerPorts = ports.slice(1 + upstreams.length);
     const routerUrls = Array.from({ length: deployment.routers }, (_, index) => {
-        const [caller, operator] = routerPorts.slice(2 * index, 2 * index + 2);
+        const [caller, operator, peer] = routerPorts.slice(3 * index, 3 * index + 3);
         group.start("toucanRouter", `router${index + 1}`, {
             hostId: `router${index + 1}`,
             zone: deployment.zones[index % deployment.zones.length],
             caller: { port: caller },
             operator: { port: operator },
+            peer: { listenPort: peer },
             platform: { url: platformUrl },
             features: { admission: options.admission },
         });
--- a/src/bench/processes.ts
+++ b/src/bench/processes.ts
@@ -12,19 +12,28 @@
 /** Interval of checks whether a process is ready. */
 const ReadyIntervalMs = 50;
 
+/** Ports below the range from which the operating system takes ports for connections and for port 0. */
+const FirstPort = 12_000;
+const PortCount = 18_000;
+
 /** @returns Ports on loopback that were free a moment ago. */
 export async function findFreePorts(count: number): Promise<number[]> {
-    const servers = await Promise.all(
-        Array.from({ length: count }, () =>
-            new Promise<ReturnType<typeof createServer>>((resolve, reject) => {
-                const server = createServer();
-                server.once("error", reject);
-                server.listen(0, "127.0.0.1", () => resolve(server));
-            })),
-    );
-    const ports = servers.map(server => (server.address() as { port: number; }).port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
+    const ports = new Set<number>();
+    while (ports.size < count) {
+        const port = FirstPort + Math.floor(Math.random() * PortCount);
+        if (!ports.has(port) && await isFree(port)) {
+            ports.add(port);
+        }
+    }
+    return [...ports];
+}
+
+function isFree(port: number): Promise<boolean> {
+    return new Promise(resolve => {
+        const server = createServer();
+        server.once("error", () => resolve(false));
+        server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+    });
 }
 
 /** A group of processes with a directory for their settings and logs. */
