--- a/src/gateway/callerListener.ts
+++ b/src/gateway/callerListener.ts
@@ -17,6 +17,9 @@
 /** Interval at which connections that became idle are closed while the listener stops. */
 const IdleCheckIntervalMs = 50;
 
+/** Wait before a caller whom this host cannot serve tries again; the balancer then chooses another host. */
+const RetryElsewhereMs = 1_000;
+
 /** Hexadecimal digits of a request id. */
 const RequestIdDigits = 24;
 
@@ -29,9 +32,11 @@
 export class CallerListener {
     readonly #parts: GatewayParts;
     readonly #server: Server;
+    readonly #service: RequestHandler;
 
     constructor(parts: GatewayParts) {
         this.#parts = parts;
+        this.#service = this.#flowOf(parseServiceRequest);
         const listener = getRequestListener(this.#createApp().fetch, { overrideGlobalObjects: false });
         this.#server = createServer(
             { requireHostHeader: false, keepAliveTimeout: 65_000 },
@@ -67,11 +72,15 @@
         listener: (incoming: IncomingMessage, outgoing: ServerResponse) => Promise<void>,
     ): void {
         const fault = findHeaderFault(incoming);
-        if (fault === undefined) {
-            void listener(incoming, outgoing);
+        if (fault !== undefined) {
+            this.#refuse(incoming, outgoing, this.#createRequestId(), "MalformedHeader", fault);
+        }
+        else if (incoming.method === "HEAD" && incoming.url?.startsWith("/services/") === true) {
+            // hono answers HEAD by itself from the route for GET, without waiting for the relay.
+            void this.#serve({ incoming, outgoing }, this.#service);
         }
         else {
-            this.#refuse(incoming, outgoing, this.#createRequestId(), "MalformedHeader", fault);
+            void listener(incoming, outgoing);
         }
     }
 
@@ -83,11 +92,10 @@
             return context.json({ ready, phase, reasons }, ready ? 200 : 503);
         });
         const chat = this.#flowOf(parseChatRequest);
-        const service = this.#flowOf(parseServiceRequest);
         app.post("/v1/chat/completions", context => this.#serve(context.env, chat));
         app.get("/v1/models", context => this.#serve(context.env, (...args) => this.#listModels(...args)));
         app.post("/v1/tickets", context => this.#serve(context.env, (...args) => this.#issueTicket(...args)));
-        app.all("/services/*", context => this.#serve(context.env, service));
+        app.all("/services/*", context => this.#serve(context.env, this.#service));
         app.notFound(context => {
             const { incoming, outgoing } = context.env;
             this.#refuse(incoming, outgoing, this.#createRequestId(), "UnknownPath");
@@ -103,7 +111,8 @@
             await this.#serveEntered(env.incoming, env.outgoing, handle);
         }
         finally {
-            kernel.post({ type: "requestLeft" });
+            // A shutdown waits until the caller has taken the answer, not only until it was written.
+            whenClosed(env.outgoing, () => kernel.post({ type: "requestLeft" }));
         }
         return RESPONSE_ALREADY_SENT;
     }
@@ -202,11 +211,21 @@
         if (!incoming.complete) {
             outgoing.setHeader("connection", "close");
         }
-        writeFailure(outgoing, requestId, { code, detail });
+        const passing = code === "NotReady" || code === "ShuttingDown" || code === "ClaimUnavailable";
+        writeFailure(outgoing, requestId, { code, detail, retryAfterMs: passing ? RetryElsewhereMs : undefined });
         discardRest(incoming);
     }
 }
 
+function whenClosed(outgoing: ServerResponse, callback: () => void): void {
+    if (outgoing.closed || outgoing.destroyed) {
+        callback();
+    }
+    else {
+        outgoing.once("close", callback);
+    }
+}
+
 function writeJson(outgoing: ServerResponse, requestId: string, value: unknown): void {
     const body = JSON.stringify(value);
     outgoing.writeHead(200, {
