--- a/src/features/budget/budgetAccount.ts
+++ b/src/features/budget/budgetAccount.ts
@@ -1,6 +1,6 @@
 /** One budget of the current host incarnation: numbers, waiting reservations and the share in the store. */
 import { type BudgetEntry, createBudgetEntry, usedTokens } from "./budgetBoard.js";
-import { DemandAverage, drawSize, isShareLow, limitSize, WindowMaximum } from "./budgetMath.js";
+import { DemandAverage, type DrawInput, drawSize, limitSize, shareTarget, WindowMaximum } from "./budgetMath.js";
 import type { BudgetSettings } from "./budgetSettings.js";
 import { type BudgetObject, freeTokens } from "./budgetTypes.js";
 import type { ShareWriter } from "./shareWriter.js";
@@ -27,6 +27,9 @@
 /** Share of the own demand, in time, that is not given to peers. */
 const KeepHorizonMs = 5_000;
 
+/** A draw without a waiting request is at least this part of a host's even share of the paid tokens. */
+const SmallestDrawParts = 50;
+
 /** Time for which the limit is raised after a peer asked for more than it covers. */
 const PeerNeedMs = 2_000;
 
@@ -123,31 +126,36 @@
      * @returns The granted amount to write, or `undefined` for no write.
      */
     planShare(object: BudgetObject, host: HostView, mayDraw: boolean): number | undefined {
-        const granted = this.entry.grantedTokens;
-        const used = usedTokens(this.entry);
-        const free = freeTokens(object);
         const neededTokens = this.missingTokens();
-        const input = {
+        const input: DrawInput = {
             demandTokensPerS: this.entry.demandTokensPerS,
             horizonMs: this.#settings.drawHorizonMs,
             largestCostTokens: this.entry.largestCostTokens,
-            standingTokens: host.isHome ? this.#settings.standingShareTokens : 0,
-            unusedTokens: granted - used,
-            freeTokens: Math.max(0, free),
+            standingTokens: host.isHome ? this.#standingShare : 0,
+            minimumTokens: this.#smallestDraw(object.paidTokens, host.liveHostCount),
+            unusedTokens: this.entry.grantedTokens - usedTokens(this.entry),
+            freeTokens: Math.max(0, freeTokens(object)),
             liveHostCount: host.liveHostCount,
             neededTokens,
         };
-        if (mayDraw && isShareLow(input)) {
-            const size = drawSize(input);
-            // A share of 0 lets later folds return what this host receives from peers.
-            return size > 0 || (neededTokens > 0 && !this.writer.hasShare) ? granted + size : undefined;
+        const size = mayDraw ? drawSize(input) : 0;
+        if (size > 0) {
+            return this.entry.grantedTokens + size;
+        }
+        if (!this.writer.hasShare && (neededTokens > 0 || this.entry.receivedTokens > 0)) {
+            return 0;
         }
-        return this.#planReturn(input.unusedTokens, input.freeTokens, host);
+        return this.#planReturn(input, host);
+    }
+
+    /** @returns Whether received tokens could not be returned: a fold needs a share, if only of 0 tokens. */
+    get lacksShare(): boolean {
+        return this.entry.receivedTokens > 0 && !this.writer.hasShare;
     }
 
     /** @returns Whether a draw would be wanted if the object allowed it. */
     wantsShare(host: HostView): boolean {
-        return this.missingTokens() > 0 || (host.isHome && !this.writer.hasShare) ||
+        return this.missingTokens() > 0 || this.lacksShare || (host.isHome && !this.writer.hasShare) ||
             this.entry.demandTokensPerS * this.#settings.drawHorizonMs / 2_000 >
                 this.entry.grantedTokens - usedTokens(this.entry);
     }
@@ -157,19 +165,27 @@
         return this.waiting.length === 0 && nowMs - this.#lastDemandMs >= this.#settings.idleReturnMs;
     }
 
+    get #standingShare(): number {
+        return this.#isGrant ? this.#settings.standingShareUses : this.#settings.standingShareTokens;
+    }
+
+    /** A grant's single use is worth a draw; tokens are left to those that need them when few are free. */
+    #smallestDraw(paidTokens: number, liveHostCount: number): number {
+        const part = Math.ceil(paidTokens / (SmallestDrawParts * liveHostCount));
+        return this.#isGrant ? 1 : Math.max(1, part, this.entry.largestCostTokens);
+    }
+
     get #isGrant(): boolean {
         return this.name.startsWith("grant/");
     }
 
-    #planReturn(unusedTokens: number, free: number, host: HostView): number | undefined {
+    #planReturn(input: DrawInput, host: HostView): number | undefined {
         if (!this.isIdle(host.nowMs)) {
             return undefined;
         }
-        const fairPart = Math.floor((free + unusedTokens) / (2 * host.liveHostCount));
-        const keep = host.isHome ? Math.min(this.#settings.standingShareTokens, fairPart) : 0;
         const declared = Math.max(host.highestLimitTokens, this.entry.wantedLimitTokens);
-        const granted = Math.max(0, usedTokens(this.entry) + keep, declared);
+        const granted = Math.max(0, usedTokens(this.entry) + shareTarget(input), declared);
         // Half of the unused tokens at least: a return is a store write.
-        return this.entry.grantedTokens - granted >= Math.max(1, unusedTokens / 2) ? granted : undefined;
+        return this.entry.grantedTokens - granted >= Math.max(1, input.unusedTokens / 2) ? granted : undefined;
     }
 }
