Fuzz claims and tickets, and settle claims before a shutdown

Excluded: a lost reversal; the claim write had no answer yet. Change: a draining router waits for its claims (claimWaitMs); claims with writes to come are kept apart, so that a tick does not scan settled ones. Deliberate breaks are found after 4, 1, 2, 1 and 30 sequences.

--- a/src/features/idempotency/idempotencyController.ts
+++ b/src/features/idempotency/idempotencyController.ts
@@ -28,6 +28,10 @@
     override readonly name = "idempotency";
     readonly #settings: IdempotencySettings;
     readonly #claims = new Map<string, LocalClaim>();
+    /** Claims with writes to come. Settled ones are left out, since they are many and only wait for their removal. */
+    readonly #active = new Set<LocalClaim>();
+    /** Settled claims in the order of their removal. */
+    readonly #settledInOrder: LocalClaim[] = [];
     /** Requests that wait for the record of the host that holds their key, by call id. */
     readonly #holderChecks = new Map<string, LocalClaim>();
     readonly #tickets: TicketDesk;
@@ -56,6 +60,7 @@
                 other => this.#tickets.handle(other),
             )
             .otherwise(() => undefined);
+        this.context.board.idempotency.unsettledClaims = this.#active.size;
     }
 
     override dumpState(): unknown {
@@ -74,10 +79,22 @@
         const { repeatableWaitMs, exclusiveWaitMs } = this.#settings;
         const waitMs = request.repeatable ? repeatableWaitMs : exclusiveWaitMs;
         const claim = this.#createClaim(request, waitMs, existing?.expectedVersion ?? AbsentVersion);
-        this.#claims.set(claim.claimId, claim);
+        this.#add(claim);
         this.#write(claim);
     }
 
+    #add(claim: LocalClaim): void {
+        this.#claims.set(claim.claimId, claim);
+        this.#active.add(claim);
+    }
+
+    #remove(claim: LocalClaim): void {
+        this.#active.delete(claim);
+        if (this.#claims.get(claim.claimId) === claim) {
+            this.#claims.delete(claim.claimId);
+        }
+    }
+
     /** A released claim of this host leaves only the version to continue from. */
     #isForgotten(claim: LocalClaim): boolean {
         return claim.stage === "settled" && claim.end === undefined;
@@ -107,7 +124,7 @@
 
     /** Takes over a claim that needs no acknowledgement before its dispatch: a ticket. */
     #hold(claim: LocalClaim): void {
-        this.#claims.set(claim.claimId, claim);
+        this.#add(claim);
         this.context.counters.add("idempotency.ticketsUsed");
         this.#decide(claim, { status: "held", fencingNumber: 1 });
     }
@@ -123,7 +140,7 @@
             this.#write(claim);
         }
         else if (claim.stage === "lost") {
-            this.#claims.delete(claim.claimId);
+            this.#remove(claim);
         }
     }
 
@@ -134,7 +151,7 @@
         }
         if (claim.ticket !== undefined) {
             this.#tickets.giveBack(claim.ticket);
-            this.#claims.delete(claimId);
+            this.#remove(claim);
         }
         else if (claim.stage === "held") {
             claim.stage = "releasing";
@@ -144,7 +161,7 @@
             claim.abandoned = true;
         }
         else if (claim.stage === "lost") {
-            this.#claims.delete(claimId);
+            this.#remove(claim);
         }
     }
 
@@ -226,6 +243,8 @@
 
     #settle(claim: LocalClaim): void {
         claim.stage = "settled";
+        this.#active.delete(claim);
+        this.#settledInOrder.push(claim);
         claim.expiresAtMs = this.context.clock.monotonicMs() + this.#settings.replayCacheMs;
     }
 
@@ -272,17 +291,18 @@
     /** The key belongs to another request. */
     #lose(claim: LocalClaim, outcome: ClaimOutcome): void {
         if (!claim.decided) {
-            this.#claims.delete(claim.claimId);
+            this.#remove(claim);
             this.#decide(claim, outcome);
         }
         else if (claim.abandoned) {
-            this.#claims.delete(claim.claimId);
+            this.#remove(claim);
         }
         else {
             claim.stage = "lost";
+            this.#active.delete(claim);
             this.#reverse(claim);
             if (claim.end !== undefined) {
-                this.#claims.delete(claim.claimId);
+                this.#remove(claim);
             }
         }
     }
@@ -293,7 +313,7 @@
             this.#lose(claim, refused("RequestRunning", RunningRetryAfterMs));
             return;
         }
-        this.#claims.delete(claim.claimId);
+        this.#remove(claim);
         this.#holderChecks.set(claim.requestId, claim);
         this.context.emit({
             type: "storeGet",
@@ -318,27 +338,27 @@
 
     #tick(): void {
         const nowMs = this.context.clock.monotonicMs();
-        let unsettled = 0;
-        for (const claim of this.#claims.values()) {
-            if (claim.expiresAtMs <= nowMs) {
-                this.#claims.delete(claim.claimId);
-                continue;
-            }
+        this.#forgetSettled(nowMs);
+        for (const claim of this.#active) {
             if (claim.stage === "claiming" && !claim.decided && claim.deadlineMs <= nowMs) {
                 this.#expire(claim);
             }
-            if (claim.stage !== "settled" && claim.stage !== "lost") {
-                unsettled++;
-            }
-            const waiting = !claim.writing && claim.stage !== "settled" && claim.stage !== "lost";
-            if (waiting && claim.stage !== "held" && claim.nextWriteMs <= nowMs) {
+            if (claim.stage !== "held" && !claim.writing && claim.nextWriteMs <= nowMs) {
                 this.#write(claim);
             }
         }
-        this.context.board.idempotency.unsettledClaims = unsettled;
         this.#tickets.tick();
     }
 
+    #forgetSettled(nowMs: number): void {
+        let count = 0;
+        while (count < this.#settledInOrder.length && this.#settledInOrder[count]!.expiresAtMs <= nowMs) {
+            this.#remove(this.#settledInOrder[count]!);
+            count++;
+        }
+        this.#settledInOrder.splice(0, count);
+    }
+
     /** The store did not answer in time. The write goes on, since it may still take effect. */
     #expire(claim: LocalClaim): void {
         if (claim.repeatable) {
--- a/src/features/lifecycle/lifecycleController.ts
+++ b/src/features/lifecycle/lifecycleController.ts
@@ -65,7 +65,7 @@
         const board = this.#board;
         if (board.phase === "draining" && this.#nowMs - this.#drainingSinceMs >= this.#settings.balancerLagMs) {
             board.accepting = false;
-            if (board.requestsInFlight === 0) {
+            if (board.requestsInFlight === 0 && this.#claimsSettled()) {
                 board.phase = "closing";
                 this.#closingSinceMs = this.#nowMs;
             }
@@ -75,6 +75,12 @@
         }
     }
 
+    /** A claim that turns out to belong to another request cancels a bill, which must precede the closing record. */
+    #claimsSettled(): boolean {
+        return this.context.board.idempotency.unsettledClaims === 0 ||
+            this.#nowMs - this.#drainingSinceMs >= this.#settings.balancerLagMs + this.#settings.claimWaitMs;
+    }
+
     #closeWhenReturned(): void {
         const { journal, recovery } = this.context.board;
         const returned = journal.closed && recovery.ownSharesReturned;
--- /dev/null
+++ b/test/fuzz/claimBreaks.ts
@@ -0,0 +1,76 @@
+/** Deliberate faults in claims. A run with one of them must fail; the product has no switches for them. */
+import { ClaimSchema, type StoredAnswer } from "../../src/features/idempotency/idempotencyTypes.js";
+import type { ControllerContext } from "../../src/kernel/controller.js";
+import type { RouterEvent } from "../../src/kernel/events.js";
+import { type CreateIdempotency, createIdempotency } from "./claimSequence.js";
+
+type Handle = (event: RouterEvent, handle: (event: RouterEvent) => void) => void;
+
+/** Replaces how the controller handles events. */
+function onHandle(createHandle: () => Handle): CreateIdempotency {
+    return context => {
+        const controller = createIdempotency(context);
+        const original = controller.handle.bind(controller);
+        const replacement = createHandle();
+        controller.handle = event => replacement(event, original);
+        return controller;
+    };
+}
+
+function assumeApplied(event: RouterEvent, handle: (event: RouterEvent) => void): void {
+    const isUnknown = event.type === "storePutDone" && event.owner === "idempotency" &&
+        event.outcome.status === "unknown";
+    handle(isUnknown ? { ...event, outcome: { status: "applied", version: 1 } } : event);
+}
+
+function takeOver(event: RouterEvent, handle: (event: RouterEvent) => void): void {
+    if (event.type !== "storePutDone" || event.owner !== "idempotency" || event.outcome.status !== "conflict") {
+        handle(event);
+        return;
+    }
+    const { current } = event.outcome;
+    const claim = ClaimSchema.safeParse(current?.value);
+    const isRunning = claim.success && claim.data.state === "claimed";
+    const value = isRunning ? { ...claim.data, state: "released" } : current?.value;
+    handle({ ...event, outcome: { status: "conflict", current: current && { ...current, value } } });
+}
+
+function releaseAlways(event: RouterEvent, handle: (event: RouterEvent) => void): void {
+    handle(event);
+    if (event.type === "claimRequested") {
+        handle({ type: "claimReleased", claimId: event.claimId, requestId: event.requestId });
+    }
+}
+
+/** Stores the answer of the request before. */
+function swapAnswers(): Handle {
+    let previous: StoredAnswer | undefined;
+    return (event, handle) => {
+        if (event.type !== "claimCompleted") {
+            handle(event);
+            return;
+        }
+        handle({ ...event, answer: previous ?? event.answer });
+        previous = event.answer;
+    };
+}
+
+function withoutReversals(context: ControllerContext): ReturnType<CreateIdempotency> {
+    return createIdempotency({
+        ...context,
+        emit: effect => {
+            if (effect.type !== "postEvent") {
+                context.emit(effect);
+            }
+        },
+    });
+}
+
+/** The breaks by name. */
+export const ClaimBreaks: Readonly<Record<string, CreateIdempotency>> = {
+    claimWithoutAnswerCountsAsHeld: onHandle(() => assumeApplied),
+    runningClaimIsTakenOver: onHandle(() => takeOver),
+    claimIsReleasedAlthoughDispatched: onHandle(() => releaseAlways),
+    answersAreSwapped: onHandle(swapAnswers),
+    duplicateIsNotReversed: withoutReversals,
+};
--- /dev/null
+++ b/test/fuzz/claimSequence.ts
@@ -0,0 +1,206 @@
+/** Random sequences of keyed requests under faults, and the oracle for claims. */
+import fc from "fast-check";
+import { IdempotencyController } from "../../src/features/idempotency/idempotencyController.js";
+import { IdempotencySettingsSchema } from "../../src/features/idempotency/idempotencyTypes.js";
+import type { ControllerContext } from "../../src/kernel/controller.js";
+import { type Command, CommandArbitrary, perform } from "./commands.js";
+import { KeyedGateway, type KeyedRequest } from "./keyedGateway.js";
+import { checkAlways, checkSettled, PropertyViolation } from "./oracle.js";
+import { createMoneyControllers, World } from "./world.js";
+
+/** Keys of each sort that the callers of a sequence use. */
+const KeyCount = 3;
+
+const host = fc.nat({ max: 3 });
+const Durations = fc.constantFrom(5, 300, 4_000);
+
+const KeyedCommandArbitrary = fc.oneof(
+    {
+        weight: 6,
+        arbitrary: fc.record({
+            type: fc.constant("sale" as const),
+            host,
+            key: fc.nat({ max: KeyCount - 1 }),
+            durationMs: Durations,
+        }),
+    },
+    {
+        weight: 3,
+        arbitrary: fc.record({
+            type: fc.constant("keyedChat" as const),
+            host,
+            key: fc.nat({ max: KeyCount - 1 }),
+            durationMs: Durations,
+        }),
+    },
+    { weight: 2, arbitrary: fc.record({ type: fc.constant("ticket" as const), host }) },
+    {
+        weight: 4,
+        arbitrary: fc.record({
+            type: fc.constant("ticketSale" as const),
+            host,
+            ticket: fc.nat({ max: 4 }),
+            durationMs: Durations,
+        }),
+    },
+);
+type KeyedCommand = typeof KeyedCommandArbitrary extends fc.Arbitrary<infer C> ? C : never;
+
+/** A sequence to run. */
+export interface ClaimSequence {
+    readonly seed: number;
+    readonly commands: readonly (Command | KeyedCommand)[];
+}
+
+/** Any sequence. */
+export const ClaimSequenceArbitrary: fc.Arbitrary<ClaimSequence> = fc.record({
+    seed: fc.nat({ max: 1_000_000 }),
+    commands: fc.array(
+        fc.oneof({ weight: 2, arbitrary: CommandArbitrary }, { weight: 1, arbitrary: KeyedCommandArbitrary }),
+        { minLength: 5, maxLength: 50, size: "max" },
+    ),
+});
+
+/** Creates the idempotency controller of a host; deliberate breaks replace it. */
+export type CreateIdempotency = (context: ControllerContext) => IdempotencyController;
+
+/** @returns The real controller with default settings. */
+export const createIdempotency: CreateIdempotency = context =>
+    new IdempotencyController(context, IdempotencySettingsSchema.parse({}));
+
+/** Runs a sequence; throws a {@link PropertyViolation} when a property does not hold. */
+export function runClaimSequence(sequence: ClaimSequence, create = createIdempotency): KeyedGateway {
+    let gateway: KeyedGateway | undefined;
+    const world = new World({
+        seed: sequence.seed,
+        hostCount: 3,
+        homesOnly: sequence.seed % 3 === 0,
+        budgets: { b0: 20_000, b1: 500 },
+        createGateway: (...args) => gateway = new KeyedGateway(...args),
+        createControllers: (context, homesOnly) => {
+            const watched: ControllerContext = {
+                ...context,
+                emit: effect => {
+                    if (effect.type === "postEvent" && effect.event.type === "billReversed") {
+                        gateway?.noteReversal(effect.event.bill.requestId);
+                    }
+                    context.emit(effect);
+                },
+            };
+            return [...createMoneyControllers(context, homesOnly), create(watched)];
+        },
+    });
+    const keyed = gateway!;
+    world.scheduler.advance(1_500);
+    for (const command of sequence.commands) {
+        performKeyed(world, keyed, command);
+        checkAlways(world);
+        checkClaims(keyed);
+    }
+    world.settle();
+    checkSettled(world);
+    checkClaims(keyed);
+    checkOneBill(world, keyed);
+    checkReplays(world, keyed);
+    return keyed;
+}
+
+function performKeyed(world: World, gateway: KeyedGateway, command: Command | KeyedCommand): void {
+    if (command.type === "sale" || command.type === "keyedChat" || command.type === "ticketSale") {
+        sell(world, gateway, command);
+    }
+    else if (command.type === "ticket") {
+        const process = world.processOf(hostName(world, command.host));
+        if (process !== undefined) {
+            gateway.requestTicket(process);
+        }
+    }
+    else {
+        perform(world, command);
+        return;
+    }
+    world.scheduler.advance(5);
+}
+
+function sell(
+    world: World,
+    gateway: KeyedGateway,
+    command: Extract<KeyedCommand, { type: "sale" | "keyedChat" | "ticketSale"; }>,
+): void {
+    const key = command.type === "ticketSale" ? gateway.tickets[command.ticket] : `${command.type}-${command.key}`;
+    const process = world.processOf(hostName(world, command.host));
+    if (key !== undefined && process !== undefined) {
+        const plan = { budget: "b0", costTokens: 20, usedTokens: 15, durationMs: command.durationMs };
+        gateway.startKeyed(process, key, command.type === "keyedChat", plan);
+    }
+}
+
+function hostName(world: World, index: number): string {
+    return world.hostIds[index % world.hostIds.length]!;
+}
+
+function keysOf(gateway: KeyedGateway): Map<string, KeyedRequest[]> {
+    const keys = new Map<string, KeyedRequest[]>();
+    for (const request of gateway.keyed.values()) {
+        keys.set(request.key, [...(keys.get(request.key) ?? []), request]);
+    }
+    return keys;
+}
+
+/** Work that may not be repeated ran at most once, and every replay is the answer of a whole run of its key. */
+function checkClaims(gateway: KeyedGateway): void {
+    for (const [key, requests] of keysOf(gateway)) {
+        const runs = gateway.runsOf(key);
+        if (!requests[0]!.repeatable && runs.length > 1) {
+            throw new PropertyViolation("P5 ran twice", `${key}: ${runs.map(run => run.requestId).join(" ")}`);
+        }
+        for (const request of requests) {
+            checkOutcome(request, runs.filter(run => run.settled && !run.cut).map(run => run.requestId));
+        }
+    }
+}
+
+function checkOutcome({ outcome, requestId, key, repeatable }: KeyedRequest, wholeRuns: readonly string[]): void {
+    if (outcome?.status === "replay" && !wholeRuns.includes(outcome.answer.body)) {
+        throw new PropertyViolation("P3 wrong answer", `${requestId} with ${key} got that of ${outcome.answer.body}`);
+    }
+    if (outcome?.status === "deferred" && !repeatable) {
+        throw new PropertyViolation("P5 ran without a claim", requestId);
+    }
+}
+
+/**
+ * Of several runs of a key, one charge stays, unless a process died before it could cancel its own.
+ * A run that was cut before its first token charges nothing, so there is nothing to cancel.
+ */
+function checkOneBill(world: World, gateway: KeyedGateway): void {
+    if (world.processes.some(process => process.end === "killed")) {
+        return;
+    }
+    for (const key of keysOf(gateway).keys()) {
+        const billed = gateway.runsOf(key).filter(run => run.settled && !run.reversed && run.spentTokens > 0);
+        if (billed.length > 1) {
+            throw new PropertyViolation("P2 key billed twice", `${key}: ${billed.map(run => run.requestId).join(" ")}`);
+        }
+    }
+}
+
+/** After quiet, the answer of every whole run of a process that is alive can be had at any host. */
+function checkReplays(world: World, gateway: KeyedGateway): void {
+    const finished = [...keysOf(gateway).keys()].flatMap(key =>
+        gateway.runsOf(key).filter(run => run.settled && !run.cut && !run.reversed && run.process.isAlive).map(run => ({
+            key,
+            run,
+        }))
+    );
+    for (const { key, run } of finished) {
+        const process = world.processOf(hostName(world, world.random.integer(3)))!;
+        const retry = gateway.startKeyed(process, key, false, run);
+        world.scheduler.advance(4_000);
+        if (retry.outcome?.status !== "replay") {
+            const detail = `${key} of ${run.requestId} at ${process.hostId}: ${JSON.stringify(retry.outcome)}`;
+            throw new PropertyViolation("answer is lost", detail);
+        }
+    }
+    checkClaims(gateway);
+}
--- a/test/fuzz/fakeGateway.ts
+++ b/test/fuzz/fakeGateway.ts
@@ -114,7 +114,7 @@
         };
         this.#scheduler.after(request.durationMs, finish);
         this.cutters.set(request.requestId, () => {
-            request.cut = true;
+            request.cut ||= request.state === "running";
             finish();
         });
     }
--- /dev/null
+++ b/test/fuzz/keyedGateway.ts
@@ -0,0 +1,114 @@
+/** Requests with an idempotency key: claims, runs and replays, as the real gateway orders them. */
+import { claimId, type ClaimOutcome } from "../../src/features/idempotency/idempotencyTypes.js";
+import type { Notification } from "../../src/kernel/effects.js";
+import { FakeGateway, type RequestPlan, type RequestRecord } from "./fakeGateway.js";
+import type { HostProcess } from "./hostProcess.js";
+
+const Team = "team";
+
+/** One try of a caller to have the work of a key done. */
+export interface KeyedRequest {
+    readonly key: string;
+    readonly requestId: string;
+    readonly process: HostProcess;
+    readonly repeatable: boolean;
+    readonly plan: RequestPlan;
+    outcome: ClaimOutcome | undefined;
+    /** Set once the claim allowed the request to go on. */
+    record: RequestRecord | undefined;
+}
+
+/** Gateway with keyed requests. */
+export class KeyedGateway extends FakeGateway {
+    readonly keyed = new Map<string, KeyedRequest>();
+    readonly tickets: string[] = [];
+
+    /** Sends a keyed request to a host. */
+    startKeyed(process: HostProcess, key: string, repeatable: boolean, plan: RequestPlan): KeyedRequest {
+        const requestId = this.nextRequestId();
+        const request: KeyedRequest = {
+            key,
+            requestId,
+            process,
+            repeatable,
+            plan,
+            outcome: undefined,
+            record: undefined,
+        };
+        this.keyed.set(requestId, request);
+        process.post({
+            type: "claimRequested",
+            claimId: claimId(Team, key),
+            idempotencyKey: key,
+            requestId,
+            bodyHash: `body of ${key}`,
+            repeatable,
+        });
+        return request;
+    }
+
+    /** Asks a host for a ticket. */
+    requestTicket(process: HostProcess): void {
+        process.post({ type: "ticketRequested", requestId: this.nextRequestId() });
+    }
+
+    /** Notes that a bill was cancelled. */
+    noteReversal(requestId: string): void {
+        const request = this.requests.get(requestId);
+        if (request !== undefined) {
+            request.reversed = true;
+        }
+    }
+
+    /** @returns The requests that were dispatched with a key. */
+    runsOf(key: string): RequestRecord[] {
+        return [...this.keyed.values()].flatMap(request =>
+            request.key === key && request.record !== undefined && request.record.executions > 0 ? [request.record] : []
+        );
+    }
+
+    override notified(notification: Notification): void {
+        if (notification.type === "ticketIssued" && notification.ticket !== undefined) {
+            this.tickets.push(notification.ticket);
+        }
+        else if (notification.type === "claimDecided") {
+            this.#claimDecided(this.keyed.get(notification.requestId)!, notification.outcome);
+        }
+        super.notified(notification);
+        if (notification.type === "reservationDecided" && notification.outcome.status === "refused") {
+            this.#release(notification.reservationId);
+        }
+    }
+
+    #claimDecided(request: KeyedRequest, outcome: ClaimOutcome): void {
+        request.outcome = outcome;
+        if (outcome.status === "held" || outcome.status === "deferred") {
+            request.record = this.start(request.process, request.plan, request.requestId);
+        }
+    }
+
+    #release(requestId: string): void {
+        const request = this.keyed.get(requestId);
+        request?.process.post({ type: "claimReleased", claimId: claimId(Team, request.key), requestId });
+    }
+
+    protected override billIdOf(request: RequestRecord): string {
+        const keyed = this.keyed.get(request.requestId);
+        return keyed === undefined ? request.requestId : claimId(Team, keyed.key);
+    }
+
+    protected override settle(request: RequestRecord): void {
+        super.settle(request);
+        const keyed = this.keyed.get(request.requestId);
+        if (keyed !== undefined) {
+            const answer = { httpStatus: 200, contentType: "text/plain", body: request.requestId };
+            request.process.post({
+                type: "claimCompleted",
+                claimId: claimId(Team, keyed.key),
+                requestId: request.requestId,
+                answer: request.cut ? undefined : answer,
+                interrupted: request.cut,
+            });
+        }
+    }
+}
--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -205,11 +205,11 @@
     };
 
     #followShutdown(process: HostProcess): void {
-        const { lifecycle, recovery } = process.board;
+        const { idempotency, lifecycle, recovery } = process.board;
         const inFlight = [...this.gateway.requests.values()].some(request =>
             request.process === process && (request.state === "waiting" || request.state === "running")
         );
-        if (lifecycle.phase === "draining" && !inFlight) {
+        if (lifecycle.phase === "draining" && !inFlight && idempotency.unsettledClaims === 0) {
             lifecycle.phase = "closing";
         }
         else if (lifecycle.phase === "closing" && recovery.ownSharesReturned) {
