--- a/scripts/settingsDocs.mjs
+++ b/scripts/settingsDocs.mjs
@@ -2,6 +2,7 @@
 import { readdirSync, readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { z } from "zod";
+import { ControlSettingsSchema } from "../dist/control/controlSettings.js";
 import { RouterSettingsSchema } from "../dist/router/routerSettings.js";
 import { PlatformSettingsSchema } from "../dist/standins/platform/platformSettings.js";
 import { UpstreamSettingsSchema } from "../dist/standins/upstream/upstreamSettings.js";
@@ -72,6 +73,7 @@
     "Unknown fields are refused, and an error names the path of the field.",
     "",
     ...section("toucan-router", RouterSettingsSchema, routerFolder),
+    ...section("toucanctl", ControlSettingsSchema, () => join("src", "control")),
     ...section("toucan-platform", PlatformSettingsSchema, () => join("src", "standins", "platform")),
     ...section("toucan-upstream", UpstreamSettingsSchema, () => join("src", "standins", "upstream")),
 ].join("\n");
--- a/src/base/program.ts
+++ b/src/base/program.ts
@@ -3,11 +3,11 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import type { z } from "zod";
+import { ExitCodes } from "./exitCodes.js";
 import { configureLog, log } from "./log.js";
 import { formatProblems, readSettings } from "./settings.js";
 
-/** Exit codes of all programs. */
-export const ExitCodes = { Done: 0, Failed: 1, Usage: 2, Conflict: 3, StoreUnavailable: 4 } as const;
+export { ExitCodes };
 
 /** A started program. */
 export interface RunningProgram {
--- a/src/control/cli.ts
+++ b/src/control/cli.ts
@@ -9,6 +9,7 @@
 import { deleteCommand } from "./commands/delete.js";
 import { diffCommand } from "./commands/diff.js";
 import { drainCommand } from "./commands/drain.js";
+import { explainCommand } from "./commands/explain.js";
 import { getCommand } from "./commands/get.js";
 import { historyCommand } from "./commands/history.js";
 import { keysCommand } from "./commands/keys.js";
@@ -33,6 +34,7 @@
     historyCommand,
     undoCommand,
     statusCommand,
+    explainCommand,
     topupCommand,
     balancesCommand,
     billsCommand,
--- a/src/programs/toucanctl.ts
+++ b/src/programs/toucanctl.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 /** The operator tool. */
+import { userInfo } from "node:os";
 import { setTimeout as sleep } from "node:timers/promises";
 import { hideBin } from "yargs/helpers";
 import { SystemClock } from "../base/clock.js";
@@ -30,7 +31,7 @@
         clock: new SystemClock(),
         random: new SystemRandom(),
         sleep: durationMs => sleep(durationMs),
-        author: args.author ?? author,
+        author: args.author ?? author ?? userInfo().username,
         retryMs,
     };
 };
--- a/src/standins/platform/platformSettings.ts
+++ b/src/standins/platform/platformSettings.ts
@@ -3,22 +3,22 @@
 
 /** Settings with their defaults. */
 export const PlatformSettingsSchema = z.strictObject({
+    /** Address to listen on. */
     host: z.string().default("127.0.0.1"),
     /** Port of the object API; 0 takes a free one. */
     port: z.number().int().min(0).max(65_535).default(7_100),
+    /** Writes a second, for all hosts together. */
     writesPerS: z.number().positive().default(400),
     /** Reads a second; a watch counts as one. */
     readsPerS: z.number().positive().default(2_000),
+    /** Time until a change of a host shows on the host list. */
     hostListLagMs: z.number().nonnegative().default(1_000),
+    /** Time without calls after which a host is taken off the list. */
     hostExpiryMs: z.number().positive().default(20_000),
     /** Longest wait of a watch. */
     maxWaitMs: z.number().positive().default(60_000),
     /** One-way network delay by zone of the calling host. */
     zoneDelaysMs: z.record(z.string(), z.number().nonnegative()).default({}),
-    log: z.strictObject({
-        level: z.enum(["error", "warn", "info", "debug"]).default("info"),
-        format: z.enum(["text", "json"]).default("text"),
-    }).prefault({}),
     /** StatsD server for metrics. */
     metrics: z.strictObject({ host: z.string(), port: z.number().int().positive() }).optional(),
 });
