Let long work yield to short work at the engine

Long normal work is now sent with the engine priority of background work, keeps a minimum of 20 % of the slots, and short work may burst by half of the host's share where slots seem free. Baselines send every request with normal priority.

--- a/src/features/admission/adaptivePolicy.ts
+++ b/src/features/admission/adaptivePolicy.ts
@@ -89,6 +89,11 @@
         this.pump();
     }
 
+    /** Long work gives way to short work at the engine, which resumes it afterwards. */
+    override enginePriority({ workClass, long }: WorkItem): WorkClass {
+        return long && workClass === "normal" && this.context.settings.longYields ? "background" : workClass;
+    }
+
     override completed(dispatch: ActiveDispatch, durationMs: number): void {
         this.#pools.get(dispatch.pool)?.serviceTimes.add(dispatch.long, durationMs);
     }
@@ -150,10 +155,13 @@
             pool.lanes
                 .filter(lane => lane.workClass === workClass && lane.queue.size > 0)
                 .sort((a, b) => a.queue.head()!.deadlineAtMs - b.queue.head()!.deadlineAtMs);
-        const background = byClass("background");
-        const owed = background.length > 0 && this.#room(pool).owesBackground();
-        const ordinary = owed ? [...background, ...byClass("normal")] : [...byClass("normal"), ...background];
-        return [...byClass("urgent"), ...ordinary];
+        const ordinary = [...byClass("normal"), ...byClass("background")];
+        if (ordinary.length < 2) {
+            return [...byClass("urgent"), ...ordinary];
+        }
+        const room = this.#room(pool);
+        const owed = ordinary.filter(lane => room.owes(this.#placement.demandOf(lane)));
+        return [...byClass("urgent"), ...owed, ...ordinary.filter(lane => !owed.includes(lane))];
     }
 
     #room(pool: Pool): PoolRoom {
@@ -178,7 +186,7 @@
     #refuseIfTooLate(pool: Pool, lane: Lane, queued: QueuedItem): void {
         const { item } = queued;
         const room = this.#room(pool);
-        const slots = room.slotsFor(lane.workClass, lane.long);
+        const slots = room.slotsFor(this.#placement.demandOf(lane));
         const standing = lane.queue.standing(item.team, this.context.teamWeight(item.team));
         const waitMs = Math.min(
             pool.serviceTimes.waitMs(lane.long, this.#workAhead(pool, lane), slots),
@@ -232,7 +240,7 @@
     #shedLate(pool: Pool, nowMs: number): void {
         const room = this.#room(pool);
         for (const lane of pool.lanes) {
-            const slots = room.slotsFor(lane.workClass, lane.long);
+            const slots = room.slotsFor(this.#placement.demandOf(lane));
             for (const { items, share } of lane.queue.byTeam()) {
                 let ahead = 0;
                 for (const queued of items) {
--- a/src/features/admission/admissionController.ts
+++ b/src/features/admission/admissionController.ts
@@ -139,7 +139,10 @@
     #started(requestId: string, upstream: string, long: boolean): void {
         if (!this.#ledger.start(requestId, upstream)) {
             const decidedAtMs = this.context.clock.monotonicMs();
-            this.#ledger.add({ requestId, upstream, workClass: "normal", long, decidedAtMs, pool: "" }, true);
+            this.#ledger.add(
+                { requestId, upstream, workClass: "normal", long, yielding: false, decidedAtMs, pool: "" },
+                true,
+            );
         }
     }
 
@@ -159,9 +162,11 @@
     #dispatch(item: WorkItem, upstream: string, pool: string): void {
         const { requestId, workClass, long } = item;
         const decidedAtMs = this.context.clock.monotonicMs();
-        this.#ledger.add({ requestId, upstream, workClass, long, decidedAtMs, pool });
+        const enginePriority = this.#policy.enginePriority(item);
+        const yielding = enginePriority === "background";
+        this.#ledger.add({ requestId, upstream, workClass, long, yielding, decidedAtMs, pool });
         this.context.counters.add(`admission.dispatched.${workClass}`);
-        this.#decide(item, { status: "dispatch", upstream });
+        this.#decide(item, { status: "dispatch", upstream, enginePriority });
     }
 
     #refuse(item: WorkItem, code: ResultCodeName, retryAfterMs: number | undefined): void {
--- a/src/features/admission/admissionPolicy.ts
+++ b/src/features/admission/admissionPolicy.ts
@@ -60,6 +60,9 @@
     /** Called on every tick, for what depends on the time. */
     abstract tick(): void;
 
+    /** @returns Class whose priority the engine is told. */
+    abstract enginePriority(item: WorkItem): WorkClass;
+
     /** A dispatch completed. */
     completed(dispatch: ActiveDispatch, durationMs: number): void {
         void dispatch;
--- a/src/features/admission/admissionSettings.ts
+++ b/src/features/admission/admissionSettings.ts
@@ -24,6 +24,12 @@
     longPlacement: z.enum(["cap", "dedicated"]).default("cap"),
     /** Largest share of the slots, or of the upstreams, for long work. */
     longMaxRatio: ShareSchema.default(0.5),
+    /** Whether engines pause long work for short work of the same class. */
+    longYields: z.boolean().default(true),
+    /** Share of the slots that long work which gives way gets at least while it waits. */
+    longMinRatio: ShareSchema.default(0.2),
+    /** Short work beyond this host's share, relative to the share, at upstreams that seem to have free slots. */
+    burstRatio: z.number().nonnegative().default(0.5),
     /** Whether requests with the same prompt prefix prefer the same upstream. */
     prefixAffinity: z.boolean().default(true),
     /** Largest load of an upstream preferred for its cached prefix, relative to the average. */
--- a/src/features/admission/admissionTypes.ts
+++ b/src/features/admission/admissionTypes.ts
@@ -27,7 +27,12 @@
 
 /** Answer to an admission request. */
 export type AdmissionOutcome =
-    | { readonly status: "dispatch"; readonly upstream: string; }
+    | {
+        readonly status: "dispatch";
+        readonly upstream: string;
+        /** Class whose priority is sent to the engine; absent means the request's own class. */
+        readonly enginePriority?: WorkClass;
+    }
     | { readonly status: "refused"; readonly code: ResultCodeName; readonly retryAfterMs: number | undefined; };
 
 /** Events of the admission feature. */
--- a/src/features/admission/baselinePolicies.ts
+++ b/src/features/admission/baselinePolicies.ts
@@ -36,6 +36,11 @@
         // Nothing waits here.
     }
 
+    /** Plain balancers do not know classes. */
+    override enginePriority(): WorkClass {
+        return "normal";
+    }
+
     override queued(): Record<WorkClass, number> {
         return NothingQueued;
     }
@@ -114,6 +119,10 @@
         this.pump();
     }
 
+    override enginePriority(): WorkClass {
+        return "normal";
+    }
+
     override queued(): Record<WorkClass, number> {
         const queued = { ...NothingQueued };
         for (const { item } of this.#waiting) {
--- a/src/features/admission/inFlightLedger.ts
+++ b/src/features/admission/inFlightLedger.ts
@@ -7,6 +7,10 @@
     total: number;
     /** Long requests that are not urgent. */
     long: number;
+    /** Requests that the engine pauses for others: sent with the priority of background work. */
+    yielding: number;
+    /** Those of them that are background work. */
+    yieldingBackground: number;
 }
 
 /** One dispatch. */
@@ -15,6 +19,8 @@
     readonly upstream: string;
     readonly workClass: WorkClass;
     readonly long: boolean;
+    /** Whether it is sent with the priority of background work. */
+    readonly yielding: boolean;
     readonly decidedAtMs: number;
     /** Pool whose durations it contributes to; empty when the decision was not made here. */
     readonly pool: string;
@@ -25,7 +31,11 @@
     started: boolean;
 }
 
-const NoLoad: UpstreamLoad = { byClass: { urgent: 0, normal: 0, background: 0 }, total: 0, long: 0 };
+function emptyLoad(): UpstreamLoad {
+    return { byClass: { urgent: 0, normal: 0, background: 0 }, total: 0, long: 0, yielding: 0, yieldingBackground: 0 };
+}
+
+const NoLoad: Readonly<UpstreamLoad> = emptyLoad();
 
 /** Counts dispatches from the decision to the end. */
 export class InFlightLedger {
@@ -99,7 +109,7 @@
     #count(dispatch: ActiveDispatch, change: 1 | -1): void {
         let load = this.#loads.get(dispatch.upstream);
         if (load === undefined) {
-            load = { byClass: { urgent: 0, normal: 0, background: 0 }, total: 0, long: 0 };
+            load = emptyLoad();
             this.#loads.set(dispatch.upstream, load);
         }
         load.total += change;
@@ -107,6 +117,10 @@
         if (dispatch.long && dispatch.workClass !== "urgent") {
             load.long += change;
         }
+        if (dispatch.yielding) {
+            load.yielding += change;
+            load.yieldingBackground += dispatch.workClass === "background" ? change : 0;
+        }
         if (load.total === 0) {
             this.#loads.delete(dispatch.upstream);
         }
--- a/src/features/admission/placement.ts
+++ b/src/features/admission/placement.ts
@@ -2,10 +2,13 @@
 import { rendezvousOrder } from "../../base/hashing.js";
 import type { PolicyContext, UpstreamView } from "./admissionPolicy.js";
 import type { WorkItem } from "./admissionTypes.js";
-import { type Allotment, PoolRoom } from "./pool.js";
+import { type Allotment, type Demand, PoolRoom } from "./pool.js";
 import { type Choice, chooseUpstream } from "./score.js";
 import type { ShareLimits } from "./shareLimits.js";
 
+/** Why a request may be sent: within the share, as part of the minimum of its class, or beyond the share. */
+type Entitlement = "share" | "minimum" | "burst";
+
 /** Applies the limits of classes, long work and upstreams. */
 export class Placement {
     readonly #context: PolicyContext;
@@ -21,6 +24,13 @@
         return new PoolRoom(this.#allot(views), this.#context.settings);
     }
 
+    /** @returns How the request competes for slots. */
+    demandOf({ workClass, long }: Pick<WorkItem, "workClass" | "long">): Demand {
+        const yields = workClass === "background" ||
+            (long && workClass === "normal" && this.#context.settings.longYields);
+        return { workClass, long, yields };
+    }
+
     /**
      * @param views Upstreams that may get the request.
      * @returns Name of the upstream, or `undefined` when the request has to wait.
@@ -28,13 +38,15 @@
     find(item: WorkItem, views: readonly UpstreamView[]): string | undefined {
         const allotments = this.#allot(views);
         const room = new PoolRoom(allotments, this.#context.settings);
-        const limited = item.long && item.workClass !== "urgent";
-        const owed = item.workClass === "background" && room.owesBackground();
-        if ((!room.fits(item.workClass) && !owed) || (limited && !room.fitsLong())) {
+        const demand = this.demandOf(item);
+        if (item.long && item.workClass !== "urgent" && !room.fitsLong()) {
             return undefined;
         }
-        const open = this.#separate(item, allotments).filter(allotment => this.#isOpen(item, allotment));
-        if (open.length === 0) {
+        const separated = this.#separate(item, allotments);
+        const open = entitlementsOf(room, demand)
+            .map(entitlement => separated.filter(one => this.#isOpen(item, demand, one, entitlement)))
+            .find(allowed => allowed.length > 0);
+        if (open === undefined) {
             return undefined;
         }
         const probe = this.#probe(item, open);
@@ -61,8 +73,8 @@
     }
 
     /** Applies the limits of a single upstream. */
-    #isOpen(item: WorkItem, { view, allowance }: Allotment): boolean {
-        const { load, status } = view;
+    #isOpen(item: WorkItem, demand: Demand, { view, allowance }: Allotment, entitlement: Entitlement): boolean {
+        const { load, status, slots } = view;
         const hosts = this.#context.hostCount();
         // The operator's cap holds for the fleet; without coordination each host takes an equal part of it.
         if (
@@ -70,24 +82,30 @@
         ) {
             return false;
         }
-        const mostAllowed = Math.max(1, Math.ceil(allowance));
         if (item.workClass === "urgent") {
-            return load.byClass.urgent < Math.min(view.slots, status.concurrencyLimit);
+            return load.byClass.urgent < Math.min(slots, status.concurrencyLimit);
         }
         if (item.long && load.long >= Math.max(1, Math.ceil(this.#context.settings.longMaxRatio * allowance))) {
             return false;
         }
-        return this.#competing(item, view) < Math.min(mostAllowed, status.concurrencyLimit);
+        const burst = entitlement === "burst";
+        if (burst && (load.total + status.otherLoad >= slots || status.slownessFactor > 1)) {
+            return false;
+        }
+        const most = Math.max(1, Math.ceil(burst ? allowance * (1 + this.#context.settings.burstRatio) : allowance));
+        return this.#competing(demand, view, entitlement) < Math.min(most, status.concurrencyLimit);
     }
 
     /** @returns Requests at the upstream that a new one would have to wait for. */
-    #competing(item: WorkItem, { load, preempts }: UpstreamView): number {
-        if (item.workClass === "background") {
-            // Background work that is owed its minimum goes ahead although others hold all slots.
-            return load.byClass.background;
+    #competing(demand: Demand, { load, preempts }: UpstreamView, entitlement: Entitlement): number {
+        if (entitlement === "minimum") {
+            // Work that is owed its minimum goes ahead although other work holds all slots.
+            return demand.workClass === "background" ?
+                load.yieldingBackground :
+                load.yielding - load.yieldingBackground;
         }
-        return preempts && this.#context.settings.urgentPlacement === "preemption" ?
-            load.total - load.byClass.background :
+        return !demand.yields && preempts && this.#context.settings.urgentPlacement === "preemption" ?
+            load.total - load.yielding :
             load.total;
     }
 
@@ -115,3 +133,14 @@
         return due !== undefined && this.#context.takeProbe() ? due.view.name : undefined;
     }
 }
+
+function entitlementsOf(room: PoolRoom, demand: Demand): Entitlement[] {
+    const entitlements: Entitlement[] = room.fits(demand) ? ["share"] : [];
+    if (room.owes(demand)) {
+        entitlements.push("minimum");
+    }
+    if (room.fitsBurst(demand)) {
+        entitlements.push("burst");
+    }
+    return entitlements;
+}
--- a/src/features/admission/pool.ts
+++ b/src/features/admission/pool.ts
@@ -57,26 +57,39 @@
     readonly allowance: number;
 }
 
+/** How a request competes for slots. */
+export interface Demand {
+    readonly workClass: WorkClass;
+    readonly long: boolean;
+    /** Whether the engine pauses it for others. */
+    readonly yields: boolean;
+}
+
 /** Room of this host at a set of upstreams. */
 export class PoolRoom {
     /** Requests that this host may have in flight. */
     readonly allowed: number;
-    readonly urgent: number = 0;
-    readonly normal: number = 0;
-    readonly background: number = 0;
-    readonly long: number = 0;
+    #total = 0;
+    #urgent = 0;
+    #background = 0;
+    #long = 0;
+    #yielding = 0;
+    #yieldingBackground = 0;
     readonly #settings: AdmissionSettings;
+    /** Whether all upstreams pause less urgent work for more urgent work. */
     readonly #preempts: boolean;
 
     constructor(allotments: readonly Allotment[], settings: AdmissionSettings) {
         this.#settings = settings;
         let allowed = 0;
-        for (const { view, allowance } of allotments) {
+        for (const { view: { load }, allowance } of allotments) {
             allowed += allowance;
-            this.urgent += view.load.byClass.urgent;
-            this.normal += view.load.byClass.normal;
-            this.background += view.load.byClass.background;
-            this.long += view.load.long;
+            this.#total += load.total;
+            this.#urgent += load.byClass.urgent;
+            this.#background += load.byClass.background;
+            this.#long += load.long;
+            this.#yielding += load.yielding;
+            this.#yieldingBackground += load.yieldingBackground;
         }
         this.allowed = Math.max(1, allowed);
         this.#preempts = settings.urgentPlacement === "preemption" && allotments.every(({ view }) => view.preempts);
@@ -87,6 +100,11 @@
         return Math.max(1, Math.ceil(this.#settings.backgroundMinRatio * this.allowed));
     }
 
+    /** @returns Slots that long work which gives way gets at least while it waits. */
+    get longMinimum(): number {
+        return Math.max(1, Math.ceil(this.#settings.longMinRatio * this.allowed));
+    }
+
     /** @returns Slots that long work gets at most. */
     get longMaximum(): number {
         return Math.max(1, this.#settings.longMaxRatio * this.allowed);
@@ -98,38 +116,60 @@
         return Math.max(1, this.allowed - headroom);
     }
 
-    /** @returns Whether one more request of the class fits. Work that gives way at the engine does not count. */
-    fits(workClass: WorkClass): boolean {
-        if (workClass === "urgent") {
+    /** @returns Whether one more request fits. Work that gives way counts only up to its minimum. */
+    fits(demand: Demand): boolean {
+        if (demand.workClass === "urgent") {
             return true;
         }
-        const total = this.urgent + this.normal + this.background;
-        if (workClass === "background") {
-            return total < this.ordinary;
+        if (demand.yields || !this.#preempts) {
+            return this.#total < this.ordinary;
         }
-        const used = this.#preempts ?
-            this.urgent + this.normal + Math.min(this.background, this.backgroundMinimum) :
-            total;
-        return used < this.ordinary;
+        return this.#firm + this.#reserved < this.ordinary;
+    }
+
+    /** @returns Whether one more request fits that goes beyond the share of this host. */
+    fitsBurst(demand: Demand): boolean {
+        return !demand.yields && !demand.long && this.#preempts &&
+            this.#firm + this.#reserved < this.ordinary * (1 + this.#settings.burstRatio);
     }
 
-    /** @returns Whether background work is below its minimum and fits within it. */
-    owesBackground(): boolean {
-        return this.background < this.backgroundMinimum;
+    /** @returns Whether work that others would starve is below its minimum. */
+    owes(demand: Demand): boolean {
+        if (demand.workClass === "background") {
+            return this.#background < this.backgroundMinimum;
+        }
+        return demand.workClass === "normal" && demand.yields &&
+            this.#yielding - this.#yieldingBackground < this.longMinimum;
     }
 
     /** @returns Whether one more long request stays below the cap. */
     fitsLong(): boolean {
-        return this.long < this.longMaximum;
+        return this.#long < this.longMaximum;
     }
 
     /** @returns Slots that serve a lane when all lanes are busy. */
-    slotsFor(workClass: WorkClass, long: boolean): number {
-        const shares: Record<WorkClass, number> = {
-            urgent: this.allowed,
-            normal: Math.max(1, this.ordinary - (this.background > 0 ? this.backgroundMinimum : 0)),
-            background: Math.max(this.backgroundMinimum, this.ordinary - this.urgent - this.normal),
-        };
-        return long && workClass !== "urgent" ? Math.min(shares[workClass], this.longMaximum) : shares[workClass];
+    slotsFor({ workClass, long, yields }: Demand): number {
+        if (workClass === "urgent") {
+            return this.allowed;
+        }
+        const others = yields || !this.#preempts ? this.#total - this.#inFlight(workClass, long) : this.#reserved;
+        const least = workClass === "background" ? this.backgroundMinimum : yields ? this.longMinimum : 1;
+        const slots = Math.max(least, this.ordinary - others);
+        return long ? Math.min(slots, this.longMaximum) : slots;
+    }
+
+    /** Work that does not give way. */
+    get #firm(): number {
+        return this.#total - this.#yielding;
+    }
+
+    /** Slots that work which gives way holds against other work. */
+    get #reserved(): number {
+        const long = this.#yielding - this.#yieldingBackground;
+        return Math.min(this.#yieldingBackground, this.backgroundMinimum) + Math.min(long, this.longMinimum);
+    }
+
+    #inFlight(workClass: WorkClass, long: boolean): number {
+        return workClass === "background" ? this.#background : long ? this.#long : this.#total - this.#urgent;
     }
 }
--- a/src/features/upstream/upstreamBoard.ts
+++ b/src/features/upstream/upstreamBoard.ts
@@ -18,6 +18,8 @@
     concurrencyLimit: number;
     /** Whether no new work may be sent because the upstream is leaving. */
     leaving: boolean;
+    /** Whether this host saw a sign itself. Only this is told to peers, so that their reports do not echo. */
+    leavingSeenHere: boolean;
     /** Time without a first token after which a hedge is worth while; `undefined` while nothing is known. */
     hedgeAfterMs: number | undefined;
     /** Whether a slow upstream is due for a request that tests its recovery. */
@@ -48,6 +50,7 @@
         slownessFactor: 1,
         concurrencyLimit: slots,
         leaving: false,
+        leavingSeenHere: false,
         hedgeAfterMs: undefined,
         probeDue: false,
         usable: true,
--- a/src/features/upstream/upstreamController.ts
+++ b/src/features/upstream/upstreamController.ts
@@ -133,7 +133,8 @@
         status.usable = ejection !== "ejected";
         // After an ejection a single request at a time tests the upstream.
         status.concurrencyLimit = ejection === "probing" ? 1 : tracker.limit.value;
-        status.leaving = tracker.seesLeaving(nowMs) || this.#peersSeeLeaving(name, entry, nowMs);
+        status.leavingSeenHere = tracker.seesLeaving(nowMs);
+        status.leaving = status.leavingSeenHere || this.#peersSeeLeaving(name, entry, nowMs);
         // After a good sample the next one follows at once, so that a recovered upstream returns quickly.
         const probeIntervalMs = entry.goodSamples > 0 ? 0 : this.#settings.probeIntervalMs;
         status.probeDue = status.slownessFactor > 1 && nowMs - entry.lastProbeMs >= probeIntervalMs;
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -3,6 +3,7 @@
 import type { RanState } from "../base/resultCodes.js";
 import type { WorkItem } from "../features/admission/admissionTypes.js";
 import { grantBudgetName } from "../features/budget/budgetTypes.js";
+import type { WorkClass } from "../features/config/configTypes.js";
 import { claimId, MaxStoredAnswerBytes, type StoredAnswer } from "../features/idempotency/idempotencyTypes.js";
 import type { RoutePlan } from "../routing/routePlan.js";
 import { Attempt, type AttemptListener } from "./attempt.js";
@@ -29,6 +30,8 @@
     /** What is known about whether the request ran, over all attempts. */
     #ran: RanState = "no";
     #group: AttemptGroup | undefined;
+    /** Class of the next dispatch towards the engine, when the admission differs from the request's own class. */
+    #engineClass: WorkClass | undefined;
     #waitsForAdmission = false;
     #storedPieces: Buffer[] | undefined = [];
     #storedBytes = 0;
@@ -186,6 +189,7 @@
         if (outcome.status === "refused") {
             throw refusal(outcome.code, outcome.retryAfterMs);
         }
+        this.#engineClass = outcome.enginePriority;
         return outcome.upstream;
     }
 
@@ -321,7 +325,7 @@
         const { kernel, client, settings } = this.#parts;
         const { requestId, answerKind, method, path } = this.#request;
         const plan = this.#plan;
-        const urgent = this.#grantReserved || plan.workClass === "urgent";
+        const workClass = this.#grantReserved ? "urgent" : plan.workClass;
         return new Attempt(kernel, client, {
             requestId,
             upstream,
@@ -331,7 +335,7 @@
                 url: kernel.board.config.resources.upstreams.get(upstream)?.url ?? "",
                 method,
                 path,
-                headers: upstreamHeaders(this.#request, urgent ? "urgent" : plan.workClass, this.#fencingNumber),
+                headers: upstreamHeaders(this.#request, this.#engineClass ?? workClass, this.#fencingNumber),
                 body: this.#request.buildBody(plan),
                 firstByteTimeoutMs: answerKind === "chatStream" ?
                     settings.firstByteTimeoutMs :
@@ -342,7 +346,11 @@
 
     async admitHedge(excluded: readonly string[]): Promise<string | undefined> {
         const outcome = await this.#parts.port.readmit(this.#workItem(excluded), "hedge");
-        return outcome.status === "dispatch" ? outcome.upstream : undefined;
+        if (outcome.status === "refused") {
+            return undefined;
+        }
+        this.#engineClass = outcome.enginePriority;
+        return outcome.upstream;
     }
 
     onWinner(attempt: Attempt): void {
