--- a/src/bench/benchDeployment.ts
+++ b/src/bench/benchDeployment.ts
@@ -35,6 +35,8 @@
     role: PhaseRoleSchema,
     /** Duration of a quick run; longer runs scale it. */
     durationMs: z.number().int().positive(),
+    /** Whether the duration is not scaled. */
+    fixed: z.boolean().default(false),
     rampMs: z.number().int().nonnegative().default(0),
     rates: z.record(z.string(), z.number().nonnegative()),
 });
@@ -47,6 +49,8 @@
     /** One-way delay between a host and the platform. */
     platformDelayMs: z.number().nonnegative().default(1),
     upstreams: z.array(UpstreamGroupSchema).min(1),
+    /** Feature settings of the routers. */
+    features: z.record(z.string(), z.unknown()).default({}),
     /** Group whose slots make up the capacity, and number of its members that are slowed. */
     capacityGroup: z.string(),
     slowedCount: z.number().int().positive().default(2),
--- a/src/bench/benchFigures.ts
+++ b/src/bench/benchFigures.ts
@@ -36,6 +36,7 @@
     readonly codes: Readonly<Record<string, number>>;
     readonly p99Ms: Readonly<Record<string, number>>;
     readonly longCompleted: number;
+    readonly counters: Readonly<Record<string, number>>;
 }
 
 const BudgetCodes: ReadonlySet<string> = new Set(["BudgetExhausted", "BudgetUnavailable", "NoBudget"]);
@@ -99,6 +100,7 @@
             capacityFalseRefusals: this.#capacityFalseRefusals(),
             codes,
             p99Ms: numbersOf(Object.keys(p99Ms), name => p99Ms[name as keyof typeof p99Ms]),
+            counters: this.#run.counters,
             longCompleted:
                 this.#records("shortWithLong", classes).filter(record =>
                     record.outcome === "complete" && record.outputTokens >= LongTokens
--- a/src/bench/benchRun.ts
+++ b/src/bench/benchRun.ts
@@ -49,12 +49,16 @@
     readonly samples: readonly LoadSample[];
     /** Executions by upstream name. */
     readonly executions: ReadonlyMap<string, readonly Execution[]>;
+    /** Counters of all routers, added up. */
+    readonly counters: Readonly<Record<string, number>>;
 }
 
 /** Addresses of a started deployment. */
 interface Started {
     readonly upstreamUrls: ReadonlyMap<string, string>;
     readonly routerUrls: readonly string[];
+    /** URLs of the operator listeners. */
+    readonly operatorUrls: readonly string[];
 }
 
 /** @returns The API key of a team. */
@@ -105,14 +109,15 @@
             operator: { port: operator },
             peer: { listenPort: peer },
             platform: { url: platformUrl },
-            features: { admission: options.admission },
+            features: { ...deployment.features, admission: options.admission },
         });
         return `http://127.0.0.1:${caller}`;
     });
     await Promise.all([...upstreamUrls.values()].map(url => waitForReady(`${url}/load`, StartTimeoutMs)));
     await Promise.all(routerUrls.map(url => waitForReady(`${url}/readyz`, StartTimeoutMs)));
     await new Promise(resolve => setTimeout(resolve, GossipMs));
-    return { upstreamUrls, routerUrls };
+    const operatorUrls = routerUrls.map((_, index) => `http://127.0.0.1:${routerPorts[3 * index + 1]}`);
+    return { upstreamUrls, routerUrls, operatorUrls };
 }
 
 async function waitForStore(url: string): Promise<void> {
@@ -164,7 +169,7 @@
     deployment: BenchDeployment,
     options: RunOptions,
     group: ProcessGroup,
-    { upstreamUrls, routerUrls }: Started,
+    { upstreamUrls, routerUrls, operatorUrls }: Started,
 ): Promise<RunObservations> {
     const phases = layOut(deployment, options.timeScale);
     const scenario = scenarioOf(deployment, phases, routerUrls);
@@ -191,14 +196,15 @@
     }
     options.onProgress(`${options.label}: done in ${((performance.now() - startedAtMs) / 1_000).toFixed(0)} s`);
     const load = LoadRecordsSchema.parse(JSON.parse(readFileSync(recordsPath, "utf8")));
-    return { phases, load, samples: sampler.samples, executions: await readExecutions(upstreamUrls) };
+    const executions = await readExecutions(upstreamUrls);
+    return { phases, load, samples: sampler.samples, executions, counters: await readCounters(operatorUrls) };
 }
 
 function layOut(deployment: BenchDeployment, timeScale: number): RanPhase[] {
     const phases: RanPhase[] = [];
     let startMs = 0;
-    for (const [index, { role, durationMs, rampMs }] of deployment.phases.entries()) {
-        const scaledMs = Math.round(durationMs * timeScale);
+    for (const [index, { role, durationMs, rampMs, fixed }] of deployment.phases.entries()) {
+        const scaledMs = fixed ? durationMs : Math.round(durationMs * timeScale);
         phases.push({ name: `${index}-${role}`, role, startMs, endMs: startMs + scaledMs, rampMs });
         startMs += scaledMs;
     }
@@ -249,3 +255,19 @@
     }));
     return new Map(entries);
 }
+
+/** Counters that explain the figures. */
+const CounterPrefixes = ["admission.", "gateway.", "upstream.", "budget."];
+
+async function readCounters(urls: readonly string[]): Promise<Record<string, number>> {
+    const sums: Record<string, number> = {};
+    for (const url of urls) {
+        const counters = z.record(z.string(), z.number()).parse(await (await fetch(`${url}/metrics`)).json());
+        for (const [name, value] of Object.entries(counters)) {
+            if (CounterPrefixes.some(prefix => name.startsWith(prefix))) {
+                sums[name] = (sums[name] ?? 0) + value;
+            }
+        }
+    }
+    return sums;
+}
