Measure the router's cost with all its controllers

Cause: the figures so far were taken with controllers that grant everything. Change: bench:router runs the platform stand-in and the router as createRouter builds it.

--- a/src/bench/routerCost.ts
+++ b/src/bench/routerCost.ts
@@ -1,10 +1,17 @@
 /**
- * Measures what the router adds, against the same client that calls the upstream directly, in one run. Router and
- * upstreams are processes of their own. `npm run bench:router`; the result is one line of JSON.
+ * Measures what the router adds, against the same client that calls the upstream directly, in one run. Platform, router
+ * and upstreams are processes of their own; the router runs all its controllers. `npm run bench:router`; the result is one line of JSON.
  */
 import { type ChildProcess, fork } from "node:child_process";
+import { setTimeout as delay } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
-import { GatewayHarness, HarnessKey } from "../standins/router/gatewayHarness.js";
+import { sha256Hex } from "../base/hashing.js";
+import { SelectAll } from "../base/labels.js";
+import { configureLog } from "../base/log.js";
+import { createRouter } from "../router/createRouter.js";
+import { RouterSettingsSchema } from "../router/routerSettings.js";
+import { PlatformServer } from "../standins/platform/platformServer.js";
+import { seedStore } from "../standins/router/routerFixture.js";
 import { BenchClient } from "./benchClient.js";
 import { startBenchUpstream } from "./benchUpstream.js";
 
@@ -17,24 +24,62 @@
 const StreamCount = 600;
 const StreamShape = { chunkCount: 150, chunkIntervalMs: 24 };
 
+const BenchKey = "bench-key";
+/** More than the streams of a run, so that nothing waits. */
+const SlotsPerUpstream = 1_000;
+const PaidTokens = 1_000_000_000_000;
+const ReadyCheckMs = 20;
+
 interface CpuReport {
     readonly cpuMs: number;
 }
 
-/** Child process: an upstream or the router; sends its URL, and its CPU time on request. */
-async function runChild(role: string, upstreamUrls: readonly string[]): Promise<void> {
+/** Child process: an upstream, the platform or the router; sends its URL, and its CPU time on request. */
+async function runChild(role: string, urls: readonly string[]): Promise<void> {
     process.on("message", () => {
         const { user, system } = process.cpuUsage();
         process.send?.({ cpuMs: (user + system) / 1_000 } satisfies CpuReport);
     });
     if (role === "upstream") {
         process.send?.({ url: await startBenchUpstream(StreamShape) });
-        return;
     }
-    const gateway = new GatewayHarness();
-    gateway.controller.recordEvents = false;
-    await gateway.start(Object.fromEntries(upstreamUrls.map((url, index) => [`upstream${index}`, url])));
-    process.send?.({ url: gateway.url });
+    else if (role === "platform") {
+        process.send?.({ url: await startPlatform(urls) });
+    }
+    else {
+        process.send?.({ url: await startRouter(urls[0]!) });
+    }
+}
+
+async function startPlatform(upstreamUrls: readonly string[]): Promise<string> {
+    const platform = new PlatformServer();
+    const upstreams = upstreamUrls.map((url, index) => [
+        `upstream-${index}`,
+        { url, models: ["assistant"], slots: SlotsPerUpstream, promptTokensPerByte: 1 },
+    ]);
+    seedStore(platform.objects, {
+        Team: { bench: { keyHashes: [sha256Hex(BenchKey)] } },
+        Budget: { bench: { teams: SelectAll } },
+        Rule: { all: { upstreams: SelectAll } },
+        Upstream: Object.fromEntries(upstreams),
+    }, { bench: PaidTokens });
+    return platform.start(0);
+}
+
+/** The router as it is deployed, with all its controllers. */
+async function startRouter(platformUrl: string): Promise<string> {
+    configureLog("warn", "text");
+    const router = createRouter(RouterSettingsSchema.parse({
+        hostId: "bench",
+        caller: { port: 0 },
+        operator: { port: 0 },
+        platform: { url: platformUrl },
+    }));
+    await router.start();
+    while (!router.readReadiness().ready) {
+        await delay(ReadyCheckMs);
+    }
+    return `http://${router.addresses.caller}`;
 }
 
 async function startChild(
@@ -95,9 +140,10 @@
 
 async function main(): Promise<void> {
     const upstreams = await Promise.all(Array.from({ length: UpstreamCount }, () => startChild("upstream")));
-    const router = await startChild("router", upstreams.map(upstream => upstream.url));
-    const direct = new BenchClient(upstreams[0]!.url, HarnessKey);
-    const routed = new BenchClient(router.url, HarnessKey);
+    const platform = await startChild("platform", upstreams.map(upstream => upstream.url));
+    const router = await startChild("router", [platform.url]);
+    const direct = new BenchClient(upstreams[0]!.url, BenchKey);
+    const routed = new BenchClient(router.url, BenchKey);
     const latency = await measureLatency(direct, routed);
     const cpuBeforeRateMs = await cpuMsOf(router.child);
     const shortPerS = await routed.shortRate(RateLanes, RateDurationMs);
@@ -116,7 +162,7 @@
     };
     process.stdout.write(`${JSON.stringify(result)}\n`);
     await Promise.all([direct.close(), routed.close()]);
-    for (const { child } of [router, ...upstreams]) {
+    for (const { child } of [router, platform, ...upstreams]) {
         child.kill();
     }
 }
