--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -16,6 +16,9 @@
 /** Bytes of a refusal's body that are kept for the error message. */
 const MaxRefusalBytes = 512;
 
+/** Wait before a refused request is worth another try, when the upstream names none. */
+const RetryRefusedMs = 1_000;
+
 /** What an attempt sends and to whom. */
 export interface AttemptRequest {
     readonly requestId: string;
@@ -189,10 +192,15 @@
             code: "UpstreamRefused",
             notRun: true,
             detail: `status ${this.head?.statusCode ?? 0} ${this.#refusalText}`.trim().slice(0, MaxRefusalBytes),
-            retryAfterMs: Number.isFinite(seconds) && seconds >= 0 ? seconds * 1_000 : undefined,
+            retryAfterMs: Number.isFinite(seconds) && seconds >= 0 ? seconds * 1_000 : this.#defaultRetryMs(refusal),
         });
     }
 
+    /** A refusal for lack of room passes; one of the request itself does not. */
+    #defaultRetryMs(refusal: "refused" | "leaving"): number | undefined {
+        return refusal === "leaving" || this.head?.statusCode === 429 ? RetryRefusedMs : undefined;
+    }
+
     #fail(result: DispatchResult, code: ResultCodeName, detail?: string): void {
         if (this.#ended) {
             return;
--- a/src/gateway/callerListener.ts
+++ b/src/gateway/callerListener.ts
@@ -6,6 +6,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import type { Result } from "true-myth";
 import { errorBody, type ResultCodeName, ResultCodes } from "../base/resultCodes.js";
+import { listModels } from "../routing/planRoute.js";
 import { authenticateTeam } from "./authentication.js";
 import { discardRest, readBody } from "./bodyReader.js";
 import { CallerAnswer, writeFailure } from "./callerAnswer.js";
@@ -160,7 +161,8 @@
     }
 
     #listModels({ team, requestId }: RequestOrigin, outgoing: ServerResponse): void {
-        writeJson(outgoing, requestId, { object: "list", data: this.#modelsOf(team) });
+        const models = listModels(this.#parts.kernel.board.config.resources, team);
+        writeJson(outgoing, requestId, { object: "list", data: models.map(id => ({ id, object: "model" })) });
     }
 
     async #issueTicket({ incoming, requestId }: RequestOrigin, outgoing: ServerResponse): Promise<void> {
@@ -173,25 +175,6 @@
         }
     }
 
-    #modelsOf(team: string): unknown[] {
-        const { resources } = this.#parts.kernel.board.config;
-        const names = new Set([...resources.upstreams.values()].flatMap(upstream => upstream.models));
-        const isOffered = (model: string): boolean =>
-            this.#parts.planRoute(resources, {
-                team,
-                model,
-                service: undefined,
-                method: "POST",
-                requestKind: undefined,
-                grant: undefined,
-                promptBytes: 0,
-                messageCount: 1,
-                maxOutputTokens: undefined,
-                promptPrefix: undefined,
-            }).isOk;
-        return [...names].filter(isOffered).sort().map(id => ({ id, object: "model" }));
-    }
-
     #createRequestId(): string {
         return this.#parts.random.hex(RequestIdDigits);
     }
--- a/src/gateway/gatewaySettings.ts
+++ b/src/gateway/gatewaySettings.ts
@@ -10,10 +10,14 @@
     connectTimeoutMs: z.number().int().positive().default(1_000),
     /** Longest wait for the first byte of a streamed answer. */
     firstByteTimeoutMs: z.number().int().positive().default(15_000),
-    /** Longest wait for an answer that is not streamed: its first byte arrives when it is complete. */
-    answerTimeoutMs: z.number().int().positive().default(120_000),
+    /** Longest wait for an answer that is not streamed, whose first byte arrives when it is complete. */
+    answerTimeoutMs: z.number().int().positive().default(30_000),
+    /** Added to `answerTimeoutMs` for each output token that the request allows. */
+    answerTimeoutPerTokenMs: z.number().int().nonnegative().default(250),
     /** Longest pause between two pieces of an answer. */
     progressTimeoutMs: z.number().int().positive().default(10_000),
+    /** Multiplies the timeouts of background work, which engines pause while more urgent work needs its slot. */
+    backgroundTimeoutFactor: z.number().min(1).default(6),
     /** Longest time for which a caller may leave its answer unread; its connection is destroyed then. */
     callerStallMs: z.number().int().positive().default(30_000),
     keepAliveMs: z.number().int().positive().default(4_000),
--- a/src/gateway/loadPoller.ts
+++ b/src/gateway/loadPoller.ts
@@ -70,6 +70,7 @@
             headers: { accept: "application/json" },
             body: undefined,
             firstByteTimeoutMs: ReportTimeoutMs,
+            progressTimeoutMs: ReportTimeoutMs,
         }, {
             onHead: status => {
                 statusCode = status;
--- a/src/gateway/relay.spec.ts
+++ b/src/gateway/relay.spec.ts
@@ -14,7 +14,12 @@
         first = new UpstreamServer({ port: 0, tokenIntervalMs: 5 });
         second = new UpstreamServer({ port: 0, tokenIntervalMs: 5 });
         sales = new UpstreamServer({ port: 0, type: "service" });
-        gateway = new GatewayHarness({ progressTimeoutMs: 300, firstByteTimeoutMs: 300, answerTimeoutMs: 500 });
+        gateway = new GatewayHarness({
+            progressTimeoutMs: 300,
+            firstByteTimeoutMs: 300,
+            answerTimeoutMs: 500,
+            answerTimeoutPerTokenMs: 0,
+        });
         await gateway.start({
             first: await first.start(),
             second: await second.start(),
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -9,6 +9,7 @@
 import { AttemptGroup, type GroupEnd, type GroupOwner } from "./attemptGroup.js";
 import { type BillFacts, grantBill, requestBill } from "./billing.js";
 import type { CallerAnswer, Failure } from "./callerAnswer.js";
+import { dispatchTimeouts } from "./dispatchTimeouts.js";
 import type { CallerRequest, GatewayParts } from "./gatewayParts.js";
 import { hedgeDelayMs } from "./hedgeDelay.js";
 import { answerHeaders, upstreamHeaders } from "./relayHeaders.js";
@@ -230,6 +231,8 @@
         const { attempt } = end;
         if (end.status === "whole" && attempt !== undefined) {
             this.#answer.end();
+            // The connection's end is read even if the caller has not taken the answer yet.
+            this.#resumeAttempt();
             this.#conclude("complete", attempt);
             this.#parts.kernel.counters.add("gateway.complete");
             return;
@@ -333,9 +336,7 @@
                 path,
                 headers: upstreamHeaders(this.#request, urgent ? "urgent" : plan.workClass, this.#fencingNumber),
                 body: this.#request.buildBody(plan),
-                firstByteTimeoutMs: answerKind === "chatStream" ?
-                    settings.firstByteTimeoutMs :
-                    settings.answerTimeoutMs,
+                ...dispatchTimeouts(settings, answerKind, plan),
             },
         }, listener);
     }
--- a/src/gateway/undiciUpstreamClient.ts
+++ b/src/gateway/undiciUpstreamClient.ts
@@ -245,7 +245,7 @@
             this.#poolOf(url.origin),
             listener,
             request.firstByteTimeoutMs,
-            this.#timeouts.progressTimeoutMs,
+            request.progressTimeoutMs,
             finished => this.#calls.delete(finished),
         );
         this.#calls.add(call);
--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -12,6 +12,8 @@
     readonly body: Buffer | undefined;
     /** Longest wait for the first byte of the answer body. */
     readonly firstByteTimeoutMs: number;
+    /** Longest pause between two pieces of the answer body. */
+    readonly progressTimeoutMs: number;
 }
 
 /** End of a call, as far as the connection is concerned. */
@@ -57,8 +59,6 @@
 /** Timeouts of calls, in milliseconds. */
 export interface UpstreamTimeouts {
     readonly connectTimeoutMs: number;
-    /** Longest pause between two pieces of an answer body. */
-    readonly progressTimeoutMs: number;
     /** Idle connections are closed after this time. */
     readonly keepAliveMs: number;
 }
--- a/src/router/router.spec.ts
+++ b/src/router/router.spec.ts
@@ -154,6 +154,23 @@
             expect(records).toMatchObject({ objects: [{ value: { state: "closed" } }] });
         });
     });
+
+    describe("when the demo is run", () => {
+        it("prints a caller URL that answers, and ends on Ctrl-C (guards against a demo that does not start)", async () => {
+            const child = spawn(process.execPath, ["--import", "tsx", "src/programs/toucanDemo.ts"], {
+                stdio: ["ignore", "pipe", "inherit"],
+            });
+            let output = "";
+            child.stdout.on("data", (chunk: Buffer) => {
+                output += chunk.toString();
+            });
+            await vi.waitFor(() => expect(output).toContain("Ctrl-C stops"), { timeout: WaitMs });
+            expect((await chat(/caller URL +(\S+)/.exec(output)![1]!)).status).toBe(200);
+            const ended = new Promise<number | null>(resolve => child.once("exit", resolve));
+            child.kill("SIGINT");
+            expect(await ended).toBe(0);
+        });
+    });
 });
 
 async function firstLine(child: ChildProcess): Promise<{ caller: string; }> {
