--- /dev/null
+++ b/src/gateway/answerReader.spec.ts
@@ -0,0 +1,91 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { type AnswerReader, ChatJsonReader, ChatStreamReader } from "./answerReader.js";
+
+const chunk = (fields: Record<string, unknown>): string => `data: ${JSON.stringify({ id: "c1", ...fields })}`;
+const content = (text: string): string =>
+    chunk({ choices: [{ index: 0, delta: { content: text }, finish_reason: null }] });
+const finish = chunk({ choices: [{ index: 0, delta: {}, finish_reason: "stop" }] });
+const usage = chunk({ choices: [], usage: { prompt_tokens: 7, completion_tokens: 9 } });
+
+/** Feeds the text in pieces of the given sizes. */
+function read(reader: AnswerReader, text: string, sizes: readonly number[]): { forwarded: string; verdict: string; } {
+    const data = Buffer.from(text);
+    const pieces: Buffer[] = [];
+    let verdict = "open";
+    for (let offset = 0, turn = 0; offset < data.length && verdict === "open"; turn++) {
+        const size = sizes[turn % sizes.length]!;
+        const step = reader.push(data.subarray(offset, offset + size));
+        pieces.push(step.forward ?? Buffer.alloc(0));
+        verdict = step.verdict;
+        offset += size;
+    }
+    return { forwarded: Buffer.concat(pieces).toString(), verdict };
+}
+
+const sizesArbitrary = fc.array(fc.integer({ min: 1, max: 90 }), { minLength: 1, maxLength: 8 });
+const textsArbitrary = fc.array(fc.string({ unit: "grapheme", minLength: 1, maxLength: 12 }), { maxLength: 12 });
+
+describe("ChatStreamReader", () => {
+    describe("when a whole stream arrives in any pieces", () => {
+        it("passes on every byte and counts the content (guards against lost chunks and wrong bills)", () => {
+            fc.assert(
+                fc.property(textsArbitrary, sizesArbitrary, fc.constantFrom("\n", "\r\n"), (texts, sizes, newline) => {
+                    const events = [...texts.map(content), ": comment", finish, usage, "data: [DONE]"];
+                    const text = events.map(event => `${event}${newline}${newline}`).join("");
+                    const reader = new ChatStreamReader();
+                    expect(read(reader, text, sizes)).toEqual({ forwarded: text, verdict: "whole" });
+                    expect(reader.contentChunks).toBe(texts.length);
+                    expect(reader.usage).toEqual({ promptTokens: 7, outputTokens: 9 });
+                }),
+                { seed: 1, numRuns: 300 },
+            );
+        });
+    });
+
+    describe("when a stream is cut anywhere", () => {
+        it("is never whole and passes on complete events only (guards against cuts that look whole)", () => {
+            fc.assert(
+                fc.property(textsArbitrary, sizesArbitrary, fc.nat(), (texts, sizes, cut) => {
+                    const text = [...texts.map(content), finish, "data: [DONE]"].map(event => `${event}\n\n`).join("");
+                    const data = Buffer.from(text);
+                    const part = data.subarray(0, cut % data.length).toString("latin1");
+                    const reader = new ChatStreamReader();
+                    const { forwarded, verdict } = read(reader, Buffer.from(part, "latin1").toString(), sizes);
+                    expect(verdict).toBe("open");
+                    expect(forwarded === "" || forwarded.endsWith("\n\n")).toBe(true);
+                    expect(reader.finish().verdict).toBe("invalid");
+                }),
+                { seed: 1, numRuns: 300 },
+            );
+        });
+    });
+
+    it.each([
+        ["no finish reason", `${content("a")}\n\ndata: [DONE]\n\n`, "invalid", `${content("a")}\n\n`],
+        ["an error", `${content("a")}\n\n${chunk({ error: { message: "x" } })}\n\n`, "invalid", `${content("a")}\n\n`],
+        ["broken JSON", `${content("a")}\n\ndata: {"id"\n\n`, "invalid", `${content("a")}\n\n`],
+        [
+            "a chunk with another id",
+            `${content("a")}\n\n${content("b").replace("c1", "c2")}\n\n`,
+            "mismatch",
+            `${content("a")}\n\n`,
+        ],
+    ])(
+        "refuses %s and passes on what came before (guards against invalid answers)",
+        (_name, text, verdict, forwarded) => {
+            expect(read(new ChatStreamReader(), text, [1_000])).toEqual({ forwarded, verdict });
+        },
+    );
+});
+
+describe("ChatJsonReader", () => {
+    it("passes on complete answers only (guards against half an answer)", () => {
+        const text = JSON.stringify({ choices: [], usage: { prompt_tokens: 1, completion_tokens: 2 } });
+        for (let length = 0; length <= text.length; length++) {
+            const reader = new ChatJsonReader();
+            reader.push(Buffer.from(text.slice(0, length)));
+            expect(reader.finish().verdict).toBe(length === text.length ? "whole" : "invalid");
+        }
+    });
+});
