Make the gateway fuzzer see crossed answers and doubled sales

Cause: two deliberate breaks passed 150 sequences: a retry of work that may not be repeated (there was one sales upstream only) and a missing id check (the content of a crossed answer was not looked at). A fault of the router in a request outside of the request flow was answered by hono without a code. Change: a second sales upstream, a check of the answer's id, InternalError for faults in any handler.

--- a/src/gateway/callerListener.ts
+++ b/src/gateway/callerListener.ts
@@ -5,6 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import type { Result } from "true-myth";
+import { log } from "../base/log.js";
 import { errorBody, type ResultCodeName, ResultCodes } from "../base/resultCodes.js";
 import { listModels } from "../routing/planRoute.js";
 import { authenticateTeam } from "./authentication.js";
@@ -111,6 +112,10 @@
         try {
             await this.#serveEntered(env.incoming, env.outgoing, handle);
         }
+        catch (error) {
+            log.error("a request failed unexpectedly", { reason: String(error) });
+            failUnexpectedly(env.outgoing);
+        }
         finally {
             // A shutdown waits until the caller has taken the answer, not only until it was written.
             whenClosed(env.outgoing, () => kernel.post({ type: "requestLeft" }));
@@ -200,6 +205,16 @@
     }
 }
 
+/** A program fault: whether the request ran is unknown. */
+function failUnexpectedly(outgoing: ServerResponse): void {
+    if (outgoing.headersSent) {
+        outgoing.destroy();
+    }
+    else {
+        writeFailure(outgoing, "", { code: "InternalError" });
+    }
+}
+
 function whenClosed(outgoing: ServerResponse, callback: () => void): void {
     if (outgoing.closed || outgoing.destroyed) {
         callback();
--- a/src/gateway/gateway.spec.ts
+++ b/src/gateway/gateway.spec.ts
@@ -241,4 +241,23 @@
             expect((await sell({ "idempotency-key": "k1" })).status).toBe(200);
         });
     });
+
+    describe("when the router itself fails", () => {
+        it("answers with a numbered code and lives on (guards against a crash by one request)", async () => {
+            const { config } = gateway.kernel.board;
+            const { resources } = config;
+            config.resources = { ...resources, upstreams: undefined as never };
+            const response = await chat();
+            expect(response.status).toBe(500);
+            expect(await response.json()).toMatchObject({ error: { name: "InternalError", ran: "no" } });
+            expect(
+                (await fetch(`${gateway.url}/v1/models`, { headers: { authorization: `Bearer ${HarnessKey}` } }))
+                    .status,
+            )
+                .toBe(500);
+            config.resources = resources;
+            expect((await chat()).status).toBe(200);
+            await vi.waitFor(() => expect(gateway.kernel.board.lifecycle.requestsInFlight).toBe(0));
+        });
+    });
 });
--- a/src/gateway/gatewayFuzz.spec.ts
+++ b/src/gateway/gatewayFuzz.spec.ts
@@ -43,7 +43,7 @@
     },
     {
         weight: 3,
-        arbitrary: fc.record({ type: fc.constant("fault" as const), upstream: fc.nat(2), fault: faultArbitrary }),
+        arbitrary: fc.record({ type: fc.constant("fault" as const), upstream: fc.nat(3), fault: faultArbitrary }),
     },
 );
 type Command = typeof commandArbitrary extends fc.Arbitrary<infer T> ? T : never;
@@ -67,12 +67,22 @@
         new UpstreamServer({ port: 0, tokenIntervalMs: 2 }),
         new UpstreamServer({ port: 0, tokenIntervalMs: 2 }),
         new UpstreamServer({ port: 0, type: "service", serviceTimeMs: 2 }),
+        new UpstreamServer({ port: 0, type: "service", serviceTimeMs: 2 }),
     ];
     readonly seen: Seen[] = [];
 
     async start(): Promise<void> {
-        const [first, second, sales] = await Promise.all(this.upstreams.map(upstream => upstream.start()));
-        await this.gateway.start({ first: first!, second: second!, "sales-service": sales! });
+        const urls = await Promise.all(this.upstreams.map(upstream => upstream.start()));
+        await this.gateway.start({
+            first: urls[0]!,
+            second: urls[1]!,
+            "sales-service": urls[2]!,
+            "other-sales": urls[3]!,
+        });
+        const { resources } = this.gateway.kernel.board.config;
+        const other = { ...resources.upstreams.get("sales-service")!, url: urls[3]! };
+        const upstreams = new Map([...resources.upstreams, ["other-sales", other] as const]);
+        this.gateway.kernel.board.config.resources = { ...resources, upstreams };
         this.gateway.controller.hedgesAllowed = 3;
     }
 
@@ -143,6 +153,7 @@
         const tokens = text.match(/w\d+ /g)?.length ?? 0;
         if (whole && expectedTokens !== undefined) {
             expect(tokens).toBe(expectedTokens);
+            expect(text, "the answer belongs to the request").toContain(`"chatcmpl-${requestId}"`);
         }
         if (whole && !replayed) {
             expect(this.executionsOf(requestId).some(execution => execution.state === "complete")).toBe(true);
@@ -173,7 +184,8 @@
                 expect(bill?.outcome).toBe(status === "whole" ? "complete" : "cut");
             }
         }
-        const sales = this.upstreams[2]!.executions().map(execution => execution.idempotencyKey);
+        const sales = this.upstreams.slice(2).flatMap(upstream => [...upstream.executions()])
+            .map(execution => execution.idempotencyKey);
         expect(new Set(sales).size, "each sale runs once").toBe(sales.length);
     }
 }
