Never seal a host record that this release cannot read

Cause: in a review, a record with an unknown form was sealed as an empty one, which would free tokens that its host had spent while two releases run. Change: such a record is left alone and counted; records and budget objects keep fields that this release does not know. Before: the new spec fails.

--- a/src/features/budget/budgetTypes.ts
+++ b/src/features/budget/budgetTypes.ts
@@ -16,8 +16,8 @@
 /** A top-up, kept so that a repeated command is recognised. */
 export const TopUpSchema = z.object({ operationId: z.string(), tokens: TokensSchema, atMs: z.number() });
 
-/** Budget object in the store, under {@link budgetKey}. */
-export const BudgetObjectSchema = z.object({
+/** Budget object in the store, under {@link budgetKey}. Fields of a newer release are kept when it is rewritten. */
+export const BudgetObjectSchema = z.looseObject({
     paidTokens: TokensSchema.nonnegative(),
     /** Net consumption of closed and sealed incarnations. */
     closedTokens: TokensSchema,
--- a/src/features/journal/journalTypes.ts
+++ b/src/features/journal/journalTypes.ts
@@ -19,8 +19,8 @@
 });
 export type RecordEntry = z.infer<typeof RecordEntrySchema>;
 
-/** Host record in the store, under {@link hostRecordKey}. */
-export const HostRecordSchema = z.object({
+/** Host record in the store, under {@link hostRecordKey}. Fields of a newer release are kept when it is sealed. */
+export const HostRecordSchema = z.looseObject({
     hostId: z.string(),
     incarnation: z.string(),
     zone: z.string(),
--- /dev/null
+++ b/src/features/recovery/hostWatch.spec.ts
@@ -0,0 +1,69 @@
+import { beforeEach, describe, expect, it } from "vitest";
+import { type HostRecord, hostRecordKey, HostRecordSchema } from "../journal/journalTypes.js";
+import { HostWatch, sealedForm } from "./hostWatch.js";
+
+const times = { firstReadMs: 0, suspicionMs: 15_000, readIntervalMs: 1_000 };
+const live: HostRecord = { ...sealedForm(undefined, "h1~a"), state: "live", sequence: 3 };
+
+describe("HostWatch", () => {
+    let seals: { record: HostRecord; expectedVersion: number; }[];
+    let counts: string[];
+    let watch: HostWatch;
+    beforeEach(() => {
+        seals = [];
+        counts = [];
+        watch = new HostWatch("h1~a", {
+            get: () => undefined,
+            put: (record, expectedVersion) => seals.push({ record, expectedVersion }),
+            count: name => counts.push(name),
+        }, times);
+    });
+
+    function read(value: unknown, version: number, nowMs: number): void {
+        const object = { key: hostRecordKey("h1~a"), version, revision: version, value };
+        watch.readDone({ status: "found", object }, nowMs);
+    }
+
+    describe("when the record does not change for the suspicion time", () => {
+        it("seals the version that it read (guards against sealing a host that has written since)", () => {
+            read(live, 7, 0);
+            read(live, 7, 14_999);
+            expect(seals).toEqual([]);
+            read(live, 7, 15_000);
+            expect(seals).toEqual([{ record: { ...live, state: "sealed" }, expectedVersion: 7 }]);
+        });
+
+        it("keeps the fields of a newer release (guards against losing its numbers)", () => {
+            read({ ...live, newField: 5 }, 7, 0);
+            read({ ...live, newField: 5 }, 7, 15_000);
+            expect(seals[0]!.record).toMatchObject({ state: "sealed", newField: 5 });
+        });
+    });
+
+    describe("when the record changes", () => {
+        it("starts to wait again (guards against sealing a slow host)", () => {
+            read(live, 7, 0);
+            read(live, 8, 14_000);
+            read(live, 8, 20_000);
+            expect(seals).toEqual([]);
+        });
+    });
+
+    describe("when the record cannot be read by this release", () => {
+        it("does not seal it (guards against freeing tokens that its host has spent)", () => {
+            const unreadable = { ...live, entries: "compressed" };
+            expect(HostRecordSchema.safeParse(unreadable).success).toBe(false);
+            read(unreadable, 7, 0);
+            read(unreadable, 7, 30_000);
+            expect(seals).toEqual([]);
+            expect(counts).toEqual(["recovery.unreadableRecords", "recovery.unreadableRecords"]);
+        });
+    });
+
+    describe("when the record is closed or sealed", () => {
+        it("ends with it", () => {
+            read({ ...live, state: "closed" }, 7, 0);
+            expect(watch.ended).toMatchObject({ state: "closed" });
+        });
+    });
+});
--- a/src/features/recovery/hostWatch.ts
+++ b/src/features/recovery/hostWatch.ts
@@ -77,8 +77,13 @@
     }
 
     #observe(stored: StoredObject | undefined, nowMs: number): void {
-        const parsed = HostRecordSchema.safeParse(stored?.value);
-        const record = parsed.success ? parsed.data : undefined;
+        const parsed = stored === undefined ? undefined : HostRecordSchema.safeParse(stored.value);
+        if (parsed?.success === false) {
+            // Written by another release. Sealing it as an empty record would free tokens that its host has spent.
+            this.#calls.count("recovery.unreadableRecords");
+            return;
+        }
+        const record = parsed?.data;
         if (record?.state === "sealed" || record?.state === "closed") {
             this.#ended = record;
             return;
