Test racing top-ups and releases, and read current objects in release

The new stateful test lets operators top up and release one budget while a host draws and settles, with lost answers, late writes, outages and stale reads. It found that a stale read in release removed the bill line of another operator's release, or left a line without a charge. Release now reads the budget and its lines through a write that can only conflict, and the audit finds a release line without a charge.

--- a/src/control/budgets/audit.ts
+++ b/src/control/budgets/audit.ts
@@ -3,6 +3,7 @@
 import type { BillLine, RecordEntry } from "../../features/journal/journalTypes.js";
 import { type HostBooks, linesOf } from "./billReading.js";
 import type { StoredBudget } from "./budgetStore.js";
+import { isReleaseLine } from "./release.js";
 
 /** Sums of one budget. `paid = settled + inTransfer + held + atRisk + free`. */
 export interface BudgetSums {
@@ -140,6 +141,10 @@
         if (releasedTokens !== undefined && lateTokens !== releasedTokens) {
             this.#report(books.hostKey, "release", `released with ${releasedTokens} tokens and billed ${lateTokens}`);
         }
+        const isUncharged = releasedTokens === undefined && atRiskTokens === undefined;
+        if (isUncharged && [...books.late.values()].some(line => line.budget === name && isReleaseLine(line))) {
+            this.#report(books.hostKey, "release", "has a release line without a charge; repeat the release");
+        }
         // Until the at-risk amount is replaced, it stands for the late lines.
         const tokens = coveredTokens + (atRiskTokens === undefined && !isLive ? lateTokens : 0);
         this.#settledTokens += tokens;
--- a/src/control/budgets/release.ts
+++ b/src/control/budgets/release.ts
@@ -8,8 +8,8 @@
 import { AbsentVersion, type StoredObject } from "../../platform/platformStore.js";
 import { type CommandFailure, fail, storeUnavailable } from "../commandResult.js";
 import type { ControlContext } from "../controlContext.js";
-import { putUntilKnown } from "../storeAccess.js";
-import { parseBudget, readBudget, type StoredBudget } from "./budgetStore.js";
+import { putUntilKnown, readCurrent } from "../storeAccess.js";
+import { parseBudget, type StoredBudget } from "./budgetStore.js";
 
 /** Sequences of release lines start above those of any host, because readers drop lines with equal sequences. */
 const FirstReleaseSequence = 1_000_000_001;
@@ -31,6 +31,11 @@
     readonly freedTokens: number;
 }
 
+/** @returns Whether a bill line comes from an operator's release. */
+export function isReleaseLine(line: BillLine): boolean {
+    return line.sequence >= FirstReleaseSequence;
+}
+
 const LinesSchema = z.array(BillLineSchema);
 
 /** Replaces an at-risk amount by a bill line. The line is written first, so that no charge lacks its bill. */
@@ -38,7 +43,9 @@
     context: ControlContext,
     request: ReleaseRequest,
 ): Promise<Result<ReleaseResult, CommandFailure>> {
-    const budget = await readBudget(context, request.budget);
+    // A read from before the host was sealed shows no at-risk amount either, which must not count as settled.
+    const stored = await readCurrent(context, budgetKey(request.budget));
+    const budget = stored.andThen(object => parseBudget(request.budget, object));
     if (budget.isErr) {
         return Result.err(budget.error);
     }
@@ -135,11 +142,12 @@
     edit: (lines: readonly BillLine[]) => Result<readonly BillLine[], CommandFailure>,
 ): Promise<Result<Unit, CommandFailure>> {
     const key = billSegmentKey(request.hostKey, "release");
-    const read = await context.store.get(key);
-    if (read.status === "unavailable") {
-        return storeUnavailable(read.reason);
+    // A stale read may hide a line that must be removed.
+    const read = await readCurrent(context, key);
+    if (read.isErr) {
+        return Result.err(read.error);
     }
-    let stored = read.status === "found" ? read.object : undefined;
+    let stored = read.value;
     for (let attempt = 0; attempt < MaxAttempts; attempt++) {
         const lines = LinesSchema.catch([]).parse(stored?.value ?? []);
         const edited = edit(lines);
--- /dev/null
+++ b/test/fuzz/gatedOperators.ts
@@ -0,0 +1,137 @@
+/** Operators on one store, whose calls advance only when a test releases them. */
+import fc from "fast-check";
+import { setImmediate as flush } from "node:timers/promises";
+import { ManualClock } from "../../src/base/clock.js";
+import { SeededRandom } from "../../src/base/random.js";
+import type { ControlContext } from "../../src/control/controlContext.js";
+import { FakeOperatorClient } from "../../src/standins/control/controlFixture.js";
+import type { FaultInput } from "../../src/standins/platform/faults.js";
+import { LocalHostList, LocalPlatformStore } from "../../src/standins/platform/localStore.js";
+import { ObjectStore } from "../../src/standins/platform/objectStore.js";
+
+export const OperatorCount = 3;
+
+/** Operators with their own connections and faults. */
+export class GatedOperators {
+    readonly objects = new ObjectStore();
+    readonly contexts: ControlContext[] = [];
+    readonly #clock = new ManualClock();
+    readonly #stores: LocalPlatformStore[] = [];
+    readonly #waiting: (() => void)[] = [];
+    #running = 0;
+
+    constructor() {
+        for (let index = 0; index < OperatorCount; index++) {
+            const gate = (): Promise<void> => new Promise(resolve => this.#waiting.push(resolve));
+            const store = new LocalPlatformStore(this.objects, { clock: this.#clock, sleep: gate });
+            this.#stores.push(store);
+            this.contexts.push({
+                store,
+                hosts: new LocalHostList(),
+                operator: new FakeOperatorClient(),
+                clock: this.#clock,
+                random: new SeededRandom(index),
+                sleep: durationMs => {
+                    this.#clock.advance(durationMs);
+                    return gate();
+                },
+                author: `operator${index}`,
+                retryMs: 1_000,
+            });
+        }
+    }
+
+    /** Counts a command as running until it ends. */
+    async track<T>(command: Promise<T>): Promise<T> {
+        this.#running++;
+        const result = await command;
+        this.#running--;
+        return result;
+    }
+
+    setFaults(operator: number, faults: readonly FaultInput[]): void {
+        this.#stores[operator]!.faults.set(faults);
+    }
+
+    applyLate(operator: number): void {
+        this.#stores[operator]!.applyLateWrites();
+    }
+
+    /** Releases one of the waiting calls. */
+    async step(choice: number): Promise<void> {
+        this.#clock.advance(10);
+        if (this.#waiting.length > 0) {
+            this.#waiting.splice(choice % this.#waiting.length, 1)[0]!();
+        }
+        await flush();
+    }
+
+    /** Ends all faults and commands, and performs late writes. */
+    async finish(): Promise<void> {
+        this.#stores.forEach(store => store.faults.set([]));
+        for (let choice = 0; this.#running > 0; choice++) {
+            await this.step(choice);
+        }
+        this.#stores.forEach(store => store.applyLateWrites());
+    }
+}
+
+/** A step of a sequence, with a check after it. */
+export function command<T>(
+    name: string,
+    run: (real: T) => Promise<void> | void,
+    check: (real: T) => void,
+): fc.AsyncCommand<object, T> {
+    return {
+        check: () => true,
+        run: async (_model, real) => {
+            await run(real);
+            check(real);
+        },
+        toString: () => name,
+    };
+}
+
+export const operatorIndex = fc.nat(OperatorCount - 1);
+
+export const faults: fc.Arbitrary<FaultInput> = fc.oneof(
+    fc.record({ type: fc.constant("answerLost" as const), count: fc.integer({ min: 1, max: 3 }) }),
+    fc.record({
+        type: fc.constant("appliedLate" as const),
+        delayMs: fc.constant(1),
+        count: fc.integer({ min: 1, max: 8 }),
+    }),
+    fc.record({
+        type: fc.constant("outage" as const),
+        manner: fc.constantFrom("refuse" as const, "drop" as const),
+        count: fc.integer({ min: 1, max: 8 }),
+    }),
+    fc.record({ type: fc.constant("staleReads" as const), ageMs: fc.integer({ min: 1, max: 300 }) }),
+);
+
+/** Steps that every test of racing operators has: faults, late writes and released calls. */
+export function environmentCommands<T extends GatedOperators>(
+    check: (real: T) => void,
+): fc.Arbitrary<fc.AsyncCommand<object, T>>[] {
+    return [
+        fc.tuple(operatorIndex, faults).map(([operator, fault]) =>
+            command(`fault(${operator}, ${JSON.stringify(fault)})`, real => real.setFaults(operator, [fault]), check)
+        ),
+        operatorIndex.map(operator => command(`late(${operator})`, real => real.applyLate(operator), check)),
+        fc.array(fc.nat(20), { minLength: 1, maxLength: 25 }).map(choices =>
+            command(`steps(${choices.join(",")})`, async real => {
+                for (const choice of choices) {
+                    await real.step(choice);
+                }
+            }, check)
+        ),
+    ];
+}
+
+/** Number of sequences and seed; the variables set others for a long run. */
+export function fuzzParameters(defaultRuns: number): { readonly numRuns: number; readonly seed: number; } {
+    return {
+        numRuns: Number(process.env["FUZZ_RUNS"] ?? defaultRuns),
+        seed: Number(process.env["FUZZ_SEED"] ?? 20_260_101),
+    };
+}
--- /dev/null
+++ b/test/fuzz/topUpRace.spec.ts
@@ -0,0 +1,160 @@
+import fc from "fast-check";
+import type { Result } from "true-myth";
+import { describe, expect, it } from "vitest";
+import { ExitCodes } from "../../src/base/exitCodes.js";
+import { release, type ReleaseResult } from "../../src/control/budgets/release.js";
+import { topUp, type TopUpResult } from "../../src/control/budgets/topUp.js";
+import type { CommandFailure } from "../../src/control/commandResult.js";
+import { budgetKey, type BudgetObject } from "../../src/features/budget/budgetTypes.js";
+import { type BillLine, billSegmentKey } from "../../src/features/journal/journalTypes.js";
+import { command, environmentCommands, fuzzParameters, GatedOperators, operatorIndex } from "./gatedOperators.js";
+
+const Key = budgetKey("cork");
+const DeadHost = "dead~1";
+const AtRiskTokens = 30;
+const FirstTokens = 100;
+
+interface Purchase {
+    readonly operationId: string;
+    readonly tokens: number;
+    readonly results: Result<TopUpResult, CommandFailure>[];
+}
+
+/** Operators who top up and release one budget while a host draws on it. */
+class Cashiers extends GatedOperators {
+    readonly purchases: Purchase[] = [];
+    readonly releases: { readonly tokens: number; readonly result: Result<ReleaseResult, CommandFailure>; }[] = [];
+    grantedTokens = 0;
+
+    /** @param earlierCount Number of top-ups before the run, so that a few more are archived. */
+    constructor(earlierCount: number) {
+        super();
+        const atRiskTokens = { [DeadHost]: AtRiskTokens };
+        const topUps = Array.from({ length: earlierCount }, (_value, index) => ({
+            operationId: `early${index}`,
+            tokens: 1,
+            atMs: 0,
+        }));
+        this.purchases.push(...topUps.map(({ operationId, tokens }) => ({ operationId, tokens, results: [] })));
+        const paidTokens = FirstTokens + earlierCount;
+        this.objects.put(Key, { paidTokens, closedTokens: 0, atRiskTokens, shares: {}, topUps }, 0);
+    }
+
+    async buy(operator: number, purchase: Purchase): Promise<void> {
+        const request = { budget: "cork", tokens: purchase.tokens, operationId: purchase.operationId };
+        purchase.results.push(await this.track(topUp(this.contexts[operator]!, request)));
+    }
+
+    async release(operator: number, tokens: number): Promise<void> {
+        const request = { hostKey: DeadHost, budget: "cork", settledTokens: tokens };
+        const result = await this.track(release(this.contexts[operator]!, request));
+        this.releases.push({ tokens, result });
+    }
+
+    /** A draw of a host, which always takes effect. */
+    draw(): void {
+        const { object, version } = this.stored();
+        this.grantedTokens++;
+        const shares = { "host~1": { grantedTokens: this.grantedTokens, sequence: this.grantedTokens } };
+        this.objects.put(Key, { ...object, shares }, version);
+    }
+
+    /** The dead host comes back and states what it used. */
+    settle(): void {
+        const { object, version } = this.stored();
+        if (DeadHost in object.atRiskTokens) {
+            this.objects.put(Key, { ...object, closedTokens: object.closedTokens + 7, atRiskTokens: {} }, version);
+        }
+    }
+
+    stored(): { readonly object: BudgetObject; readonly version: number; } {
+        const read = this.objects.get(Key);
+        if (read.status !== "found") {
+            throw new Error("the budget is gone");
+        }
+        return { object: read.object.value as BudgetObject, version: read.object.version };
+    }
+}
+
+function checkStep(cashiers: Cashiers): void {
+    const { object } = cashiers.stored();
+    expect(object.shares["host~1"]?.grantedTokens ?? 0, "a draw was lost").toBe(cashiers.grantedTokens);
+    const ids = object.topUps.map(entry => entry.operationId);
+    expect(new Set(ids).size, "an operation was added twice").toBe(ids.length);
+}
+
+function checkEnd(cashiers: Cashiers): void {
+    const { object } = cashiers.stored();
+    let paidTokens = FirstTokens;
+    for (const { operationId, tokens, results } of cashiers.purchases) {
+        const archived = cashiers.objects.get(`topup/cork/${operationId}`).status === "found";
+        const isAdded = archived || object.topUps.some(entry => entry.operationId === operationId);
+        paidTokens += isAdded ? tokens : 0;
+        expect(results.some(result => result.isOk) && !isAdded, `${operationId} was accepted and lost`).toBe(false);
+        expect(results.some(result => result.isErr && result.error.exitCode !== ExitCodes.StoreUnavailable)).toBe(
+            false,
+        );
+    }
+    expect(object.paidTokens, "paid tokens differ from the operations").toBe(paidTokens);
+
+    const lines = cashiers.objects.get(billSegmentKey(DeadHost, "release"));
+    const billed = lines.status === "found" ? lines.object.value as BillLine[] : [];
+    const released = object.releasedTokens?.[DeadHost];
+    for (const { tokens, result } of cashiers.releases.filter(entry => entry.result.isOk)) {
+        expect(released, `a release of ${tokens} was accepted and lost`).toBe(tokens);
+        expect(result.isOk).toBe(true);
+    }
+    if (released !== undefined) {
+        expect(billed.map(line => line.tokens), "the charge differs from its bill").toEqual([released]);
+        expect(object.closedTokens).toBe(released);
+    }
+    const isUncertain = cashiers.releases.some(({ result }) =>
+        result.isErr && result.error.exitCode === ExitCodes.StoreUnavailable
+    );
+    if (released === undefined && !(DeadHost in object.atRiskTokens) && !isUncertain) {
+        expect(billed, "a bill line without a charge is left").toEqual([]);
+    }
+}
+
+const commands = [
+    fc.tuple(operatorIndex, fc.integer({ min: 1, max: 50 })).map(([operator, tokens]) =>
+        command<Cashiers>(`buy(${operator}, ${tokens})`, cashiers => {
+            const purchase = { operationId: `op${cashiers.purchases.length}`, tokens, results: [] };
+            cashiers.purchases.push(purchase);
+            void cashiers.buy(operator, purchase);
+        }, checkStep)
+    ),
+    fc.tuple(operatorIndex, fc.nat(60)).map(([operator, age]) =>
+        command<Cashiers>(`repeat(${operator}, ${age})`, cashiers => {
+            const purchase = cashiers.purchases.at(-1 - age);
+            if (purchase !== undefined) {
+                void cashiers.buy(operator, purchase);
+            }
+        }, checkStep)
+    ),
+    fc.tuple(operatorIndex, fc.constantFrom(5, 6)).map(([operator, tokens]) =>
+        command<Cashiers>(`release(${operator}, ${tokens})`, cashiers => {
+            void cashiers.release(operator, tokens);
+        }, checkStep)
+    ),
+    fc.constant(command<Cashiers>("draw", cashiers => cashiers.draw(), checkStep)),
+    fc.constant(command<Cashiers>("settle", cashiers => cashiers.settle(), checkStep)),
+    ...environmentCommands<Cashiers>(checkStep),
+];
+
+const Size = { maxCommands: 60, size: "max" } as const;
+
+describe("operators who race on one budget", () => {
+    it("add each top-up once and bill each release once (guards against doubled or lost tokens)", async () => {
+        await fc.assert(
+            fc.asyncProperty(fc.constantFrom(0, 30), fc.commands(commands, Size), async (earlierCount, sequence) => {
+                const cashiers = new Cashiers(earlierCount);
+                await fc.asyncModelRun(() => ({ model: {}, real: cashiers }), sequence);
+                await cashiers.finish();
+                checkStep(cashiers);
+                checkEnd(cashiers);
+            }),
+            fuzzParameters(200),
+        );
+    }, 600_000);
+});
