--- /dev/null
+++ b/src/features/idempotency/claimOutcomes.ts
@@ -0,0 +1,39 @@
+/** Answers to claim requests. */
+import type { ResultCodeName } from "../../base/resultCodes.js";
+import type { ReadOutcome } from "../../platform/platformStore.js";
+import { HostRecordSchema } from "../journal/journalTypes.js";
+import type { Claim, ClaimOutcome } from "./idempotencyTypes.js";
+import type { LocalClaim } from "./localClaim.js";
+
+/** Time after which a caller should ask again for the outcome of a running request. */
+export const RunningRetryAfterMs = 1_000;
+
+/** @returns A refusal. */
+export function refused(code: ResultCodeName, retryAfterMs?: number): ClaimOutcome {
+    return { status: "refused", code, retryAfterMs };
+}
+
+/** @returns The answer to a second request with the key of a finished one. */
+export function outcomeOfDone(claim: Pick<Claim, "answer" | "interrupted">): ClaimOutcome {
+    if (claim.answer !== undefined) {
+        return { status: "replay", answer: claim.answer };
+    }
+    return refused(claim.interrupted ? "OutcomeUnknown" : "AnswerNotStored");
+}
+
+/** @returns The answer to a second request with the key of a claim of this host. */
+export function outcomeOfLocal(claim: LocalClaim, bodyHash: string): ClaimOutcome {
+    if (claim.bodyHash !== bodyHash) {
+        return refused("KeyReused");
+    }
+    if (claim.end === undefined || claim.stage === "lost") {
+        return refused("RequestRunning", RunningRetryAfterMs);
+    }
+    return outcomeOfDone(claim.end);
+}
+
+/** @returns Whether a host record was read and is sealed. */
+export function isSealed(outcome: ReadOutcome): boolean {
+    const record = outcome.status === "found" ? HostRecordSchema.safeParse(outcome.object.value) : undefined;
+    return record?.success === true && record.data.state === "sealed";
+}
--- a/src/features/idempotency/idempotencyController.ts
+++ b/src/features/idempotency/idempotencyController.ts
@@ -1,12 +1,12 @@
 /** Claims idempotency keys, so that work that may not be repeated runs at most once in the whole fleet. */
 import { match, P } from "ts-pattern";
-import type { ResultCodeName } from "../../base/resultCodes.js";
 import { Controller, type ControllerContext } from "../../kernel/controller.js";
 import type { ResultEvent } from "../../kernel/effects.js";
 import type { RouterEvent } from "../../kernel/events.js";
-import { AbsentVersion, type ReadOutcome, type StoredObject, type WriteOutcome } from "../../platform/platformStore.js";
+import { AbsentVersion, type StoredObject, type WriteOutcome } from "../../platform/platformStore.js";
 import type { BillDraft } from "../budget/budgetTypes.js";
-import { hostRecordKey, HostRecordSchema } from "../journal/journalTypes.js";
+import { hostRecordKey } from "../journal/journalTypes.js";
+import { isSealed, outcomeOfDone, outcomeOfLocal, refused, RunningRetryAfterMs } from "./claimOutcomes.js";
 import {
     type Claim,
     claimKey,
@@ -14,15 +14,12 @@
     type IdempotencyEvent,
     type IdempotencySettings,
 } from "./idempotencyTypes.js";
-import { claimValue, judgeClaim, type LocalClaim } from "./localClaim.js";
+import { claimValue, createLocalClaim, judgeClaim, type LocalClaim } from "./localClaim.js";
 import { TicketDesk } from "./ticketDesk.js";
 
 type ClaimRequested = Extract<IdempotencyEvent, { type: "claimRequested"; }>;
 type ClaimCompleted = Extract<IdempotencyEvent, { type: "claimCompleted"; }>;
 
-/** Time after which a caller should ask again for the outcome of a running request. */
-const RunningRetryAfterMs = 1_000;
-
 /** Controller of the idempotency feature. */
 export class IdempotencyController extends Controller {
     override readonly name = "idempotency";
@@ -78,7 +75,12 @@
         }
         const { repeatableWaitMs, exclusiveWaitMs } = this.#settings;
         const waitMs = request.repeatable ? repeatableWaitMs : exclusiveWaitMs;
-        const claim = this.#createClaim(request, waitMs, existing?.expectedVersion ?? AbsentVersion);
+        const claim = createLocalClaim(request, {
+            hostKey: this.context.board.journal.hostKey,
+            deadlineMs: this.context.clock.monotonicMs() + waitMs,
+            expectedVersion: existing?.expectedVersion ?? AbsentVersion,
+            retryMs: this.#settings.firstRetryMs,
+        });
         this.#add(claim);
         this.#write(claim);
     }
@@ -100,28 +102,6 @@
         return claim.stage === "settled" && claim.end === undefined;
     }
 
-    #createClaim(request: ClaimRequested, waitMs: number, expectedVersion: number): LocalClaim {
-        return {
-            claimId: request.claimId,
-            requestId: request.requestId,
-            bodyHash: request.bodyHash,
-            repeatable: request.repeatable,
-            hostKey: this.context.board.journal.hostKey,
-            ticket: undefined,
-            deadlineMs: this.context.clock.monotonicMs() + waitMs,
-            stage: "claiming",
-            decided: false,
-            abandoned: false,
-            expectedVersion,
-            writing: false,
-            nextWriteMs: 0,
-            retryMs: this.#settings.firstRetryMs,
-            end: undefined,
-            bill: undefined,
-            expiresAtMs: Number.POSITIVE_INFINITY,
-        };
-    }
-
     /** Takes over a claim that needs no acknowledgement before its dispatch: a ticket. */
     #hold(claim: LocalClaim): void {
         this.#add(claim);
@@ -385,30 +365,3 @@
         this.context.emit({ type: "notify", notification: { type: "claimDecided", claimId, requestId, outcome } });
     }
 }
-
-function refused(code: ResultCodeName, retryAfterMs?: number): ClaimOutcome {
-    return { status: "refused", code, retryAfterMs };
-}
-
-function outcomeOfDone(claim: Pick<Claim, "answer" | "interrupted">): ClaimOutcome {
-    if (claim.answer !== undefined) {
-        return { status: "replay", answer: claim.answer };
-    }
-    return refused(claim.interrupted ? "OutcomeUnknown" : "AnswerNotStored");
-}
-
-/** @returns The answer to a second request with the key of a claim of this host. */
-export function outcomeOfLocal(claim: LocalClaim, bodyHash: string): ClaimOutcome {
-    if (claim.bodyHash !== bodyHash) {
-        return refused("KeyReused");
-    }
-    if (claim.end === undefined || claim.stage === "lost") {
-        return refused("RequestRunning", RunningRetryAfterMs);
-    }
-    return outcomeOfDone(claim.end);
-}
-
-function isSealed(outcome: ReadOutcome): boolean {
-    const record = outcome.status === "found" ? HostRecordSchema.safeParse(outcome.object.value) : undefined;
-    return record?.success === true && record.data.state === "sealed";
-}
--- a/src/features/idempotency/localClaim.ts
+++ b/src/features/idempotency/localClaim.ts
@@ -1,9 +1,11 @@
 /** A claim as the host that runs the request sees it, and the judgement of a claim found in the store. */
 import type { StoredObject } from "../../platform/platformStore.js";
 import type { BillDraft } from "../budget/budgetTypes.js";
-import { type Claim, ClaimSchema, type StoredAnswer } from "./idempotencyTypes.js";
+import { type Claim, ClaimSchema, type IdempotencyEvent, type StoredAnswer } from "./idempotencyTypes.js";
 import type { Ticket } from "./tickets.js";
 
+type ClaimRequested = Extract<IdempotencyEvent, { type: "claimRequested"; }>;
+
 /**
  * Stages of a local claim.
  * - `claiming`: the store has not acknowledged the claim.
@@ -45,6 +47,39 @@
     expiresAtMs: number;
 }
 
+/** What a new claim takes from its host. */
+export interface ClaimStart {
+    readonly hostKey: string;
+    readonly deadlineMs: number;
+    readonly expectedVersion: number;
+    readonly retryMs: number;
+    /** Set when the key is a ticket, which needs no acknowledgement before the dispatch. */
+    readonly ticket?: Ticket;
+}
+
+/** @returns The claim of a request, before its first write. */
+export function createLocalClaim(request: ClaimRequested, start: ClaimStart): LocalClaim {
+    return {
+        claimId: request.claimId,
+        requestId: request.requestId,
+        bodyHash: request.bodyHash,
+        repeatable: request.repeatable,
+        hostKey: start.hostKey,
+        ticket: start.ticket,
+        deadlineMs: start.deadlineMs,
+        stage: start.ticket === undefined ? "claiming" : "held",
+        decided: false,
+        abandoned: false,
+        expectedVersion: start.expectedVersion,
+        writing: false,
+        nextWriteMs: 0,
+        retryMs: start.retryMs,
+        end: undefined,
+        bill: undefined,
+        expiresAtMs: Number.POSITIVE_INFINITY,
+    };
+}
+
 /** What a claim found in the store means for a request that wants the same key. */
 export type ClaimVerdict =
     /** An earlier write of the same request took effect. */
--- a/src/features/idempotency/ticketDesk.ts
+++ b/src/features/idempotency/ticketDesk.ts
@@ -5,15 +5,15 @@
 import type { PeerOutcome, TicketRequest } from "../../peer/peerMessages.js";
 import { AbsentVersion } from "../../platform/platformStore.js";
 import { liveHostIds } from "../membership/membershipBoard.js";
+import { outcomeOfDone, refused, RunningRetryAfterMs } from "./claimOutcomes.js";
 import {
-    type Claim,
     claimKey,
     type ClaimOutcome,
     ClaimSchema,
     type IdempotencyEvent,
     type IdempotencySettings,
 } from "./idempotencyTypes.js";
-import type { LocalClaim } from "./localClaim.js";
+import { createLocalClaim, type LocalClaim } from "./localClaim.js";
 import { parseTicket, type Ticket, TicketBook } from "./tickets.js";
 
 type ClaimRequested = Extract<IdempotencyEvent, { type: "claimRequested"; }>;
@@ -34,9 +34,6 @@
     readonly ticket: Ticket;
 }
 
-/** Time after which a caller should ask again. */
-const TicketRetryAfterMs = 1_000;
-
 /** The tickets of a host. */
 export class TicketDesk {
     readonly #context: ControllerContext;
@@ -91,13 +88,7 @@
             this.#useOwn(request, ticket);
         }
         else {
-            this.#foreign.set(request.requestId, { request, ticket });
-            this.#context.emit({
-                type: "storeGet",
-                owner: "idempotency",
-                callId: request.requestId,
-                key: claimKey(request.claimId),
-            });
+            this.#readClaim(request, ticket);
         }
         return true;
     }
@@ -115,7 +106,8 @@
         }
         const stored = done.outcome.status === "found" ? ClaimSchema.safeParse(done.outcome.object.value) : undefined;
         if (stored?.success === true && stored.data.state === "done") {
-            this.#finishForeign(foreign, outcomeOfStored(stored.data, foreign.request.bodyHash));
+            const isSameBody = stored.data.bodyHash === foreign.request.bodyHash;
+            this.#finishForeign(foreign, isSameBody ? outcomeOfDone(stored.data) : refused("KeyReused"));
             return;
         }
         this.#askIssuer(foreign);
@@ -134,42 +126,35 @@
             return;
         }
         // Used before, and its answer is no longer in memory or it was handed to another host.
-        this.#foreign.set(request.requestId, { request, ticket });
-        this.#context.emit({
-            type: "storeGet",
-            owner: "idempotency",
-            callId: request.requestId,
-            key: claimKey(request.claimId),
-        });
+        this.#readClaim(request, ticket);
     }
 
     #createClaim(request: ClaimRequested, ticket: Ticket): LocalClaim {
-        return {
-            claimId: request.claimId,
-            requestId: request.requestId,
-            bodyHash: request.bodyHash,
-            repeatable: request.repeatable,
+        return createLocalClaim(request, {
             hostKey: this.#context.board.journal.hostKey,
-            ticket,
             deadlineMs: Number.POSITIVE_INFINITY,
-            stage: "held",
-            decided: false,
-            abandoned: false,
             expectedVersion: AbsentVersion,
-            writing: false,
-            nextWriteMs: 0,
             retryMs: this.#settings.firstRetryMs,
-            end: undefined,
-            bill: undefined,
-            expiresAtMs: Number.POSITIVE_INFINITY,
-        };
+            ticket,
+        });
+    }
+
+    /** Reads the claim object of a ticket; {@link read} goes on with it. */
+    #readClaim(request: ClaimRequested, ticket: Ticket): void {
+        this.#foreign.set(request.requestId, { request, ticket });
+        this.#context.emit({
+            type: "storeGet",
+            owner: "idempotency",
+            callId: request.requestId,
+            key: claimKey(request.claimId),
+        });
     }
 
     #askIssuer(foreign: ForeignTicket): void {
         const { request, ticket } = foreign;
         const address = this.#issuerAddress(ticket);
         if (address === undefined || this.#book.isOwn(ticket)) {
-            this.#finishForeign(foreign, unknownOutcome());
+            this.#finishForeign(foreign, refused("OutcomeUnknown", RunningRetryAfterMs));
             return;
         }
         const body: TicketRequest = {
@@ -238,10 +223,6 @@
     }
 }
 
-function unknownOutcome(): ClaimOutcome {
-    return { status: "refused", code: "OutcomeUnknown", retryAfterMs: TicketRetryAfterMs };
-}
-
 function isHandedOver(outcome: PeerOutcome): boolean {
     return outcome.status === "replied" && outcome.reply.method === "ForwardTicket" &&
         outcome.reply.body.state === "unused";
@@ -249,28 +230,14 @@
 
 function outcomeOfReply(outcome: PeerOutcome): ClaimOutcome {
     if (outcome.status !== "replied" || outcome.reply.method !== "ForwardTicket") {
-        return unknownOutcome();
+        return refused("OutcomeUnknown", RunningRetryAfterMs);
     }
     const { state, answer } = outcome.reply.body;
     if (state === "done" && answer !== undefined) {
         return { status: "replay", answer };
     }
     if (state === "running") {
-        return { status: "refused", code: "RequestRunning", retryAfterMs: TicketRetryAfterMs };
-    }
-    return unknownOutcome();
-}
-
-function outcomeOfStored(claim: Claim, bodyHash: string): ClaimOutcome {
-    if (claim.bodyHash !== bodyHash) {
-        return { status: "refused", code: "KeyReused", retryAfterMs: undefined };
-    }
-    if (claim.answer !== undefined) {
-        return { status: "replay", answer: claim.answer };
+        return refused("RequestRunning", RunningRetryAfterMs);
     }
-    return {
-        status: "refused",
-        code: claim.interrupted ? "OutcomeUnknown" : "AnswerNotStored",
-        retryAfterMs: undefined,
-    };
+    return refused("OutcomeUnknown", RunningRetryAfterMs);
 }
