--- a/src/features/idempotency/idempotencyController.ts
+++ b/src/features/idempotency/idempotencyController.ts
@@ -1,12 +1,12 @@
 /** Claims idempotency keys, so that work that may not be repeated runs at most once in the whole fleet. */
 import { match, P } from "ts-pattern";
-import type { ResultCodeName } from "../../base/resultCodes.js";
 import { Controller, type ControllerContext } from "../../kernel/controller.js";
 import type { ResultEvent } from "../../kernel/effects.js";
 import type { RouterEvent } from "../../kernel/events.js";
-import { AbsentVersion, type ReadOutcome, type StoredObject, type WriteOutcome } from "../../platform/platformStore.js";
+import { AbsentVersion, type StoredObject, type WriteOutcome } from "../../platform/platformStore.js";
 import type { BillDraft } from "../budget/budgetTypes.js";
-import { hostRecordKey, HostRecordSchema } from "../journal/journalTypes.js";
+import { hostRecordKey } from "../journal/journalTypes.js";
+import { isSealed, outcomeOfDone, outcomeOfLocal, refused, RunningRetryAfterMs } from "./claimOutcomes.js";
 import {
     type Claim,
     claimKey,
@@ -14,20 +14,21 @@
     type IdempotencyEvent,
     type IdempotencySettings,
 } from "./idempotencyTypes.js";
-import { claimValue, judgeClaim, type LocalClaim } from "./localClaim.js";
+import { claimValue, createLocalClaim, judgeClaim, type LocalClaim } from "./localClaim.js";
 import { TicketDesk } from "./ticketDesk.js";
 
 type ClaimRequested = Extract<IdempotencyEvent, { type: "claimRequested"; }>;
 type ClaimCompleted = Extract<IdempotencyEvent, { type: "claimCompleted"; }>;
 
-/** Time after which a caller should ask again for the outcome of a running request. */
-const RunningRetryAfterMs = 1_000;
-
 /** Controller of the idempotency feature. */
 export class IdempotencyController extends Controller {
     override readonly name = "idempotency";
     readonly #settings: IdempotencySettings;
     readonly #claims = new Map<string, LocalClaim>();
+    /** Claims with writes to come. Settled ones are left out, since they are many and only wait for their removal. */
+    readonly #active = new Set<LocalClaim>();
+    /** Settled claims in the order of their removal. */
+    readonly #settledInOrder: LocalClaim[] = [];
     /** Requests that wait for the record of the host that holds their key, by call id. */
     readonly #holderChecks = new Map<string, LocalClaim>();
     readonly #tickets: TicketDesk;
@@ -56,6 +57,7 @@
                 other => this.#tickets.handle(other),
             )
             .otherwise(() => undefined);
+        this.context.board.idempotency.unsettledClaims = this.#active.size;
     }
 
     override dumpState(): unknown {
@@ -73,41 +75,36 @@
         }
         const { repeatableWaitMs, exclusiveWaitMs } = this.#settings;
         const waitMs = request.repeatable ? repeatableWaitMs : exclusiveWaitMs;
-        const claim = this.#createClaim(request, waitMs, existing?.expectedVersion ?? AbsentVersion);
-        this.#claims.set(claim.claimId, claim);
+        const claim = createLocalClaim(request, {
+            hostKey: this.context.board.journal.hostKey,
+            deadlineMs: this.context.clock.monotonicMs() + waitMs,
+            expectedVersion: existing?.expectedVersion ?? AbsentVersion,
+            retryMs: this.#settings.firstRetryMs,
+        });
+        this.#add(claim);
         this.#write(claim);
     }
 
+    #add(claim: LocalClaim): void {
+        this.#claims.set(claim.claimId, claim);
+        this.#active.add(claim);
+    }
+
+    #remove(claim: LocalClaim): void {
+        this.#active.delete(claim);
+        if (this.#claims.get(claim.claimId) === claim) {
+            this.#claims.delete(claim.claimId);
+        }
+    }
+
     /** A released claim of this host leaves only the version to continue from. */
     #isForgotten(claim: LocalClaim): boolean {
         return claim.stage === "settled" && claim.end === undefined;
     }
 
-    #createClaim(request: ClaimRequested, waitMs: number, expectedVersion: number): LocalClaim {
-        return {
-            claimId: request.claimId,
-            requestId: request.requestId,
-            bodyHash: request.bodyHash,
-            repeatable: request.repeatable,
-            hostKey: this.context.board.journal.hostKey,
-            ticket: undefined,
-            deadlineMs: this.context.clock.monotonicMs() + waitMs,
-            stage: "claiming",
-            decided: false,
-            abandoned: false,
-            expectedVersion,
-            writing: false,
-            nextWriteMs: 0,
-            retryMs: this.#settings.firstRetryMs,
-            end: undefined,
-            bill: undefined,
-            expiresAtMs: Number.POSITIVE_INFINITY,
-        };
-    }
-
     /** Takes over a claim that needs no acknowledgement before its dispatch: a ticket. */
     #hold(claim: LocalClaim): void {
-        this.#claims.set(claim.claimId, claim);
+        this.#add(claim);
         this.context.counters.add("idempotency.ticketsUsed");
         this.#decide(claim, { status: "held", fencingNumber: 1 });
     }
@@ -123,7 +120,7 @@
             this.#write(claim);
         }
         else if (claim.stage === "lost") {
-            this.#claims.delete(claim.claimId);
+            this.#remove(claim);
         }
     }
 
@@ -134,7 +131,7 @@
         }
         if (claim.ticket !== undefined) {
             this.#tickets.giveBack(claim.ticket);
-            this.#claims.delete(claimId);
+            this.#remove(claim);
         }
         else if (claim.stage === "held") {
             claim.stage = "releasing";
@@ -144,7 +141,7 @@
             claim.abandoned = true;
         }
         else if (claim.stage === "lost") {
-            this.#claims.delete(claimId);
+            this.#remove(claim);
         }
     }
 
@@ -226,6 +223,8 @@
 
     #settle(claim: LocalClaim): void {
         claim.stage = "settled";
+        this.#active.delete(claim);
+        this.#settledInOrder.push(claim);
         claim.expiresAtMs = this.context.clock.monotonicMs() + this.#settings.replayCacheMs;
     }
 
@@ -272,17 +271,18 @@
     /** The key belongs to another request. */
     #lose(claim: LocalClaim, outcome: ClaimOutcome): void {
         if (!claim.decided) {
-            this.#claims.delete(claim.claimId);
+            this.#remove(claim);
             this.#decide(claim, outcome);
         }
         else if (claim.abandoned) {
-            this.#claims.delete(claim.claimId);
+            this.#remove(claim);
         }
         else {
             claim.stage = "lost";
+            this.#active.delete(claim);
             this.#reverse(claim);
             if (claim.end !== undefined) {
-                this.#claims.delete(claim.claimId);
+                this.#remove(claim);
             }
         }
     }
@@ -293,7 +293,7 @@
             this.#lose(claim, refused("RequestRunning", RunningRetryAfterMs));
             return;
         }
-        this.#claims.delete(claim.claimId);
+        this.#remove(claim);
         this.#holderChecks.set(claim.requestId, claim);
         this.context.emit({
             type: "storeGet",
@@ -318,27 +318,27 @@
 
     #tick(): void {
         const nowMs = this.context.clock.monotonicMs();
-        let unsettled = 0;
-        for (const claim of this.#claims.values()) {
-            if (claim.expiresAtMs <= nowMs) {
-                this.#claims.delete(claim.claimId);
-                continue;
-            }
+        this.#forgetSettled(nowMs);
+        for (const claim of this.#active) {
             if (claim.stage === "claiming" && !claim.decided && claim.deadlineMs <= nowMs) {
                 this.#expire(claim);
             }
-            if (claim.stage !== "settled" && claim.stage !== "lost") {
-                unsettled++;
-            }
-            const waiting = !claim.writing && claim.stage !== "settled" && claim.stage !== "lost";
-            if (waiting && claim.stage !== "held" && claim.nextWriteMs <= nowMs) {
+            if (claim.stage !== "held" && !claim.writing && claim.nextWriteMs <= nowMs) {
                 this.#write(claim);
             }
         }
-        this.context.board.idempotency.unsettledClaims = unsettled;
         this.#tickets.tick();
     }
 
+    #forgetSettled(nowMs: number): void {
+        let count = 0;
+        while (count < this.#settledInOrder.length && this.#settledInOrder[count]!.expiresAtMs <= nowMs) {
+            this.#remove(this.#settledInOrder[count]!);
+            count++;
+        }
+        this.#settledInOrder.splice(0, count);
+    }
+
     /** The store did not answer in time. The write goes on, since it may still take effect. */
     #expire(claim: LocalClaim): void {
         if (claim.repeatable) {
@@ -365,30 +365,3 @@
         this.context.emit({ type: "notify", notification: { type: "claimDecided", claimId, requestId, outcome } });
     }
 }
-
-function refused(code: ResultCodeName, retryAfterMs?: number): ClaimOutcome {
-    return { status: "refused", code, retryAfterMs };
-}
-
-function outcomeOfDone(claim: Pick<Claim, "answer" | "interrupted">): ClaimOutcome {
-    if (claim.answer !== undefined) {
-        return { status: "replay", answer: claim.answer };
-    }
-    return refused(claim.interrupted ? "OutcomeUnknown" : "AnswerNotStored");
-}
-
-/** @returns The answer to a second request with the key of a claim of this host. */
-export function outcomeOfLocal(claim: LocalClaim, bodyHash: string): ClaimOutcome {
-    if (claim.bodyHash !== bodyHash) {
-        return refused("KeyReused");
-    }
-    if (claim.end === undefined || claim.stage === "lost") {
-        return refused("RequestRunning", RunningRetryAfterMs);
-    }
-    return outcomeOfDone(claim.end);
-}
-
-function isSealed(outcome: ReadOutcome): boolean {
-    const record = outcome.status === "found" ? HostRecordSchema.safeParse(outcome.object.value) : undefined;
-    return record?.success === true && record.data.state === "sealed";
-}
--- a/src/gateway/callerListener.ts
+++ b/src/gateway/callerListener.ts
@@ -5,7 +5,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import type { Result } from "true-myth";
+import { log } from "../base/log.js";
 import { errorBody, type ResultCodeName, ResultCodes } from "../base/resultCodes.js";
+import { listModels } from "../routing/planRoute.js";
 import { authenticateTeam } from "./authentication.js";
 import { discardRest, readBody } from "./bodyReader.js";
 import { CallerAnswer, writeFailure } from "./callerAnswer.js";
@@ -110,6 +112,10 @@
         try {
             await this.#serveEntered(env.incoming, env.outgoing, handle);
         }
+        catch (error) {
+            log.error("a request failed unexpectedly", { reason: String(error) });
+            failUnexpectedly(env.outgoing);
+        }
         finally {
             // A shutdown waits until the caller has taken the answer, not only until it was written.
             whenClosed(env.outgoing, () => kernel.post({ type: "requestLeft" }));
@@ -160,7 +166,8 @@
     }
 
     #listModels({ team, requestId }: RequestOrigin, outgoing: ServerResponse): void {
-        writeJson(outgoing, requestId, { object: "list", data: this.#modelsOf(team) });
+        const models = listModels(this.#parts.kernel.board.config.resources, team);
+        writeJson(outgoing, requestId, { object: "list", data: models.map(id => ({ id, object: "model" })) });
     }
 
     async #issueTicket({ incoming, requestId }: RequestOrigin, outgoing: ServerResponse): Promise<void> {
@@ -173,25 +180,6 @@
         }
     }
 
-    #modelsOf(team: string): unknown[] {
-        const { resources } = this.#parts.kernel.board.config;
-        const names = new Set([...resources.upstreams.values()].flatMap(upstream => upstream.models));
-        const isOffered = (model: string): boolean =>
-            this.#parts.planRoute(resources, {
-                team,
-                model,
-                service: undefined,
-                method: "POST",
-                requestKind: undefined,
-                grant: undefined,
-                promptBytes: 0,
-                messageCount: 1,
-                maxOutputTokens: undefined,
-                promptPrefix: undefined,
-            }).isOk;
-        return [...names].filter(isOffered).sort().map(id => ({ id, object: "model" }));
-    }
-
     #createRequestId(): string {
         return this.#parts.random.hex(RequestIdDigits);
     }
@@ -217,6 +205,16 @@
     }
 }
 
+/** A program fault: whether the request ran is unknown. */
+function failUnexpectedly(outgoing: ServerResponse): void {
+    if (outgoing.headersSent) {
+        outgoing.destroy();
+    }
+    else {
+        writeFailure(outgoing, "", { code: "InternalError" });
+    }
+}
+
 function whenClosed(outgoing: ServerResponse, callback: () => void): void {
     if (outgoing.closed || outgoing.destroyed) {
         callback();
--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -9,7 +9,7 @@
 import { RecoveryController } from "../../src/features/recovery/recoveryController.js";
 import { RecoverySettingsSchema } from "../../src/features/recovery/recoverySettings.js";
 import type { Controller, ControllerContext } from "../../src/kernel/controller.js";
-import { FakeGateway } from "./fakeGateway.js";
+import { FakeGateway, paidTokensOf } from "./fakeGateway.js";
 import { FakeMembership } from "./fakeMembership.js";
 import { FaultyStore } from "./faultyStore.js";
 import { HostProcess, type Surroundings } from "./hostProcess.js";
@@ -171,7 +171,7 @@
         let tokens = this.paidTokens(budget);
         for (const request of this.gateway.requests.values()) {
             if (request.budget === budget) {
-                tokens -= request.state === "running" ? request.costTokens : request.spentTokens;
+                tokens -= request.state === "running" ? request.costTokens : paidTokensOf(request);
             }
         }
         return tokens;
@@ -215,11 +215,11 @@
     };
 
     #followShutdown(process: HostProcess): void {
-        const { lifecycle, recovery } = process.board;
+        const { idempotency, lifecycle, recovery } = process.board;
         const inFlight = [...this.gateway.requests.values()].some(request =>
             request.process === process && (request.state === "waiting" || request.state === "running")
         );
-        if (lifecycle.phase === "draining" && !inFlight) {
+        if (lifecycle.phase === "draining" && !inFlight && idempotency.unsettledClaims === 0) {
             lifecycle.phase = "closing";
         }
         else if (lifecycle.phase === "closing" && recovery.ownSharesReturned) {
