--- a/test/fuzz/peerNetwork.ts
+++ b/test/fuzz/peerNetwork.ts
@@ -23,7 +23,9 @@
 
     /** Separates two hosts. */
     cut(a: string, b: string): void {
-        this.#cuts.add([a, b].sort().join("|"));
+        if (a !== b) {
+            this.#cuts.add([a, b].sort().join("|"));
+        }
     }
 
     /** Removes all partitions. */
@@ -31,6 +33,11 @@
         this.#cuts.clear();
     }
 
+    /** @returns Whether any two hosts are separated. */
+    get hasCuts(): boolean {
+        return this.#cuts.size > 0;
+    }
+
     isCut(a: string, b: string): boolean {
         return this.#cuts.has([a, b].sort().join("|"));
     }
