Bound the record interval and the review of suspects

Cause: a large record was written less often than the suspicion time, and each tick chose the sealers of all suspects.

--- a/src/features/budget/budgetController.ts
+++ b/src/features/budget/budgetController.ts
@@ -4,14 +4,14 @@
 import type { PeerRequested } from "../../kernel/effects.js";
 import type { RouterEvent } from "../../kernel/events.js";
 import type { PeerReply, TransferReply, TransferRequest } from "../../peer/peerMessages.js";
-import { BudgetAccount, type HostView } from "./budgetAccount.js";
+import { AccountBook } from "./accountBook.js";
+import type { BudgetAccount, HostView } from "./budgetAccount.js";
 import { usedTokens } from "./budgetBoard.js";
 import { DemandPolicy, giveSize, type SharePolicy } from "./budgetMath.js";
 import type { BudgetSettings } from "./budgetSettings.js";
-import { budgetKey, freeTokens, type ReservationOutcome } from "./budgetTypes.js";
+import { freeTokens, type ReservationOutcome } from "./budgetTypes.js";
 import { HomePlacement } from "./homePlacement.js";
 import { ReservationLedger } from "./reservationLedger.js";
-import { ShareWriter } from "./shareWriter.js";
 import { TransferGiver } from "./transferGiver.js";
 import { TransferRequester } from "./transferRequester.js";
 
@@ -29,16 +29,14 @@
 export class BudgetController extends Controller {
     override readonly name = "budget";
     readonly #settings: BudgetSettings;
-    readonly #policy: SharePolicy;
-    readonly #accounts = new Map<string, BudgetAccount>();
+    readonly #accounts: AccountBook;
     readonly #active = new Set<BudgetAccount>();
-    readonly #storeCalls = new Map<string, BudgetAccount>();
     readonly #ledger: ReservationLedger;
     readonly #giver: TransferGiver;
     readonly #requester: TransferRequester;
     readonly #placement: HomePlacement;
     #hostKey: string;
-    #lastCallId = 0;
+    #lastTransferId = 0;
     #wasEstablished = false;
     #reviewedMs = Number.NEGATIVE_INFINITY;
     #proactiveCalls = ProactiveBurst;
@@ -46,7 +44,7 @@
     constructor(context: ControllerContext, settings: BudgetSettings, policy: SharePolicy = DemandPolicy) {
         super(context);
         this.#settings = settings;
-        this.#policy = policy;
+        this.#accounts = new AccountBook(context, settings, policy);
         this.#hostKey = context.board.journal.hostKey;
         this.#ledger = new ReservationLedger(context.board.budget, context.counters);
         this.#giver = new TransferGiver(settings.rememberedTransferCount, context.counters);
@@ -61,9 +59,9 @@
                     request,
                     timeoutMs: settings.transferTimeoutMs,
                 }),
-            nextId: () => `${this.#hostKey}#${++this.#lastCallId}`,
+            nextId: () => `${this.#hostKey}#${++this.#lastTransferId}`,
             credit: (budget, tokens) => {
-                const account = this.#accountOf(budget);
+                const account = this.#accounts.open(budget);
                 account.entry.receivedTokens += tokens;
                 this.#active.add(account);
             },
@@ -87,7 +85,7 @@
                 released => this.#activate(this.#ledger.release(released.reservationId)),
             )
             .with({ type: "billReversed" }, ({ bill }) => {
-                const account = this.#accountOf(bill.budget);
+                const account = this.#accounts.open(bill.budget);
                 this.#ledger.reverse(bill, account.entry, this.#hostKey);
                 this.#active.add(account);
             })
@@ -109,7 +107,7 @@
     override dumpState(): unknown {
         return {
             waiting: Object.fromEntries(
-                [...this.#accounts.values()].map(account => [account.name, account.waiting.length]),
+                this.#accounts.values().map(account => [account.name, account.waiting.length]),
             ),
             openTransfers: this.#requester.openCount,
             homes: this.#placement.homes.size,
@@ -131,16 +129,14 @@
         if (board.journal.hostKey === this.#hostKey) {
             return;
         }
-        const old = [...this.#accounts.values()];
+        const old = this.#accounts.values();
         board.budget.sealedEntries.set(this.#hostKey, new Map(old.map(account => [account.name, account.entry])));
-        board.budget.entries.clear();
         this.#accounts.clear();
         this.#active.clear();
-        this.#storeCalls.clear();
         this.#hostKey = board.journal.hostKey;
         this.#requester.abandon(this.#nowMs);
         for (const account of old) {
-            this.#accountOf(account.name).waiting.push(...account.waiting);
+            this.#accounts.open(account.name).waiting.push(...account.waiting);
         }
     }
 
@@ -157,7 +153,7 @@
         this.#reviewedMs = nowMs;
         this.#placement.step();
         for (const budget of this.#placement.homes) {
-            this.#accountOf(budget);
+            this.#accounts.open(budget);
         }
         for (const account of this.#accounts.values()) {
             this.#active.add(account);
@@ -175,7 +171,7 @@
             this.#decide(reservationId, { status: "refused", code: "ShuttingDown", retryAfterMs: 0 });
             return;
         }
-        const account = this.#accountOf(budget);
+        const account = this.#accounts.open(budget);
         account.noteDemand(costTokens, nowMs);
         if (account.isExhausted(costTokens, nowMs)) {
             this.#decide(reservationId, { status: "refused", code: "BudgetExhausted", retryAfterMs: undefined });
@@ -342,7 +338,7 @@
         const { transferId } = request;
         const { journal } = this.context.board;
         const repeated = this.#giver.repeated(transferId);
-        const account = this.#accounts.get(request.budget);
+        const account = this.#accounts.find(request.budget);
         if (repeated !== undefined) {
             return { transferId, givenTokens: repeated };
         }
@@ -366,37 +362,12 @@
         return { transferId, givenTokens, laterTokens };
     }
 
-    #accountOf(budget: string): BudgetAccount {
-        let account = this.#accounts.get(budget);
-        if (account === undefined) {
-            const key = budgetKey(budget);
-            const identify = (): { owner: "budget"; callId: string; key: string; } => {
-                const callId = `s${++this.#lastCallId}`;
-                this.#storeCalls.set(callId, created);
-                return { owner: "budget", callId, key };
-            };
-            const writer = new ShareWriter(this.#hostKey, {
-                get: () => this.context.emit({ type: "storeGet", ...identify() }),
-                put: (value, expectedVersion) =>
-                    this.context.emit({ type: "storePut", ...identify(), value, expectedVersion }),
-                count: (name, amount) => this.context.counters.add(name, amount),
-            }, this.#settings.storeRetryMs);
-            const created = new BudgetAccount(budget, this.#settings, this.#policy, writer, this.#nowMs);
-            account = created;
-            this.#accounts.set(budget, account);
-            this.context.board.budget.entries.set(budget, account.entry);
-        }
-        return account;
-    }
-
     #storeAccount(callId: string): BudgetAccount | undefined {
-        const account = this.#storeCalls.get(callId);
-        this.#storeCalls.delete(callId);
-        return this.#activate(account?.name);
+        return this.#activate(this.#accounts.endCall(callId)?.name);
     }
 
     #activate(budget: string | undefined): BudgetAccount | undefined {
-        const account = budget === undefined ? undefined : this.#accounts.get(budget);
+        const account = budget === undefined ? undefined : this.#accounts.find(budget);
         if (account !== undefined) {
             this.#active.add(account);
         }
--- a/src/features/journal/journalController.ts
+++ b/src/features/journal/journalController.ts
@@ -100,7 +100,8 @@
         const record = this.#buildRecord(state);
         const bytes = JSON.stringify(record).length;
         this.#startedMs = this.#nowMs;
-        this.#intervalMs = Math.max(this.#settings.writeIntervalMs, bytes * 1_000 / this.#settings.recordBytesPerS);
+        const { writeIntervalMs, longestIntervalMs, recordBytesPerS } = this.#settings;
+        this.#intervalMs = Math.min(longestIntervalMs, Math.max(writeIntervalMs, bytes * 1_000 / recordBytesPerS));
         board.journal.sentSequence = record.sequence;
         counters.add("journal.writes");
         counters.add("journal.bytes", bytes);
--- a/src/features/recovery/recoveryController.ts
+++ b/src/features/recovery/recoveryController.ts
@@ -11,6 +11,9 @@
 import { HostWatch } from "./hostWatch.js";
 import type { RecoverySettings } from "./recoverySettings.js";
 
+/** Interval of reviewing the suspects: choosing the sealers of a lost zone hashes every pair of hosts. */
+const ReviewIntervalMs = 1_000;
+
 type CallTarget =
     | { readonly kind: "fold"; readonly budget: string; }
     | { readonly kind: "watch"; readonly watch: HostWatch; readonly sealed: HostRecord | undefined; };
@@ -35,6 +38,7 @@
     readonly #ownKeys = new Set<string>();
     /** Newest known incarnation by host id. */
     readonly #incarnations = new Map<string, string>();
+    #reviewedMs = Number.NEGATIVE_INFINITY;
     #lastCallId = 0;
     #ownFoldsQueued = false;
 
@@ -89,10 +93,13 @@
 
     #tick(): void {
         const nowMs = this.#nowMs;
-        for (const hostKey of this.context.board.membership.suspects) {
-            this.#watch(hostKey, undefined);
+        if (nowMs - this.#reviewedMs >= ReviewIntervalMs) {
+            this.#reviewedMs = nowMs;
+            for (const hostKey of this.context.board.membership.suspects) {
+                this.#watch(hostKey, undefined);
+            }
+            this.#watchReplaced();
         }
-        this.#watchReplaced();
         for (const [hostKey, watched] of this.#watched) {
             this.#follow(hostKey, watched, nowMs);
         }
--- a/test/fuzz/moneyPath.spec.ts
+++ b/test/fuzz/moneyPath.spec.ts
@@ -105,6 +105,21 @@
         });
     });
 
+    describe("when reads are stale while a sealed host settles late", () => {
+        it("replaces its at-risk tokens all the same (guards against a fold that a stale read ends)", () => {
+            const process = world.processOf("h0")!;
+            world.gateway.start(process, plan(90, 500));
+            world.scheduler.advance(100);
+            world.store.faults.staleReadShare = 0.9;
+            process.pause(10_000);
+            world.scheduler.advance(20_000);
+            expect(process.board.journal.sealedCount).toBe(1);
+            world.settle();
+            expect(budgetObject(world, "b0").atRiskTokens).toEqual({});
+            expect(stuckTokens(world, "b0")).toBe(0);
+        });
+    });
+
     describe("when a host shuts down", () => {
         it("returns its share and leaves nothing at risk (guards against tokens that a rolling restart uses up)", () => {
             world.gateway.start(world.processOf("h0")!, plan(90, 500));
