Dispatch nothing for a caller that left while its upstream was chosen

Cause: between the decision of the admission and its receipt a caller could go away unnoticed; its request then ran to the end. Change: the caller is checked again after the decision, and the chosen upstream is given back.

--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -178,18 +178,25 @@
     }
 
     async #admit(ask: () => ReturnType<GatewayParts["port"]["admit"]>): Promise<string> {
-        if (this.#answer.gone) {
-            throw refusal("Overloaded");
-        }
+        this.#stopIfGone();
         this.#waitsForAdmission = true;
         const outcome = await ask();
         this.#waitsForAdmission = false;
         if (outcome.status === "refused") {
             throw refusal(outcome.code, outcome.retryAfterMs);
         }
+        this.#stopIfGone();
         return outcome.upstream;
     }
 
+    /** Nothing is dispatched for a caller that has gone; an upstream that was already chosen is free again. */
+    #stopIfGone(): void {
+        if (this.#answer.gone) {
+            this.#parts.port.cancelAdmission(this.#request.requestId);
+            throw refusal("Overloaded");
+        }
+    }
+
     /** Work that may not be repeated is sent again only if no byte of it can have left this host. */
     #mayRetry(end: GroupEnd): boolean {
         const result = end.result?.result;
