Ask peers for declared tokens when the own record cannot be written

A claimed grant was not waited for at all, so a host without a use of its own served it in the ordinary class. Change: after 200 ms without the record's acknowledgement the peers are asked for the undeclared part; home hosts are asked first while no shares are known; a claimed grant waits up to 200 ms (grantWaitMs); refusals are decided in refusal.ts.

--- a/src/features/budget/budgetController.ts
+++ b/src/features/budget/budgetController.ts
@@ -10,6 +10,7 @@
 import type { BudgetSettings } from "./budgetSettings.js";
 import { budgetKey, freeTokens, type ReservationOutcome } from "./budgetTypes.js";
 import { HomePlacement } from "./homePlacement.js";
+import { refusalOf } from "./refusal.js";
 import { ReservationLedger } from "./reservationLedger.js";
 import { ShareWriter } from "./shareWriter.js";
 import { TransferGiver } from "./transferGiver.js";
@@ -25,6 +26,9 @@
 /** Time that a draw gets before peers are asked, and that home hosts get before another host draws. */
 const FirstChoiceMs = 100;
 
+/** Wait for the host record's acknowledgement before peers are asked for tokens that they have declared. */
+const RecordChoiceMs = 200;
+
 /** Controller of budgets and grants. */
 export class BudgetController extends Controller {
     override readonly name = "budget";
@@ -182,7 +186,8 @@
             return;
         }
         if (account.waiting.length >= this.#settings.maxWaitingCount) {
-            this.#decide(reservationId, this.#later("BudgetUnavailable"));
+            const { retryAfterMs } = this.#settings;
+            this.#decide(reservationId, { status: "refused", code: "BudgetUnavailable", retryAfterMs });
             return;
         }
         const deadlineMs = nowMs + Math.min(waitMs, this.#settings.maxWaitMs);
@@ -269,7 +274,11 @@
             }
         }
         const missing = account.missingTokens();
-        if (first === undefined || missing === 0) {
+        if (first === undefined) {
+            return false;
+        }
+        if (missing === 0) {
+            this.#askForUndeclared(account, host, waitedMs);
             return false;
         }
         if (!writer.isWriting) {
@@ -281,41 +290,46 @@
         if (host.isHome && !shortage && !writer.isFailing && waitedMs < FirstChoiceMs) {
             return false;
         }
-        const shares = Object.entries(writer.known?.object.shares ?? {});
-        const emptyPeers = this.#requester.ask(
+        const emptyPeers = this.#askPeers(account, missing, nowMs);
+        return emptyPeers && shortage && !writer.isWriting && !writer.isFailing && account.entry.reservedTokens === 0;
+    }
+
+    /** The own share suffices, but the record that declares it is not acknowledged: peers may have declared tokens. */
+    #askForUndeclared(account: BudgetAccount, host: HostView, waitedMs: number): void {
+        const undeclaredTokens = account.waitingTokens - account.spareTokens(host.limitTokens);
+        if (waitedMs >= RecordChoiceMs && undeclaredTokens > 0) {
+            this.#askPeers(account, undeclaredTokens, host.nowMs);
+        }
+    }
+
+    #askPeers(account: BudgetAccount, wantedTokens: number, nowMs: number): boolean {
+        const shares = Object.entries(account.writer.known?.object.shares ?? {});
+        return this.#requester.ask(
             account.name,
             this.#hostKey,
-            missing,
+            wantedTokens,
             new Map(shares.map(([hostKey, share]) => [hostKey, share.grantedTokens])),
+            hostId => this.#placement.isHomeHost(account.name, hostId),
             this.context.board.membership,
             nowMs,
         );
-        return emptyPeers && shortage && !writer.isWriting && !writer.isFailing && account.entry.reservedTokens === 0;
     }
 
     #refuseWaiting(account: BudgetAccount, host: HostView, spent: boolean): void {
-        const { nowMs } = host;
-        const unused = account.entry.grantedTokens - usedTokens(account.entry);
-        const { known, absentMs } = account.writer;
         for (const item of [...account.waiting]) {
-            const fresh = known !== undefined && known.readMs >= item.sinceMs;
-            // Tokens that closed hosts sent to others count as closed, so only the paid tokens bound what can be obtained.
-            const isTooLarge = item.costTokens > (known?.object.paidTokens ?? 0);
-            let outcome: ReservationOutcome | undefined;
-            if (known === undefined && absentMs !== undefined && absentMs >= item.sinceMs) {
-                outcome = { status: "refused", code: "NoBudget", retryAfterMs: undefined };
-            }
-            else if (item.costTokens > unused && fresh && (spent || isTooLarge)) {
-                account.noteExhausted(item.costTokens, nowMs);
-                outcome = { status: "refused", code: "BudgetExhausted", retryAfterMs: undefined };
+            const outcome = refusalOf(account, item, {
+                nowMs: host.nowMs,
+                spent,
+                retryAfterMs: this.#settings.retryAfterMs,
+            });
+            if (outcome === undefined) {
+                continue;
             }
-            else if (nowMs >= item.deadlineMs) {
-                outcome = this.#later(fresh && item.costTokens > unused ? "BudgetExhausted" : "BudgetUnavailable");
-            }
-            if (outcome !== undefined) {
-                account.waiting.splice(account.waiting.indexOf(item), 1);
-                this.#decide(item.reservationId, outcome);
+            if (outcome.retryAfterMs === undefined && outcome.code === "BudgetExhausted") {
+                account.noteExhausted(item.costTokens, host.nowMs);
             }
+            account.waiting.splice(account.waiting.indexOf(item), 1);
+            this.#decide(item.reservationId, outcome);
         }
     }
 
@@ -418,10 +432,6 @@
         return this.context.board.journal.highestLimits.get(budget) ?? 0;
     }
 
-    #later(code: "BudgetExhausted" | "BudgetUnavailable"): ReservationOutcome {
-        return { status: "refused", code, retryAfterMs: this.#settings.retryAfterMs };
-    }
-
     #decide(reservationId: string, outcome: ReservationOutcome): void {
         if (outcome.status === "refused") {
             this.context.counters.add(`budget.reservation.refused.${outcome.code}`);
--- a/src/features/budget/homePlacement.ts
+++ b/src/features/budget/homePlacement.ts
@@ -47,6 +47,11 @@
         return this.#homes.has(budget) || (this.#placeAll && this.#homes.size === 0);
     }
 
+    /** @returns Whether a host of the own region is home of a budget; undecided while every host is. */
+    isHomeHost(budget: string, hostId: string): boolean {
+        return !this.#placeAll && this.#regionHosts.isPlacedOn(budget, hostId, this.#settings.homeHostCount);
+    }
+
     /** Follows the configuration and the live hosts; called regularly. */
     step(): void {
         this.#followHosts();
--- /dev/null
+++ b/src/features/budget/refusal.ts
@@ -0,0 +1,36 @@
+/** When a waiting reservation is refused, and with which code. */
+import type { BudgetAccount, WaitingReservation } from "./budgetAccount.js";
+import { usedTokens } from "./budgetBoard.js";
+import type { ReservationOutcome } from "./budgetTypes.js";
+
+/** Refusal of a reservation. */
+export type Refusal = Extract<ReservationOutcome, { status: "refused"; }>;
+
+/** What the decision needs besides the account. */
+export interface RefusalFacts {
+    readonly nowMs: number;
+    /** Whether the store and the peers have shown that nobody has the tokens, now or later. */
+    readonly spent: boolean;
+    readonly retryAfterMs: number;
+}
+
+/** @returns The refusal of a waiting reservation, or `undefined` while it may still be granted. */
+export function refusalOf(account: BudgetAccount, item: WaitingReservation, facts: RefusalFacts): Refusal | undefined {
+    const { known, absentMs } = account.writer;
+    const unusedTokens = account.entry.grantedTokens - usedTokens(account.entry);
+    const isFresh = known !== undefined && known.readMs >= item.sinceMs;
+    const exceedsShare = item.costTokens > unusedTokens;
+    // Tokens that closed hosts sent to others count as closed, so only the paid tokens bound what can be obtained.
+    const isTooLarge = item.costTokens > (known?.object.paidTokens ?? 0);
+    if (known === undefined && absentMs !== undefined && absentMs >= item.sinceMs) {
+        return { status: "refused", code: "NoBudget", retryAfterMs: undefined };
+    }
+    if (exceedsShare && isFresh && (facts.spent || isTooLarge)) {
+        return { status: "refused", code: "BudgetExhausted", retryAfterMs: undefined };
+    }
+    if (facts.nowMs >= item.deadlineMs) {
+        const code = isFresh && exceedsShare ? "BudgetExhausted" : "BudgetUnavailable";
+        return { status: "refused", code, retryAfterMs: facts.retryAfterMs };
+    }
+    return undefined;
+}
--- a/src/features/budget/transferRequester.ts
+++ b/src/features/budget/transferRequester.ts
@@ -83,6 +83,7 @@
     /**
      * Asks the next peers for tokens.
      * @param shares Tokens held by host key, as far as known; the largest holder is asked first.
+     * @param isHomeHost Whether a host is home of the budget; such hosts come first while no shares are known.
      * @returns Whether every peer has answered that it has nothing, now or later.
      */
     ask(
@@ -90,12 +91,13 @@
         receiver: string,
         wantedTokens: number,
         shares: ReadonlyMap<string, number>,
+        isHomeHost: (hostId: string) => boolean,
         membership: MembershipBoard,
         nowMs: number,
     ): boolean {
         const states = this.#peers.get(budget) ?? new Map<string, PeerState>();
         this.#peers.set(budget, states);
-        const candidates = candidatesOf(membership, shares);
+        const candidates = candidatesOf(membership, shares, isHomeHost);
         let open = [...this.#asks.values()].filter(ask => ask.budget === budget).length;
         for (const candidate of candidates) {
             const state = states.get(candidate.giver);
@@ -211,15 +213,18 @@
     readonly address: string;
 }
 
-function candidatesOf(membership: MembershipBoard, shares: ReadonlyMap<string, number>): Candidate[] {
-    const heldBy = (candidate: Candidate): number => shares.get(candidate.giver) ?? 0;
+function candidatesOf(
+    membership: MembershipBoard,
+    shares: ReadonlyMap<string, number>,
+    isHomeHost: (hostId: string) => boolean,
+): Candidate[] {
+    const rank = (hostId: string, giver: string): number => (shares.get(giver) ?? 0) + (isHomeHost(hostId) ? 1 : 0);
     return [...membership.members.values()]
         .filter(member => (member.state === "live" || member.state === "leaving") && member.peerAddress !== "")
-        .map(member => ({
-            giverHostId: member.hostId,
-            giver: hostKeyOf(member.hostId, member.incarnation),
-            address: member.peerAddress,
-        }))
-        .sort((a, b) => heldBy(b) - heldBy(a) || (a.giver < b.giver ? -1 : 1))
+        .map(({ hostId, incarnation, peerAddress }) => {
+            const giver = hostKeyOf(hostId, incarnation);
+            return { giverHostId: hostId, giver, address: peerAddress, rank: rank(hostId, giver) };
+        })
+        .sort((a, b) => b.rank - a.rank || (a.giver < b.giver ? -1 : 1))
         .slice(0, MaxAskedPeers);
 }
--- a/src/gateway/gatewaySettings.ts
+++ b/src/gateway/gatewaySettings.ts
@@ -23,6 +23,8 @@
     keepAliveMs: z.number().int().positive().default(4_000),
     /** Longest wait for budget tokens. */
     budgetWaitMs: z.number().int().nonnegative().default(1_500),
+    /** Longest wait for a use of a priority grant: covers two calls to a peer, 100 ms apart, while it declares more. */
+    grantWaitMs: z.number().int().nonnegative().default(200),
     /** Upstreams tried for one request, hedges not counted. */
     maxAttempts: z.number().int().positive().default(3),
     /** Repeatable work without a first byte after this time asks for a hedge; 0 never asks. */
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -128,13 +128,18 @@
         this.#answer.end();
     }
 
-    /** A grant that has no use left at this host does not refuse the request: it runs in its ordinary class. */
+    /** A grant of which no use can be had does not refuse the request: it runs in its ordinary class. */
     async #reserveGrant(): Promise<void> {
         const { grant } = this.#plan;
         if (grant === undefined) {
             return;
         }
-        const outcome = await this.#parts.port.reserve(this.#grantReservation, grantBudgetName(grant), 1, 0);
+        const outcome = await this.#parts.port.reserve(
+            this.#grantReservation,
+            grantBudgetName(grant),
+            1,
+            this.#parts.settings.grantWaitMs,
+        );
         this.#grantReserved = outcome.status === "granted";
     }
 
--- a/src/standins/upstream/chatHandler.ts
+++ b/src/standins/upstream/chatHandler.ts
@@ -8,6 +8,9 @@
 /** Output length of requests that name none. */
 const DefaultOutputTokens = 16;
 
+/** Priority of requests that name none. */
+export const DefaultPriority = 1;
+
 /** Tokens that a chat template adds per message. */
 const TemplateTokensPerMessage = 4;
 
@@ -86,11 +89,12 @@
     const promptTokens = Math.ceil(Buffer.byteLength(text) * settings.promptTokensPerByte) +
         TemplateTokensPerMessage * request.messages.length;
     const naturalTokens = Number(request.metadata["outputTokens"] ?? DefaultOutputTokens);
+    const priority = Number(incoming.headers["x-priority"] ?? DefaultPriority);
     if (engine.waitingCount >= settings.waitingLimit) {
         refuse(response, requestId, 429);
         return;
     }
-    const execution = parts.executions.start(requestId, key, promptTokens);
+    const execution = parts.executions.start(requestId, key, promptTokens, priority);
     const answer: ChatAnswer = {
         request,
         response,
@@ -101,7 +105,7 @@
         dieAfterTokens: faults.take("dyingRequests") ? faults.current.dieAfterTokens : Number.POSITIVE_INFINITY,
     };
     const task = engine.submit({
-        priority: Number(incoming.headers["x-priority"] ?? 1),
+        priority,
         promptTokens,
         outputTokens: Math.max(1, Math.min(naturalTokens, request.max_tokens ?? naturalTokens)),
         prefixKey: text.slice(0, PrefixCharacters),
--- a/src/standins/upstream/executionLog.ts
+++ b/src/standins/upstream/executionLog.ts
@@ -7,6 +7,8 @@
     idempotencyKey: z.string().optional(),
     promptTokens: z.number().int().nonnegative(),
     outputTokens: z.number().int().nonnegative(),
+    /** Priority that the request asked for; 0 is the most urgent. */
+    priority: z.number().int().nonnegative(),
     state: z.enum(["running", "complete", "cancelled", "failed"]),
 });
 export type Execution = z.infer<typeof ExecutionSchema>;
@@ -17,8 +19,15 @@
     readonly #fencingNumbers = new Map<string, number>();
 
     /** @returns The new entry; its owner updates it. */
-    start(requestId: string, idempotencyKey: string | undefined, promptTokens: number): Execution {
-        const execution: Execution = { requestId, idempotencyKey, promptTokens, outputTokens: 0, state: "running" };
+    start(requestId: string, idempotencyKey: string | undefined, promptTokens: number, priority: number): Execution {
+        const execution: Execution = {
+            requestId,
+            idempotencyKey,
+            promptTokens,
+            outputTokens: 0,
+            priority,
+            state: "running",
+        };
         this.#executions.push(execution);
         return execution;
     }
