--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -128,13 +128,18 @@
         this.#answer.end();
     }
 
-    /** A grant that has no use left at this host does not refuse the request: it runs in its ordinary class. */
+    /** A grant of which no use can be had does not refuse the request: it runs in its ordinary class. */
     async #reserveGrant(): Promise<void> {
         const { grant } = this.#plan;
         if (grant === undefined) {
             return;
         }
-        const outcome = await this.#parts.port.reserve(this.#grantReservation, grantBudgetName(grant), 1, 0);
+        const outcome = await this.#parts.port.reserve(
+            this.#grantReservation,
+            grantBudgetName(grant),
+            1,
+            this.#parts.settings.grantWaitMs,
+        );
         this.#grantReserved = outcome.status === "granted";
     }
 
@@ -181,19 +186,26 @@
     }
 
     async #admit(ask: () => ReturnType<GatewayParts["port"]["admit"]>): Promise<string> {
-        if (this.#answer.gone) {
-            throw refusal("Overloaded");
-        }
+        this.#stopIfGone();
         this.#waitsForAdmission = true;
         const outcome = await ask();
         this.#waitsForAdmission = false;
         if (outcome.status === "refused") {
             throw refusal(outcome.code, outcome.retryAfterMs);
         }
+        this.#stopIfGone();
         this.#engineClass = outcome.enginePriority;
         return outcome.upstream;
     }
 
+    /** Nothing is dispatched for a caller that has gone; an upstream that was already chosen is free again. */
+    #stopIfGone(): void {
+        if (this.#answer.gone) {
+            this.#parts.port.cancelAdmission(this.#request.requestId);
+            throw refusal("Overloaded");
+        }
+    }
+
     /** Work that may not be repeated is sent again only if no byte of it can have left this host. */
     #mayRetry(end: GroupEnd): boolean {
         const result = end.result?.result;
