--- a/src/features/budget/budgetController.ts
+++ b/src/features/budget/budgetController.ts
@@ -8,11 +8,11 @@
 import { usedTokens } from "./budgetBoard.js";
 import { DemandPolicy, giveSize, type SharePolicy } from "./budgetMath.js";
 import type { BudgetSettings } from "./budgetSettings.js";
-import { budgetKey, freeTokens, type ReservationOutcome } from "./budgetTypes.js";
+import { freeTokens, type ReservationOutcome } from "./budgetTypes.js";
 import { HomePlacement } from "./homePlacement.js";
 import { refusalOf } from "./refusal.js";
 import { ReservationLedger } from "./reservationLedger.js";
-import { ShareWriter } from "./shareWriter.js";
+import { createShareWriter } from "./shareWriter.js";
 import { TransferGiver } from "./transferGiver.js";
 import { TransferRequester } from "./transferRequester.js";
 
@@ -383,20 +383,13 @@
     #accountOf(budget: string): BudgetAccount {
         let account = this.#accounts.get(budget);
         if (account === undefined) {
-            const key = budgetKey(budget);
-            const identify = (): { owner: "budget"; callId: string; key: string; } => {
+            const nextCallId = (): string => {
                 const callId = `s${++this.#lastCallId}`;
-                this.#storeCalls.set(callId, created);
-                return { owner: "budget", callId, key };
+                this.#storeCalls.set(callId, this.#accounts.get(budget)!);
+                return callId;
             };
-            const writer = new ShareWriter(this.#hostKey, {
-                get: () => this.context.emit({ type: "storeGet", ...identify() }),
-                put: (value, expectedVersion) =>
-                    this.context.emit({ type: "storePut", ...identify(), value, expectedVersion }),
-                count: (name, amount) => this.context.counters.add(name, amount),
-            }, this.#settings.storeRetryMs);
-            const created = new BudgetAccount(budget, this.#settings, this.#policy, writer, this.#nowMs);
-            account = created;
+            const writer = createShareWriter(budget, this.#hostKey, this.context, nextCallId, this.#settings);
+            account = new BudgetAccount(budget, this.#settings, this.#policy, writer, this.#nowMs);
             this.#accounts.set(budget, account);
             this.context.board.budget.entries.set(budget, account.entry);
         }
--- a/src/features/budget/shareWriter.ts
+++ b/src/features/budget/shareWriter.ts
@@ -1,6 +1,8 @@
 /** Changes this host's share in one budget object: draws and returns, with lost answers and conflicts. */
+import type { ControllerContext } from "../../kernel/controller.js";
 import { AbsentVersion, type ReadOutcome, type StoredObject, type WriteOutcome } from "../../platform/platformStore.js";
-import { type BudgetObject, BudgetObjectSchema, type Share } from "./budgetTypes.js";
+import type { BudgetSettings } from "./budgetSettings.js";
+import { budgetKey, type BudgetObject, BudgetObjectSchema, type Share } from "./budgetTypes.js";
 
 /** Store calls of a {@link ShareWriter}. */
 export interface ShareCalls {
@@ -240,3 +242,27 @@
         }
     }
 }
+
+/**
+ * Creates the writer of one budget's share whose store calls go out as effects.
+ * @param nextCallId Registers a call and returns its id.
+ */
+export function createShareWriter(
+    budget: string,
+    hostKey: string,
+    context: Pick<ControllerContext, "emit" | "counters">,
+    nextCallId: () => string,
+    settings: Pick<BudgetSettings, "storeRetryMs">,
+): ShareWriter {
+    const identify = (): { owner: "budget"; callId: string; key: string; } => ({
+        owner: "budget",
+        callId: nextCallId(),
+        key: budgetKey(budget),
+    });
+    const calls: ShareCalls = {
+        get: () => context.emit({ type: "storeGet", ...identify() }),
+        put: (value, expectedVersion) => context.emit({ type: "storePut", ...identify(), value, expectedVersion }),
+        count: (name, amount) => context.counters.add(name, amount),
+    };
+    return new ShareWriter(hostKey, calls, settings.storeRetryMs);
+}
