Keep the young generation of the router's heap small

Cause: an idle router with the target's configuration held 186 MB, of which heap objects were 40 MB; the limit is 128 MB.

Change: the router program limits the growth of the young generation before it loads its modules, and collects the heap 3 s after the configuration was read. The capacity tool starts routers in batches of 8.

--- a/src/capacity/capacityFleet.ts
+++ b/src/capacity/capacityFleet.ts
@@ -16,6 +16,9 @@
 
 const PollIntervalMs = 25;
 
+/** Routers that are started at a time: each reads 11 MB of configuration from a platform of one process. */
+const BatchSize = 8;
+
 /** Host list lag of the platform; short, so that a new fleet finds itself within the quick mode's time. */
 const HostListLagMs = 1_000;
 
@@ -71,8 +74,14 @@
      * Starts routers until there are `count`, and waits until all are ready or `mustBeReady` is false and all answer.
      */
     async growTo(count: number, mustBeReady = true): Promise<void> {
-        const started: RouterProgram[] = [];
         while (this.routers.length < count) {
+            await this.#startBatch(Math.min(count - this.routers.length, BatchSize), mustBeReady);
+        }
+    }
+
+    async #startBatch(count: number, mustBeReady: boolean): Promise<void> {
+        const started: RouterProgram[] = [];
+        while (started.length < count) {
             const hostId = `host-${this.routers.length}`;
             const operatorPort = await findFreePort();
             const child = this.#spawn("toucanRouter.js", {
--- a/src/programs/toucanRouter.ts
+++ b/src/programs/toucanRouter.ts
@@ -1,9 +1,11 @@
 #!/usr/bin/env node
 /** The entry process. */
-import { log } from "../base/log.js";
-import { runProgram } from "../base/program.js";
-import { createRouter } from "../router/createRouter.js";
-import { RouterSettingsSchema } from "../router/routerSettings.js";
+import "../base/startupHeap.js";
+
+const { log } = await import("../base/log.js");
+const { runProgram } = await import("../base/program.js");
+const { createRouter } = await import("../router/createRouter.js");
+const { RouterSettingsSchema } = await import("../router/routerSettings.js");
 
 await runProgram({
     name: "toucan-router",
--- a/src/router/createRouter.ts
+++ b/src/router/createRouter.ts
@@ -1,5 +1,6 @@
 /** Builds a router process with the platform, the peers and the watchers of a deployment. */
 import type { Result } from "true-myth";
+import { releaseHeap } from "../base/heapRelease.js";
 import type { ConfigSnapshot } from "../features/config/configEvents.js";
 import { loadSnapshot } from "../features/config/configSnapshot.js";
 import { HttpHostList, HttpPlatformStore } from "../platform/httpPlatformStore.js";
@@ -26,7 +27,7 @@
         store,
         peerLink: new GrpcPeerLink({ settings: settings.peer, hostId: settings.hostId, clock, counters }),
         watchers: [
-            new StoreWatcher({ store, random, loadSnapshot: loadConfigSnapshot }),
+            new StoreWatcher({ store, random, loadSnapshot: loadConfigSnapshot, onLoaded: releaseHeap }),
             new HostListPoller({ hostList: new HttpHostList(connection), random }),
         ],
         closeStore: () => connection.close(),
--- a/src/router/storeWatcher.ts
+++ b/src/router/storeWatcher.ts
@@ -19,6 +19,9 @@
 /** Least time between two polls without changes, for a store that does not hold its answer back. */
 const QuietWaitMs = 200;
 
+/** Time in which the controllers build their indexes after the first load. */
+const LoadedDelayMs = 3_000;
+
 /** Bounds of the waits after a failure. */
 const BackoffBounds = { minMs: 200, maxMs: 10_000 } as const;
 
@@ -34,6 +37,8 @@
     readonly random: Random;
     readonly loadSnapshot: LoadSnapshot;
     readonly watchWaitMs?: number;
+    /** Called once, some time after the configuration was first read. */
+    readonly onLoaded?: () => void;
 }
 
 /** Posts a snapshot, the changes after it, and then each change as it appears. */
@@ -81,7 +86,11 @@
                 target.post({ type: "configSnapshotLoaded", snapshot: snapshot.value });
             }
         }
-        return this.#readTail(target);
+        const failure = await this.#readTail(target);
+        if (failure === undefined && this.#parts.onLoaded !== undefined) {
+            setTimeout(this.#parts.onLoaded, LoadedDelayMs).unref();
+        }
+        return failure;
     }
 
     /** Reads the change log after the version in force. */
