--- a/src/features/upstream/upstreamBoard.ts
+++ b/src/features/upstream/upstreamBoard.ts
@@ -18,7 +18,7 @@
     concurrencyLimit: number;
     /** Whether no new work may be sent because the upstream is leaving. */
     leaving: boolean;
-    /** Whether this host itself saw the upstream's sign of leaving; only such signs are told to peers. */
+    /** Whether this host saw a sign itself. Only this is told to peers, so that their reports do not echo. */
     leavingSeenHere: boolean;
     /** Time without a first token after which a hedge is worth while; `undefined` while nothing is known. */
     hedgeAfterMs: number | undefined;
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -3,12 +3,14 @@
 import type { RanState } from "../base/resultCodes.js";
 import type { WorkItem } from "../features/admission/admissionTypes.js";
 import { grantBudgetName } from "../features/budget/budgetTypes.js";
+import type { WorkClass } from "../features/config/configTypes.js";
 import { claimId, MaxStoredAnswerBytes, type StoredAnswer } from "../features/idempotency/idempotencyTypes.js";
 import type { RoutePlan } from "../routing/routePlan.js";
 import { Attempt, type AttemptListener } from "./attempt.js";
 import { AttemptGroup, type GroupEnd, type GroupOwner } from "./attemptGroup.js";
 import { type BillFacts, grantBill, requestBill } from "./billing.js";
 import type { CallerAnswer, Failure } from "./callerAnswer.js";
+import { dispatchTimeouts } from "./dispatchTimeouts.js";
 import type { CallerRequest, GatewayParts } from "./gatewayParts.js";
 import { hedgeDelayMs } from "./hedgeDelay.js";
 import { answerHeaders, upstreamHeaders } from "./relayHeaders.js";
@@ -29,6 +31,8 @@
     /** What is known about whether the request ran, over all attempts. */
     #ran: RanState = "no";
     #group: AttemptGroup | undefined;
+    /** Class of the next dispatch towards the engine, when the admission differs from the request's own class. */
+    #engineClass: WorkClass | undefined;
     #waitsForAdmission = false;
     #storedPieces: Buffer[] | undefined = [];
     #storedBytes = 0;
@@ -124,13 +128,18 @@
         this.#answer.end();
     }
 
-    /** A grant that has no use left at this host does not refuse the request: it runs in its ordinary class. */
+    /** A grant of which no use can be had does not refuse the request: it runs in its ordinary class. */
     async #reserveGrant(): Promise<void> {
         const { grant } = this.#plan;
         if (grant === undefined) {
             return;
         }
-        const outcome = await this.#parts.port.reserve(this.#grantReservation, grantBudgetName(grant), 1, 0);
+        const outcome = await this.#parts.port.reserve(
+            this.#grantReservation,
+            grantBudgetName(grant),
+            1,
+            this.#parts.settings.grantWaitMs,
+        );
         this.#grantReserved = outcome.status === "granted";
     }
 
@@ -177,18 +186,26 @@
     }
 
     async #admit(ask: () => ReturnType<GatewayParts["port"]["admit"]>): Promise<string> {
-        if (this.#answer.gone) {
-            throw refusal("Overloaded");
-        }
+        this.#stopIfGone();
         this.#waitsForAdmission = true;
         const outcome = await ask();
         this.#waitsForAdmission = false;
         if (outcome.status === "refused") {
             throw refusal(outcome.code, outcome.retryAfterMs);
         }
+        this.#stopIfGone();
+        this.#engineClass = outcome.enginePriority;
         return outcome.upstream;
     }
 
+    /** Nothing is dispatched for a caller that has gone; an upstream that was already chosen is free again. */
+    #stopIfGone(): void {
+        if (this.#answer.gone) {
+            this.#parts.port.cancelAdmission(this.#request.requestId);
+            throw refusal("Overloaded");
+        }
+    }
+
     /** Work that may not be repeated is sent again only if no byte of it can have left this host. */
     #mayRetry(end: GroupEnd): boolean {
         const result = end.result?.result;
@@ -230,6 +247,8 @@
         const { attempt } = end;
         if (end.status === "whole" && attempt !== undefined) {
             this.#answer.end();
+            // The connection's end is read even if the caller has not taken the answer yet.
+            this.#resumeAttempt();
             this.#conclude("complete", attempt);
             this.#parts.kernel.counters.add("gateway.complete");
             return;
@@ -321,7 +340,7 @@
         const { kernel, client, settings } = this.#parts;
         const { requestId, answerKind, method, path } = this.#request;
         const plan = this.#plan;
-        const urgent = this.#grantReserved || plan.workClass === "urgent";
+        const workClass = this.#grantReserved ? "urgent" : plan.workClass;
         return new Attempt(kernel, client, {
             requestId,
             upstream,
@@ -331,18 +350,20 @@
                 url: kernel.board.config.resources.upstreams.get(upstream)?.url ?? "",
                 method,
                 path,
-                headers: upstreamHeaders(this.#request, urgent ? "urgent" : plan.workClass, this.#fencingNumber),
+                headers: upstreamHeaders(this.#request, this.#engineClass ?? workClass, this.#fencingNumber),
                 body: this.#request.buildBody(plan),
-                firstByteTimeoutMs: answerKind === "chatStream" ?
-                    settings.firstByteTimeoutMs :
-                    settings.answerTimeoutMs,
+                ...dispatchTimeouts(settings, answerKind, plan),
             },
         }, listener);
     }
 
     async admitHedge(excluded: readonly string[]): Promise<string | undefined> {
         const outcome = await this.#parts.port.readmit(this.#workItem(excluded), "hedge");
-        return outcome.status === "dispatch" ? outcome.upstream : undefined;
+        if (outcome.status === "refused") {
+            return undefined;
+        }
+        this.#engineClass = outcome.enginePriority;
+        return outcome.upstream;
     }
 
     onWinner(attempt: Attempt): void {
--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -3,7 +3,7 @@
 import { SeededRandom } from "../../src/base/random.js";
 import { BudgetController } from "../../src/features/budget/budgetController.js";
 import { BudgetSettingsSchema } from "../../src/features/budget/budgetSettings.js";
-import { budgetKey, BudgetObjectSchema } from "../../src/features/budget/budgetTypes.js";
+import { budgetKey, type BudgetObject } from "../../src/features/budget/budgetTypes.js";
 import { JournalController } from "../../src/features/journal/journalController.js";
 import { JournalSettingsSchema } from "../../src/features/journal/journalSettings.js";
 import { RecoveryController } from "../../src/features/recovery/recoveryController.js";
@@ -63,6 +63,9 @@
     ];
 }
 
+/** Latency above which the store counts as slow. */
+const SlowStoreMs = 50;
+
 /** Time after which a process that does not finish its shutdown is ended by its supervisor. */
 const ShutdownTimeoutMs = 15_000;
 
@@ -79,6 +82,8 @@
     readonly #parts: WorldParts;
     readonly #current = new Map<string, HostProcess>();
     readonly #memberships = new Map<HostProcess, FakeMembership>();
+    /** Requests that were refused although tokens were left and no fault was present. */
+    quietFalseRefusals = 0;
     #lastOperation = 0;
 
     constructor(parts: WorldParts) {
@@ -87,7 +92,10 @@
         this.store = new FaultyStore(this.scheduler, this.random);
         this.network = new PeerNetwork(this.scheduler, this.random, address => this.#current.get(address));
         const create = parts.createGateway ?? ((...args) => new FakeGateway(...args));
-        this.gateway = create(this.scheduler, (budget, cost) => this.unspentTokens(budget) >= cost);
+        this.gateway = create(
+            this.scheduler,
+            (budget, cost) => this.unspentTokens(budget) - this.atRiskTokens(budget) >= cost,
+        );
         for (const [budget, tokens] of Object.entries(parts.budgets)) {
             this.store.objects.put(
                 budgetKey(budget),
@@ -150,7 +158,7 @@
     topUp(budget: string, tokens: number): void {
         const stored = this.store.objects.get(budgetKey(budget));
         if (stored.status === "found" && !this.store.faults.outage) {
-            const object = BudgetObjectSchema.parse(stored.object.value);
+            const object = stored.object.value as BudgetObject;
             const topUp = { operationId: `t${++this.#lastOperation}`, tokens, atMs: 0 };
             const value = { ...object, paidTokens: object.paidTokens + tokens, topUps: [...object.topUps, topUp] };
             this.store.objects.put(budgetKey(budget), value, stored.object.version);
@@ -160,7 +168,7 @@
     /** @returns Paid tokens of a budget. */
     paidTokens(budget: string): number {
         const stored = this.store.objects.get(budgetKey(budget));
-        return stored.status === "found" ? BudgetObjectSchema.parse(stored.object.value).paidTokens : 0;
+        return stored.status === "found" ? (stored.object.value as BudgetObject).paidTokens : 0;
     }
 
     /** @returns Paid tokens that were neither spent nor are promised to a request in flight. */
@@ -174,6 +182,13 @@
         return tokens;
     }
 
+    /** @returns Tokens that dead hosts may have spent: nobody can be allowed to spend them. */
+    atRiskTokens(budget: string): number {
+        const stored = this.store.objects.get(budgetKey(budget));
+        const atRisk = stored.status === "found" ? (stored.object.value as BudgetObject).atRiskTokens : {};
+        return Object.values(atRisk).reduce((sum, tokens) => sum + tokens, 0);
+    }
+
     /** Ends all faults, starts missing hosts again, and waits until everything has settled. */
     settle(durationMs = 40_000): void {
         Object.assign(this.store.faults, {
@@ -193,7 +208,25 @@
         }
     }
 
-    notified: Surroundings["notified"] = (_process, notification) => this.gateway.notified(notification);
+    notified: Surroundings["notified"] = (process, notification) => {
+        this.gateway.notified(notification);
+        if (
+            notification.type === "reservationDecided" && !this.#hasFault && process.board.lifecycle.phase === "serving"
+        ) {
+            const request = this.gateway.requests.get(notification.reservationId);
+            this.quietFalseRefusals += request?.falselyRefused === true ? 1 : 0;
+        }
+    };
+
+    get #hasFault(): boolean {
+        const { faults, cutHosts } = this.store;
+        const hasLosses = faults.lostAnswerShare + faults.lateWriteShare + faults.staleReadShare > 0;
+        const isSlow = faults.outage || faults.latencyMs > SlowStoreMs;
+        const isPartitioned = cutHosts.size > 0 || this.network.hasCuts || this.network.lostReplyShare > 0;
+        const isIncomplete = this.#current.size < this.hostIds.length;
+        return hasLosses || isSlow || isPartitioned || isIncomplete ||
+            [...this.#current.values()].some(process => process.isPaused);
+    }
 
     ticked: Surroundings["ticked"] = process => {
         const reachable = [...this.#current.values()].filter(other =>
@@ -205,11 +238,11 @@
     };
 
     #followShutdown(process: HostProcess): void {
-        const { lifecycle, recovery } = process.board;
+        const { idempotency, lifecycle, recovery } = process.board;
         const inFlight = [...this.gateway.requests.values()].some(request =>
             request.process === process && (request.state === "waiting" || request.state === "running")
         );
-        if (lifecycle.phase === "draining" && !inFlight) {
+        if (lifecycle.phase === "draining" && !inFlight && idempotency.unsettledClaims === 0) {
             lifecycle.phase = "closing";
         }
         else if (lifecycle.phase === "closing" && recovery.ownSharesReturned) {
