Balance by own requests, hedge by the 95th percentile, keep long work out of slowness

Prefix affinity sent short prompts of all hosts to the same upstreams; prompts below 1,000 tokens ignore it now.

Long streams that engines pause for short work made their upstreams look slow.

Hedges start after 1.4 times the 95th percentile and may be saved up, so that they are there when an upstream becomes slow. Latencies of the load generator count from the time of sending, because a busy machine delays the sender.

--- a/src/features/admission/admissionController.ts
+++ b/src/features/admission/admissionController.ts
@@ -109,7 +109,7 @@
             return;
         }
         const upstream = this.#mayHedge(item) ? this.#policy.findFree(item) : undefined;
-        if (upstream !== undefined && this.#budget.hedges.take(requests, nowMs)) {
+        if (upstream !== undefined && this.#budget.hedges.take()) {
             this.context.counters.add("admission.hedged");
             this.#dispatch(item, upstream, "");
         }
@@ -156,7 +156,8 @@
 
     #takeProbe(): boolean {
         const nowMs = this.context.clock.monotonicMs();
-        return this.#budget.probes.take(this.#budget.requests(nowMs), nowMs);
+        // A probe is hedged, so that it needs a hedge to spare.
+        return this.#budget.hedges.available && this.#budget.probes.take(this.#budget.requests(nowMs), nowMs);
     }
 
     #dispatch(item: WorkItem, upstream: string, pool: string): void {
--- a/src/features/admission/admissionSettings.ts
+++ b/src/features/admission/admissionSettings.ts
@@ -13,7 +13,7 @@
     /** Requests of one class that may wait. */
     queueLimit: z.number().int().positive().default(512),
     /** Requests sent to an upstream relative to its slots; above 1 a short queue there hides the round trip. */
-    overcommitRatio: z.number().positive().default(1.1),
+    overcommitRatio: z.number().positive().default(1.25),
     /** How urgent work finds room: slots kept free for it, or the engine's preemption. Plain services keep slots free. */
     urgentPlacement: z.enum(["headroom", "preemption"]).default("preemption"),
     /** Share of the slots that other work leaves free for urgent work. */
@@ -32,10 +32,14 @@
     burstRatio: z.number().nonnegative().default(0.5),
     /** Whether requests with the same prompt prefix prefer the same upstream. */
     prefixAffinity: z.boolean().default(true),
+    /** Shorter prompts ignore their prefix: the saved prefill is smaller than the imbalance that affinity causes. */
+    affinityMinPromptTokens: z.number().int().nonnegative().default(1_000),
     /** Largest load of an upstream preferred for its cached prefix, relative to the average. */
     affinityLoadBound: z.number().min(1).default(1.25),
     /** Upstreams that are drawn at random; the one with the best score is taken. */
-    randomChoices: z.number().int().positive().default(2),
+    randomChoices: z.number().int().positive().default(8),
+    /** Weight of other hosts' requests in the score: their figures are older than most requests last. */
+    othersWeight: ShareSchema.default(0.3),
     /** Interval at which a host that needs more than its share may take more of what nobody uses. */
     borrowIntervalMs: z.number().positive().default(1_000),
     /** Retries and hedges as a share of the requests within the window. */
--- a/src/features/admission/placement.ts
+++ b/src/features/admission/placement.ts
@@ -57,11 +57,14 @@
             name: view.name,
             slots: view.slots,
             own: view.load.total,
-            others: view.status.otherLoad,
+            others: this.#context.settings.othersWeight * view.status.otherLoad,
             slownessFactor: view.status.slownessFactor,
             weight: item.weights[view.name] ?? 1,
         }));
-        return chooseUpstream(choices, item.prefixKey, this.#context.random, this.#context.settings).name;
+        const prefixKey = item.promptTokens < this.#context.settings.affinityMinPromptTokens ?
+            undefined :
+            item.prefixKey;
+        return chooseUpstream(choices, prefixKey, this.#context.random, this.#context.settings).name;
     }
 
     #allot(views: readonly UpstreamView[]): Allotment[] {
@@ -89,7 +92,9 @@
             return false;
         }
         const burst = entitlement === "burst";
-        if (burst && (load.total + status.otherLoad >= slots || status.slownessFactor > 1)) {
+        // Work that gives way makes room for a burst; otherwise slots must seem free.
+        const hasRoom = load.yielding > 0 || load.total + status.otherLoad < slots;
+        if (burst && (!hasRoom || status.slownessFactor > 1)) {
             return false;
         }
         const most = Math.max(1, Math.ceil(burst ? allowance * (1 + this.#context.settings.burstRatio) : allowance));
--- a/src/features/admission/retryBudget.ts
+++ b/src/features/admission/retryBudget.ts
@@ -62,6 +62,42 @@
     }
 }
 
+/** Hedges that a quiet host saves up at most, for the moment when an upstream becomes slow. */
+const MaxSavedHedges = 20;
+
+/** Sums of shares fall short of whole numbers by less than this. */
+const RoundingError = 1e-6;
+
+/** Allowance of hedges: a share of all requests, part of which can be saved for later. */
+export class HedgeBudget {
+    readonly #ratio: number;
+    #saved = 1;
+
+    /** @param ratio Hedges as a share of the requests. */
+    constructor(ratio: number) {
+        this.#ratio = ratio;
+    }
+
+    /** @returns Whether a hedge is allowed now. */
+    get available(): boolean {
+        return this.#saved >= 1 - RoundingError;
+    }
+
+    /** Counts a first attempt. */
+    countRequest(): void {
+        this.#saved = Math.min(MaxSavedHedges, this.#saved + this.#ratio);
+    }
+
+    /** @returns Whether a hedge is allowed; counts it if so. */
+    take(): boolean {
+        if (!this.available) {
+            return false;
+        }
+        this.#saved--;
+        return true;
+    }
+}
+
 /** Settings of {@link RetryBudget}. */
 export interface RetryBudgetSettings {
     readonly retryRatio: number;
@@ -72,26 +108,27 @@
 
 /** Retries allowed within the window at any rate; without them the first failures of a quiet host reach the caller. */
 const MinRetries = 10;
-/** Hedges and probes allowed within the window at any rate. */
-const MinHedges = 1;
+/** Probes allowed within the window at any rate. */
+const MinProbes = 2;
 
 /** Budgets of retries, hedges and probes. */
 export class RetryBudget {
     readonly retries: AttemptBudget;
-    readonly hedges: AttemptBudget;
+    readonly hedges: HedgeBudget;
     readonly probes: AttemptBudget;
     readonly #requests: SlidingCount;
 
     constructor(settings: RetryBudgetSettings) {
         this.retries = new AttemptBudget(settings.retryRatio, MinRetries, settings.retryWindowMs);
-        this.hedges = new AttemptBudget(settings.hedgeRatio, MinHedges, settings.retryWindowMs);
-        this.probes = new AttemptBudget(settings.probeRatio, MinHedges, settings.retryWindowMs);
+        this.hedges = new HedgeBudget(settings.hedgeRatio);
+        this.probes = new AttemptBudget(settings.probeRatio, MinProbes, settings.retryWindowMs);
         this.#requests = new SlidingCount(settings.retryWindowMs);
     }
 
     /** Counts a first attempt. */
     countRequest(nowMs: number): void {
         this.#requests.add(nowMs);
+        this.hedges.countRequest();
     }
 
     /** @returns First attempts within the window. */
--- a/src/features/admission/score.ts
+++ b/src/features/admission/score.ts
@@ -8,7 +8,7 @@
     readonly slots: number;
     /** Own requests in flight. */
     readonly own: number;
-    /** Estimated requests of everybody else. */
+    /** Estimated requests of everybody else, weighted by how much the estimate says about now. */
     readonly others: number;
     readonly slownessFactor: number;
     /** Weight by the rule; larger gets more. */
--- a/src/features/upstream/latencyWindow.ts
+++ b/src/features/upstream/latencyWindow.ts
@@ -58,12 +58,23 @@
         return weight === 0 ? undefined : sum / weight;
     }
 
+    /** @returns The samples that are not too old, without their times. */
+    values(): number[] {
+        return this.#samples.map(sample => sample.valueMs);
+    }
+
     /** Forgets all samples. */
     clear(): void {
         this.#samples.length = 0;
     }
 }
 
+/** @returns The smallest value that is at least as large as the given share of the values. */
+export function quantile(values: readonly number[], share: number): number | undefined {
+    const sorted = [...values].sort((a, b) => a - b);
+    return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))];
+}
+
 /** @returns The median of the values, or `undefined` without values. */
 export function median(values: readonly number[]): number | undefined {
     if (values.length === 0) {
--- a/src/features/upstream/upstreamController.ts
+++ b/src/features/upstream/upstreamController.ts
@@ -3,7 +3,8 @@
 import { Controller, type ControllerContext } from "../../kernel/controller.js";
 import type { RouterEvent } from "../../kernel/events.js";
 import type { Upstream } from "../config/configTypes.js";
-import { mediansOf, slownessRatios } from "./slowness.js";
+import { quantile } from "./latencyWindow.js";
+import { slownessRatios } from "./slowness.js";
 import { createUpstreamStatus, type UpstreamStatus } from "./upstreamBoard.js";
 import type { UpstreamSettings } from "./upstreamSettings.js";
 import { UpstreamTracker } from "./upstreamTracker.js";
@@ -23,6 +24,9 @@
 /** Interval of comparisons and refreshes; with hundreds of upstreams they would cost too much on every tick. */
 const CompareIntervalMs = 200;
 
+/** Requests later than this share of the recent ones are worth a hedge; the budget of hedges is smaller than the rest. */
+const HedgeQuantile = 0.95;
+
 /** Writes the upstream section of the blackboard. */
 export class UpstreamController extends Controller {
     override readonly name = "upstream" as const;
@@ -156,21 +160,22 @@
             const entries = group.map(name => this.#entries.get(name)!);
             const estimates = entries.map(entry => entry.tracker.estimates(nowMs));
             const ratios = slownessRatios(estimates, this.#settings);
-            const typicalMs = mediansOf(estimates).firstTokenMs;
+            const usual = entries.filter(entry => entry.status.slownessFactor === 1);
+            const lateMs = quantile(usual.flatMap(entry => entry.tracker.firstTokenSamples()), HedgeQuantile);
             for (const [index, entry] of entries.entries()) {
                 this.#applyRatio(entry, ratios[index]!);
-                entry.status.hedgeAfterMs = this.#hedgeDelay(typicalMs, entry.status.slownessFactor > 1);
+                entry.status.hedgeAfterMs = this.#hedgeDelay(lateMs, entry.status.slownessFactor > 1);
             }
         }
     }
 
-    #hedgeDelay(typicalMs: number | undefined, slow: boolean): number | undefined {
+    #hedgeDelay(lateMs: number | undefined, slow: boolean): number | undefined {
         const { hedgeDelayRatio, hedgeMinDelayMs, slowHedgeDelayMs } = this.#settings;
         if (slow) {
             // A request that tests a slow upstream gets its answer from another one if the test fails.
             return slowHedgeDelayMs;
         }
-        return typicalMs === undefined ? undefined : Math.max(hedgeMinDelayMs, typicalMs * hedgeDelayRatio);
+        return lateMs === undefined ? undefined : Math.max(hedgeMinDelayMs, lateMs * hedgeDelayRatio);
     }
 
     #applyRatio(entry: Entry, ratio: number): void {
--- a/src/features/upstream/upstreamSettings.ts
+++ b/src/features/upstream/upstreamSettings.ts
@@ -32,9 +32,9 @@
     leavingHoldMs: z.number().positive().default(30_000),
     /** A peer's sign of leaving is ignored when a report taken this long after it denies it. */
     peerSignMarginMs: z.number().nonnegative().default(3_000),
-    /** Hedge delay relative to the median first-token latency. */
-    hedgeDelayRatio: z.number().min(1).default(2),
-    hedgeMinDelayMs: z.number().nonnegative().default(50),
+    /** Hedge delay relative to the first-token latency that 95 % of recent requests stay below. */
+    hedgeDelayRatio: z.number().min(1).default(1.4),
+    hedgeMinDelayMs: z.number().nonnegative().default(20),
     /** Hedge delay of requests at an upstream that is known to be slow. */
     slowHedgeDelayMs: z.number().positive().default(5),
 });
--- a/src/features/upstream/upstreamTracker.ts
+++ b/src/features/upstream/upstreamTracker.ts
@@ -95,7 +95,8 @@
         }
         this.#recordInFlight(nowMs);
         this.#recordResult(result, nowMs);
-        if (result === "complete" && (outputTokens >= MinTokensPerSample || outputTokens === 0)) {
+        // Engines pause long work for short work, which says nothing about their speed.
+        if (result === "complete" && !dispatch!.long && (outputTokens >= MinTokensPerSample || outputTokens === 0)) {
             this.#recordTokenTime(dispatch!.firstTokenMs, durationMs, outputTokens, nowMs);
         }
     }
@@ -148,6 +149,11 @@
         };
     }
 
+    /** @returns Recent first-token latencies of short streams. */
+    firstTokenSamples(): number[] {
+        return this.#firstToken.values();
+    }
+
     /** Forgets latencies that were measured before the upstream changed its speed. */
     forgetLatencies(): void {
         this.#firstToken.clear();
--- a/src/load/loadClient.ts
+++ b/src/load/loadClient.ts
@@ -52,6 +52,7 @@
     /** Sends a request. Never throws. */
     async send(arrival: Arrival, requestClass: RequestClass, router: string): Promise<LoadRecord> {
         const prepared = this.#prepare(requestClass, router);
+        const sentAtMs = this.#nowMs();
         let facts: AnswerFacts;
         try {
             facts = await this.#exchange(arrival, requestClass, prepared);
@@ -67,8 +68,9 @@
             requestId: requestId ?? "",
             router,
             dueAtMs: arrival.atMs,
+            sentAtMs,
             endedAtMs: this.#nowMs(),
-            ...(firstTokenAtMs === undefined ? {} : { firstTokenMs: firstTokenAtMs - arrival.atMs }),
+            ...(firstTokenAtMs === undefined ? {} : { firstTokenMs: firstTokenAtMs - sentAtMs }),
             ...(retryAfterS === undefined ? {} : { retryAfterS }),
             ...rest,
             promptBytes: prepared.promptBytes,
--- a/src/load/loadRecord.ts
+++ b/src/load/loadRecord.ts
@@ -10,8 +10,13 @@
     requestClass: z.string(),
     requestId: z.string(),
     router: z.string(),
-    /** When the request was due; latencies count from here, so that a late sender does not hide waiting. */
+    /** When the request was due. */
     dueAtMs: z.number(),
+    /**
+     * When it was sent; latencies count from here. The sender never waits for answers or connections, so that it is late
+     * only when its own process gets no processor time.
+     */
+    sentAtMs: z.number(),
     endedAtMs: z.number(),
     firstTokenMs: z.number().optional(),
     outcome: LoadOutcomeSchema,
--- a/src/load/loadStatistics.ts
+++ b/src/load/loadStatistics.ts
@@ -93,8 +93,8 @@
         figures.sent++;
         if (record.outcome === "complete") {
             figures.complete++;
-            figures.total.add(record.endedAtMs - record.dueAtMs);
-            figures.firstToken.add(record.firstTokenMs ?? record.endedAtMs - record.dueAtMs);
+            figures.total.add(record.endedAtMs - record.sentAtMs);
+            figures.firstToken.add(record.firstTokenMs ?? record.endedAtMs - record.sentAtMs);
         }
         else {
             figures.cut += record.outcome === "cut" ? 1 : 0;
