Add failure tests with the programs as processes

Cause: no check ran the programs as separate processes while failures were injected. Before: no such run.

--- /dev/null
+++ b/src/chaos/billingCheck.ts
@@ -0,0 +1,62 @@
+/** Check that each completed request has one bill line or lies in the at-risk amount of a sealed host. */
+import type { CallRecord, Evidence, HostBillLine, Violation } from "./chaosTypes.js";
+import { answerTokens, groupBy } from "./evidenceReading.js";
+
+/** @returns Requests that are billed twice or with a wrong amount, and hosts whose at-risk amounts do not cover them. */
+export function billingViolations(evidence: Evidence): Violation[] {
+    const linesByRequest = groupBy(evidence.bills, line => line.requestId);
+    const linesByBill = groupBy(evidence.bills, billIdentity);
+    const complete = evidence.calls.filter(call => call.outcome === "complete" && !call.replayed);
+    const violations: Violation[] = [];
+    const unbilled: CallRecord[] = [];
+    for (const group of groupBy(complete, call => call.key ?? call.requestId).values()) {
+        const found = group.flatMap(call => linesByRequest.get(call.requestId) ?? []);
+        const lines = [...new Set(found.map(billIdentity))].flatMap(id => linesByBill.get(id) ?? []);
+        const count = lines.reduce((sum, line) => sum + (line.outcome === "reversal" ? -1 : 1), 0);
+        if (count <= 0) {
+            unbilled.push(group[0]!);
+        }
+        if (count > 1) {
+            const message = `the request ${group[0]!.requestId} has ${count} bill lines`;
+            violations.push({ property: "billedOnce", message, evidence: { group, lines } });
+        }
+        violations.push(...wrongAmounts(group, found));
+    }
+    return [...violations, ...uncovered(evidence, unbilled)];
+}
+
+function billIdentity(line: HostBillLine): string {
+    return JSON.stringify([line.budget, line.team, line.billId]);
+}
+
+function wrongAmounts(group: readonly CallRecord[], lines: readonly HostBillLine[]): Violation[] {
+    return group.flatMap(call => {
+        const own = lines.filter(line => line.requestId === call.requestId && line.outcome !== "reversal");
+        return own.filter(line => line.tokens !== answerTokens(call)).map((line): Violation => ({
+            property: "billedOnce",
+            message: `the request ${call.requestId} used ${answerTokens(call)} tokens and is billed ${line.tokens}`,
+            evidence: { call, line },
+        }));
+    });
+}
+
+/** The at-risk amounts of a host id must cover its unbilled requests, budget by budget. */
+function uncovered(evidence: Evidence, unbilled: readonly CallRecord[]): Violation[] {
+    const violations: Violation[] = [];
+    for (const calls of groupBy(unbilled, call => JSON.stringify([call.hostId, call.budget])).values()) {
+        const { hostId, budget } = calls[0]!;
+        const neededTokens = calls.reduce((sum, call) => sum + answerTokens(call), 0);
+        const atRisk = Object.entries(evidence.budgets[budget]?.atRiskTokens ?? {})
+            .filter(([hostKey]) => hostKey.startsWith(`${hostId}~`));
+        const coveredTokens = atRisk.reduce((sum, [, tokens]) => sum + tokens, 0);
+        if (neededTokens > coveredTokens) {
+            violations.push({
+                property: "billedOnce",
+                message: `${calls.length} completed requests of ${hostId} have no bill line: ${neededTokens} tokens ` +
+                    `of budget ${budget}, ${coveredTokens} are at risk`,
+                evidence: { atRisk, calls },
+            });
+        }
+    }
+    return violations;
+}
--- /dev/null
+++ b/src/chaos/chaosRun.ts
@@ -0,0 +1,162 @@
+/** One chaos run: start, traffic with failures, healing, checks. */
+import { setTimeout as sleep } from "node:timers/promises";
+import { SeededRandom } from "../base/random.js";
+import { ChaosDeployment } from "./chaosDeployment.js";
+import { FailureInjector } from "./chaosFailures.js";
+import { ChaosObserver } from "./chaosObserver.js";
+import { ChaosOperators } from "./chaosOperators.js";
+import { BalancerLagMs } from "./chaosResources.js";
+import { ChaosTraffic } from "./chaosTraffic.js";
+import type { Evidence, Violation } from "./chaosTypes.js";
+import { checkAll } from "./checks.js";
+
+/** Longest wait after healing until everything adds up. */
+const QuietTimeoutMs = 60_000;
+const QuietCheckMs = 2_000;
+
+/** How a run is done. */
+export interface ChaosOptions {
+    readonly seed: number;
+    /** Duration of the traffic. */
+    readonly durationMs: number;
+    readonly ratePerS: number;
+    readonly maxRequests: number;
+    readonly maxFailures: number;
+    readonly keepFiles: boolean;
+    readonly onProgress: (message: string) => void;
+}
+
+/** Result of a run. */
+export interface ChaosResult {
+    readonly evidence: Evidence;
+    readonly failures: Readonly<Record<string, number>>;
+    readonly operatorExits: Readonly<Record<string, number>>;
+    /** Time from healing until everything added up, or until the wait was given up. */
+    readonly quietMs: number;
+    readonly violations: readonly Violation[];
+    /** Directory of settings and logs, if it was kept. */
+    readonly directory: string | undefined;
+}
+
+/** Runs once. */
+export class ChaosRun {
+    readonly #options: ChaosOptions;
+    readonly #deployment = new ChaosDeployment();
+    readonly #startedAtMs = performance.now();
+
+    constructor(options: ChaosOptions) {
+        this.#options = options;
+    }
+
+    /** Ends all processes of the run at once. */
+    abort(): Promise<void> {
+        return this.#deployment.stop(this.#options.keepFiles);
+    }
+
+    /** Runs from start to stop. */
+    async run(): Promise<ChaosResult> {
+        let keepFiles = this.#options.keepFiles;
+        try {
+            await this.#deployment.start();
+            const result = await this.#disturb();
+            keepFiles ||= result.violations.length > 0;
+            return { ...result, directory: keepFiles ? this.#deployment.directory : undefined };
+        }
+        finally {
+            await this.#deployment.stop(keepFiles);
+        }
+    }
+
+    async #disturb(): Promise<Omit<ChaosResult, "directory">> {
+        const { seed, durationMs, ratePerS, maxRequests, maxFailures, onProgress } = this.#options;
+        const nowMs = (): number => performance.now() - this.#startedAtMs;
+        const [trafficRandom, failureRandom, operatorRandom] = [1, 2, 3].map(part => new SeededRandom(seed * 4 + part));
+        const traffic = new ChaosTraffic(this.#deployment, trafficRandom!, nowMs, maxRequests);
+        const injector = new FailureInjector(this.#deployment, traffic, failureRandom!, nowMs, onProgress);
+        const operators = new ChaosOperators(this.#deployment, operatorRandom!);
+        const observer = new ChaosObserver(this.#deployment, nowMs);
+        const ending = new AbortController();
+        const observing = observer.run(ending.signal);
+        const time = AbortSignal.timeout(durationMs);
+        await Promise.all([
+            traffic.run(ratePerS, time),
+            injector.run(maxFailures, time),
+            operators.run(time),
+            sleep(durationMs),
+        ]);
+        onProgress("healed; waiting until everything adds up");
+        await this.#heal();
+        await Promise.all([traffic.finish(), operators.finish()]);
+        const healedMs = nowMs();
+        const collect = () => collectEvidence(this.#deployment, observer, { traffic, injector, operators });
+        const { evidence, violations } = await untilQuiet(collect);
+        ending.abort();
+        await observing;
+        return {
+            evidence,
+            violations,
+            failures: Object.fromEntries(injector.counts),
+            operatorExits: Object.fromEntries(operators.exits),
+            quietMs: nowMs() - healedMs,
+        };
+    }
+
+    /** Each failure heals itself; this makes sure that nothing is left. */
+    async #heal(): Promise<void> {
+        await this.#deployment.setPlatformFaults([]);
+        await Promise.all(this.#deployment.upstreams.map(upstream =>
+            this.#deployment.setUpstreamFaults(upstream, {
+                leaving: false,
+                silentRequests: 0,
+                dyingRequests: 0,
+                crossedRequests: 0,
+                refusedRequests: 0,
+                lateRequests: 0,
+            })
+        ));
+        this.#deployment.routers.forEach(router => router.child?.kill("SIGCONT"));
+    }
+}
+
+/** Parts of a run that keep records. */
+interface Recorders {
+    readonly traffic: ChaosTraffic;
+    readonly injector: FailureInjector;
+    readonly operators: ChaosOperators;
+}
+
+async function collectEvidence(
+    deployment: ChaosDeployment,
+    observer: ChaosObserver,
+    { traffic, injector, operators }: Recorders,
+): Promise<Evidence> {
+    return {
+        calls: traffic.calls,
+        executions: await observer.readExecutions(),
+        bills: await observer.readBills(),
+        budgets: await observer.readBudgets(),
+        budgetSamples: observer.budgetSamples,
+        topUps: operators.topUps,
+        shutdowns: injector.shutdowns,
+        configSamples: observer.configSamples,
+        finalVersions: await observer.readVersions(),
+        storedVersion: await observer.readStoredVersion(),
+        audit: await deployment.control("audit"),
+        balancerLagMs: BalancerLagMs,
+    };
+}
+
+/** Records are written and dead hosts are sealed with a delay: a violation counts when it outlasts the wait. */
+async function untilQuiet(
+    collect: () => Promise<Evidence>,
+): Promise<{ readonly evidence: Evidence; readonly violations: readonly Violation[]; }> {
+    const deadlineMs = performance.now() + QuietTimeoutMs;
+    for (;;) {
+        const evidence = await collect();
+        const violations = checkAll(evidence);
+        if (violations.length === 0 || performance.now() > deadlineMs) {
+            return { evidence, violations };
+        }
+        await sleep(QuietCheckMs);
+    }
+}
