Test the checks of the chaos tool

Cause: a check that never fails would show nothing. Change: a spec makes one fault in clean evidence per check; the wait for quiet is an option. Before: checks without tests.

--- a/src/chaos/chaosRun.ts
+++ b/src/chaos/chaosRun.ts
@@ -10,8 +10,6 @@
 import type { Evidence, Violation } from "./chaosTypes.js";
 import { checkAll } from "./checks.js";
 
-/** Longest wait after healing until everything adds up. */
-const QuietTimeoutMs = 60_000;
 const QuietCheckMs = 2_000;
 
 /** How a run is done. */
@@ -22,6 +20,8 @@
     readonly ratePerS: number;
     readonly maxRequests: number;
     readonly maxFailures: number;
+    /** Longest wait after healing until everything adds up. */
+    readonly quietTimeoutMs: number;
     readonly keepFiles: boolean;
     readonly onProgress: (message: string) => void;
 }
@@ -89,7 +89,7 @@
         await Promise.all([traffic.finish(), operators.finish()]);
         const healedMs = nowMs();
         const collect = () => collectEvidence(this.#deployment, observer, { traffic, injector, operators });
-        const { evidence, violations } = await untilQuiet(collect);
+        const { evidence, violations } = await untilQuiet(collect, this.#options.quietTimeoutMs);
         ending.abort();
         await observing;
         return {
@@ -149,8 +149,9 @@
 /** Records are written and dead hosts are sealed with a delay: a violation counts when it outlasts the wait. */
 async function untilQuiet(
     collect: () => Promise<Evidence>,
+    timeoutMs: number,
 ): Promise<{ readonly evidence: Evidence; readonly violations: readonly Violation[]; }> {
-    const deadlineMs = performance.now() + QuietTimeoutMs;
+    const deadlineMs = performance.now() + timeoutMs;
     for (;;) {
         const evidence = await collect();
         const violations = checkAll(evidence);
--- /dev/null
+++ b/src/chaos/checks.spec.ts
@@ -0,0 +1,262 @@
+import { describe, expect, it } from "vitest";
+import type { CallRecord, Evidence, HostBillLine, PropertyName, UpstreamExecution } from "./chaosTypes.js";
+import { checkAll } from "./checks.js";
+
+const Call: CallRecord = {
+    kind: "stream",
+    team: "large",
+    budget: "large",
+    key: undefined,
+    body: "{}",
+    hostId: "chaos-1",
+    generation: 1,
+    startMs: 1_000,
+    endMs: 2_000,
+    outcome: "complete",
+    requestId: "r1",
+    errorName: undefined,
+    ran: undefined,
+    replayed: false,
+    answerIds: ["chatcmpl-r1"],
+    done: true,
+    contentChunks: 5,
+    promptTokens: 10,
+    outputTokens: 5,
+    echo: undefined,
+    executionNumber: undefined,
+};
+
+const Sale: CallRecord = {
+    ...Call,
+    kind: "sale",
+    key: "k1",
+    body: "card=1",
+    requestId: "r2",
+    answerIds: [],
+    done: false,
+    promptTokens: undefined,
+    outputTokens: undefined,
+    echo: "card=1",
+    executionNumber: 1,
+};
+
+const Run: UpstreamExecution = {
+    requestId: "r1",
+    promptTokens: 10,
+    outputTokens: 5,
+    state: "complete",
+    upstream: "engine-1",
+};
+
+const SaleRun: UpstreamExecution = {
+    requestId: "r2",
+    idempotencyKey: "k1",
+    promptTokens: 0,
+    outputTokens: 0,
+    state: "complete",
+    upstream: "till-1",
+};
+
+function line(requestId: string, tokens: number): HostBillLine {
+    return {
+        hostKey: "chaos-1~a",
+        sequence: 1,
+        atMs: 0,
+        requestId,
+        billId: requestId,
+        team: "large",
+        budget: "large",
+        model: "assistant",
+        promptTokens: 0,
+        outputTokens: 0,
+        tokens,
+        requestKind: "chat",
+        upstream: "engine-1",
+        outcome: "complete",
+    };
+}
+
+const Budget = { paidTokens: 100, closedTokens: 0, atRiskTokens: {}, shares: {}, topUps: [] };
+
+const Clean: Evidence = {
+    calls: [Call, Sale],
+    executions: [Run, SaleRun],
+    bills: [line("r1", 15), line("r2", 1)],
+    budgets: { large: Budget },
+    budgetSamples: [{ atMs: 0, budget: "large", object: Budget }],
+    topUps: [{ budget: "large", tokens: 100, operationId: "a" }],
+    shutdowns: [{ hostId: "chaos-1", generation: 1, signalledMs: 1_500, exitCode: 0 }],
+    configSamples: [
+        { hostId: "chaos-1", generation: 1, version: 2, atMs: 0 },
+        { hostId: "chaos-1", generation: 2, version: 1, atMs: 1 },
+    ],
+    finalVersions: { "chaos-1": 2 },
+    storedVersion: 2,
+    audit: { exitCode: 0, output: "" },
+    balancerLagMs: 1_500,
+};
+
+function violated(changes: Partial<Evidence>): PropertyName[] {
+    return [...new Set(checkAll({ ...Clean, ...changes }).map(violation => violation.property))];
+}
+
+function withBudget(changes: Partial<typeof Budget>): Partial<Evidence> {
+    return { budgets: { large: { ...Budget, ...changes } } };
+}
+
+// Guards against checks of the chaos tool that pass whatever happens.
+describe("checks of a chaos run", () => {
+    it("accept evidence without faults", () => {
+        expect(violated({})).toEqual([]);
+    });
+
+    describe("spending", () => {
+        it("notices bills above the paid amount", () => {
+            expect(violated({ bills: [...Clean.bills, line("r3", 90)] })).toEqual(["overspend"]);
+        });
+
+        it("notices charges above the paid amount", () => {
+            expect(violated(withBudget({ closedTokens: 60, atRiskTokens: { "chaos-2~a": 50 } }))).toEqual([
+                "overspend",
+            ]);
+        });
+
+        it("notices delivered tokens above the paid amount", () => {
+            const topUps = [{ budget: "large", tokens: 15, operationId: "a" }];
+            expect(violated({ ...withBudget({ paidTokens: 15 }), topUps })).toEqual(["overspend"]);
+        });
+
+        it("notices tokens that were given out beyond the paid amount for a moment", () => {
+            const object = { ...Budget, shares: { "chaos-1~a": { grantedTokens: 101, sequence: 1 } } };
+            expect(violated({ budgetSamples: [{ atMs: 0, budget: "large", object }] })).toEqual(["overspend"]);
+        });
+
+        it("notices a top-up that was applied twice", () => {
+            expect(violated(withBudget({ paidTokens: 200 }))).toEqual(["topUpOnce"]);
+        });
+    });
+
+    describe("executions", () => {
+        it("notices a key that ran twice", () => {
+            expect(violated({ executions: [Run, SaleRun, { ...SaleRun, requestId: "r9" }] })).toEqual(["atMostOnce"]);
+        });
+
+        it("notices a sale without a key", () => {
+            const executions = [Run, { ...SaleRun, idempotencyKey: undefined }];
+            expect(violated({ executions })).toEqual(["atMostOnce"]);
+        });
+
+        it("notices a refused request that ran", () => {
+            const refused: CallRecord = { ...Sale, outcome: "refused", ran: "no" };
+            expect(violated({ calls: [Call, refused], bills: [line("r1", 15)] })).toEqual(["refusedNotRun"]);
+        });
+
+        it("notices a refused request that was billed", () => {
+            const refused: CallRecord = { ...Sale, outcome: "refused", ran: "no" };
+            expect(violated({ calls: [Call, refused], executions: [Run] })).toEqual(["refusedNotRun"]);
+        });
+    });
+
+    describe("answers", () => {
+        it("notices the answer to another chat", () => {
+            expect(violated({ calls: [{ ...Call, answerIds: ["chatcmpl-r7"] }, Sale] })).toEqual(["ownAnswer"]);
+        });
+
+        it("notices a stream with the chunks of two answers", () => {
+            const answerIds = ["chatcmpl-r1", "chatcmpl-r7"];
+            expect(violated({ calls: [{ ...Call, answerIds }, Sale] })).toEqual(["ownAnswer"]);
+        });
+
+        it("notices the answer to another sale", () => {
+            expect(violated({ calls: [Call, { ...Sale, echo: "card=2" }] })).toEqual(["ownAnswer"]);
+        });
+
+        it("notices a replay that belongs to another key", () => {
+            const replay: CallRecord = {
+                ...Call,
+                kind: "keyedChat",
+                key: "k9",
+                replayed: true,
+                requestId: "r8",
+                done: false,
+            };
+            expect(violated({ calls: [Call, Sale, replay] })).toEqual(["ownAnswer"]);
+        });
+
+        it("notices a cut stream with an end mark", () => {
+            const cut: CallRecord = { ...Call, outcome: "cut", errorName: "UpstreamTimeout" };
+            expect(violated({ calls: [cut, Sale] })).toEqual(["cutWithoutDone"]);
+        });
+
+        it("notices an end mark of a stream that lacks content", () => {
+            expect(violated({ calls: [{ ...Call, contentChunks: 4 }, Sale] })).toEqual(["cutWithoutDone"]);
+        });
+    });
+
+    describe("shutdowns", () => {
+        it("notices a stream that broke off", () => {
+            expect(violated({ calls: [{ ...Call, outcome: "broken", done: false }, Sale] })).toEqual([
+                "gracefulShutdown",
+            ]);
+        });
+
+        it("notices a stream that the router cut although its upstream went on", () => {
+            const cut: CallRecord = { ...Call, outcome: "cut", done: false, errorName: "StreamCut" };
+            expect(violated({ calls: [cut, Sale] })).toEqual(["gracefulShutdown"]);
+        });
+
+        it("accepts a stream whose upstream died", () => {
+            const cut: CallRecord = { ...Call, outcome: "cut", done: false, errorName: "StreamCut" };
+            expect(violated({ calls: [cut, Sale], executions: [{ ...Run, state: "failed" }, SaleRun] })).toEqual([]);
+        });
+
+        it("notices another exit code than 0", () => {
+            const shutdowns = [{ ...Clean.shutdowns[0]!, exitCode: 1 }];
+            expect(violated({ shutdowns })).toEqual(["gracefulShutdown"]);
+        });
+    });
+
+    describe("bills", () => {
+        it("notices a request that is billed twice", () => {
+            expect(violated({ bills: [...Clean.bills, line("r1", 15)] })).toEqual(["billedOnce"]);
+        });
+
+        it("notices a wrong amount", () => {
+            expect(violated({ bills: [line("r1", 14), line("r2", 1)] })).toEqual(["billedOnce"]);
+        });
+
+        it("notices a request without a bill line", () => {
+            expect(violated({ bills: [line("r2", 1)] })).toEqual(["billedOnce"]);
+        });
+
+        it("accepts a request without a bill line that an at-risk amount of its host covers", () => {
+            const budget = withBudget({ atRiskTokens: { "chaos-1~a": 15 } });
+            expect(violated({ ...budget, bills: [line("r2", 1)] })).toEqual([]);
+        });
+
+        it("notices an at-risk amount that does not cover the requests", () => {
+            const budget = withBudget({ atRiskTokens: { "chaos-1~a": 14, "chaos-2~a": 9 } });
+            expect(violated({ ...budget, bills: [line("r2", 1)] })).toEqual(["billedOnce"]);
+        });
+
+        it("counts a bill and its reversal as none", () => {
+            const reversal: HostBillLine = { ...line("r1", -15), outcome: "reversal" };
+            expect(violated({ bills: [...Clean.bills, reversal] })).toEqual(["billedOnce"]);
+        });
+
+        it("notices a failed audit", () => {
+            expect(violated({ audit: { exitCode: 1, output: "1 findings" } })).toEqual(["audit"]);
+        });
+    });
+
+    describe("configuration", () => {
+        it("notices a version that went back in one process", () => {
+            const configSamples = Clean.configSamples.map(sample => ({ ...sample, generation: 1 }));
+            expect(violated({ configSamples })).toEqual(["configNeverReverts"]);
+        });
+
+        it("notices a router that is behind at the end", () => {
+            expect(violated({ finalVersions: { "chaos-1": 2, "chaos-2": 1 } })).toEqual(["configEqual"]);
+        });
+    });
+});
--- a/src/programs/toucanChaos.ts
+++ b/src/programs/toucanChaos.ts
@@ -21,6 +21,7 @@
     .option("rate", { type: "number", default: 25, describe: "mean rate of new requests a second" })
     .option("max-requests", { type: "number", default: 20_000, describe: "limit on the number of new requests" })
     .option("max-failures", { type: "number", default: 1_000, describe: "limit on the number of failures" })
+    .option("quiet-seconds", { type: "number", default: 60, describe: "longest wait until everything adds up" })
     .option("keep-files", { type: "boolean", default: false, describe: "keep settings and logs also when all holds" })
     .option("log-level", { choices: ["error", "warn", "info", "debug"] as const, default: "info" as const })
     .check(({ seconds, rate }) => seconds > 0 && seconds <= 600 && rate > 0 || "--seconds or --rate is out of range")
@@ -38,6 +39,7 @@
     ratePerS: options.rate,
     maxRequests: options.maxRequests,
     maxFailures: options.maxFailures,
+    quietTimeoutMs: options.quietSeconds * 1_000,
     keepFiles: options.keepFiles,
     onProgress: message => log.info(message),
 });
