Repeat the tool's own requests to stand-ins

Change: requests to /faults and /executions are repeated up to 4 times, and a failed run shows the cause of its error.

--- a/src/chaos/chaosDeployment.ts
+++ b/src/chaos/chaosDeployment.ts
@@ -16,6 +16,10 @@
 /** Longest run of an operator command; it is killed then. */
 const CommandTimeoutMs = 25_000;
 
+/** Tries of a request to a stand-in, and the pause between them. */
+const MaxTries = 4;
+const RetryMs = 200;
+
 /** A host id with its current router process. */
 export interface RouterSlot {
     readonly hostId: string;
@@ -126,6 +130,11 @@
         });
     }
 
+    /** @returns Everything that ran at an upstream, as JSON. */
+    async readExecutions(upstream: UpstreamSlot): Promise<unknown> {
+        return withRetries(async () => (await fetch(`${upstream.url}/executions`)).json());
+    }
+
     /** @returns Path of the written file. */
     writeJson(name: string, value: unknown): string {
         return this.#group.writeJson(name, value);
@@ -178,14 +187,31 @@
     }
 }
 
+/** Sends a request to a stand-in. A kept connection may close just when it is used, so that the request is repeated. */
 async function postJson(url: string, body: unknown): Promise<void> {
-    const answer = await fetch(url, {
-        method: "POST",
-        headers: { "content-type": "application/json" },
-        body: JSON.stringify(body),
-    });
+    const answer = await withRetries(() =>
+        fetch(url, {
+            method: "POST",
+            headers: { "content-type": "application/json" },
+            body: JSON.stringify(body),
+        })
+    );
     if (!answer.ok) {
         throw new Error(`${url} answered with status ${answer.status}: ${await answer.text()}`);
     }
     await answer.body?.cancel();
 }
+
+async function withRetries<T>(call: () => Promise<T>): Promise<T> {
+    for (let tries = 1;; tries++) {
+        try {
+            return await call();
+        }
+        catch (error) {
+            if (tries >= MaxTries) {
+                throw error;
+            }
+            await sleep(RetryMs);
+        }
+    }
+}
--- a/src/chaos/chaosObserver.ts
+++ b/src/chaos/chaosObserver.ts
@@ -70,9 +70,9 @@
 
     /** @returns Everything that ran at the upstreams. */
     async readExecutions(): Promise<UpstreamExecution[]> {
-        const lists = await Promise.all(this.#deployment.upstreams.map(async ({ name, url }) => {
-            const answer: unknown = await (await fetch(`${url}/executions`)).json();
-            return z.array(ExecutionSchema).parse(answer).map(execution => ({ ...execution, upstream: name }));
+        const lists = await Promise.all(this.#deployment.upstreams.map(async upstream => {
+            const executions = z.array(ExecutionSchema).parse(await this.#deployment.readExecutions(upstream));
+            return executions.map(execution => ({ ...execution, upstream: upstream.name }));
         }));
         return lists.flat();
     }
--- a/src/programs/toucanChaos.ts
+++ b/src/programs/toucanChaos.ts
@@ -2,6 +2,7 @@
 /** Runs the programs as processes, injects failures and checks what must always hold. */
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
+import { inspect } from "node:util";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import { ExitCodes } from "../base/exitCodes.js";
@@ -53,8 +54,8 @@
 for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"] as const) {
     process.once(signal, () => void abort(signal));
 }
-process.once("unhandledRejection", error => void abort(String(error)));
-process.once("uncaughtException", error => void abort(error.stack ?? error.message));
+process.once("unhandledRejection", error => void abort(inspect(error)));
+process.once("uncaughtException", error => void abort(inspect(error)));
 
 try {
     const result = await run.run();
@@ -66,5 +67,5 @@
     process.exit(result.violations.length === 0 ? ExitCodes.Done : ExitCodes.Failed);
 }
 catch (error) {
-    await abort((error as Error).stack ?? (error as Error).message);
+    await abort(inspect(error));
 }
