--- a/src/chaos/chaosFailures.ts
+++ b/src/chaos/chaosFailures.ts
@@ -62,22 +62,25 @@
         this.#onFailure = onFailure;
     }
 
-    /** Injects failures until the signal, then waits until the last ones have healed. */
-    async run(maxFailures: number, signal: AbortSignal): Promise<void> {
+    /**
+     * Injects failures until the signal, then waits until the last ones have healed.
+     * @param kinds Kinds to draw from.
+     */
+    async run(kinds: readonly FailureKind[], maxFailures: number, signal: AbortSignal): Promise<void> {
         for (let count = 0; count < maxFailures && !signal.aborted;) {
             await sleep(300 + this.#random.integer(1_700));
             if (this.#active.size < MaxActive && !signal.aborted) {
                 count++;
-                const done = this.#inject(this.#drawKind()).finally(() => this.#active.delete(done));
+                const done = this.#inject(this.#drawKind(kinds)).finally(() => this.#active.delete(done));
                 this.#active.add(done);
             }
         }
         await Promise.all(this.#active);
     }
 
-    #drawKind(): FailureKind {
+    #drawKind(kinds: readonly FailureKind[]): FailureKind {
         if (this.#deck.length === 0) {
-            this.#deck = [...FailureKinds];
+            this.#deck = [...kinds];
         }
         return this.#deck.splice(this.#random.integer(this.#deck.length), 1)[0]!;
     }
--- a/src/chaos/chaosRun.ts
+++ b/src/chaos/chaosRun.ts
@@ -1,8 +1,9 @@
 /** One chaos run: start, traffic with failures, healing, checks. */
 import { setTimeout as sleep } from "node:timers/promises";
+import { inspect } from "node:util";
 import { SeededRandom } from "../base/random.js";
 import { ChaosDeployment } from "./chaosDeployment.js";
-import { FailureInjector } from "./chaosFailures.js";
+import { FailureInjector, type FailureKind } from "./chaosFailures.js";
 import { ChaosObserver } from "./chaosObserver.js";
 import { ChaosOperators } from "./chaosOperators.js";
 import { BalancerLagMs } from "./chaosResources.js";
@@ -20,6 +21,7 @@
     readonly ratePerS: number;
     readonly maxRequests: number;
     readonly maxFailures: number;
+    readonly failureKinds: readonly FailureKind[];
     /** Longest wait after healing until everything adds up. */
     readonly quietTimeoutMs: number;
     readonly keepFiles: boolean;
@@ -68,7 +70,7 @@
     }
 
     async #disturb(): Promise<Omit<ChaosResult, "directory">> {
-        const { seed, durationMs, ratePerS, maxRequests, maxFailures, onProgress } = this.#options;
+        const { seed, durationMs, ratePerS, maxRequests, maxFailures, failureKinds, onProgress } = this.#options;
         const nowMs = (): number => performance.now() - this.#startedAtMs;
         const [trafficRandom, failureRandom, operatorRandom] = [1, 2, 3].map(part => new SeededRandom(seed * 4 + part));
         const traffic = new ChaosTraffic(this.#deployment, trafficRandom!, nowMs, maxRequests);
@@ -77,13 +79,21 @@
         const observer = new ChaosObserver(this.#deployment, nowMs);
         const ending = new AbortController();
         const observing = observer.run(ending.signal);
-        const time = AbortSignal.timeout(durationMs);
-        await Promise.all([
-            traffic.run(ratePerS, time),
-            injector.run(maxFailures, time),
-            operators.run(time),
-            sleep(durationMs),
-        ]);
+        const time = new AbortController();
+        const parts = [
+            traffic.run(ratePerS, time.signal),
+            injector.run(failureKinds, maxFailures, time.signal),
+            operators.run(time.signal),
+            sleep(durationMs).then(() => time.abort()),
+        ];
+        await Promise.all(parts).catch(async (error: unknown) => {
+            // The other parts end before the files that they write are removed.
+            onProgress(`a part of the run failed: ${inspect(error)}`);
+            time.abort();
+            ending.abort();
+            await Promise.allSettled(parts);
+            throw error;
+        });
         onProgress("healed; waiting until everything adds up");
         await this.#heal();
         await Promise.all([traffic.finish(), operators.finish()]);
--- a/src/programs/toucanChaos.ts
+++ b/src/programs/toucanChaos.ts
@@ -7,6 +7,7 @@
 import { hideBin } from "yargs/helpers";
 import { ExitCodes } from "../base/exitCodes.js";
 import { configureLog, log } from "../base/log.js";
+import { type FailureKind, FailureKinds } from "../chaos/chaosFailures.js";
 import { formatReport, summarise } from "../chaos/chaosReport.js";
 import { ChaosRun } from "../chaos/chaosRun.js";
 
@@ -22,6 +23,7 @@
     .option("rate", { type: "number", default: 25, describe: "mean rate of new requests a second" })
     .option("max-requests", { type: "number", default: 20_000, describe: "limit on the number of new requests" })
     .option("max-failures", { type: "number", default: 1_000, describe: "limit on the number of failures" })
+    .option("failures", { choices: FailureKinds, array: true, default: FailureKinds, describe: "kinds to draw from" })
     .option("quiet-seconds", { type: "number", default: 60, describe: "longest wait until everything adds up" })
     .option("keep-files", { type: "boolean", default: false, describe: "keep settings and logs also when all holds" })
     .option("log-level", { choices: ["error", "warn", "info", "debug"] as const, default: "info" as const })
@@ -40,6 +42,7 @@
     ratePerS: options.rate,
     maxRequests: options.maxRequests,
     maxFailures: options.maxFailures,
+    failureKinds: options.failures as readonly FailureKind[],
     quietTimeoutMs: options.quietSeconds * 1_000,
     keepFiles: options.keepFiles,
     onProgress: message => log.info(message),
