--- a/src/chaos/chaosObserver.ts
+++ b/src/chaos/chaosObserver.ts
@@ -2,7 +2,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { z } from "zod";
 import { type BudgetObject, BudgetObjectSchema, BudgetPrefix } from "../features/budget/budgetTypes.js";
-import { BillLineSchema } from "../features/journal/journalTypes.js";
+import { BillLineSchema, HostRecordPrefix, HostRecordSchema } from "../features/journal/journalTypes.js";
 import type { StoredObject } from "../platform/platformStore.js";
 import { ExecutionSchema } from "../standins/upstream/executionLog.js";
 import type { ChaosDeployment, RouterSlot } from "./chaosDeployment.js";
@@ -51,6 +51,14 @@
         return keys.length === 0 ? 0 : Number(keys.at(-1)!.split("/").at(-1));
     }
 
+    /** @returns States of all host records, by host key. */
+    async readRecordStates(): Promise<Record<string, string>> {
+        const objects = await this.#list(HostRecordPrefix);
+        return Object.fromEntries(
+            objects.map(({ key, value }) => [key.slice(HostRecordPrefix.length), HostRecordSchema.parse(value).state]),
+        );
+    }
+
     /** @returns The budgets in the store. */
     async readBudgets(): Promise<Record<string, BudgetObject>> {
         const objects = await this.#list(BudgetPrefix);
--- a/src/chaos/chaosReport.ts
+++ b/src/chaos/chaosReport.ts
@@ -31,6 +31,7 @@
         executions: executions.length,
         billLines: bills.length,
         atRiskHosts: new Set(Object.values(budgets).flatMap(object => Object.keys(object.atRiskTokens))).size,
+        records: countBy(Object.values(evidence.recordStates), state => state),
         failuresInjected: Object.values(failures).reduce((sum, count) => sum + count, 0),
         failures,
         shutdowns: evidence.shutdowns.length,
--- a/src/chaos/chaosRun.ts
+++ b/src/chaos/chaosRun.ts
@@ -150,6 +150,7 @@
         shutdowns: injector.shutdowns,
         configSamples: observer.configSamples,
         finalVersions: await observer.readVersions(),
+        recordStates: await observer.readRecordStates(),
         storedVersion: await observer.readStoredVersion(),
         audit: await deployment.control("audit"),
         balancerLagMs: BalancerLagMs,
--- a/src/chaos/chaosTypes.ts
+++ b/src/chaos/chaosTypes.ts
@@ -95,6 +95,8 @@
     readonly configSamples: readonly ConfigSample[];
     /** Versions in force at the end, by host id; 0 when a router did not answer. */
     readonly finalVersions: Readonly<Record<string, number>>;
+    /** States of all host records at the end, by host key. */
+    readonly recordStates: Readonly<Record<string, string>>;
     /** Newest version in the store. */
     readonly storedVersion: number;
     readonly audit: { readonly exitCode: number; readonly output: string; };
@@ -115,6 +117,7 @@
     "audit",
     "configNeverReverts",
     "configEqual",
+    "deadHostsClosed",
 ] as const;
 export type PropertyName = typeof PropertyNames[number];
 
--- a/src/chaos/checks.spec.ts
+++ b/src/chaos/checks.spec.ts
@@ -91,6 +91,7 @@
         { hostId: "chaos-1", generation: 2, version: 1, atMs: 1 },
     ],
     finalVersions: { "chaos-1": 2 },
+    recordStates: { "chaos-1~a": "sealed", "chaos-1~b": "live", "chaos-2~c": "live" },
     storedVersion: 2,
     audit: { exitCode: 0, output: "" },
     balancerLagMs: 1_500,
@@ -249,6 +250,11 @@
         });
     });
 
+    it("notice the record of a dead process that nobody sealed", () => {
+        const recordStates = { "chaos-1~a": "live", "chaos-1~b": "live" };
+        expect(violated({ recordStates })).toEqual(["deadHostsClosed"]);
+    });
+
     describe("configuration", () => {
         it("notices a version that went back in one process", () => {
             const configSamples = Clean.configSamples.map(sample => ({ ...sample, generation: 1 }));
--- a/src/chaos/checks.ts
+++ b/src/chaos/checks.ts
@@ -18,6 +18,7 @@
         ...billingViolations(evidence),
         ...checkAudit(evidence),
         ...checkConfig(evidence),
+        ...checkDeadHosts(evidence),
     ];
 }
 
@@ -191,3 +192,15 @@
     }
     return violations;
 }
+
+/** A host id has one running process at the end; records of earlier ones must be sealed or closed. */
+function checkDeadHosts({ recordStates }: Evidence): Violation[] {
+    const open = Object.entries(recordStates).filter(([, state]) => state === "live" || state === "leaving");
+    return [...groupBy(open, ([hostKey]) => hostKey.split("~")[0]!)].filter(([, group]) => group.length > 1).map(
+        ([hostId, group]): Violation => ({
+            property: "deadHostsClosed",
+            message: `${group.length} records of ${hostId} are open`,
+            evidence: group,
+        }),
+    );
+}
