--- a/src/chaos/checks.spec.ts
+++ b/src/chaos/checks.spec.ts
@@ -44,6 +44,7 @@
     requestId: "r1",
     promptTokens: 10,
     outputTokens: 5,
+    priority: 1,
     state: "complete",
     upstream: "engine-1",
 };
@@ -53,6 +54,7 @@
     idempotencyKey: "k1",
     promptTokens: 0,
     outputTokens: 0,
+    priority: 1,
     state: "complete",
     upstream: "till-1",
 };
