Close what was opened when the router cannot start

Cause: with an operator address that is not allowed, the peer listener stayed open and the process never ended. Change: a failed start closes the listeners, so that the program ends with 1. Before: the program hung. After: it ends with 1; the new spec runs the program.

--- a/src/router/router.spec.ts
+++ b/src/router/router.spec.ts
@@ -121,14 +121,29 @@
         });
     });
 
-    describe("when the program gets SIGTERM in mid-stream", () => {
+    describe("when the program is run", () => {
         let folder: string;
         beforeEach(() => {
             folder = mkdtempSync(join(tmpdir(), "toucan-router-"));
         });
         afterEach(() => rmSync(folder, { recursive: true }));
 
-        it("finishes the stream, closes its record and exits with 0 (guards against interrupted requests)", async () => {
+        it("ends with 1 when a listener cannot be opened (guards against a process that hangs)", async () => {
+            const file = join(folder, "settings.json");
+            writeFileSync(file, JSON.stringify({ ...settingsOf("h9"), operator: { host: "0.0.0.0", port: 0 } }));
+            const child = spawn(process.execPath, [
+                "--import",
+                "tsx",
+                "src/programs/toucanRouter.ts",
+                "--settings",
+                file,
+            ], {
+                stdio: "ignore",
+            });
+            expect(await new Promise(resolve => child.once("exit", resolve))).toBe(1);
+        });
+
+        it("finishes a stream after SIGTERM, closes its record and exits with 0 (guards against interrupted requests)", async () => {
             const file = join(folder, "settings.json");
             writeFileSync(file, JSON.stringify(settingsOf("h9")));
             const child = spawn(process.execPath, [
--- a/src/router/routerProcess.ts
+++ b/src/router/routerProcess.ts
@@ -90,8 +90,21 @@
         return this.#addresses;
     }
 
-    /** Opens the listeners and starts the kernel. */
+    /**
+     * Opens the listeners and starts the kernel.
+     * @throws Error when a listener cannot be opened; those that were opened are closed again.
+     */
     async start(): Promise<void> {
+        try {
+            await this.#open();
+        }
+        catch (error) {
+            await this.kill();
+            throw error;
+        }
+    }
+
+    async #open(): Promise<void> {
         const { caller, operator } = this.#settings;
         // The controllers announce the addresses of these listeners, so these listeners are opened first.
         const peerPort = await this.#parts.peerLink.start(event => this.#kernel?.post(event));
