--- a/src/features/admission/admissionController.ts
+++ b/src/features/admission/admissionController.ts
@@ -109,7 +109,7 @@
             return;
         }
         const upstream = this.#mayHedge(item) ? this.#policy.findFree(item) : undefined;
-        if (upstream !== undefined && this.#budget.hedges.take(requests, nowMs)) {
+        if (upstream !== undefined && this.#budget.hedges.take()) {
             this.context.counters.add("admission.hedged");
             this.#dispatch(item, upstream, "");
         }
@@ -139,7 +139,10 @@
     #started(requestId: string, upstream: string, long: boolean): void {
         if (!this.#ledger.start(requestId, upstream)) {
             const decidedAtMs = this.context.clock.monotonicMs();
-            this.#ledger.add({ requestId, upstream, workClass: "normal", long, decidedAtMs, pool: "" }, true);
+            this.#ledger.add(
+                { requestId, upstream, workClass: "normal", long, yielding: false, decidedAtMs, pool: "" },
+                true,
+            );
         }
     }
 
@@ -153,15 +156,18 @@
 
     #takeProbe(): boolean {
         const nowMs = this.context.clock.monotonicMs();
-        return this.#budget.probes.take(this.#budget.requests(nowMs), nowMs);
+        // A probe is hedged, so that it needs a hedge to spare.
+        return this.#budget.hedges.available && this.#budget.probes.take(this.#budget.requests(nowMs), nowMs);
     }
 
     #dispatch(item: WorkItem, upstream: string, pool: string): void {
         const { requestId, workClass, long } = item;
         const decidedAtMs = this.context.clock.monotonicMs();
-        this.#ledger.add({ requestId, upstream, workClass, long, decidedAtMs, pool });
+        const enginePriority = this.#policy.enginePriority(item);
+        const yielding = enginePriority === "background";
+        this.#ledger.add({ requestId, upstream, workClass, long, yielding, decidedAtMs, pool });
         this.context.counters.add(`admission.dispatched.${workClass}`);
-        this.#decide(item, { status: "dispatch", upstream });
+        this.#decide(item, { status: "dispatch", upstream, enginePriority });
     }
 
     #refuse(item: WorkItem, code: ResultCodeName, retryAfterMs: number | undefined): void {
--- a/src/features/budget/budgetAccount.ts
+++ b/src/features/budget/budgetAccount.ts
@@ -1,6 +1,7 @@
 /** One budget of the current host incarnation: numbers, waiting reservations and the share in the store. */
+import { hash32 } from "../../base/hashing.js";
 import { type BudgetEntry, createBudgetEntry, usedTokens } from "./budgetBoard.js";
-import { DemandAverage, type DrawInput, drawSize, limitSize, shareTarget, WindowMaximum } from "./budgetMath.js";
+import { DemandAverage, type DrawInput, type SharePolicy, shareTarget, WindowMaximum } from "./budgetMath.js";
 import type { BudgetSettings } from "./budgetSettings.js";
 import { type BudgetObject, freeTokens } from "./budgetTypes.js";
 import type { ShareWriter } from "./shareWriter.js";
@@ -24,9 +25,6 @@
     readonly highestLimitTokens: number;
 }
 
-/** Share of the own demand, in time, that is not given to peers. */
-const KeepHorizonMs = 5_000;
-
 /** A draw without a waiting request is at least this part of a host's even share of the paid tokens. */
 const SmallestDrawParts = 50;
 
@@ -40,16 +38,18 @@
     readonly writer: ShareWriter;
     readonly waiting: WaitingReservation[] = [];
     readonly #settings: BudgetSettings;
+    readonly #policy: SharePolicy;
     readonly #demand: DemandAverage;
     readonly #largest: WindowMaximum;
     #lastDemandMs: number;
     #peerNeed = { tokens: 0, untilMs: Number.NEGATIVE_INFINITY };
     #exhausted = { costTokens: Number.POSITIVE_INFINITY, untilMs: Number.NEGATIVE_INFINITY };
 
-    constructor(name: string, settings: BudgetSettings, writer: ShareWriter, nowMs: number) {
+    constructor(name: string, settings: BudgetSettings, policy: SharePolicy, writer: ShareWriter, nowMs: number) {
         this.name = name;
         this.writer = writer;
         this.#settings = settings;
+        this.#policy = policy;
         this.#demand = new DemandAverage(settings.demandWindowMs, nowMs);
         this.#largest = new WindowMaximum(settings.largestCostWindowMs, nowMs);
         this.#lastDemandMs = nowMs;
@@ -77,9 +77,18 @@
         this.#peerNeed = { tokens, untilMs: nowMs + PeerNeedMs };
     }
 
-    /** @returns Tokens that are kept from peers for own demand. */
-    keepTokens(nowMs: number): number {
-        return this.waitingTokens + this.#demand.tokensPerS(nowMs) * KeepHorizonMs / 1_000;
+    /**
+     * Whether a peer's waiting request may have this host's spare tokens. A present request comes before future ones,
+     * so only own waiting requests keep tokens. When both hosts wait and neither can go on alone, an order of the hosts
+     * decides; otherwise both would keep a part and be refused.
+     */
+    mayGive(receiver: string, giver: string): boolean {
+        if (this.waiting.length === 0) {
+            return true;
+        }
+        const unused = this.entry.grantedTokens - usedTokens(this.entry);
+        const canGoOn = this.waiting.some(item => item.costTokens <= unused);
+        return !canGoOn && hash32(`${this.name}|${receiver}`) > hash32(`${this.name}|${giver}`);
     }
 
     /** Remembers that a cost could not be covered by anybody. */
@@ -103,7 +112,7 @@
         this.entry.grantedTokens = this.writer.grantedTokens;
         this.entry.demandTokensPerS = this.#demand.tokensPerS(nowMs);
         this.entry.largestCostTokens = this.#largest.maximum(nowMs);
-        this.entry.wantedLimitTokens = limitSize({
+        this.entry.wantedLimitTokens = this.#policy.limitSize({
             usedTokens: usedTokens(this.entry),
             grantedTokens: this.entry.grantedTokens,
             largestCostTokens: this.entry.largestCostTokens,
@@ -138,7 +147,7 @@
             liveHostCount: host.liveHostCount,
             neededTokens,
         };
-        const size = mayDraw ? drawSize(input) : 0;
+        const size = mayDraw ? this.#policy.drawSize(input) : 0;
         if (size > 0) {
             return this.entry.grantedTokens + size;
         }
