--- a/src/load/loadRunner.ts
+++ b/src/load/loadRunner.ts
@@ -53,8 +53,12 @@
             records.push(record);
         }));
     }
-    await Promise.all([phases, ...pending]);
+    await phases;
+    const answered = Promise.all(pending);
+    await Promise.race([answered, delay(scenario.drainMs, undefined, { ref: false })]);
+    // Requests that are still open fail at once.
     await client.close();
+    await answered;
     return {
         summaries: statistics.summaries(),
         records: { startedAtMs, tokensByInterval: Array.from(tokensByInterval, count => count ?? 0), records },
--- a/src/load/loadScenario.ts
+++ b/src/load/loadScenario.ts
@@ -53,6 +53,8 @@
     seed: z.number().int().default(1),
     /** Longest wait for the end of a request. */
     timeoutMs: z.number().int().positive().default(60_000),
+    /** Longest wait after the last phase; requests that are still open then are cut. */
+    drainMs: z.number().int().positive().default(60_000),
     classes: z.record(z.string(), RequestClassSchema),
     phases: z.array(PhaseSchema).min(1),
 }).superRefine((scenario, context) => {
--- a/src/programs/toucanBench.ts
+++ b/src/programs/toucanBench.ts
@@ -12,7 +12,7 @@
 /** The router's own policy. */
 const OwnPolicy = "adaptive";
 /** Factors on the phase durations: quick runs end within 2 minutes, full runs within 10. */
-const TimeScales = { quick: { own: 0.8, baseline: 0.55 }, full: { own: 4, baseline: 2.8 } } as const;
+const TimeScales = { quick: { own: 0.65, baseline: 0.3 }, full: { own: 4, baseline: 2.5 } } as const;
 
 const options = await yargs(hideBin(process.argv))
     .scriptName("toucan-bench")
