--- a/test/fuzz/moneyPath.spec.ts
+++ b/test/fuzz/moneyPath.spec.ts
@@ -65,11 +65,13 @@
     });
 
     describe("when the store is down", () => {
-        it("goes on within the declared limits (guards against an outage that stops all work)", () => {
+        it("goes on within the limits that all hosts declared (guards against an outage that stops all work)", () => {
             world.store.faults.outage = true;
-            const requests = Array.from({ length: 3 }, () => world.gateway.start(world.processOf("h0")!, plan(50)));
+            const requests = Array.from({ length: 9 }, () => world.gateway.start(world.processOf("h0")!, plan(50)));
             world.scheduler.advance(2_000);
-            expect(requests.filter(request => request.state === "ended")).toHaveLength(2);
+            const declaredTokens = world.processes.reduce((sum, { board }) => sum + board.journal.limits.get("b0")!, 0);
+            expect(declaredTokens).toBe(300);
+            expect(requests.filter(request => request.state === "ended")).toHaveLength(declaredTokens / 50);
             world.settle();
             checkSettled(world);
         });
@@ -105,6 +107,21 @@
         });
     });
 
+    describe("when reads are stale while a sealed host settles late", () => {
+        it("replaces its at-risk tokens all the same (guards against a fold that a stale read ends)", () => {
+            const process = world.processOf("h0")!;
+            world.gateway.start(process, plan(90, 500));
+            world.scheduler.advance(100);
+            world.store.faults.staleReadShare = 0.9;
+            process.pause(10_000);
+            world.scheduler.advance(20_000);
+            expect(process.board.journal.sealedCount).toBe(1);
+            world.settle();
+            expect(budgetObject(world, "b0").atRiskTokens).toEqual({});
+            expect(stuckTokens(world, "b0")).toBe(0);
+        });
+    });
+
     describe("when a host shuts down", () => {
         it("returns its share and leaves nothing at risk (guards against tokens that a rolling restart uses up)", () => {
             world.gateway.start(world.processOf("h0")!, plan(90, 500));
