Reverse bills of 0 tokens, and seal no host that was only listed

A repeatable keyed chat ran without a claim during a store outage, was cut before its first token, and its line of 0 tokens was not reversed when the claim of another host was found; toucanctl audit reported a duplicate. Change: the reversal also cancels lines of 0 tokens; recovery leaves out hosts without an incarnation.

--- a/src/features/idempotency/idempotency.spec.ts
+++ b/src/features/idempotency/idempotency.spec.ts
@@ -283,6 +283,31 @@
             first.advance(1_000);
             expect(first.kernel.counters.get("idempotency.reversals")).toBe(1);
         });
+
+        it("reverses a bill of 0 tokens too (guards against a request with two bill lines)", () => {
+            first.fault = "refuse";
+            first.claim("r1", "k", { repeatable: true });
+            first.advance(301);
+            expect(second.claim("r2", "k", { repeatable: true })).toMatchObject({ status: "held" });
+            const bill: BillDraft = {
+                requestId: "r1",
+                billId: claimId("team", "k"),
+                team: "team",
+                budget: "b",
+                model: "m",
+                promptTokens: 0,
+                outputTokens: 0,
+                tokens: 0,
+                requestKind: "chat",
+                upstream: "",
+                outcome: "cut",
+            };
+            first.kernel.post({ type: "reservationSettled", reservationId: "r1", bill });
+            first.complete("r1", "k");
+            first.fault = "none";
+            first.advance(1_000);
+            expect(first.kernel.counters.get("idempotency.reversals")).toBe(1);
+        });
     });
 
     describe("when a request is given up before it ran", () => {
--- a/src/features/idempotency/idempotencyController.ts
+++ b/src/features/idempotency/idempotencyController.ts
@@ -158,10 +158,10 @@
 
     /** Cancels the bill of a request that ran although another request with the same key holds the claim. */
     #reverse(claim: LocalClaim): void {
-        if (claim.bill === undefined || claim.bill.tokens === 0) {
+        if (claim.bill === undefined) {
             return;
         }
-        const bill: BillDraft = { ...claim.bill, tokens: -claim.bill.tokens, outcome: "reversal" };
+        const bill: BillDraft = { ...claim.bill, tokens: 0 - claim.bill.tokens, outcome: "reversal" };
         claim.bill = undefined;
         this.context.counters.add("idempotency.reversals");
         this.context.emit({ type: "postEvent", event: { type: "billReversed", bill } });
--- a/src/features/recovery/recoveryController.ts
+++ b/src/features/recovery/recoveryController.ts
@@ -101,13 +101,16 @@
         this.#folds.step(this.#settings.foldConcurrency, nowMs);
     }
 
-    /** A restarted host leaves its old incarnation behind, which no peer misses. */
+    /**
+     * A restarted host leaves its old incarnation behind, which no peer misses. A host that was only listed has no
+     * incarnation yet, and no record.
+     */
     #watchReplaced(): void {
         for (const { hostId, incarnation } of this.context.board.membership.members.values()) {
             const known = this.#incarnations.get(hostId);
             if (known !== incarnation) {
                 this.#incarnations.set(hostId, incarnation);
-                if (known !== undefined) {
+                if (known !== undefined && known !== "") {
                     this.#watch(hostKeyOf(hostId, known), undefined);
                 }
             }
