Keep the bill of a request whose key another host releases

It ran without a claim during a store outage; the claim of another host, whose request was refused for lack of budget, was found later and taken for a run, so that the bill was reversed. That claim was released a moment afterwards. Change: a bill is reversed only when the other claim is done or its host is sealed or closed; until then the write of the own claim is repeated with backoff. The earlier test of the reversal left the other request running forever; it is replaced by four stricter ones (running, done, released, sealed).

--- a/src/features/idempotency/claimOutcomes.ts
+++ b/src/features/idempotency/claimOutcomes.ts
@@ -1,7 +1,7 @@
 /** Answers to claim requests. */
 import type { ResultCodeName } from "../../base/resultCodes.js";
 import type { ReadOutcome } from "../../platform/platformStore.js";
-import { HostRecordSchema } from "../journal/journalTypes.js";
+import { type HostRecord, HostRecordSchema } from "../journal/journalTypes.js";
 import type { Claim, ClaimOutcome } from "./idempotencyTypes.js";
 import type { LocalClaim } from "./localClaim.js";
 
@@ -34,6 +34,16 @@
 
 /** @returns Whether a host record was read and is sealed. */
 export function isSealed(outcome: ReadOutcome): boolean {
+    return stateOf(outcome) === "sealed";
+}
+
+/** @returns Whether a host record was read and is sealed or closed. */
+export function hasEnded(outcome: ReadOutcome): boolean {
+    const state = stateOf(outcome);
+    return state === "sealed" || state === "closed";
+}
+
+function stateOf(outcome: ReadOutcome): HostRecord["state"] | undefined {
     const record = outcome.status === "found" ? HostRecordSchema.safeParse(outcome.object.value) : undefined;
-    return record?.success === true && record.data.state === "sealed";
+    return record?.data?.state;
 }
--- a/src/features/idempotency/idempotency.spec.ts
+++ b/src/features/idempotency/idempotency.spec.ts
@@ -10,6 +10,7 @@
 import { ObjectStore } from "../../standins/platform/objectStore.js";
 import type { BillDraft } from "../budget/budgetTypes.js";
 import { hostRecordKey } from "../journal/journalTypes.js";
+import { sealedForm } from "../recovery/hostWatch.js";
 import { IdempotencyController } from "./idempotencyController.js";
 import { claimId, type ClaimOutcome, IdempotencySettingsSchema } from "./idempotencyTypes.js";
 
@@ -259,54 +260,70 @@
             expect(second.claim("r2", "k", { repeatable: true })).toEqual({ status: "replay", answer: stored });
         });
 
-        it("reverses its bill when another host ran the same key (guards against a request billed twice)", () => {
-            first.fault = "refuse";
-            first.claim("r1", "k", { repeatable: true });
-            first.advance(301);
-            expect(second.claim("r2", "k", { repeatable: true })).toMatchObject({ status: "held" });
-            const bill: BillDraft = {
-                requestId: "r1",
-                billId: claimId("team", "k"),
-                team: "team",
-                budget: "b",
-                model: "m",
-                promptTokens: 3,
-                outputTokens: 4,
-                tokens: 7,
-                requestKind: "chat",
-                upstream: "u",
-                outcome: "complete",
-            };
-            first.kernel.post({ type: "reservationSettled", reservationId: "r1", bill });
-            first.complete("r1", "k");
-            first.fault = "none";
-            first.advance(1_000);
-            expect(first.kernel.counters.get("idempotency.reversals")).toBe(1);
-        });
+        describe("and another host claimed the key of a request that ran without a claim", () => {
+            beforeEach(() => {
+                first.fault = "refuse";
+                first.claim("r1", "k", { repeatable: true });
+                first.advance(301);
+                expect(second.claim("r2", "k", { repeatable: true })).toMatchObject({ status: "held" });
+            });
 
-        it("reverses a bill of 0 tokens too (guards against a request with two bill lines)", () => {
-            first.fault = "refuse";
-            first.claim("r1", "k", { repeatable: true });
-            first.advance(301);
-            expect(second.claim("r2", "k", { repeatable: true })).toMatchObject({ status: "held" });
-            const bill: BillDraft = {
-                requestId: "r1",
-                billId: claimId("team", "k"),
-                team: "team",
-                budget: "b",
-                model: "m",
-                promptTokens: 0,
-                outputTokens: 0,
-                tokens: 0,
-                requestKind: "chat",
-                upstream: "",
-                outcome: "cut",
-            };
-            first.kernel.post({ type: "reservationSettled", reservationId: "r1", bill });
-            first.complete("r1", "k");
-            first.fault = "none";
-            first.advance(1_000);
-            expect(first.kernel.counters.get("idempotency.reversals")).toBe(1);
+            /** The request of the first host ends, and its store answers again. */
+            function settleFirst(tokens: number): void {
+                const bill: BillDraft = {
+                    requestId: "r1",
+                    billId: claimId("team", "k"),
+                    team: "team",
+                    budget: "b",
+                    model: "m",
+                    promptTokens: tokens,
+                    outputTokens: 0,
+                    tokens,
+                    requestKind: "chat",
+                    upstream: "u",
+                    outcome: tokens > 0 ? "complete" : "cut",
+                };
+                first.kernel.post({ type: "reservationSettled", reservationId: "r1", bill });
+                first.complete("r1", "k");
+                first.fault = "none";
+                first.advance(1_000);
+            }
+
+            const reversals = (): number => first.kernel.counters.get("idempotency.reversals");
+
+            it("reverses its bill when the other host ran the key (guards against a request billed twice)", () => {
+                settleFirst(7);
+                expect(reversals()).toBe(0);
+                second.complete("r2", "k");
+                first.advance(4_000);
+                expect(reversals()).toBe(1);
+                first.advance(4_000);
+                expect(reversals()).toBe(1);
+            });
+
+            it("reverses a bill of 0 tokens too (guards against a request with two bill lines)", () => {
+                second.complete("r2", "k");
+                settleFirst(0);
+                expect(reversals()).toBe(1);
+            });
+
+            it("keeps its bill when the other host releases the key (guards against a complete request without a bill)", () => {
+                settleFirst(7);
+                second.kernel.post({ type: "claimReleased", claimId: claimId("team", "k"), requestId: "r2" });
+                second.flush();
+                first.advance(4_000);
+                first.advance(4_000);
+                expect(reversals()).toBe(0);
+                expect(second.claim("r3", "k", { repeatable: true })).toEqual({ status: "replay", answer: stored });
+            });
+
+            it("reverses its bill when the other host is sealed, whose at-risk amount stands for it", () => {
+                settleFirst(7);
+                const record = { ...sealedForm(undefined, second.kernel.board.journal.hostKey), state: "sealed" };
+                store.put(hostRecordKey(second.kernel.board.journal.hostKey), record, 0);
+                first.advance(4_000);
+                expect(reversals()).toBe(1);
+            });
         });
     });
 
--- a/src/features/idempotency/idempotencyController.ts
+++ b/src/features/idempotency/idempotencyController.ts
@@ -6,7 +6,7 @@
 import { AbsentVersion, type StoredObject, type WriteOutcome } from "../../platform/platformStore.js";
 import type { BillDraft } from "../budget/budgetTypes.js";
 import { hostRecordKey } from "../journal/journalTypes.js";
-import { isSealed, outcomeOfDone, outcomeOfLocal, refused, RunningRetryAfterMs } from "./claimOutcomes.js";
+import { hasEnded, isSealed, outcomeOfDone, outcomeOfLocal, refused, RunningRetryAfterMs } from "./claimOutcomes.js";
 import {
     type Claim,
     claimKey,
@@ -287,13 +287,21 @@
         }
     }
 
-    /** Reads the record of the host that holds the key: only a sealed one changes the answer. */
+    /**
+     * Reads the record of the host that holds the key: only a sealed one changes the answer. A request that runs
+     * without a claim keeps its bill until the holder has run the key or has ended: a released key is not billed there.
+     */
     #checkHolder(claim: LocalClaim, hostKey: string): void {
-        if (claim.decided) {
+        if (claim.abandoned) {
             this.#lose(claim, refused("RequestRunning", RunningRetryAfterMs));
             return;
         }
-        this.#remove(claim);
+        if (claim.decided) {
+            claim.writing = true;
+        }
+        else {
+            this.#remove(claim);
+        }
         this.#holderChecks.set(claim.requestId, claim);
         this.context.emit({
             type: "storeGet",
@@ -310,6 +318,16 @@
             return;
         }
         this.#holderChecks.delete(done.callId);
+        if (claim.decided) {
+            claim.writing = false;
+            if (hasEnded(done.outcome)) {
+                this.#lose(claim, refused("OutcomeUnknown"));
+            }
+            else {
+                this.#retryLater(claim);
+            }
+            return;
+        }
         const outcome = isSealed(done.outcome) ?
             refused("OutcomeUnknown") :
             refused("RequestRunning", RunningRetryAfterMs);
