--- a/src/features/budget/budgetController.ts
+++ b/src/features/budget/budgetController.ts
@@ -4,14 +4,15 @@
 import type { PeerRequested } from "../../kernel/effects.js";
 import type { RouterEvent } from "../../kernel/events.js";
 import type { PeerReply, TransferReply, TransferRequest } from "../../peer/peerMessages.js";
-import { BudgetAccount, type HostView } from "./budgetAccount.js";
+import { AccountBook } from "./accountBook.js";
+import type { BudgetAccount, HostView } from "./budgetAccount.js";
 import { usedTokens } from "./budgetBoard.js";
 import { DemandPolicy, giveSize, type SharePolicy } from "./budgetMath.js";
 import type { BudgetSettings } from "./budgetSettings.js";
-import { budgetKey, freeTokens, type ReservationOutcome } from "./budgetTypes.js";
+import { freeTokens, type ReservationOutcome } from "./budgetTypes.js";
 import { HomePlacement } from "./homePlacement.js";
+import { refusalOf } from "./refusal.js";
 import { ReservationLedger } from "./reservationLedger.js";
-import { ShareWriter } from "./shareWriter.js";
 import { TransferGiver } from "./transferGiver.js";
 import { TransferRequester } from "./transferRequester.js";
 
@@ -25,20 +26,21 @@
 /** Time that a draw gets before peers are asked, and that home hosts get before another host draws. */
 const FirstChoiceMs = 100;
 
+/** Wait for the host record's acknowledgement before peers are asked for tokens that they have declared. */
+const RecordChoiceMs = 200;
+
 /** Controller of budgets and grants. */
 export class BudgetController extends Controller {
     override readonly name = "budget";
     readonly #settings: BudgetSettings;
-    readonly #policy: SharePolicy;
-    readonly #accounts = new Map<string, BudgetAccount>();
+    readonly #accounts: AccountBook;
     readonly #active = new Set<BudgetAccount>();
-    readonly #storeCalls = new Map<string, BudgetAccount>();
     readonly #ledger: ReservationLedger;
     readonly #giver: TransferGiver;
     readonly #requester: TransferRequester;
     readonly #placement: HomePlacement;
     #hostKey: string;
-    #lastCallId = 0;
+    #lastTransferId = 0;
     #wasEstablished = false;
     #reviewedMs = Number.NEGATIVE_INFINITY;
     #proactiveCalls = ProactiveBurst;
@@ -46,7 +48,7 @@
     constructor(context: ControllerContext, settings: BudgetSettings, policy: SharePolicy = DemandPolicy) {
         super(context);
         this.#settings = settings;
-        this.#policy = policy;
+        this.#accounts = new AccountBook(context, settings, policy);
         this.#hostKey = context.board.journal.hostKey;
         this.#ledger = new ReservationLedger(context.board.budget, context.counters);
         this.#giver = new TransferGiver(settings.rememberedTransferCount, context.counters);
@@ -61,9 +63,9 @@
                     request,
                     timeoutMs: settings.transferTimeoutMs,
                 }),
-            nextId: () => `${this.#hostKey}#${++this.#lastCallId}`,
+            nextId: () => `${this.#hostKey}#${++this.#lastTransferId}`,
             credit: (budget, tokens) => {
-                const account = this.#accountOf(budget);
+                const account = this.#accounts.open(budget);
                 account.entry.receivedTokens += tokens;
                 this.#active.add(account);
             },
@@ -87,7 +89,7 @@
                 released => this.#activate(this.#ledger.release(released.reservationId)),
             )
             .with({ type: "billReversed" }, ({ bill }) => {
-                const account = this.#accountOf(bill.budget);
+                const account = this.#accounts.open(bill.budget);
                 this.#ledger.reverse(bill, account.entry, this.#hostKey);
                 this.#active.add(account);
             })
@@ -109,7 +111,7 @@
     override dumpState(): unknown {
         return {
             waiting: Object.fromEntries(
-                [...this.#accounts.values()].map(account => [account.name, account.waiting.length]),
+                this.#accounts.values().map(account => [account.name, account.waiting.length]),
             ),
             openTransfers: this.#requester.openCount,
             homes: this.#placement.homes.size,
@@ -131,16 +133,14 @@
         if (board.journal.hostKey === this.#hostKey) {
             return;
         }
-        const old = [...this.#accounts.values()];
+        const old = this.#accounts.values();
         board.budget.sealedEntries.set(this.#hostKey, new Map(old.map(account => [account.name, account.entry])));
-        board.budget.entries.clear();
         this.#accounts.clear();
         this.#active.clear();
-        this.#storeCalls.clear();
         this.#hostKey = board.journal.hostKey;
         this.#requester.abandon(this.#nowMs);
         for (const account of old) {
-            this.#accountOf(account.name).waiting.push(...account.waiting);
+            this.#accounts.open(account.name).waiting.push(...account.waiting);
         }
     }
 
@@ -157,7 +157,7 @@
         this.#reviewedMs = nowMs;
         this.#placement.step();
         for (const budget of this.#placement.homes) {
-            this.#accountOf(budget);
+            this.#accounts.open(budget);
         }
         for (const account of this.#accounts.values()) {
             this.#active.add(account);
@@ -175,14 +175,15 @@
             this.#decide(reservationId, { status: "refused", code: "ShuttingDown", retryAfterMs: 0 });
             return;
         }
-        const account = this.#accountOf(budget);
+        const account = this.#accounts.open(budget);
         account.noteDemand(costTokens, nowMs);
         if (account.isExhausted(costTokens, nowMs)) {
             this.#decide(reservationId, { status: "refused", code: "BudgetExhausted", retryAfterMs: undefined });
             return;
         }
         if (account.waiting.length >= this.#settings.maxWaitingCount) {
-            this.#decide(reservationId, this.#later("BudgetUnavailable"));
+            const { retryAfterMs } = this.#settings;
+            this.#decide(reservationId, { status: "refused", code: "BudgetUnavailable", retryAfterMs });
             return;
         }
         const deadlineMs = nowMs + Math.min(waitMs, this.#settings.maxWaitMs);
@@ -269,7 +270,11 @@
             }
         }
         const missing = account.missingTokens();
-        if (first === undefined || missing === 0) {
+        if (first === undefined) {
+            return false;
+        }
+        if (missing === 0) {
+            this.#askForUndeclared(account, host, waitedMs);
             return false;
         }
         if (!writer.isWriting) {
@@ -281,41 +286,46 @@
         if (host.isHome && !shortage && !writer.isFailing && waitedMs < FirstChoiceMs) {
             return false;
         }
-        const shares = Object.entries(writer.known?.object.shares ?? {});
-        const emptyPeers = this.#requester.ask(
+        const emptyPeers = this.#askPeers(account, missing, nowMs);
+        return emptyPeers && shortage && !writer.isWriting && !writer.isFailing && account.entry.reservedTokens === 0;
+    }
+
+    /** The own share suffices, but the record that declares it is not acknowledged: peers may have declared tokens. */
+    #askForUndeclared(account: BudgetAccount, host: HostView, waitedMs: number): void {
+        const undeclaredTokens = account.waitingTokens - account.spareTokens(host.limitTokens);
+        if (waitedMs >= RecordChoiceMs && undeclaredTokens > 0) {
+            this.#askPeers(account, undeclaredTokens, host.nowMs);
+        }
+    }
+
+    #askPeers(account: BudgetAccount, wantedTokens: number, nowMs: number): boolean {
+        const shares = Object.entries(account.writer.known?.object.shares ?? {});
+        return this.#requester.ask(
             account.name,
             this.#hostKey,
-            missing,
+            wantedTokens,
             new Map(shares.map(([hostKey, share]) => [hostKey, share.grantedTokens])),
+            hostId => this.#placement.isHomeHost(account.name, hostId),
             this.context.board.membership,
             nowMs,
         );
-        return emptyPeers && shortage && !writer.isWriting && !writer.isFailing && account.entry.reservedTokens === 0;
     }
 
     #refuseWaiting(account: BudgetAccount, host: HostView, spent: boolean): void {
-        const { nowMs } = host;
-        const unused = account.entry.grantedTokens - usedTokens(account.entry);
-        const { known, absentMs } = account.writer;
         for (const item of [...account.waiting]) {
-            const fresh = known !== undefined && known.readMs >= item.sinceMs;
-            // Tokens that closed hosts sent to others count as closed, so only the paid tokens bound what can be obtained.
-            const isTooLarge = item.costTokens > (known?.object.paidTokens ?? 0);
-            let outcome: ReservationOutcome | undefined;
-            if (known === undefined && absentMs !== undefined && absentMs >= item.sinceMs) {
-                outcome = { status: "refused", code: "NoBudget", retryAfterMs: undefined };
-            }
-            else if (item.costTokens > unused && fresh && (spent || isTooLarge)) {
-                account.noteExhausted(item.costTokens, nowMs);
-                outcome = { status: "refused", code: "BudgetExhausted", retryAfterMs: undefined };
-            }
-            else if (nowMs >= item.deadlineMs) {
-                outcome = this.#later(fresh && item.costTokens > unused ? "BudgetExhausted" : "BudgetUnavailable");
+            const outcome = refusalOf(account, item, {
+                nowMs: host.nowMs,
+                spent,
+                retryAfterMs: this.#settings.retryAfterMs,
+            });
+            if (outcome === undefined) {
+                continue;
             }
-            if (outcome !== undefined) {
-                account.waiting.splice(account.waiting.indexOf(item), 1);
-                this.#decide(item.reservationId, outcome);
+            if (outcome.retryAfterMs === undefined && outcome.code === "BudgetExhausted") {
+                account.noteExhausted(item.costTokens, host.nowMs);
             }
+            account.waiting.splice(account.waiting.indexOf(item), 1);
+            this.#decide(item.reservationId, outcome);
         }
     }
 
@@ -342,7 +352,7 @@
         const { transferId } = request;
         const { journal } = this.context.board;
         const repeated = this.#giver.repeated(transferId);
-        const account = this.#accounts.get(request.budget);
+        const account = this.#accounts.find(request.budget);
         if (repeated !== undefined) {
             return { transferId, givenTokens: repeated };
         }
@@ -351,12 +361,10 @@
             return { transferId, givenTokens: 0, laterTokens: 0 };
         }
         const nowMs = this.#nowMs;
-        const givenTokens = giveSize({
-            spareTokens: account.spareTokens(journal.limits.get(request.budget) ?? 0),
-            keepTokens: account.keepTokens(nowMs),
-            wantedTokens: request.wantedTokens,
-            minimumTokens: request.minimumTokens,
-        });
+        const spareTokens = account.spareTokens(journal.limits.get(request.budget) ?? 0);
+        const givenTokens = account.mayGive(request.receiver, request.giver) ?
+            giveSize(spareTokens, request.wantedTokens, request.minimumTokens) :
+            0;
         this.#giver.give(request, account.entry, givenTokens);
         const { entry } = account;
         const laterTokens = Math.max(0, entry.grantedTokens - usedTokens(entry) + entry.reservedTokens) +
@@ -368,37 +376,12 @@
         return { transferId, givenTokens, laterTokens };
     }
 
-    #accountOf(budget: string): BudgetAccount {
-        let account = this.#accounts.get(budget);
-        if (account === undefined) {
-            const key = budgetKey(budget);
-            const identify = (): { owner: "budget"; callId: string; key: string; } => {
-                const callId = `s${++this.#lastCallId}`;
-                this.#storeCalls.set(callId, created);
-                return { owner: "budget", callId, key };
-            };
-            const writer = new ShareWriter(this.#hostKey, {
-                get: () => this.context.emit({ type: "storeGet", ...identify() }),
-                put: (value, expectedVersion) =>
-                    this.context.emit({ type: "storePut", ...identify(), value, expectedVersion }),
-                count: (name, amount) => this.context.counters.add(name, amount),
-            }, this.#settings.storeRetryMs);
-            const created = new BudgetAccount(budget, this.#settings, this.#policy, writer, this.#nowMs);
-            account = created;
-            this.#accounts.set(budget, account);
-            this.context.board.budget.entries.set(budget, account.entry);
-        }
-        return account;
-    }
-
     #storeAccount(callId: string): BudgetAccount | undefined {
-        const account = this.#storeCalls.get(callId);
-        this.#storeCalls.delete(callId);
-        return this.#activate(account?.name);
+        return this.#activate(this.#accounts.endCall(callId)?.name);
     }
 
     #activate(budget: string | undefined): BudgetAccount | undefined {
-        const account = budget === undefined ? undefined : this.#accounts.get(budget);
+        const account = budget === undefined ? undefined : this.#accounts.find(budget);
         if (account !== undefined) {
             this.#active.add(account);
         }
@@ -420,10 +403,6 @@
         return this.context.board.journal.highestLimits.get(budget) ?? 0;
     }
 
-    #later(code: "BudgetExhausted" | "BudgetUnavailable"): ReservationOutcome {
-        return { status: "refused", code, retryAfterMs: this.#settings.retryAfterMs };
-    }
-
     #decide(reservationId: string, outcome: ReservationOutcome): void {
         if (outcome.status === "refused") {
             this.context.counters.add(`budget.reservation.refused.${outcome.code}`);
