Let hosts hold a share of a large budget

Cause: a draw without a waiting request had to be at least a 50th of a host's even part of the paid tokens. With 10 million paid tokens and 4 hosts that is 50000, more than the 20000 of a standing share, so that hosts drew only what waiting requests needed. Change: the smallest draw is at most half of what the host should hold. Before: draw size 0 for a standing share of 20000 and a smallest draw of 50000.

--- a/src/features/budget/budgetMath.spec.ts
+++ b/src/features/budget/budgetMath.spec.ts
@@ -30,6 +30,15 @@
         });
     });
 
+    describe("when the smallest draw exceeds what the host should hold", () => {
+        it("draws what it should hold (guards against hosts that hold nothing of a large budget)", () => {
+            const large = { ...draw, minimumTokens: 50_000, standingTokens: 20_000, freeTokens: 10_000_000 };
+            expect(drawSize(large)).toBe(20_000);
+            expect(drawSize({ ...large, unusedTokens: 10_000 })).toBe(0);
+            expect(drawSize({ ...large, unusedTokens: 9_999 })).toBe(10_001);
+        });
+    });
+
     describe("when little is free", () => {
         it("takes a quarter of it for its demand (guards against one host that holds the rest of a budget)", () => {
             expect(drawSize({ ...draw, freeTokens: 800 })).toBe(200);
--- a/src/features/budget/budgetMath.ts
+++ b/src/features/budget/budgetMath.ts
@@ -40,6 +40,11 @@
     );
 }
 
+/** @returns Tokens that a host should hold unused when plenty are free. */
+function wishedTokens({ demandTokensPerS, horizonMs, largestCostTokens, standingTokens }: DrawInput): number {
+    return Math.ceil(Math.max(demandTokensPerS * horizonMs / 1_000, largestCostTokens, standingTokens));
+}
+
 /**
  * Size of a draw. What a draw without a waiting request would leave too small stays free for those that need it.
  * @returns Tokens to draw; 0 when the share suffices or nothing is free.
@@ -48,7 +53,9 @@
     const target = shareTarget(input);
     // The lower bound keeps small requests from causing a store write each.
     const wished = input.unusedTokens < target / 2 ? target - input.unusedTokens : 0;
-    const worthwhile = wished >= input.minimumTokens ? wished : 0;
+    // The smallest draw is a part of the paid tokens, which may exceed all that a host should ever hold.
+    const smallest = Math.min(input.minimumTokens, wishedTokens(input) / 2);
+    const worthwhile = wished >= smallest ? wished : 0;
     return Math.max(0, Math.min(input.freeTokens, Math.max(worthwhile, input.neededTokens)));
 }
 
