Look for the at-risk amount at the host that holds the key

Change: a reversed bill is covered by a host that was sent the same key. After: two tests, covered and not.

--- a/src/chaos/billingCheck.ts
+++ b/src/chaos/billingCheck.ts
@@ -14,7 +14,7 @@
         const lines = [...new Set(found.map(billIdentity))].flatMap(id => linesByBill.get(id) ?? []);
         const count = lines.reduce((sum, line) => sum + (line.outcome === "reversal" ? -1 : 1), 0);
         if (count <= 0) {
-            unbilled.push(group[0]!);
+            unbilled.push(chargedCall(evidence, group[0]!, lines));
         }
         if (count > 1) {
             const message = `the request ${group[0]!.requestId} has ${count} bill lines`;
@@ -40,14 +40,33 @@
     });
 }
 
+/**
+ * A bill is reversed when another host holds the key. When that host has died, its at-risk amount stands for the bill.
+ * @returns The call with the host whose at-risk amount must cover it.
+ */
+function chargedCall(evidence: Evidence, call: CallRecord, lines: readonly HostBillLine[]): CallRecord {
+    if (!lines.some(line => line.outcome === "reversal")) {
+        return call;
+    }
+    const holder = evidence.calls.find(other =>
+        other.key === call.key && other.hostId !== call.hostId && atRiskOf(evidence, other).length > 0
+    );
+    return { ...call, hostId: holder?.hostId ?? call.hostId };
+}
+
+/** @returns At-risk amounts of all incarnations of a call's host, in the budget of the call. */
+function atRiskOf(evidence: Evidence, { hostId, budget }: CallRecord): [string, number][] {
+    return Object.entries(evidence.budgets[budget]?.atRiskTokens ?? {})
+        .filter(([hostKey]) => hostKey.startsWith(`${hostId}~`));
+}
+
 /** The at-risk amounts of a host id must cover its unbilled requests, budget by budget. */
 function uncovered(evidence: Evidence, unbilled: readonly CallRecord[]): Violation[] {
     const violations: Violation[] = [];
     for (const calls of groupBy(unbilled, call => JSON.stringify([call.hostId, call.budget])).values()) {
         const { hostId, budget } = calls[0]!;
         const neededTokens = calls.reduce((sum, call) => sum + answerTokens(call), 0);
-        const atRisk = Object.entries(evidence.budgets[budget]?.atRiskTokens ?? {})
-            .filter(([hostKey]) => hostKey.startsWith(`${hostId}~`));
+        const atRisk = atRiskOf(evidence, calls[0]!);
         const coveredTokens = atRisk.reduce((sum, [, tokens]) => sum + tokens, 0);
         if (neededTokens > coveredTokens) {
             violations.push({
--- a/src/chaos/checks.spec.ts
+++ b/src/chaos/checks.spec.ts
@@ -247,6 +247,22 @@
             expect(violated({ bills: [...Clean.bills, reversal] })).toEqual(["billedOnce"]);
         });
 
+        describe("of a key whose bill was reversed", () => {
+            const reversal: HostBillLine = { ...line("r2", -1), outcome: "reversal" };
+            const broken: CallRecord = { ...Sale, hostId: "chaos-2", outcome: "broken", requestId: "" };
+            const changes = { calls: [Call, broken, Sale], bills: [...Clean.bills, reversal], shutdowns: [] };
+
+            it("accepts the at-risk amount of the dead host that holds the key", () => {
+                const budget = withBudget({ atRiskTokens: { "chaos-2~a": 1 } });
+                expect(violated({ ...budget, ...changes })).toEqual([]);
+            });
+
+            it("notices that no host that was asked is charged", () => {
+                const budget = withBudget({ atRiskTokens: { "chaos-3~a": 1 } });
+                expect(violated({ ...budget, ...changes })).toEqual(["billedOnce"]);
+            });
+        });
+
         it("notices a failed audit", () => {
             expect(violated({ audit: { exitCode: 1, output: "1 findings" } })).toEqual(["audit"]);
         });
