Give each controller only the events that it handles

Cause: a profile of short requests showed 15 to 18 % of the CPU in matching events in controllers that ignore them. Change: controllers name their event types; the kernel keeps a list per type.

--- a/src/features/admission/admissionController.ts
+++ b/src/features/admission/admissionController.ts
@@ -15,6 +15,14 @@
 /** Answers every admission request once and writes the admission section of the blackboard. */
 export class AdmissionController extends Controller {
     override readonly name = "admission" as const;
+    override readonly handledTypes: ReadonlySet<RouterEvent["type"]> = new Set<RouterEvent["type"]>([
+        "tick",
+        "admissionRequested",
+        "retryRequested",
+        "admissionCancelled",
+        "dispatchStarted",
+        "dispatchEnded",
+    ]);
     readonly #settings: AdmissionSettings;
     readonly #ledger = new InFlightLedger();
     readonly #budget: RetryBudget;
--- a/src/features/budget/budgetController.ts
+++ b/src/features/budget/budgetController.ts
@@ -32,6 +32,17 @@
 /** Controller of budgets and grants. */
 export class BudgetController extends Controller {
     override readonly name = "budget";
+    override readonly handledTypes: ReadonlySet<RouterEvent["type"]> = new Set<RouterEvent["type"]>([
+        "tick",
+        "reservationRequested",
+        "reservationSettled",
+        "reservationReleased",
+        "billReversed",
+        "peerRequested",
+        "peerCallDone",
+        "storeGetDone",
+        "storePutDone",
+    ]);
     readonly #settings: BudgetSettings;
     readonly #accounts: AccountBook;
     readonly #active = new Set<BudgetAccount>();
--- a/src/features/idempotency/idempotencyController.ts
+++ b/src/features/idempotency/idempotencyController.ts
@@ -23,6 +23,18 @@
 /** Controller of the idempotency feature. */
 export class IdempotencyController extends Controller {
     override readonly name = "idempotency";
+    override readonly handledTypes: ReadonlySet<RouterEvent["type"]> = new Set<RouterEvent["type"]>([
+        "tick",
+        "claimRequested",
+        "claimCompleted",
+        "claimReleased",
+        "reservationSettled",
+        "ticketRequested",
+        "peerRequested",
+        "peerCallDone",
+        "storeGetDone",
+        "storePutDone",
+    ]);
     readonly #settings: IdempotencySettings;
     readonly #claims = new Map<string, LocalClaim>();
     /** Claims with writes to come. Settled ones are left out, since they are many and only wait for their removal. */
--- a/src/features/lifecycle/lifecycleController.ts
+++ b/src/features/lifecycle/lifecycleController.ts
@@ -14,6 +14,12 @@
  */
 export class LifecycleController extends Controller {
     override readonly name = "lifecycle";
+    override readonly handledTypes: ReadonlySet<RouterEvent["type"]> = new Set<RouterEvent["type"]>([
+        "tick",
+        "requestEntered",
+        "requestLeft",
+        "shutdownRequested",
+    ]);
     readonly #settings: LifecycleSettings;
     #drainingSinceMs = 0;
     #closingSinceMs = 0;
--- a/src/features/recovery/recoveryController.ts
+++ b/src/features/recovery/recoveryController.ts
@@ -30,6 +30,11 @@
 /** Controller of recovery. */
 export class RecoveryController extends Controller {
     override readonly name = "recovery";
+    override readonly handledTypes: ReadonlySet<RouterEvent["type"]> = new Set<RouterEvent["type"]>([
+        "tick",
+        "storeGetDone",
+        "storePutDone",
+    ]);
     readonly #settings: RecoverySettings;
     readonly #watched = new Map<string, Watched>();
     readonly #calls = new Map<string, CallTarget>();
--- a/src/features/upstream/upstreamController.ts
+++ b/src/features/upstream/upstreamController.ts
@@ -30,6 +30,13 @@
 /** Writes the upstream section of the blackboard. */
 export class UpstreamController extends Controller {
     override readonly name = "upstream" as const;
+    override readonly handledTypes: ReadonlySet<RouterEvent["type"]> = new Set<RouterEvent["type"]>([
+        "tick",
+        "dispatchStarted",
+        "firstTokenSeen",
+        "dispatchEnded",
+        "loadReported",
+    ]);
     readonly #settings: UpstreamSettings;
     readonly #entries = new Map<string, Entry>();
     #configured: ReadonlyMap<string, Upstream> | undefined;
--- a/src/kernel/controller.ts
+++ b/src/kernel/controller.ts
@@ -19,6 +19,8 @@
 /** Decides for one feature. Reads any section of the blackboard and writes its own. */
 export abstract class Controller {
     abstract readonly name: FeatureName;
+    /** Types of the events that the controller handles; all when `undefined`. */
+    readonly handledTypes: ReadonlySet<RouterEvent["type"]> | undefined = undefined;
     protected readonly context: ControllerContext;
 
     constructor(context: ControllerContext) {
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -31,6 +31,7 @@
     readonly board: Blackboard;
     readonly counters: Counters;
     readonly #controllers: readonly Controller[];
+    readonly #controllersByType = new Map<RouterEvent["type"], readonly Controller[]>();
     readonly #queue: RouterEvent[] = [];
     readonly #outbox: Effect[] = [];
     #runner: EffectRunner | undefined;
@@ -81,7 +82,7 @@
     #drain(): void {
         do {
             for (let event = this.#queue.shift(); event !== undefined; event = this.#queue.shift()) {
-                for (const controller of this.#controllers) {
+                for (const controller of this.#controllersFor(event.type)) {
                     controller.handle(event);
                 }
             }
@@ -92,6 +93,15 @@
         while (this.#queue.length > 0);
     }
 
+    #controllersFor(type: RouterEvent["type"]): readonly Controller[] {
+        let controllers = this.#controllersByType.get(type);
+        if (controllers === undefined) {
+            controllers = this.#controllers.filter(({ handledTypes }) => handledTypes?.has(type) ?? true);
+            this.#controllersByType.set(type, controllers);
+        }
+        return controllers;
+    }
+
     #perform(effect: Effect): void {
         if (effect.type === "postEvent") {
             this.#queue.push(effect.event);
