Tell new hosts less often than deaths and restarts

Cause: 8 s after 16 routers had joined 16 others, messages of 896 bytes on average instead of 413: each host told each new one 18 times. Change: a live host that was unknown is told log2(n) times instead of 3 log2(n) times, because the platform lists it within seconds.

--- a/src/features/membership/factQueue.ts
+++ b/src/features/membership/factQueue.ts
@@ -1,7 +1,11 @@
 /** Facts about other hosts that are still to be told. */
 
-/** Factor of the logarithm of the fleet's size: the number of times that a host tells a fact. */
+/**
+ * Factors of the logarithm of the fleet's size: the number of times that a host tells a fact. A new host is told less
+ * often, because the platform lists it soon; with many new hosts, digests would stay full for a minute.
+ */
 const TellFactor = 3;
+const NewHostTellFactor = 1;
 
 /** Counts how often each fact is still to be told. */
 export class FactQueue {
@@ -15,9 +19,11 @@
     /**
      * Starts to tell a changed fact.
      * @param hostCount Number of known hosts.
+     * @param isNewHost Whether the fact introduces a live host.
      */
-    add(hostId: string, hostCount: number): void {
-        this.#tellsLeft.set(hostId, TellFactor * Math.ceil(Math.log2(hostCount + 2)));
+    add(hostId: string, hostCount: number, isNewHost: boolean): void {
+        const factor = isNewHost ? NewHostTellFactor : TellFactor;
+        this.#tellsLeft.set(hostId, factor * Math.ceil(Math.log2(hostCount + 2)));
     }
 
     /** @returns Ids of the hosts with facts to tell, the least told first. */
--- a/src/features/membership/memberTable.ts
+++ b/src/features/membership/memberTable.ts
@@ -166,7 +166,8 @@
         // Hosts that the platform lists are known everywhere; only other news is worth telling.
         const isFirstSign = known?.incarnation === "" && fact.state === "live";
         if (fact.incarnation !== "" && !isFirstSign) {
-            this.facts.add(fact.hostId, this.#board.members.size);
+            const isNewHost = known === undefined && fact.state === "live";
+            this.facts.add(fact.hostId, this.#board.members.size, isNewHost);
         }
     }
 
