Suspect only hosts that left an exchange unanswered

Cause: while hosts joined, the turn on a changing ring left out successors for longer than the 10 s after which they were suspected. With 32 routers, live hosts were suspected and cleared, and digests stayed full (896 bytes instead of 413 per message). Change: the successor that was asked longest ago is asked next, and silence alone is no longer a reason: an exchange has to be unanswered too. Before: a test with a host joining every 1.5 s finds suspects.

--- a/src/features/membership/memberTable.ts
+++ b/src/features/membership/memberTable.ts
@@ -93,8 +93,11 @@
         }
     }
 
-    /** Suspects watched hosts that were silent for too long, and forgets hosts that ended long ago. */
-    review(ownHostId: string): void {
+    /**
+     * Suspects watched hosts that were silent for too long, and forgets hosts that ended long ago.
+     * @param unanswered Hosts that did not answer the newest exchange; others are not suspected, as nobody asked them.
+     */
+    review(ownHostId: string, unanswered: ReadonlySet<string>): void {
         const now = this.#now();
         const { successors } = this.view(ownHostId).neighbours;
         for (const hostId of [...this.#watchedSinceMs.keys()].filter(hostId => !successors.includes(hostId))) {
@@ -104,7 +107,8 @@
             const member = this.#board.members.get(hostId)!;
             const watchedSinceMs = this.#watchedSinceMs.get(hostId) ?? now;
             this.#watchedSinceMs.set(hostId, watchedSinceMs);
-            if (now - Math.max(member.heardAtMs, watchedSinceMs) > this.#settings.suspectAfterMs) {
+            const silenceMs = now - Math.max(member.heardAtMs, watchedSinceMs);
+            if (silenceMs > this.#settings.suspectAfterMs && unanswered.has(hostId)) {
                 this.#suspect(member);
             }
         }
--- a/src/features/membership/membership.spec.ts
+++ b/src/features/membership/membership.spec.ts
@@ -69,6 +69,20 @@
         });
     });
 
+    describe("when hosts join one after another", () => {
+        it("suspects none of them (guards against successors that a changing ring leaves unasked)", () => {
+            fleet.startMany(8);
+            for (let index = 8; index < 40; index++) {
+                fleet.start(`h${index}`);
+                fleet.advance(1_500, () => {
+                    for (const { kernel } of fleet.running) {
+                        expect([...kernel.board.membership.suspects]).toEqual([]);
+                    }
+                });
+            }
+        });
+    });
+
     describe("when a host that never ran is listed", () => {
         it("is not offered for sealing, as it has no incarnation (guards against records of nobody)", () => {
             fleet.startMany(3);
--- a/src/features/membership/membershipController.ts
+++ b/src/features/membership/membershipController.ts
@@ -39,7 +39,10 @@
     #nextExchangeMs = 0;
     #nextExtraRoundMs = 0;
     #exchangeCount = 0;
-    #turn = 0;
+    /** Times of the newest exchanges with the successors. */
+    readonly #askedMs = new Map<string, number>();
+    /** Hosts that did not answer the newest exchange. */
+    readonly #unanswered = new Set<string>();
     #retry: { readonly hostId: string; readonly count: number; } | undefined;
     #told = { state: "live" as Member["state"], leavingUpstreams: [] as readonly string[], configVersion: 0 };
     #hasMet = false;
@@ -109,7 +112,7 @@
     }
 
     #round(now: number): void {
-        this.#table.review(this.#ownHostId());
+        this.#table.review(this.#ownHostId(), this.#unanswered);
         this.#loads.expire(now);
         this.#publishLoads();
         this.context.board.membership.ownDigest = this.#baseDigest();
@@ -152,8 +155,9 @@
         if (this.#retry !== undefined && successors.includes(this.#retry.hostId)) {
             return this.#retry.hostId;
         }
-        this.#turn++;
-        return successors[this.#turn % successors.length];
+        // The longest unasked one: a position on a ring that changes would leave some out for longer than the suspicion.
+        const askedMs = (hostId: string): number => this.#askedMs.get(hostId) ?? Number.NEGATIVE_INFINITY;
+        return successors.reduce((oldest, hostId) => askedMs(hostId) < askedMs(oldest) ? hostId : oldest);
     }
 
     /** Suspects are among the candidates, so that two halves of a healed partition find each other again. */
@@ -168,6 +172,7 @@
         }
         const callId = `exchange/${hostId}/${this.context.clock.monotonicMs()}/${this.#openExchanges.size}`;
         this.#openExchanges.set(callId, hostId);
+        this.#noteAsked(hostId);
         this.context.counters.add("membership.exchanges");
         this.context.emit({
             type: "peerCall",
@@ -179,6 +184,14 @@
         });
     }
 
+    #noteAsked(hostId: string): void {
+        const { successors } = this.#table.view(this.#ownHostId()).neighbours;
+        this.#askedMs.set(hostId, this.context.clock.monotonicMs());
+        for (const askedId of [...this.#askedMs.keys()].filter(askedId => !successors.includes(askedId))) {
+            this.#askedMs.delete(askedId);
+        }
+    }
+
     #finishExchange(callId: string, replied: boolean): void {
         const hostId = this.#openExchanges.get(callId);
         this.#openExchanges.delete(callId);
@@ -186,9 +199,11 @@
             return;
         }
         if (replied) {
+            this.#unanswered.delete(hostId);
             this.#retry = this.#retry?.hostId === hostId ? undefined : this.#retry;
             return;
         }
+        this.#unanswered.add(hostId);
         const count = this.#retry?.hostId === hostId ? this.#retry.count + 1 : 1;
         this.#retry = count <= MaxRetries ? { hostId, count } : undefined;
     }
