--- a/src/bench/processes.ts
+++ b/src/bench/processes.ts
@@ -16,16 +16,23 @@
 const FirstPort = 12_000;
 const PortCount = 18_000;
 
+/** Ports that were handed out; deployments that start side by side must not get the same ones. */
+const takenPorts = new Set<number>();
+
 /** @returns Ports on loopback that were free a moment ago. */
 export async function findFreePorts(count: number): Promise<number[]> {
-    const ports = new Set<number>();
-    while (ports.size < count) {
+    const ports: number[] = [];
+    while (ports.length < count) {
         const port = FirstPort + Math.floor(Math.random() * PortCount);
-        if (!ports.has(port) && await isFree(port)) {
-            ports.add(port);
+        if (takenPorts.has(port)) {
+            continue;
+        }
+        takenPorts.add(port);
+        if (await isFree(port)) {
+            ports.push(port);
         }
     }
-    return [...ports];
+    return ports;
 }
 
 function isFree(port: number): Promise<boolean> {
