--- a/src/features/admission/adaptivePolicy.ts
+++ b/src/features/admission/adaptivePolicy.ts
@@ -112,6 +112,11 @@
             key = `${item.candidates.join(",")}|${item.fallbacks.join(",")}`;
             this.#poolKeys.set(item.candidates, key);
         }
+        // Requests with limits of their own wait apart, so that they do not block the others of their team.
+        const { maxInFlightPerUpstream, excluded } = item;
+        if (maxInFlightPerUpstream !== undefined || excluded.length > 0) {
+            key = `${key}|${maxInFlightPerUpstream}|${excluded.join(",")}`;
+        }
         let pool = this.#pools.get(key);
         if (pool === undefined) {
             pool = new Pool(key, [...item.candidates, ...item.fallbacks]);
--- a/src/features/admission/admission.spec.ts
+++ b/src/features/admission/admission.spec.ts
@@ -8,6 +8,17 @@
 const range = (count: number) => Array.from({ length: count }, (_, index) => index);
 
 describe("AdmissionController", () => {
+    describe("when a request of the same team is held by its rule's cap", () => {
+        it("sends the next one (guards against a capped request that blocks its team)", () => {
+            const harness = new AdmissionHarness({}, [2]);
+            harness.submit("a", { workClass: "urgent" });
+            harness.submit("capped", { workClass: "urgent", maxInFlightPerUpstream: 1 });
+            harness.submit("b", { workClass: "urgent" });
+            expect(harness.outcome("capped")).toBeUndefined();
+            expect(harness.outcome("b")).toMatchObject({ status: "dispatch" });
+        });
+    });
+
     describe("when other work holds all slots", () => {
         it("sends urgent work at once (guards against orders that wait behind chats)", () => {
             const harness = new AdmissionHarness({}, [2, 2]);
