Bound the store calls of idle hosts at the size of the fleet

Change: absent budgets are read ahead once per 10 s and host (per home budget, at least 60 s apart), the allowance for reads ahead is 1/s; all records together are written at most 80 times a second. Before: with 399 peers 30 records a minute, and reads without end.

--- a/src/features/budget/budgetController.ts
+++ b/src/features/budget/budgetController.ts
@@ -21,7 +21,11 @@
 
 /** Store calls without a waiting request: a burst at the start, then a steady rate. */
 const ProactiveBurst = 128;
-const ProactiveCallsPerS = 2;
+const ProactiveCallsPerS = 1;
+
+/** Wait before a budget without an object is read again although no request needs it: per home budget, and at least. */
+const AbsentReadMsPerHome = 10_000;
+const ShortestAbsentReadMs = 60_000;
 
 /** Time that a draw gets before peers are asked, and that home hosts get before another host draws. */
 const FirstChoiceMs = 100;
@@ -272,7 +276,7 @@
                 this.context.board.journal,
                 nowMs,
             );
-            const reads = writer.known === undefined && (first !== undefined || account.wantsShare(host));
+            const reads = writer.known === undefined && (first !== undefined || this.#mayReadAhead(account, host));
             // A return that has just started lowers G, and with it the limit that the next record may declare.
             account.update(host);
             this.#proactiveCalls -= first === undefined && ((writer.isWriting && !before) || reads) ? 1 : 0;
@@ -301,6 +305,13 @@
         return emptyPeers && shortage && !writer.isWriting && !writer.isFailing && account.entry.reservedTokens === 0;
     }
 
+    /** Budgets that were never paid in have no object. Reading them again and again was most of an idle host's store calls. */
+    #mayReadAhead(account: BudgetAccount, host: HostView): boolean {
+        const { absentMs } = account.writer;
+        const waitMs = Math.max(ShortestAbsentReadMs, this.#placement.homes.size * AbsentReadMsPerHome);
+        return account.wantsShare(host) && (absentMs === undefined || host.nowMs - absentMs >= waitMs);
+    }
+
     /** The own share suffices, but the record that declares it is not acknowledged: peers may have declared tokens. */
     #askForUndeclared(account: BudgetAccount, host: HostView, waitedMs: number): void {
         const undeclaredTokens = account.waitingTokens - account.spareTokens(host.limitTokens);
--- a/src/features/journal/journalController.ts
+++ b/src/features/journal/journalController.ts
@@ -100,8 +100,7 @@
         const record = this.#buildRecord(state);
         const bytes = JSON.stringify(record).length;
         this.#startedMs = this.#nowMs;
-        const { writeIntervalMs, longestIntervalMs, recordBytesPerS } = this.#settings;
-        this.#intervalMs = Math.min(longestIntervalMs, Math.max(writeIntervalMs, bytes * 1_000 / recordBytesPerS));
+        this.#intervalMs = this.#intervalFor(bytes);
         board.journal.sentSequence = record.sequence;
         counters.add("journal.writes");
         counters.add("journal.bytes", bytes);
@@ -109,6 +108,17 @@
         this.#publishLimits();
     }
 
+    #intervalFor(recordBytes: number): number {
+        const { writeIntervalMs, longestIntervalMs, recordBytesPerS, fleetWritesPerS } = this.#settings;
+        const hostCount = this.context.board.membership.members.size + 1;
+        const wantedMs = Math.max(
+            writeIntervalMs,
+            recordBytes * 1_000 / recordBytesPerS,
+            hostCount * 1_000 / fleetWritesPerS,
+        );
+        return Math.min(longestIntervalMs, wantedMs);
+    }
+
     #buildRecord(state: "live" | "leaving" | "closed"): HostRecord {
         const { board } = this.context;
         const { lines, excludedTokens } = this.#book.select(this.#settings.linesPerWrite);
--- a/src/features/journal/journalSettings.ts
+++ b/src/features/journal/journalSettings.ts
@@ -5,6 +5,8 @@
 export const JournalSettingsSchema = z.strictObject({
     /** Interval of record writes; also the heartbeat. */
     writeIntervalMs: z.number().int().positive().default(2_000),
+    /** Records that all hosts together write per second; in a large fleet each host writes less often. */
+    fleetWritesPerS: z.number().positive().default(80),
     /** Longest interval; well below the time after which a host with an unchanged record may be sealed. */
     longestIntervalMs: z.number().int().positive().default(10_000),
     /** Shortest interval when an admission waits for a higher limit. */
