Count control bytes at the sockets

Cause: the capacity tool took the bytes of all system calls, which include the wake-ups between threads. Change: the router counts the payload of its TCP sockets, the operator's left out; the capacity tool reads these counters.

--- /dev/null
+++ b/src/base/networkBytes.spec.ts
@@ -0,0 +1,40 @@
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer } from "node:net";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { NetworkBytes } from "./networkBytes.js";
+
+describe("NetworkBytes", () => {
+    const server = createServer(socket => socket.pipe(socket));
+    let port: number;
+    beforeEach(async () => {
+        server.listen(0, "127.0.0.1");
+        await once(server, "listening");
+        port = (server.address() as AddressInfo).port;
+    });
+    afterEach(() => new Promise(resolve => server.close(resolve)));
+
+    async function echo(bytes: number): Promise<void> {
+        const socket = connect(port, "127.0.0.1");
+        socket.end(Buffer.alloc(bytes));
+        socket.resume();
+        await once(socket, "close");
+    }
+
+    describe("when sockets of both ends close", () => {
+        it("keeps their bytes (guards against control traffic that is not counted)", async () => {
+            const counter = new NetworkBytes();
+            await echo(700);
+            await expect.poll(() => counter.totals()).toEqual({ receivedBytes: 1_400, sentBytes: 1_400 });
+            counter.stop();
+        });
+    });
+
+    describe("when sockets of a port do not count", () => {
+        it("leaves out the server's end (guards against counting the reading of the counters)", async () => {
+            const counter = new NetworkBytes(socket => socket.localPort !== port);
+            await echo(700);
+            await expect.poll(() => counter.totals()).toEqual({ receivedBytes: 700, sentBytes: 700 });
+            counter.stop();
+        });
+    });
+});
--- a/src/capacity/capacityRun.ts
+++ b/src/capacity/capacityRun.ts
@@ -98,11 +98,11 @@
 }
 
 async function measureIdle(fleet: CapacityFleet, plan: CapacityPlan): Promise<FleetFigures> {
-    const [callsBefore, peerBefore] = [await fleet.storeCalls(), await peerTotals(fleet)];
+    const [callsBefore, before] = [await fleet.storeCalls(), await readTotals(fleet)];
     const [first, platformFirst] = [fleet.sample(), fleet.samplePlatform()];
     await sleep(plan.windowMs);
     const [last, platformLast] = [fleet.sample(), fleet.samplePlatform()];
-    const [callsAfter, peerAfter] = [await fleet.storeCalls(), await peerTotals(fleet)];
+    const [callsAfter, after] = [await fleet.storeCalls(), await readTotals(fleet)];
     const uses = first.map((sample, index) => useBetween(sample, last[index]!));
     const seconds = plan.windowMs / 1_000;
     const perRouter = (total: number): number => total / fleet.routers.length / seconds;
@@ -113,8 +113,10 @@
         storeReadsPerS: perRouter(difference(callsBefore, callsAfter, "reads")),
         storeWritesPerS: perRouter(difference(callsBefore, callsAfter, "writes")),
         storeWatchesPerS: perRouter(difference(callsBefore, callsAfter, "watches")),
-        peerCallsPerS: perRouter(peerAfter.calls - peerBefore.calls),
-        peerBytesPerS: perRouter(peerAfter.bytes - peerBefore.bytes),
+        sentBytesPerS: perRouter(after.sentBytes - before.sentBytes),
+        receivedBytesPerS: perRouter(after.receivedBytes - before.receivedBytes),
+        peerCallsPerS: perRouter(after.peerCalls - before.peerCalls),
+        peerBytesPerS: perRouter(after.peerBytes - before.peerBytes),
         platformCpuPercent: useBetween(platformFirst, platformLast).cpuPercent,
         configInForceMs,
     };
@@ -123,8 +125,6 @@
 function meanUse(uses: readonly ProcessUse[]): Omit<ProcessUse, never> {
     return {
         cpuPercent: mean(uses.map(use => use.cpuPercent)),
-        sentBytesPerS: mean(uses.map(use => use.sentBytesPerS)),
-        receivedBytesPerS: mean(uses.map(use => use.receivedBytesPerS)),
         residentMb: mean(uses.map(use => use.residentMb)),
     };
 }
@@ -133,14 +133,26 @@
     return after[kind] - before[kind];
 }
 
-async function peerTotals(fleet: CapacityFleet): Promise<{ calls: number; bytes: number; }> {
+/** Counters of all routers, added up. */
+interface FleetTotals {
+    readonly peerCalls: number;
+    /** Payload of peer calls in both directions. */
+    readonly peerBytes: number;
+    /** Payload of all TCP connections but the operators'. */
+    readonly sentBytes: number;
+    readonly receivedBytes: number;
+}
+
+async function readTotals(fleet: CapacityFleet): Promise<FleetTotals> {
     const metrics = await Promise.all(fleet.routers.map(router => fleet.metricsOf(router)));
     const sum = (matches: (name: string) => boolean): number =>
         metrics.flatMap(entry => Object.entries(entry)).filter(([name]) => matches(name))
             .reduce((total, [, value]) => total + value, 0);
     return {
-        calls: sum(name => name.startsWith("peer.client.calls.")),
-        bytes: sum(name => /^peer\.(client|server)\.(sent|received)Bytes$/.test(name)),
+        peerCalls: sum(name => name.startsWith("peer.client.calls.")),
+        peerBytes: sum(name => /^peer\.(client|server)\.(sent|received)Bytes$/.test(name)),
+        sentBytes: sum(name => name === "network.sentBytes"),
+        receivedBytes: sum(name => name === "network.receivedBytes"),
     };
 }
 
--- a/src/capacity/processSample.ts
+++ b/src/capacity/processSample.ts
@@ -5,17 +5,12 @@
 export interface ProcessSample {
     readonly atMs: number;
     readonly cpuMs: number;
-    /** Bytes read and written through system calls; for a router that logs nothing these are its sockets. */
-    readonly receivedBytes: number;
-    readonly sentBytes: number;
     readonly residentMb: number;
 }
 
 /** Use of a process between two samples. */
 export interface ProcessUse {
     readonly cpuPercent: number;
-    readonly receivedBytesPerS: number;
-    readonly sentBytesPerS: number;
     readonly residentMb: number;
 }
 
@@ -25,8 +20,6 @@
     return {
         atMs: performance.now(),
         cpuMs: readCpuMs(folder),
-        receivedBytes: readField(`${folder}/io`, "rchar"),
-        sentBytes: readField(`${folder}/io`, "wchar"),
         residentMb: readField(`${folder}/status`, "VmRSS") / 1_024,
     };
 }
@@ -36,8 +29,6 @@
     const seconds = (last.atMs - first.atMs) / 1_000;
     return {
         cpuPercent: (last.cpuMs - first.cpuMs) / seconds / 10,
-        receivedBytesPerS: (last.receivedBytes - first.receivedBytes) / seconds,
-        sentBytesPerS: (last.sentBytes - first.sentBytes) / seconds,
         residentMb: last.residentMb,
     };
 }
--- a/src/router/routerProcess.ts
+++ b/src/router/routerProcess.ts
@@ -1,7 +1,9 @@
 /** The router process: listeners, kernel and gateway. Several can live in one operating system process. */
+import type { Socket } from "node:net";
 import { type Clock, SystemClock } from "../base/clock.js";
 import { Counters, startMetrics } from "../base/counters.js";
 import { log } from "../base/log.js";
+import { NetworkBytes } from "../base/networkBytes.js";
 import { type Random, SystemRandom } from "../base/random.js";
 import { createControllerFactory } from "../features/registry.js";
 import { CallerListener } from "../gateway/callerListener.js";
@@ -47,6 +49,7 @@
     readonly #clock: Clock = new SystemClock();
     readonly #random: Random = new SystemRandom();
     readonly #counters = new Counters();
+    readonly #network = new NetworkBytes(socket => !this.#isOperatorSocket(socket));
     readonly #parts: RouterParts;
     readonly #operator: OperatorListener;
     readonly #client: UndiciUpstreamClient;
@@ -73,7 +76,7 @@
         this.#client = new UndiciUpstreamClient(settings.gateway);
         this.#operator = new OperatorListener(settings.operator, {
             dumpState: () => this.dumpState(),
-            readMetrics: () => this.#counters.snapshot(),
+            readMetrics: () => this.#readMetrics(),
             drain: () => this.drain(),
             readReadiness: () => this.readReadiness(),
         });
@@ -158,6 +161,11 @@
             this.#parts.peerLink.stop(),
         ]);
         await this.#parts.closeStore();
+        this.#network.stop();
+    }
+
+    #isOperatorSocket(socket: Socket): boolean {
+        return this.#addresses?.operator.endsWith(`:${socket.localPort}`) ?? false;
     }
 
     /** @returns Everything the process knows, as JSON. */
@@ -205,6 +213,14 @@
         return { kernel, port };
     }
 
+    /** The operator's own connections are left out, so that reading the counters does not change them. */
+    #readMetrics(): Record<string, number> {
+        const { receivedBytes, sentBytes } = this.#network.totals();
+        this.#counters.set("network.receivedBytes", receivedBytes);
+        this.#counters.set("network.sentBytes", sentBytes);
+        return this.#counters.snapshot();
+    }
+
     #notify(port: RequestPort, notification: Notification): void {
         if (notification.type === "shutdownCompleted") {
             this.#shutdownDone();
