--- a/src/features/admission/admissionController.ts
+++ b/src/features/admission/admissionController.ts
@@ -116,12 +116,21 @@
             }
             return;
         }
+        this.#hedge(item);
+    }
+
+    #hedge(item: WorkItem): void {
         const upstream = this.#mayHedge(item) ? this.#policy.findFree(item) : undefined;
-        if (upstream !== undefined && this.#budget.hedges.take()) {
+        if (upstream === undefined) {
+            this.context.counters.add("admission.hedgeWithoutUpstream");
+            this.#refuse(item, "Overloaded", undefined);
+        }
+        else if (this.#budget.hedges.take()) {
             this.context.counters.add("admission.hedged");
             this.#dispatch(item, upstream, "");
         }
         else {
+            this.context.counters.add("admission.hedgeBudgetSpent");
             this.#refuse(item, "Overloaded", undefined);
         }
     }
