Share the specs' gateway, the watchers' loop and the planned fields

Change: GatewayFixture, LoopWatcher, and WorkItem picks its fields from the route plan. The tests keep their assertions.

--- a/src/features/admission/admissionTypes.ts
+++ b/src/features/admission/admissionTypes.ts
@@ -1,24 +1,27 @@
 /** Queues and the choice of an upstream: events and outcomes. */
 import type { ResultCodeName } from "../../base/resultCodes.js";
+import type { RoutePlan } from "../../routing/routePlan.js";
 import type { WorkClass } from "../config/configTypes.js";
 
+/** Fields that a request takes over from its route plan. */
+type PlannedFields = Pick<
+    RoutePlan,
+    | "workClass"
+    | "long"
+    | "repeatable"
+    | "candidates"
+    | "fallbacks"
+    | "weights"
+    | "maxInFlightPerUpstream"
+    | "prefixKey"
+    | "promptTokens"
+    | "maxOutputTokens"
+>;
+
 /** A request as the admission controller sees it. */
-export interface WorkItem {
+export interface WorkItem extends PlannedFields {
     readonly requestId: string;
     readonly team: string;
-    readonly workClass: WorkClass;
-    readonly long: boolean;
-    readonly repeatable: boolean;
-    /** Names of the upstreams that the rule allows, then those that it allows as a fallback. */
-    readonly candidates: readonly string[];
-    readonly fallbacks: readonly string[];
-    /** Weight by upstream name; 1 when absent. */
-    readonly weights: Readonly<Record<string, number>>;
-    readonly maxInFlightPerUpstream: number | undefined;
-    /** Hash of the prompt prefix, for cache affinity. */
-    readonly prefixKey: string | undefined;
-    readonly promptTokens: number;
-    readonly maxOutputTokens: number;
     /** Longest wait until dispatch, in milliseconds. */
     readonly deadlineMs: number;
     /** Upstreams that already failed this request. */
--- a/src/gateway/gateway.spec.ts
+++ b/src/gateway/gateway.spec.ts
@@ -1,45 +1,25 @@
 import { connect } from "node:net";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { GatewayHarness, HarnessKey } from "../standins/router/gatewayHarness.js";
-import { UpstreamServer } from "../standins/upstream/upstreamServer.js";
+import { GatewayFixture } from "../standins/router/gatewayFixture.js";
+import { HarnessKey } from "../standins/router/gatewayHarness.js";
 
 interface ErrorJson {
     readonly error: { readonly code: number; readonly name: string; readonly ran: string; };
 }
 
 describe("gateway", () => {
-    let gateway: GatewayHarness;
-    let first: UpstreamServer;
-    let second: UpstreamServer;
-    let sales: UpstreamServer;
+    let fixture: GatewayFixture;
+    let gateway: GatewayFixture["gateway"];
+    let sales: GatewayFixture["sales"];
     beforeEach(async () => {
-        first = new UpstreamServer({ port: 0, tokenIntervalMs: 5 });
-        second = new UpstreamServer({ port: 0, tokenIntervalMs: 5 });
-        sales = new UpstreamServer({ port: 0, type: "service" });
-        gateway = new GatewayHarness({
-            progressTimeoutMs: 300,
-            firstByteTimeoutMs: 300,
-            answerTimeoutMs: 500,
-            answerTimeoutPerTokenMs: 0,
-        });
-        await gateway.start({
-            first: await first.start(),
-            second: await second.start(),
-            "sales-service": await sales.start(),
-        });
-    });
-    afterEach(async () => {
-        await gateway.stop();
-        await Promise.all([first, second, sales].map(upstream => upstream.stop()));
+        fixture = new GatewayFixture();
+        ({ gateway, sales } = fixture);
+        await fixture.start();
     });
+    afterEach(() => fixture.stop());
 
-    const chat = (body: Record<string, unknown> = {}, headers: Record<string, string> = {}): Promise<Response> =>
-        fetch(`${gateway.url}/v1/chat/completions`, {
-            method: "POST",
-            headers: { authorization: `Bearer ${HarnessKey}`, "content-type": "application/json", ...headers },
-            body: JSON.stringify({ model: "assistant", messages: [{ role: "user", content: "hello" }], ...body }),
-        });
-    const executions = (): number => first.executions().length + second.executions().length;
+    const chat: GatewayFixture["chat"] = (body, headers) => fixture.chat(body, headers);
+    const executions = (): number => fixture.executions();
 
     describe("when a plain answer is asked for", () => {
         it("relays it and bills the reported usage (guards against a wrong or missing bill)", async () => {
--- a/src/gateway/relay.spec.ts
+++ b/src/gateway/relay.spec.ts
@@ -2,42 +2,24 @@
 import { type AddressInfo, connect } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { afterEach, beforeEach, describe, expect, it, onTestFinished, vi } from "vitest";
-import { GatewayHarness, HarnessKey } from "../standins/router/gatewayHarness.js";
+import { GatewayFixture } from "../standins/router/gatewayFixture.js";
+import { HarnessKey } from "../standins/router/gatewayHarness.js";
 import { UpstreamServer } from "../standins/upstream/upstreamServer.js";
 
 describe("relay", () => {
-    let gateway: GatewayHarness;
-    let first: UpstreamServer;
-    let second: UpstreamServer;
-    let sales: UpstreamServer;
+    let fixture: GatewayFixture;
+    let gateway: GatewayFixture["gateway"];
+    let first: GatewayFixture["first"];
+    let second: GatewayFixture["second"];
     beforeEach(async () => {
-        first = new UpstreamServer({ port: 0, tokenIntervalMs: 5 });
-        second = new UpstreamServer({ port: 0, tokenIntervalMs: 5 });
-        sales = new UpstreamServer({ port: 0, type: "service" });
-        gateway = new GatewayHarness({
-            progressTimeoutMs: 300,
-            firstByteTimeoutMs: 300,
-            answerTimeoutMs: 500,
-            answerTimeoutPerTokenMs: 0,
-        });
-        await gateway.start({
-            first: await first.start(),
-            second: await second.start(),
-            "sales-service": await sales.start(),
-        });
-    });
-    afterEach(async () => {
-        await gateway.stop();
-        await Promise.all([first, second, sales].map(upstream => upstream.stop()));
+        fixture = new GatewayFixture();
+        ({ gateway, first, second } = fixture);
+        await fixture.start();
     });
+    afterEach(() => fixture.stop());
 
-    const chat = (body: Record<string, unknown> = {}, headers: Record<string, string> = {}): Promise<Response> =>
-        fetch(`${gateway.url}/v1/chat/completions`, {
-            method: "POST",
-            headers: { authorization: `Bearer ${HarnessKey}`, "content-type": "application/json", ...headers },
-            body: JSON.stringify({ model: "assistant", messages: [{ role: "user", content: "hello" }], ...body }),
-        });
-    const executions = (): number => first.executions().length + second.executions().length;
+    const chat: GatewayFixture["chat"] = (body, headers) => fixture.chat(body, headers);
+    const executions = (): number => fixture.executions();
 
     describe("when a plain service is called", () => {
         it.each(["GET", "HEAD", "OPTIONS", "DELETE", "PUT"])(
@@ -51,9 +33,7 @@
                     });
                     response.end();
                 });
-                await gateway.stop();
-                gateway = new GatewayHarness();
-                await gateway.start({ "sales-service": echo });
+                gateway = await fixture.restartGateway({ "sales-service": echo });
                 const response = await fetch(`${gateway.url}/services/sales/a/b?c=d`, {
                     method,
                     headers: { authorization: `Bearer ${HarnessKey}` },
@@ -146,9 +126,10 @@
 
     describe("when a hedge is allowed", () => {
         it("answers from the faster upstream and bills once (guards against a doubled bill)", async () => {
-            await gateway.stop();
-            gateway = new GatewayHarness({ hedgeAfterMs: 30, firstByteTimeoutMs: 2_000 });
-            await gateway.start({ first: await restart(first), second: await restart(second) });
+            gateway = await fixture.restartGateway({ first: await restart(first), second: await restart(second) }, {
+                hedgeAfterMs: 30,
+                firstByteTimeoutMs: 2_000,
+            });
             gateway.controller.hedgesAllowed = 1;
             first.setFaults({ silentRequests: -1 });
             second.setFaults({ silentRequests: 0 });
@@ -185,9 +166,7 @@
         });
 
         it("cancels the work of a caller that never reads (guards against slots that are held for ever)", async () => {
-            await gateway.stop();
-            gateway = new GatewayHarness({ callerStallMs: 50 });
-            await gateway.start({ flood: await startUpstream(flood) });
+            gateway = await fixture.restartGateway({ flood: await startUpstream(flood) }, { callerStallMs: 50 });
             const { hostname, port } = new URL(gateway.url);
             const body = JSON.stringify({
                 model: "assistant",
@@ -236,9 +215,7 @@
                     })
                 }\n\n`);
             chunks.push("data: {\"id\":\"c\",\"choices\":[{\"finish_reason\":\"stop\"}]}\n\n", "data: [DONE]\n\n");
-            await gateway.stop();
-            gateway = new GatewayHarness();
-            await gateway.start({
+            gateway = await fixture.restartGateway({
                 big: await startUpstream((request, response) => {
                     request.resume();
                     response.writeHead(200, { "x-request-id": request.headers["x-request-id"] });
--- a/src/router/hostListPoller.ts
+++ b/src/router/hostListPoller.ts
@@ -1,8 +1,8 @@
 /** Follows the platform's list of hosts. */
 import type { Random } from "../base/random.js";
 import type { HostList } from "../platform/platformStore.js";
-import { Backoff } from "./backoff.js";
-import { Watcher, type WatchTarget } from "./routerParts.js";
+import { LoopWatcher } from "./loopWatcher.js";
+import type { WatchTarget } from "./routerParts.js";
 
 /** Interval of the polls. */
 const PollIntervalMs = 10_000;
@@ -21,41 +21,31 @@
 }
 
 /** Posts the list of hosts, with the whole list only when its revision has changed. */
-export class HostListPoller extends Watcher {
+export class HostListPoller extends LoopWatcher {
     readonly #parts: HostListPollerParts;
-    readonly #backoff: Backoff;
     #revision = -1;
     #pollCount = 0;
 
     constructor(parts: HostListPollerParts) {
-        super();
+        super(BackoffBounds, parts.random);
         this.#parts = parts;
-        this.#backoff = new Backoff(BackoffBounds, parts.random);
     }
 
-    override start(target: WatchTarget): void {
-        void this.#run(target);
-    }
-
-    override stop(): void {
-        this.#backoff.stop();
-    }
-
-    async #run(target: WatchTarget): Promise<void> {
-        while (!this.#backoff.isStopped) {
+    protected override async run(target: WatchTarget): Promise<void> {
+        while (!this.backoff.isStopped) {
             const outcome = await this.#parts.hostList.hosts(this.#revision);
-            if (this.#backoff.isStopped) {
+            if (this.backoff.isStopped) {
                 return;
             }
             target.post({ type: "hostsListed", outcome });
             if (outcome.status === "unavailable") {
-                await this.#backoff.afterFailure();
+                await this.backoff.afterFailure();
                 continue;
             }
             this.#revision = outcome.revision;
-            this.#backoff.reset();
+            this.backoff.reset();
             this.#pollCount++;
-            await this.#backoff.wait(this.#pollCount <= FirstPollCount ? FirstPollIntervalMs : PollIntervalMs);
+            await this.backoff.wait(this.#pollCount <= FirstPollCount ? FirstPollIntervalMs : PollIntervalMs);
         }
     }
 }
--- /dev/null
+++ b/src/router/loopWatcher.ts
@@ -0,0 +1,25 @@
+/** Base of watchers that call an outside system in a loop. */
+import type { Random } from "../base/random.js";
+import { Backoff, type BackoffBounds } from "./backoff.js";
+import { Watcher, type WatchTarget } from "./routerParts.js";
+
+/** A watcher whose loop runs until it is stopped and waits after failures. */
+export abstract class LoopWatcher extends Watcher {
+    protected readonly backoff: Backoff;
+
+    constructor(bounds: BackoffBounds, random: Random) {
+        super();
+        this.backoff = new Backoff(bounds, random);
+    }
+
+    override start(target: WatchTarget): void {
+        void this.run(target);
+    }
+
+    override stop(): void {
+        this.backoff.stop();
+    }
+
+    /** Runs until `backoff.isStopped`. */
+    protected abstract run(target: WatchTarget): Promise<void>;
+}
--- a/src/router/storeWatcher.ts
+++ b/src/router/storeWatcher.ts
@@ -10,8 +10,8 @@
     ReceivedChangeSchema,
 } from "../features/config/configTypes.js";
 import type { PlatformStore, StoredObject } from "../platform/platformStore.js";
-import { Backoff } from "./backoff.js";
-import { Watcher, type WatchTarget } from "./routerParts.js";
+import { LoopWatcher } from "./loopWatcher.js";
+import type { WatchTarget } from "./routerParts.js";
 
 /** Longest wait of one long poll. A waiting watch counts as one call. */
 const WatchWaitMs = 25_000;
@@ -42,36 +42,26 @@
 }
 
 /** Posts a snapshot, the changes after it, and then each change as it appears. */
-export class StoreWatcher extends Watcher {
+export class StoreWatcher extends LoopWatcher {
     readonly #parts: StoreWatcherParts;
-    readonly #backoff: Backoff;
     #revision = 0;
     #isLoaded = false;
     #isReachable = true;
 
     constructor(parts: StoreWatcherParts) {
-        super();
+        super(BackoffBounds, parts.random);
         this.#parts = parts;
-        this.#backoff = new Backoff(BackoffBounds, parts.random);
     }
 
-    override start(target: WatchTarget): void {
-        void this.#run(target);
-    }
-
-    override stop(): void {
-        this.#backoff.stop();
-    }
-
-    async #run(target: WatchTarget): Promise<void> {
-        while (!this.#backoff.isStopped) {
+    protected override async run(target: WatchTarget): Promise<void> {
+        while (!this.backoff.isStopped) {
             const failure = this.#isLoaded ? await this.#watch(target) : await this.#load(target);
             this.#noteOutcome(failure);
             if (failure === undefined) {
-                this.#backoff.reset();
+                this.backoff.reset();
             }
             else {
-                await this.#backoff.afterFailure();
+                await this.backoff.afterFailure();
             }
         }
     }
@@ -82,7 +72,7 @@
             if (snapshot.isErr) {
                 return snapshot.error;
             }
-            if (snapshot.value.version > 0 && !this.#backoff.isStopped) {
+            if (snapshot.value.version > 0 && !this.backoff.isStopped) {
                 target.post({ type: "configSnapshotLoaded", snapshot: snapshot.value });
             }
         }
@@ -123,7 +113,7 @@
         this.#post(target, outcome.changes.map(change => change.object).filter(object => object !== undefined), false);
         this.#revision = Math.max(this.#revision, outcome.revision);
         if (outcome.changes.length === 0) {
-            await this.#backoff.wait(QuietWaitMs);
+            await this.backoff.wait(QuietWaitMs);
         }
         return undefined;
     }
@@ -140,14 +130,14 @@
                 log.error("a configuration change cannot be read", { key: object.key });
             }
         }
-        if ((changes.length > 0 || postEmpty) && !this.#backoff.isStopped) {
+        if ((changes.length > 0 || postEmpty) && !this.backoff.isStopped) {
             target.post({ type: "configChangesReceived", changes, fromStore: true });
         }
     }
 
     #noteOutcome(failure: string | undefined): void {
         const isReachable = failure === undefined;
-        if (isReachable !== this.#isReachable && !this.#backoff.isStopped) {
+        if (isReachable !== this.#isReachable && !this.backoff.isStopped) {
             this.#isReachable = isReachable;
             log.warn(isReachable ? "the store answers again" : "the store does not answer", { reason: failure });
         }
--- a/src/routing/routePlan.ts
+++ b/src/routing/routePlan.ts
@@ -33,10 +33,13 @@
     readonly budget: string;
     /** Name of the claimed grant, when the team holds it; the request is urgent if one use can be reserved. */
     readonly grant: string | undefined;
+    /** Names of the upstreams that the rule allows, then those that it allows as a fallback. */
     readonly candidates: readonly string[];
     readonly fallbacks: readonly string[];
+    /** Weight by upstream name; 1 when absent. */
     readonly weights: Readonly<Record<string, number>>;
     readonly maxInFlightPerUpstream: number | undefined;
+    /** Hash of the prompt prefix, for cache affinity. */
     readonly prefixKey: string | undefined;
     /** Upper bounds that make up the reservation. */
     readonly promptTokens: number;
--- /dev/null
+++ b/src/standins/router/gatewayFixture.ts
@@ -0,0 +1,60 @@
+/** A gateway in front of two engines and a plain service, with short timeouts, for specs. */
+import { UpstreamServer } from "../upstream/upstreamServer.js";
+import { GatewayHarness, HarnessKey } from "./gatewayHarness.js";
+
+/** Name of the plain service's upstream. */
+const SalesUpstream = "sales-service";
+
+/** The started parts. */
+export class GatewayFixture {
+    readonly first = new UpstreamServer({ port: 0, tokenIntervalMs: 5 });
+    readonly second = new UpstreamServer({ port: 0, tokenIntervalMs: 5 });
+    readonly sales = new UpstreamServer({ port: 0, type: "service" });
+    gateway = new GatewayHarness({
+        progressTimeoutMs: 300,
+        firstByteTimeoutMs: 300,
+        answerTimeoutMs: 500,
+        answerTimeoutPerTokenMs: 0,
+    });
+
+    async start(): Promise<void> {
+        await this.gateway.start({
+            first: await this.first.start(),
+            second: await this.second.start(),
+            [SalesUpstream]: await this.sales.start(),
+        });
+    }
+
+    async stop(): Promise<void> {
+        await this.gateway.stop();
+        await Promise.all([this.first, this.second, this.sales].map(upstream => upstream.stop()));
+    }
+
+    /**
+     * Replaces the gateway by one with other upstreams and settings.
+     * @returns The new gateway.
+     */
+    async restartGateway(
+        upstreams: Parameters<GatewayHarness["start"]>[0],
+        settings: ConstructorParameters<typeof GatewayHarness>[0] = {},
+    ): Promise<GatewayHarness> {
+        await this.gateway.stop();
+        this.gateway = new GatewayHarness(settings);
+        await this.gateway.start(upstreams);
+        return this.gateway;
+    }
+
+    /** Sends a chat request; fields and headers replace the defaults. */
+    chat(body: Record<string, unknown> = {}, headers: Record<string, string> = {}): Promise<Response> {
+        return fetch(`${this.gateway.url}/v1/chat/completions`, {
+            method: "POST",
+            headers: { authorization: `Bearer ${HarnessKey}`, "content-type": "application/json", ...headers },
+            body: JSON.stringify({ model: "assistant", messages: [{ role: "user", content: "hello" }], ...body }),
+        });
+    }
+
+    /** @returns Number of chats that ran at the engines. */
+    executions(): number {
+        return this.first.executions().length + this.second.executions().length;
+    }
+}
