Store the bills of a sealed incarnation before the closing record

Excluded: a lost late write, since none was sent after the outage. Change: the closing record waits for them; only the wait for received tokens stays bounded. A shutdown without the store still ends by closeTimeoutMs, and the lines lie in the at-risk amount then. Before: the new sequence fails. After: it passes, with the specs of all features.

--- a/src/features/journal/journalController.ts
+++ b/src/features/journal/journalController.ts
@@ -262,8 +262,10 @@
         const { budget, journal } = this.context.board;
         const nowMs = this.#nowMs;
         this.#closingSinceMs ??= nowMs;
-        const prepared = (this.#late.size === 0 && budget.unreturnableCount === 0) ||
+        const returnable = budget.unreturnableCount === 0 ||
             nowMs - this.#closingSinceMs >= this.#settings.closingWaitMs;
+        // The closing record ends the process, and with it the bill lines of a sealed incarnation that are not stored yet.
+        const prepared = this.#late.size === 0 && returnable;
         const open = [...budget.openReservations.values()].some(count => count > 0);
         if (journal.closed || open || !prepared || !this.#writer.isFree(nowMs)) {
             return;
--- a/src/features/journal/journalSettings.ts
+++ b/src/features/journal/journalSettings.ts
@@ -19,7 +19,7 @@
     segmentBytes: z.number().int().positive().default(8_192),
     /** Bill lines per record or segment; the rest follows in the next write. */
     linesPerWrite: z.number().int().positive().default(1_500),
-    /** Longest wait for sealed incarnations and received tokens to settle before the closing record is written. */
+    /** Longest wait for received tokens to be returned before the closing record is written. */
     closingWaitMs: z.number().int().nonnegative().default(5_000),
 });
 export type JournalSettings = z.infer<typeof JournalSettingsSchema>;
--- a/test/fuzz/failedSequences.ts
+++ b/test/fuzz/failedSequences.ts
@@ -259,4 +259,121 @@
             },
         ],
     },
+    "a host that was sealed while it paused shuts down in a store outage (bill lines that nobody stores)": {
+        "seed": 0,
+        "hostCount": 3,
+        "homesOnly": false,
+        "budgets": [
+            100,
+            0,
+        ],
+        "commands": [
+            {
+                "type": "shutdown",
+                "host": 0,
+            },
+            {
+                "type": "pause",
+                "host": 0,
+                "durationMs": 5325,
+            },
+            {
+                "type": "wait",
+                "durationMs": 3799,
+            },
+            {
+                "type": "request",
+                "host": 0,
+                "budget": 0,
+                "costTokens": 1,
+                "usedShare": 0,
+                "durationMs": 5,
+            },
+            {
+                "type": "wait",
+                "durationMs": 888,
+            },
+            {
+                "type": "staleReads",
+                "share": 0,
+            },
+            {
+                "type": "request",
+                "host": 2,
+                "budget": 0,
+                "costTokens": 12,
+                "usedShare": 0,
+                "durationMs": 5,
+            },
+            {
+                "type": "pause",
+                "host": 0,
+                "durationMs": 100,
+            },
+            {
+                "type": "wait",
+                "durationMs": 683,
+            },
+            {
+                "type": "request",
+                "host": 0,
+                "budget": 0,
+                "costTokens": 1,
+                "usedShare": 0,
+                "durationMs": 5,
+            },
+            {
+                "type": "request",
+                "host": 0,
+                "budget": 0,
+                "costTokens": 1,
+                "usedShare": 0,
+                "durationMs": 5,
+            },
+            {
+                "type": "restart",
+                "host": 0,
+            },
+            {
+                "type": "outage",
+                "isDown": true,
+            },
+            {
+                "type": "wait",
+                "durationMs": 3750,
+            },
+            {
+                "type": "cutStream",
+            },
+            {
+                "type": "request",
+                "host": 0,
+                "budget": 0,
+                "costTokens": 1,
+                "usedShare": 0,
+                "durationMs": 5,
+            },
+            {
+                "type": "topUp",
+                "budget": 0,
+                "tokens": 0,
+            },
+            {
+                "type": "wait",
+                "durationMs": 208,
+            },
+            {
+                "type": "wait",
+                "durationMs": 1,
+            },
+            {
+                "type": "request",
+                "host": 0,
+                "budget": 0,
+                "costTokens": 1,
+                "usedShare": 0,
+                "durationMs": 5,
+            },
+        ],
+    },
 };
