Leave out the time of a stopped process from upstream timeouts

A spec that stalls the thread showed it: 'first ' instead of 'first second'. Excluded: a slow upstream, which runs in its own thread there. Change: when a check comes more than 200 ms late, the excess does not count. Before: the new spec fails.

--- /dev/null
+++ b/src/gateway/undiciUpstreamClient.spec.ts
@@ -0,0 +1,75 @@
+import { once } from "node:events";
+import { Worker } from "node:worker_threads";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { UndiciUpstreamClient } from "./undiciUpstreamClient.js";
+import type { CallEnding } from "./upstreamClient.js";
+
+/** Sends the first half of an answer at once and the second after 100 ms, in a thread of its own. */
+const UpstreamSource = `
+    const { createServer } = require("node:http");
+    const { parentPort } = require("node:worker_threads");
+    const server = createServer((request, response) => {
+        response.write("first ");
+        setTimeout(() => request.url === "/silent" || response.end("second"), 100);
+    });
+    server.listen(0, "127.0.0.1", () => parentPort.postMessage(server.address().port));
+`;
+
+const ProgressTimeoutMs = 400;
+
+describe("UndiciUpstreamClient", () => {
+    let upstream: Worker;
+    let client: UndiciUpstreamClient;
+    let url: string;
+    beforeEach(async () => {
+        upstream = new Worker(UpstreamSource, { eval: true });
+        const [port] = await once(upstream, "message") as [number];
+        url = `http://127.0.0.1:${port}`;
+        client = new UndiciUpstreamClient({ connectTimeoutMs: 1_000, keepAliveMs: 1_000 });
+    });
+    afterEach(async () => {
+        await client.close();
+        await upstream.terminate();
+    });
+
+    function call(path: string, onFirstData: () => void): Promise<{ text: string; ending: CallEnding; }> {
+        return new Promise(resolve => {
+            let text = "";
+            const request = { url, method: "GET", path, headers: {}, body: undefined };
+            const timeouts = { firstByteTimeoutMs: ProgressTimeoutMs, progressTimeoutMs: ProgressTimeoutMs };
+            client.call({ ...request, ...timeouts }, {
+                onHead: () => undefined,
+                onData: chunk => {
+                    const isFirst = text === "";
+                    text += chunk.toString();
+                    if (isFirst) {
+                        onFirstData();
+                    }
+                },
+                onEnd: ending => resolve({ text, ending }),
+            });
+        });
+    }
+
+    /** Keeps this thread from running, as a stopped process does not run. */
+    function stall(durationMs: number): void {
+        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, durationMs);
+    }
+
+    describe("when the process does not run for longer than a timeout", () => {
+        it("reads the bytes that came meanwhile (guards against cutting a stream that is complete)", async () => {
+            const { text, ending } = await call("/", () => setImmediate(() => stall(3 * ProgressTimeoutMs)));
+            expect(text).toBe("first second");
+            expect(ending).toMatchObject({ status: "ended" });
+        });
+    });
+
+    describe("when the upstream stops in mid-answer", () => {
+        it("ends the call after the timeout, also after a stall (guards against calls that never end)", async () => {
+            const startedMs = performance.now();
+            const { ending } = await call("/silent", () => setImmediate(() => stall(ProgressTimeoutMs)));
+            expect(ending).toMatchObject({ status: "failed", timedOut: true });
+            expect(performance.now() - startedMs).toBeLessThan(10 * ProgressTimeoutMs);
+        });
+    });
+});
--- a/src/gateway/undiciUpstreamClient.ts
+++ b/src/gateway/undiciUpstreamClient.ts
@@ -12,6 +12,9 @@
 /** Interval at which timeouts are checked. One timer serves all calls, so that a chunk costs no timer operation. */
 const TimeoutCheckIntervalMs = 50;
 
+/** A check that is later than this shows that the process did not run, so that bytes may wait unread. */
+const StallToleranceMs = 200;
+
 /** Idle connections kept for one upstream. */
 const MaxIdleConnections = 64;
 
@@ -159,6 +162,11 @@
         this.#controller?.resume();
     }
 
+    /** Leaves out a time in which this process did not run. */
+    excludeStall(durationMs: number): void {
+        this.#lastActivityMs += durationMs;
+    }
+
     /** Ends the call when it makes no progress. */
     checkTimeout(nowMs: number): void {
         const limitMs = this.#bodyStarted ? this.#progressTimeoutMs : this.#firstByteTimeoutMs;
@@ -231,6 +239,7 @@
     readonly #pools = new Map<string, ConnectionPool>();
     readonly #calls = new Set<UndiciCall>();
     readonly #timer: NodeJS.Timeout;
+    #checkedAtMs = performance.now();
 
     constructor(timeouts: UpstreamTimeouts) {
         super();
@@ -278,7 +287,12 @@
 
     #checkTimeouts(): void {
         const nowMs = performance.now();
+        const stalledMs = nowMs - this.#checkedAtMs - TimeoutCheckIntervalMs;
+        this.#checkedAtMs = nowMs;
         for (const call of [...this.#calls]) {
+            if (stalledMs > StallToleranceMs) {
+                call.excludeStall(stalledMs);
+            }
             call.checkTimeout(nowMs);
         }
     }
