--- a/src/features/budget/budgetController.ts
+++ b/src/features/budget/budgetController.ts
@@ -1,19 +1,16 @@
 /** Holds this host's authority to spend: reservations, shares and transfers. */
 import { match } from "ts-pattern";
 import { Controller, type ControllerContext } from "../../kernel/controller.js";
-import type { PeerRequested } from "../../kernel/effects.js";
 import type { RouterEvent } from "../../kernel/events.js";
-import type { PeerReply, TransferReply, TransferRequest } from "../../peer/peerMessages.js";
 import { AccountBook } from "./accountBook.js";
 import type { BudgetAccount, HostView } from "./budgetAccount.js";
-import { usedTokens } from "./budgetBoard.js";
-import { DemandPolicy, giveSize, type SharePolicy } from "./budgetMath.js";
+import { DemandPolicy, type SharePolicy } from "./budgetMath.js";
 import type { BudgetSettings } from "./budgetSettings.js";
 import { freeTokens, type ReservationOutcome } from "./budgetTypes.js";
 import { HomePlacement } from "./homePlacement.js";
+import { PeerTransfers } from "./peerTransfers.js";
 import { refusalOf } from "./refusal.js";
 import { ReservationLedger } from "./reservationLedger.js";
-import { TransferGiver } from "./transferGiver.js";
 import { TransferRequester } from "./transferRequester.js";
 
 /** Interval of the review of accounts that nothing waits for. */
@@ -51,7 +48,7 @@
     readonly #accounts: AccountBook;
     readonly #active = new Set<BudgetAccount>();
     readonly #ledger: ReservationLedger;
-    readonly #giver: TransferGiver;
+    readonly #transfers: PeerTransfers;
     readonly #requester: TransferRequester;
     readonly #placement: HomePlacement;
     #hostKey: string;
@@ -66,7 +63,11 @@
         this.#accounts = new AccountBook(context, settings, policy);
         this.#hostKey = context.board.journal.hostKey;
         this.#ledger = new ReservationLedger(context.board.budget, context.counters);
-        this.#giver = new TransferGiver(settings.rememberedTransferCount, context.counters);
+        this.#transfers = new PeerTransfers(
+            context,
+            settings.rememberedTransferCount,
+            account => this.#active.add(account),
+        );
         this.#placement = new HomePlacement(context.board, settings);
         this.#requester = new TransferRequester(settings, {
             call: (callId, address, request) =>
@@ -108,7 +109,7 @@
                 this.#ledger.reverse(bill, account.entry, this.#hostKey);
                 this.#active.add(account);
             })
-            .with({ type: "peerRequested" }, requested => this.#answer(requested))
+            .with({ type: "peerRequested" }, requested => this.#transfers.answer(requested, this.#accounts))
             .with({ type: "peerCallDone", owner: "budget" }, done => {
                 this.#requester.callDone(done.callId, done.outcome, this.#hostKey, this.#nowMs);
             })
@@ -351,53 +352,6 @@
         }
     }
 
-    #answer(requested: PeerRequested): void {
-        const { request } = requested;
-        const reply: PeerReply | undefined = match(request)
-            .with({ method: "TransferTokens" }, ({ body }) => ({
-                method: "TransferTokens" as const,
-                body: this.#give(body),
-            }))
-            .with({ method: "CancelTransfer" }, ({ body }) => {
-                const { budget, journal } = this.context.board;
-                const isCurrent = body.giver === journal.hostKey && !journal.closing;
-                this.#giver.cancel(body.transferId, body.giver, isCurrent || budget.sealedEntries.has(body.giver));
-                return { method: "CancelTransfer" as const, body: { transferId: body.transferId } };
-            })
-            .otherwise(() => undefined);
-        if (reply !== undefined) {
-            this.context.emit({ type: "peerAnswer", exchangeId: requested.exchangeId, reply });
-        }
-    }
-
-    #give(request: TransferRequest): TransferReply {
-        const { transferId } = request;
-        const { journal } = this.context.board;
-        const repeated = this.#giver.repeated(transferId);
-        const account = this.#accounts.find(request.budget);
-        if (repeated !== undefined) {
-            return { transferId, givenTokens: repeated };
-        }
-        if (request.giver !== journal.hostKey || journal.closing || account === undefined) {
-            this.context.counters.add("budget.transfer.refused");
-            return { transferId, givenTokens: 0, laterTokens: 0 };
-        }
-        const nowMs = this.#nowMs;
-        const spareTokens = account.spareTokens(journal.limits.get(request.budget) ?? 0);
-        const givenTokens = account.mayGive(request.receiver, request.giver) ?
-            giveSize(spareTokens, request.wantedTokens, request.minimumTokens) :
-            0;
-        this.#giver.give(request, account.entry, givenTokens);
-        const { entry } = account;
-        const laterTokens = Math.max(0, entry.grantedTokens - usedTokens(entry) + entry.reservedTokens) +
-            account.writer.drawingTokens;
-        if (givenTokens < request.wantedTokens && laterTokens > 0) {
-            account.notePeerNeed(request.wantedTokens - givenTokens, nowMs);
-        }
-        this.#active.add(account);
-        return { transferId, givenTokens, laterTokens };
-    }
-
     #storeAccount(callId: string): BudgetAccount | undefined {
         return this.#activate(this.#accounts.endCall(callId)?.name);
     }
--- /dev/null
+++ b/src/features/budget/peerTransfers.ts
@@ -0,0 +1,74 @@
+/** Answers peers that ask for tokens or cancel a transfer. */
+import { match } from "ts-pattern";
+import type { ControllerContext } from "../../kernel/controller.js";
+import type { PeerRequested } from "../../kernel/effects.js";
+import type { PeerReply, TransferReply, TransferRequest } from "../../peer/peerMessages.js";
+import type { AccountBook } from "./accountBook.js";
+import type { BudgetAccount } from "./budgetAccount.js";
+import { usedTokens } from "./budgetBoard.js";
+import { giveSize } from "./budgetMath.js";
+import { TransferGiver } from "./transferGiver.js";
+
+/** The giving side of transfers. */
+export class PeerTransfers {
+    readonly #context: ControllerContext;
+    readonly #giver: TransferGiver;
+    readonly #activate: (account: BudgetAccount) => void;
+
+    /**
+     * @param rememberedCount Transfers that are remembered, for repeated requests and cancels.
+     * @param activate Called with each account whose numbers or needs have changed.
+     */
+    constructor(context: ControllerContext, rememberedCount: number, activate: (account: BudgetAccount) => void) {
+        this.#context = context;
+        this.#giver = new TransferGiver(rememberedCount, context.counters);
+        this.#activate = activate;
+    }
+
+    /** Answers a request if it concerns transfers. */
+    answer(requested: PeerRequested, accounts: AccountBook): void {
+        const { request } = requested;
+        const reply: PeerReply | undefined = match(request)
+            .with({ method: "TransferTokens" }, ({ body }) => ({
+                method: "TransferTokens" as const,
+                body: this.#give(body, accounts),
+            }))
+            .with({ method: "CancelTransfer" }, ({ body }) => {
+                const { budget, journal } = this.#context.board;
+                const isCurrent = body.giver === journal.hostKey && !journal.closing;
+                this.#giver.cancel(body.transferId, body.giver, isCurrent || budget.sealedEntries.has(body.giver));
+                return { method: "CancelTransfer" as const, body: { transferId: body.transferId } };
+            })
+            .otherwise(() => undefined);
+        if (reply !== undefined) {
+            this.#context.emit({ type: "peerAnswer", exchangeId: requested.exchangeId, reply });
+        }
+    }
+
+    #give(request: TransferRequest, accounts: AccountBook): TransferReply {
+        const { transferId } = request;
+        const { journal } = this.#context.board;
+        const repeated = this.#giver.repeated(transferId);
+        const account = accounts.find(request.budget);
+        if (repeated !== undefined) {
+            return { transferId, givenTokens: repeated };
+        }
+        if (request.giver !== journal.hostKey || journal.closing || account === undefined) {
+            this.#context.counters.add("budget.transfer.refused");
+            return { transferId, givenTokens: 0, laterTokens: 0 };
+        }
+        const spareTokens = account.spareTokens(journal.limits.get(request.budget) ?? 0);
+        const givenTokens = account.mayGive(request.receiver, request.giver) ?
+            giveSize(spareTokens, request.wantedTokens, request.minimumTokens) :
+            0;
+        this.#giver.give(request, account.entry, givenTokens);
+        const { entry } = account;
+        const laterTokens = Math.max(0, entry.grantedTokens - usedTokens(entry) + entry.reservedTokens) +
+            account.writer.drawingTokens;
+        if (givenTokens < request.wantedTokens && laterTokens > 0) {
+            account.notePeerNeed(request.wantedTokens - givenTokens, this.#context.clock.monotonicMs());
+        }
+        this.#activate(account);
+        return { transferId, givenTokens, laterTokens };
+    }
+}
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -1,10 +1,9 @@
 /** The course of one request: plan, claim, reserve, admit, dispatch, relay, settle. */
-import { isUtf8 } from "node:buffer";
 import type { RanState } from "../base/resultCodes.js";
 import type { WorkItem } from "../features/admission/admissionTypes.js";
 import { grantBudgetName } from "../features/budget/budgetTypes.js";
 import type { WorkClass } from "../features/config/configTypes.js";
-import { claimId, MaxStoredAnswerBytes, type StoredAnswer } from "../features/idempotency/idempotencyTypes.js";
+import { claimId, type StoredAnswer } from "../features/idempotency/idempotencyTypes.js";
 import type { RoutePlan } from "../routing/routePlan.js";
 import { Attempt, type AttemptListener } from "./attempt.js";
 import { AttemptGroup, type GroupEnd, type GroupOwner } from "./attemptGroup.js";
@@ -14,6 +13,7 @@
 import type { CallerRequest, GatewayParts } from "./gatewayParts.js";
 import { hedgeDelayMs } from "./hedgeDelay.js";
 import { answerHeaders, upstreamHeaders } from "./relayHeaders.js";
+import { ReplayRecorder } from "./replayRecorder.js";
 import { refusal, RequestFailure } from "./requestFailure.js";
 
 /** Serves one request from its plan to its bill. */
@@ -34,8 +34,7 @@
     /** Class of the next dispatch towards the engine, when the admission differs from the request's own class. */
     #engineClass: WorkClass | undefined;
     #waitsForAdmission = false;
-    #storedPieces: Buffer[] | undefined = [];
-    #storedBytes = 0;
+    readonly #recorder: ReplayRecorder;
     #pausedAttempt: Attempt | undefined;
     #stallTimer: NodeJS.Timeout | undefined;
 
@@ -47,6 +46,7 @@
         this.#claimId = request.idempotencyKey === undefined ?
             undefined :
             claimId(request.team, request.idempotencyKey);
+        this.#recorder = new ReplayRecorder(this.#claimId !== undefined);
     }
 
     /** Serves the request. Never throws. */
@@ -291,26 +291,18 @@
         }
         else if (this.#claimHeld && this.#claimId !== undefined) {
             const complete = outcome === "complete";
-            port.completeClaim(this.#claimId, requestId, complete ? this.#storedAnswer(attempt) : undefined, !complete);
+            port.completeClaim(
+                this.#claimId,
+                requestId,
+                complete ? this.#recorder.answer(attempt?.head) : undefined,
+                !complete,
+            );
         }
         this.#tokensReserved = false;
         this.#grantReserved = false;
         this.#claimHeld = false;
     }
 
-    #storedAnswer(attempt: Attempt | undefined): StoredAnswer | undefined {
-        const head = attempt?.head;
-        const body = Buffer.concat(this.#storedPieces ?? []);
-        if (head === undefined || this.#storedPieces === undefined || !isUtf8(body)) {
-            return undefined;
-        }
-        return {
-            httpStatus: head.statusCode,
-            contentType: head.headers["content-type"] ?? "application/octet-stream",
-            body: body.toString("utf8"),
-        };
-    }
-
     get #grantReservation(): string {
         return `${this.#request.requestId}/grant`;
     }
@@ -374,7 +366,7 @@
     }
 
     onBytes(attempt: Attempt, bytes: Buffer): void {
-        this.#keepForReplay(bytes);
+        this.#recorder.add(bytes);
         if (!this.#answer.write(bytes) && this.#pausedAttempt === undefined) {
             attempt.pause();
             this.#pausedAttempt = attempt;
@@ -391,17 +383,6 @@
         attempt?.resume();
     }
 
-    #keepForReplay(bytes: Buffer): void {
-        this.#storedBytes += bytes.length;
-        if (this.#claimId === undefined || this.#storedBytes > MaxStoredAnswerBytes) {
-            this.#storedPieces = undefined;
-        }
-        else {
-            // A copy: undici hands out views of a buffer that it uses again.
-            this.#storedPieces?.push(Buffer.from(bytes));
-        }
-    }
-
     /** Work that may not be repeated runs on, so that its answer is stored for the caller's retry. */
     #onCallerGone(): void {
         if (this.#waitsForAdmission) {
