Never claim a key over a version of an earlier claim

Excluded: a lost answer of the second host; its write was applied. Change: a claim always starts with the version of an absent key; a released claim is found by the conflict. Conclusion: a claim after a release costs one write more.

--- a/src/features/idempotency/idempotency.spec.ts
+++ b/src/features/idempotency/idempotency.spec.ts
@@ -327,6 +327,20 @@
         });
     });
 
+    describe("when the release of a claim meets the finished claim of another host", () => {
+        it("replays that host's answer (guards against a sale that runs again over a finished one)", () => {
+            first.claim("r1", "k");
+            first.fault = "loseAnswer";
+            first.kernel.post({ type: "claimReleased", claimId: claimId("team", "k"), requestId: "r1" });
+            first.flush();
+            expect(second.claim("r2", "k")).toMatchObject({ status: "held" });
+            second.complete("r2", "k");
+            first.fault = "none";
+            first.advance(1_000);
+            expect(first.claim("r3", "k")).toEqual({ status: "replay", answer: stored });
+        });
+    });
+
     describe("when a request is given up before it ran", () => {
         it("can be claimed again, also on the same host (guards against a refusal that blocks the key)", () => {
             first.claim("r1", "k");
--- a/src/features/idempotency/idempotencyController.ts
+++ b/src/features/idempotency/idempotencyController.ts
@@ -90,7 +90,8 @@
         const claim = createLocalClaim(request, {
             hostKey: this.context.board.journal.hostKey,
             deadlineMs: this.context.clock.monotonicMs() + waitMs,
-            expectedVersion: existing?.expectedVersion ?? AbsentVersion,
+            // Never a version from an earlier claim: it may be that of a claim which another host made meanwhile.
+            expectedVersion: AbsentVersion,
             retryMs: this.#settings.firstRetryMs,
         });
         this.#add(claim);
@@ -109,7 +110,7 @@
         }
     }
 
-    /** A released claim of this host leaves only the version to continue from. */
+    /** A released claim does not stand in the way of a new one. */
     #isForgotten(claim: LocalClaim): boolean {
         return claim.stage === "settled" && claim.end === undefined;
     }
