--- a/src/features/idempotency/idempotencyTypes.ts
+++ b/src/features/idempotency/idempotencyTypes.ts
@@ -32,9 +32,12 @@
     return sha256Hex(`${team}\n${idempotencyKey}`);
 }
 
+/** Prefix of claim objects. */
+export const ClaimPrefix = "claim/";
+
 /** @returns Key of a claim object. */
 export function claimKey(id: string): string {
-    return `claim/${id}`;
+    return `${ClaimPrefix}${id}`;
 }
 
 /** Answer to a claim request. */
--- a/src/features/recovery/recoveryController.ts
+++ b/src/features/recovery/recoveryController.ts
@@ -4,6 +4,7 @@
 import type { RouterEvent } from "../../kernel/events.js";
 import type { StoredObject } from "../../platform/platformStore.js";
 import { budgetKey, BudgetObjectSchema, BudgetPrefix, grantBudgetName } from "../budget/budgetTypes.js";
+import { ClaimPrefix, ClaimSchema } from "../idempotency/idempotencyTypes.js";
 import { hostKeyOf, type HostRecord, hostRecordKey } from "../journal/journalTypes.js";
 import { liveHostIds } from "../membership/membershipBoard.js";
 import { foldByRecord, foldExactly } from "./foldMath.js";
@@ -78,7 +79,9 @@
             this.#seeShares(event.key, event.outcome.status === "found" ? event.outcome.object : undefined);
         }
         if (event.type === "storePutDone") {
-            this.#seeShares(event.key, event.outcome.status === "conflict" ? event.outcome.current : undefined);
+            const current = event.outcome.status === "conflict" ? event.outcome.current : undefined;
+            this.#seeShares(event.key, current);
+            this.#seeClaim(event.key, current);
         }
         if ((event.type === "storeGetDone" || event.type === "storePutDone") && event.owner === "recovery") {
             this.#callDone(event);
@@ -140,6 +143,17 @@
         }
     }
 
+    /**
+     * Notices a claim of an incarnation that is not known to be alive. It may have died before any peer heard of it; until
+     * its record is sealed, callers are told that the request is running.
+     */
+    #seeClaim(key: string, stored: StoredObject | undefined): void {
+        const parsed = key.startsWith(ClaimPrefix) ? ClaimSchema.safeParse(stored?.value) : undefined;
+        if (parsed?.success === true && parsed.data.state === "claimed" && !this.#isAlive(parsed.data.hostKey)) {
+            this.#watch(parsed.data.hostKey, undefined, true);
+        }
+    }
+
     #isAlive(hostKey: string): boolean {
         const { membership } = this.context.board;
         const member = membership.members.get(hostKey.slice(0, hostKey.lastIndexOf("~")));
@@ -148,7 +162,7 @@
         return this.#ownKeys.has(hostKey) || (isCurrent && isRunning && !membership.suspects.has(hostKey));
     }
 
-    #watch(hostKey: string, seenBudget: string | undefined): void {
+    #watch(hostKey: string, seenBudget: string | undefined, isHolder = false): void {
         if (this.#ownKeys.has(hostKey)) {
             return;
         }
@@ -159,7 +173,7 @@
             const order = rendezvousOrder(hostKey, liveHostIds(board.membership, board.journal.hostId));
             const rank = order.indexOf(board.journal.hostId);
             const isSealer = rank >= 0 && rank < this.#settings.sealerCount;
-            if (!isSealer && seenBudget === undefined) {
+            if (!isSealer && seenBudget === undefined && !isHolder) {
                 return;
             }
             const delayMs = Math.min(rank < 0 ? 0 : rank, this.#settings.sealerCount) * this.#settings.sealerDelayMs;
