Take host keys apart in one place and remove dead code

Cause: a read-through found the parts of a host key cut out in three places, a search through all live hosts for the one that a ticket names, a method and a segment name that nothing uses, and a case of the state dump that never applied, since persistent maps write themselves. Change: splitHostKey serves them; the rest is gone.

--- a/src/features/idempotency/ticketDesk.ts
+++ b/src/features/idempotency/ticketDesk.ts
@@ -4,7 +4,7 @@
 import type { PeerRequested, ResultEvent } from "../../kernel/effects.js";
 import type { PeerOutcome, TicketRequest } from "../../peer/peerMessages.js";
 import { AbsentVersion } from "../../platform/platformStore.js";
-import { liveHostIds } from "../membership/membershipBoard.js";
+import { splitHostKey } from "../journal/journalTypes.js";
 import { outcomeOfDone, refused, RunningRetryAfterMs } from "./claimOutcomes.js";
 import {
     claimKey,
@@ -173,14 +173,9 @@
     }
 
     #issuerAddress(ticket: Ticket): string | undefined {
-        const { membership, journal } = this.#context.board;
-        for (const hostId of liveHostIds(membership, journal.hostId)) {
-            const member = membership.members.get(hostId);
-            if (member !== undefined && `${member.hostId}~${member.incarnation}` === ticket.hostKey) {
-                return member.peerAddress;
-            }
-        }
-        return undefined;
+        const { hostId, incarnation } = splitHostKey(ticket.hostKey);
+        const member = this.#context.board.membership.members.get(hostId);
+        return member?.state === "live" && member.incarnation === incarnation ? member.peerAddress : undefined;
     }
 
     /** Answers another host. An unused ticket is handed over: this host never dispatches it afterwards. */
--- a/src/features/journal/journalTypes.ts
+++ b/src/features/journal/journalTypes.ts
@@ -46,12 +46,18 @@
     return `${hostId}~${incarnation}`;
 }
 
+/** @returns The parts of a host key. */
+export function splitHostKey(hostKey: string): { readonly hostId: string; readonly incarnation: string; } {
+    const separator = hostKey.lastIndexOf("~");
+    return { hostId: hostKey.slice(0, separator), incarnation: hostKey.slice(separator + 1) };
+}
+
 /** @returns Key of a host record. */
 export function hostRecordKey(hostKey: string): string {
     return `${HostRecordPrefix}${hostKey}`;
 }
 
-/** @returns Key of a segment of bill lines. `segment` is a number, `sealed`, `late` or `release`. */
-export function billSegmentKey(hostKey: string, segment: number | "sealed" | "late" | "release"): string {
+/** @returns Key of a segment of bill lines. `segment` is a number, `late` or `release`. */
+export function billSegmentKey(hostKey: string, segment: number | "late" | "release"): string {
     return `bills/${hostKey}/${typeof segment === "number" ? String(segment).padStart(8, "0") : segment}`;
 }
--- a/src/features/recovery/hostWatch.ts
+++ b/src/features/recovery/hostWatch.ts
@@ -1,6 +1,6 @@
 /** Watches the record of one suspected incarnation until it is closed or sealed, and seals it when it does not change. */
 import { AbsentVersion, type ReadOutcome, type StoredObject, type WriteOutcome } from "../../platform/platformStore.js";
-import { type HostRecord, HostRecordSchema } from "../journal/journalTypes.js";
+import { type HostRecord, HostRecordSchema, splitHostKey } from "../journal/journalTypes.js";
 
 /** Store calls of a {@link HostWatch}. */
 export interface WatchCalls {
@@ -39,13 +39,6 @@
         return this.#ended;
     }
 
-    /** Brings the first read forward. */
-    readSoon(nowMs: number): void {
-        if (this.#observed === undefined) {
-            this.#nextReadMs = Math.min(this.#nextReadMs, nowMs);
-        }
-    }
-
     /** Reads the record when it is time. */
     step(nowMs: number): void {
         if (this.#ended === undefined && !this.#inFlight && nowMs >= this.#nextReadMs) {
@@ -101,11 +94,9 @@
 
 /** @returns The record with the state `sealed`; an empty one when the host has none. */
 export function sealedForm(record: HostRecord | undefined, hostKey: string): HostRecord {
-    const separator = hostKey.lastIndexOf("~");
     return record === undefined ?
         {
-            hostId: hostKey.slice(0, separator),
-            incarnation: hostKey.slice(separator + 1),
+            ...splitHostKey(hostKey),
             zone: "",
             state: "sealed",
             sequence: 0,
--- a/src/features/recovery/recoveryController.ts
+++ b/src/features/recovery/recoveryController.ts
@@ -5,7 +5,7 @@
 import type { StoredObject } from "../../platform/platformStore.js";
 import { budgetKey, BudgetObjectSchema, BudgetPrefix, grantBudgetName } from "../budget/budgetTypes.js";
 import { ClaimPrefix, ClaimSchema } from "../idempotency/idempotencyTypes.js";
-import { hostKeyOf, type HostRecord, hostRecordKey } from "../journal/journalTypes.js";
+import { hostKeyOf, type HostRecord, hostRecordKey, splitHostKey } from "../journal/journalTypes.js";
 import { liveHostIds } from "../membership/membershipBoard.js";
 import { foldByRecord, foldExactly } from "./foldMath.js";
 import { FoldQueue } from "./foldQueue.js";
@@ -156,7 +156,7 @@
 
     #isAlive(hostKey: string): boolean {
         const { membership } = this.context.board;
-        const member = membership.members.get(hostKey.slice(0, hostKey.lastIndexOf("~")));
+        const member = membership.members.get(splitHostKey(hostKey).hostId);
         const isCurrent = member !== undefined && hostKeyOf(member.hostId, member.incarnation) === hostKey;
         const isRunning = member?.state === "live" || member?.state === "leaving";
         return this.#ownKeys.has(hostKey) || (isCurrent && isRunning && !membership.suspects.has(hostKey));
--- a/src/kernel/blackboard.ts
+++ b/src/kernel/blackboard.ts
@@ -1,5 +1,4 @@
 /** The blackboard of a router: one section per feature, each written by that feature's controller only. */
-import { PersistentMap } from "../base/persistentMap.js";
 import { type AdmissionBoard, createAdmissionBoard } from "../features/admission/admissionBoard.js";
 import { type BudgetBoard, createBudgetBoard } from "../features/budget/budgetBoard.js";
 import { type ConfigBoard, createConfigBoard } from "../features/config/configBoard.js";
@@ -45,7 +44,7 @@
 /** Makes the blackboard readable as JSON for the state dump. */
 export function dumpBlackboard(board: Blackboard): unknown {
     return JSON.parse(JSON.stringify(board, (_key, value: unknown) => {
-        if (value instanceof Map || value instanceof PersistentMap) {
+        if (value instanceof Map) {
             return Object.fromEntries(value);
         }
         return value instanceof Set ? [...value] : value;
