--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**"] },
+    { ignores: ["dist/**", "target/**", "node_modules/**"] },
     ...tseslint.configs.recommended,
     {
         files: ["**/*.ts", "**/*.mjs"],
--- a/scripts/format.mjs
+++ b/scripts/format.mjs
@@ -10,7 +10,7 @@
 
 const files = [
     ...readdirSync(".").filter(name => /\.(ts|mjs)$/.test(name)),
-    ...["src", "test", "scripts"].filter(existsSync).flatMap(folder =>
+    ...["src", "platform", "test", "scripts"].filter(existsSync).flatMap(folder =>
         readdirSync(folder, { recursive: true }).filter(name => /\.(ts|mjs)$/.test(name)).map(name =>
             join(folder, name)
         )
--- /dev/null
+++ b/src/edge/budget/budgetKeeper.ts
@@ -0,0 +1,349 @@
+/** Keeps this host's shares of the teams' prepaid tokens in step with the stored ledger. */
+import type { Clock } from "../../base/clock.js";
+import { log } from "../../base/log.js";
+import type { PlatformStore, WriteOutcome } from "../../platform/platformStore.js";
+import {
+    closePredecessor,
+    countRecentHosts,
+    EmptyLedger,
+    EmptyTeamLedger,
+    type Ledger,
+    LedgerSchema,
+    settledByOthers,
+    type TeamLedger,
+} from "./ledger.js";
+import { TeamAccount } from "./teamAccount.js";
+
+/** Interval of writes that only report settled tokens, in milliseconds; bounds the store calls of a host. */
+const ReportIntervalMs = 3_000;
+
+/** Pause after the store failed, in milliseconds; retried often enough to be in step a second after it returns. */
+const FailurePauseMs = 400;
+
+/** Shortest time between two writes, so that a burst of requests causes one write and not one each, in milliseconds. */
+const WriteSpacingMs = 60;
+
+/** Time after which a host that wrote nothing is not counted, in milliseconds. */
+const HostSilenceMs = 15_000;
+
+/** Longest wait of a request for tokens, in milliseconds: a few store calls. */
+const LongestWaitMs = 300;
+
+/** Conflicts in a row after which a write is put off. */
+const MostConflicts = 6;
+
+/** Outcome of a reservation. */
+export type ReservationResult = "reserved" | "exhausted" | "unavailable";
+
+/** What the keeper is built from. */
+export interface BudgetKeeperParts {
+    readonly store: PlatformStore;
+    readonly clock: Clock;
+    readonly key: string;
+    readonly hostId: string;
+    readonly incarnation: string;
+    /** Hosts to assume as long as the ledger shows fewer. */
+    readonly expectedHostCount: number;
+    /** @returns Prepaid tokens of a team by the configuration in force; `undefined` for no limit. */
+    prepaidTokens(team: string): number | undefined;
+    /** @returns Teams with a prepaid amount. */
+    limitedTeams(): readonly string[];
+}
+
+/** The ledger as last seen, with its version. */
+interface KnownLedger {
+    readonly ledger: Ledger;
+    readonly version: number;
+}
+
+/** A write without an answer: it may still take effect as long as the version is unchanged. */
+interface UnsettledWrite {
+    readonly expectedVersion: number;
+    readonly grantedTokens: ReadonlyMap<string, number>;
+}
+
+/** Reserves tokens locally; draws and returns shares in the background. */
+export class BudgetKeeper {
+    readonly #parts: BudgetKeeperParts;
+    readonly #accounts = new Map<string, TeamAccount>();
+    #known: KnownLedger | undefined;
+    #unsettled: UnsettledWrite | undefined;
+    #isEstablished = false;
+    #isClosing = false;
+    #isSyncing = false;
+    #isFailing = false;
+    #sequence = 0;
+    #nextWriteMs = 0;
+    #reportedMs = Number.NEGATIVE_INFINITY;
+    #readMs = Number.NEGATIVE_INFINITY;
+
+    constructor(parts: BudgetKeeperParts) {
+        this.#parts = parts;
+    }
+
+    /** @returns Whether the shares of this incarnation are acknowledged. */
+    get isEstablished(): boolean {
+        return this.#isEstablished;
+    }
+
+    /** @returns Hosts that share the budgets. */
+    get hostCount(): number {
+        const recent = this.#known === undefined ?
+            0 :
+            countRecentHosts(this.#known.ledger, this.#parts.clock.wallMs(), HostSilenceMs);
+        return Math.max(1, recent, this.#parts.expectedHostCount);
+    }
+
+    /** @returns Numbers of each team, for the state dump. */
+    dumpState(): unknown {
+        return {
+            established: this.#isEstablished,
+            version: this.#known?.version,
+            teams: Object.fromEntries([...this.#accounts].map(([name, account]) => [name, {
+                grantedTokens: account.grantedTokens,
+                usedTokens: account.usedTokens,
+                settledTokens: account.settledTokens,
+            }])),
+        };
+    }
+
+    /**
+     * Reserves the worst-case cost of a request.
+     * @param waitMs Longest wait for tokens, in milliseconds.
+     */
+    reserve(team: string, costTokens: number, waitMs: number): Promise<ReservationResult> | ReservationResult {
+        if (this.#parts.prepaidTokens(team) === undefined) {
+            return "reserved";
+        }
+        const account = this.#account(team);
+        account.noteDemand(costTokens, this.#nowMs);
+        if (account.tryReserve(costTokens)) {
+            return "reserved";
+        }
+        return this.#refusalFor(team, costTokens) ?? this.#waitForTokens(account, costTokens, waitMs);
+    }
+
+    /** Replaces a reservation by what the request cost. */
+    settle(team: string, reservedTokens: number, costTokens: number): void {
+        const account = this.#accounts.get(team);
+        account?.settle(reservedTokens, costTokens);
+        account?.serveWaiting();
+    }
+
+    /** Writes when something is due; called every few ten milliseconds. */
+    tick(): void {
+        if (this.#isSyncing || this.#nowMs < this.#nextWriteMs) {
+            return;
+        }
+        const isDue = !this.#isEstablished || this.#isClosing || this.#needsTokens() ||
+            this.#nowMs - this.#reportedMs >= ReportIntervalMs;
+        if (isDue) {
+            void this.#sync();
+        }
+    }
+
+    /** Gives all unused tokens back. */
+    async close(): Promise<void> {
+        this.#isClosing = true;
+        if (!this.#isSyncing) {
+            await this.#sync();
+        }
+    }
+
+    get #nowMs(): number {
+        return this.#parts.clock.monotonicMs();
+    }
+
+    #account(team: string): TeamAccount {
+        let account = this.#accounts.get(team);
+        if (account === undefined) {
+            account = new TeamAccount(team, this.#nowMs);
+            this.#accounts.set(team, account);
+        }
+        return account;
+    }
+
+    #needsTokens(): boolean {
+        return [...this.#accounts.values()].some(account => account.waiting.length > 0);
+    }
+
+    #waitForTokens(account: TeamAccount, costTokens: number, waitMs: number): Promise<ReservationResult> {
+        return new Promise(resolve => {
+            const timer = setTimeout(() => item.settle(false), Math.min(waitMs, LongestWaitMs));
+            const item = {
+                costTokens,
+                settle: (granted: boolean) => {
+                    clearTimeout(timer);
+                    const index = account.waiting.indexOf(item);
+                    if (index >= 0) {
+                        account.waiting.splice(index, 1);
+                    }
+                    resolve(granted ? "reserved" : this.#refusalFor(account.name, costTokens) ?? "unavailable");
+                },
+            };
+            account.waiting.push(item);
+            this.tick();
+        });
+    }
+
+    /** A balance counts as exhausted only if the known spending of all hosts leaves too little, whoever holds the rest. */
+    #refusalFor(team: string, costTokens: number): "exhausted" | undefined {
+        const prepaid = this.#parts.prepaidTokens(team);
+        const ledger = this.#known?.ledger.teams[team];
+        if (prepaid === undefined || ledger === undefined) {
+            return undefined;
+        }
+        const spent = settledByOthers(ledger, this.#parts.hostId) + this.#account(team).usedTokens;
+        return prepaid - spent < costTokens ? "exhausted" : undefined;
+    }
+
+    async #sync(): Promise<void> {
+        this.#isSyncing = true;
+        try {
+            await this.#syncOnce();
+        }
+        finally {
+            this.#isSyncing = false;
+        }
+    }
+
+    async #syncOnce(): Promise<void> {
+        for (let conflicts = 0; conflicts < MostConflicts; conflicts++) {
+            if (this.#known === undefined && !await this.#read()) {
+                return;
+            }
+            const known = this.#known ?? { ledger: EmptyLedger, version: 0 };
+            const next = this.#plan(known.ledger);
+            const outcome = await this.#parts.store.put(this.#parts.key, next, known.version);
+            if (!this.#handleWrite(outcome, known, next)) {
+                return;
+            }
+        }
+        this.#nextWriteMs = this.#nowMs + WriteSpacingMs * 2;
+    }
+
+    /** @returns Whether the write should be tried again at once. */
+    #handleWrite(outcome: WriteOutcome, known: KnownLedger, next: Ledger): boolean {
+        this.#nextWriteMs = this.#nowMs + WriteSpacingMs;
+        if (outcome.status === "applied") {
+            this.#unsettled = undefined;
+            this.#isEstablished = true;
+            this.#reportedMs = this.#nowMs;
+            this.#take({ ledger: next, version: outcome.version });
+            this.#noteRegained();
+            return false;
+        }
+        if (outcome.status === "conflict") {
+            return this.#handleConflict(outcome.current?.value, outcome.current?.version);
+        }
+        if (outcome.status === "unknown") {
+            this.#unsettled = { expectedVersion: known.version, grantedTokens: this.#grantsOf(next) };
+            this.#known = undefined;
+        }
+        this.#noteFailure(outcome.reason);
+        return false;
+    }
+
+    #handleConflict(value: unknown, version: number | undefined): boolean {
+        if (value === undefined || version === undefined) {
+            this.#known = undefined;
+            return true;
+        }
+        return this.#adopt(value, version);
+    }
+
+    async #read(): Promise<boolean> {
+        const outcome = await this.#parts.store.get(this.#parts.key);
+        if (outcome.status === "unavailable") {
+            this.#noteFailure(outcome.reason);
+            return false;
+        }
+        if (outcome.status === "absent") {
+            this.#take({ ledger: EmptyLedger, version: 0 });
+            return true;
+        }
+        return this.#adopt(outcome.object.value, outcome.object.version);
+    }
+
+    #adopt(value: unknown, version: number): boolean {
+        const ledger = LedgerSchema.safeParse(value);
+        if (!ledger.success) {
+            this.#noteFailure(`the ledger cannot be read: ${ledger.error.message}`);
+            return false;
+        }
+        this.#take({ ledger: ledger.data, version });
+        return true;
+    }
+
+    /** Takes over what the ledger grants this incarnation; an unsettled write may still lower it. */
+    #take(known: KnownLedger): void {
+        this.#known = known;
+        this.#readMs = this.#nowMs;
+        const mayApply = this.#unsettled?.expectedVersion === known.version ? this.#unsettled : undefined;
+        if (mayApply === undefined) {
+            this.#unsettled = undefined;
+        }
+        const { hostId, incarnation } = this.#parts;
+        if (known.ledger.hosts[hostId]?.incarnation !== incarnation) {
+            return;
+        }
+        for (const [name, team] of Object.entries(known.ledger.teams)) {
+            const stored = team.shares[hostId]?.grantedTokens ?? 0;
+            const account = this.#account(name);
+            account.grantedTokens = Math.min(stored, mayApply?.grantedTokens.get(name) ?? stored);
+            account.serveWaiting();
+        }
+    }
+
+    /** Plans this host's shares; a lower share applies locally before it is written. */
+    #plan(stored: Ledger): Ledger {
+        const { hostId, incarnation, clock } = this.#parts;
+        const ledger = closePredecessor(stored, hostId, incarnation);
+        this.#logClosed(stored, ledger);
+        const hostCount = this.hostCount;
+        const teams: Record<string, TeamLedger> = { ...ledger.teams };
+        for (const name of new Set([...this.#parts.limitedTeams(), ...this.#accounts.keys()])) {
+            const team = ledger.teams[name] ?? EmptyTeamLedger;
+            const account = this.#account(name);
+            const prepaid = this.#parts.prepaidTokens(name) ?? 0;
+            const share = account.planShare(team, prepaid, hostCount, this.#nowMs, this.#isClosing);
+            account.grantedTokens = Math.min(account.grantedTokens, share.grantedTokens);
+            teams[name] = { ...team, shares: { ...team.shares, [hostId]: share } };
+        }
+        const host = { incarnation, sequence: ++this.#sequence, writtenAtMs: Math.round(clock.wallMs()) };
+        return { hosts: { ...ledger.hosts, [hostId]: host }, teams };
+    }
+
+    #grantsOf(ledger: Ledger): Map<string, number> {
+        const shares = Object.entries(ledger.teams).map(([name, team]): [string, number] => [
+            name,
+            team.shares[this.#parts.hostId]?.grantedTokens ?? 0,
+        ]);
+        return new Map(shares);
+    }
+
+    #logClosed(stored: Ledger, closed: Ledger): void {
+        if (stored !== closed && !this.#isEstablished) {
+            log.info("budget shares of the previous process closed", {
+                host: this.#parts.hostId,
+                predecessor: stored.hosts[this.#parts.hostId]?.incarnation,
+                ledgerVersion: this.#known?.version,
+            });
+        }
+    }
+
+    #noteFailure(reason: string): void {
+        this.#nextWriteMs = this.#nowMs + FailurePauseMs;
+        if (!this.#isFailing) {
+            this.#isFailing = true;
+            log.warn("budget ledger lost", { reason, readAgeMs: Math.round(this.#nowMs - this.#readMs) });
+        }
+    }
+
+    #noteRegained(): void {
+        if (this.#isFailing) {
+            this.#isFailing = false;
+            log.info("budget ledger regained", { version: this.#known?.version });
+        }
+    }
+}
--- /dev/null
+++ b/src/edge/budget/ledger.ts
@@ -0,0 +1,86 @@
+/** The stored ledger of prepaid tokens: what each host may spend of each team's budget. */
+import { z } from "zod";
+
+const TokensSchema = z.number().int().nonnegative();
+
+/** Part of a team's budget that one host incarnation holds. Both numbers are cumulative for the incarnation. */
+export const HostShareSchema = z.object({
+    /** Tokens that the host may spend in all. */
+    grantedTokens: TokensSchema,
+    /** Tokens that finished requests have cost so far; lags behind. */
+    settledTokens: TokensSchema,
+});
+export type HostShare = z.infer<typeof HostShareSchema>;
+
+/** One team's budget. */
+export const TeamLedgerSchema = z.object({
+    /** Tokens that closed incarnations are known to have spent. */
+    closedTokens: TokensSchema,
+    /** Tokens that closed incarnations held and may have spent. */
+    atRiskTokens: TokensSchema,
+    shares: z.record(z.string(), HostShareSchema),
+});
+export type TeamLedger = z.infer<typeof TeamLedgerSchema>;
+
+/** A host that writes to the ledger. */
+export const LedgerHostSchema = z.object({
+    incarnation: z.string(),
+    /** Number of the incarnation's last write; makes each write a change. */
+    sequence: z.number().int().nonnegative(),
+    /** Wall-clock time of the last write in milliseconds, for counting hosts; no decision about tokens depends on it. */
+    writtenAtMs: z.number(),
+});
+export type LedgerHost = z.infer<typeof LedgerHostSchema>;
+
+/** The stored object. */
+export const LedgerSchema = z.object({
+    hosts: z.record(z.string(), LedgerHostSchema),
+    teams: z.record(z.string(), TeamLedgerSchema),
+});
+export type Ledger = z.infer<typeof LedgerSchema>;
+
+export const EmptyLedger: Ledger = { hosts: {}, teams: {} };
+export const EmptyTeamLedger: TeamLedger = { closedTokens: 0, atRiskTokens: 0, shares: {} };
+
+/** @returns Tokens that no host holds and nothing has consumed; negative after the prepaid amount was lowered. */
+export function unheldTokens(team: TeamLedger, prepaidTokens: number): number {
+    const granted = Object.values(team.shares).reduce((sum, share) => sum + share.grantedTokens, 0);
+    return prepaidTokens - team.closedTokens - team.atRiskTokens - granted;
+}
+
+/** @returns Tokens that are known to be spent, by all hosts but one. */
+export function settledByOthers(team: TeamLedger, hostId: string): number {
+    const others = Object.entries(team.shares).filter(([id]) => id !== hostId);
+    return team.closedTokens + others.reduce((sum, [, share]) => sum + share.settledTokens, 0);
+}
+
+/** @returns Hosts that wrote within a time. */
+export function countRecentHosts(ledger: Ledger, wallMs: number, withinMs: number): number {
+    return Object.values(ledger.hosts).filter(host => Math.abs(wallMs - host.writtenAtMs) <= withinMs).length;
+}
+
+/**
+ * Closes the shares of a host's earlier incarnation. A process starts under a host's id only after the one before it has
+ * ended, so whatever the earlier incarnation held and did not report counts as at risk at once, without a timeout.
+ * @returns The ledger with the shares closed; the same one when there is nothing to close.
+ */
+export function closePredecessor(ledger: Ledger, hostId: string, incarnation: string): Ledger {
+    const host = ledger.hosts[hostId];
+    if (host === undefined || host.incarnation === incarnation) {
+        return ledger;
+    }
+    const teams = Object.entries(ledger.teams).map(([name, team]): [string, TeamLedger] => {
+        const { [hostId]: share, ...shares } = team.shares;
+        if (share === undefined) {
+            return [name, team];
+        }
+        const settled = Math.min(share.settledTokens, share.grantedTokens);
+        return [name, {
+            closedTokens: team.closedTokens + settled,
+            atRiskTokens: team.atRiskTokens + share.grantedTokens - settled,
+            shares,
+        }];
+    });
+    const { [hostId]: _closed, ...hosts } = ledger.hosts;
+    return { hosts, teams: Object.fromEntries(teams) };
+}
--- /dev/null
+++ b/src/edge/edgeProcess.ts
@@ -0,0 +1,184 @@
+/** The edge process: listeners, feeds, budgets and the order of start and shutdown. */
+import { createServer, type Server } from "node:http";
+import { type Clock, SystemClock } from "../base/clock.js";
+import { log } from "../base/log.js";
+import { type Random, SystemRandom } from "../base/random.js";
+import type { PlatformStore } from "../platform/platformStore.js";
+import { BudgetKeeper } from "./budget/budgetKeeper.js";
+import { ConfigurationKeeper } from "./configurationKeeper.js";
+import type { EdgeSettings } from "./edgeSettings.js";
+import { CallerListener } from "./flow/callerListener.js";
+import { RetryBudgets } from "./flow/retryBudgets.js";
+import type { HeaderCodec, ObjectCodec } from "./protocolCodec.js";
+import { UpstreamDirectory } from "./upstream/upstreamDirectory.js";
+import { UpstreamFeed } from "./upstream/upstreamFeed.js";
+
+/** What the process is built from beyond its settings. */
+export interface EdgeParts {
+    readonly store: PlatformStore;
+    readonly headers: HeaderCodec;
+    readonly objects: ObjectCodec;
+}
+
+/** Interval of periodic work, in milliseconds. */
+const TickIntervalMs = 20;
+
+/** Interval in which a shutdown looks for open requests, in milliseconds. */
+const ShutdownPollMs = 20;
+
+/** Part of the grace period kept for the last write and the exit, in milliseconds. */
+const ExitReserveMs = 700;
+
+/** Longest time of the last budget write, in milliseconds. */
+const FinalWriteMs = 400;
+
+/** Hosts to assume for each zone until the ledger shows them. */
+const ExpectedHostsPerZone = 2;
+
+/** An edge router. */
+export class EdgeProcess {
+    readonly #settings: EdgeSettings;
+    readonly #parts: EdgeParts;
+    readonly #clock: Clock = new SystemClock();
+    readonly #random: Random = new SystemRandom();
+    readonly #configuration: ConfigurationKeeper;
+    readonly #directory: UpstreamDirectory;
+    readonly #upstreamFeed: UpstreamFeed;
+    readonly #budgets: BudgetKeeper;
+    readonly #listener: CallerListener;
+    readonly #readiness: Server;
+    readonly #incarnation: string;
+    #ticker: NodeJS.Timeout | undefined;
+    #isLeaving = false;
+
+    constructor(settings: EdgeSettings, parts: EdgeParts) {
+        this.#settings = settings;
+        this.#parts = parts;
+        this.#incarnation = `${Math.floor(this.#clock.wallMs()).toString(36)}${this.#random.hex(6)}`;
+        this.#directory = new UpstreamDirectory(this.#clock);
+        this.#configuration = new ConfigurationKeeper(parts.store, parts.objects, this.#clock, table => {
+            this.#listener.applyLimits(table.configuration.limits);
+        });
+        this.#upstreamFeed = new UpstreamFeed(parts.store, parts.objects, this.#clock, this.#directory);
+        this.#budgets = this.#createBudgets();
+        this.#listener = this.#createListener();
+        this.#readiness = createServer((_request, response) => {
+            response.writeHead(this.isReady ? 200 : 503, { "Content-Length": 0 });
+            response.end();
+        });
+    }
+
+    /** @returns Whether a request taken now could be served. */
+    get isReady(): boolean {
+        return !this.#isLeaving && this.#configuration.table !== undefined && !this.#directory.isEmpty;
+    }
+
+    /** Opens the listeners and starts to follow the store. */
+    async start(): Promise<void> {
+        const caller = splitAddress(this.#settings.listen.caller);
+        const readiness = splitAddress(this.#settings.listen.readiness);
+        this.#configuration.start();
+        this.#upstreamFeed.start();
+        await this.#listener.start(caller.host, caller.port);
+        await new Promise<void>((resolve, reject) => {
+            this.#readiness.once("error", reject);
+            this.#readiness.listen(readiness.port, readiness.host, resolve);
+        });
+        this.#ticker = setInterval(() => this.#tick(), TickIntervalMs);
+        log.info("edge started", {
+            host: this.#settings.hostId,
+            incarnation: this.#incarnation,
+            zone: this.#settings.zone,
+            caller: this.#settings.listen.caller,
+        });
+    }
+
+    /** Stops taking new connections, finishes open requests, gives unused tokens back. */
+    async stop(): Promise<void> {
+        this.#isLeaving = true;
+        const startedMs = this.#clock.monotonicMs();
+        const elapsedMs = () => this.#clock.monotonicMs() - startedMs;
+        log.info("edge stops", { host: this.#settings.hostId, open: this.#listener.openCount });
+        const lastMs = this.#settings.graceMs - ExitReserveMs;
+        while (elapsedMs() < Math.min(this.#settings.drainNoticeMs, lastMs)) {
+            await sleep(ShutdownPollMs);
+        }
+        this.#listener.stopAccepting();
+        while (this.#listener.openCount > 0 && elapsedMs() < lastMs) {
+            await sleep(ShutdownPollMs);
+        }
+        await Promise.race([this.#budgets.close(), sleep(FinalWriteMs)]);
+        clearInterval(this.#ticker);
+        this.#configuration.stop();
+        this.#upstreamFeed.stop();
+        this.#listener.destroy();
+        this.#readiness.close();
+        this.#readiness.closeAllConnections();
+        log.info("edge stopped", { host: this.#settings.hostId, open: this.#listener.openCount, elapsedMs: elapsedMs() });
+    }
+
+    /** @returns State for the dump. */
+    dumpState(): unknown {
+        return {
+            host: this.#settings.hostId,
+            incarnation: this.#incarnation,
+            ready: this.isReady,
+            configuration: this.#configuration.table?.configuration.version,
+            open: this.#listener.openCount,
+            budgets: this.#budgets.dumpState(),
+            upstreams: this.#directory.all.map(upstream => ({ ...upstream.entry, open: upstream.openCount })),
+        };
+    }
+
+    #tick(): void {
+        this.#directory.tick();
+        if (this.#configuration.table !== undefined) {
+            this.#budgets.tick();
+        }
+    }
+
+    #createBudgets(): BudgetKeeper {
+        return new BudgetKeeper({
+            store: this.#parts.store,
+            clock: this.#clock,
+            key: `${this.#parts.objects.ownPrefix}ledger`,
+            hostId: this.#settings.hostId,
+            incarnation: this.#incarnation,
+            expectedHostCount: this.#settings.zoneCount * ExpectedHostsPerZone,
+            prepaidTokens: team => this.#configuration.table?.teamNamed(team)?.prepaidTokens,
+            limitedTeams: () =>
+                (this.#configuration.table?.configuration.teams ?? [])
+                    .filter(team => team.prepaidTokens !== undefined)
+                    .map(team => team.name),
+        });
+    }
+
+    #createListener(): CallerListener {
+        const { retryRatio, retryWindowMs, retrySlackCount, maxHeaderBytes, zone } = this.#settings;
+        return new CallerListener({
+            clock: this.#clock,
+            random: this.#random,
+            codec: this.#parts.headers,
+            directory: this.#directory,
+            budgets: this.#budgets,
+            retries: new RetryBudgets(
+                { ratio: retryRatio, windowMs: retryWindowMs, slackCount: retrySlackCount },
+                () => this.#budgets.hostCount,
+            ),
+            zone,
+            maxHeaderBytes,
+            othersLoad: () => 0,
+            configuration: () => this.#configuration,
+            isLeaving: () => this.#isLeaving,
+        });
+    }
+}
+
+function splitAddress(address: string): { host: string; port: number; } {
+    const separator = address.lastIndexOf(":");
+    return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
+}
+
+function sleep(durationMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/src/edge/edgeSettings.ts
@@ -0,0 +1,26 @@
+/** Settings of the forwarding edge. */
+import { z } from "zod";
+
+const AddressSchema = z.string().regex(/^.+:[0-9]+$/, "must be IP:port");
+
+/** Settings with their defaults. Durations are in the unit of their suffix. */
+export const EdgeSettingsSchema = z.strictObject({
+    hostId: z.string().min(1).describe("identity of the host; a restarted process keeps it"),
+    zone: z.string().default("").describe("availability zone of the host"),
+    zoneCount: z.number().int().positive().default(1).describe("availability zones of the deployment"),
+    listen: z.strictObject({
+        caller: AddressSchema.describe("address for callers"),
+        readiness: AddressSchema.describe("address of the balancer's readiness check"),
+        metrics: AddressSchema.optional().describe("address of counters and histograms"),
+    }),
+    storeAddress: AddressSchema.describe("address of the platform's store"),
+    graceMs: z.number().positive().default(8_000).describe("time between the termination signal and the kill"),
+    drainNoticeMs: z.number().nonnegative().default(3_000)
+        .describe("time that the balancer needs to stop sending connections"),
+    retryRatio: z.number().nonnegative().default(0.1).describe("repeated sends as a share of a service's requests"),
+    retryWindowMs: z.number().positive().default(10_000).describe("window of the retry budget"),
+    retrySlackCount: z.number().nonnegative().default(20)
+        .describe("repeated sends per service and window allowed at any rate, over all hosts"),
+    maxHeaderBytes: z.number().int().positive().default(16_384).describe("longest request head"),
+});
+export type EdgeSettings = z.infer<typeof EdgeSettingsSchema>;
--- /dev/null
+++ b/src/edge/flow/callerListener.ts
@@ -0,0 +1,242 @@
+/** Accepts callers' requests, reads them and starts their flows. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { log } from "../../base/log.js";
+import type { CallerFacts, CallerLimits, EdgeTeam, Route } from "../edgeTypes.js";
+import type { RouteTable } from "../routing/routeTable.js";
+import { CallerAnswer, type EdgeFailure } from "./callerAnswer.js";
+import { type EdgeRequest, type FlowParts, RequestFlow } from "./requestFlow.js";
+
+/** The configuration in force, as the listener needs it. */
+export interface ConfigurationView {
+    readonly table: RouteTable | undefined;
+    /** Whether the configuration was confirmed by the store a moment ago. */
+    readonly isFresh: boolean;
+}
+
+/** What the listener is built from. */
+export interface ListenerParts extends FlowParts {
+    readonly maxHeaderBytes: number;
+    configuration(): ConfigurationView;
+    /** @returns Whether the process is shutting down. */
+    isLeaving(): boolean;
+}
+
+/** Interval in which over-long heads are looked for, in milliseconds. */
+const HeadCheckIntervalMs = 500;
+
+/** Limits until a configuration is known. */
+const InitialIdleMs = 15_000;
+const InitialHeaderMs = 3_000;
+
+/** Retry-After while the host cannot judge a request: a store outage of some seconds may last on, in milliseconds. */
+const NotReadyRetryMs = 500;
+
+/** Time allowed for a request whose caller states no deadline, in milliseconds. */
+const DefaultDeadlineMs = 60_000;
+
+/** Grace on the idle limit, so that a request that crosses the close is rare; in milliseconds. */
+const IdleGraceMs = 1_000;
+
+/** Listener for callers. */
+export class CallerListener {
+    readonly #parts: ListenerParts;
+    readonly #server: Server;
+    #openCount = 0;
+
+    constructor(parts: ListenerParts) {
+        this.#parts = parts;
+        this.#server = createServer({
+            maxHeaderSize: parts.maxHeaderBytes,
+            keepAliveTimeout: InitialIdleMs + IdleGraceMs,
+            headersTimeout: InitialHeaderMs,
+            requestTimeout: 0,
+            connectionsCheckingInterval: HeadCheckIntervalMs,
+            noDelay: true,
+        }, (request, response) => this.#onRequest(request, response));
+        this.#server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => onBadRequest(error, socket));
+    }
+
+    /** @returns Requests without a complete answer. */
+    get openCount(): number {
+        return this.#openCount;
+    }
+
+    /** Opens the listener. */
+    async start(host: string, port: number): Promise<number> {
+        await new Promise<void>((resolve, reject) => {
+            this.#server.once("error", reject);
+            this.#server.listen({ host, port, backlog: 1_024 }, resolve);
+        });
+        const address = this.#server.address();
+        return typeof address === "object" && address !== null ? address.port : port;
+    }
+
+    /** Applies the limits of a configuration to later requests. */
+    applyLimits(limits: CallerLimits): void {
+        this.#server.headersTimeout = limits.headerTimeoutMs;
+        this.#server.keepAliveTimeout = limits.idleTimeoutMs + IdleGraceMs;
+    }
+
+    /** Stops accepting and closes idle connections; open requests go on. */
+    stopAccepting(): void {
+        this.#server.close();
+        this.#server.closeIdleConnections();
+    }
+
+    /** Closes every connection. */
+    destroy(): void {
+        this.#server.close();
+        this.#server.closeAllConnections();
+    }
+
+    #onRequest(request: IncomingMessage, response: ServerResponse): void {
+        const arrivedMs = this.#parts.clock.monotonicMs();
+        this.#openCount++;
+        response.once("close", () => this.#openCount--);
+        response.on("error", error => log.debug("caller connection failed", { error: error.message }));
+        if (this.#parts.isLeaving()) {
+            response.shouldKeepAlive = false;
+        }
+        const facts = this.#parts.codec.readCaller(request.rawHeaders);
+        const answer = new CallerAnswer(response, this.#parts.codec.requestIdHeader, facts.requestId);
+        const routed = this.#route(request, facts);
+        if ("code" in routed) {
+            log.info("request refused", {
+                request: facts.requestId,
+                host: request.headers.host,
+                path: pathOf(request.url ?? ""),
+                configuration: this.#parts.configuration().table?.configuration.version,
+                ...routed,
+            });
+            request.resume();
+            answer.fail(routed);
+            return;
+        }
+        this.#readAndRun(request, response, answer, facts, routed, arrivedMs);
+    }
+
+    #route(request: IncomingMessage, facts: CallerFacts): Routed | EdgeFailure {
+        const { table, isFresh } = this.#parts.configuration();
+        if (table === undefined) {
+            return { code: "NotReady", ran: "no", retryAfterMs: NotReadyRetryMs };
+        }
+        if (facts.requestId === undefined) {
+            return { code: "MalformedHeader", ran: "no" };
+        }
+        const route = table.findRoute(request.headers.host ?? "", pathOf(request.url ?? ""));
+        if (route === undefined) {
+            return unknown("UnknownPath", isFresh);
+        }
+        const team = facts.apiKey === undefined ? undefined : table.findTeam(facts.apiKey);
+        if (team === undefined && table.needsKeys && !route.isPublic) {
+            return unknown("UnknownKey", isFresh);
+        }
+        const length = Number(request.headers["content-length"] ?? 0);
+        if (length > table.configuration.limits.maxBodyBytes) {
+            return { code: "BodyTooLarge", ran: "no" };
+        }
+        return { table, route, team };
+    }
+
+    #readAndRun(
+        message: IncomingMessage,
+        response: ServerResponse,
+        answer: CallerAnswer,
+        facts: CallerFacts,
+        { table, route, team }: Routed,
+        arrivedMs: number,
+    ): void {
+        const timeLimitMs = Math.min(facts.deadlineMs ?? DefaultDeadlineMs, route.timeoutMs);
+        const hasBody = message.headers["transfer-encoding"] !== undefined ||
+            Number(message.headers["content-length"] ?? 0) > 0;
+        const run = (body: Buffer | undefined) => {
+            const request: EdgeRequest = {
+                requestId: facts.requestId!,
+                method: message.method ?? "GET",
+                target: message.url ?? "/",
+                headers: message.rawHeaders,
+                body,
+                facts,
+                route,
+                team,
+                table,
+                arrivedMs,
+                endsMs: arrivedMs + timeLimitMs,
+            };
+            const flow = new RequestFlow(this.#parts, request, answer);
+            response.once("close", () => {
+                if (!response.writableFinished) {
+                    flow.onCallerGone();
+                }
+            });
+            flow.run().catch((error: unknown) => {
+                log.error("request flow failed", { request: facts.requestId, error: String(error) });
+                answer.breakOff();
+            });
+        };
+        if (!hasBody) {
+            run(undefined);
+            return;
+        }
+        collectBody(message, table.configuration.limits.maxBodyBytes, body => {
+            if (body === undefined) {
+                answer.fail({ code: "BodyTooLarge", ran: "no" });
+                return;
+            }
+            run(body);
+        });
+    }
+}
+
+/** A request with its route. */
+interface Routed {
+    readonly table: RouteTable;
+    readonly route: Route;
+    readonly team: EdgeTeam | undefined;
+}
+
+/** A host whose configuration may be old cannot tell whether a path or key is unknown. */
+function unknown(code: "UnknownPath" | "UnknownKey", isFresh: boolean): EdgeFailure {
+    return isFresh ? { code, ran: "no" } : { code: "NotReady", ran: "no", retryAfterMs: NotReadyRetryMs };
+}
+
+function pathOf(target: string): string {
+    const query = target.indexOf("?");
+    return query < 0 ? target : target.slice(0, query);
+}
+
+/** Collects a body; `undefined` when it exceeds the limit. A caller that leaves first is not reported. */
+function collectBody(message: IncomingMessage, maxBytes: number, done: (body: Buffer | undefined) => void): void {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    message.on("data", (chunk: Buffer) => {
+        size += chunk.length;
+        if (size <= maxBytes) {
+            chunks.push(chunk);
+        }
+        else if (size - chunk.length <= maxBytes) {
+            done(undefined);
+        }
+    });
+    message.on("end", () => {
+        if (size <= maxBytes) {
+            done(Buffer.concat(chunks));
+        }
+    });
+}
+
+/** Answers bytes that are no valid request; the connection cannot be used any further. */
+function onBadRequest(error: NodeJS.ErrnoException, socket: Socket): void {
+    log.info("request not readable", { code: error.code, remote: socket.remoteAddress });
+    if (error.code === "ECONNRESET" || !socket.writable) {
+        socket.destroy();
+        return;
+    }
+    const status = error.code === "HPE_HEADER_OVERFLOW" ?
+        "431 Request Header Fields Too Large" :
+        error.code === "ERR_HTTP_REQUEST_TIMEOUT" ?
+        "408 Request Timeout" :
+        "400 Bad Request";
+    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+}
--- /dev/null
+++ b/src/edge/flow/serialiseRequest.ts
@@ -0,0 +1,25 @@
+/** Serialises a request for an upstream connection. */
+import type { OutgoingRequest } from "../transport/upstreamConnection.js";
+
+/** Methods whose requests carry a length even without a body. */
+const BodyMethods: ReadonlySet<string> = new Set(["POST", "PUT", "PATCH"]);
+
+/**
+ * @param target Path and query, unchanged.
+ * @param headers Alternating names and values, without framing headers.
+ */
+export function serialiseRequest(
+    method: string,
+    target: string,
+    headers: readonly string[],
+    body: Buffer | undefined,
+): OutgoingRequest {
+    let head = `${method} ${target} HTTP/1.1\r\n`;
+    for (let index = 0; index < headers.length; index += 2) {
+        head += `${headers[index]}: ${headers[index + 1]}\r\n`;
+    }
+    if (body !== undefined || BodyMethods.has(method)) {
+        head += `Content-Length: ${body?.length ?? 0}\r\n`;
+    }
+    return { method, head: `${head}\r\n`, body };
+}
--- /dev/null
+++ b/src/edge/storeFeed.ts
@@ -0,0 +1,141 @@
+/** Follows the objects below one prefix of the platform's store. */
+import type { Clock } from "../base/clock.js";
+import { log } from "../base/log.js";
+import type { PlatformStore, StoredObject, WatchedChange } from "../platform/platformStore.js";
+
+/** Longest wait of one watch call in milliseconds. A silent connection is noticed after it, within a few seconds. */
+const WatchWaitMs = 3_000;
+
+/** Pause after a failed call, in milliseconds; in step again well before the store counts as stable. */
+const FailurePauseMs = 400;
+
+/** Largest page of a listing. */
+const PageSize = 500;
+
+/** Shortest time between two watch calls, so that a storm of changes is read in batches, in milliseconds. */
+const WatchSpacingMs = 30;
+
+/** Receives the objects. */
+export interface FeedListener {
+    /** All objects, after the start and after each gap. */
+    onSnapshot(objects: readonly StoredObject[]): void;
+    onChanges(changes: readonly WatchedChange[]): void;
+}
+
+/** Keeps a listener in step with the store. */
+export class StoreFeed {
+    readonly #store: PlatformStore;
+    readonly #prefix: string;
+    readonly #clock: Clock;
+    readonly #listener: FeedListener;
+    #stopped = false;
+    #confirmedMs = Number.NEGATIVE_INFINITY;
+    #failedMs = Number.NEGATIVE_INFINITY;
+    #isFailing = false;
+
+    constructor(store: PlatformStore, prefix: string, clock: Clock, listener: FeedListener) {
+        this.#store = store;
+        this.#prefix = prefix;
+        this.#clock = clock;
+        this.#listener = listener;
+    }
+
+    /** @returns Monotonic time of the last answer, in milliseconds. */
+    get confirmedMs(): number {
+        return this.#confirmedMs;
+    }
+
+    /** @returns Monotonic time of the last failure, in milliseconds. */
+    get failedMs(): number {
+        return this.#failedMs;
+    }
+
+    /** @returns Whether the newest call was answered, or waits for its first change. */
+    get isConnected(): boolean {
+        return !this.#isFailing;
+    }
+
+    /** Starts following. */
+    start(): void {
+        void this.#run();
+    }
+
+    /** Stops following. */
+    stop(): void {
+        this.#stopped = true;
+    }
+
+    async #run(): Promise<void> {
+        let revision: number | undefined;
+        while (!this.#stopped) {
+            try {
+                revision = revision === undefined ? await this.#list() : await this.#watch(revision);
+            }
+            catch (error) {
+                log.error("store feed failed", { prefix: this.#prefix, error: String(error) });
+                revision = undefined;
+            }
+            await pause(revision === undefined ? FailurePauseMs : WatchSpacingMs);
+        }
+    }
+
+    /** @returns Revision of the listing; `undefined` when it failed. */
+    async #list(): Promise<number | undefined> {
+        const objects: StoredObject[] = [];
+        let afterKey = "";
+        let revision: number | undefined;
+        for (let more = true; more;) {
+            const page = await this.#store.list(this.#prefix, afterKey, PageSize);
+            if (page.status === "unavailable") {
+                this.#noteFailure(page.reason);
+                return undefined;
+            }
+            objects.push(...page.objects);
+            // The first page's revision is the oldest: changes during the listing are watched for again.
+            revision ??= page.revision ?? 0;
+            more = page.more && page.objects.length > 0;
+            afterKey = page.objects.at(-1)?.key ?? "";
+        }
+        this.#noteAnswer();
+        this.#listener.onSnapshot(objects);
+        return revision;
+    }
+
+    async #watch(revision: number): Promise<number | undefined> {
+        const outcome = await this.#store.watch(this.#prefix, revision, WatchWaitMs);
+        if (outcome.status === "unavailable") {
+            this.#noteFailure(outcome.reason);
+            return undefined;
+        }
+        if (outcome.status === "tooOld") {
+            log.info("store history is gone", { prefix: this.#prefix, revision });
+            return await this.#list();
+        }
+        this.#noteAnswer();
+        if (outcome.changes.length > 0) {
+            this.#listener.onChanges(outcome.changes);
+        }
+        return outcome.revision;
+    }
+
+    #noteAnswer(): void {
+        this.#confirmedMs = this.#clock.monotonicMs();
+        if (this.#isFailing) {
+            this.#isFailing = false;
+            log.info("store regained", { prefix: this.#prefix, outageMs: Math.round(this.#confirmedMs - this.#failedMs) });
+        }
+    }
+
+    #noteFailure(reason: string): void {
+        const nowMs = this.#clock.monotonicMs();
+        if (!this.#isFailing) {
+            this.#isFailing = true;
+            log.warn("store lost", { prefix: this.#prefix, reason, confirmedAgeMs: Math.round(nowMs - this.#confirmedMs) });
+        }
+        this.#failedMs = nowMs;
+    }
+}
+
+function pause(durationMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/src/edge/transport/eventSplitter.ts
@@ -0,0 +1,48 @@
+/** Splits a stream of server-sent events into complete events. */
+
+/** One complete event with its separator. */
+export interface StreamEvent {
+    readonly bytes: Buffer;
+    /** Value of the `id` field; `undefined` when the event has none. */
+    readonly id: string | undefined;
+}
+
+const NoBytes = Buffer.alloc(0);
+const IdField = /(?:^|\r?\n|\r)id:[ ]?([^\r\n]*)/;
+
+/** Collects bytes until an event is complete, so that an interrupted event never reaches the caller. */
+export class EventSplitter {
+    #partial: Buffer = NoBytes;
+
+    /**
+     * @param bytes Bytes as received.
+     * @returns The events that are complete now.
+     */
+    push(bytes: Buffer): StreamEvent[] {
+        const data = this.#partial.length === 0 ? bytes : Buffer.concat([this.#partial, bytes]);
+        const events: StreamEvent[] = [];
+        let start = 0;
+        for (let end = findEventEnd(data, start); end >= 0; end = findEventEnd(data, start)) {
+            const event = data.subarray(start, end);
+            events.push({ bytes: event, id: IdField.exec(event.toString("latin1"))?.[1] });
+            start = end;
+        }
+        this.#partial = start === data.length ? NoBytes : data.subarray(start);
+        return events;
+    }
+
+    /** @returns Bytes after the last complete event. */
+    get partial(): Buffer {
+        return this.#partial;
+    }
+}
+
+/** @returns Index after the blank line that ends an event, or -1. */
+function findEventEnd(data: Buffer, start: number): number {
+    const short = data.indexOf("\n\n", start, "latin1");
+    const long = data.indexOf("\r\n\r\n", start, "latin1");
+    if (long >= 0 && (short < 0 || long < short)) {
+        return long + 4;
+    }
+    return short < 0 ? -1 : short + 2;
+}
--- /dev/null
+++ b/src/edge/transport/responseParser.ts
@@ -0,0 +1,281 @@
+/** Strict incremental parser of HTTP/1.1 responses. */
+
+/** Head of a response. Header names are kept as the upstream wrote them. */
+export interface ResponseHead {
+    readonly statusCode: number;
+    readonly reason: string;
+    /** Name and value pairs in wire order. */
+    readonly headers: readonly (readonly [string, string])[];
+    /** First value by lower-case name. */
+    readonly byName: ReadonlyMap<string, string>;
+    readonly contentLength: number | undefined;
+    readonly isChunked: boolean;
+    /** Whether the body ends with the connection. */
+    readonly endsWithConnection: boolean;
+    /** Whether the connection may carry another request after this response. */
+    readonly keepsAlive: boolean;
+}
+
+/** Receives the parts of a response in order. */
+export interface ResponseListener {
+    onHead(head: ResponseHead): void;
+    onBody(bytes: Buffer): void;
+    onEnd(): void;
+}
+
+/** The upstream sent bytes that are no valid response. */
+export class ResponseSyntaxError extends Error {}
+
+/** Longest head or chunk line, in bytes; matches the default of Node's own parser. */
+const MaxHeadBytes = 16_384;
+const HeadEnd = Buffer.from("\r\n\r\n");
+const LineEnd = Buffer.from("\r\n");
+const StatusLine = /^HTTP\/1\.([01]) ([1-5][0-9][0-9])(?: ([^\r\n]*))?$/;
+const HeaderName = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/;
+const ChunkSize = /^([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?$/;
+const NoBytes = Buffer.alloc(0);
+
+type State = "head" | "length" | "untilClose" | "chunkSize" | "chunkData" | "chunkEnd" | "trailer" | "done";
+
+/** Parses one response after another; the body is handed on as it arrives. */
+export class ResponseParser {
+    readonly #listener: ResponseListener;
+    #state: State = "head";
+    #buffered: Buffer = NoBytes;
+    #remainingBytes = 0;
+    #hasBody = true;
+
+    constructor(listener: ResponseListener) {
+        this.#listener = listener;
+    }
+
+    /**
+     * Prepares for the response to the next request.
+     * @param method Method of the request; a response to HEAD has no body.
+     */
+    expectResponse(method: string): void {
+        this.#state = "head";
+        this.#hasBody = method !== "HEAD";
+    }
+
+    /** @returns Whether bytes are held back that belong to no finished part. */
+    get hasLeftover(): boolean {
+        return this.#buffered.length > 0;
+    }
+
+    /**
+     * @param bytes Bytes as received.
+     * @throws ResponseSyntaxError when the bytes are no valid response.
+     */
+    push(bytes: Buffer): void {
+        this.#buffered = this.#buffered.length === 0 ? bytes : Buffer.concat([this.#buffered, bytes]);
+        while (this.#state !== "done" && this.#buffered.length > 0 && this.#step()) {
+            // Each step consumes one complete part.
+        }
+    }
+
+    /**
+     * The upstream closed the connection in an orderly way.
+     * @returns Whether that completes the response.
+     */
+    finish(): boolean {
+        if (this.#state !== "untilClose") {
+            return false;
+        }
+        this.#end();
+        return true;
+    }
+
+    #step(): boolean {
+        switch (this.#state) {
+            case "head":
+                return this.#readHead();
+            case "length":
+            case "chunkData":
+                return this.#readCounted();
+            case "untilClose":
+                this.#emit(this.#take(this.#buffered.length));
+                return true;
+            case "chunkSize":
+                return this.#readChunkSize();
+            case "chunkEnd":
+                return this.#readChunkEnd();
+            case "trailer":
+                return this.#readTrailer();
+            case "done":
+                return false;
+        }
+    }
+
+    #take(count: number): Buffer {
+        const taken = this.#buffered.subarray(0, count);
+        this.#buffered = count === this.#buffered.length ? NoBytes : this.#buffered.subarray(count);
+        return taken;
+    }
+
+    #readHead(): boolean {
+        const end = this.#buffered.indexOf(HeadEnd);
+        if (end < 0) {
+            this.#checkLength();
+            // Garbage without a line end would otherwise be waited for until the deadline.
+            if (this.#buffered.length >= 5 && !this.#buffered.subarray(0, 5).equals(Buffer.from("HTTP/"))) {
+                throw new ResponseSyntaxError("the response does not begin with a status line");
+            }
+            return false;
+        }
+        const head = parseHead(this.#take(end + HeadEnd.length).subarray(0, end).toString("latin1"), this.#hasBody);
+        if (head.statusCode < 200) {
+            return true;
+        }
+        this.#listener.onHead(head);
+        if (head.isChunked) {
+            this.#state = "chunkSize";
+        }
+        else if (head.endsWithConnection) {
+            this.#state = "untilClose";
+        }
+        else {
+            this.#remainingBytes = head.contentLength ?? 0;
+            this.#state = "length";
+            if (this.#remainingBytes === 0) {
+                this.#end();
+            }
+        }
+        return true;
+    }
+
+    #readCounted(): boolean {
+        const part = this.#take(Math.min(this.#remainingBytes, this.#buffered.length));
+        this.#remainingBytes -= part.length;
+        this.#emit(part);
+        if (this.#remainingBytes === 0) {
+            if (this.#state === "length") {
+                this.#end();
+            }
+            else {
+                this.#state = "chunkEnd";
+            }
+        }
+        return true;
+    }
+
+    #readChunkSize(): boolean {
+        const line = this.#readLine();
+        if (line === undefined) {
+            return false;
+        }
+        const size = ChunkSize.exec(line)?.[1];
+        if (size === undefined) {
+            throw new ResponseSyntaxError("a chunk has no valid size");
+        }
+        this.#remainingBytes = Number.parseInt(size, 16);
+        this.#state = this.#remainingBytes === 0 ? "trailer" : "chunkData";
+        return true;
+    }
+
+    #readChunkEnd(): boolean {
+        if (this.#buffered.length < LineEnd.length) {
+            return false;
+        }
+        if (!this.#take(LineEnd.length).equals(LineEnd)) {
+            throw new ResponseSyntaxError("a chunk is longer than its size");
+        }
+        this.#state = "chunkSize";
+        return true;
+    }
+
+    #readTrailer(): boolean {
+        const line = this.#readLine();
+        if (line === undefined) {
+            return false;
+        }
+        if (line === "") {
+            this.#end();
+        }
+        return true;
+    }
+
+    #readLine(): string | undefined {
+        const end = this.#buffered.indexOf(LineEnd);
+        if (end < 0) {
+            this.#checkLength();
+            return undefined;
+        }
+        return this.#take(end + LineEnd.length).subarray(0, end).toString("latin1");
+    }
+
+    #checkLength(): void {
+        if (this.#buffered.length > MaxHeadBytes) {
+            throw new ResponseSyntaxError("a head or chunk line is too long");
+        }
+    }
+
+    #emit(bytes: Buffer): void {
+        this.#listener.onBody(bytes);
+    }
+
+    #end(): void {
+        this.#state = "done";
+        this.#listener.onEnd();
+    }
+}
+
+function parseHead(text: string, expectsBody: boolean): ResponseHead {
+    const [statusLine, ...lines] = text.split("\r\n");
+    const status = StatusLine.exec(statusLine ?? "");
+    if (status === null) {
+        throw new ResponseSyntaxError("the status line is not valid");
+    }
+    const headers = lines.map(parseHeader);
+    const byName = new Map<string, string>();
+    for (const [name, value] of headers) {
+        const key = name.toLowerCase();
+        if (byName.has(key) && (key === "content-length" || key === "transfer-encoding")) {
+            throw new ResponseSyntaxError(`the header ${key} is repeated`);
+        }
+        byName.set(key, byName.get(key) ?? value);
+    }
+    return describeHead(Number(status[2]), status[3] ?? "", status[1] === "1", headers, byName, expectsBody);
+}
+
+function describeHead(
+    statusCode: number,
+    reason: string,
+    isVersion11: boolean,
+    headers: readonly (readonly [string, string])[],
+    byName: ReadonlyMap<string, string>,
+    expectsBody: boolean,
+): ResponseHead {
+    const encoding = byName.get("transfer-encoding");
+    const length = byName.get("content-length");
+    if (encoding !== undefined && (encoding.toLowerCase() !== "chunked" || length !== undefined)) {
+        throw new ResponseSyntaxError("the framing of the response is ambiguous");
+    }
+    if (length !== undefined && !/^[0-9]{1,15}$/.test(length)) {
+        throw new ResponseSyntaxError("the content length is not a number");
+    }
+    const hasBody = expectsBody && statusCode >= 200 && statusCode !== 204 && statusCode !== 304;
+    const isChunked = hasBody && encoding !== undefined;
+    const endsWithConnection = hasBody && !isChunked && length === undefined;
+    const connection = byName.get("connection")?.toLowerCase() ?? "";
+    const keepsAlive = isVersion11 && !connection.includes("close") && !endsWithConnection;
+    return {
+        statusCode,
+        reason,
+        headers,
+        byName,
+        contentLength: hasBody && length !== undefined ? Number(length) : hasBody ? undefined : 0,
+        isChunked,
+        endsWithConnection,
+        keepsAlive,
+    };
+}
+
+function parseHeader(line: string): readonly [string, string] {
+    const colon = line.indexOf(":");
+    const name = line.slice(0, colon);
+    if (colon < 1 || !HeaderName.test(name)) {
+        throw new ResponseSyntaxError("a header line is not valid");
+    }
+    return [name, line.slice(colon + 1).trim()];
+}
--- /dev/null
+++ b/src/edge/upstream/upstreamDirectory.ts
@@ -0,0 +1,125 @@
+/** The upstreams that the platform lists, by service. */
+import type { Clock } from "../../base/clock.js";
+import { log } from "../../base/log.js";
+import type { UpstreamEntry } from "../edgeTypes.js";
+import { Upstream } from "./upstream.js";
+
+/** An upstream whose entry is missing although it may only have lapsed. */
+interface LapsedUpstream {
+    readonly upstream: Upstream;
+    /** Monotonic time until which it is still used. */
+    readonly untilMs: number;
+}
+
+/** Keeps one {@link Upstream} for each start of each listed upstream. */
+export class UpstreamDirectory {
+    readonly #clock: Clock;
+    readonly #byId = new Map<string, Upstream>();
+    readonly #lapsed = new Map<string, LapsedUpstream>();
+    /** Upstreams without new requests whose open requests are still running. */
+    readonly #retired = new Set<Upstream>();
+
+    constructor(clock: Clock) {
+        this.#clock = clock;
+    }
+
+    /** @returns Whether the directory has ever held an upstream. */
+    get isEmpty(): boolean {
+        return this.#byId.size === 0;
+    }
+
+    /** @returns Upstreams of a service that may get new requests. */
+    usable(service: string): Upstream[] {
+        return [...this.#byId.values()].filter(({ entry, isLeaving }) => entry.service === service && !isLeaving);
+    }
+
+    /** @returns All upstreams that are listed or still have open requests. */
+    get all(): readonly Upstream[] {
+        return [...this.#byId.values(), ...this.#retired];
+    }
+
+    /**
+     * Replaces the whole list.
+     * @param lapseGraceMs Time for which missing upstreams are still used; 0 when a missing entry means that it is gone.
+     */
+    replace(entries: readonly UpstreamEntry[], lapseGraceMs: number): void {
+        const listed = new Set(entries.map(entry => entry.id));
+        for (const id of [...this.#byId.keys()]) {
+            if (!listed.has(id)) {
+                this.remove(id, lapseGraceMs);
+            }
+        }
+        for (const entry of entries) {
+            this.put(entry);
+        }
+    }
+
+    /** Adds or updates an upstream. */
+    put(entry: UpstreamEntry): void {
+        this.#lapsed.delete(entry.id);
+        const known = this.#byId.get(entry.id);
+        if (known !== undefined && isSameStart(known.entry, entry)) {
+            if (entry.isLeaving && !known.isLeaving) {
+                known.leave();
+                log.info("upstream leaves", { upstream: entry.id, service: entry.service });
+            }
+            return;
+        }
+        if (known !== undefined) {
+            this.#retire(known);
+        }
+        this.#byId.set(entry.id, new Upstream(entry, this.#clock));
+        log.info("upstream listed", { upstream: entry.id, service: entry.service, address: entry.address });
+    }
+
+    /**
+     * Removes an upstream.
+     * @param lapseGraceMs Time for which it is still used, in milliseconds.
+     */
+    remove(id: string, lapseGraceMs: number): void {
+        const upstream = this.#byId.get(id);
+        if (upstream === undefined) {
+            return;
+        }
+        if (lapseGraceMs > 0 && !upstream.isLeaving) {
+            if (!this.#lapsed.has(id)) {
+                this.#lapsed.set(id, { upstream, untilMs: this.#clock.monotonicMs() + lapseGraceMs });
+                log.info("upstream entry is missing after an outage", { upstream: id, graceMs: lapseGraceMs });
+            }
+            return;
+        }
+        this.#byId.delete(id);
+        this.#retire(upstream);
+        log.info("upstream gone", { upstream: id, service: upstream.entry.service, open: upstream.openCount });
+    }
+
+    /** Drops lapsed upstreams whose grace is over, closes old connections. */
+    tick(): void {
+        const nowMs = this.#clock.monotonicMs();
+        for (const [id, lapsed] of this.#lapsed) {
+            if (nowMs >= lapsed.untilMs) {
+                this.#lapsed.delete(id);
+                this.remove(id, 0);
+            }
+        }
+        for (const upstream of this.#retired) {
+            if (upstream.openCount === 0) {
+                upstream.pool.closeIdle();
+                this.#retired.delete(upstream);
+            }
+        }
+        for (const upstream of this.#byId.values()) {
+            upstream.pool.sweep();
+        }
+    }
+
+    #retire(upstream: Upstream): void {
+        upstream.leave();
+        this.#retired.add(upstream);
+    }
+}
+
+function isSameStart(known: UpstreamEntry, entry: UpstreamEntry): boolean {
+    return known.address === entry.address && known.service === entry.service &&
+        known.startedAtMs === entry.startedAtMs;
+}
--- a/src/features/admission/retryBudget.ts
+++ b/src/features/admission/retryBudget.ts
@@ -4,7 +4,7 @@
 const Buckets = 10;
 
 /** Counts events within a sliding window. */
-class SlidingCount {
+export class SlidingCount {
     readonly #bucketMs: number;
     readonly #counts = new Array<number>(Buckets).fill(0);
     #bucket = 0;
--- a/src/platform/platformStore.ts
+++ b/src/platform/platformStore.ts
@@ -35,7 +35,13 @@
 
 /** Outcome of a listing. */
 export type ListOutcome =
-    | { readonly status: "listed"; readonly objects: readonly StoredObject[]; readonly more: boolean; }
+    | {
+        readonly status: "listed";
+        readonly objects: readonly StoredObject[];
+        readonly more: boolean;
+        /** Store-wide revision of the listing, where the store reports one: a watch continues from there. */
+        readonly revision?: number | undefined;
+    }
     | { readonly status: "unavailable"; readonly reason: string; };
 
 /** A change reported by a watch; `object` is `undefined` after a deletion. */
