Tell a reset from an orderly end of an answer without a length

Ruled out: the parser (no length, no chunking) and the pool. A write after the end fails on a connection that was reset.

--- a/src/edge/transport/responseParser.ts
+++ b/src/edge/transport/responseParser.ts
@@ -63,6 +63,11 @@
         return this.#buffered.length > 0;
     }
 
+    /** @returns Whether the body being read ends with the connection. */
+    get isUntilClose(): boolean {
+        return this.#state === "untilClose";
+    }
+
     /**
      * @param bytes Bytes as received.
      * @throws ResponseSyntaxError when the bytes are no valid response.
@@ -74,16 +79,11 @@
         }
     }
 
-    /**
-     * The upstream closed the connection in an orderly way.
-     * @returns Whether that completes the response.
-     */
-    finish(): boolean {
-        if (this.#state !== "untilClose") {
-            return false;
+    /** The upstream closed the connection in an orderly way, which completes a body without a length. */
+    finish(): void {
+        if (this.isUntilClose) {
+            this.#end();
         }
-        this.#end();
-        return true;
     }
 
     #step(): boolean {
--- a/src/edge/transport/upstreamConnection.ts
+++ b/src/edge/transport/upstreamConnection.ts
@@ -31,6 +31,9 @@
 /** Responses of earlier requests that are skipped on one connection before it is given up. */
 const MaxSkippedResponses = 2;
 
+/** An empty line, which a server ignores before a request. */
+const ResetProbe = "\r\n";
+
 /** A connection. After a failure or an abort it is never used again. */
 export class UpstreamConnection {
     readonly #socket: Socket;
@@ -63,7 +66,7 @@
         });
         const separator = address.lastIndexOf(":");
         const port = Number(address.slice(separator + 1));
-        this.#socket = connect({ host: address.slice(0, separator), port, noDelay: true, allowHalfOpen: false });
+        this.#socket = connect({ host: address.slice(0, separator), port, noDelay: true, allowHalfOpen: true });
         const timer = setTimeout(() => this.#fail("notConnected", "connect timeout"), connectTimeoutMs);
         this.#socket.once("connect", () => {
             clearTimeout(timer);
@@ -185,13 +188,24 @@
         listener?.onComplete();
     }
 
+    /**
+     * A reset that arrives together with data is reported as an orderly end (libuv treats a hang-up after a partial read
+     * as the end of the file). Only a write tells them apart: it fails on a connection that was reset.
+     */
     #onPeerEnd(): void {
-        const listener = this.#listener;
-        if (listener !== undefined && this.#parser.finish()) {
-            this.#close();
+        if (this.#listener === undefined || !this.#parser.isUntilClose) {
+            this.#fail(this.#failureKind(), "connection ended early");
             return;
         }
-        this.#fail(this.#failureKind(), "connection ended early");
+        this.#socket.write(ResetProbe, error => {
+            if (error === null || error === undefined) {
+                this.#parser.finish();
+                this.#close();
+            }
+            else {
+                this.#fail("brokenOff", `connection reset: ${error.message}`);
+            }
+        });
     }
 
     #fail(failure: ExchangeFailure, detail: string): void {
