Divide unspent tokens by each team's traffic and spare a lost store

Cause: in cuts from the store hosts ran out of tokens while others held them; a third of a budget stayed undrawn, and large teams reach one host only.

--- a/src/edge/budget/budgetKeeper.ts
+++ b/src/edge/budget/budgetKeeper.ts
@@ -7,11 +7,14 @@
     countRecentHosts,
     EmptyLedger,
     EmptyTeamLedger,
+    type HostShare,
     type Ledger,
     LedgerSchema,
     settledByOthers,
     type TeamLedger,
+    unheldTokens,
 } from "./ledger.js";
+import { planGrant } from "./sharePlan.js";
 import { TeamAccount } from "./teamAccount.js";
 
 /** Interval of writes that only report settled tokens, in milliseconds; bounds the store calls of a host. */
@@ -21,7 +24,10 @@
 const FailurePauseMs = 400;
 
 /** Shortest time between two writes, so that a burst of requests causes one write and not one each, in milliseconds. */
-const WriteSpacingMs = 60;
+const WriteSpacingMs = 200;
+
+/** Age up to which the ledger's word that no tokens are left to draw is taken for true, in milliseconds. */
+const FreshLedgerMs = 1_000;
 
 /** Time after which a host that wrote nothing is not counted, in milliseconds. */
 const HostSilenceMs = 15_000;
@@ -120,7 +126,11 @@
         if (account.tryReserve(costTokens)) {
             return "reserved";
         }
-        return this.#refusalFor(team, costTokens) ?? this.#waitForTokens(account, costTokens, waitMs);
+        const exhausted = this.#refusalFor(team, costTokens);
+        if (exhausted !== undefined || !this.#mayDraw(account, costTokens)) {
+            return exhausted ?? "unavailable";
+        }
+        return this.#waitForTokens(account, costTokens, waitMs);
     }
 
     /** Replaces a reservation by what the request cost. */
@@ -167,6 +177,18 @@
         return [...this.#accounts.values()].some(account => account.waiting.length > 0);
     }
 
+    /** Whether a wait can help: not while the store is lost, nor when it has just said that nothing is left to draw. */
+    #mayDraw(account: TeamAccount, costTokens: number): boolean {
+        if (this.#isFailing || this.#known === undefined) {
+            return !this.#isFailing;
+        }
+        const team = this.#known.ledger.teams[account.name] ?? EmptyTeamLedger;
+        const prepaid = this.#parts.prepaidTokens(account.name) ?? 0;
+        const missing = account.waitingTokens + costTokens - account.spareTokens;
+        const isFresh = this.#nowMs - this.#readMs < FreshLedgerMs;
+        return !isFresh || unheldTokens(team, prepaid) >= missing;
+    }
+
     #waitForTokens(account: TeamAccount, costTokens: number, waitMs: number): Promise<ReservationResult> {
         return new Promise(resolve => {
             const timer = setTimeout(() => item.settle(false), Math.min(waitMs, LongestWaitMs));
@@ -219,7 +241,7 @@
                 return;
             }
         }
-        this.#nextWriteMs = this.#nowMs + WriteSpacingMs * 2;
+        this.#nextWriteMs = this.#nowMs + WriteSpacingMs;
     }
 
     /** @returns Whether the write should be tried again at once. */
@@ -231,6 +253,7 @@
             this.#reportedMs = this.#nowMs;
             this.#take({ ledger: next, version: outcome.version });
             this.#noteRegained();
+            this.#logShares(outcome.version);
             return false;
         }
         if (outcome.status === "conflict") {
@@ -300,20 +323,39 @@
         const { hostId, incarnation, clock } = this.#parts;
         const ledger = closePredecessor(stored, hostId, incarnation);
         this.#logClosed(stored, ledger);
-        const hostCount = this.hostCount;
+        const nowMs = this.#nowMs;
+        const accounts = [...new Set([...this.#parts.limitedTeams(), ...this.#accounts.keys()])]
+            .map(name => this.#account(name));
+        const totalDemandTokensPerS = accounts.reduce((sum, account) => sum + account.demandTokensPerS(nowMs), 0);
         const teams: Record<string, TeamLedger> = { ...ledger.teams };
-        for (const name of new Set([...this.#parts.limitedTeams(), ...this.#accounts.keys()])) {
-            const team = ledger.teams[name] ?? EmptyTeamLedger;
-            const account = this.#account(name);
-            const prepaid = this.#parts.prepaidTokens(name) ?? 0;
-            const share = account.planShare(team, prepaid, hostCount, this.#nowMs, this.#isClosing);
+        for (const account of accounts) {
+            const team = ledger.teams[account.name] ?? EmptyTeamLedger;
+            const share = this.#planShare(ledger, team, account, totalDemandTokensPerS);
             account.grantedTokens = Math.min(account.grantedTokens, share.grantedTokens);
-            teams[name] = { ...team, shares: { ...team.shares, [hostId]: share } };
+            teams[account.name] = { ...team, shares: { ...team.shares, [hostId]: share } };
         }
         const host = { incarnation, sequence: ++this.#sequence, writtenAtMs: Math.round(clock.wallMs()) };
         return { hosts: { ...ledger.hosts, [hostId]: host }, teams };
     }
 
+    #planShare(ledger: Ledger, team: TeamLedger, account: TeamAccount, totalDemandTokensPerS: number): HostShare {
+        const { settledTokens, usedTokens, grantedTokens } = account;
+        const demandTokensPerS = account.demandTokensPerS(this.#nowMs);
+        const granted = this.#isClosing ? usedTokens : planGrant({
+            ledger,
+            team,
+            hostId: this.#parts.hostId,
+            prepaidTokens: this.#parts.prepaidTokens(account.name) ?? 0,
+            expectedHostCount: this.#parts.expectedHostCount,
+            grantedTokens,
+            usedTokens,
+            neededTokens: account.waitingTokens,
+            demandTokensPerS,
+            totalDemandTokensPerS,
+        });
+        return { grantedTokens: granted, settledTokens, demandTokensPerS };
+    }
+
     #grantsOf(ledger: Ledger): Map<string, number> {
         const shares = Object.entries(ledger.teams).map(([name, team]): [string, number] => [
             name,
@@ -332,6 +374,16 @@
         }
     }
 
+    /** One line a write: tokens granted, used and left unheld, by team. */
+    #logShares(version: number): void {
+        const shares = [...this.#accounts.values()].map(account => {
+            const team = this.#known?.ledger.teams[account.name] ?? EmptyTeamLedger;
+            const unheld = unheldTokens(team, this.#parts.prepaidTokens(account.name) ?? 0);
+            return `${account.name}:${account.grantedTokens}/${account.usedTokens}/${unheld}`;
+        });
+        log.info("budget shares written", { version, shares: shares.join(" ") });
+    }
+
     #noteFailure(reason: string): void {
         this.#nextWriteMs = this.#nowMs + FailurePauseMs;
         if (!this.#isFailing) {
--- a/src/edge/budget/ledger.ts
+++ b/src/edge/budget/ledger.ts
@@ -9,6 +9,8 @@
     grantedTokens: TokensSchema,
     /** Tokens that finished requests have cost so far; lags behind. */
     settledTokens: TokensSchema,
+    /** Tokens per second that requests at the host ask for. */
+    demandTokensPerS: TokensSchema,
 });
 export type HostShare = z.infer<typeof HostShareSchema>;
 
--- a/src/edge/budget/teamAccount.ts
+++ b/src/edge/budget/teamAccount.ts
@@ -1,21 +1,8 @@
 /** One team's tokens on this host. */
-import { DemandAverage, drawSize, shareTarget, WindowMaximum } from "../../features/budget/budgetMath.js";
-import { type HostShare, type TeamLedger, unheldTokens } from "./ledger.js";
+import { DemandAverage } from "../../features/budget/budgetMath.js";
 
-/** Time constant of the demand average, in milliseconds; a swing of demand lasts some seconds. */
-const DemandWindowMs = 5_000;
-
-/** Window of the largest request, in milliseconds. */
-const LargestWindowMs = 30_000;
-
-/** Demand that a share should cover, in milliseconds: the longest store outage on the platform's pages and a margin. */
-export const ShareHorizonMs = 12_000;
-
-/** A share is returned in part when it exceeds the target by this factor. */
-const ReturnFactor = 2;
-
-/** Smallest draw without a waiting request, as a part of a host's even share of the prepaid tokens. */
-const SmallestDrawParts = 20;
+/** Time constant of the demand average, in milliseconds: long enough for a team with a request every few seconds. */
+const DemandWindowMs = 20_000;
 
 /** A reservation that waits for tokens. */
 export interface WaitingReservation {
@@ -28,7 +15,6 @@
     readonly name: string;
     readonly waiting: WaitingReservation[] = [];
     readonly #demand: DemandAverage;
-    readonly #largest: WindowMaximum;
     #grantedTokens = 0;
     #reservedTokens = 0;
     #settledTokens = 0;
@@ -36,7 +22,6 @@
     constructor(name: string, nowMs: number) {
         this.name = name;
         this.#demand = new DemandAverage(DemandWindowMs, nowMs);
-        this.#largest = new WindowMaximum(LargestWindowMs, nowMs);
     }
 
     /** @returns Tokens that this incarnation may spend in all. */
@@ -72,7 +57,6 @@
     /** Records a request for tokens. */
     noteDemand(costTokens: number, nowMs: number): void {
         this.#demand.add(costTokens, nowMs);
-        this.#largest.add(costTokens, nowMs);
     }
 
     /** @returns Whether the tokens were reserved. */
@@ -100,31 +84,8 @@
         }
     }
 
-    /**
-     * Decides the share to write.
-     * @param isClosing Whether the host gives everything back.
-     */
-    planShare(team: TeamLedger, prepaidTokens: number, hostCount: number, nowMs: number, isClosing: boolean): HostShare {
-        const settledTokens = this.#settledTokens;
-        if (isClosing) {
-            return { grantedTokens: this.usedTokens, settledTokens };
-        }
-        const input = {
-            demandTokensPerS: this.#demand.tokensPerS(nowMs),
-            horizonMs: ShareHorizonMs,
-            largestCostTokens: this.#largest.maximum(nowMs),
-            standingTokens: Math.floor(prepaidTokens / SmallestDrawParts / hostCount),
-            minimumTokens: Math.floor(prepaidTokens / SmallestDrawParts / hostCount),
-            unusedTokens: this.#grantedTokens - this.usedTokens,
-            freeTokens: Math.max(0, unheldTokens(team, prepaidTokens)),
-            liveHostCount: hostCount,
-            neededTokens: Math.max(0, this.waitingTokens - this.spareTokens),
-        };
-        const draw = drawSize(input);
-        if (draw > 0) {
-            return { grantedTokens: this.#grantedTokens + Math.floor(draw), settledTokens };
-        }
-        const kept = this.usedTokens + Math.ceil(ReturnFactor * shareTarget(input));
-        return { grantedTokens: Math.max(this.usedTokens, Math.min(this.#grantedTokens, kept)), settledTokens };
+    /** @returns Tokens per second that requests ask for. */
+    demandTokensPerS(nowMs: number): number {
+        return Math.round(this.#demand.tokensPerS(nowMs));
     }
 }
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -66,6 +66,9 @@
 const RetryAfterPart = 1 / 4;
 const LongestRetryAfterMs = 1_000;
 
+/** Retry-After when this host's share of a budget is used up: another host, to which a retry goes, may have tokens. */
+const BudgetRetryMs = 20;
+
 /** Serves one request. */
 export class RequestFlow implements AttemptListener {
     readonly #parts: FlowParts;
@@ -194,7 +197,7 @@
         this.#fail({
             code: isExhausted ? "BudgetExhausted" : "BudgetUnavailable",
             ran: "no",
-            retryAfterMs: isExhausted ? undefined : this.#retryAfterMs(),
+            retryAfterMs: isExhausted ? undefined : BudgetRetryMs,
         }, `budget of ${team.name}: ${costTokens} tokens not available`);
         return false;
     }
--- a/src/edge/storeFeed.ts
+++ b/src/edge/storeFeed.ts
@@ -6,6 +6,9 @@
 /** Longest wait of one watch call in milliseconds. A silent connection is noticed after it, within a few seconds. */
 const WatchWaitMs = 3_000;
 
+/** Wait of the first watch after a failure, in milliseconds: it only tells whether anything was missed. */
+const ConfirmWaitMs = 1;
+
 /** Pause after a failed call, in milliseconds; in step again well before the store counts as stable. */
 const FailurePauseMs = 400;
 
@@ -75,11 +78,11 @@
                 log.error("store feed failed", { prefix: this.#prefix, error: String(error) });
                 revision = undefined;
             }
-            await pause(revision === undefined ? FailurePauseMs : WatchSpacingMs);
+            await pause(this.#isFailing || revision === undefined ? FailurePauseMs : WatchSpacingMs);
         }
     }
 
-    /** @returns Revision of the listing; `undefined` when it failed. */
+    /** @returns Revision to watch from; `undefined` when the listing failed. */
     async #list(): Promise<number | undefined> {
         const objects: StoredObject[] = [];
         let afterKey = "";
@@ -102,10 +105,11 @@
     }
 
     async #watch(revision: number): Promise<number | undefined> {
-        const outcome = await this.#store.watch(this.#prefix, revision, WatchWaitMs);
+        const waitMs = this.#isFailing ? ConfirmWaitMs : WatchWaitMs;
+        const outcome = await this.#store.watch(this.#prefix, revision, waitMs);
         if (outcome.status === "unavailable") {
             this.#noteFailure(outcome.reason);
-            return undefined;
+            return revision;
         }
         if (outcome.status === "tooOld") {
             log.info("store history is gone", { prefix: this.#prefix, revision });
