Bound what a killed process can have spent by the age of its record

A record now allows a limit at once and the rest only as it ages, so a successor frees what its predecessor cannot have spent. Ruled out: the machine's uptime as the clock (not of the process's start), 2.5 s before the release (more refusals early in an outage).

--- a/src/edge/budget/budgetKeeper.ts
+++ b/src/edge/budget/budgetKeeper.ts
@@ -10,6 +10,8 @@
     type HostShare,
     type Ledger,
     LedgerSchema,
+    type ProcessStart,
+    recordAgeMs,
     settledByOthers,
     type TeamLedger,
     unheldTokens,
@@ -17,8 +19,11 @@
 import { planGrant } from "./sharePlan.js";
 import { TeamAccount } from "./teamAccount.js";
 
-/** Interval of writes that only report settled tokens, in milliseconds; bounds the store calls of a host. */
-const ReportIntervalMs = 3_000;
+/** Interval of writes by a host with traffic, in milliseconds; see `spendingRight.ts`. */
+const ReportIntervalMs = 1_000;
+
+/** Interval of writes by a host without traffic, in milliseconds: its record ages, but it has nothing to spend on. */
+const IdleReportIntervalMs = 8_000;
 
 /** Pause after the store failed, in milliseconds; retried often enough to be in step a second after it returns. */
 const FailurePauseMs = 400;
@@ -48,6 +53,10 @@
     readonly key: string;
     readonly hostId: string;
     readonly incarnation: string;
+    /** When this process started. */
+    readonly start: ProcessStart;
+    /** @returns The machine's steady clock in milliseconds; processes of one start of a machine share it. */
+    steadyMs(): number;
     /** Hosts to assume as long as the ledger shows fewer. */
     readonly expectedHostCount: number;
     /** @returns Prepaid tokens of a team by the configuration in force; `undefined` for no limit. */
@@ -65,7 +74,7 @@
 /** A write without an answer: it may still take effect as long as the version is unchanged. */
 interface UnsettledWrite {
     readonly expectedVersion: number;
-    readonly grantedTokens: ReadonlyMap<string, number>;
+    readonly sequence: number;
 }
 
 /** Reserves tokens locally; draws and returns shares in the background. */
@@ -82,6 +91,7 @@
     #nextWriteMs = 0;
     #reportedMs = Number.NEGATIVE_INFINITY;
     #readMs = Number.NEGATIVE_INFINITY;
+    #reportedUsedTokens = 0;
 
     constructor(parts: BudgetKeeperParts) {
         this.#parts = parts;
@@ -123,7 +133,7 @@
         }
         const account = this.#account(team);
         account.noteDemand(costTokens, this.#nowMs);
-        if (account.tryReserve(costTokens)) {
+        if (account.tryReserve(costTokens, this.#nowMs)) {
             return "reserved";
         }
         const exhausted = this.#refusalFor(team, costTokens);
@@ -137,7 +147,7 @@
     settle(team: string, reservedTokens: number, costTokens: number): void {
         const account = this.#accounts.get(team);
         account?.settle(reservedTokens, costTokens);
-        account?.serveWaiting();
+        account?.serveWaiting(this.#nowMs);
     }
 
     /** Writes when something is due; called every few ten milliseconds. */
@@ -145,9 +155,7 @@
         if (this.#isSyncing || this.#nowMs < this.#nextWriteMs) {
             return;
         }
-        const isDue = !this.#isEstablished || this.#isClosing || this.#needsTokens() ||
-            this.#nowMs - this.#reportedMs >= ReportIntervalMs;
-        if (isDue) {
+        if (!this.#isEstablished || this.#isClosing || this.#needsTokens() || this.#isReportDue()) {
             void this.#sync();
         }
     }
@@ -174,7 +182,18 @@
     }
 
     #needsTokens(): boolean {
-        return [...this.#accounts.values()].some(account => account.waiting.length > 0);
+        const accounts = [...this.#accounts.values()];
+        return accounts.some(account => account.waiting.length > 0 || account.wantsRecord(this.#nowMs));
+    }
+
+    #isReportDue(): boolean {
+        const ageMs = this.#nowMs - this.#reportedMs;
+        return ageMs >= IdleReportIntervalMs ||
+            (ageMs >= ReportIntervalMs && this.#usedTokens() !== this.#reportedUsedTokens);
+    }
+
+    #usedTokens(): number {
+        return [...this.#accounts.values()].reduce((sum, account) => sum + account.usedTokens, 0);
     }
 
     /** Whether a wait can help: not while the store is lost, nor when it has just said that nothing is left to draw. */
@@ -184,9 +203,10 @@
         }
         const team = this.#known.ledger.teams[account.name] ?? EmptyTeamLedger;
         const prepaid = this.#parts.prepaidTokens(account.name) ?? 0;
-        const missing = account.waitingTokens + costTokens - account.spareTokens;
+        const wanted = account.waitingTokens + costTokens;
+        const held = account.grantedTokens - account.usedTokens;
         const isFresh = this.#nowMs - this.#readMs < FreshLedgerMs;
-        return !isFresh || unheldTokens(team, prepaid) >= missing;
+        return !isFresh || held + unheldTokens(team, prepaid) >= wanted;
     }
 
     #waitForTokens(account: TeamAccount, costTokens: number, waitMs: number): Promise<ReservationResult> {
@@ -236,8 +256,9 @@
             }
             const known = this.#known ?? { ledger: EmptyLedger, version: 0 };
             const next = this.#plan(known.ledger);
+            this.#unsettled = { expectedVersion: known.version, sequence: this.#sequence };
             const outcome = await this.#parts.store.put(this.#parts.key, next, known.version);
-            if (!this.#handleWrite(outcome, known, next)) {
+            if (!this.#handleWrite(outcome, next)) {
                 return;
             }
         }
@@ -245,22 +266,25 @@
     }
 
     /** @returns Whether the write should be tried again at once. */
-    #handleWrite(outcome: WriteOutcome, known: KnownLedger, next: Ledger): boolean {
+    #handleWrite(outcome: WriteOutcome, next: Ledger): boolean {
         this.#nextWriteMs = this.#nowMs + WriteSpacingMs;
         if (outcome.status === "applied") {
-            this.#unsettled = undefined;
             this.#isEstablished = true;
             this.#reportedMs = this.#nowMs;
+            this.#reportedUsedTokens = this.#usedTokens();
             this.#take({ ledger: next, version: outcome.version });
             this.#noteRegained();
             this.#logShares(outcome.version);
             return false;
         }
         if (outcome.status === "conflict") {
+            this.#resolve(false);
             return this.#handleConflict(outcome.current?.value, outcome.current?.version);
         }
-        if (outcome.status === "unknown") {
-            this.#unsettled = { expectedVersion: known.version, grantedTokens: this.#grantsOf(next) };
+        if (outcome.status === "refused") {
+            this.#resolve(false);
+        }
+        else {
             this.#known = undefined;
         }
         this.#noteFailure(outcome.reason);
@@ -298,30 +322,36 @@
         return true;
     }
 
-    /** Takes over what the ledger grants this incarnation; an unsettled write may still lower it. */
+    /** Takes over a newer ledger, which tells whether an unsettled write took effect. */
     #take(known: KnownLedger): void {
         this.#known = known;
         this.#readMs = this.#nowMs;
-        const mayApply = this.#unsettled?.expectedVersion === known.version ? this.#unsettled : undefined;
-        if (mayApply === undefined) {
-            this.#unsettled = undefined;
+        const unsettled = this.#unsettled;
+        if (unsettled !== undefined && unsettled.expectedVersion !== known.version) {
+            const host = known.ledger.hosts[this.#parts.hostId];
+            const isOwn = host?.incarnation === this.#parts.incarnation;
+            this.#resolve(isOwn && host.sequence === unsettled.sequence);
         }
-        const { hostId, incarnation } = this.#parts;
-        if (known.ledger.hosts[hostId]?.incarnation !== incarnation) {
-            return;
-        }
-        for (const [name, team] of Object.entries(known.ledger.teams)) {
-            const stored = team.shares[hostId]?.grantedTokens ?? 0;
-            const account = this.#account(name);
-            account.grantedTokens = Math.min(stored, mayApply?.grantedTokens.get(name) ?? stored);
-            account.serveWaiting();
+    }
+
+    /** An unsettled write took effect, or never will. */
+    #resolve(tookEffect: boolean): void {
+        this.#unsettled = undefined;
+        for (const account of this.#accounts.values()) {
+            if (tookEffect) {
+                account.accept();
+            }
+            else {
+                account.withdraw();
+            }
+            account.serveWaiting(this.#nowMs);
         }
     }
 
-    /** Plans this host's shares; a lower share applies locally before it is written. */
+    /** Plans this host's shares; spending keeps to them from now on, as the write may take effect at any time. */
     #plan(stored: Ledger): Ledger {
-        const { hostId, incarnation, clock } = this.#parts;
-        const ledger = closePredecessor(stored, hostId, incarnation);
+        const { hostId, incarnation, clock, start } = this.#parts;
+        const ledger = closePredecessor(stored, hostId, incarnation, start);
         this.#logClosed(stored, ledger);
         const nowMs = this.#nowMs;
         const accounts = [...new Set([...this.#parts.limitedTeams(), ...this.#accounts.keys()])]
@@ -331,10 +361,15 @@
         for (const account of accounts) {
             const team = ledger.teams[account.name] ?? EmptyTeamLedger;
             const share = this.#planShare(ledger, team, account, totalDemandTokensPerS);
-            account.grantedTokens = Math.min(account.grantedTokens, share.grantedTokens);
+            account.propose({ ...share, madeMs: nowMs });
             teams[account.name] = { ...team, shares: { ...team.shares, [hostId]: share } };
         }
-        const host = { incarnation, sequence: ++this.#sequence, writtenAtMs: Math.round(clock.wallMs()) };
+        const host = {
+            incarnation,
+            sequence: ++this.#sequence,
+            writtenAtMs: Math.floor(clock.wallMs()),
+            writtenSteadyMs: Math.floor(this.#parts.steadyMs()),
+        };
         return { hosts: { ...ledger.hosts, [hostId]: host }, teams };
     }
 
@@ -353,25 +388,31 @@
             demandTokensPerS,
             totalDemandTokensPerS,
         });
-        return { grantedTokens: granted, settledTokens, demandTokensPerS };
-    }
-
-    #grantsOf(ledger: Ledger): Map<string, number> {
-        const shares = Object.entries(ledger.teams).map(([name, team]): [string, number] => [
-            name,
-            team.shares[this.#parts.hostId]?.grantedTokens ?? 0,
-        ]);
-        return new Map(shares);
+        return {
+            grantedTokens: granted,
+            limitTokens: account.limitFor(granted, this.#nowMs),
+            settledTokens,
+            demandTokensPerS,
+        };
     }
 
+    /** One line when shares are closed: tokens spent by the record and at risk, by team. */
     #logClosed(stored: Ledger, closed: Ledger): void {
-        if (stored !== closed && !this.#isEstablished) {
-            log.info("budget shares of the previous process closed", {
-                host: this.#parts.hostId,
-                predecessor: stored.hosts[this.#parts.hostId]?.incarnation,
-                ledgerVersion: this.#known?.version,
-            });
+        const host = stored.hosts[this.#parts.hostId];
+        if (stored === closed || host === undefined) {
+            return;
         }
+        const shares = Object.entries(closed.teams).map(([name, team]) => {
+            const before = stored.teams[name] ?? EmptyTeamLedger;
+            return `${name}:${team.closedTokens - before.closedTokens}/${team.atRiskTokens - before.atRiskTokens}`;
+        });
+        log.info("budget shares of the previous process closed", {
+            host: this.#parts.hostId,
+            predecessor: host.incarnation,
+            recordAgeMs: recordAgeMs(host, this.#parts.start),
+            ledgerVersion: this.#known?.version,
+            shares: shares.join(" "),
+        });
     }
 
     /** One line a write: tokens granted, used and left unheld, by team. */
--- a/src/edge/budget/ledger.ts
+++ b/src/edge/budget/ledger.ts
@@ -1,12 +1,15 @@
 /** The stored ledger of prepaid tokens: what each host may spend of each team's budget. */
 import { z } from "zod";
+import { allowedTokens } from "./spendingRight.js";
 
 const TokensSchema = z.number().int().nonnegative();
 
 /** Part of a team's budget that one host incarnation holds. Both numbers are cumulative for the incarnation. */
 export const HostShareSchema = z.object({
-    /** Tokens that the host may spend in all. */
+    /** Tokens that the host holds in all. */
     grantedTokens: TokensSchema,
+    /** Tokens that the host may spend while the record is new; see `spendingRight.ts`. */
+    limitTokens: TokensSchema,
     /** Tokens that finished requests have cost so far; lags behind. */
     settledTokens: TokensSchema,
     /** Tokens per second that requests at the host ask for. */
@@ -29,8 +32,10 @@
     incarnation: z.string(),
     /** Number of the incarnation's last write; makes each write a change. */
     sequence: z.number().int().nonnegative(),
-    /** Wall-clock time of the last write in milliseconds, for counting hosts; no decision about tokens depends on it. */
+    /** Wall-clock time of the last write by the host's own clock, in milliseconds. */
     writtenAtMs: z.number(),
+    /** The machine's steady clock at the last write, in milliseconds. */
+    writtenSteadyMs: z.number(),
 });
 export type LedgerHost = z.infer<typeof LedgerHostSchema>;
 
@@ -61,25 +66,48 @@
     return Object.values(ledger.hosts).filter(host => Math.abs(wallMs - host.writtenAtMs) <= withinMs).length;
 }
 
+/** When a process started, by its machine's clocks. */
+export interface ProcessStart {
+    readonly wallMs: number;
+    readonly steadyMs: number;
+}
+
+/** Allowance for clocks that are read one after the other and set by small steps, in milliseconds. */
+const ClockSlackMs = 500;
+
+/**
+ * Greatest age that the previous process's last record can have had when that process ended. Both clocks are of the same
+ * machine; the larger answer counts: the wall clock may have been set back, the steady clock stops while the machine is
+ * suspended and starts anew with it.
+ * @returns Age in milliseconds.
+ */
+export function recordAgeMs(host: LedgerHost, start: ProcessStart): number {
+    const wallAgeMs = start.wallMs - host.writtenAtMs;
+    const steadyAgeMs = start.steadyMs - host.writtenSteadyMs;
+    const ageMs = Math.max(wallAgeMs, steadyAgeMs);
+    return ageMs < 0 ? Number.POSITIVE_INFINITY : ageMs + ClockSlackMs;
+}
+
 /**
  * Closes the shares of a host's earlier incarnation. A process starts under a host's id only after the one before it has
- * ended, so whatever the earlier incarnation held and did not report counts as at risk at once, without a timeout.
+ * ended. What that one may have spent without reporting it counts as at risk; the rest is free at once.
  * @returns The ledger with the shares closed; the same one when there is nothing to close.
  */
-export function closePredecessor(ledger: Ledger, hostId: string, incarnation: string): Ledger {
+export function closePredecessor(ledger: Ledger, hostId: string, incarnation: string, start: ProcessStart): Ledger {
     const host = ledger.hosts[hostId];
     if (host === undefined || host.incarnation === incarnation) {
         return ledger;
     }
+    const ageMs = recordAgeMs(host, start);
     const teams = Object.entries(ledger.teams).map(([name, team]): [string, TeamLedger] => {
         const { [hostId]: share, ...shares } = team.shares;
         if (share === undefined) {
             return [name, team];
         }
-        const settled = Math.min(share.settledTokens, share.grantedTokens);
+        const spentAtMost = Math.max(share.settledTokens, allowedTokens(share, ageMs));
         return [name, {
-            closedTokens: team.closedTokens + settled,
-            atRiskTokens: team.atRiskTokens + share.grantedTokens - settled,
+            closedTokens: team.closedTokens + share.settledTokens,
+            atRiskTokens: team.atRiskTokens + spentAtMost - share.settledTokens,
             shares,
         }];
     });
--- a/src/edge/budget/sharePlan.ts
+++ b/src/edge/budget/sharePlan.ts
@@ -11,8 +11,11 @@
  */
 const OverallPart = 0.1;
 
-/** Demand assumed for every host in addition, as a part of the mean, so that a quiet host holds a little as well. */
-const BaseDemandPart = 0.05;
+/**
+ * Demand assumed for every host in addition: one summary of 10,000 tokens within the window of the demand average. With
+ * less, a host that a small team's callers have not reached yet gives everything back and refuses the first of them.
+ */
+const BaseDemandTokensPerS = 500;
 
 /** A share is changed when it is off its target by more than this part. */
 const Tolerance = 0.15;
@@ -71,8 +74,7 @@
 
 function part(own: number, others: readonly number[], hostCount: number): number {
     const sum = others.reduce((total, demand) => total + demand, own);
-    const base = BaseDemandPart * sum / hostCount;
-    return sum === 0 ? 1 / hostCount : (own + base) / (sum + base * hostCount);
+    return (own + BaseDemandTokensPerS) / (sum + BaseDemandTokensPerS * hostCount);
 }
 
 function demandOf(ledger: Ledger, hostId: string): number {
--- a/src/edge/budget/teamAccount.ts
+++ b/src/edge/budget/teamAccount.ts
@@ -1,37 +1,58 @@
 /** One team's tokens on this host. */
-import { DemandAverage } from "../../features/budget/budgetMath.js";
+import { DemandAverage, WindowMaximum } from "../../features/budget/budgetMath.js";
+import { allowedTokens, type SpendingBound } from "./spendingRight.js";
 
 /** Time constant of the demand average, in milliseconds: long enough for a team with a request every few seconds. */
 const DemandWindowMs = 20_000;
 
+/** Least time over which the first requests of a process are averaged, in milliseconds. */
+const ShortestDemandMs = 2_000;
+
+/** Window of the largest request, in milliseconds. */
+const LargestWindowMs = 20_000;
+
+/** Demand that the limit covers at once, in milliseconds: until a record's rest is released, and a margin for swings. */
+const LimitHorizonMs = 2_000;
+
+/** Largest recent requests that the limit covers at least. */
+const LimitRequests = 1.5;
+
 /** A reservation that waits for tokens. */
 export interface WaitingReservation {
     readonly costTokens: number;
     settle(granted: boolean): void;
 }
 
-/** Numbers of one team: granted by the ledger, reserved by running requests, settled by finished ones. */
+/** A bound with the monotonic time at which its record was made, in milliseconds. */
+export interface DatedBound extends SpendingBound {
+    readonly madeMs: number;
+}
+
+/** Numbers of one team: allowed by the ledger, reserved by running requests, settled by finished ones. */
 export class TeamAccount {
     readonly name: string;
     readonly waiting: WaitingReservation[] = [];
     readonly #demand: DemandAverage;
-    #grantedTokens = 0;
+    readonly #largest: WindowMaximum;
+    readonly #openedMs: number;
+    /** Bound of the newest record that the store acknowledged. */
+    #acknowledged: DatedBound | undefined;
+    /** Bound of a record that may take effect or not: spending keeps to both. */
+    #proposed: DatedBound | undefined;
     #reservedTokens = 0;
     #settledTokens = 0;
 
     constructor(name: string, nowMs: number) {
         this.name = name;
+        this.#openedMs = nowMs;
         this.#demand = new DemandAverage(DemandWindowMs, nowMs);
+        this.#largest = new WindowMaximum(LargestWindowMs, nowMs);
     }
 
-    /** @returns Tokens that this incarnation may spend in all. */
+    /** @returns Tokens that this incarnation holds in all. */
     get grantedTokens(): number {
-        return this.#grantedTokens;
-    }
-
-    /** Takes over the granted amount that the ledger shows; a lower one applies before it is written. */
-    set grantedTokens(tokens: number) {
-        this.#grantedTokens = tokens;
+        const granted = this.#acknowledged?.grantedTokens ?? 0;
+        return Math.min(granted, this.#proposed?.grantedTokens ?? granted);
     }
 
     /** @returns Tokens spent or reserved. */
@@ -44,24 +65,38 @@
         return this.#settledTokens;
     }
 
-    /** @returns Tokens that may be reserved now. */
-    get spareTokens(): number {
-        return this.#grantedTokens - this.usedTokens;
-    }
-
     /** @returns Sum of the waiting reservations. */
     get waitingTokens(): number {
         return this.waiting.reduce((sum, { costTokens }) => sum + costTokens, 0);
     }
 
+    /** @returns Tokens that may be reserved now. */
+    spareTokens(nowMs: number): number {
+        const acknowledged = this.#acknowledged;
+        if (acknowledged === undefined) {
+            return 0;
+        }
+        const allowed = allowedTokens(acknowledged, nowMs - acknowledged.madeMs);
+        const proposed = this.#proposed;
+        const proposedAllowed = proposed === undefined ? allowed : allowedTokens(proposed, nowMs - proposed.madeMs);
+        return Math.min(allowed, proposedAllowed) - this.usedTokens;
+    }
+
+    /** @returns Whether a new record would let clearly more be spent at once. */
+    wantsRecord(nowMs: number): boolean {
+        const spare = this.spareTokens(nowMs);
+        return spare < this.#headroomTokens(nowMs) / 3 && spare < this.grantedTokens - this.usedTokens;
+    }
+
     /** Records a request for tokens. */
     noteDemand(costTokens: number, nowMs: number): void {
         this.#demand.add(costTokens, nowMs);
+        this.#largest.add(costTokens, nowMs);
     }
 
     /** @returns Whether the tokens were reserved. */
-    tryReserve(costTokens: number): boolean {
-        if (costTokens > this.spareTokens) {
+    tryReserve(costTokens: number, nowMs: number): boolean {
+        if (costTokens > this.spareTokens(nowMs)) {
             return false;
         }
         this.#reservedTokens += costTokens;
@@ -75,17 +110,44 @@
     }
 
     /** Lets waiting reservations have what is spare, in order; a smaller one may pass a larger one. */
-    serveWaiting(): void {
+    serveWaiting(nowMs: number): void {
         for (const item of [...this.waiting]) {
-            if (this.tryReserve(item.costTokens)) {
-                this.waiting.splice(this.waiting.indexOf(item), 1);
+            if (this.tryReserve(item.costTokens, nowMs)) {
                 item.settle(true);
             }
         }
     }
 
-    /** @returns Tokens per second that requests ask for. */
+    /** @returns Tokens per second that requests ask for; corrected for an average that is younger than its window. */
     demandTokensPerS(nowMs: number): number {
-        return Math.round(this.#demand.tokensPerS(nowMs));
+        const ageMs = Math.max(ShortestDemandMs, nowMs - this.#openedMs);
+        return Math.round(this.#demand.tokensPerS(nowMs) / (1 - Math.exp(-ageMs / DemandWindowMs)));
+    }
+
+    /** @returns The limit to declare with a grant. */
+    limitFor(grantedTokens: number, nowMs: number): number {
+        const wanted = this.usedTokens + this.waitingTokens + this.#headroomTokens(nowMs);
+        return Math.min(grantedTokens, Math.ceil(wanted));
+    }
+
+    /** A record is about to be sent: from now on it may take effect. */
+    propose(bound: DatedBound): void {
+        this.#proposed = bound;
+    }
+
+    /** The proposed record took effect. */
+    accept(): void {
+        this.#acknowledged = this.#proposed ?? this.#acknowledged;
+        this.#proposed = undefined;
+    }
+
+    /** The proposed record will never take effect. */
+    withdraw(): void {
+        this.#proposed = undefined;
+    }
+
+    #headroomTokens(nowMs: number): number {
+        const demand = this.demandTokensPerS(nowMs) * LimitHorizonMs / 1_000;
+        return Math.max(demand, LimitRequests * this.#largest.maximum(nowMs));
     }
 }
--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -5,6 +5,7 @@
 import { type Random, SystemRandom } from "../base/random.js";
 import type { PlatformStore } from "../platform/platformStore.js";
 import { BudgetKeeper } from "./budget/budgetKeeper.js";
+import type { ProcessStart } from "./budget/ledger.js";
 import { ConfigurationKeeper } from "./configurationKeeper.js";
 import type { EdgeSettings } from "./edgeSettings.js";
 import { CallerListener } from "./flow/callerListener.js";
@@ -32,6 +33,8 @@
 /** Longest time of the last budget write, in milliseconds. */
 const FinalWriteMs = 400;
 
+const NsPerMs = 1_000_000n;
+
 /** Hosts to assume for each zone until the ledger shows them. */
 const ExpectedHostsPerZone = 2;
 
@@ -48,12 +51,14 @@
     readonly #listener: CallerListener;
     readonly #readiness: Server;
     readonly #incarnation: string;
+    readonly #start: ProcessStart;
     #ticker: NodeJS.Timeout | undefined;
     #isLeaving = false;
 
     constructor(settings: EdgeSettings, parts: EdgeParts) {
         this.#settings = settings;
         this.#parts = parts;
+        this.#start = { wallMs: this.#clock.wallMs(), steadyMs: steadyMs() };
         this.#incarnation = `${Math.floor(this.#clock.wallMs()).toString(36)}${this.#random.hex(6)}`;
         this.#directory = new UpstreamDirectory(this.#clock);
         this.#configuration = new ConfigurationKeeper(parts.store, parts.objects, this.#clock, table => {
@@ -90,6 +95,7 @@
             incarnation: this.#incarnation,
             zone: this.#settings.zone,
             caller: this.#settings.listen.caller,
+            steadyMs: this.#start.steadyMs,
         });
     }
 
@@ -144,6 +150,8 @@
             key: `${this.#parts.objects.ownPrefix}ledger`,
             hostId: this.#settings.hostId,
             incarnation: this.#incarnation,
+            start: this.#start,
+            steadyMs,
             expectedHostCount: this.#settings.zoneCount * ExpectedHostsPerZone,
             prepaidTokens: team => this.#configuration.table?.teamNamed(team)?.prepaidTokens,
             limitedTeams: () =>
@@ -174,6 +182,11 @@
     }
 }
 
+/** @returns The machine's steady clock in milliseconds; processes of one start of the machine share it. */
+function steadyMs(): number {
+    return Number(process.hrtime.bigint() / NsPerMs);
+}
+
 function splitAddress(address: string): { host: string; port: number; } {
     const separator = address.lastIndexOf(":");
     return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
