--- a/src/edge/budget/ledger.ts
+++ b/src/edge/budget/ledger.ts
@@ -75,16 +75,20 @@
 /** Allowance for clocks that are read one after the other and set by small steps, in milliseconds. */
 const ClockSlackMs = 500;
 
+/** Largest difference between both clocks that a clock step or a suspension explains, in milliseconds. */
+const MaxClockDifferenceMs = 60_000;
+
 /**
  * Greatest age that the previous process's last record can have had when that process ended. Both clocks are of the same
  * machine; the larger answer counts: the wall clock may have been set back, the steady clock stops while the machine is
- * suspended and starts anew with it.
+ * suspended. A steady clock that is far off has started anew with the machine and says nothing.
  * @returns Age in milliseconds.
  */
 export function recordAgeMs(host: LedgerHost, start: ProcessStart): number {
     const wallAgeMs = start.wallMs - host.writtenAtMs;
     const steadyAgeMs = start.steadyMs - host.writtenSteadyMs;
-    const ageMs = Math.max(wallAgeMs, steadyAgeMs);
+    const isSameBoot = Math.abs(steadyAgeMs - wallAgeMs) <= MaxClockDifferenceMs;
+    const ageMs = isSameBoot ? Math.max(wallAgeMs, steadyAgeMs) : wallAgeMs;
     return ageMs < 0 ? Number.POSITIVE_INFINITY : ageMs + ClockSlackMs;
 }
 
