--- a/src/edge/budget/budgetKeeper.ts
+++ b/src/edge/budget/budgetKeeper.ts
@@ -37,8 +37,8 @@
 /** Time after which a host that wrote nothing is not counted, in milliseconds. */
 const HostSilenceMs = 15_000;
 
-/** Longest wait of a request for tokens, in milliseconds: a few store calls. */
-const LongestWaitMs = 300;
+/** Longest wait of a request for tokens, in milliseconds: two calls of a store that answers slowly. */
+const LongestWaitMs = 500;
 
 /** Conflicts in a row after which a write is put off. */
 const MostConflicts = 6;
@@ -125,9 +125,23 @@
 
     /**
      * Reserves the worst-case cost of a request.
+     * @param requestId Names the request in the log.
      * @param waitMs Longest wait for tokens, in milliseconds.
      */
-    reserve(team: string, costTokens: number, waitMs: number): Promise<ReservationResult> | ReservationResult {
+    async reserve(
+        requestId: string,
+        team: string,
+        costTokens: number,
+        waitMs: number,
+    ): Promise<ReservationResult> {
+        const result = await this.#reserve(team, costTokens, waitMs);
+        if (result !== "reserved") {
+            this.#logRefusal(requestId, team, costTokens, result);
+        }
+        return result;
+    }
+
+    #reserve(team: string, costTokens: number, waitMs: number): Promise<ReservationResult> | ReservationResult {
         if (this.#parts.prepaidTokens(team) === undefined) {
             return "reserved";
         }
@@ -196,6 +210,28 @@
         return [...this.#accounts.values()].reduce((sum, account) => sum + account.usedTokens, 0);
     }
 
+    /** The numbers that decided a refusal, and how old they are. */
+    #logRefusal(requestId: string, team: string, costTokens: number, result: ReservationResult): void {
+        const account = this.#account(team);
+        const ledger = this.#known?.ledger.teams[team] ?? EmptyTeamLedger;
+        const prepaidTokens = this.#parts.prepaidTokens(team) ?? 0;
+        const spentTokens = settledByOthers(ledger, this.#parts.hostId) + account.usedTokens;
+        log.info("reservation refused", {
+            request: requestId,
+            team,
+            result,
+            costTokens,
+            spareTokens: account.spareTokens(this.#nowMs),
+            heldTokens: account.grantedTokens - account.usedTokens,
+            unheldTokens: unheldTokens(ledger, prepaidTokens),
+            unspentTokens: prepaidTokens - spentTokens - ledger.atRiskTokens,
+            atRiskTokens: ledger.atRiskTokens,
+            ledgerVersion: this.#known?.version,
+            ledgerAgeMs: Math.round(this.#nowMs - this.#readMs),
+            storeLost: this.#isFailing,
+        });
+    }
+
     /** Whether a wait can help: not while the store is lost, nor when it has just said that nothing is left to draw. */
     #mayDraw(account: TeamAccount, costTokens: number): boolean {
         if (this.#isFailing || this.#known === undefined) {
--- a/src/edge/budget/teamAccount.ts
+++ b/src/edge/budget/teamAccount.ts
@@ -1,5 +1,5 @@
 /** One team's tokens on this host. */
-import { DemandAverage, WindowMaximum } from "../../features/budget/budgetMath.js";
+import { DemandAverage } from "../../features/budget/budgetMath.js";
 import { allowedTokens, type SpendingBound } from "./spendingRight.js";
 
 /** Time constant of the demand average, in milliseconds: long enough for a team with a request every few seconds. */
@@ -8,15 +8,15 @@
 /** Least time over which the first requests of a process are averaged, in milliseconds. */
 const ShortestDemandMs = 2_000;
 
-/** Window of the largest request, in milliseconds. */
-const LargestWindowMs = 20_000;
-
 /** Demand that the limit covers at once, in milliseconds: until a record's rest is released, and a margin for swings. */
-const LimitHorizonMs = 2_000;
+const LimitHorizonMs = 1_500;
 
-/** Largest recent requests that the limit covers at least. */
+/** Requests of mean cost that the limit covers at least; a larger one waits for a record. */
 const LimitRequests = 1.5;
 
+/** Weight of the newest request in the mean cost. */
+const MeanCostWeight = 0.1;
+
 /** A reservation that waits for tokens. */
 export interface WaitingReservation {
     readonly costTokens: number;
@@ -33,12 +33,12 @@
     readonly name: string;
     readonly waiting: WaitingReservation[] = [];
     readonly #demand: DemandAverage;
-    readonly #largest: WindowMaximum;
     readonly #openedMs: number;
     /** Bound of the newest record that the store acknowledged. */
     #acknowledged: DatedBound | undefined;
     /** Bound of a record that may take effect or not: spending keeps to both. */
     #proposed: DatedBound | undefined;
+    #meanCostTokens = 0;
     #reservedTokens = 0;
     #settledTokens = 0;
 
@@ -46,7 +46,6 @@
         this.name = name;
         this.#openedMs = nowMs;
         this.#demand = new DemandAverage(DemandWindowMs, nowMs);
-        this.#largest = new WindowMaximum(LargestWindowMs, nowMs);
     }
 
     /** @returns Tokens that this incarnation holds in all. */
@@ -91,7 +90,9 @@
     /** Records a request for tokens. */
     noteDemand(costTokens: number, nowMs: number): void {
         this.#demand.add(costTokens, nowMs);
-        this.#largest.add(costTokens, nowMs);
+        this.#meanCostTokens = this.#meanCostTokens === 0 ?
+            costTokens :
+            this.#meanCostTokens + MeanCostWeight * (costTokens - this.#meanCostTokens);
     }
 
     /** @returns Whether the tokens were reserved. */
@@ -148,6 +149,6 @@
 
     #headroomTokens(nowMs: number): number {
         const demand = this.demandTokensPerS(nowMs) * LimitHorizonMs / 1_000;
-        return Math.max(demand, LimitRequests * this.#largest.maximum(nowMs));
+        return Math.max(demand, LimitRequests * this.#meanCostTokens);
     }
 }
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -180,12 +180,12 @@
 
     /** @returns Whether the tokens are reserved; otherwise the request is answered. */
     async #reserve(): Promise<boolean> {
-        const { team, facts } = this.#request;
+        const { requestId, team, facts } = this.#request;
         if (team === undefined || facts.tokens === undefined) {
             return true;
         }
         const costTokens = facts.tokens.promptTokens + facts.tokens.maxOutputTokens;
-        const outcome = await this.#parts.budgets.reserve(team.name, costTokens, this.#remainingMs);
+        const outcome = await this.#parts.budgets.reserve(requestId, team.name, costTokens, this.#remainingMs);
         if (outcome === "reserved") {
             this.#reservedTokens = costTokens;
             if (this.#isOver) {
