--- a/src/edge/budget/budgetKeeper.ts
+++ b/src/edge/budget/budgetKeeper.ts
@@ -427,6 +427,7 @@
         return {
             grantedTokens: granted,
             limitTokens: account.limitFor(granted, this.#nowMs),
+            releaseTokensPerS: account.releaseTokensPerS(this.#nowMs),
             settledTokens,
             demandTokensPerS,
         };
--- a/src/edge/budget/ledger.ts
+++ b/src/edge/budget/ledger.ts
@@ -10,6 +10,8 @@
     grantedTokens: TokensSchema,
     /** Tokens that the host may spend while the record is new; see `spendingRight.ts`. */
     limitTokens: TokensSchema,
+    /** Tokens per second by which the limit rises once the record is old. */
+    releaseTokensPerS: TokensSchema,
     /** Tokens that finished requests have cost so far; lags behind. */
     settledTokens: TokensSchema,
     /** Tokens per second that requests at the host ask for. */
--- a/src/edge/budget/sharePlan.ts
+++ b/src/edge/budget/sharePlan.ts
@@ -2,8 +2,11 @@
 import type { HostShare, Ledger, TeamLedger } from "./ledger.js";
 import { unheldTokens } from "./ledger.js";
 
-/** Part of the unspent tokens that the hosts hold together; the rest evens out estimates that lag behind. */
-const HeldPart = 0.95;
+/**
+ * Part of the unspent tokens that the hosts hold together. The rest can be drawn by any host within one store call and is
+ * never at risk, but out of use while the store is lost.
+ */
+const HeldPart = 0.85;
 
 /**
  * How much of a host's weight follows its traffic in all, the rest its traffic for the team. A large team's callers often
--- a/src/edge/budget/spendingRight.ts
+++ b/src/edge/budget/spendingRight.ts
@@ -4,27 +4,25 @@
 export interface SpendingBound {
     /** Tokens that the host holds in all; cumulative for the incarnation. */
     readonly grantedTokens: number;
-    /** Tokens that the host may spend at once after the record; the rest is released as the record ages. */
+    /** Tokens that the host may spend at once after the record. */
     readonly limitTokens: number;
+    /** Tokens per second by which the limit rises, up to the grant, once the record is old. */
+    readonly releaseTokensPerS: number;
 }
 
 /**
  * Age of a record from which more than its limit may be spent, in milliseconds. Hosts write every second, so an older
  * record means that the store cannot be reached.
  */
-export const ReleaseAfterMs = 1_500;
-
-/** Time over which the rest of the grant is released, in milliseconds; outages of the store last 4 to 9 s. */
-export const ReleaseOverMs = 7_000;
+export const ReleaseAfterMs = 2_000;
 
 /**
  * Tokens that may have been spent when a record has a certain age. A process keeps to it while it runs, and its successor
- * on the same machine derives from it what the process can have spent at most. A full grant at risk would leave nothing
- * to spend after all processes were killed.
+ * on the same machine derives from it what the process can have spent at most. With the full grant at risk, nothing would
+ * be left to spend after all processes were killed; with the limit alone, an outage of the store would stop the teams.
  * @param ageMs Age of the record in milliseconds.
  */
 export function allowedTokens(bound: SpendingBound, ageMs: number): number {
-    const released = Math.min(1, Math.max(0, (ageMs - ReleaseAfterMs) / ReleaseOverMs));
-    const limit = Math.min(bound.limitTokens, bound.grantedTokens);
-    return limit + Math.floor((bound.grantedTokens - limit) * released);
+    const released = bound.releaseTokensPerS * Math.max(0, ageMs - ReleaseAfterMs) / 1_000;
+    return Math.floor(Math.min(bound.grantedTokens, bound.limitTokens + released));
 }
--- a/src/edge/budget/teamAccount.ts
+++ b/src/edge/budget/teamAccount.ts
@@ -9,11 +9,17 @@
 const ShortestDemandMs = 2_000;
 
 /** Demand that the limit covers at once, in milliseconds: until a record's rest is released, and a margin for swings. */
-const LimitHorizonMs = 1_500;
+const LimitHorizonMs = 1_800;
 
 /** Requests of mean cost that the limit covers at least; a larger one waits for a record. */
 const LimitRequests = 1.5;
 
+/** Release of an old record's rest as a multiple of the demand: a team may send several times its usual in an outage. */
+const ReleaseFactor = 2.5;
+
+/** Time in which at least one request of mean cost is released, in milliseconds. */
+const ReleaseRequestMs = 1_500;
+
 /** Weight of the newest request in the mean cost. */
 const MeanCostWeight = 0.1;
 
@@ -131,6 +137,12 @@
         return Math.min(grantedTokens, Math.ceil(wanted));
     }
 
+    /** @returns Tokens per second by which the limit rises once the record is old. */
+    releaseTokensPerS(nowMs: number): number {
+        const leastTokensPerS = this.#meanCostTokens * 1_000 / ReleaseRequestMs;
+        return Math.ceil(Math.max(this.demandTokensPerS(nowMs) * ReleaseFactor, leastTokensPerS));
+    }
+
     /** A record is about to be sent: from now on it may take effect. */
     propose(bound: DatedBound): void {
         this.#proposed = bound;
