Charge streams whose callers left and keep long prompts to some engines

A stream whose caller left counted as not run, so its events cost nothing. A second fault found on the way: a record without an answer was forgotten when the next one was sent, although it could still take effect.

--- a/src/edge/budget/budgetKeeper.ts
+++ b/src/edge/budget/budgetKeeper.ts
@@ -71,18 +71,15 @@
     readonly version: number;
 }
 
-/** A write without an answer: it may still take effect as long as the version is unchanged. */
-interface UnsettledWrite {
-    readonly expectedVersion: number;
-    readonly sequence: number;
-}
-
 /** Reserves tokens locally; draws and returns shares in the background. */
 export class BudgetKeeper {
     readonly #parts: BudgetKeeperParts;
     readonly #accounts = new Map<string, TeamAccount>();
     #known: KnownLedger | undefined;
-    #unsettled: UnsettledWrite | undefined;
+    /** Version on which the writes without an answer depend: they may take effect until it changes. */
+    #unsettledVersion: number | undefined;
+    /** Monotonic times at which records were made, by their sequence. */
+    readonly #madeMs = new Map<number, number>();
     #isEstablished = false;
     #isClosing = false;
     #isSyncing = false;
@@ -292,7 +289,7 @@
             }
             const known = this.#known ?? { ledger: EmptyLedger, version: 0 };
             const next = this.#plan(known.ledger);
-            this.#unsettled = { expectedVersion: known.version, sequence: this.#sequence };
+            this.#unsettledVersion = known.version;
             const outcome = await this.#parts.store.put(this.#parts.key, next, known.version);
             if (!this.#handleWrite(outcome, next)) {
                 return;
@@ -314,11 +311,12 @@
             return false;
         }
         if (outcome.status === "conflict") {
-            this.#resolve(false);
             return this.#handleConflict(outcome.current?.value, outcome.current?.version);
         }
         if (outcome.status === "refused") {
-            this.#resolve(false);
+            for (const account of this.#accounts.values()) {
+                account.withdrawLast();
+            }
         }
         else {
             this.#known = undefined;
@@ -358,30 +356,36 @@
         return true;
     }
 
-    /** Takes over a newer ledger, which tells whether an unsettled write took effect. */
+    /** Takes over a ledger. A newer version ends the writes that depended on an older one. */
     #take(known: KnownLedger): void {
         this.#known = known;
         this.#readMs = this.#nowMs;
-        const unsettled = this.#unsettled;
-        if (unsettled !== undefined && unsettled.expectedVersion !== known.version) {
-            const host = known.ledger.hosts[this.#parts.hostId];
-            const isOwn = host?.incarnation === this.#parts.incarnation;
-            this.#resolve(isOwn && host.sequence === unsettled.sequence);
-        }
-    }
-
-    /** An unsettled write took effect, or never will. */
-    #resolve(tookEffect: boolean): void {
-        this.#unsettled = undefined;
+        const isNewer = this.#unsettledVersion !== known.version;
+        const host = known.ledger.hosts[this.#parts.hostId];
+        const ownSequence = host?.incarnation === this.#parts.incarnation ? host.sequence : 0;
+        const madeMs = this.#madeMs.get(ownSequence);
         for (const account of this.#accounts.values()) {
-            if (tookEffect) {
-                account.accept();
+            if (isNewer) {
+                account.withdrawAll();
             }
-            else {
-                account.withdraw();
+            const share = known.ledger.teams[account.name]?.shares[this.#parts.hostId];
+            if (madeMs !== undefined && share !== undefined) {
+                account.acknowledge({ ...share, madeMs });
             }
             account.serveWaiting(this.#nowMs);
         }
+        if (isNewer) {
+            this.#unsettledVersion = undefined;
+            this.#forgetRecordsBefore(ownSequence);
+        }
+    }
+
+    #forgetRecordsBefore(sequence: number): void {
+        for (const known of this.#madeMs.keys()) {
+            if (known < sequence) {
+                this.#madeMs.delete(known);
+            }
+        }
     }
 
     /** Plans this host's shares; spending keeps to them from now on, as the write may take effect at any time. */
@@ -400,9 +404,10 @@
             account.propose({ ...share, madeMs: nowMs });
             teams[account.name] = { ...team, shares: { ...team.shares, [hostId]: share } };
         }
+        this.#madeMs.set(++this.#sequence, nowMs);
         const host = {
             incarnation,
-            sequence: ++this.#sequence,
+            sequence: this.#sequence,
             writtenAtMs: Math.floor(clock.wallMs()),
             writtenSteadyMs: Math.floor(this.#parts.steadyMs()),
         };
--- a/src/edge/budget/teamAccount.ts
+++ b/src/edge/budget/teamAccount.ts
@@ -34,6 +34,9 @@
     readonly madeMs: number;
 }
 
+/** Bound of a host without a record. */
+const NoBound: DatedBound = { grantedTokens: 0, limitTokens: 0, releaseTokensPerS: 0, madeMs: 0 };
+
 /** Numbers of one team: allowed by the ledger, reserved by running requests, settled by finished ones. */
 export class TeamAccount {
     readonly name: string;
@@ -42,8 +45,8 @@
     readonly #openedMs: number;
     /** Bound of the newest record that the store acknowledged. */
     #acknowledged: DatedBound | undefined;
-    /** Bound of a record that may take effect or not: spending keeps to both. */
-    #proposed: DatedBound | undefined;
+    /** Bounds of records that may take effect or not: spending keeps to all of them. */
+    #proposed: DatedBound[] = [];
     #meanCostTokens = 0;
     #reservedTokens = 0;
     #settledTokens = 0;
@@ -56,8 +59,7 @@
 
     /** @returns Tokens that this incarnation holds in all. */
     get grantedTokens(): number {
-        const granted = this.#acknowledged?.grantedTokens ?? 0;
-        return Math.min(granted, this.#proposed?.grantedTokens ?? granted);
+        return Math.min(...this.#bounds.map(bound => bound.grantedTokens));
     }
 
     /** @returns Tokens spent or reserved. */
@@ -77,14 +79,8 @@
 
     /** @returns Tokens that may be reserved now. */
     spareTokens(nowMs: number): number {
-        const acknowledged = this.#acknowledged;
-        if (acknowledged === undefined) {
-            return 0;
-        }
-        const allowed = allowedTokens(acknowledged, nowMs - acknowledged.madeMs);
-        const proposed = this.#proposed;
-        const proposedAllowed = proposed === undefined ? allowed : allowedTokens(proposed, nowMs - proposed.madeMs);
-        return Math.min(allowed, proposedAllowed) - this.usedTokens;
+        const allowed = this.#bounds.map(bound => allowedTokens(bound, nowMs - bound.madeMs));
+        return Math.min(...allowed) - this.usedTokens;
     }
 
     /** @returns Whether a new record would let clearly more be spent at once. */
@@ -145,18 +141,26 @@
 
     /** A record is about to be sent: from now on it may take effect. */
     propose(bound: DatedBound): void {
-        this.#proposed = bound;
+        this.#proposed.push(bound);
+    }
+
+    /** The record that was sent last was refused. */
+    withdrawLast(): void {
+        this.#proposed.pop();
+    }
+
+    /** The records that were sent will not take effect any more. */
+    withdrawAll(): void {
+        this.#proposed = [];
     }
 
-    /** The proposed record took effect. */
-    accept(): void {
-        this.#acknowledged = this.#proposed ?? this.#acknowledged;
-        this.#proposed = undefined;
+    /** The store holds this bound. */
+    acknowledge(bound: DatedBound): void {
+        this.#acknowledged = bound;
     }
 
-    /** The proposed record will never take effect. */
-    withdraw(): void {
-        this.#proposed = undefined;
+    get #bounds(): readonly DatedBound[] {
+        return [this.#acknowledged ?? NoBound, ...this.#proposed];
     }
 
     #headroomTokens(nowMs: number): number {
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -4,7 +4,7 @@
 import type { Random } from "../../base/random.js";
 import type { RanState } from "../../base/resultCodes.js";
 import type { BudgetKeeper } from "../budget/budgetKeeper.js";
-import type { CallerFacts, EdgeTeam, Route, Service } from "../edgeTypes.js";
+import type { CallerFacts, EdgeTeam, Route, TokenCounts } from "../edgeTypes.js";
 import type { HeaderCodec, RawHeaders } from "../protocolCodec.js";
 import { chooseService, type RouteTable } from "../routing/routeTable.js";
 import type { ResponseHead } from "../transport/responseParser.js";
@@ -69,6 +69,9 @@
 /** Retry-After when this host's share of a budget is used up: another host, to which a retry goes, may have tokens. */
 const BudgetRetryMs = 20;
 
+/** Events that an upstream may have sent after the last one that arrived before its stream was stopped. */
+const EventsInFlight = 8;
+
 /** Serves one request. */
 export class RequestFlow implements AttemptListener {
     readonly #parts: FlowParts;
@@ -86,6 +89,8 @@
     #sends = 0;
     /** Whether an attempt ended without telling how much it generated. */
     #hasUncountedOutput = false;
+    /** Whether a running attempt was stopped. */
+    #isAbandoned = false;
     #isOver = false;
 
     constructor(parts: FlowParts, request: EdgeRequest, answer: CallerAnswer) {
@@ -119,8 +124,7 @@
         if (this.#attempt !== undefined && this.#request.route.kind === "nonIdempotent") {
             return;
         }
-        this.#attempt?.cancel();
-        this.#hasUncountedOutput ||= this.#attempt !== undefined && !this.#relay.hasEvents;
+        this.#abandonAttempt();
         this.#conclude("callerGone");
     }
 
@@ -326,13 +330,21 @@
     }
 
     #onTimeout(): void {
-        const wasSent = this.#attempt !== undefined;
-        this.#attempt?.cancel();
-        this.#hasUncountedOutput ||= wasSent;
-        const ran = wasSent && this.#ran === "no" ? "unknown" : this.#ran;
+        this.#abandonAttempt();
+        const ran = this.#ran;
         this.#fail({ code: ran === "no" ? "Overloaded" : "UpstreamTimeout", ran }, "time is over");
     }
 
+    /** Stops the running attempt; what it generated after the last event that arrived is not known. */
+    #abandonAttempt(): void {
+        if (this.#attempt === undefined) {
+            return;
+        }
+        this.#attempt.cancel();
+        this.#isAbandoned = true;
+        this.#ran = this.#relay.hasEvents ? "yes" : this.#ran === "no" ? "unknown" : this.#ran;
+    }
+
     #retryAfterMs(): number {
         return Math.max(0, Math.min(LongestRetryAfterMs, this.#remainingMs * RetryAfterPart));
     }
@@ -350,28 +362,37 @@
         this.#isOver = true;
         this.#attempt = undefined;
         clearTimeout(this.#endTimer);
-        this.#settle();
+        const chargedTokens = this.#settle();
         if (outcome !== "failed") {
-            log.info("request ended", { request: this.#request.requestId, ...this.#describe(), outcome });
+            log.info("request ended", { request: this.#request.requestId, ...this.#describe(), outcome, chargedTokens });
         }
     }
 
     /** Charges the prompt once and the output that was delivered; without a count, the whole reservation. */
-    #settle(): void {
-        const { team, facts, table } = this.#request;
+    #settle(): number {
+        const { team, facts } = this.#request;
         if (team === undefined || facts.tokens === undefined || this.#reservedTokens === 0) {
-            return;
+            return 0;
         }
-        const service: Service | undefined = table.findService(this.#service);
-        const outputTokens = this.#relay.eventCount * (service?.engine?.tokensPerEvent ?? 1);
-        const isNotRun = this.#ran === "no" && !this.#hasUncountedOutput;
-        const costTokens = this.#hasUncountedOutput ?
-            this.#reservedTokens :
-            isNotRun ?
-            0 :
-            facts.tokens.promptTokens + outputTokens;
-        this.#parts.budgets.settle(team.name, this.#reservedTokens, Math.min(this.#reservedTokens, costTokens));
+        const costTokens = Math.min(this.#reservedTokens, this.#costOf(facts.tokens));
+        this.#parts.budgets.settle(team.name, this.#reservedTokens, costTokens);
         this.#reservedTokens = 0;
+        return costTokens;
+    }
+
+    #costOf(tokens: TokenCounts): number {
+        const engine = this.#request.table.findService(this.#service)?.engine;
+        if (this.#hasUncountedOutput || (engine === undefined && this.#relay.hasEvents)) {
+            return this.#reservedTokens;
+        }
+        if (this.#ran === "no") {
+            return 0;
+        }
+        if (this.#isAbandoned && !this.#relay.hasEvents) {
+            return this.#reservedTokens;
+        }
+        const eventCount = this.#relay.eventCount + (this.#isAbandoned ? EventsInFlight : 0);
+        return tokens.promptTokens + eventCount * (engine?.tokensPerEvent ?? 0);
     }
 
     #describe(): Record<string, unknown> {
--- a/src/edge/upstream/upstreamChoice.ts
+++ b/src/edge/upstream/upstreamChoice.ts
@@ -24,6 +24,15 @@
 /** Load relative to the mean up to which the preferred upstream is used. */
 const AffinityLoadBound = 1.5;
 
+/** Prompt tokens that are left to read from which a request delays the tokens of others noticeably. */
+const LongPromptTokens = 3_000;
+
+/** Part of the upstreams that long prompts go to. */
+const LongPart = 0.75;
+
+/** Requests that an upstream for long prompts must have less to get a short one. */
+const LongUpstreamPenalty = 10;
+
 /** Requests that an upstream in another zone must have less to be chosen; bytes between zones are priced. */
 const OtherZonePenalty = { generation: 3, plain: 1 } as const;
 
@@ -46,7 +55,23 @@
     if (open.length === 0) {
         return undefined;
     }
-    return preferredByPrompt(open, input) ?? leastLoaded(open, input, random);
+    const longIds = longUpstreams(input);
+    if (input.promptTokens < LongPromptTokens) {
+        return leastLoaded(open, input, random, longIds);
+    }
+    const long = open.filter(({ entry }) => longIds.has(entry.id));
+    const candidates = long.length > 0 ? long : open;
+    return preferredByPrompt(candidates, input) ?? leastLoaded(candidates, input, random, new Set());
+}
+
+/**
+ * Long prompts keep to some of the upstreams, so that the tokens of short ones are not held up by their reading. All hosts
+ * choose the same ones without messages.
+ */
+function longUpstreams(input: ChoiceInput): ReadonlySet<string> {
+    const ids = input.candidates.map(({ entry }) => entry.id);
+    const count = input.isGeneration && ids.length > 1 ? Math.ceil(ids.length * LongPart) : 0;
+    return new Set(rendezvousOrder("long", ids).slice(0, count));
 }
 
 function preferredByPrompt(open: readonly Upstream[], input: ChoiceInput): Upstream | undefined {
@@ -70,13 +95,19 @@
     return tokens < AffinityMinTokens ? undefined : shared.at(-1)?.id;
 }
 
-function leastLoaded(open: readonly Upstream[], input: ChoiceInput, random: Random): Upstream {
+function leastLoaded(
+    open: readonly Upstream[],
+    input: ChoiceInput,
+    random: Random,
+    longIds: ReadonlySet<string>,
+): Upstream {
     const penalty = input.isGeneration ? OtherZonePenalty.generation : OtherZonePenalty.plain;
     let best = open[0]!;
     let bestCost = Number.POSITIVE_INFINITY;
     for (const upstream of open) {
         const distance = upstream.entry.zone === input.zone ? 0 : penalty;
-        const cost = loadOf(upstream, input) + distance + random.next() / 2;
+        const separation = longIds.has(upstream.entry.id) ? LongUpstreamPenalty : 0;
+        const cost = loadOf(upstream, input) + distance + separation + random.next() / 2;
         if (cost < bestCost) {
             best = upstream;
             bestCost = cost;
