--- a/src/edge/budget/spendingRight.ts
+++ b/src/edge/budget/spendingRight.ts
@@ -14,7 +14,7 @@
  * Age of a record from which more than its limit may be spent, in milliseconds. Hosts write every second, so an older
  * record means that the store cannot be reached.
  */
-export const ReleaseAfterMs = 2_000;
+export const ReleaseAfterMs = 1_700;
 
 /**
  * Tokens that may have been spent when a record has a certain age. A process keeps to it while it runs, and its successor
--- a/src/edge/budget/teamAccount.ts
+++ b/src/edge/budget/teamAccount.ts
@@ -20,6 +20,9 @@
 /** Time in which at least one request of mean cost is released, in milliseconds. */
 const ReleaseRequestMs = 1_500;
 
+/** Cost assumed before a team's first request at this host, in tokens: a short chat with a part of a long prompt. */
+const InitialCostTokens = 4_000;
+
 /** Weight of the newest request in the mean cost. */
 const MeanCostWeight = 0.1;
 
@@ -47,7 +50,7 @@
     #acknowledged: DatedBound | undefined;
     /** Bounds of records that may take effect or not: spending keeps to all of them. */
     #proposed: DatedBound[] = [];
-    #meanCostTokens = 0;
+    #meanCostTokens = InitialCostTokens;
     #reservedTokens = 0;
     #settledTokens = 0;
 
@@ -92,9 +95,7 @@
     /** Records a request for tokens. */
     noteDemand(costTokens: number, nowMs: number): void {
         this.#demand.add(costTokens, nowMs);
-        this.#meanCostTokens = this.#meanCostTokens === 0 ?
-            costTokens :
-            this.#meanCostTokens + MeanCostWeight * (costTokens - this.#meanCostTokens);
+        this.#meanCostTokens += MeanCostWeight * (costTokens - this.#meanCostTokens);
     }
 
     /** @returns Whether the tokens were reserved. */
