--- a/src/edge/budget/budgetKeeper.ts
+++ b/src/edge/budget/budgetKeeper.ts
@@ -53,6 +53,8 @@
     readonly key: string;
     readonly hostId: string;
     readonly incarnation: string;
+    /** Where this host takes load reports; the ledger tells the other hosts. */
+    readonly peerAddress: string;
     /** When this process started. */
     readonly start: ProcessStart;
     /** @returns The machine's steady clock in milliseconds; processes of one start of a machine share it. */
@@ -80,6 +82,7 @@
     #unsettledVersion: number | undefined;
     /** Monotonic times at which records were made, by their sequence. */
     readonly #madeMs = new Map<number, number>();
+    #peerAddresses: readonly string[] = [];
     #isEstablished = false;
     #isClosing = false;
     #isSyncing = false;
@@ -107,6 +110,11 @@
         return Math.max(1, recent, this.#parts.expectedHostCount);
     }
 
+    /** @returns Addresses of the other hosts, for load reports. */
+    get peerAddresses(): readonly string[] {
+        return this.#peerAddresses;
+    }
+
     /** @returns Numbers of each team, for the state dump. */
     dumpState(): unknown {
         return {
@@ -360,6 +368,9 @@
     #take(known: KnownLedger): void {
         this.#known = known;
         this.#readMs = this.#nowMs;
+        this.#peerAddresses = Object.entries(known.ledger.hosts)
+            .filter(([id]) => id !== this.#parts.hostId)
+            .map(([, { peerAddress }]) => peerAddress);
         const isNewer = this.#unsettledVersion !== known.version;
         const host = known.ledger.hosts[this.#parts.hostId];
         const ownSequence = host?.incarnation === this.#parts.incarnation ? host.sequence : 0;
@@ -407,6 +418,7 @@
         this.#madeMs.set(++this.#sequence, nowMs);
         const host = {
             incarnation,
+            peerAddress: this.#parts.peerAddress,
             sequence: this.#sequence,
             writtenAtMs: Math.floor(clock.wallMs()),
             writtenSteadyMs: Math.floor(this.#parts.steadyMs()),
--- a/src/edge/budget/ledger.ts
+++ b/src/edge/budget/ledger.ts
@@ -32,6 +32,8 @@
 /** A host that writes to the ledger. */
 export const LedgerHostSchema = z.object({
     incarnation: z.string(),
+    /** `IP:port` at which the host takes load reports. */
+    peerAddress: z.string(),
     /** Number of the incarnation's last write; makes each write a change. */
     sequence: z.number().int().nonnegative(),
     /** Wall-clock time of the last write by the host's own clock, in milliseconds. */
--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -10,6 +10,7 @@
 import type { EdgeSettings } from "./edgeSettings.js";
 import { CallerListener } from "./flow/callerListener.js";
 import { RetryBudgets } from "./flow/retryBudgets.js";
+import { LoadGossip } from "./peers/loadGossip.js";
 import type { HeaderCodec, ObjectCodec } from "./protocolCodec.js";
 import { UpstreamDirectory } from "./upstream/upstreamDirectory.js";
 import { UpstreamFeed } from "./upstream/upstreamFeed.js";
@@ -48,6 +49,7 @@
     readonly #directory: UpstreamDirectory;
     readonly #upstreamFeed: UpstreamFeed;
     readonly #budgets: BudgetKeeper;
+    readonly #gossip: LoadGossip;
     readonly #listener: CallerListener;
     readonly #readiness: Server;
     readonly #incarnation: string;
@@ -66,6 +68,14 @@
         });
         this.#upstreamFeed = new UpstreamFeed(parts.store, parts.objects, this.#clock, this.#directory);
         this.#budgets = this.#createBudgets();
+        this.#gossip = new LoadGossip({
+            clock: this.#clock,
+            random: this.#random,
+            directory: this.#directory,
+            hostId: settings.hostId,
+            incarnation: this.#incarnation,
+            peerAddresses: () => this.#budgets.peerAddresses,
+        });
         this.#listener = this.#createListener();
         this.#readiness = createServer((_request, response) => {
             response.writeHead(this.isReady ? 200 : 503, { "Content-Length": 0 });
@@ -89,6 +99,8 @@
             this.#readiness.once("error", reject);
             this.#readiness.listen(readiness.port, readiness.host, resolve);
         });
+        const peer = splitAddress(this.#settings.peerAddress);
+        this.#gossip.start(peer.host, peer.port);
         this.#ticker = setInterval(() => this.#tick(), TickIntervalMs);
         log.info("edge started", {
             host: this.#settings.hostId,
@@ -117,6 +129,7 @@
         clearInterval(this.#ticker);
         this.#configuration.stop();
         this.#upstreamFeed.stop();
+        this.#gossip.stop();
         this.#listener.destroy();
         this.#readiness.close();
         this.#readiness.closeAllConnections();
@@ -150,6 +163,7 @@
             key: `${this.#parts.objects.ownPrefix}ledger`,
             hostId: this.#settings.hostId,
             incarnation: this.#incarnation,
+            peerAddress: this.#settings.peerAddress,
             start: this.#start,
             steadyMs,
             expectedHostCount: this.#settings.zoneCount * ExpectedHostsPerZone,
@@ -175,7 +189,7 @@
             ),
             zone,
             maxHeaderBytes,
-            othersLoad: () => 0,
+            othersLoad: upstream => this.#gossip.loadAt(upstream.entry.id),
             configuration: () => this.#configuration,
             isLeaving: () => this.#isLeaving,
         });
--- a/src/edge/edgeSettings.ts
+++ b/src/edge/edgeSettings.ts
@@ -8,6 +8,7 @@
     hostId: z.string().min(1).describe("identity of the host; a restarted process keeps it"),
     zone: z.string().default("").describe("availability zone of the host"),
     zoneCount: z.number().int().positive().default(1).describe("availability zones of the deployment"),
+    peerAddress: AddressSchema.describe("address for load reports of other hosts, over UDP"),
     listen: z.strictObject({
         caller: AddressSchema.describe("address for callers"),
         readiness: AddressSchema.describe("address of the balancer's readiness check"),
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -5,6 +5,7 @@
 import type { RanState } from "../../base/resultCodes.js";
 import type { BudgetKeeper } from "../budget/budgetKeeper.js";
 import type { CallerFacts, EdgeTeam, Route, TokenCounts } from "../edgeTypes.js";
+import type { PeerLoad } from "../peers/peerLoads.js";
 import type { HeaderCodec, RawHeaders } from "../protocolCodec.js";
 import { chooseService, type RouteTable } from "../routing/routeTable.js";
 import type { ResponseHead } from "../transport/responseParser.js";
@@ -27,8 +28,8 @@
     readonly budgets: BudgetKeeper;
     readonly retries: RetryBudgets;
     readonly zone: string;
-    /** @returns Load that other hosts put on an upstream, in requests. */
-    othersLoad(upstream: Upstream): number;
+    /** @returns Load that other hosts put on an upstream. */
+    othersLoad(upstream: Upstream): PeerLoad;
 }
 
 /** A caller's request, routed and read. */
--- a/src/edge/upstream/upstreamChoice.ts
+++ b/src/edge/upstream/upstreamChoice.ts
@@ -2,6 +2,7 @@
 import { rendezvousOrder } from "../../base/hashing.js";
 import type { Random } from "../../base/random.js";
 import type { PromptPart } from "../edgeTypes.js";
+import type { PeerLoad } from "../peers/peerLoads.js";
 import type { Upstream } from "./upstream.js";
 
 /** What the choice depends on. */
@@ -14,8 +15,8 @@
     readonly zone: string;
     readonly isGeneration: boolean;
     readonly nowMs: number;
-    /** Load that other hosts put on an upstream, in requests. */
-    othersLoad(upstream: Upstream): number;
+    /** Load that other hosts put on an upstream. */
+    othersLoad(upstream: Upstream): PeerLoad;
 }
 
 /** Shared prompt tokens from which it pays to go where they are cached. */
@@ -41,7 +42,9 @@
 
 /** @returns Load of an upstream in requests. */
 export function loadOf(upstream: Upstream, input: ChoiceInput): number {
-    return upstream.openCount + upstream.waitingPrefillTokens / TokensPerRequest + input.othersLoad(upstream);
+    const others = input.othersLoad(upstream);
+    const waitingTokens = upstream.waitingPrefillTokens + others.waitingPrefillTokens;
+    return upstream.openCount + others.openCount + waitingTokens / TokensPerRequest;
 }
 
 /**
