--- a/src/edge/upstream/upstreamChoice.ts
+++ b/src/edge/upstream/upstreamChoice.ts
@@ -32,7 +32,7 @@
 const LongPart = 0.75;
 
 /** Requests that an upstream for long prompts must have less to get a short one. */
-const LongUpstreamPenalty = 10;
+const LongUpstreamPenalty = 40;
 
 /** Requests that an upstream in another zone must have less to be chosen; bytes between zones are priced. */
 const OtherZonePenalty = { generation: 3, plain: 1 } as const;
