--- a/src/edge/budget/budgetKeeper.ts
+++ b/src/edge/budget/budgetKeeper.ts
@@ -179,6 +179,11 @@
         }
     }
 
+    /** The store answers again: a record that is written at once bounds what the outage puts at risk. */
+    onStoreReturned(): void {
+        this.#nextWriteMs = this.#nowMs;
+    }
+
     /** Gives all unused tokens back. */
     async close(): Promise<void> {
         this.#isClosing = true;
--- a/src/edge/budget/teamAccount.ts
+++ b/src/edge/budget/teamAccount.ts
@@ -14,8 +14,11 @@
 /** Requests of mean cost that the limit covers at least; a larger one waits for a record. */
 const LimitRequests = 1.5;
 
-/** Release of an old record's rest as a multiple of the demand: a team may send several times its usual in an outage. */
-const ReleaseFactor = 2.5;
+/**
+ * Release of an old record's rest as a multiple of the demand. A larger one serves teams that send more than usual in an
+ * outage, a smaller one leaves more to spend when processes are killed in an outage.
+ */
+const ReleaseFactor = 1.6;
 
 /** Time in which at least one request of mean cost is released, in milliseconds. */
 const ReleaseRequestMs = 1_500;
--- a/src/edge/configurationKeeper.ts
+++ b/src/edge/configurationKeeper.ts
@@ -39,6 +39,11 @@
         return this.#feed.isConnected && this.#clock.monotonicMs() - this.#feed.confirmedMs <= FreshMs;
     }
 
+    /** @returns Whether the store answers. */
+    get isConnected(): boolean {
+        return this.#feed.isConnected;
+    }
+
     start(): void {
         this.#feed.start();
     }
--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -56,6 +56,7 @@
     readonly #start: ProcessStart;
     #ticker: NodeJS.Timeout | undefined;
     #isLeaving = false;
+    #wasConnected = true;
 
     constructor(settings: EdgeSettings, parts: EdgeParts) {
         this.#settings = settings;
@@ -151,6 +152,11 @@
 
     #tick(): void {
         this.#directory.tick();
+        const { isConnected } = this.#configuration;
+        if (isConnected && !this.#wasConnected) {
+            this.#budgets.onStoreReturned();
+        }
+        this.#wasConnected = isConnected;
         if (this.#configuration.table !== undefined) {
             this.#budgets.tick();
         }
