--- a/src/base/lineWriter.ts
+++ b/src/base/lineWriter.ts
@@ -48,7 +48,9 @@
             return;
         }
         if (this.#droppedLines > 0) {
-            this.#lines.push(JSON.stringify({ level: "warn", message: "log lines dropped", count: this.#droppedLines }));
+            this.#lines.push(
+                JSON.stringify({ level: "warn", message: "log lines dropped", count: this.#droppedLines }),
+            );
             this.#droppedLines = 0;
         }
         const bytes = Buffer.from(`${this.#lines.join("\n")}\n`);
--- /dev/null
+++ b/src/edge/budget/edgeAccounts.ts
@@ -0,0 +1,61 @@
+/** The accounts of all teams on this host. */
+import type { Clock } from "../../base/clock.js";
+import { TeamAccount } from "./teamAccount.js";
+
+/** Accounts by team; opened on demand. */
+export class EdgeAccounts {
+    readonly #clock: Clock;
+    readonly #byTeam = new Map<string, TeamAccount>();
+
+    constructor(clock: Clock) {
+        this.#clock = clock;
+    }
+
+    /** @returns Monotonic time in milliseconds. */
+    get nowMs(): number {
+        return this.#clock.monotonicMs();
+    }
+
+    /** @returns Wall-clock time in milliseconds. */
+    get wallMs(): number {
+        return this.#clock.wallMs();
+    }
+
+    /** @returns All open accounts. */
+    get all(): readonly TeamAccount[] {
+        return [...this.#byTeam.values()];
+    }
+
+    /** @returns Tokens spent or reserved, of all teams. */
+    get usedTokens(): number {
+        return this.all.reduce((sum, account) => sum + account.usedTokens, 0);
+    }
+
+    /** @returns Whether a request waits for tokens, or a new record would let clearly more be spent. */
+    get wantRecord(): boolean {
+        return this.all.some(account => account.waiting.length > 0 || account.wantsRecord(this.nowMs));
+    }
+
+    /** @returns The account of a team. */
+    open(team: string): TeamAccount {
+        let account = this.#byTeam.get(team);
+        if (account === undefined) {
+            account = new TeamAccount(team, this.nowMs);
+            this.#byTeam.set(team, account);
+        }
+        return account;
+    }
+
+    /** @returns The accounts of the named teams and all others that are open. */
+    openAll(teams: readonly string[]): readonly TeamAccount[] {
+        for (const team of teams) {
+            this.open(team);
+        }
+        return this.all;
+    }
+
+    /** @returns The account of a team if it is open. */
+    find(team: string): TeamAccount | undefined {
+        return this.#byTeam.get(team);
+    }
+}
--- a/src/edge/budget/ledger.ts
+++ b/src/edge/budget/ledger.ts
@@ -119,6 +119,6 @@
             shares,
         }];
     });
-    const { [hostId]: _closed, ...hosts } = ledger.hosts;
+    const hosts = Object.fromEntries(Object.entries(ledger.hosts).filter(([id]) => id !== hostId));
     return { hosts, teams: Object.fromEntries(teams) };
 }
--- /dev/null
+++ b/src/edge/budget/ledgerSync.ts
@@ -0,0 +1,346 @@
+/** Keeps the stored ledger and this host's accounts in step: reads, plans, writes and resolves what got no answer. */
+import { log } from "../../base/log.js";
+import type { PlatformStore, WriteOutcome } from "../../platform/platformStore.js";
+import type { EdgeAccounts } from "./edgeAccounts.js";
+import {
+    closePredecessor,
+    EmptyLedger,
+    EmptyTeamLedger,
+    type HostShare,
+    type Ledger,
+    LedgerSchema,
+    type ProcessStart,
+    recordAgeMs,
+    type TeamLedger,
+    unheldTokens,
+} from "./ledger.js";
+import { planGrant } from "./sharePlan.js";
+import type { TeamAccount } from "./teamAccount.js";
+
+/** Interval of writes by a host with traffic, in milliseconds; see `spendingRight.ts`. */
+const ReportIntervalMs = 1_000;
+
+/** Interval of writes by a host without traffic, in milliseconds: its record ages, but it has nothing to spend on. */
+const IdleReportIntervalMs = 8_000;
+
+/** Pause after the store failed, in milliseconds; retried often enough to be in step a second after it returns. */
+const FailurePauseMs = 400;
+
+/** Shortest time between two writes, so that a burst of requests causes one write and not one each, in milliseconds. */
+const WriteSpacingMs = 200;
+
+/** Conflicts in a row after which a write is put off. */
+const MostConflicts = 6;
+
+/** What the synchronisation is built from. */
+export interface LedgerSyncParts {
+    readonly store: PlatformStore;
+    readonly key: string;
+    readonly hostId: string;
+    readonly incarnation: string;
+    /** Where this host takes load reports; the ledger tells the other hosts. */
+    readonly peerAddress: string;
+    /** When this process started. */
+    readonly start: ProcessStart;
+    /** @returns The machine's steady clock in milliseconds; processes of one start of a machine share it. */
+    steadyMs(): number;
+    /** Hosts to assume as long as the ledger shows fewer. */
+    readonly expectedHostCount: number;
+    /** @returns Prepaid tokens of a team by the configuration in force; `undefined` for no limit. */
+    prepaidTokens(team: string): number | undefined;
+    /** @returns Teams with a prepaid amount. */
+    limitedTeams(): readonly string[];
+}
+
+/** The ledger as last seen, with its version. */
+interface KnownLedger {
+    readonly ledger: Ledger;
+    readonly version: number;
+}
+
+/** One writer of the ledger. */
+export class LedgerSync {
+    readonly #parts: LedgerSyncParts;
+    readonly #accounts: EdgeAccounts;
+    #known: KnownLedger | undefined;
+    /** Version on which the writes without an answer depend: they may take effect until it changes. */
+    #unsettledVersion: number | undefined;
+    /** Monotonic times at which records were made, by their sequence. */
+    readonly #madeMs = new Map<number, number>();
+    #isEstablished = false;
+    #isClosing = false;
+    #isSyncing = false;
+    #isFailing = false;
+    #sequence = 0;
+    #nextWriteMs = 0;
+    #reportedMs = Number.NEGATIVE_INFINITY;
+    #readMs = Number.NEGATIVE_INFINITY;
+    #reportedUsedTokens = 0;
+
+    constructor(parts: LedgerSyncParts, accounts: EdgeAccounts) {
+        this.#parts = parts;
+        this.#accounts = accounts;
+    }
+
+    /** @returns The ledger as last seen. */
+    get known(): KnownLedger | undefined {
+        return this.#known;
+    }
+
+    /** @returns Whether the shares of this incarnation are acknowledged. */
+    get isEstablished(): boolean {
+        return this.#isEstablished;
+    }
+
+    /** @returns Whether the newest call to the store failed. */
+    get isFailing(): boolean {
+        return this.#isFailing;
+    }
+
+    /** @returns Age of what is known of the ledger, in milliseconds. */
+    get ageMs(): number {
+        return this.#accounts.nowMs - this.#readMs;
+    }
+
+    /** Writes when something is due; called every few ten milliseconds. */
+    tick(): void {
+        if (this.#isSyncing || this.#accounts.nowMs < this.#nextWriteMs) {
+            return;
+        }
+        if (!this.#isEstablished || this.#isClosing || this.#accounts.wantRecord || this.#isReportDue()) {
+            void this.#sync();
+        }
+    }
+
+    /** The store answers again: a record that is written at once bounds what the outage puts at risk. */
+    onStoreReturned(): void {
+        this.#nextWriteMs = this.#accounts.nowMs;
+    }
+
+    /** Gives all unused tokens back. */
+    async close(): Promise<void> {
+        this.#isClosing = true;
+        if (!this.#isSyncing) {
+            await this.#sync();
+        }
+    }
+
+    #isReportDue(): boolean {
+        const ageMs = this.#accounts.nowMs - this.#reportedMs;
+        return ageMs >= IdleReportIntervalMs ||
+            (ageMs >= ReportIntervalMs && this.#accounts.usedTokens !== this.#reportedUsedTokens);
+    }
+
+    async #sync(): Promise<void> {
+        this.#isSyncing = true;
+        try {
+            await this.#syncOnce();
+        }
+        catch (error) {
+            this.#noteFailure(String(error));
+        }
+        finally {
+            this.#isSyncing = false;
+        }
+    }
+
+    async #syncOnce(): Promise<void> {
+        for (let conflicts = 0; conflicts < MostConflicts; conflicts++) {
+            if (this.#known === undefined && !await this.#read()) {
+                return;
+            }
+            const known = this.#known ?? { ledger: EmptyLedger, version: 0 };
+            const next = this.#plan(known.ledger);
+            this.#unsettledVersion = known.version;
+            const outcome = await this.#parts.store.put(this.#parts.key, next, known.version);
+            if (!this.#handleWrite(outcome, next)) {
+                return;
+            }
+        }
+        this.#nextWriteMs = this.#accounts.nowMs + WriteSpacingMs;
+    }
+
+    /** @returns Whether the write should be tried again at once. */
+    #handleWrite(outcome: WriteOutcome, next: Ledger): boolean {
+        this.#nextWriteMs = this.#accounts.nowMs + WriteSpacingMs;
+        if (outcome.status === "applied") {
+            this.#isEstablished = true;
+            this.#reportedMs = this.#accounts.nowMs;
+            this.#reportedUsedTokens = this.#accounts.usedTokens;
+            this.#take({ ledger: next, version: outcome.version });
+            this.#noteRegained();
+            this.#logShares(outcome.version);
+            return false;
+        }
+        if (outcome.status === "conflict") {
+            return this.#handleConflict(outcome.current?.value, outcome.current?.version);
+        }
+        if (outcome.status === "refused") {
+            for (const account of this.#accounts.all) {
+                account.withdrawLast();
+            }
+        }
+        else {
+            this.#known = undefined;
+        }
+        this.#noteFailure(outcome.reason);
+        return false;
+    }
+
+    #handleConflict(value: unknown, version: number | undefined): boolean {
+        if (value === undefined || version === undefined) {
+            this.#known = undefined;
+            return true;
+        }
+        return this.#adopt(value, version);
+    }
+
+    async #read(): Promise<boolean> {
+        const outcome = await this.#parts.store.get(this.#parts.key);
+        if (outcome.status === "unavailable") {
+            this.#noteFailure(outcome.reason);
+            return false;
+        }
+        if (outcome.status === "absent") {
+            this.#take({ ledger: EmptyLedger, version: 0 });
+            return true;
+        }
+        return this.#adopt(outcome.object.value, outcome.object.version);
+    }
+
+    #adopt(value: unknown, version: number): boolean {
+        const ledger = LedgerSchema.safeParse(value);
+        if (!ledger.success) {
+            this.#noteFailure(`the ledger cannot be read: ${ledger.error.message}`);
+            return false;
+        }
+        this.#take({ ledger: ledger.data, version });
+        return true;
+    }
+
+    /** Takes over a ledger. A newer version ends the writes that depended on an older one. */
+    #take(known: KnownLedger): void {
+        this.#known = known;
+        this.#readMs = this.#accounts.nowMs;
+        const isNewer = this.#unsettledVersion !== known.version;
+        const host = known.ledger.hosts[this.#parts.hostId];
+        const ownSequence = host?.incarnation === this.#parts.incarnation ? host.sequence : 0;
+        const madeMs = this.#madeMs.get(ownSequence);
+        for (const account of this.#accounts.all) {
+            if (isNewer) {
+                account.withdrawAll();
+            }
+            const share = known.ledger.teams[account.name]?.shares[this.#parts.hostId];
+            if (madeMs !== undefined && share !== undefined) {
+                account.acknowledge({ ...share, madeMs });
+            }
+            account.serveWaiting(this.#accounts.nowMs);
+        }
+        if (isNewer) {
+            this.#unsettledVersion = undefined;
+            this.#forgetRecordsBefore(ownSequence);
+        }
+    }
+
+    #forgetRecordsBefore(sequence: number): void {
+        for (const known of this.#madeMs.keys()) {
+            if (known < sequence) {
+                this.#madeMs.delete(known);
+            }
+        }
+    }
+
+    /** Plans this host's shares; spending keeps to them from now on, as the write may take effect at any time. */
+    #plan(stored: Ledger): Ledger {
+        const { hostId, incarnation, start } = this.#parts;
+        const ledger = closePredecessor(stored, hostId, incarnation, start);
+        this.#logClosed(stored, ledger);
+        const nowMs = this.#accounts.nowMs;
+        const accounts = this.#accounts.openAll(this.#parts.limitedTeams());
+        const totalDemandTokensPerS = accounts.reduce((sum, account) => sum + account.demandTokensPerS(nowMs), 0);
+        const teams: Record<string, TeamLedger> = { ...ledger.teams };
+        for (const account of accounts) {
+            const team = ledger.teams[account.name] ?? EmptyTeamLedger;
+            const share = this.#planShare(ledger, team, account, totalDemandTokensPerS);
+            account.propose({ ...share, madeMs: nowMs });
+            teams[account.name] = { ...team, shares: { ...team.shares, [hostId]: share } };
+        }
+        this.#madeMs.set(++this.#sequence, nowMs);
+        const host = {
+            incarnation,
+            peerAddress: this.#parts.peerAddress,
+            sequence: this.#sequence,
+            writtenAtMs: Math.floor(this.#accounts.wallMs),
+            writtenSteadyMs: Math.floor(this.#parts.steadyMs()),
+        };
+        return { hosts: { ...ledger.hosts, [hostId]: host }, teams };
+    }
+
+    #planShare(ledger: Ledger, team: TeamLedger, account: TeamAccount, totalDemandTokensPerS: number): HostShare {
+        const { settledTokens, usedTokens, grantedTokens } = account;
+        const demandTokensPerS = account.demandTokensPerS(this.#accounts.nowMs);
+        const granted = this.#isClosing ? usedTokens : planGrant({
+            ledger,
+            team,
+            hostId: this.#parts.hostId,
+            prepaidTokens: this.#parts.prepaidTokens(account.name) ?? 0,
+            expectedHostCount: this.#parts.expectedHostCount,
+            grantedTokens,
+            usedTokens,
+            neededTokens: account.waitingTokens,
+            demandTokensPerS,
+            totalDemandTokensPerS,
+        });
+        return {
+            grantedTokens: granted,
+            limitTokens: account.limitFor(granted, this.#accounts.nowMs),
+            releaseTokensPerS: account.releaseTokensPerS(this.#accounts.nowMs),
+            settledTokens,
+            demandTokensPerS,
+        };
+    }
+
+    /** One line when shares are closed: tokens spent by the record and at risk, by team. */
+    #logClosed(stored: Ledger, closed: Ledger): void {
+        const host = stored.hosts[this.#parts.hostId];
+        if (stored === closed || host === undefined) {
+            return;
+        }
+        const shares = Object.entries(closed.teams).map(([name, team]) => {
+            const before = stored.teams[name] ?? EmptyTeamLedger;
+            return `${name}:${team.closedTokens - before.closedTokens}/${team.atRiskTokens - before.atRiskTokens}`;
+        });
+        log.info("budget shares of the previous process closed", {
+            host: this.#parts.hostId,
+            predecessor: host.incarnation,
+            recordAgeMs: recordAgeMs(host, this.#parts.start),
+            ledgerVersion: this.#known?.version,
+            shares: shares.join(" "),
+        });
+    }
+
+    /** One line a write: tokens granted, used and left unheld, by team. */
+    #logShares(version: number): void {
+        const shares = this.#accounts.all.map(account => {
+            const team = this.#known?.ledger.teams[account.name] ?? EmptyTeamLedger;
+            const unheld = unheldTokens(team, this.#parts.prepaidTokens(account.name) ?? 0);
+            return `${account.name}:${account.grantedTokens}/${account.usedTokens}/${unheld}`;
+        });
+        log.info("budget shares written", { version, shares: shares.join(" ") });
+    }
+
+    #noteFailure(reason: string): void {
+        this.#nextWriteMs = this.#accounts.nowMs + FailurePauseMs;
+        if (!this.#isFailing) {
+            this.#isFailing = true;
+            log.warn("budget ledger lost", { reason, readAgeMs: Math.round(this.#accounts.nowMs - this.#readMs) });
+        }
+    }
+
+    #noteRegained(): void {
+        if (this.#isFailing) {
+            this.#isFailing = false;
+            log.info("budget ledger regained", { version: this.#known?.version });
+        }
+    }
+}
--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -134,7 +134,11 @@
         this.#listener.destroy();
         this.#readiness.close();
         this.#readiness.closeAllConnections();
-        log.info("edge stopped", { host: this.#settings.hostId, open: this.#listener.openCount, elapsedMs: elapsedMs() });
+        log.info("edge stopped", {
+            host: this.#settings.hostId,
+            open: this.#listener.openCount,
+            elapsedMs: elapsedMs(),
+        });
     }
 
     /** @returns State for the dump. */
--- a/src/edge/flow/attempt.ts
+++ b/src/edge/flow/attempt.ts
@@ -2,8 +2,8 @@
 import type { Clock } from "../../base/clock.js";
 import type { AnswerFacts } from "../edgeTypes.js";
 import type { HeaderCodec } from "../protocolCodec.js";
-import type { ExchangeFailure, OutgoingRequest, UpstreamConnection } from "../transport/upstreamConnection.js";
 import type { ResponseHead } from "../transport/responseParser.js";
+import type { ExchangeFailure, OutgoingRequest, UpstreamConnection } from "../transport/upstreamConnection.js";
 import type { OpenDispatch, Upstream } from "../upstream/upstream.js";
 import type { AttemptResult } from "../upstream/upstreamHealth.js";
 
@@ -16,7 +16,11 @@
     /** No byte was sent. */
     | { readonly status: "unreachable"; readonly detail: string; }
     /** The answer broke off, is invalid or did not come in time: the request may have run. */
-    | { readonly status: "interrupted"; readonly reason: "brokenOff" | "malformed" | "silent"; readonly detail: string; };
+    | {
+        readonly status: "interrupted";
+        readonly reason: "brokenOff" | "malformed" | "silent";
+        readonly detail: string;
+    };
 
 /** Receives a streamed answer as it arrives. */
 export interface AttemptListener {
--- a/src/edge/flow/callerAnswer.ts
+++ b/src/edge/flow/callerAnswer.ts
@@ -1,6 +1,6 @@
 /** The answer to one caller: relayed from an upstream, or an error of the edge's own. */
 import type { ServerResponse } from "node:http";
-import { errorBody, type RanState, ResultCodes, type ResultCodeName } from "../../base/resultCodes.js";
+import { errorBody, type RanState, type ResultCodeName, ResultCodes } from "../../base/resultCodes.js";
 import type { ResponseHead } from "../transport/responseParser.js";
 
 /** Headers that concern one connection only. */
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -4,17 +4,18 @@
 import type { Random } from "../../base/random.js";
 import type { RanState } from "../../base/resultCodes.js";
 import type { BudgetKeeper } from "../budget/budgetKeeper.js";
-import type { CallerFacts, EdgeTeam, Route, TokenCounts } from "../edgeTypes.js";
+import type { CallerFacts, EdgeTeam, Route } from "../edgeTypes.js";
 import type { PeerLoad } from "../peers/peerLoads.js";
 import type { HeaderCodec, RawHeaders } from "../protocolCodec.js";
 import { chooseService, type RouteTable } from "../routing/routeTable.js";
 import type { ResponseHead } from "../transport/responseParser.js";
 import type { OutgoingRequest } from "../transport/upstreamConnection.js";
-import { chooseUpstream } from "../upstream/upstreamChoice.js";
 import type { Upstream } from "../upstream/upstream.js";
+import { chooseUpstream } from "../upstream/upstreamChoice.js";
 import type { UpstreamDirectory } from "../upstream/upstreamDirectory.js";
 import { Attempt, type AttemptEnd, type AttemptListener } from "./attempt.js";
 import type { CallerAnswer, EdgeFailure } from "./callerAnswer.js";
+import { costOfRequest } from "./requestCost.js";
 import type { RetryBudgets } from "./retryBudgets.js";
 import { serialiseRequest } from "./serialiseRequest.js";
 import { StreamRelay } from "./streamRelay.js";
@@ -70,9 +71,6 @@
 /** Retry-After when this host's share of a budget is used up: another host, to which a retry goes, may have tokens. */
 const BudgetRetryMs = 20;
 
-/** Events that an upstream may have sent after the last one that arrived before its stream was stopped. */
-const EventsInFlight = 8;
-
 /** Serves one request. */
 export class RequestFlow implements AttemptListener {
     readonly #parts: FlowParts;
@@ -365,37 +363,38 @@
         clearTimeout(this.#endTimer);
         const chargedTokens = this.#settle();
         if (outcome !== "failed") {
-            log.info("request ended", { request: this.#request.requestId, ...this.#describe(), outcome, chargedTokens });
+            log.info("request ended", {
+                request: this.#request.requestId,
+                ...this.#describe(),
+                outcome,
+                chargedTokens,
+            });
         }
     }
 
     /** Charges the prompt once and the output that was delivered; without a count, the whole reservation. */
     #settle(): number {
-        const { team, facts } = this.#request;
+        const { team, facts, table } = this.#request;
         if (team === undefined || facts.tokens === undefined || this.#reservedTokens === 0) {
             return 0;
         }
-        const costTokens = Math.min(this.#reservedTokens, this.#costOf(facts.tokens));
+        const costTokens = Math.min(
+            this.#reservedTokens,
+            costOfRequest({
+                tokens: facts.tokens,
+                reservedTokens: this.#reservedTokens,
+                tokensPerEvent: table.findService(this.#service)?.engine?.tokensPerEvent,
+                eventCount: this.#relay.eventCount,
+                hasRun: this.#ran !== "no",
+                isInterrupted: this.#hasUncountedOutput,
+                isAbandoned: this.#isAbandoned,
+            }),
+        );
         this.#parts.budgets.settle(team.name, this.#reservedTokens, costTokens);
         this.#reservedTokens = 0;
         return costTokens;
     }
 
-    #costOf(tokens: TokenCounts): number {
-        const engine = this.#request.table.findService(this.#service)?.engine;
-        if (this.#hasUncountedOutput || (engine === undefined && this.#relay.hasEvents)) {
-            return this.#reservedTokens;
-        }
-        if (this.#ran === "no") {
-            return 0;
-        }
-        if (this.#isAbandoned && !this.#relay.hasEvents) {
-            return this.#reservedTokens;
-        }
-        const eventCount = this.#relay.eventCount + (this.#isAbandoned ? EventsInFlight : 0);
-        return tokens.promptTokens + eventCount * (engine?.tokensPerEvent ?? 0);
-    }
-
     #describe(): Record<string, unknown> {
         const { route, team, table } = this.#request;
         return {
--- a/src/edge/peers/loadGossip.ts
+++ b/src/edge/peers/loadGossip.ts
@@ -4,7 +4,7 @@
 import { log } from "../../base/log.js";
 import type { Random } from "../../base/random.js";
 import type { UpstreamDirectory } from "../upstream/upstreamDirectory.js";
-import { type PeerLoad, PeerLoads, type LoadReport, LoadReportSchema } from "./peerLoads.js";
+import { type LoadReport, LoadReportSchema, type PeerLoad, PeerLoads } from "./peerLoads.js";
 
 /** Interval of reports, in milliseconds: several in the time that an engine takes to read a long prompt. */
 const ReportIntervalMs = 150;
@@ -81,7 +81,12 @@
         }
         for (const address of this.#receivers()) {
             const separator = address.lastIndexOf(":");
-            this.#socket?.send(bytes, Number(address.slice(separator + 1)), address.slice(0, separator), () => undefined);
+            this.#socket?.send(
+                bytes,
+                Number(address.slice(separator + 1)),
+                address.slice(0, separator),
+                () => undefined,
+            );
         }
     }
 
--- a/src/edge/storeFeed.ts
+++ b/src/edge/storeFeed.ts
@@ -126,7 +126,10 @@
         this.#confirmedMs = this.#clock.monotonicMs();
         if (this.#isFailing) {
             this.#isFailing = false;
-            log.info("store regained", { prefix: this.#prefix, outageMs: Math.round(this.#confirmedMs - this.#failedMs) });
+            log.info("store regained", {
+                prefix: this.#prefix,
+                outageMs: Math.round(this.#confirmedMs - this.#failedMs),
+            });
         }
     }
 
@@ -134,7 +137,11 @@
         const nowMs = this.#clock.monotonicMs();
         if (!this.#isFailing) {
             this.#isFailing = true;
-            log.warn("store lost", { prefix: this.#prefix, reason, confirmedAgeMs: Math.round(nowMs - this.#confirmedMs) });
+            log.warn("store lost", {
+                prefix: this.#prefix,
+                reason,
+                confirmedAgeMs: Math.round(nowMs - this.#confirmedMs),
+            });
         }
         this.#failedMs = nowMs;
     }
--- a/src/edge/upstream/upstreamChoice.ts
+++ b/src/edge/upstream/upstreamChoice.ts
@@ -53,7 +53,9 @@
  */
 export function chooseUpstream(input: ChoiceInput, random: Random): Upstream | undefined {
     const untried = input.candidates.filter(({ entry }) => !input.excluded.has(entry.id));
-    const sound = untried.filter(upstream => !upstream.health.isAvoided(input.nowMs) && !upstream.isSilent(input.nowMs));
+    const sound = untried.filter(upstream =>
+        !upstream.health.isAvoided(input.nowMs) && !upstream.isSilent(input.nowMs)
+    );
     const open = sound.length > 0 ? sound : untried;
     if (open.length === 0) {
         return undefined;
