--- a/src/edge/budget/ledgerSync.ts
+++ b/src/edge/budget/ledgerSync.ts
@@ -67,6 +67,7 @@
     #unsettledVersion: number | undefined;
     /** Monotonic times at which records were made, by their sequence. */
     readonly #madeMs = new Map<number, number>();
+    #hasInherited = false;
     #isEstablished = false;
     #isClosing = false;
     #isSyncing = false;
@@ -254,7 +255,10 @@
     #plan(stored: Ledger): Ledger {
         const { hostId, incarnation, start } = this.#parts;
         const ledger = closePredecessor(stored, hostId, incarnation, start);
-        this.#logClosed(stored, ledger);
+        if (stored !== ledger) {
+            this.#logClosed(stored, ledger);
+            this.#inheritDemand(stored);
+        }
         const nowMs = this.#accounts.nowMs;
         const accounts = this.#accounts.openAll(this.#parts.limitedTeams());
         const totalDemandTokensPerS = accounts.reduce((sum, account) => sum + account.demandTokensPerS(nowMs), 0);
@@ -300,10 +304,24 @@
         };
     }
 
+    /** The first try only: a conflict leads here again. */
+    #inheritDemand(stored: Ledger): void {
+        if (this.#hasInherited) {
+            return;
+        }
+        this.#hasInherited = true;
+        for (const [name, team] of Object.entries(stored.teams)) {
+            const demandTokensPerS = team.shares[this.#parts.hostId]?.demandTokensPerS ?? 0;
+            if (demandTokensPerS > 0) {
+                this.#accounts.open(name).inheritDemand(demandTokensPerS, this.#accounts.nowMs);
+            }
+        }
+    }
+
     /** One line when shares are closed: tokens spent by the record and at risk, by team. */
     #logClosed(stored: Ledger, closed: Ledger): void {
         const host = stored.hosts[this.#parts.hostId];
-        if (stored === closed || host === undefined) {
+        if (host === undefined) {
             return;
         }
         const shares = Object.entries(closed.teams).map(([name, team]) => {
--- a/src/edge/budget/teamAccount.ts
+++ b/src/edge/budget/teamAccount.ts
@@ -11,8 +11,8 @@
 /** Demand that the limit covers at once, in milliseconds: until a record's rest is released, and a margin for swings. */
 const LimitHorizonMs = 1_800;
 
-/** Requests of mean cost that the limit covers at least; a larger one waits for a record. */
-const LimitRequests = 1.5;
+/** Demand within which a request of mean cost counts as expected, in milliseconds: then the limit covers it. */
+const ExpectedRequestMs = 10_000;
 
 /**
  * Release of an old record's rest as a multiple of the demand. A larger one serves teams that send more than usual in an
@@ -20,6 +20,9 @@
  */
 const ReleaseFactor = 1.6;
 
+/** The same for a team with a request now and then, which is released whole or not at all. */
+const ThinReleaseFactor = 4;
+
 /** Time in which at least one request of mean cost is released, in milliseconds. */
 const ReleaseRequestMs = 1_500;
 
@@ -48,7 +51,7 @@
     readonly name: string;
     readonly waiting: WaitingReservation[] = [];
     readonly #demand: DemandAverage;
-    readonly #openedMs: number;
+    #openedMs: number;
     /** Bound of the newest record that the store acknowledged. */
     #acknowledged: DatedBound | undefined;
     /** Bounds of records that may take effect or not: spending keeps to all of them. */
@@ -101,6 +104,12 @@
         this.#meanCostTokens += MeanCostWeight * (costTokens - this.#meanCostTokens);
     }
 
+    /** Starts from the demand that the previous process of this host saw. */
+    inheritDemand(tokensPerS: number, nowMs: number): void {
+        this.#demand.add(tokensPerS * DemandWindowMs / 1_000, nowMs);
+        this.#openedMs = Number.NEGATIVE_INFINITY;
+    }
+
     /** @returns Whether the tokens were reserved. */
     tryReserve(costTokens: number, nowMs: number): boolean {
         if (costTokens > this.spareTokens(nowMs)) {
@@ -139,8 +148,9 @@
 
     /** @returns Tokens per second by which the limit rises once the record is old. */
     releaseTokensPerS(nowMs: number): number {
-        const leastTokensPerS = this.#meanCostTokens * 1_000 / ReleaseRequestMs;
-        return Math.ceil(Math.max(this.demandTokensPerS(nowMs) * ReleaseFactor, leastTokensPerS));
+        const demand = this.demandTokensPerS(nowMs);
+        const leastTokensPerS = Math.min(this.#meanCostTokens * 1_000 / ReleaseRequestMs, demand * ThinReleaseFactor);
+        return Math.ceil(Math.max(demand * ReleaseFactor, leastTokensPerS));
     }
 
     /** A record is about to be sent: from now on it may take effect. */
@@ -168,7 +178,8 @@
     }
 
     #headroomTokens(nowMs: number): number {
-        const demand = this.demandTokensPerS(nowMs) * LimitHorizonMs / 1_000;
-        return Math.max(demand, LimitRequests * this.#meanCostTokens);
+        const demand = this.demandTokensPerS(nowMs);
+        const request = Math.min(this.#meanCostTokens, demand * ExpectedRequestMs / 1_000);
+        return Math.max(demand * LimitHorizonMs / 1_000, request);
     }
 }
