--- /dev/null
+++ b/src/edge/budget/ledger.spec.ts
@@ -0,0 +1,89 @@
+import { describe, expect, it } from "vitest";
+import { closePredecessor, type Ledger, recordAgeMs, settledByOthers, unheldTokens } from "./ledger.js";
+import { allowedTokens, ReleaseAfterMs } from "./spendingRight.js";
+
+const host = {
+    incarnation: "old",
+    peerAddress: "10.0.0.1:7200",
+    sequence: 9,
+    writtenAtMs: 100_000,
+    writtenSteadyMs: 5_000,
+};
+const share = {
+    grantedTokens: 1_000,
+    limitTokens: 400,
+    releaseTokensPerS: 100,
+    settledTokens: 300,
+    demandTokensPerS: 50,
+};
+const ledger: Ledger = {
+    hosts: { a: host, b: { ...host, incarnation: "other" } },
+    teams: { t: { closedTokens: 10, atRiskTokens: 5, shares: { a: share, b: { ...share, grantedTokens: 500 } } } },
+};
+
+describe("allowedTokens", () => {
+    describe("given a record", () => {
+        it("allows the limit while it is new", () => {
+            expect(allowedTokens(share, ReleaseAfterMs)).toBe(400);
+        });
+
+        it("releases the rest as it ages, up to the grant (guards against teams that stop in an outage)", () => {
+            expect(allowedTokens(share, ReleaseAfterMs + 2_000)).toBe(600);
+            expect(allowedTokens(share, ReleaseAfterMs + 60_000)).toBe(1_000);
+        });
+
+        it("never allows more than the grant (guards against a limit above a lowered grant)", () => {
+            expect(allowedTokens({ ...share, grantedTokens: 350 }, 0)).toBe(350);
+        });
+    });
+});
+
+describe("recordAgeMs", () => {
+    describe("given clocks of the same start of the machine", () => {
+        it("takes the larger age (guards against a wall clock that was set back)", () => {
+            expect(recordAgeMs(host, { wallMs: 99_000, steadyMs: 8_000 })).toBeGreaterThanOrEqual(3_000);
+        });
+    });
+
+    describe("given a machine that has started anew", () => {
+        it("goes by the wall clock (guards against a rest that counts as at risk for hours)", () => {
+            expect(recordAgeMs(host, { wallMs: 101_000, steadyMs: 9_999_999 })).toBeLessThan(2_000);
+        });
+
+        it("counts everything at risk when the wall clock says nothing", () => {
+            expect(recordAgeMs(host, { wallMs: 90_000, steadyMs: 9_999_999 })).toBe(Number.POSITIVE_INFINITY);
+        });
+    });
+});
+
+describe("closePredecessor", () => {
+    describe("given an earlier process of the host", () => {
+        it("frees what it cannot have spent (guards against nothing left after a kill of all)", () => {
+            const closed = closePredecessor(ledger, "a", "new", { wallMs: 100_500, steadyMs: 5_500 });
+            expect(closed.teams["t"]).toMatchObject({ closedTokens: 310, atRiskTokens: 105 });
+            expect(closed.teams["t"]?.shares["a"]).toBeUndefined();
+            expect(closed.hosts["a"]).toBeUndefined();
+            expect(closed.hosts["b"]).toBeDefined();
+        });
+
+        it("keeps all at risk that may have been released (guards against overspending after an outage)", () => {
+            const closed = closePredecessor(ledger, "a", "new", { wallMs: 200_000, steadyMs: 105_000 });
+            expect(closed.teams["t"]?.atRiskTokens).toBe(705);
+        });
+    });
+
+    describe("given the same process", () => {
+        it("changes nothing", () => {
+            expect(closePredecessor(ledger, "a", "old", { wallMs: 0, steadyMs: 0 })).toBe(ledger);
+        });
+    });
+});
+
+describe("sums of a team", () => {
+    describe("given shares", () => {
+        it("counts what no host holds and what others are known to have spent", () => {
+            expect(unheldTokens(ledger.teams["t"]!, 2_000)).toBe(2_000 - 10 - 5 - 1_500);
+            expect(settledByOthers(ledger.teams["t"]!, "a")).toBe(310);
+        });
+    });
+});
--- /dev/null
+++ b/src/edge/budget/sharePlan.spec.ts
@@ -0,0 +1,77 @@
+import { describe, expect, it } from "vitest";
+import type { Ledger, TeamLedger } from "./ledger.js";
+import { planGrant, type SharePlanInput } from "./sharePlan.js";
+
+const host = { incarnation: "x", peerAddress: "", sequence: 1, writtenAtMs: 0, writtenSteadyMs: 0 };
+const share = (grantedTokens: number, settledTokens: number, demandTokensPerS: number) => (
+    { grantedTokens, limitTokens: 0, releaseTokensPerS: 0, settledTokens, demandTokensPerS }
+);
+
+function input(others: TeamLedger, own: Partial<SharePlanInput>): SharePlanInput {
+    const team = { ...others, shares: { ...others.shares, a: share(own.grantedTokens ?? 0, own.usedTokens ?? 0, 0) } };
+    const hosts = Object.fromEntries(["a", ...Object.keys(team.shares)].map(id => [id, host]));
+    const ledger: Ledger = { hosts, teams: { t: team } };
+    return {
+        ledger,
+        team,
+        hostId: "a",
+        prepaidTokens: 1_000_000,
+        expectedHostCount: 2,
+        grantedTokens: 0,
+        usedTokens: 0,
+        neededTokens: 0,
+        demandTokensPerS: 0,
+        totalDemandTokensPerS: 0,
+        ...own,
+    };
+}
+
+describe("planGrant", () => {
+    describe("given a new budget", () => {
+        it("takes an even part and leaves some unheld", () => {
+            const granted = planGrant(input({ closedTokens: 0, atRiskTokens: 0, shares: {} }, {}));
+            expect(granted).toBeGreaterThan(400_000);
+            expect(granted).toBeLessThan(500_000);
+        });
+    });
+
+    describe("given a team whose callers reach one host only", () => {
+        const team = { closedTokens: 0, atRiskTokens: 0, shares: { b: share(400_000, 0, 0) } };
+
+        it("draws more than the even part there (guards against tokens that idle hosts hold in a cut)", () => {
+            const granted = planGrant(
+                input(team, { grantedTokens: 400_000, demandTokensPerS: 30_000, totalDemandTokensPerS: 30_000 }),
+            );
+            expect(granted).toBe(600_000);
+        });
+
+        it("returns what an idle host does not need", () => {
+            const busy = { closedTokens: 0, atRiskTokens: 0, shares: { b: share(500_000, 100_000, 30_000) } };
+            const granted = planGrant(input(busy, { grantedTokens: 400_000 }));
+            expect(granted).toBeLessThan(100_000);
+        });
+    });
+
+    describe("given a request that waits", () => {
+        it("draws what it needs if it is unheld (guards against a refusal while tokens are free)", () => {
+            const team = { closedTokens: 990_000, atRiskTokens: 0, shares: {} };
+            expect(planGrant(input(team, { neededTokens: 9_000 }))).toBe(9_000);
+        });
+
+        it("never draws more than is unheld (guards against spending beyond the prepaid amount)", () => {
+            const team = { closedTokens: 995_000, atRiskTokens: 1_000, shares: {} };
+            expect(planGrant(input(team, { neededTokens: 9_000 }))).toBe(4_000);
+        });
+    });
+
+    describe("given a prepaid amount that was lowered below what hosts hold", () => {
+        it("draws nothing and returns down to what is used", () => {
+            const team = { closedTokens: 0, atRiskTokens: 0, shares: { b: share(900_000, 900_000, 0) } };
+            const granted = planGrant(
+                input(team, { prepaidTokens: 500_000, grantedTokens: 80_000, usedTokens: 10_000 }),
+            );
+            expect(granted).toBeGreaterThanOrEqual(10_000);
+            expect(granted).toBeLessThanOrEqual(80_000);
+        });
+    });
+});
--- /dev/null
+++ b/src/edge/transport/responseParser.spec.ts
@@ -0,0 +1,98 @@
+import { describe, expect, it } from "vitest";
+import { type ResponseHead, ResponseParser, ResponseSyntaxError } from "./responseParser.js";
+
+function parse(method: string, ...parts: string[]) {
+    const heads: ResponseHead[] = [];
+    let body = "";
+    let ends = 0;
+    const parser = new ResponseParser({
+        onHead: head => heads.push(head),
+        onBody: bytes => body += bytes.toString(),
+        onEnd: () => ends++,
+    });
+    parser.expectResponse(method);
+    for (const part of parts) {
+        parser.push(Buffer.from(part, "latin1"));
+    }
+    return { parser, heads, body: () => body, ends: () => ends };
+}
+
+describe("ResponseParser", () => {
+    describe("given a response with a length", () => {
+        it("ends after the last byte however it is cut (guards against answers that depend on packets)", () => {
+            const text = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: b\r\n\r\nhello";
+            const cut = parse("GET", ...text);
+            expect(cut.body()).toBe("hello");
+            expect(cut.ends()).toBe(1);
+            expect(cut.heads[0]?.byName.get("x-a")).toBe("b");
+        });
+
+        it("keeps bytes after it apart (guards against an extra answer being taken for the next one)", () => {
+            const { parser, ends } = parse("GET", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\n");
+            expect(ends()).toBe(1);
+            expect(parser.hasLeftover).toBe(true);
+        });
+
+        it("has no body for HEAD (guards against waiting for bytes that never come)", () => {
+            const { ends } = parse("HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n");
+            expect(ends()).toBe(1);
+        });
+    });
+
+    describe("given a chunked response", () => {
+        it("joins the chunks and skips trailers", () => {
+            const { body, ends } = parse(
+                "GET",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n",
+                "2\r\nde\r\n0\r\nT: 1\r\n\r\n",
+            );
+            expect(body()).toBe("abcde");
+            expect(ends()).toBe(1);
+        });
+
+        it("refuses a size that is no number (guards against garbage read as the end of the body)", () => {
+            expect(() => parse("GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"))
+                .toThrow(ResponseSyntaxError);
+        });
+
+        it("refuses a chunk that is longer than its size", () => {
+            expect(() => parse("GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n"))
+                .toThrow(ResponseSyntaxError);
+        });
+    });
+
+    describe("given a response without a length", () => {
+        it("ends only with the connection", () => {
+            const { parser, heads, ends } = parse("GET", "HTTP/1.1 200 OK\r\n\r\nabc");
+            expect(heads[0]?.endsWithConnection).toBe(true);
+            expect(heads[0]?.keepsAlive).toBe(false);
+            expect(ends()).toBe(0);
+            parser.finish();
+            expect(ends()).toBe(1);
+        });
+    });
+
+    describe("given bytes that are no response", () => {
+        it.each([
+            ["garbage", "\x00\x01\x02garbage"],
+            ["a status line that is not valid", "HTTP/1.1 2000 OK\r\n\r\n"],
+            ["both a length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"],
+            ["two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"],
+            ["a length that is no number", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"],
+            ["a header without a name", "HTTP/1.1 200 OK\r\n: x\r\n\r\n"],
+        ])("refuses %s (guards against foreign bytes that reach a caller)", (_name, text) => {
+            expect(() => parse("GET", text)).toThrow(ResponseSyntaxError);
+        });
+
+        it("refuses a head without end (guards against memory that grows)", () => {
+            expect(() => parse("GET", `HTTP/1.1 200 OK\r\nX: ${"a".repeat(20_000)}`)).toThrow(ResponseSyntaxError);
+        });
+    });
+
+    describe("given an interim response", () => {
+        it("waits for the final one", () => {
+            const { heads } = parse("GET", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n");
+            expect(heads.map(head => head.statusCode)).toEqual([204]);
+        });
+    });
+});
--- /dev/null
+++ b/src/edge/transport/upstreamConnection.spec.ts
@@ -0,0 +1,97 @@
+import { createServer, type Server, type Socket } from "node:net";
+import { afterEach, describe, expect, it } from "vitest";
+import type { ResponseHead } from "./responseParser.js";
+import { UpstreamConnection } from "./upstreamConnection.js";
+
+interface Outcome {
+    readonly kind: string;
+    readonly body: string;
+    readonly head: ResponseHead | undefined;
+}
+
+const servers: Server[] = [];
+
+async function listen(onRequest: (socket: Socket, text: string) => void): Promise<string> {
+    const server = createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.on("data", bytes => onRequest(socket, bytes.toString()));
+    });
+    servers.push(server);
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const address = server.address();
+    return `127.0.0.1:${typeof address === "object" ? address?.port : 0}`;
+}
+
+function exchange(connection: UpstreamConnection, id: string): Promise<Outcome> {
+    return new Promise(resolve => {
+        let body = "";
+        let head: ResponseHead | undefined;
+        connection.send({ method: "GET", head: `GET / HTTP/1.1\r\nX-Id: ${id}\r\n\r\n`, body: undefined }, {
+            accepts: received => received.byName.get("x-id") === id,
+            onHead: received => head = received,
+            onBody: bytes => body += bytes.toString(),
+            onComplete: () => resolve({ kind: "complete", body, head }),
+            onFailure: failure => resolve({ kind: failure, body, head }),
+        });
+    });
+}
+
+describe("UpstreamConnection", () => {
+    const open = (address: string) => new UpstreamConnection(address, 500, () => undefined);
+
+    afterEach(() => {
+        for (const server of servers.splice(0)) {
+            server.close();
+        }
+    });
+
+    describe("given an answer without a length", () => {
+        it("is complete when the upstream closes in an orderly way", async () => {
+            const address = await listen(socket => socket.end("HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nwhole"));
+            expect(await exchange(open(address), "a")).toMatchObject({ kind: "complete", body: "whole" });
+        });
+
+        it("is not complete when the upstream resets (guards against a cut answer that looks whole)", async () => {
+            const address = await listen(socket => {
+                socket.write("HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\npart", () => socket.resetAndDestroy());
+            });
+            for (let round = 0; round < 20; round++) {
+                expect((await exchange(open(address), "a")).kind).toBe("brokenOff");
+            }
+        });
+    });
+
+    describe("given an answer to another request", () => {
+        it("skips it and takes its own (guards against crossed answers)", async () => {
+            const late = "HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 3\r\n\r\nold";
+            const own = "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 3\r\n\r\nown";
+            const address = await listen(socket => socket.write(late + own));
+            expect(await exchange(open(address), "a")).toMatchObject({ kind: "complete", body: "own" });
+        });
+    });
+
+    describe("given bytes after a complete answer", () => {
+        it("is not used again (guards against an extra answer at the next request)", async () => {
+            const answer = "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok";
+            const address = await listen(socket => socket.write(`${answer}HTTP/1.1 200 OK\r\n`));
+            const connection = open(address);
+            expect((await exchange(connection, "a")).kind).toBe("complete");
+            expect(connection.isClosed).toBe(true);
+        });
+    });
+
+    describe("given no listener at the address", () => {
+        it("reports that nothing was sent (guards against a lost order that could be sent elsewhere)", async () => {
+            const address = await listen(() => undefined);
+            servers.pop()?.close();
+            expect((await exchange(open(address), "a")).kind).toBe("notConnected");
+        });
+    });
+
+    describe("given a connection that closes without an answer", () => {
+        it("reports that the request may have been read (guards against an order that runs twice)", async () => {
+            const address = await listen(socket => socket.end());
+            expect((await exchange(open(address), "a")).kind).toBe("brokenOff");
+        });
+    });
+});
