--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -1,6 +1,7 @@
 /** The edge process: listeners, feeds, budgets and the order of start and shutdown. */
 import { createServer, type Server } from "node:http";
 import { type Clock, SystemClock } from "../base/clock.js";
+import { Counters } from "../base/counters.js";
 import { log } from "../base/log.js";
 import { type Random, SystemRandom } from "../base/random.js";
 import type { PlatformStore } from "../platform/platformStore.js";
@@ -10,6 +11,7 @@
 import type { EdgeSettings } from "./edgeSettings.js";
 import { CallerListener } from "./flow/callerListener.js";
 import { RetryBudgets } from "./flow/retryBudgets.js";
+import { EdgeMetrics } from "./metrics.js";
 import { LoadGossip } from "./peers/loadGossip.js";
 import type { HeaderCodec, ObjectCodec } from "./protocolCodec.js";
 import { UpstreamDirectory } from "./upstream/upstreamDirectory.js";
@@ -41,10 +43,11 @@
 
 /** An edge router. */
 export class EdgeProcess {
-    readonly #settings: EdgeSettings;
+    #settings: EdgeSettings;
     readonly #parts: EdgeParts;
     readonly #clock: Clock = new SystemClock();
     readonly #random: Random = new SystemRandom();
+    readonly #metrics = new EdgeMetrics(new Counters());
     readonly #configuration: ConfigurationKeeper;
     readonly #directory: UpstreamDirectory;
     readonly #upstreamFeed: UpstreamFeed;
@@ -100,6 +103,10 @@
             this.#readiness.once("error", reject);
             this.#readiness.listen(readiness.port, readiness.host, resolve);
         });
+        if (this.#settings.listen.metrics !== undefined) {
+            const metrics = splitAddress(this.#settings.listen.metrics);
+            await this.#metrics.start(metrics.host, metrics.port);
+        }
         const peer = splitAddress(this.#settings.peerAddress);
         this.#gossip.start(peer.host, peer.port);
         this.#ticker = setInterval(() => this.#tick(), TickIntervalMs);
@@ -131,6 +138,7 @@
         this.#configuration.stop();
         this.#upstreamFeed.stop();
         this.#gossip.stop();
+        this.#metrics.stop();
         this.#listener.destroy();
         this.#readiness.close();
         this.#readiness.closeAllConnections();
@@ -141,6 +149,15 @@
         });
     }
 
+    /** Takes over settings that may change while the process runs: the times of a shutdown. Others need a restart. */
+    applySettings(settings: EdgeSettings): void {
+        const { graceMs, drainNoticeMs } = settings;
+        const needsRestart = JSON.stringify({ ...settings, graceMs, drainNoticeMs }) !==
+            JSON.stringify({ ...this.#settings, graceMs, drainNoticeMs });
+        this.#settings = { ...this.#settings, graceMs, drainNoticeMs };
+        log.info("settings reloaded", { host: this.#settings.hostId, graceMs, drainNoticeMs, needsRestart });
+    }
+
     /** @returns State for the dump. */
     dumpState(): unknown {
         return {
@@ -197,6 +214,7 @@
                 { ratio: retryRatio, windowMs: retryWindowMs, slackCount: retrySlackCount },
                 () => this.#budgets.hostCount,
             ),
+            metrics: this.#metrics,
             zone,
             maxHeaderBytes,
             othersLoad: upstream => this.#gossip.loadAt(upstream.entry.id),
--- a/src/edge/flow/callerListener.ts
+++ b/src/edge/flow/callerListener.ts
@@ -3,6 +3,7 @@
 import type { Socket } from "node:net";
 import { log } from "../../base/log.js";
 import type { CallerFacts, CallerLimits, EdgeTeam, Route } from "../edgeTypes.js";
+import { EdgeCounterNames } from "../metrics.js";
 import type { RouteTable } from "../routing/routeTable.js";
 import { CallerAnswer, type EdgeFailure } from "./callerAnswer.js";
 import { type EdgeRequest, type FlowParts, RequestFlow } from "./requestFlow.js";
@@ -102,6 +103,7 @@
         const answer = new CallerAnswer(response, this.#parts.codec.requestIdHeader, facts.requestId);
         const routed = this.#route(request, facts);
         if ("code" in routed) {
+            this.#parts.metrics.counters.add(EdgeCounterNames.requestsRefused);
             log.info("request refused", {
                 request: facts.requestId,
                 host: request.headers.host,
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -5,6 +5,7 @@
 import type { RanState } from "../../base/resultCodes.js";
 import type { BudgetKeeper } from "../budget/budgetKeeper.js";
 import type { CallerFacts, EdgeTeam, Route } from "../edgeTypes.js";
+import { EdgeCounterNames, type EdgeMetrics } from "../metrics.js";
 import type { PeerLoad } from "../peers/peerLoads.js";
 import type { HeaderCodec, RawHeaders } from "../protocolCodec.js";
 import { chooseService, type RouteTable } from "../routing/routeTable.js";
@@ -28,6 +29,7 @@
     readonly directory: UpstreamDirectory;
     readonly budgets: BudgetKeeper;
     readonly retries: RetryBudgets;
+    readonly metrics: EdgeMetrics;
     readonly zone: string;
     /** @returns Load that other hosts put on an upstream. */
     othersLoad(upstream: Upstream): PeerLoad;
@@ -71,6 +73,15 @@
 /** Retry-After when this host's share of a budget is used up: another host, to which a retry goes, may have tokens. */
 const BudgetRetryMs = 20;
 
+/** How a request ended, with the counter of each way. */
+const OutcomeCounters = {
+    complete: EdgeCounterNames.requestsComplete,
+    upstreamFailure: EdgeCounterNames.requestsFailedUpstream,
+    callerGone: EdgeCounterNames.requestsCallerGone,
+    failed: EdgeCounterNames.requestsFailed,
+} as const;
+type RequestOutcome = keyof typeof OutcomeCounters;
+
 /** Serves one request. */
 export class RequestFlow implements AttemptListener {
     readonly #parts: FlowParts;
@@ -128,6 +139,7 @@
     }
 
     onHead(head: ResponseHead): boolean {
+        this.#parts.metrics.recordAnswer(this.#nowMs - this.#request.arrivedMs);
         const isStream = head.byName.get("content-type")?.startsWith("text/event-stream") === true;
         return isStream && head.statusCode < 300 && this.#relay.begin(head);
     }
@@ -196,6 +208,7 @@
             }
             return true;
         }
+        this.#parts.metrics.counters.add(EdgeCounterNames.budgetRefusals);
         const isExhausted = outcome === "exhausted";
         this.#fail({
             code: isExhausted ? "BudgetExhausted" : "BudgetUnavailable",
@@ -212,6 +225,10 @@
             return;
         }
         this.#sends++;
+        this.#parts.metrics.counters.add(EdgeCounterNames.sends);
+        if (this.#sends > 1) {
+            this.#parts.metrics.counters.add(EdgeCounterNames.repeatedSends);
+        }
         this.#tried.add(upstream.entry.id);
         const { route, requestId, facts } = this.#request;
         const { objectiveMs } = route;
@@ -357,11 +374,13 @@
         this.#conclude("failed");
     }
 
-    #conclude(outcome: string): void {
+    #conclude(outcome: RequestOutcome): void {
         this.#isOver = true;
         this.#attempt = undefined;
         clearTimeout(this.#endTimer);
         const chargedTokens = this.#settle();
+        this.#parts.metrics.counters.add(OutcomeCounters[outcome]);
+        this.#parts.metrics.counters.add(EdgeCounterNames.tokensCharged, chargedTokens);
         if (outcome !== "failed") {
             log.info("request ended", {
                 request: this.#request.requestId,
--- /dev/null
+++ b/src/edge/metrics.ts
@@ -0,0 +1,81 @@
+/** Counters and latency histograms of the edge in the usual text format. */
+import { build, type Histogram } from "hdr-histogram-js";
+import { createServer, type Server } from "node:http";
+import type { Counters } from "../base/counters.js";
+
+/** Quantiles that are served, in percent. */
+const Percentiles = [50, 90, 95, 99] as const;
+
+/** Largest latency that is told apart, in milliseconds; longer than any deadline. */
+const MaxLatencyMs = 120_000;
+
+const ContentType = "text/plain; version=0.0.4";
+
+/** Names of all counters, with what they count. `docs/platform-operations.md` lists them. */
+export const EdgeCounterNames = {
+    requestsComplete: "edge.requests.complete",
+    requestsFailedUpstream: "edge.requests.upstreamFailure",
+    requestsCallerGone: "edge.requests.callerGone",
+    requestsFailed: "edge.requests.failed",
+    requestsRefused: "edge.requests.refused",
+    sends: "edge.sends",
+    repeatedSends: "edge.sends.repeated",
+    tokensCharged: "edge.tokens.charged",
+    budgetRefusals: "edge.budget.refusals",
+} as const;
+
+/** Measurements of one process. */
+export class EdgeMetrics {
+    readonly counters: Counters;
+    readonly #answerMs: Histogram = build({ highestTrackableValue: MaxLatencyMs });
+    #server: Server | undefined;
+
+    constructor(counters: Counters) {
+        this.counters = counters;
+    }
+
+    /** Records the time from a request's arrival to the first byte of its answer. */
+    recordAnswer(elapsedMs: number): void {
+        this.#answerMs.recordValue(Math.min(MaxLatencyMs, Math.max(0, Math.round(elapsedMs))));
+    }
+
+    /** @returns All figures as text. */
+    render(): string {
+        const counters = Object.entries(this.counters.snapshot()).map(([name, value]) => {
+            const metric = metricName(name);
+            return `# TYPE ${metric} counter\n${metric} ${value}`;
+        });
+        const quantiles = Percentiles.map(percent =>
+            `edge_answer_ms{quantile="${percent / 100}"} ${this.#answerMs.getValueAtPercentile(percent)}`
+        );
+        const summary = [
+            "# TYPE edge_answer_ms summary",
+            ...quantiles,
+            `edge_answer_ms_count ${this.#answerMs.totalCount}`,
+        ];
+        return `${[...counters, ...summary].join("\n")}\n`;
+    }
+
+    /** Serves the figures. */
+    async start(host: string, port: number): Promise<void> {
+        const server = createServer((_request, response) => {
+            response.writeHead(200, { "Content-Type": ContentType });
+            response.end(this.render());
+        });
+        this.#server = server;
+        await new Promise<void>((resolve, reject) => {
+            server.once("error", reject);
+            server.listen(port, host, resolve);
+        });
+    }
+
+    /** Stops serving. */
+    stop(): void {
+        this.#server?.close();
+        this.#server?.closeAllConnections();
+    }
+}
+
+function metricName(name: string): string {
+    return name.replace(/[^a-zA-Z0-9]/g, "_").replace(/([a-z])([A-Z])/g, "$1_$2").toLowerCase();
+}
