--- a/src/edge/budget/budgetKeeper.spec.ts
+++ b/src/edge/budget/budgetKeeper.spec.ts
@@ -134,7 +134,7 @@
             world.store.fault = "down";
             const keeper = world.start("a");
             await world.run([keeper], 2_000);
-            expect(await keeper.reserve("r", "t", 10, 1)).toBe("unavailable");
+            expect(await keeper.reserve("r", "t", 10, 1)).toBe("heldElsewhere");
         });
     });
 
@@ -155,7 +155,7 @@
                 const outcome = keeper.reserve(`r${round}`, "t", 500, 1_000);
                 await world.run(keepers, 100);
                 // The wait for tokens has a real timer; closed accounts decide without it.
-                const result = await Promise.race([outcome, Promise.resolve("unavailable" as const)]);
+                const result = await Promise.race([outcome, Promise.resolve("fragmented" as const)]);
                 if (result === "reserved") {
                     keeper.settle("t", 500, 500);
                     spent += 500;
--- a/src/edge/budget/budgetKeeper.ts
+++ b/src/edge/budget/budgetKeeper.ts
@@ -2,7 +2,7 @@
 import type { Clock } from "../../base/clock.js";
 import { log } from "../../base/log.js";
 import { EdgeAccounts } from "./edgeAccounts.js";
-import { countRecentHosts, EmptyTeamLedger, settledByOthers, unheldTokens } from "./ledger.js";
+import { countRecentHosts, EmptyTeamLedger, mostHeldByOthers, settledByOthers, unheldTokens } from "./ledger.js";
 import { LedgerSync, type LedgerSyncParts } from "./ledgerSync.js";
 import type { TeamAccount } from "./teamAccount.js";
 
@@ -15,8 +15,12 @@
 /** Longest wait of a request for tokens, in milliseconds: two calls of a store that answers slowly. */
 const LongestWaitMs = 500;
 
-/** Outcome of a reservation. */
-export type ReservationResult = "reserved" | "exhausted" | "unavailable";
+/**
+ * Outcome of a reservation: `exhausted` by the known spending of all hosts; `heldElsewhere`, so that another host may serve
+ * the request at once; `fragmented` among hosts until they divide the rest anew; `atRisk` with processes that were killed,
+ * so that only a top-up helps.
+ */
+export type ReservationResult = "reserved" | "exhausted" | "heldElsewhere" | "fragmented" | "atRisk";
 
 /** What the keeper is built from. */
 export interface BudgetKeeperParts extends LedgerSyncParts {
@@ -109,9 +113,9 @@
         if (account.tryReserve(costTokens, this.#accounts.nowMs)) {
             return "reserved";
         }
-        const exhausted = this.#refusalFor(team, costTokens);
-        if (exhausted !== undefined || !this.#mayDraw(account, costTokens)) {
-            return exhausted ?? "unavailable";
+        const refusal = this.#refusalFor(team, costTokens);
+        if (refusal === "exhausted" || !this.#mayDraw(account, costTokens)) {
+            return refusal;
         }
         return this.#waitForTokens(account, costTokens, waitMs);
     }
@@ -169,7 +173,7 @@
                     if (index >= 0) {
                         account.waiting.splice(index, 1);
                     }
-                    resolve(granted ? "reserved" : this.#refusalFor(account.name, costTokens) ?? "unavailable");
+                    resolve(granted ? "reserved" : this.#refusalFor(account.name, costTokens));
                 },
             };
             account.waiting.push(item);
@@ -178,13 +182,21 @@
     }
 
     /** A balance counts as exhausted only if the known spending of all hosts leaves too little, whoever holds the rest. */
-    #refusalFor(team: string, costTokens: number): "exhausted" | undefined {
+    #refusalFor(team: string, costTokens: number): ReservationResult {
         const prepaid = this.#parts.prepaidTokens(team);
         const ledger = this.#sync.known?.ledger.teams[team];
         if (prepaid === undefined || ledger === undefined) {
-            return undefined;
+            return "heldElsewhere";
         }
         const spent = settledByOthers(ledger, this.#parts.hostId) + this.#accounts.open(team).usedTokens;
-        return prepaid - spent < costTokens ? "exhausted" : undefined;
+        if (prepaid - spent < costTokens) {
+            return "exhausted";
+        }
+        if (prepaid - spent - ledger.atRiskTokens < costTokens) {
+            return "atRisk";
+        }
+        const isHeld = unheldTokens(ledger, prepaid) >= costTokens ||
+            mostHeldByOthers(ledger, this.#parts.hostId) >= costTokens;
+        return isHeld ? "heldElsewhere" : "fragmented";
     }
 }
--- a/src/edge/budget/ledger.ts
+++ b/src/edge/budget/ledger.ts
@@ -65,6 +65,14 @@
     return team.closedTokens + others.reduce((sum, [, share]) => sum + share.settledTokens, 0);
 }
 
+/** @returns Unspent tokens of the host that holds the most, other than one. */
+export function mostHeldByOthers(team: TeamLedger, hostId: string): number {
+    const held = Object.entries(team.shares)
+        .filter(([id]) => id !== hostId)
+        .map(([, share]) => share.grantedTokens - share.settledTokens);
+    return Math.max(0, ...held);
+}
+
 /** @returns Hosts that wrote within a time. */
 export function countRecentHosts(ledger: Ledger, wallMs: number, withinMs: number): number {
     return Object.values(ledger.hosts).filter(host => Math.abs(wallMs - host.writtenAtMs) <= withinMs).length;
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -70,8 +70,11 @@
 const RetryAfterPart = 1 / 4;
 const LongestRetryAfterMs = 1_000;
 
-/** Retry-After when this host's share of a budget is used up: another host, to which a retry goes, may have tokens. */
-const BudgetRetryMs = 20;
+/**
+ * Retry-After by the reason why tokens are not available, in milliseconds: at once where another host, to which a retry
+ * goes, holds them; after the next division among hosts; after a top-up, of which a day has a few.
+ */
+const BudgetRetryMs = { exhausted: undefined, heldElsewhere: 20, fragmented: 1_500, atRisk: 5_000 } as const;
 
 /** How a request ended, with the counter of each way. */
 const OutcomeCounters = {
@@ -213,7 +216,7 @@
         this.#fail({
             code: isExhausted ? "BudgetExhausted" : "BudgetUnavailable",
             ran: "no",
-            retryAfterMs: isExhausted ? undefined : BudgetRetryMs,
+            retryAfterMs: BudgetRetryMs[outcome],
         }, `budget of ${team.name}: ${costTokens} tokens not available`);
         return false;
     }
