--- /dev/null
+++ b/src/edge/storeFeed.spec.ts
@@ -0,0 +1,144 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { ManualClock } from "../base/clock.js";
+import { GatedStore } from "../platform/gatedStore.js";
+import {
+    type ListOutcome,
+    PlatformStore,
+    type ReadOutcome,
+    type StoredObject,
+    type WatchOutcome,
+    type WriteOutcome,
+} from "../platform/platformStore.js";
+import { StoreFeed } from "./storeFeed.js";
+
+const object = (revision: number): StoredObject => ({ key: "k/a", version: revision, revision, value: revision });
+
+class ScriptedStore extends PlatformStore {
+    readonly watchedFrom: number[] = [];
+    lists = 0;
+    listOutcome: ListOutcome = { status: "listed", objects: [object(5)], more: false, revision: 7 };
+    watchOutcomes: WatchOutcome[] = [];
+
+    override list(): Promise<ListOutcome> {
+        this.lists++;
+        return Promise.resolve(this.listOutcome);
+    }
+
+    override watch(_prefix: string, afterRevision: number): Promise<WatchOutcome> {
+        this.watchedFrom.push(afterRevision);
+        const outcome = this.watchOutcomes.shift();
+        return outcome === undefined ? new Promise(() => undefined) : Promise.resolve(outcome);
+    }
+
+    override get(): Promise<ReadOutcome> {
+        return Promise.resolve({ status: "absent" });
+    }
+
+    override put(): Promise<WriteOutcome> {
+        return Promise.resolve({ status: "refused", reason: "busy" });
+    }
+
+    override delete(): Promise<WriteOutcome> {
+        return Promise.resolve({ status: "refused", reason: "busy" });
+    }
+}
+
+describe("StoreFeed", () => {
+    let store: ScriptedStore;
+    let seen: unknown[];
+    let feed: StoreFeed;
+
+    beforeEach(() => {
+        vi.useFakeTimers();
+        store = new ScriptedStore();
+        seen = [];
+        feed = new StoreFeed(store, "k/", new ManualClock(), {
+            onSnapshot: objects => seen.push(["snapshot", ...objects.map(({ value }) => value)]),
+            onChanges: changes => seen.push(["changes", ...changes.map(change => change.object?.value)]),
+        });
+    });
+
+    afterEach(() => {
+        feed.stop();
+        vi.useRealTimers();
+    });
+
+    describe("given changes", () => {
+        it("watches from the listing's revision on (guards against changes that are missed in between)", async () => {
+            store.watchOutcomes = [{ status: "changed", changes: [{ key: "k/a", object: object(8) }], revision: 9 }];
+            feed.start();
+            await vi.advanceTimersByTimeAsync(200);
+            expect(store.watchedFrom).toEqual([7, 9]);
+            expect(seen).toEqual([["snapshot", 5], ["changes", 8]]);
+        });
+    });
+
+    describe("given history that is gone", () => {
+        it("lists again (guards against an upstream that left in the gap)", async () => {
+            store.watchOutcomes = [{ status: "tooOld", revision: 20 }];
+            feed.start();
+            await vi.advanceTimersByTimeAsync(200);
+            expect(store.lists).toBe(2);
+            expect(seen).toEqual([["snapshot", 5], ["snapshot", 5]]);
+        });
+    });
+
+    describe("given a failed call", () => {
+        it("goes on from where it was without listing (guards against priced listings in outages)", async () => {
+            store.watchOutcomes = [
+                { status: "unavailable", reason: "down" },
+                { status: "changed", changes: [], revision: 12 },
+            ];
+            feed.start();
+            await vi.advanceTimersByTimeAsync(100);
+            expect(feed.isConnected).toBe(false);
+            await vi.advanceTimersByTimeAsync(1_000);
+            expect(feed.isConnected).toBe(true);
+            expect(store.watchedFrom).toEqual([7, 7, 12]);
+            expect(store.lists).toBe(1);
+        });
+    });
+
+    describe("given a first listing that fails", () => {
+        it("reports nothing and tries again", async () => {
+            const listed = store.listOutcome;
+            store.listOutcome = { status: "unavailable", reason: "down" };
+            feed.start();
+            await vi.advanceTimersByTimeAsync(100);
+            expect(seen).toEqual([]);
+            store.listOutcome = listed;
+            await vi.advanceTimersByTimeAsync(1_000);
+            expect(seen).toEqual([["snapshot", 5]]);
+        });
+    });
+});
+
+describe("GatedStore", () => {
+    describe("given a store that is lost", () => {
+        it("tests it with one call at a time (guards against priced calls of every writer in an outage)", async () => {
+            const store = new ScriptedStore();
+            const clock = new ManualClock();
+            const gated = new GatedStore(store, clock);
+            store.listOutcome = { status: "unavailable", reason: "down" };
+            for (let call = 0; call < 2; call++) {
+                await gated.list("k/", "", 1);
+            }
+            clock.advance(1_000);
+            for (let call = 0; call < 10; call++) {
+                await gated.list("k/", "", 1);
+            }
+            expect(store.lists).toBe(3);
+        });
+
+        it("passes calls on as soon as one is answered", async () => {
+            const store = new ScriptedStore();
+            const clock = new ManualClock();
+            const gated = new GatedStore(store, clock);
+            await gated.put("k/a", 1, 0);
+            await gated.put("k/a", 1, 0);
+            clock.advance(1_000);
+            expect((await gated.list("k/", "", 1)).status).toBe("listed");
+            expect((await gated.get("k/a")).status).toBe("absent");
+        });
+    });
+});
--- /dev/null
+++ b/src/edge/upstream/upstreamDirectory.spec.ts
@@ -0,0 +1,80 @@
+import { beforeEach, describe, expect, it } from "vitest";
+import { ManualClock } from "../../base/clock.js";
+import type { UpstreamEntry } from "../edgeTypes.js";
+import { UpstreamDirectory } from "./upstreamDirectory.js";
+
+const entry = (changes: Partial<UpstreamEntry> = {}): UpstreamEntry => ({
+    id: "u1",
+    service: "s",
+    address: "10.0.0.1:80",
+    zone: "a",
+    slots: 6,
+    isLeaving: false,
+    startedAtMs: 1,
+    ...changes,
+});
+
+describe("UpstreamDirectory", () => {
+    let clock: ManualClock;
+    let directory: UpstreamDirectory;
+    const usable = (service = "s") => directory.usable(service).map(upstream => upstream.entry.id);
+
+    beforeEach(() => {
+        clock = new ManualClock();
+        directory = new UpstreamDirectory(clock);
+        directory.put(entry());
+    });
+
+    describe("given an upstream that leaves", () => {
+        it("gets no new requests from then on (guards against work for a draining upstream)", () => {
+            directory.put(entry({ isLeaving: true }));
+            expect(usable()).toEqual([]);
+        });
+
+        it("stays out although an older entry arrives late", () => {
+            directory.put(entry({ isLeaving: true }));
+            directory.put(entry());
+            expect(usable()).toEqual([]);
+        });
+    });
+
+    describe("given an entry that is removed", () => {
+        it("stops at once while the store is sound", () => {
+            directory.remove("u1", 0);
+            expect(usable()).toEqual([]);
+        });
+
+        it("goes on for the grace after an outage, and stops if it does not come back", () => {
+            directory.replace([], 2_000);
+            expect(usable()).toEqual(["u1"]);
+            clock.advance(2_001);
+            directory.tick();
+            expect(usable()).toEqual([]);
+        });
+
+        it("goes on for good if it comes back (guards against a fleet without upstreams after an outage)", () => {
+            directory.replace([], 2_000);
+            directory.put(entry());
+            clock.advance(5_000);
+            directory.tick();
+            expect(usable()).toEqual(["u1"]);
+        });
+    });
+
+    describe("given another start under the same id", () => {
+        it("uses new connections (guards against requests on the old process's connections)", () => {
+            const before = directory.usable("s")[0];
+            directory.put(entry({ startedAtMs: 2 }));
+            expect(directory.usable("s")[0]).not.toBe(before);
+            expect(before?.isLeaving).toBe(true);
+        });
+    });
+
+    describe("given an address that another service takes over", () => {
+        it("serves only the new service (guards against requests at the wrong service)", () => {
+            directory.put(entry({ service: "other", startedAtMs: 2 }));
+            expect(usable("s")).toEqual([]);
+            expect(usable("other")).toEqual(["u1"]);
+        });
+    });
+});
