--- a/src/control/cli.ts
+++ b/src/control/cli.ts
@@ -18,6 +18,7 @@
 import { stateCommand } from "./commands/state.js";
 import { statusCommand } from "./commands/status.js";
 import { topupCommand } from "./commands/topup.js";
+import { traceCommand } from "./commands/trace.js";
 import { undoCommand } from "./commands/undo.js";
 import { validateCommand } from "./commands/validate.js";
 import type { ControlContext } from "./controlContext.js";
@@ -43,6 +44,7 @@
     drainCommand,
     stateCommand,
     keysCommand,
+    traceCommand,
 ];
 
 /** Options of all commands that override settings. */
--- /dev/null
+++ b/src/control/commands/trace.ts
@@ -0,0 +1,52 @@
+/** `toucanctl trace`. */
+import { readFileSync } from "node:fs";
+import { basename } from "node:path";
+import { Result } from "true-myth";
+import { ExitCodes } from "../../base/exitCodes.js";
+import { defineCommand } from "../command.js";
+import { fail, type Table } from "../commandResult.js";
+import { type LogLine, parseLog, traceRequest } from "../trace/requestTrace.js";
+
+export const traceCommand = defineCommand({
+    command: "trace <request> <files..>",
+    describe: "gather a request's log lines of several hosts and name the decision that ended it",
+    positionals: {
+        request: { type: "string", demandOption: true, describe: "request id" },
+        files: { type: "string", array: true, demandOption: true, describe: "log files" },
+    },
+    options: {},
+    run: (_context, args) => {
+        const logs: LogLine[] = [];
+        for (const file of args.files) {
+            try {
+                logs.push(...parseLog(basename(file), readFileSync(file, "utf8")));
+            }
+            catch (error) {
+                return Promise.resolve(fail(ExitCodes.Usage, `cannot read ${file}: ${(error as Error).message}`));
+            }
+        }
+        const trace = traceRequest(args.request, logs);
+        if (trace.decision === undefined) {
+            return Promise.resolve(fail(ExitCodes.Failed, `no decision about request ${args.request} in these logs`));
+        }
+        return Promise.resolve(Result.ok({
+            value: trace,
+            table: tableOf([...trace.context, ...trace.lines].sort((a, b) => a.timeMs - b.timeMs)),
+            lines: [`decided by: ${trace.decision.message} at ${trace.decision.host}: ${describe(trace.decision)}`],
+        }));
+    },
+});
+
+function tableOf(lines: readonly LogLine[]): Table {
+    return {
+        columns: ["time", "host", "message", "facts"],
+        rows: lines.map(line => [new Date(line.timeMs).toISOString(), line.host, line.message, describe(line)]),
+    };
+}
+
+function describe(line: LogLine): string {
+    return Object.entries(line.fields)
+        .filter(([name]) => name !== "request" && name !== "shares")
+        .map(([name, value]) => `${name}=${String(value)}`)
+        .join(" ");
+}
