--- a/scripts/settingsDocs.mjs
+++ b/scripts/settingsDocs.mjs
@@ -3,6 +3,7 @@
 import { join } from "node:path";
 import { z } from "zod";
 import { ControlSettingsSchema } from "../dist/control/controlSettings.js";
+import { EdgeSettingsSchema } from "../dist/edge/edgeSettings.js";
 import { RouterSettingsSchema } from "../dist/router/routerSettings.js";
 import { PlatformSettingsSchema } from "../dist/standins/platform/platformSettings.js";
 import { UpstreamSettingsSchema } from "../dist/standins/upstream/upstreamSettings.js";
@@ -54,7 +55,7 @@
         const value = name === "hostId" ? "the machine's name" : JSON.stringify(field.default) ?? "none";
         return [
             `| \`${fieldPath.join(".")}\` | ${describeType(field)} | ${value} | ${
-                readComments(folder).get(name) ?? ""
+                field.description ?? readComments(folder).get(name) ?? ""
             } |`,
         ];
     });
@@ -73,6 +74,7 @@
     "Unknown fields are refused, and an error names the path of the field.",
     "",
     ...section("toucan-router", RouterSettingsSchema, routerFolder),
+    ...section("toucan-edge", EdgeSettingsSchema, () => join("src", "edge")),
     ...section("toucanctl", ControlSettingsSchema, () => join("src", "control")),
     ...section("toucan-platform", PlatformSettingsSchema, () => join("src", "standins", "platform")),
     ...section("toucan-upstream", UpstreamSettingsSchema, () => join("src", "standins", "upstream")),
--- a/src/edge/budget/budgetKeeper.spec.ts
+++ b/src/edge/budget/budgetKeeper.spec.ts
@@ -197,6 +197,22 @@
         });
     });
 
+    describe("after a restart", () => {
+        it("holds a share by its predecessor's demand (guards against refusals in an outage after a restart)", async () => {
+            const [busy, other] = [world.start("a"), world.start("b")];
+            await world.run([busy, other], 1_000);
+            for (let round = 0; round < 10; round++) {
+                await busy.reserve(`r${round}`, "t", 2_000, 0);
+                busy.settle("t", 2_000, 2_000);
+                await world.run([busy, other], 500);
+            }
+            await world.run([other], 8_000);
+            const successor = world.start("a");
+            await world.run([successor, other], 1_500);
+            expect(grantedTokens(successor)).toBeGreaterThan(20_000);
+        });
+    });
+
     describe("given a return of tokens that got no answer", () => {
         it("keeps to it while it may still take effect (guards against tokens that two hosts spend)", async () => {
             const [idle, busy] = [world.start("a"), world.start("b")];
