--- a/src/edge/budget/budgetKeeper.spec.ts
+++ b/src/edge/budget/budgetKeeper.spec.ts
@@ -187,6 +187,16 @@
         });
     });
 
+    describe("in an outage of the store, for a team without requests at the host so far", () => {
+        it("serves a small request after a while (guards against held tokens that nobody may spend)", async () => {
+            const keeper = world.start("a");
+            await world.run([keeper], 500);
+            world.store.fault = "down";
+            await world.run([keeper], 6_000);
+            expect(await keeper.reserve("r", "t", 1_200, 0)).toBe("reserved");
+        });
+    });
+
     describe("after a kill", () => {
         it("frees most of what the killed process held (guards against nothing left to spend)", async () => {
             const killed = world.start("a");
--- a/src/edge/budget/teamAccount.ts
+++ b/src/edge/budget/teamAccount.ts
@@ -29,6 +29,12 @@
 /** Cost assumed before a team's first request at this host, in tokens: a short chat with a part of a long prompt. */
 const InitialCostTokens = 4_000;
 
+/**
+ * Time in which a request of mean cost is released to a team without requests at the host, in milliseconds: an outage of
+ * the store serves the first ones, while a kill puts a few hundred tokens of each team at risk.
+ */
+const UnmetReleaseMs = 12_000;
+
 /** Weight of the newest request in the mean cost. */
 const MeanCostWeight = 0.1;
 
@@ -149,8 +155,9 @@
     /** @returns Tokens per second by which the limit rises once the record is old. */
     releaseTokensPerS(nowMs: number): number {
         const demand = this.demandTokensPerS(nowMs);
-        const leastTokensPerS = Math.min(this.#meanCostTokens * 1_000 / ReleaseRequestMs, demand * ThinReleaseFactor);
-        return Math.ceil(Math.max(demand * ReleaseFactor, leastTokensPerS));
+        const thin = Math.min(this.#meanCostTokens * 1_000 / ReleaseRequestMs, demand * ThinReleaseFactor);
+        const unmet = this.#meanCostTokens * 1_000 / UnmetReleaseMs;
+        return Math.ceil(Math.max(demand * ReleaseFactor, thin, unmet));
     }
 
     /** A record is about to be sent: from now on it may take effect. */
