--- a/test/fuzz/check.ts
+++ b/test/fuzz/check.ts
@@ -12,6 +12,8 @@
 /** Result of a run. */
 export interface FuzzResult {
     readonly figures: FuzzFigures;
+    /** Commands performed, by type: faults and waits as well as requests. */
+    readonly commandCounts: Readonly<Record<string, number>>;
     /** Number of the sequence that failed, from 1; `undefined` when none did. */
     readonly failedAt: number | undefined;
     /** Seed and path, the smallest failing sequence and its error; empty when none failed. */
@@ -30,11 +32,16 @@
 /** Runs sequences until one fails. */
 export function checkSequences({ seed, sequences, changes = {}, shrink = true }: FuzzOptions): FuzzResult {
     const figures = createFigures();
-    const property = fc.property(SequenceArbitrary, sequence => void runSequence(sequence, changes, figures));
+    const commandCounts: Record<string, number> = {};
+    const property = fc.property(SequenceArbitrary, sequence => {
+        countCommands(sequence.commands, commandCounts);
+        runSequence(sequence, changes, figures);
+    });
     const details = fc.check(property, { seed, numRuns: sequences, endOnFailure: !shrink });
     const [smallest] = details.counterexample ?? [];
     return {
         figures,
+        commandCounts,
         failedAt: details.failed ? details.numRuns : undefined,
         report: details.failed ?
             `seed ${seed}, path ${details.counterexamplePath}\n${formatSequence(smallest)}\n${details.errorInstance}` :
@@ -42,6 +49,13 @@
     };
 }
 
+/** Adds the commands of a sequence to the counts by type. */
+export function countCommands(commands: readonly { readonly type: string; }[], counts: Record<string, number>): void {
+    for (const { type } of commands) {
+        counts[type] = (counts[type] ?? 0) + 1;
+    }
+}
+
 function formatSequence(sequence: Sequence | undefined): string {
     return JSON.stringify(sequence);
 }
--- a/test/fuzz/claimCheck.ts
+++ b/test/fuzz/claimCheck.ts
@@ -1,5 +1,6 @@
 /** Runs many sequences of keyed requests; shared by the specs and the command line. */
 import fc from "fast-check";
+import { countCommands } from "./check.js";
 import {
     ClaimSequenceArbitrary,
     type CreateIdempotency,
@@ -24,6 +25,8 @@
         /** Keyed requests by the outcome of their claim; `none` when their process ended first. */
         outcomes: Record<string, number>;
     };
+    /** Commands performed, by type. */
+    readonly commandCounts: Readonly<Record<string, number>>;
     /** Number of the sequence that failed, from 1; `undefined` when none did. */
     readonly failedAt: number | undefined;
     /** Seed and path, the smallest failing sequence and its error; empty when none failed. */
@@ -36,7 +39,9 @@
     create: CreateIdempotency = createIdempotency,
 ): ClaimFuzzResult {
     const figures: ClaimFuzzResult["figures"] = { sequences: 0, commands: 0, keyedRequests: 0, outcomes: {} };
+    const commandCounts: Record<string, number> = {};
     const property = fc.property(ClaimSequenceArbitrary, sequence => {
+        countCommands(sequence.commands, commandCounts);
         const gateway = runClaimSequence(sequence, create);
         figures.sequences++;
         figures.commands += sequence.commands.length;
@@ -50,6 +55,7 @@
     const smallest = JSON.stringify(details.counterexample?.[0]);
     return {
         figures,
+        commandCounts,
         failedAt: details.failed ? details.numRuns : undefined,
         report: details.failed ?
             `seed ${seed}, path ${details.counterexamplePath}\n${smallest}\n${details.errorInstance}` :
--- a/test/fuzz/runFuzz.ts
+++ b/test/fuzz/runFuzz.ts
@@ -12,6 +12,7 @@
 /** Result of either fuzzer. */
 interface RunResult {
     readonly figures: object;
+    readonly commandCounts: Readonly<Record<string, number>>;
     readonly failedAt: number | undefined;
     readonly report: string;
 }
@@ -19,7 +20,7 @@
 type Run = (options: FuzzOptions) => RunResult;
 
 const options = yargs(hideBin(process.argv))
-    .option("sequences", { type: "number", default: 1_000, describe: "sequences to run" })
+    .option("sequences", { type: "number", default: 1_000, alias: "runs", describe: "sequences to run" })
     .option("seed", { type: "number", default: Date.now() % 1_000_000_000, describe: "seed of the run" })
     .option("claims", { type: "boolean", default: false, describe: "run keyed requests and tickets" })
     .option("breaks", {
@@ -40,8 +41,10 @@
 
 function runOnce(run: Run): void {
     const startedMs = Date.now();
-    const { figures, failedAt, report } = run(options);
-    console.log(JSON.stringify({ ...figures, seconds: (Date.now() - startedMs) / 1_000 }));
+    const { figures, commandCounts, failedAt, report } = run(options);
+    const violations = failedAt === undefined ? 0 : 1;
+    const seconds = (Date.now() - startedMs) / 1_000;
+    console.log(JSON.stringify({ ...figures, commandCounts, violations, seconds }));
     if (failedAt !== undefined) {
         console.log(`failed after ${failedAt} sequences\n${report}`);
         process.exitCode = 1;
