--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -1,9 +1,11 @@
 /** The edge process: listeners, feeds, budgets and the order of start and shutdown. */
 import { createServer, type Server } from "node:http";
+import { splitAddress } from "../base/address.js";
 import { type Clock, SystemClock } from "../base/clock.js";
 import { Counters } from "../base/counters.js";
 import { log } from "../base/log.js";
 import { type Random, SystemRandom } from "../base/random.js";
+import { sleep } from "../base/sleep.js";
 import type { PlatformStore } from "../platform/platformStore.js";
 import { BudgetKeeper } from "./budget/budgetKeeper.js";
 import type { ProcessStart } from "./budget/ledger.js";
@@ -228,12 +230,3 @@
 function steadyMs(): number {
     return Number(process.hrtime.bigint() / NsPerMs);
 }
-
-function splitAddress(address: string): { host: string; port: number; } {
-    const separator = address.lastIndexOf(":");
-    return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
-}
-
-function sleep(durationMs: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/src/edge/peers/loadGossip.ts
+++ b/src/edge/peers/loadGossip.ts
@@ -1,5 +1,6 @@
 /** Exchanges load reports with other hosts over UDP. A lost report costs accuracy only. */
 import { createSocket, type Socket } from "node:dgram";
+import { splitAddress } from "../../base/address.js";
 import type { Clock } from "../../base/clock.js";
 import { log } from "../../base/log.js";
 import type { Random } from "../../base/random.js";
@@ -80,13 +81,8 @@
             return;
         }
         for (const address of this.#receivers()) {
-            const separator = address.lastIndexOf(":");
-            this.#socket?.send(
-                bytes,
-                Number(address.slice(separator + 1)),
-                address.slice(0, separator),
-                () => undefined,
-            );
+            const { host, port } = splitAddress(address);
+            this.#socket?.send(bytes, port, host, () => undefined);
         }
     }
 
--- a/src/edge/storeFeed.ts
+++ b/src/edge/storeFeed.ts
@@ -1,6 +1,7 @@
 /** Follows the objects below one prefix of the platform's store. */
 import type { Clock } from "../base/clock.js";
 import { log } from "../base/log.js";
+import { sleep } from "../base/sleep.js";
 import type { PlatformStore, StoredObject, WatchedChange } from "../platform/platformStore.js";
 
 /** Longest wait of one watch call in milliseconds. A silent connection is noticed after it, within a few seconds. */
@@ -78,7 +79,7 @@
                 log.error("store feed failed", { prefix: this.#prefix, error: String(error) });
                 revision = undefined;
             }
-            await pause(this.#isFailing || revision === undefined ? FailurePauseMs : WatchSpacingMs);
+            await sleep(this.#isFailing || revision === undefined ? FailurePauseMs : WatchSpacingMs);
         }
     }
 
@@ -146,7 +147,3 @@
         this.#failedMs = nowMs;
     }
 }
-
-function pause(durationMs: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/src/edge/transport/upstreamConnection.ts
+++ b/src/edge/transport/upstreamConnection.ts
@@ -1,5 +1,6 @@
 /** One connection to an upstream that carries one request at a time. */
 import { connect, type Socket } from "node:net";
+import { splitAddress } from "../../base/address.js";
 import { type ResponseHead, ResponseParser } from "./responseParser.js";
 
 /** Why an exchange ended without a complete response. */
@@ -64,9 +65,7 @@
             onBody: bytes => this.#onBody(bytes),
             onEnd: () => this.#onEnd(),
         });
-        const separator = address.lastIndexOf(":");
-        const port = Number(address.slice(separator + 1));
-        this.#socket = connect({ host: address.slice(0, separator), port, noDelay: true, allowHalfOpen: true });
+        this.#socket = connect({ ...splitAddress(address), noDelay: true, allowHalfOpen: true });
         const timer = setTimeout(() => this.#fail("notConnected", "connect timeout"), connectTimeoutMs);
         this.#socket.once("connect", () => {
             clearTimeout(timer);
