Lend prepaid tokens between hosts when the ledger cannot help

The lender counts a loan as spent within what its own record allows, so loans do not raise what a host can have spent, whichever process dies or datagram is lost. Load reports and loans share one channel (PeerChannel). Failed requests now log their charge too. Tests: the property test plays loans with lost, repeated and cut messages; dropping the lender's count, the borrower's deduction or the repeat checks makes tests fail. Ruled out: cuts of single machines (node_cut) separate the hosts from each other too; loans cannot help there.

--- a/src/edge/budget/budgetKeeper.spec.ts
+++ b/src/edge/budget/budgetKeeper.spec.ts
@@ -8,7 +8,9 @@
     type WatchOutcome,
     type WriteOutcome,
 } from "../../platform/platformStore.js";
-import { BudgetKeeper, type ReservationResult } from "./budgetKeeper.js";
+import { PeerChannel, type PeerListener, type PeerMessage } from "../peers/peerChannel.js";
+import { BudgetKeeper, type ReservationRefusal } from "./budgetKeeper.js";
+import type { Reservation } from "./teamAccount.js";
 
 const Key = "ledger";
 
@@ -78,6 +80,55 @@
     }
 }
 
+type PeerFault = "none" | "cut" | "lossy" | "repeating";
+
+/** Network between the hosts of one test. Messages are delivered in the next turn; faults hit every second message. */
+class PeerNetwork {
+    fault: PeerFault = "none";
+    readonly #listeners = new Map<string, PeerListener[]>();
+    #count = 0;
+
+    /** A restarted process takes the address over: its predecessor hears nothing any more. */
+    open(address: string): PeerChannel {
+        const listeners: PeerListener[] = [];
+        this.#listeners.set(address, listeners);
+        return new MemoryPeerChannel(this, address, listeners);
+    }
+
+    deliver(from: string, to: string, message: PeerMessage): void {
+        const isHit = ++this.#count % 2 === 0;
+        const copies = this.fault === "cut" || (this.fault === "lossy" && isHit) ?
+            0 :
+            this.fault === "repeating" && isHit ?
+            2 :
+            1;
+        for (let copy = 0; copy < copies; copy++) {
+            void Promise.resolve().then(() => this.#listeners.get(to)?.forEach(listener => listener(message, from)));
+        }
+    }
+}
+
+class MemoryPeerChannel extends PeerChannel {
+    readonly #network: PeerNetwork;
+    readonly #address: string;
+    readonly #listeners: PeerListener[];
+
+    constructor(network: PeerNetwork, address: string, listeners: PeerListener[]) {
+        super();
+        this.#network = network;
+        this.#address = address;
+        this.#listeners = listeners;
+    }
+
+    override send(address: string, message: PeerMessage): void {
+        this.#network.deliver(this.#address, address, message);
+    }
+
+    override onMessage(listener: PeerListener): void {
+        this.#listeners.push(listener);
+    }
+}
+
 async function settleCalls(): Promise<void> {
     for (let turn = 0; turn < 40; turn++) {
         await Promise.resolve();
@@ -87,6 +138,7 @@
 class World {
     readonly clock = new ManualClock();
     readonly store = new FaultyStore();
+    readonly network = new PeerNetwork();
     prepaidTokens = 100_000;
     #starts = 0;
 
@@ -98,6 +150,7 @@
             hostId,
             incarnation: `${hostId}-${++this.#starts}`,
             peerAddress: `${hostId}:1`,
+            channel: this.network.open(`${hostId}:1`),
             start: { wallMs: this.clock.wallMs(), steadyMs: this.clock.monotonicMs() },
             steadyMs: () => this.clock.monotonicMs(),
             expectedHostCount: 2,
@@ -117,6 +170,19 @@
     }
 }
 
+function isReserved(result: Reservation | ReservationRefusal): result is Reservation {
+    return typeof result !== "string";
+}
+
+/** Reserves and settles at the full cost. */
+async function spend(keeper: BudgetKeeper, requestId: string, tokens: number): Promise<boolean> {
+    const result = await keeper.reserve(requestId, "t", tokens, 0);
+    if (isReserved(result)) {
+        keeper.settle("t", result, tokens);
+    }
+    return isReserved(result);
+}
+
 function grantedTokens(keeper: BudgetKeeper): number {
     const state = keeper.dumpState() as { teams: { t: { grantedTokens: number; }; }; };
     return state.teams.t.grantedTokens;
@@ -140,7 +206,7 @@
 
     describe("given a team without a prepaid amount", () => {
         it("reserves without a record", async () => {
-            expect(await world.start("a").reserve("r", "free", 1_000_000, 1)).toBe("reserved");
+            expect(await world.start("a").reserve("r", "free", 1_000_000, 1)).toSatisfy(isReserved);
         });
     });
 
@@ -149,15 +215,15 @@
             const keepers = [world.start("a"), world.start("b")];
             await world.run(keepers, 1_000);
             let spent = 0;
-            let refused: ReservationResult = "reserved";
+            let refused: ReservationRefusal | undefined;
             for (let round = 0; round < 400; round++) {
                 const keeper = keepers[round % 2]!;
                 const outcome = keeper.reserve(`r${round}`, "t", 500, 1_000);
                 await world.run(keepers, 100);
                 // The wait for tokens has a real timer; closed accounts decide without it.
                 const result = await Promise.race([outcome, Promise.resolve("fragmented" as const)]);
-                if (result === "reserved") {
-                    keeper.settle("t", 500, 500);
+                if (isReserved(result)) {
+                    keeper.settle("t", result, 500);
                     spent += 500;
                 }
                 else {
@@ -166,7 +232,7 @@
             }
             expect(spent).toBeLessThanOrEqual(world.prepaidTokens);
             expect(spent).toBeGreaterThan(0.98 * world.prepaidTokens);
-            expect(refused).not.toBe("reserved");
+            expect(refused).toBeDefined();
         });
     });
 
@@ -177,10 +243,7 @@
             let served = 0;
             for (let round = 0; round < 80; round++) {
                 world.store.fault = round < 40 ? "none" : "down";
-                if (await keeper.reserve(`r${round}`, "t", 200, 0) === "reserved") {
-                    keeper.settle("t", 200, 200);
-                    served++;
-                }
+                served += await spend(keeper, `r${round}`, 200) ? 1 : 0;
                 await world.run([keeper], 200);
             }
             expect(served).toBeGreaterThan(75);
@@ -193,7 +256,7 @@
             await world.run([keeper], 500);
             world.store.fault = "down";
             await world.run([keeper], 6_000);
-            expect(await keeper.reserve("r", "t", 1_200, 0)).toBe("reserved");
+            expect(await keeper.reserve("r", "t", 1_200, 0)).toSatisfy(isReserved);
         });
     });
 
@@ -203,7 +266,7 @@
             await world.run([killed], 2_000);
             const successor = world.start("a");
             await world.run([successor], 500);
-            expect(await successor.reserve("r", "t", 40_000, 0)).toBe("reserved");
+            expect(await successor.reserve("r", "t", 40_000, 0)).toSatisfy(isReserved);
         });
     });
 
@@ -212,8 +275,7 @@
             const [busy, other] = [world.start("a"), world.start("b")];
             await world.run([busy, other], 1_000);
             for (let round = 0; round < 10; round++) {
-                await busy.reserve(`r${round}`, "t", 2_000, 0);
-                busy.settle("t", 2_000, 2_000);
+                await spend(busy, `r${round}`, 2_000);
                 await world.run([busy, other], 500);
             }
             await world.run([other], 8_000);
@@ -238,6 +300,46 @@
         });
     });
 
+    describe("given another host with tokens to spare", () => {
+        let keepers: BudgetKeeper[];
+
+        beforeEach(async () => {
+            keepers = [world.start("a"), world.start("b")];
+            await world.run(keepers, 1_000);
+            for (let round = 0; round < 10; round++) {
+                await spend(keepers[0]!, `r${round}`, 3_000);
+                await spend(keepers[1]!, `s${round}`, 3_000);
+                await world.run(keepers, 1_000);
+            }
+            world.store.fault = "down";
+        });
+
+        it("borrows what its own record does not cover in an outage (guards against refusals while others hold tokens)", async () => {
+            const own = keepers[0]!;
+            const costs = [4_000, 4_000];
+            const results = await Promise.all(costs.map(async cost => {
+                const result = own.reserve("r", "t", cost, 500);
+                await settleCalls();
+                return result;
+            }));
+            expect(results).toSatisfy((all: (Reservation | ReservationRefusal)[]) => all.every(isReserved));
+            expect(results.filter(isReserved).some(({ borrowedTokens }) => borrowedTokens > 0)).toBe(true);
+        });
+
+        it("refuses at once when the others cannot lend either (guards against requests that wait for nothing)", async () => {
+            const outcome = keepers[0]!.reserve("r", "t", 30_000, 60_000);
+            const result = await Promise.race([outcome, new Promise(resolve => setTimeout(resolve, 300))]);
+            expect(result).toBe("fragmented");
+        });
+
+        it("is refused when the others cannot be reached, after their time to answer", async () => {
+            world.network.fault = "cut";
+            const outcome = keepers[0]!.reserve("r", "t", 30_000, 60_000);
+            const result = await Promise.race([outcome, new Promise(resolve => setTimeout(resolve, 300))]);
+            expect(result).toBe("fragmented");
+        });
+    });
+
     describe("on a shutdown", () => {
         it("gives its tokens back", async () => {
             const keeper = world.start("a");
@@ -249,7 +351,7 @@
         });
     });
 
-    describe("given kills, lost answers, late writes and outages in any order", () => {
+    describe("given kills, lost answers, late writes, loans and outages in any order", () => {
         const action = fc.oneof(
             fc.record({
                 kind: fc.constant("spend" as const),
@@ -260,6 +362,7 @@
             fc.record({ kind: fc.constant("kill" as const), host: fc.nat(2), tokens: fc.constant(0) }),
             fc.record({ kind: fc.constant("late" as const), host: fc.nat(2), tokens: fc.constant(0) }),
             fc.record({ kind: fc.constant("fault" as const), host: fc.nat(3), tokens: fc.constant(0) }),
+            fc.record({ kind: fc.constant("peers" as const), host: fc.nat(3), tokens: fc.constant(0) }),
         );
 
         it("never spends more than the prepaid amount", async () => {
@@ -276,7 +379,7 @@
                         if (kind === "spend") {
                             outcomes.push(
                                 keepers[host]!.reserve("r", "t", tokens, 0).then(result => {
-                                    spent += result === "reserved" ? tokens : 0;
+                                    spent += isReserved(result) ? tokens : 0;
                                 }),
                             );
                             await settleCalls();
@@ -290,18 +393,22 @@
                         else if (kind === "late") {
                             fuzzed.store.applyLate();
                         }
+                        else if (kind === "peers") {
+                            fuzzed.network.fault = (["none", "cut", "lossy", "repeating"] as const)[host]!;
+                        }
                         else {
                             fuzzed.store.fault = (["none", "down", "lost", "late"] as const)[host]!;
                         }
                     }
                     // Everything that is left is spent, so that tokens that exist twice show.
                     fuzzed.store.fault = "none";
+                    fuzzed.network.fault = "none";
                     fuzzed.store.applyLate();
                     await fuzzed.run(keepers, 1_500);
                     for (let round = 0; round < 60; round++) {
                         outcomes.push(...keepers.map(keeper =>
                             keeper.reserve("r", "t", 200, 0).then(result => {
-                                spent += result === "reserved" ? 200 : 0;
+                                spent += isReserved(result) ? 200 : 0;
                             })
                         ));
                         await settleCalls();
--- a/src/edge/budget/budgetKeeper.ts
+++ b/src/edge/budget/budgetKeeper.ts
@@ -1,10 +1,19 @@
 /** Decides whether a request may spend its team's prepaid tokens. */
 import type { Clock } from "../../base/clock.js";
 import { log } from "../../base/log.js";
+import type { PeerChannel } from "../peers/peerChannel.js";
 import { EdgeAccounts } from "./edgeAccounts.js";
-import { countRecentHosts, EmptyTeamLedger, mostHeldByOthers, settledByOthers, unheldTokens } from "./ledger.js";
+import {
+    countRecentHosts,
+    EmptyTeamLedger,
+    lendersOf,
+    mostHeldByOthers,
+    settledByOthers,
+    unheldTokens,
+} from "./ledger.js";
 import { LedgerSync, type LedgerSyncParts } from "./ledgerSync.js";
-import type { TeamAccount } from "./teamAccount.js";
+import type { Reservation, TeamAccount } from "./teamAccount.js";
+import { TokenLoans } from "./tokenLoans.js";
 
 /** Age up to which the ledger's word that no tokens are left to draw is taken for true, in milliseconds. */
 const FreshLedgerMs = 1_000;
@@ -15,16 +24,24 @@
 /** Longest wait of a request for tokens, in milliseconds: two calls of a store that answers slowly. */
 const LongestWaitMs = 500;
 
+/** Time that a write to the ledger has before other hosts are asked, in milliseconds: a few answers of a sound store. */
+const BorrowAfterMs = 40;
+
 /**
- * Outcome of a reservation: `exhausted` by the known spending of all hosts; `heldElsewhere`, so that another host may serve
+ * Why tokens are not available: `exhausted` by the known spending of all hosts; `heldElsewhere`, so that another host may serve
  * the request at once; `fragmented` among hosts until they divide the rest anew; `atRisk` with processes that were killed,
  * so that only a top-up helps.
  */
-export type ReservationResult = "reserved" | "exhausted" | "heldElsewhere" | "fragmented" | "atRisk";
+export type ReservationRefusal = "exhausted" | "heldElsewhere" | "fragmented" | "atRisk";
+
+/** Reservation of a team without a limit. */
+const FreeReservation: Reservation = { ownTokens: 0, borrowedTokens: 0 };
 
 /** What the keeper is built from. */
 export interface BudgetKeeperParts extends LedgerSyncParts {
     readonly clock: Clock;
+    /** Carries loans between hosts. */
+    readonly channel: PeerChannel;
 }
 
 /** Reserves tokens locally; draws and returns shares in the background. */
@@ -32,11 +49,20 @@
     readonly #parts: BudgetKeeperParts;
     readonly #accounts: EdgeAccounts;
     readonly #sync: LedgerSync;
+    readonly #loans: TokenLoans;
 
     constructor(parts: BudgetKeeperParts) {
         this.#parts = parts;
         this.#accounts = new EdgeAccounts(parts.clock);
         this.#sync = new LedgerSync(parts, this.#accounts);
+        this.#loans = new TokenLoans({
+            clock: parts.clock,
+            channel: parts.channel,
+            accounts: this.#accounts,
+            incarnation: parts.incarnation,
+            lenders: team => lendersOf(this.#sync.known?.ledger, team, parts.hostId, this.#accounts.wallMs),
+            onFruitless: account => refuseWaiting(account),
+        });
     }
 
     /** @returns Whether the shares of this incarnation are acknowledged. */
@@ -96,39 +122,39 @@
         team: string,
         costTokens: number,
         waitMs: number,
-    ): Promise<ReservationResult> {
+    ): Promise<Reservation | ReservationRefusal> {
         const result = await this.#reserve(team, costTokens, waitMs);
-        if (result !== "reserved") {
+        if (typeof result === "string") {
             this.#logRefusal(requestId, team, costTokens, result);
         }
         return result;
     }
 
-    #reserve(team: string, costTokens: number, waitMs: number): Promise<ReservationResult> | ReservationResult {
+    async #reserve(team: string, costTokens: number, waitMs: number): Promise<Reservation | ReservationRefusal> {
         if (this.#parts.prepaidTokens(team) === undefined) {
-            return "reserved";
+            return FreeReservation;
         }
         const account = this.#accounts.open(team);
         account.noteDemand(costTokens, this.#accounts.nowMs);
-        if (account.tryReserve(costTokens, this.#accounts.nowMs)) {
-            return "reserved";
+        const reservation = account.tryReserve(costTokens, this.#accounts.nowMs);
+        if (reservation !== undefined) {
+            return reservation;
         }
-        const refusal = this.#refusalFor(team, costTokens);
-        if (refusal === "exhausted" || !this.#mayDraw(account, costTokens)) {
-            return refusal;
+        if (this.#refusalFor(team, costTokens) === "exhausted") {
+            return "exhausted";
         }
-        return this.#waitForTokens(account, costTokens, waitMs);
+        return await this.#waitForTokens(account, costTokens, waitMs) ?? this.#refusalFor(team, costTokens);
     }
 
     /** Replaces a reservation by what the request cost. */
-    settle(team: string, reservedTokens: number, costTokens: number): void {
+    settle(team: string, reservation: Reservation, costTokens: number): void {
         const account = this.#accounts.find(team);
-        account?.settle(reservedTokens, costTokens);
+        account?.settle(reservation, costTokens);
         account?.serveWaiting(this.#accounts.nowMs);
     }
 
     /** The numbers that decided a refusal, and how old they are. */
-    #logRefusal(requestId: string, team: string, costTokens: number, result: ReservationResult): void {
+    #logRefusal(requestId: string, team: string, costTokens: number, result: ReservationRefusal): void {
         const account = this.#accounts.open(team);
         const ledger = this.#sync.known?.ledger.teams[team] ?? EmptyTeamLedger;
         const prepaidTokens = this.#parts.prepaidTokens(team) ?? 0;
@@ -140,6 +166,8 @@
             costTokens,
             spareTokens: account.spareTokens(this.#accounts.nowMs),
             heldTokens: account.grantedTokens - account.usedTokens,
+            borrowedTokens: account.borrowedTokens,
+            prepaidTokens,
             unheldTokens: unheldTokens(ledger, prepaidTokens),
             unspentTokens: prepaidTokens - spentTokens - ledger.atRiskTokens,
             atRiskTokens: ledger.atRiskTokens,
@@ -162,27 +190,37 @@
         return !isFresh || held + unheldTokens(team, prepaid) >= wanted;
     }
 
-    #waitForTokens(account: TeamAccount, costTokens: number, waitMs: number): Promise<ReservationResult> {
+    /** Waits for a write to the ledger or a loan, whichever covers the request first. */
+    #waitForTokens(account: TeamAccount, costTokens: number, waitMs: number): Promise<Reservation | undefined> {
         return new Promise(resolve => {
-            const timer = setTimeout(() => item.settle(false), Math.min(waitMs, LongestWaitMs));
+            const isDrawing = this.#mayDraw(account, costTokens);
+            const timer = setTimeout(() => item.settle(undefined), Math.min(waitMs, LongestWaitMs));
+            const borrowTimer = isDrawing ? setTimeout(() => this.#loans.search(account), BorrowAfterMs) : undefined;
             const item = {
                 costTokens,
-                settle: (granted: boolean) => {
+                isDrawing,
+                settle: (reservation: Reservation | undefined) => {
                     clearTimeout(timer);
+                    clearTimeout(borrowTimer);
                     const index = account.waiting.indexOf(item);
                     if (index >= 0) {
                         account.waiting.splice(index, 1);
                     }
-                    resolve(granted ? "reserved" : this.#refusalFor(account.name, costTokens));
+                    resolve(reservation);
                 },
             };
             account.waiting.push(item);
-            this.#sync.tick();
+            if (isDrawing) {
+                this.#sync.tick();
+            }
+            else {
+                this.#loans.search(account);
+            }
         });
     }
 
     /** A balance counts as exhausted only if the known spending of all hosts leaves too little, whoever holds the rest. */
-    #refusalFor(team: string, costTokens: number): ReservationResult {
+    #refusalFor(team: string, costTokens: number): ReservationRefusal {
         const prepaid = this.#parts.prepaidTokens(team);
         const ledger = this.#sync.known?.ledger.teams[team];
         if (prepaid === undefined || ledger === undefined) {
@@ -200,3 +238,10 @@
         return isHeld ? "heldElsewhere" : "fragmented";
     }
 }
+
+/** Refuses the requests that only a loan could have served. */
+function refuseWaiting(account: TeamAccount): void {
+    for (const item of account.waiting.filter(({ isDrawing }) => !isDrawing)) {
+        item.settle(undefined);
+    }
+}
--- a/src/edge/budget/ledger.ts
+++ b/src/edge/budget/ledger.ts
@@ -73,6 +73,26 @@
     return Math.max(0, ...held);
 }
 
+/**
+ * Other hosts by the tokens that they may spend of a team's budget as far as their records tell, the most first.
+ * @param wallMs Wall-clock time by this host's clock, in milliseconds.
+ * @returns Addresses for peer messages.
+ */
+export function lendersOf(ledger: Ledger | undefined, team: string, hostId: string, wallMs: number): string[] {
+    const shares = ledger?.teams[team]?.shares ?? {};
+    return Object.entries(ledger?.hosts ?? {})
+        .filter(([id]) => id !== hostId)
+        .map(([id, host]) => {
+            const share = shares[id];
+            const spareTokens = share === undefined ?
+                0 :
+                allowedTokens(share, wallMs - host.writtenAtMs) - share.settledTokens;
+            return { address: host.peerAddress, spareTokens };
+        })
+        .sort((left, right) => right.spareTokens - left.spareTokens)
+        .map(({ address }) => address);
+}
+
 /** @returns Hosts that wrote within a time. */
 export function countRecentHosts(ledger: Ledger, wallMs: number, withinMs: number): number {
     return Object.values(ledger.hosts).filter(host => Math.abs(wallMs - host.writtenAtMs) <= withinMs).length;
--- a/src/edge/budget/teamAccount.ts
+++ b/src/edge/budget/teamAccount.ts
@@ -38,10 +38,20 @@
 /** Weight of the newest request in the mean cost. */
 const MeanCostWeight = 0.1;
 
+/** Tokens reserved for one request, by where they come from. */
+export interface Reservation {
+    /** Covered by this host's own record. */
+    readonly ownTokens: number;
+    /** Borrowed from other hosts, which count them as spent. */
+    readonly borrowedTokens: number;
+}
+
 /** A reservation that waits for tokens. */
 export interface WaitingReservation {
     readonly costTokens: number;
-    settle(granted: boolean): void;
+    /** Whether a write to the ledger can still help. */
+    readonly isDrawing: boolean;
+    settle(reservation: Reservation | undefined): void;
 }
 
 /** A bound with the monotonic time at which its record was made, in milliseconds. */
@@ -65,6 +75,9 @@
     #meanCostTokens = InitialCostTokens;
     #reservedTokens = 0;
     #settledTokens = 0;
+    #lentTokens = 0;
+    /** Borrowed tokens that are not reserved. */
+    #borrowedTokens = 0;
 
     constructor(name: string, nowMs: number) {
         this.name = name;
@@ -77,14 +90,19 @@
         return Math.min(...this.#bounds.map(bound => bound.grantedTokens));
     }
 
-    /** @returns Tokens spent or reserved. */
+    /** @returns Tokens of the own record that are spent, lent or reserved. */
     get usedTokens(): number {
-        return this.#settledTokens + this.#reservedTokens;
+        return this.settledTokens + this.#reservedTokens;
     }
 
-    /** @returns Tokens that finished requests have cost. */
+    /** @returns Tokens of the own record that finished requests have cost or that were lent. */
     get settledTokens(): number {
-        return this.#settledTokens;
+        return this.#settledTokens + this.#lentTokens;
+    }
+
+    /** @returns Borrowed tokens that may be reserved. */
+    get borrowedTokens(): number {
+        return this.#borrowedTokens;
     }
 
     /** @returns Sum of the waiting reservations. */
@@ -92,7 +110,12 @@
         return this.waiting.reduce((sum, { costTokens }) => sum + costTokens, 0);
     }
 
-    /** @returns Tokens that may be reserved now. */
+    /** @returns Tokens that the waiting reservations miss. */
+    missingTokens(nowMs: number): number {
+        return this.waitingTokens - this.#borrowedTokens - Math.max(0, this.spareTokens(nowMs));
+    }
+
+    /** @returns Tokens of the own record that may be reserved now. */
     spareTokens(nowMs: number): number {
         const allowed = this.#bounds.map(bound => allowedTokens(bound, nowMs - bound.madeMs));
         return Math.min(...allowed) - this.usedTokens;
@@ -116,26 +139,48 @@
         this.#openedMs = Number.NEGATIVE_INFINITY;
     }
 
-    /** @returns Whether the tokens were reserved. */
-    tryReserve(costTokens: number, nowMs: number): boolean {
-        if (costTokens > this.spareTokens(nowMs)) {
-            return false;
+    /** @returns The reservation, or `undefined` when too few tokens are left. */
+    tryReserve(costTokens: number, nowMs: number): Reservation | undefined {
+        const borrowedTokens = Math.min(costTokens, this.#borrowedTokens);
+        const ownTokens = costTokens - borrowedTokens;
+        if (ownTokens > Math.max(0, this.spareTokens(nowMs))) {
+            return undefined;
         }
-        this.#reservedTokens += costTokens;
-        return true;
+        this.#reservedTokens += ownTokens;
+        this.#borrowedTokens -= borrowedTokens;
+        return { ownTokens, borrowedTokens };
+    }
+
+    /** Replaces a reservation by what the request cost; borrowed tokens are spent first. */
+    settle({ ownTokens, borrowedTokens }: Reservation, costTokens: number): void {
+        const costBorrowed = Math.min(costTokens, borrowedTokens);
+        this.#borrowedTokens += borrowedTokens - costBorrowed;
+        this.#reservedTokens -= ownTokens;
+        this.#settledTokens += Math.min(costTokens - costBorrowed, ownTokens);
+    }
+
+    /** Tokens of another host may be spent here. */
+    borrow(tokens: number): void {
+        this.#borrowedTokens += tokens;
     }
 
-    /** Replaces a reservation by what the request cost. */
-    settle(reservedTokens: number, costTokens: number): void {
-        this.#reservedTokens -= reservedTokens;
-        this.#settledTokens += Math.min(costTokens, reservedTokens);
+    /**
+     * Gives tokens to another host; this host counts them as spent. Its own waiting requests go first.
+     * @returns Tokens lent, at most as many as wanted.
+     */
+    lend(wantedTokens: number, nowMs: number): number {
+        const spareTokens = this.waiting.length > 0 ? 0 : Math.max(0, this.spareTokens(nowMs));
+        const tokens = Math.min(wantedTokens, spareTokens);
+        this.#lentTokens += tokens;
+        return tokens;
     }
 
     /** Lets waiting reservations have what is spare, in order; a smaller one may pass a larger one. */
     serveWaiting(nowMs: number): void {
         for (const item of [...this.waiting]) {
-            if (this.tryReserve(item.costTokens, nowMs)) {
-                item.settle(true);
+            const reservation = this.tryReserve(item.costTokens, nowMs);
+            if (reservation !== undefined) {
+                item.settle(reservation);
             }
         }
     }
--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -15,6 +15,7 @@
 import { RetryBudgets } from "./flow/retryBudgets.js";
 import { EdgeMetrics } from "./metrics.js";
 import { LoadGossip } from "./peers/loadGossip.js";
+import { UdpPeerChannel } from "./peers/peerChannel.js";
 import type { HeaderCodec, ObjectCodec } from "./protocolCodec.js";
 import { UpstreamDirectory } from "./upstream/upstreamDirectory.js";
 import { UpstreamFeed } from "./upstream/upstreamFeed.js";
@@ -54,6 +55,7 @@
     readonly #directory: UpstreamDirectory;
     readonly #upstreamFeed: UpstreamFeed;
     readonly #budgets: BudgetKeeper;
+    readonly #channel = new UdpPeerChannel(() => this.#budgets.peerAddresses);
     readonly #gossip: LoadGossip;
     readonly #listener: CallerListener;
     readonly #readiness: Server;
@@ -78,6 +80,7 @@
             clock: this.#clock,
             random: this.#random,
             directory: this.#directory,
+            channel: this.#channel,
             hostId: settings.hostId,
             incarnation: this.#incarnation,
             peerAddresses: () => this.#budgets.peerAddresses,
@@ -110,7 +113,8 @@
             await this.#metrics.start(metrics.host, metrics.port);
         }
         const peer = splitAddress(this.#settings.peerAddress);
-        this.#gossip.start(peer.host, peer.port);
+        this.#channel.start(peer.host, peer.port);
+        this.#gossip.start();
         this.#ticker = setInterval(() => this.#tick(), TickIntervalMs);
         log.info("edge started", {
             host: this.#settings.hostId,
@@ -140,6 +144,7 @@
         this.#configuration.stop();
         this.#upstreamFeed.stop();
         this.#gossip.stop();
+        this.#channel.stop();
         this.#metrics.stop();
         this.#listener.destroy();
         this.#readiness.close();
@@ -189,6 +194,7 @@
         return new BudgetKeeper({
             store: this.#parts.store,
             clock: this.#clock,
+            channel: this.#channel,
             key: `${this.#parts.objects.ownPrefix}ledger`,
             hostId: this.#settings.hostId,
             incarnation: this.#incarnation,
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -4,6 +4,7 @@
 import type { Random } from "../../base/random.js";
 import type { RanState } from "../../base/resultCodes.js";
 import type { BudgetKeeper } from "../budget/budgetKeeper.js";
+import type { Reservation } from "../budget/teamAccount.js";
 import type { CallerFacts, EdgeTeam, Route } from "../edgeTypes.js";
 import { EdgeCounterNames, type EdgeMetrics } from "../metrics.js";
 import type { PeerLoad } from "../peers/peerLoads.js";
@@ -95,7 +96,7 @@
     readonly #tried = new Set<string>();
     #attempt: Attempt | undefined;
     #endTimer: NodeJS.Timeout | undefined;
-    #reservedTokens = 0;
+    #reservation: Reservation | undefined;
     #ran: RanState = "no";
     /** Attempts that may have run. */
     #runs = 0;
@@ -204,8 +205,8 @@
         }
         const costTokens = facts.tokens.promptTokens + facts.tokens.maxOutputTokens;
         const outcome = await this.#parts.budgets.reserve(requestId, team.name, costTokens, this.#remainingMs);
-        if (outcome === "reserved") {
-            this.#reservedTokens = costTokens;
+        if (typeof outcome !== "string") {
+            this.#reservation = outcome;
             if (this.#isOver) {
                 this.#settle();
             }
@@ -372,39 +373,40 @@
         if (this.#isOver) {
             return;
         }
-        log.info("request failed", { request: this.#request.requestId, ...this.#describe(), ...failure, cause });
         this.#answer.fail(failure);
-        this.#conclude("failed");
+        this.#conclude("failed", { ...failure, cause });
     }
 
-    #conclude(outcome: RequestOutcome): void {
+    /** Settles, counts and logs the end of the request. */
+    #conclude(outcome: RequestOutcome, details: Record<string, unknown> = {}): void {
         this.#isOver = true;
         this.#attempt = undefined;
         clearTimeout(this.#endTimer);
         const chargedTokens = this.#settle();
         this.#parts.metrics.counters.add(OutcomeCounters[outcome]);
         this.#parts.metrics.counters.add(EdgeCounterNames.tokensCharged, chargedTokens);
-        if (outcome !== "failed") {
-            log.info("request ended", {
-                request: this.#request.requestId,
-                ...this.#describe(),
-                outcome,
-                chargedTokens,
-            });
-        }
+        log.info(outcome === "failed" ? "request failed" : "request ended", {
+            request: this.#request.requestId,
+            ...this.#describe(),
+            outcome,
+            chargedTokens,
+            ...details,
+        });
     }
 
     /** Charges the prompt once and the output that was delivered; without a count, the whole reservation. */
     #settle(): number {
         const { team, facts, table } = this.#request;
-        if (team === undefined || facts.tokens === undefined || this.#reservedTokens === 0) {
+        const reservation = this.#reservation;
+        if (team === undefined || facts.tokens === undefined || reservation === undefined) {
             return 0;
         }
+        const reservedTokens = reservation.ownTokens + reservation.borrowedTokens;
         const costTokens = Math.min(
-            this.#reservedTokens,
+            reservedTokens,
             costOfRequest({
                 tokens: facts.tokens,
-                reservedTokens: this.#reservedTokens,
+                reservedTokens,
                 tokensPerEvent: table.findService(this.#service)?.engine?.tokensPerEvent,
                 eventCount: this.#relay.eventCount,
                 hasRun: this.#ran !== "no",
@@ -412,8 +414,8 @@
                 isAbandoned: this.#isAbandoned,
             }),
         );
-        this.#parts.budgets.settle(team.name, this.#reservedTokens, costTokens);
-        this.#reservedTokens = 0;
+        this.#parts.budgets.settle(team.name, reservation, costTokens);
+        this.#reservation = undefined;
         return costTokens;
     }
 
--- a/src/edge/peers/peerLoads.ts
+++ b/src/edge/peers/peerLoads.ts
@@ -9,6 +9,7 @@
 
 /** A host's report. Names are short, as bytes between zones are priced. */
 export const LoadReportSchema = z.object({
+    k: z.literal("l"),
     /** Host. */
     h: z.string(),
     /** Incarnation and number of the report: an overtaken report is dropped. */
