Charge a request without output nothing, and a broken stream what it delivered

Cause: a request that broke off, or whose caller left before the first event, was charged its whole reservation, and an upstream's failure its prompt.

Change: cost follows from what was delivered. Whole answers that are not streams are charged their reservation. Kept: streams whose callers left are charged, as their output was delivered.

--- a/src/edge/flow/requestCost.ts
+++ b/src/edge/flow/requestCost.ts
@@ -12,29 +12,26 @@
     readonly tokensPerEvent: number | undefined;
     /** Events that were relayed, over all attempts. */
     readonly eventCount: number;
-    /** Whether an upstream may have begun to work on the request. */
-    readonly hasRun: boolean;
-    /** Whether an attempt broke off, so that its output is not known. */
-    readonly isInterrupted: boolean;
+    /** Whether the caller got a whole successful answer. */
+    readonly isAnswered: boolean;
     /** Whether the edge stopped a running attempt. */
     readonly isAbandoned: boolean;
 }
 
 /**
- * The prompt counts once, the output as it was delivered. Where the output is not known, the whole reservation counts: a
- * team must not get more than it paid for.
+ * The prompt counts once and the output as it was delivered, so a request that failed before its first output costs
+ * nothing. Where output was delivered that cannot be counted, the whole reservation is charged: a team must not get
+ * more than it paid for.
  * @returns Tokens to charge.
  */
 export function costOfRequest(input: CostInput): number {
     const { tokens, reservedTokens, tokensPerEvent, eventCount } = input;
-    if (!input.hasRun) {
-        return 0;
+    if (eventCount === 0) {
+        return input.isAnswered ? reservedTokens : 0;
     }
-    const isUnknown = input.isInterrupted || (input.isAbandoned && eventCount === 0) ||
-        (tokensPerEvent === undefined && eventCount > 0);
-    if (isUnknown) {
+    if (tokensPerEvent === undefined) {
         return reservedTokens;
     }
     const countedEvents = eventCount + (input.isAbandoned ? EventsInFlight : 0);
-    return Math.min(reservedTokens, tokens.promptTokens + countedEvents * (tokensPerEvent ?? 0));
+    return Math.min(reservedTokens, tokens.promptTokens + countedEvents * tokensPerEvent);
 }
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -101,8 +101,6 @@
     /** Attempts that may have run. */
     #runs = 0;
     #sends = 0;
-    /** Whether an attempt ended without telling how much it generated. */
-    #hasUncountedOutput = false;
     /** Whether a running attempt was stopped. */
     #isAbandoned = false;
     #isOver = false;
@@ -208,7 +206,7 @@
         if (typeof outcome !== "string") {
             this.#reservation = outcome;
             if (this.#isOver) {
-                this.#settle();
+                this.#settle(false);
             }
             return true;
         }
@@ -295,7 +293,6 @@
         else if (end.status === "interrupted") {
             this.#relay.interrupt();
             this.#runs++;
-            this.#hasUncountedOutput = true;
             this.#ran = this.#relay.hasEvents ? "yes" : this.#ran === "no" ? "unknown" : this.#ran;
         }
     }
@@ -382,7 +379,7 @@
         this.#isOver = true;
         this.#attempt = undefined;
         clearTimeout(this.#endTimer);
-        const chargedTokens = this.#settle();
+        const chargedTokens = this.#settle(outcome === "complete");
         this.#parts.metrics.counters.add(OutcomeCounters[outcome]);
         this.#parts.metrics.counters.add(EdgeCounterNames.tokensCharged, chargedTokens);
         log.info(outcome === "failed" ? "request failed" : "request ended", {
@@ -394,8 +391,8 @@
         });
     }
 
-    /** Charges the prompt once and the output that was delivered; without a count, the whole reservation. */
-    #settle(): number {
+    /** @param isAnswered Whether the caller got a whole successful answer. */
+    #settle(isAnswered: boolean): number {
         const { team, facts, table } = this.#request;
         const reservation = this.#reservation;
         if (team === undefined || facts.tokens === undefined || reservation === undefined) {
@@ -409,8 +406,7 @@
                 reservedTokens,
                 tokensPerEvent: table.findService(this.#service)?.engine?.tokensPerEvent,
                 eventCount: this.#relay.eventCount,
-                hasRun: this.#ran !== "no",
-                isInterrupted: this.#hasUncountedOutput,
+                isAnswered,
                 isAbandoned: this.#isAbandoned,
             }),
         );
--- a/src/edge/flow/streamRelay.ts
+++ b/src/edge/flow/streamRelay.ts
@@ -75,6 +75,7 @@
         this.#isOpen = false;
         this.#start();
         const { partial } = this.#splitter;
+        this.#eventCount += partial.length > 0 ? 1 : 0;
         this.#answer.end(partial.length > 0 ? partial : undefined);
     }
 
