Record what a host may spend in an object of its own, and write the ledger only for grants

The limit of a record covered 1.8 s of demand or a whole request at each host, tokens were released from 1.7 s on, and a successor saw its predecessor's record 0.5 s older than it was. Change: each host writes its own object without conflicts, every 0.6 s and when a request needs it; the newer of record and ledger entry bounds what it spends and what its successor closes. A successor takes the object over before it closes shares. The limit covers 1 s of demand. In an outage the rest is released from 2 s on at 1.2 times the demand, plus one large request where one is expected. Requests wait up to 0.8 s for a release that is due. The ledger changes when grants are 30 % off, and every 5 s. The bundle is replaced in one step: builds at the same time removed each other's file. Tests: records without an answer, take-over, a second kill, a replaced writer; the property test covers both objects.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,12 +1,15 @@
 // Bundles the programs of the deploy file into target/, one file each: single files load several times slower.
 import { build } from "esbuild";
-import { rmSync } from "node:fs";
+import { mkdirSync, renameSync } from "node:fs";
 
-rmSync("target", { recursive: true, force: true });
+const BundlePath = "target/toucan-edge.mjs";
+
+// A bundle is replaced in one step, so that a process that starts during a build finds a whole one.
+const newPath = `${BundlePath}.${process.pid}`;
+mkdirSync("target", { recursive: true });
 await build({
-    entryPoints: { "toucan-edge": "platform/main.ts" },
-    outdir: "target",
-    outExtension: { ".js": ".mjs" },
+    entryPoints: ["platform/main.ts"],
+    outfile: newPath,
     bundle: true,
     format: "esm",
     platform: "node",
@@ -15,3 +18,4 @@
     banner: { js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);" },
     logLevel: "warning",
 });
+renameSync(newPath, BundlePath);
--- a/src/edge/budget/budgetKeeper.ts
+++ b/src/edge/budget/budgetKeeper.ts
@@ -12,6 +12,8 @@
     unheldTokens,
 } from "./ledger.js";
 import { LedgerSync, type LedgerSyncParts } from "./ledgerSync.js";
+import { OwnRecords } from "./ownRecords.js";
+import { RecordSync } from "./recordSync.js";
 import type { Reservation, TeamAccount } from "./teamAccount.js";
 import { TokenLoans } from "./tokenLoans.js";
 
@@ -21,8 +23,8 @@
 /** Time after which a host that wrote nothing is not counted, in milliseconds. */
 const HostSilenceMs = 15_000;
 
-/** Longest wait of a request for tokens, in milliseconds: two calls of a store that answers slowly. */
-const LongestWaitMs = 500;
+/** Longest wait of a request for tokens, in milliseconds: a release that is due, or calls of a store that answers slowly. */
+const LongestWaitMs = 800;
 
 /** Time that a write to the ledger has before other hosts are asked, in milliseconds: a few answers of a sound store. */
 const BorrowAfterMs = 40;
@@ -42,6 +44,10 @@
     readonly clock: Clock;
     /** Carries loans between hosts. */
     readonly channel: PeerChannel;
+    /** Key of this host's own record; `key` is that of the ledger. */
+    readonly recordKey: string;
+    /** @returns The machine's steady clock in milliseconds; processes of one start of a machine share it. */
+    steadyMs(): number;
 }
 
 /** Reserves tokens locally; draws and returns shares in the background. */
@@ -49,19 +55,23 @@
     readonly #parts: BudgetKeeperParts;
     readonly #accounts: EdgeAccounts;
     readonly #sync: LedgerSync;
+    readonly #recordSync: RecordSync;
     readonly #loans: TokenLoans;
 
     constructor(parts: BudgetKeeperParts) {
         this.#parts = parts;
         this.#accounts = new EdgeAccounts(parts.clock);
-        this.#sync = new LedgerSync(parts, this.#accounts);
+        const records = new OwnRecords(parts.incarnation, this.#accounts, () => parts.steadyMs());
+        const { store, recordKey, incarnation } = parts;
+        this.#recordSync = new RecordSync({ store, key: recordKey, incarnation, records }, this.#accounts);
+        this.#sync = new LedgerSync(parts, this.#accounts, records, this.#recordSync);
         this.#loans = new TokenLoans({
             clock: parts.clock,
             channel: parts.channel,
             accounts: this.#accounts,
             incarnation: parts.incarnation,
             lenders: team => lendersOf(this.#sync.known?.ledger, team, parts.hostId, this.#accounts.wallMs),
-            onFruitless: account => refuseWaiting(account),
+            onFruitless: account => this.#refuseWaiting(account),
         });
     }
 
@@ -100,11 +110,16 @@
     /** Writes when something is due; called every few ten milliseconds. */
     tick(): void {
         this.#sync.tick();
+        this.#recordSync.tick(this.#sync.mayRecord);
+        for (const account of this.#accounts.all) {
+            account.serveWaiting(this.#accounts.nowMs);
+        }
     }
 
     /** The store answers again. */
     onStoreReturned(): void {
         this.#sync.onStoreReturned();
+        this.#recordSync.onStoreReturned();
     }
 
     /** Gives all unused tokens back. */
@@ -173,32 +188,34 @@
             atRiskTokens: ledger.atRiskTokens,
             ledgerVersion: this.#sync.known?.version,
             ledgerAgeMs: Math.round(this.#sync.ageMs),
-            storeLost: this.#sync.isFailing,
+            storeLost: this.#isStoreLost,
         });
     }
 
+    get #isStoreLost(): boolean {
+        return this.#sync.isFailing || this.#recordSync.isFailing;
+    }
+
     /** Whether a wait can help: not while the store is lost, nor when it has just said that nothing is left to draw. */
-    #mayDraw(account: TeamAccount, costTokens: number): boolean {
-        if (this.#sync.isFailing || this.#sync.known === undefined) {
-            return !this.#sync.isFailing;
+    #mayDraw(account: TeamAccount): boolean {
+        if (this.#isStoreLost || this.#sync.known === undefined) {
+            return !this.#isStoreLost;
         }
         const team = this.#sync.known.ledger.teams[account.name] ?? EmptyTeamLedger;
         const prepaid = this.#parts.prepaidTokens(account.name) ?? 0;
-        const wanted = account.waitingTokens + costTokens;
         const held = account.grantedTokens - account.usedTokens;
         const isFresh = this.#sync.ageMs < FreshLedgerMs;
-        return !isFresh || held + unheldTokens(team, prepaid) >= wanted;
+        return !isFresh || held + unheldTokens(team, prepaid) >= account.waitingTokens;
     }
 
     /** Waits for a write to the ledger or a loan, whichever covers the request first. */
     #waitForTokens(account: TeamAccount, costTokens: number, waitMs: number): Promise<Reservation | undefined> {
         return new Promise(resolve => {
-            const isDrawing = this.#mayDraw(account, costTokens);
             const timer = setTimeout(() => item.settle(undefined), Math.min(waitMs, LongestWaitMs));
-            const borrowTimer = isDrawing ? setTimeout(() => this.#loans.search(account), BorrowAfterMs) : undefined;
+            const borrowTimer = setTimeout(() => this.#loans.search(account), BorrowAfterMs);
             const item = {
                 costTokens,
-                isDrawing,
+                isDrawing: () => this.#mayDraw(account),
                 settle: (reservation: Reservation | undefined) => {
                     clearTimeout(timer);
                     clearTimeout(borrowTimer);
@@ -210,8 +227,8 @@
                 },
             };
             account.waiting.push(item);
-            if (isDrawing) {
-                this.#sync.tick();
+            if (item.isDrawing()) {
+                this.tick();
             }
             else {
                 this.#loans.search(account);
@@ -237,11 +254,18 @@
             mostHeldByOthers(ledger, this.#parts.hostId) >= costTokens;
         return isHeld ? "heldElsewhere" : "fragmented";
     }
-}
 
-/** Refuses the requests that only a loan could have served. */
-function refuseWaiting(account: TeamAccount): void {
-    for (const item of account.waiting.filter(({ isDrawing }) => !isDrawing)) {
-        item.settle(undefined);
+    /** Nobody can lend: refuses the requests that neither a write nor a release serves in time. */
+    #refuseWaiting(account: TeamAccount): void {
+        let releasedTokens = 0;
+        for (const item of account.waiting.filter(waiting => !waiting.isDrawing())) {
+            const wantedTokens = releasedTokens + item.costTokens;
+            if (account.releaseWaitMs(wantedTokens, this.#accounts.nowMs, LongestWaitMs) === undefined) {
+                item.settle(undefined);
+            }
+            else {
+                releasedTokens = wantedTokens;
+            }
+        }
     }
 }
--- a/src/edge/budget/edgeAccounts.ts
+++ b/src/edge/budget/edgeAccounts.ts
@@ -31,9 +31,16 @@
         return this.all.reduce((sum, account) => sum + account.usedTokens, 0);
     }
 
-    /** @returns Whether a request waits for tokens, or a new record would let clearly more be spent. */
+    /** @returns Whether a new record of what the host holds would serve a waiting request, or the next ones at once. */
     get wantRecord(): boolean {
-        return this.all.some(account => account.waiting.length > 0 || account.wantsRecord(this.nowMs));
+        return this.all.some(account =>
+            (account.waiting.length > 0 && !account.wantsGrant) || account.wantsRecord(this.nowMs)
+        );
+    }
+
+    /** @returns Whether waiting requests need more than the host holds. */
+    get wantGrant(): boolean {
+        return this.all.some(account => account.wantsGrant);
     }
 
     /** @returns The account of a team. */
--- a/src/edge/budget/ledger.ts
+++ b/src/edge/budget/ledger.ts
@@ -1,19 +1,14 @@
 /** The stored ledger of prepaid tokens: what each host may spend of each team's budget. */
 import { z } from "zod";
+import { type RecordDate, RecordDateSchema, RecordedBoundSchema, type SpendingRecord } from "./spendingRecord.js";
 import { allowedTokens } from "./spendingRight.js";
 
 const TokensSchema = z.number().int().nonnegative();
 
-/** Part of a team's budget that one host incarnation holds. Both numbers are cumulative for the incarnation. */
-export const HostShareSchema = z.object({
+/** Part of a team's budget that one host incarnation holds. All token numbers are cumulative for the incarnation. */
+export const HostShareSchema = RecordedBoundSchema.extend({
     /** Tokens that the host holds in all. */
     grantedTokens: TokensSchema,
-    /** Tokens that the host may spend while the record is new; see `spendingRight.ts`. */
-    limitTokens: TokensSchema,
-    /** Tokens per second by which the limit rises once the record is old. */
-    releaseTokensPerS: TokensSchema,
-    /** Tokens that finished requests have cost so far; lags behind. */
-    settledTokens: TokensSchema,
     /** Tokens per second that requests at the host ask for. */
     demandTokensPerS: TokensSchema,
 });
@@ -29,17 +24,10 @@
 });
 export type TeamLedger = z.infer<typeof TeamLedgerSchema>;
 
-/** A host that writes to the ledger. */
-export const LedgerHostSchema = z.object({
-    incarnation: z.string(),
-    /** `IP:port` at which the host takes load reports. */
+/** A host that writes to the ledger, with the date of its last write. */
+export const LedgerHostSchema = RecordDateSchema.extend({
+    /** `IP:port` at which the host takes messages of other hosts. */
     peerAddress: z.string(),
-    /** Number of the incarnation's last write; makes each write a change. */
-    sequence: z.number().int().nonnegative(),
-    /** Wall-clock time of the last write by the host's own clock, in milliseconds. */
-    writtenAtMs: z.number(),
-    /** The machine's steady clock at the last write, in milliseconds. */
-    writtenSteadyMs: z.number(),
 });
 export type LedgerHost = z.infer<typeof LedgerHostSchema>;
 
@@ -86,7 +74,7 @@
             const share = shares[id];
             const spareTokens = share === undefined ?
                 0 :
-                allowedTokens(share, wallMs - host.writtenAtMs) - share.settledTokens;
+                allowedTokens(share, share.grantedTokens, wallMs - host.writtenAtMs) - share.settledTokens;
             return { address: host.peerAddress, spareTokens };
         })
         .sort((left, right) => right.spareTokens - left.spareTokens)
@@ -104,8 +92,8 @@
     readonly steadyMs: number;
 }
 
-/** Allowance for clocks that are read one after the other and set by small steps, in milliseconds. */
-const ClockSlackMs = 500;
+/** Allowance for a wall clock that was set by a small step, in milliseconds. */
+const WallClockSlackMs = 500;
 
 /** Largest difference between both clocks that a clock step or a suspension explains, in milliseconds. */
 const MaxClockDifferenceMs = 60_000;
@@ -116,37 +104,54 @@
  * suspended. A steady clock that is far off has started anew with the machine and says nothing.
  * @returns Age in milliseconds.
  */
-export function recordAgeMs(host: LedgerHost, start: ProcessStart): number {
-    const wallAgeMs = start.wallMs - host.writtenAtMs;
-    const steadyAgeMs = start.steadyMs - host.writtenSteadyMs;
-    const isSameBoot = Math.abs(steadyAgeMs - wallAgeMs) <= MaxClockDifferenceMs;
-    const ageMs = isSameBoot ? Math.max(wallAgeMs, steadyAgeMs) : wallAgeMs;
-    return ageMs < 0 ? Number.POSITIVE_INFINITY : ageMs + ClockSlackMs;
+export function recordAgeMs(record: RecordDate, start: ProcessStart): number {
+    const wallAgeMs = start.wallMs - record.writtenAtMs;
+    const steadyAgeMs = start.steadyMs - record.writtenSteadyMs;
+    if (Math.abs(steadyAgeMs - wallAgeMs) <= MaxClockDifferenceMs && steadyAgeMs >= 0) {
+        return Math.max(wallAgeMs, steadyAgeMs);
+    }
+    return wallAgeMs < 0 ? Number.POSITIVE_INFINITY : wallAgeMs + WallClockSlackMs;
 }
 
 /**
  * Closes the shares of a host's earlier incarnation. A process starts under a host's id only after the one before it has
  * ended. What that one may have spent without reporting it counts as at risk; the rest is free at once.
+ * @param record The host's own record, which the caller has taken over. The newer of it and the ledger's entry counts.
  * @returns The ledger with the shares closed; the same one when there is nothing to close.
  */
-export function closePredecessor(ledger: Ledger, hostId: string, incarnation: string, start: ProcessStart): Ledger {
+export function closePredecessor(
+    ledger: Ledger,
+    hostId: string,
+    incarnation: string,
+    start: ProcessStart,
+    record: SpendingRecord | undefined,
+): Ledger {
     const host = ledger.hosts[hostId];
     if (host === undefined || host.incarnation === incarnation) {
         return ledger;
     }
-    const ageMs = recordAgeMs(host, start);
+    const newer = newerRecord(host, record);
     const teams = Object.entries(ledger.teams).map(([name, team]): [string, TeamLedger] => {
         const { [hostId]: share, ...shares } = team.shares;
         if (share === undefined) {
             return [name, team];
         }
-        const spentAtMost = Math.max(share.settledTokens, allowedTokens(share, ageMs));
+        const recorded = newer?.teams[name];
+        const bound = recorded ?? share;
+        const ageMs = recordAgeMs(recorded === undefined ? host : newer!, start);
+        const settledTokens = Math.max(share.settledTokens, bound.settledTokens);
+        const spentAtMost = Math.max(settledTokens, allowedTokens(bound, share.grantedTokens, ageMs));
         return [name, {
-            closedTokens: team.closedTokens + share.settledTokens,
-            atRiskTokens: team.atRiskTokens + spentAtMost - share.settledTokens,
+            closedTokens: team.closedTokens + settledTokens,
+            atRiskTokens: team.atRiskTokens + spentAtMost - settledTokens,
             shares,
         }];
     });
     const hosts = Object.fromEntries(Object.entries(ledger.hosts).filter(([id]) => id !== hostId));
     return { hosts, teams: Object.fromEntries(teams) };
 }
+
+/** @returns The record if it is newer than the ledger's entry of the same process. */
+export function newerRecord(host: LedgerHost, record: SpendingRecord | undefined): SpendingRecord | undefined {
+    return record?.incarnation === host.incarnation && record.sequence > host.sequence ? record : undefined;
+}
--- a/src/edge/budget/ledgerSync.ts
+++ b/src/edge/budget/ledgerSync.ts
@@ -9,18 +9,21 @@
     type HostShare,
     type Ledger,
     LedgerSchema,
+    newerRecord,
     type ProcessStart,
     recordAgeMs,
     type TeamLedger,
     unheldTokens,
 } from "./ledger.js";
+import type { OwnRecords } from "./ownRecords.js";
+import type { RecordSync } from "./recordSync.js";
 import { planGrant } from "./sharePlan.js";
 import type { TeamAccount } from "./teamAccount.js";
 
-/** Interval of writes by a host with traffic, in milliseconds; see `spendingRight.ts`. */
-const ReportIntervalMs = 1_000;
+/** Interval of writes by a host with traffic, in milliseconds: other hosts divide the budgets by its demand. */
+const ReportIntervalMs = 5_000;
 
-/** Interval of writes by a host without traffic, in milliseconds: its record ages, but it has nothing to spend on. */
+/** Interval of writes by a host without traffic, in milliseconds: it stays known to the other hosts. */
 const IdleReportIntervalMs = 8_000;
 
 /** Pause after the store failed, in milliseconds; retried often enough to be in step a second after it returns. */
@@ -29,6 +32,9 @@
 /** Shortest time between two writes, so that a burst of requests causes one write and not one each, in milliseconds. */
 const WriteSpacingMs = 200;
 
+/** Interval in which a host looks whether its grants still fit, in milliseconds. */
+const PlanIntervalMs = 1_000;
+
 /** Conflicts in a row after which a write is put off. */
 const MostConflicts = 6;
 
@@ -42,8 +48,6 @@
     readonly peerAddress: string;
     /** When this process started. */
     readonly start: ProcessStart;
-    /** @returns The machine's steady clock in milliseconds; processes of one start of a machine share it. */
-    steadyMs(): number;
     /** Hosts to assume as long as the ledger shows fewer. */
     readonly expectedHostCount: number;
     /** @returns Prepaid tokens of a team by the configuration in force; `undefined` for no limit. */
@@ -62,25 +66,29 @@
 export class LedgerSync {
     readonly #parts: LedgerSyncParts;
     readonly #accounts: EdgeAccounts;
+    readonly #records: OwnRecords;
+    readonly #recordSync: RecordSync;
     #known: KnownLedger | undefined;
     /** Version on which the writes without an answer depend: they may take effect until it changes. */
     #unsettledVersion: number | undefined;
-    /** Monotonic times at which records were made, by their sequence. */
-    readonly #madeMs = new Map<number, number>();
+    /** Writes that may take effect or not. */
+    #open: number[] = [];
     #hasInherited = false;
     #isEstablished = false;
     #isClosing = false;
     #isSyncing = false;
     #isFailing = false;
-    #sequence = 0;
     #nextWriteMs = 0;
+    #nextPlanMs = 0;
     #reportedMs = Number.NEGATIVE_INFINITY;
     #readMs = Number.NEGATIVE_INFINITY;
     #reportedUsedTokens = 0;
 
-    constructor(parts: LedgerSyncParts, accounts: EdgeAccounts) {
+    constructor(parts: LedgerSyncParts, accounts: EdgeAccounts, records: OwnRecords, recordSync: RecordSync) {
         this.#parts = parts;
         this.#accounts = accounts;
+        this.#records = records;
+        this.#recordSync = recordSync;
     }
 
     /** @returns The ledger as last seen. */
@@ -105,14 +113,22 @@
 
     /** Writes when something is due; called every few ten milliseconds. */
     tick(): void {
-        if (this.#isSyncing || this.#accounts.nowMs < this.#nextWriteMs) {
+        if (this.#isSyncing || !this.#recordSync.hasTakenOver || this.#accounts.nowMs < this.#nextWriteMs) {
             return;
         }
-        if (!this.#isEstablished || this.#isClosing || this.#accounts.wantRecord || this.#isReportDue()) {
+        if (
+            !this.#isEstablished || this.#isClosing || this.#accounts.wantGrant || this.#isReportDue() ||
+            this.#isPlanDue()
+        ) {
             void this.#sync();
         }
     }
 
+    /** @returns Whether this process writes its own record: it has shares and does not give them back. */
+    get mayRecord(): boolean {
+        return this.#isEstablished && !this.#isClosing;
+    }
+
     /** The store answers again: a record that is written at once bounds what the outage puts at risk. */
     onStoreReturned(): void {
         this.#nextWriteMs = this.#accounts.nowMs;
@@ -132,6 +148,21 @@
             (ageMs >= ReportIntervalMs && this.#accounts.usedTokens !== this.#reportedUsedTokens);
     }
 
+    /** @returns Whether grants are off their targets by what is known of the ledger. */
+    #isPlanDue(): boolean {
+        const nowMs = this.#accounts.nowMs;
+        if (nowMs < this.#nextPlanMs || this.#known === undefined) {
+            return false;
+        }
+        this.#nextPlanMs = nowMs + PlanIntervalMs;
+        const { ledger } = this.#known;
+        const totalDemandTokensPerS = this.#totalDemandTokensPerS();
+        return this.#accounts.all.some(account => {
+            const team = ledger.teams[account.name] ?? EmptyTeamLedger;
+            return this.#planGrant(ledger, team, account, totalDemandTokensPerS) !== account.grantedTokens;
+        });
+    }
+
     async #sync(): Promise<void> {
         this.#isSyncing = true;
         try {
@@ -168,18 +199,18 @@
             this.#isEstablished = true;
             this.#reportedMs = this.#accounts.nowMs;
             this.#reportedUsedTokens = this.#accounts.usedTokens;
+            this.#recordSync.noteRecorded();
             this.#take({ ledger: next, version: outcome.version });
             this.#noteRegained();
             this.#logShares(outcome.version);
             return false;
         }
         if (outcome.status === "conflict") {
+            this.#withdrawLast();
             return this.#handleConflict(outcome.current?.value, outcome.current?.version);
         }
         if (outcome.status === "refused") {
-            for (const account of this.#accounts.all) {
-                account.withdrawLast();
-            }
+            this.#withdrawLast();
         }
         else {
             this.#known = undefined;
@@ -225,83 +256,89 @@
         this.#readMs = this.#accounts.nowMs;
         const isNewer = this.#unsettledVersion !== known.version;
         const host = known.ledger.hosts[this.#parts.hostId];
-        const ownSequence = host?.incarnation === this.#parts.incarnation ? host.sequence : 0;
-        const madeMs = this.#madeMs.get(ownSequence);
+        const madeMs = this.#records.madeMs(host);
+        if (isNewer) {
+            this.#open.forEach(sequence => this.#withdraw(sequence));
+            this.#open = [];
+            this.#unsettledVersion = undefined;
+        }
         for (const account of this.#accounts.all) {
-            if (isNewer) {
-                account.withdrawAll();
-            }
             const share = known.ledger.teams[account.name]?.shares[this.#parts.hostId];
-            if (madeMs !== undefined && share !== undefined) {
-                account.acknowledge({ ...share, madeMs });
+            if (host !== undefined && madeMs !== undefined && share !== undefined) {
+                account.acknowledgeGrant(share.grantedTokens);
+                account.acknowledge({ ...share, sequence: host.sequence, madeMs });
             }
             account.serveWaiting(this.#accounts.nowMs);
         }
-        if (isNewer) {
-            this.#unsettledVersion = undefined;
-            this.#forgetRecordsBefore(ownSequence);
+    }
+
+    #withdrawLast(): void {
+        const sequence = this.#open.pop();
+        if (sequence !== undefined) {
+            this.#withdraw(sequence);
         }
     }
 
-    #forgetRecordsBefore(sequence: number): void {
-        for (const known of this.#madeMs.keys()) {
-            if (known < sequence) {
-                this.#madeMs.delete(known);
-            }
+    #withdraw(sequence: number): void {
+        for (const account of this.#accounts.all) {
+            account.withdraw(sequence);
         }
     }
 
     /** Plans this host's shares; spending keeps to them from now on, as the write may take effect at any time. */
     #plan(stored: Ledger): Ledger {
         const { hostId, incarnation, start } = this.#parts;
-        const ledger = closePredecessor(stored, hostId, incarnation, start);
+        const ledger = closePredecessor(stored, hostId, incarnation, start, this.#recordSync.predecessorRecord);
         if (stored !== ledger) {
             this.#logClosed(stored, ledger);
             this.#inheritDemand(stored);
         }
-        const nowMs = this.#accounts.nowMs;
+        const date = this.#records.next();
+        const madeMs = this.#records.madeMs(date)!;
         const accounts = this.#accounts.openAll(this.#parts.limitedTeams());
-        const totalDemandTokensPerS = accounts.reduce((sum, account) => sum + account.demandTokensPerS(nowMs), 0);
+        const totalDemandTokensPerS = this.#totalDemandTokensPerS();
         const teams: Record<string, TeamLedger> = { ...ledger.teams };
         for (const account of accounts) {
             const team = ledger.teams[account.name] ?? EmptyTeamLedger;
             const share = this.#planShare(ledger, team, account, totalDemandTokensPerS);
-            account.propose({ ...share, madeMs: nowMs });
+            account.propose({ ...share, sequence: date.sequence, madeMs }, share.grantedTokens);
             teams[account.name] = { ...team, shares: { ...team.shares, [hostId]: share } };
         }
-        this.#madeMs.set(++this.#sequence, nowMs);
-        const host = {
-            incarnation,
-            peerAddress: this.#parts.peerAddress,
-            sequence: this.#sequence,
-            writtenAtMs: Math.floor(this.#accounts.wallMs),
-            writtenSteadyMs: Math.floor(this.#parts.steadyMs()),
-        };
+        this.#open.push(date.sequence);
+        const host = { ...date, peerAddress: this.#parts.peerAddress };
         return { hosts: { ...ledger.hosts, [hostId]: host }, teams };
     }
 
     #planShare(ledger: Ledger, team: TeamLedger, account: TeamAccount, totalDemandTokensPerS: number): HostShare {
-        const { settledTokens, usedTokens, grantedTokens } = account;
-        const demandTokensPerS = account.demandTokensPerS(this.#accounts.nowMs);
-        const granted = this.#isClosing ? usedTokens : planGrant({
+        const nowMs = this.#accounts.nowMs;
+        const granted = this.#isClosing ?
+            account.usedTokens :
+            this.#planGrant(ledger, team, account, totalDemandTokensPerS);
+        return {
+            grantedTokens: granted,
+            ...account.planBound(granted, nowMs),
+            demandTokensPerS: account.demandTokensPerS(nowMs),
+        };
+    }
+
+    #planGrant(ledger: Ledger, team: TeamLedger, account: TeamAccount, totalDemandTokensPerS: number): number {
+        return planGrant({
             ledger,
             team,
             hostId: this.#parts.hostId,
             prepaidTokens: this.#parts.prepaidTokens(account.name) ?? 0,
             expectedHostCount: this.#parts.expectedHostCount,
-            grantedTokens,
-            usedTokens,
+            grantedTokens: account.grantedTokens,
+            usedTokens: account.usedTokens,
             neededTokens: account.waitingTokens,
-            demandTokensPerS,
+            demandTokensPerS: account.demandTokensPerS(this.#accounts.nowMs),
             totalDemandTokensPerS,
         });
-        return {
-            grantedTokens: granted,
-            limitTokens: account.limitFor(granted, this.#accounts.nowMs),
-            releaseTokensPerS: account.releaseTokensPerS(this.#accounts.nowMs),
-            settledTokens,
-            demandTokensPerS,
-        };
+    }
+
+    #totalDemandTokensPerS(): number {
+        const nowMs = this.#accounts.nowMs;
+        return this.#accounts.all.reduce((sum, account) => sum + account.demandTokensPerS(nowMs), 0);
     }
 
     /** The first try only: a conflict leads here again. */
@@ -331,7 +368,7 @@
         log.info("budget shares of the previous process closed", {
             host: this.#parts.hostId,
             predecessor: host.incarnation,
-            recordAgeMs: recordAgeMs(host, this.#parts.start),
+            recordAgeMs: recordAgeMs(newerRecord(host, this.#recordSync.predecessorRecord) ?? host, this.#parts.start),
             ledgerVersion: this.#known?.version,
             shares: shares.join(" "),
         });
--- /dev/null
+++ b/src/edge/budget/recordSync.spec.ts
@@ -0,0 +1,141 @@
+import { beforeEach, describe, expect, it } from "vitest";
+import { ManualClock } from "../../base/clock.js";
+import {
+    type ListOutcome,
+    PlatformStore,
+    type ReadOutcome,
+    type WatchOutcome,
+    type WriteOutcome,
+} from "../../platform/platformStore.js";
+import { EdgeAccounts } from "./edgeAccounts.js";
+import { OwnRecords } from "./ownRecords.js";
+import { RecordSync } from "./recordSync.js";
+import type { HostObject } from "./spendingRecord.js";
+import type { TeamAccount } from "./teamAccount.js";
+
+/** A store with one object whose next write may get no answer. */
+class OneObjectStore extends PlatformStore {
+    value: unknown;
+    version = 0;
+    answersWrites = true;
+    puts = 0;
+
+    override get(): Promise<ReadOutcome> {
+        return Promise.resolve(
+            this.version === 0 ? { status: "absent" } : {
+                status: "found",
+                object: { key: "host-a", version: this.version, revision: this.version, value: this.value },
+            },
+        );
+    }
+
+    override put(_key: string, value: unknown, expectedVersion: number): Promise<WriteOutcome> {
+        this.puts++;
+        if (expectedVersion !== this.version) {
+            return Promise.resolve({ status: "conflict", current: undefined });
+        }
+        this.value = JSON.parse(JSON.stringify(value));
+        this.version++;
+        return Promise.resolve(
+            this.answersWrites ? { status: "applied", version: this.version } : { status: "unknown", reason: "lost" },
+        );
+    }
+
+    override delete(): Promise<WriteOutcome> {
+        throw new Error("not used");
+    }
+
+    override list(): Promise<ListOutcome> {
+        throw new Error("not used");
+    }
+
+    override watch(): Promise<WatchOutcome> {
+        throw new Error("not used");
+    }
+}
+
+describe("RecordSync", () => {
+    let clock: ManualClock;
+    let store: OneObjectStore;
+    let account: TeamAccount;
+    let sync: RecordSync;
+
+    function start(incarnation: string): void {
+        const accounts = new EdgeAccounts(clock);
+        account = accounts.open("t");
+        const records = new OwnRecords(incarnation, accounts, () => clock.monotonicMs());
+        sync = new RecordSync({ store, key: "host-a", incarnation, records }, accounts);
+    }
+
+    async function tick(): Promise<void> {
+        clock.advance(1_000);
+        sync.tick(true);
+        for (let turn = 0; turn < 10; turn++) {
+            await Promise.resolve();
+        }
+    }
+
+    beforeEach(async () => {
+        clock = new ManualClock();
+        store = new OneObjectStore();
+        start("first");
+        await tick();
+        account.acknowledgeGrant(100_000);
+        account.acknowledge({
+            limitTokens: 50_000,
+            releaseTokensPerS: 0,
+            burstTokens: 0,
+            sequence: 0,
+            madeMs: clock.monotonicMs(),
+        });
+        account.noteDemand(5_000, clock.monotonicMs());
+        account.tryReserve(5_000, clock.monotonicMs());
+    });
+
+    describe("given a write without an answer", () => {
+        it("keeps to it while it may be in force (guards against a successor that allows less than was spent)", async () => {
+            store.answersWrites = false;
+            await tick();
+            const { record } = store.value as HostObject;
+            expect(account.spareTokens(clock.monotonicMs())).toBe(record!.teams["t"]!.limitTokens - 5_000);
+        });
+
+        it("finds out with the next read that it took effect", async () => {
+            store.answersWrites = false;
+            await tick();
+            store.answersWrites = true;
+            const before = store.version;
+            account.tryReserve(1, clock.monotonicMs());
+            await tick();
+            expect(store.version).toBe(before + 1);
+            expect(sync.isFailing).toBe(false);
+        });
+    });
+
+    describe("on a restart", () => {
+        it("keeps the predecessor's record when it takes over (guards against a second kill before the shares are closed)", async () => {
+            await tick();
+            start("second");
+            await tick();
+            expect(sync.predecessorRecord?.incarnation).toBe("first");
+            start("third");
+            await tick();
+            expect(sync.predecessorRecord?.incarnation).toBe("first");
+        });
+    });
+
+    describe("given an object that another process took over", () => {
+        it("stops writing (guards against two processes that record in turn)", async () => {
+            await tick();
+            store.value = { owner: "other" } satisfies HostObject;
+            store.version++;
+            account.tryReserve(1, clock.monotonicMs());
+            await tick();
+            await tick();
+            const puts = store.puts;
+            await tick();
+            expect(store.puts).toBe(puts);
+            expect((store.value as HostObject).owner).toBe("other");
+        });
+    });
+});
--- /dev/null
+++ b/src/edge/budget/recordSync.ts
@@ -0,0 +1,246 @@
+/** Keeps this host's own record in the store: takes it over from the previous process, then writes what may be spent. */
+import { log } from "../../base/log.js";
+import type { PlatformStore, WriteOutcome } from "../../platform/platformStore.js";
+import type { EdgeAccounts } from "./edgeAccounts.js";
+import type { OwnRecords } from "./ownRecords.js";
+import { type HostObject, HostObjectSchema, type SpendingRecord } from "./spendingRecord.js";
+
+/** Interval of records of a host with traffic, in milliseconds; the limit covers it, see `teamAccount.ts`. */
+const RecordIntervalMs = 600;
+
+/** Shortest time between two records, so that a burst of requests causes one write and not one each, in milliseconds. */
+const RecordSpacingMs = 50;
+
+/** Pause after the store failed, in milliseconds; retried often enough to be in step a second after it returns. */
+const FailurePauseMs = 400;
+
+/** Version of an object that does not exist. */
+const AbsentVersion = 0;
+
+/** What the synchronisation is built from. */
+export interface RecordSyncParts {
+    readonly store: PlatformStore;
+    /** Key of the host's object. */
+    readonly key: string;
+    readonly incarnation: string;
+    readonly records: OwnRecords;
+}
+
+/** One writer of a host's record. */
+export class RecordSync {
+    readonly #parts: RecordSyncParts;
+    readonly #accounts: EdgeAccounts;
+    /** The object as last seen; `undefined` before it was read, or when a read is needed to tell. */
+    #version: number | undefined;
+    #stored: HostObject | undefined;
+    #hasTakenOver = false;
+    #isReplaced = false;
+    #isSyncing = false;
+    #isFailing = false;
+    #nextWriteMs = 0;
+    #writtenMs = Number.NEGATIVE_INFINITY;
+    #writtenUsedTokens = 0;
+
+    constructor(parts: RecordSyncParts, accounts: EdgeAccounts) {
+        this.#parts = parts;
+        this.#accounts = accounts;
+    }
+
+    /** @returns Whether the object is this process's, so that its predecessor's last record is known. */
+    get hasTakenOver(): boolean {
+        return this.#hasTakenOver;
+    }
+
+    /** @returns Whether the newest call to the store failed. */
+    get isFailing(): boolean {
+        return this.#isFailing;
+    }
+
+    /** @returns The last record of an earlier process that had shares. */
+    get predecessorRecord(): SpendingRecord | undefined {
+        return this.#stored?.record?.incarnation === this.#parts.incarnation ? undefined : this.#stored?.record;
+    }
+
+    /** @param mayRecord Whether this process has shares; before that it only takes the object over. */
+    tick(mayRecord: boolean): void {
+        if (this.#isSyncing || this.#isReplaced || this.#accounts.nowMs < this.#nextWriteMs) {
+            return;
+        }
+        if (!this.#hasTakenOver || (mayRecord && this.#isDue)) {
+            void this.#sync();
+        }
+    }
+
+    /** The store answers again: a record that is written at once bounds what the outage puts at risk. */
+    onStoreReturned(): void {
+        this.#nextWriteMs = this.#accounts.nowMs;
+        this.#writtenMs = Number.NEGATIVE_INFINITY;
+    }
+
+    /** A write to the ledger has recorded the same. */
+    noteRecorded(): void {
+        this.#writtenMs = this.#accounts.nowMs;
+        this.#writtenUsedTokens = this.#accounts.usedTokens;
+    }
+
+    get #isDue(): boolean {
+        const hasSpent = this.#accounts.usedTokens !== this.#writtenUsedTokens;
+        return this.#accounts.wantRecord ||
+            (hasSpent && this.#accounts.nowMs - this.#writtenMs >= RecordIntervalMs);
+    }
+
+    async #sync(): Promise<void> {
+        this.#isSyncing = true;
+        try {
+            await (this.#hasTakenOver ? this.#write() : this.#takeOver());
+        }
+        catch (error) {
+            this.#noteFailure(String(error));
+        }
+        finally {
+            this.#isSyncing = false;
+        }
+    }
+
+    async #takeOver(): Promise<void> {
+        if (this.#version === undefined && !await this.#read()) {
+            return;
+        }
+        const object: HostObject = { owner: this.#parts.incarnation, record: this.#stored?.record };
+        const outcome = await this.#parts.store.put(this.#parts.key, object, this.#version ?? AbsentVersion);
+        if (outcome.status === "applied") {
+            this.#version = outcome.version;
+            this.#stored = object;
+            this.#hasTakenOver = true;
+            return;
+        }
+        this.#version = undefined;
+        if (outcome.status !== "conflict") {
+            this.#noteFailure(outcome.reason);
+        }
+    }
+
+    async #read(): Promise<boolean> {
+        const outcome = await this.#parts.store.get(this.#parts.key);
+        if (outcome.status === "unavailable") {
+            this.#noteFailure(outcome.reason);
+            return false;
+        }
+        if (outcome.status === "absent") {
+            this.#version = AbsentVersion;
+            return true;
+        }
+        return this.#adopt(outcome.object.value, outcome.object.version);
+    }
+
+    #adopt(value: unknown, version: number): boolean {
+        const object = HostObjectSchema.safeParse(value);
+        if (!object.success) {
+            this.#noteFailure(`the host's record cannot be read: ${object.error.message}`);
+            return false;
+        }
+        this.#version = version;
+        this.#stored = object.data;
+        return true;
+    }
+
+    async #write(): Promise<void> {
+        if (this.#version === undefined && !await this.#resolve()) {
+            return;
+        }
+        const date = this.#parts.records.next();
+        const madeMs = this.#parts.records.madeMs(date)!;
+        const usedTokens = this.#accounts.usedTokens;
+        const teams: SpendingRecord["teams"] = {};
+        for (const account of this.#accounts.all) {
+            const bound = account.planBound(account.grantedTokens, this.#accounts.nowMs);
+            account.propose({ ...bound, sequence: date.sequence, madeMs });
+            teams[account.name] = bound;
+        }
+        const object: HostObject = { owner: this.#parts.incarnation, record: { ...date, teams } };
+        const outcome = await this.#parts.store.put(this.#parts.key, object, this.#version ?? AbsentVersion);
+        this.#handle(outcome, object, usedTokens);
+    }
+
+    #handle(outcome: WriteOutcome, object: HostObject, usedTokens: number): void {
+        this.#nextWriteMs = this.#accounts.nowMs + RecordSpacingMs;
+        if (outcome.status === "applied") {
+            this.#version = outcome.version;
+            this.#stored = object;
+            this.#writtenMs = this.#accounts.nowMs;
+            this.#writtenUsedTokens = usedTokens;
+            this.#acknowledge(object);
+            this.#noteRegained();
+        }
+        else if (outcome.status === "conflict") {
+            // An earlier write without an answer took effect; the next read tells which.
+            this.#withdraw(object.record!.sequence);
+            this.#version = undefined;
+        }
+        else {
+            if (outcome.status === "refused") {
+                this.#withdraw(object.record!.sequence);
+            }
+            else {
+                this.#version = undefined;
+            }
+            this.#noteFailure(outcome.reason);
+        }
+    }
+
+    /** Finds out which of the writes without an answer took effect; the others depend on a version that is gone. */
+    async #resolve(): Promise<boolean> {
+        if (!await this.#read()) {
+            return false;
+        }
+        if (this.#stored?.owner !== this.#parts.incarnation) {
+            this.#isReplaced = true;
+            log.error("another process writes this host's record", { owner: this.#stored?.owner });
+            return false;
+        }
+        this.#acknowledge(this.#stored);
+        return true;
+    }
+
+    /**
+     * Takes over what the store holds. A write that is still on its way may take effect only if its version holds, so
+     * spending keeps to it until a later write has changed the version.
+     */
+    #acknowledge({ record }: HostObject): void {
+        const madeMs = this.#parts.records.madeMs(record);
+        if (record === undefined || madeMs === undefined) {
+            return;
+        }
+        for (const account of this.#accounts.all) {
+            const bound = record.teams[account.name];
+            if (bound !== undefined) {
+                account.acknowledge({ ...bound, sequence: record.sequence, madeMs });
+            }
+            account.serveWaiting(this.#accounts.nowMs);
+        }
+    }
+
+    #withdraw(sequence: number): void {
+        for (const account of this.#accounts.all) {
+            account.withdraw(sequence);
+        }
+    }
+
+    #noteFailure(reason: string): void {
+        this.#nextWriteMs = this.#accounts.nowMs + FailurePauseMs;
+        if (!this.#isFailing) {
+            this.#isFailing = true;
+            log.warn("spending record lost", {
+                reason,
+                recordAgeMs: Math.round(this.#accounts.nowMs - this.#writtenMs),
+            });
+        }
+    }
+
+    #noteRegained(): void {
+        if (this.#isFailing) {
+            this.#isFailing = false;
+            log.info("spending record regained", { version: this.#version });
+        }
+    }
+}
--- a/src/edge/budget/sharePlan.ts
+++ b/src/edge/budget/sharePlan.ts
@@ -21,7 +21,7 @@
 const BaseDemandTokensPerS = 500;
 
 /** A share is changed when it is off its target by more than this part. */
-const Tolerance = 0.15;
+const Tolerance = 0.3;
 
 /** What a plan depends on. */
 export interface SharePlanInput {
--- /dev/null
+++ b/src/edge/budget/spendingRecord.ts
@@ -0,0 +1,45 @@
+/**
+ * The record of what a host may spend, in an object that this host alone writes. It bounds spending more closely than the
+ * ledger does, and costs one call without conflicts.
+ */
+import { z } from "zod";
+
+const TokensSchema = z.number().int().nonnegative();
+
+/** Bound of one team, with the tokens that are known to be spent. */
+export const RecordedBoundSchema = z.object({
+    /** Tokens that the host may spend while the record is new; see `spendingRight.ts`. */
+    limitTokens: TokensSchema,
+    /** Tokens per second by which the limit rises once the record is old. */
+    releaseTokensPerS: TokensSchema,
+    /** Tokens by which the limit rises in addition, soon after that. */
+    burstTokens: TokensSchema,
+    /** Tokens that finished requests have cost so far. */
+    settledTokens: TokensSchema,
+});
+
+export type RecordedBound = z.infer<typeof RecordedBoundSchema>;
+
+/** When and as which write of its process a record was made; the ledger dates its entries in the same way. */
+export const RecordDateSchema = z.object({
+    incarnation: z.string(),
+    /** Number of the write within the life of the process, over the ledger and the record. */
+    sequence: z.number().int().nonnegative(),
+    /** Wall-clock time by the host's own clock, in milliseconds. */
+    writtenAtMs: z.number(),
+    /** The machine's steady clock, in milliseconds. */
+    writtenSteadyMs: z.number(),
+});
+export type RecordDate = z.infer<typeof RecordDateSchema>;
+
+export const SpendingRecordSchema = RecordDateSchema.extend({ teams: z.record(z.string(), RecordedBoundSchema) });
+export type SpendingRecord = z.infer<typeof SpendingRecordSchema>;
+
+/** The stored object. */
+export const HostObjectSchema = z.object({
+    /** Process that writes. A successor takes the object over first, so that no write of its predecessor follows. */
+    owner: z.string(),
+    /** Newest record of a process that had shares. */
+    record: SpendingRecordSchema.optional(),
+});
+export type HostObject = z.infer<typeof HostObjectSchema>;
--- a/src/edge/budget/spendingRight.ts
+++ b/src/edge/budget/spendingRight.ts
@@ -2,27 +2,33 @@
 
 /** Part of a record that bounds spending. */
 export interface SpendingBound {
-    /** Tokens that the host holds in all; cumulative for the incarnation. */
-    readonly grantedTokens: number;
-    /** Tokens that the host may spend at once after the record. */
+    /** Tokens that the host may spend at once after the record; cumulative for the incarnation. */
     readonly limitTokens: number;
     /** Tokens per second by which the limit rises, up to the grant, once the record is old. */
     readonly releaseTokensPerS: number;
+    /** Tokens by which the limit rises in addition within {@link BurstRampMs}: a request of a team that sends now and then. */
+    readonly burstTokens: number;
 }
 
 /**
- * Age of a record from which more than its limit may be spent, in milliseconds. Hosts write every second, so an older
- * record means that the store cannot be reached.
+ * Age of a record from which more than its limit may be spent, in milliseconds. Hosts with traffic write more often, so an
+ * older record means that the store cannot be reached. A killed process is replaced after about two seconds; a release
+ * that begins earlier puts tokens at risk with every kill.
  */
-export const ReleaseAfterMs = 1_700;
+export const ReleaseAfterMs = 2_000;
+
+/** Time in which the burst is released once a record is old, in milliseconds. */
+const BurstRampMs = 500;
 
 /**
  * Tokens that may have been spent when a record has a certain age. A process keeps to it while it runs, and its successor
  * on the same machine derives from it what the process can have spent at most. With the full grant at risk, nothing would
  * be left to spend after all processes were killed; with the limit alone, an outage of the store would stop the teams.
+ * @param grantedTokens Tokens that the host holds in all; cumulative for the incarnation.
  * @param ageMs Age of the record in milliseconds.
  */
-export function allowedTokens(bound: SpendingBound, ageMs: number): number {
-    const released = bound.releaseTokensPerS * Math.max(0, ageMs - ReleaseAfterMs) / 1_000;
-    return Math.floor(Math.min(bound.grantedTokens, bound.limitTokens + released));
+export function allowedTokens(bound: SpendingBound, grantedTokens: number, ageMs: number): number {
+    const oldMs = Math.max(0, ageMs - ReleaseAfterMs);
+    const released = bound.releaseTokensPerS * oldMs / 1_000 + bound.burstTokens * Math.min(1, oldMs / BurstRampMs);
+    return Math.floor(Math.min(grantedTokens, bound.limitTokens + released));
 }
--- a/src/edge/budget/teamAccount.ts
+++ b/src/edge/budget/teamAccount.ts
@@ -1,5 +1,6 @@
 /** One team's tokens on this host. */
 import { DemandAverage } from "../../features/budget/budgetMath.js";
+import type { RecordedBound } from "./spendingRecord.js";
 import { allowedTokens, type SpendingBound } from "./spendingRight.js";
 
 /** Time constant of the demand average, in milliseconds: long enough for a team with a request every few seconds. */
@@ -8,23 +9,23 @@
 /** Least time over which the first requests of a process are averaged, in milliseconds. */
 const ShortestDemandMs = 2_000;
 
-/** Demand that the limit covers at once, in milliseconds: until a record's rest is released, and a margin for swings. */
-const LimitHorizonMs = 1_800;
-
-/** Demand within which a request of mean cost counts as expected, in milliseconds: then the limit covers it. */
-const ExpectedRequestMs = 10_000;
+/**
+ * Demand that the limit covers at once, in milliseconds: until the next record, with a margin for swings. More would be at
+ * risk with every kill; a request beyond it waits for the answer to a new record.
+ */
+const LimitHorizonMs = 1_000;
 
 /**
  * Release of an old record's rest as a multiple of the demand. A larger one serves teams that send more than usual in an
  * outage, a smaller one leaves more to spend when processes are killed in an outage.
  */
-const ReleaseFactor = 1.6;
-
-/** The same for a team with a request now and then, which is released whole or not at all. */
-const ThinReleaseFactor = 4;
+const ReleaseFactor = 1.2;
 
-/** Time in which at least one request of mean cost is released, in milliseconds. */
-const ReleaseRequestMs = 1_500;
+/**
+ * Demand within which a large request counts as expected, in milliseconds; then it is released as a burst. About twice a
+ * long outage of the store.
+ */
+const ExpectedRequestMs = 15_000;
 
 /** Cost assumed before a team's first request at this host, in tokens: a short chat with a part of a long prompt. */
 const InitialCostTokens = 4_000;
@@ -35,9 +36,15 @@
  */
 const UnmetReleaseMs = 12_000;
 
+/** Step in which the time until a release is looked for, in milliseconds. */
+const ReleaseStepMs = 50;
+
 /** Weight of the newest request in the mean cost. */
 const MeanCostWeight = 0.1;
 
+/** Part of the difference by which the cost of a large request falls with each smaller one. */
+const LargeCostDecay = 0.02;
+
 /** Tokens reserved for one request, by where they come from. */
 export interface Reservation {
     /** Covered by this host's own record. */
@@ -49,18 +56,19 @@
 /** A reservation that waits for tokens. */
 export interface WaitingReservation {
     readonly costTokens: number;
-    /** Whether a write to the ledger can still help. */
-    readonly isDrawing: boolean;
+    /** @returns Whether a write to the store can still help. */
+    isDrawing(): boolean;
     settle(reservation: Reservation | undefined): void;
 }
 
-/** A bound with the monotonic time at which its record was made, in milliseconds. */
+/** A bound with the number of its write and the monotonic time at which it was made, in milliseconds. */
 export interface DatedBound extends SpendingBound {
+    readonly sequence: number;
     readonly madeMs: number;
 }
 
 /** Bound of a host without a record. */
-const NoBound: DatedBound = { grantedTokens: 0, limitTokens: 0, releaseTokensPerS: 0, madeMs: 0 };
+const NoBound: DatedBound = { limitTokens: 0, releaseTokensPerS: 0, burstTokens: 0, sequence: 0, madeMs: 0 };
 
 /** Numbers of one team: allowed by the ledger, reserved by running requests, settled by finished ones. */
 export class TeamAccount {
@@ -68,11 +76,15 @@
     readonly waiting: WaitingReservation[] = [];
     readonly #demand: DemandAverage;
     #openedMs: number;
-    /** Bound of the newest record that the store acknowledged. */
-    #acknowledged: DatedBound | undefined;
-    /** Bounds of records that may take effect or not: spending keeps to all of them. */
-    #proposed: DatedBound[] = [];
+    /** Grant of the ledger, and those of writes that may take effect or not, by their number. */
+    #acknowledgedGrant = 0;
+    readonly #proposedGrants = new Map<number, number>();
+    /** Bound of the newest write that the store acknowledged, and of newer ones that may take effect or not. */
+    #acknowledgedBound = NoBound;
+    readonly #proposedBounds = new Map<number, DatedBound>();
     #meanCostTokens = InitialCostTokens;
+    /** Cost of the team's larger requests: teams mix chats with prompts that cost ten times as much. */
+    #largeCostTokens = 0;
     #reservedTokens = 0;
     #settledTokens = 0;
     #lentTokens = 0;
@@ -87,7 +99,7 @@
 
     /** @returns Tokens that this incarnation holds in all. */
     get grantedTokens(): number {
-        return Math.min(...this.#bounds.map(bound => bound.grantedTokens));
+        return Math.min(this.#acknowledgedGrant, ...this.#proposedGrants.values());
     }
 
     /** @returns Tokens of the own record that are spent, lent or reserved. */
@@ -117,20 +129,46 @@
 
     /** @returns Tokens of the own record that may be reserved now. */
     spareTokens(nowMs: number): number {
-        const allowed = this.#bounds.map(bound => allowedTokens(bound, nowMs - bound.madeMs));
+        const { grantedTokens } = this;
+        const bounds = [this.#acknowledgedBound, ...this.#proposedBounds.values()];
+        const allowed = bounds.map(bound => allowedTokens(bound, grantedTokens, nowMs - bound.madeMs));
         return Math.min(...allowed) - this.usedTokens;
     }
 
-    /** @returns Whether a new record would let clearly more be spent at once. */
+    /** @returns Whether a new record would let the next requests be served without a wait for it. */
     wantsRecord(nowMs: number): boolean {
+        const headroomTokens = this.#headroomTokens(nowMs);
         const spare = this.spareTokens(nowMs);
-        return spare < this.#headroomTokens(nowMs) / 3 && spare < this.grantedTokens - this.usedTokens;
+        return headroomTokens >= this.#meanCostTokens && spare < headroomTokens / 3 &&
+            spare < this.grantedTokens - this.usedTokens;
+    }
+
+    /** @returns Whether the waiting reservations need a larger grant. */
+    get wantsGrant(): boolean {
+        return this.waiting.length > 0 &&
+            this.waitingTokens - this.#borrowedTokens > this.grantedTokens - this.usedTokens;
+    }
+
+    /**
+     * @param tokens Tokens that are wanted.
+     * @param withinMs Time to look ahead, in milliseconds.
+     * @returns Time until so many are spare without a new record; `undefined` when it is longer.
+     */
+    releaseWaitMs(tokens: number, nowMs: number, withinMs: number): number | undefined {
+        for (let waitMs = 0; waitMs <= withinMs; waitMs += ReleaseStepMs) {
+            if (this.#borrowedTokens + Math.max(0, this.spareTokens(nowMs + waitMs)) >= tokens) {
+                return waitMs;
+            }
+        }
+        return undefined;
     }
 
     /** Records a request for tokens. */
     noteDemand(costTokens: number, nowMs: number): void {
         this.#demand.add(costTokens, nowMs);
         this.#meanCostTokens += MeanCostWeight * (costTokens - this.#meanCostTokens);
+        const difference = costTokens - this.#largeCostTokens;
+        this.#largeCostTokens += difference > 0 ? difference : difference * LargeCostDecay;
     }
 
     /** Starts from the demand that the previous process of this host saw. */
@@ -191,47 +229,56 @@
         return Math.round(this.#demand.tokensPerS(nowMs) / (1 - Math.exp(-ageMs / DemandWindowMs)));
     }
 
-    /** @returns The limit to declare with a grant. */
-    limitFor(grantedTokens: number, nowMs: number): number {
+    /** @returns The bound to declare with a grant. */
+    planBound(grantedTokens: number, nowMs: number): RecordedBound {
         const wanted = this.usedTokens + this.waitingTokens + this.#headroomTokens(nowMs);
-        return Math.min(grantedTokens, Math.ceil(wanted));
-    }
-
-    /** @returns Tokens per second by which the limit rises once the record is old. */
-    releaseTokensPerS(nowMs: number): number {
         const demand = this.demandTokensPerS(nowMs);
-        const thin = Math.min(this.#meanCostTokens * 1_000 / ReleaseRequestMs, demand * ThinReleaseFactor);
-        const unmet = this.#meanCostTokens * 1_000 / UnmetReleaseMs;
-        return Math.ceil(Math.max(demand * ReleaseFactor, thin, unmet));
+        const isExpected = demand * ExpectedRequestMs / 1_000 >= this.#largeCostTokens;
+        return {
+            limitTokens: Math.min(grantedTokens, Math.ceil(wanted)),
+            releaseTokensPerS: Math.ceil(
+                Math.max(demand * ReleaseFactor, this.#meanCostTokens * 1_000 / UnmetReleaseMs),
+            ),
+            burstTokens: isExpected ? Math.ceil(this.#largeCostTokens) : 0,
+            settledTokens: this.settledTokens,
+        };
     }
 
-    /** A record is about to be sent: from now on it may take effect. */
-    propose(bound: DatedBound): void {
-        this.#proposed.push(bound);
-    }
-
-    /** The record that was sent last was refused. */
-    withdrawLast(): void {
-        this.#proposed.pop();
+    /**
+     * A write is about to be sent: from now on it may take effect.
+     * @param grantedTokens The grant that it proposes, if any.
+     */
+    propose(bound: DatedBound, grantedTokens?: number): void {
+        this.#proposedBounds.set(bound.sequence, bound);
+        if (grantedTokens !== undefined) {
+            this.#proposedGrants.set(bound.sequence, grantedTokens);
+        }
     }
 
-    /** The records that were sent will not take effect any more. */
-    withdrawAll(): void {
-        this.#proposed = [];
+    /** A write has not taken effect and will not any more. */
+    withdraw(sequence: number): void {
+        this.#proposedBounds.delete(sequence);
+        this.#proposedGrants.delete(sequence);
     }
 
-    /** The store holds this bound. */
+    /** The store holds this bound; older ones are not in force whether their writes took effect or not. */
     acknowledge(bound: DatedBound): void {
-        this.#acknowledged = bound;
+        if (bound.sequence >= this.#acknowledgedBound.sequence) {
+            this.#acknowledgedBound = bound;
+        }
+        for (const sequence of this.#proposedBounds.keys()) {
+            if (sequence <= bound.sequence) {
+                this.#proposedBounds.delete(sequence);
+            }
+        }
     }
 
-    get #bounds(): readonly DatedBound[] {
-        return [this.#acknowledged ?? NoBound, ...this.#proposed];
+    /** The ledger holds this grant. */
+    acknowledgeGrant(grantedTokens: number): void {
+        this.#acknowledgedGrant = grantedTokens;
     }
 
     #headroomTokens(nowMs: number): number {
-        const demand = this.demandTokensPerS(nowMs);
-        const request = Math.min(this.#meanCostTokens, demand * ExpectedRequestMs / 1_000);
-        return Math.max(demand * LimitHorizonMs / 1_000, request);
+        return this.demandTokensPerS(nowMs) * LimitHorizonMs / 1_000;
     }
 }
--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -196,6 +196,7 @@
             clock: this.#clock,
             channel: this.#channel,
             key: `${this.#parts.objects.ownPrefix}ledger`,
+            recordKey: `${this.#parts.objects.ownPrefix}host-${this.#settings.hostId}`,
             hostId: this.#settings.hostId,
             incarnation: this.#incarnation,
             peerAddress: this.#settings.peerAddress,
