Release later in an outage, not wait for silent calls, and log the time to the first byte

In an outage requests waited for a store call until its time-out of 1 s. Change: release from 2.4 s on, the burst from 2.7 s on; a call without an answer for 0.3 s is not waited for.

--- a/src/edge/budget/ledgerSync.ts
+++ b/src/edge/budget/ledgerSync.ts
@@ -16,7 +16,7 @@
     unheldTokens,
 } from "./ledger.js";
 import type { OwnRecords } from "./ownRecords.js";
-import type { RecordSync } from "./recordSync.js";
+import { type RecordSync, StalledAfterMs } from "./recordSync.js";
 import { planGrant } from "./sharePlan.js";
 import type { TeamAccount } from "./teamAccount.js";
 
@@ -78,6 +78,7 @@
     #isClosing = false;
     #isSyncing = false;
     #isFailing = false;
+    #startedMs = 0;
     #nextWriteMs = 0;
     #nextPlanMs = 0;
     #reportedMs = Number.NEGATIVE_INFINITY;
@@ -101,9 +102,9 @@
         return this.#isEstablished;
     }
 
-    /** @returns Whether the newest call to the store failed. */
+    /** @returns Whether the newest call to the store failed, or has waited for its answer for long. */
     get isFailing(): boolean {
-        return this.#isFailing;
+        return this.#isFailing || (this.#isSyncing && this.#accounts.nowMs - this.#startedMs > StalledAfterMs);
     }
 
     /** @returns Age of what is known of the ledger, in milliseconds. */
@@ -165,6 +166,7 @@
 
     async #sync(): Promise<void> {
         this.#isSyncing = true;
+        this.#startedMs = this.#accounts.nowMs;
         try {
             await this.#syncOnce();
         }
--- a/src/edge/budget/recordSync.ts
+++ b/src/edge/budget/recordSync.ts
@@ -14,6 +14,9 @@
 /** Pause after the store failed, in milliseconds; retried often enough to be in step a second after it returns. */
 const FailurePauseMs = 400;
 
+/** Time without an answer after which a call is not waited for, in milliseconds; a slow store answers in 200 ms. */
+export const StalledAfterMs = 300;
+
 /** Version of an object that does not exist. */
 const AbsentVersion = 0;
 
@@ -37,6 +40,7 @@
     #isReplaced = false;
     #isSyncing = false;
     #isFailing = false;
+    #startedMs = 0;
     #nextWriteMs = 0;
     #writtenMs = Number.NEGATIVE_INFINITY;
     #writtenUsedTokens = 0;
@@ -51,9 +55,9 @@
         return this.#hasTakenOver;
     }
 
-    /** @returns Whether the newest call to the store failed. */
+    /** @returns Whether the newest call to the store failed, or has waited for its answer for long. */
     get isFailing(): boolean {
-        return this.#isFailing;
+        return this.#isFailing || (this.#isSyncing && this.#accounts.nowMs - this.#startedMs > StalledAfterMs);
     }
 
     /** @returns The last record of an earlier process that had shares. */
@@ -91,6 +95,7 @@
 
     async #sync(): Promise<void> {
         this.#isSyncing = true;
+        this.#startedMs = this.#accounts.nowMs;
         try {
             await (this.#hasTakenOver ? this.#write() : this.#takeOver());
         }
--- a/src/edge/budget/spendingRight.ts
+++ b/src/edge/budget/spendingRight.ts
@@ -6,7 +6,7 @@
     readonly limitTokens: number;
     /** Tokens per second by which the limit rises, up to the grant, once the record is old. */
     readonly releaseTokensPerS: number;
-    /** Tokens by which the limit rises in addition within {@link BurstRampMs}: a request of a team that sends now and then. */
+    /** Tokens by which the limit rises in addition after {@link BurstAfterMs}: a request of a team that sends now and then. */
     readonly burstTokens: number;
 }
 
@@ -15,10 +15,10 @@
  * older record means that the store cannot be reached. A killed process is replaced after about two seconds; a release
  * that begins earlier puts tokens at risk with every kill.
  */
-export const ReleaseAfterMs = 2_000;
+export const ReleaseAfterMs = 2_400;
 
-/** Time in which the burst is released once a record is old, in milliseconds. */
-const BurstRampMs = 500;
+/** Age of a record from which the burst may be spent, in milliseconds; after the start of nearly every successor. */
+const BurstAfterMs = 2_700;
 
 /**
  * Tokens that may have been spent when a record has a certain age. A process keeps to it while it runs, and its successor
@@ -28,7 +28,7 @@
  * @param ageMs Age of the record in milliseconds.
  */
 export function allowedTokens(bound: SpendingBound, grantedTokens: number, ageMs: number): number {
-    const oldMs = Math.max(0, ageMs - ReleaseAfterMs);
-    const released = bound.releaseTokensPerS * oldMs / 1_000 + bound.burstTokens * Math.min(1, oldMs / BurstRampMs);
-    return Math.floor(Math.min(grantedTokens, bound.limitTokens + released));
+    const released = bound.releaseTokensPerS * Math.max(0, ageMs - ReleaseAfterMs) / 1_000;
+    const burst = ageMs >= BurstAfterMs ? bound.burstTokens : 0;
+    return Math.floor(Math.min(grantedTokens, bound.limitTokens + released + burst));
 }
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -103,6 +103,8 @@
     #sends = 0;
     /** Whether a running attempt was stopped. */
     #isAbandoned = false;
+    /** Time from the arrival to the latest attempt's first byte, in milliseconds. */
+    #firstByteMs: number | undefined;
     #isOver = false;
 
     constructor(parts: FlowParts, request: EdgeRequest, answer: CallerAnswer) {
@@ -141,7 +143,9 @@
     }
 
     onHead(head: ResponseHead): boolean {
-        this.#parts.metrics.recordAnswer(this.#nowMs - this.#request.arrivedMs);
+        const elapsedMs = this.#nowMs - this.#request.arrivedMs;
+        this.#firstByteMs = Math.round(elapsedMs);
+        this.#parts.metrics.recordAnswer(elapsedMs);
         const isStream = head.byName.get("content-type")?.startsWith("text/event-stream") === true;
         return isStream && head.statusCode < 300 && this.#relay.begin(head);
     }
@@ -425,6 +429,7 @@
             sends: this.#sends,
             ran: this.#ran,
             events: this.#relay.eventCount,
+            firstByteMs: this.#firstByteMs,
             elapsedMs: Math.round(this.#nowMs - this.#request.arrivedMs),
         };
     }
