--- a/src/edge/budget/budgetKeeper.spec.ts
+++ b/src/edge/budget/budgetKeeper.spec.ts
@@ -1,6 +1,7 @@
 import fc from "fast-check";
 import { beforeEach, describe, expect, it } from "vitest";
 import { ManualClock } from "../../base/clock.js";
+import { Counters } from "../../base/counters.js";
 import {
     type ListOutcome,
     PlatformStore,
@@ -143,6 +144,7 @@
     start(hostId: string): BudgetKeeper {
         return new BudgetKeeper({
             clock: this.clock,
+            counters: new Counters(),
             store: this.store,
             key: "ledger",
             recordKey: `host-${hostId}`,
--- a/src/edge/budget/budgetKeeper.ts
+++ b/src/edge/budget/budgetKeeper.ts
@@ -62,11 +62,12 @@
         this.#parts = parts;
         this.#accounts = new EdgeAccounts(parts.clock);
         const records = new OwnRecords(parts.incarnation, this.#accounts, () => parts.steadyMs());
-        const { store, recordKey, incarnation } = parts;
-        this.#recordSync = new RecordSync({ store, key: recordKey, incarnation, records }, this.#accounts);
+        const { store, recordKey, incarnation, counters } = parts;
+        this.#recordSync = new RecordSync({ store, key: recordKey, incarnation, counters, records }, this.#accounts);
         this.#sync = new LedgerSync(parts, this.#accounts, records, this.#recordSync);
         this.#loans = new TokenLoans({
             clock: parts.clock,
+            counters: parts.counters,
             channel: parts.channel,
             accounts: this.#accounts,
             incarnation: parts.incarnation,
--- a/src/edge/budget/ledgerSync.ts
+++ b/src/edge/budget/ledgerSync.ts
@@ -1,6 +1,8 @@
 /** Keeps the stored ledger and this host's accounts in step: reads, plans, writes and resolves what got no answer. */
+import type { Counters } from "../../base/counters.js";
 import { log } from "../../base/log.js";
 import type { PlatformStore, WriteOutcome } from "../../platform/platformStore.js";
+import { EdgeCounterNames } from "../metrics.js";
 import type { EdgeAccounts } from "./edgeAccounts.js";
 import {
     closePredecessor,
@@ -41,6 +43,7 @@
 /** What the synchronisation is built from. */
 export interface LedgerSyncParts {
     readonly store: PlatformStore;
+    readonly counters: Counters;
     readonly key: string;
     readonly hostId: string;
     readonly incarnation: string;
@@ -198,6 +201,7 @@
     #handleWrite(outcome: WriteOutcome, next: Ledger): boolean {
         this.#nextWriteMs = this.#accounts.nowMs + WriteSpacingMs;
         if (outcome.status === "applied") {
+            this.#parts.counters.add(EdgeCounterNames.budgetLedgerWrites);
             this.#isEstablished = true;
             this.#reportedMs = this.#accounts.nowMs;
             this.#reportedUsedTokens = this.#accounts.usedTokens;
@@ -208,6 +212,7 @@
             return false;
         }
         if (outcome.status === "conflict") {
+            this.#parts.counters.add(EdgeCounterNames.budgetLedgerConflicts);
             this.#withdrawLast();
             return this.#handleConflict(outcome.current?.value, outcome.current?.version);
         }
--- a/src/edge/budget/recordSync.spec.ts
+++ b/src/edge/budget/recordSync.spec.ts
@@ -1,5 +1,6 @@
 import { beforeEach, describe, expect, it } from "vitest";
 import { ManualClock } from "../../base/clock.js";
+import { Counters } from "../../base/counters.js";
 import {
     type ListOutcome,
     PlatformStore,
@@ -64,7 +65,7 @@
         const accounts = new EdgeAccounts(clock);
         account = accounts.open("t");
         const records = new OwnRecords(incarnation, accounts, () => clock.monotonicMs());
-        sync = new RecordSync({ store, key: "host-a", incarnation, records }, accounts);
+        sync = new RecordSync({ store, key: "host-a", incarnation, counters: new Counters(), records }, accounts);
     }
 
     async function tick(): Promise<void> {
--- a/src/edge/budget/recordSync.ts
+++ b/src/edge/budget/recordSync.ts
@@ -1,6 +1,8 @@
 /** Keeps this host's own record in the store: takes it over from the previous process, then writes what may be spent. */
+import type { Counters } from "../../base/counters.js";
 import { log } from "../../base/log.js";
 import type { PlatformStore, WriteOutcome } from "../../platform/platformStore.js";
+import { EdgeCounterNames } from "../metrics.js";
 import type { EdgeAccounts } from "./edgeAccounts.js";
 import type { OwnRecords } from "./ownRecords.js";
 import { type HostObject, HostObjectSchema, type SpendingRecord } from "./spendingRecord.js";
@@ -26,6 +28,7 @@
     /** Key of the host's object. */
     readonly key: string;
     readonly incarnation: string;
+    readonly counters: Counters;
     readonly records: OwnRecords;
 }
 
@@ -170,6 +173,7 @@
     #handle(outcome: WriteOutcome, object: HostObject, usedTokens: number): void {
         this.#nextWriteMs = this.#accounts.nowMs + RecordSpacingMs;
         if (outcome.status === "applied") {
+            this.#parts.counters.add(EdgeCounterNames.budgetRecords);
             this.#version = outcome.version;
             this.#stored = object;
             this.#writtenMs = this.#accounts.nowMs;
--- a/src/edge/budget/spendingRight.ts
+++ b/src/edge/budget/spendingRight.ts
@@ -15,7 +15,7 @@
  * older record means that the store cannot be reached. A killed process is replaced after about two seconds; a release
  * that begins earlier puts tokens at risk with every kill.
  */
-export const ReleaseAfterMs = 2_400;
+export const ReleaseAfterMs = 2_200;
 
 /** Age of a record from which the burst may be spent, in milliseconds; after the start of nearly every successor. */
 const BurstAfterMs = 2_700;
--- a/src/edge/budget/tokenLoans.spec.ts
+++ b/src/edge/budget/tokenLoans.spec.ts
@@ -1,5 +1,6 @@
 import { beforeEach, describe, expect, it } from "vitest";
 import { ManualClock } from "../../base/clock.js";
+import { Counters } from "../../base/counters.js";
 import { PeerChannel, type PeerListener, type PeerMessage } from "../peers/peerChannel.js";
 import { EdgeAccounts } from "./edgeAccounts.js";
 import type { TeamAccount } from "./teamAccount.js";
@@ -36,6 +37,7 @@
         fruitless = 0;
         loans = new TokenLoans({
             clock,
+            counters: new Counters(),
             channel,
             accounts,
             incarnation: "own",
--- a/src/edge/budget/tokenLoans.ts
+++ b/src/edge/budget/tokenLoans.ts
@@ -7,7 +7,9 @@
  * tokens unused.
  */
 import type { Clock } from "../../base/clock.js";
+import type { Counters } from "../../base/counters.js";
 import { log } from "../../base/log.js";
+import { EdgeCounterNames } from "../metrics.js";
 import type { PeerChannel } from "../peers/peerChannel.js";
 import type { EdgeAccounts } from "./edgeAccounts.js";
 import type { BorrowRequest, Loan } from "./loanMessages.js";
@@ -28,6 +30,7 @@
 /** What loans are built from. */
 export interface TokenLoansParts {
     readonly clock: Clock;
+    readonly counters: Counters;
     readonly channel: PeerChannel;
     readonly accounts: EdgeAccounts;
     readonly incarnation: string;
@@ -124,6 +127,7 @@
         const { account } = pending;
         if (loan.w > 0) {
             account.borrow(loan.w);
+            this.#parts.counters.add(EdgeCounterNames.tokensBorrowed, loan.w);
             log.info("tokens borrowed", {
                 team: account.name,
                 lender: sender,
@@ -145,6 +149,7 @@
         this.#served.set(request.i, request.n);
         const tokens = this.#parts.accounts.find(request.t)?.lend(request.w, this.#nowMs) ?? 0;
         if (tokens > 0) {
+            this.#parts.counters.add(EdgeCounterNames.tokensLent, tokens);
             log.info("tokens lent", { team: request.t, borrower: sender, tokens, missing: request.w });
         }
         this.#parts.channel.send(sender, { k: "g", i: request.i, n: request.n, w: tokens });
--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -194,6 +194,7 @@
         return new BudgetKeeper({
             store: this.#parts.store,
             clock: this.#clock,
+            counters: this.#metrics.counters,
             channel: this.#channel,
             key: `${this.#parts.objects.ownPrefix}ledger`,
             recordKey: `${this.#parts.objects.ownPrefix}host-${this.#settings.hostId}`,
--- /dev/null
+++ b/src/edge/flow/attemptHistory.ts
@@ -0,0 +1,76 @@
+/** What the attempts of one request have done so far, and whether another one is allowed. */
+import type { RanState } from "../../base/resultCodes.js";
+import type { Route } from "../edgeTypes.js";
+import type { AttemptEnd } from "./attempt.js";
+
+/** Sends at which nothing ran that one request may cause beyond its attempts. */
+const MaxExtraSends = 2;
+
+/** Counts sends and runs of one request. */
+export class AttemptHistory {
+    readonly tried = new Set<string>();
+    readonly #route: Route;
+    #sends = 0;
+    /** Attempts that may have run. */
+    #runs = 0;
+    #ran: RanState = "no";
+
+    constructor(route: Route) {
+        this.#route = route;
+    }
+
+    /** @returns Sends so far. */
+    get sends(): number {
+        return this.#sends;
+    }
+
+    /** @returns Whether the request has run. */
+    get ran(): RanState {
+        return this.#ran;
+    }
+
+    /** @returns Whether the request may run more than once. */
+    get isRepeatable(): boolean {
+        const { kind, isResumable } = this.#route;
+        return kind === "idempotent" || (kind === "streaming" && isResumable);
+    }
+
+    /** @returns Whether the request may run again if its next run fails. */
+    get hasRunToSpare(): boolean {
+        return this.isRepeatable && this.#runs + 1 < this.#route.maxAttempts;
+    }
+
+    /** A request is about to be sent. */
+    noteSend(upstreamId: string): void {
+        this.#sends++;
+        this.tried.add(upstreamId);
+    }
+
+    /** @param hasEvents Whether output was relayed to the caller. */
+    noteEnd(end: AttemptEnd, hasEvents: boolean): void {
+        if (end.status === "answered") {
+            this.#runs++;
+            this.#ran = "yes";
+        }
+        else if (end.status === "interrupted") {
+            this.#runs++;
+            this.noteStopped(hasEvents);
+        }
+    }
+
+    /** A running attempt was stopped: without output nobody knows whether it ran. */
+    noteStopped(hasEvents: boolean): void {
+        this.#ran = hasEvents ? "yes" : this.#ran === "no" ? "unknown" : this.#ran;
+    }
+
+    /**
+     * @param canContinue Whether the relayed output, if any, can be continued by another upstream.
+     * @returns Whether the kind of request allows another send after this end.
+     */
+    allowsRepeat(end: AttemptEnd, canContinue: boolean): boolean {
+        if (end.status === "unreachable" || end.status === "notExecuted") {
+            return this.#sends - this.#runs <= MaxExtraSends;
+        }
+        return this.isRepeatable && this.#runs < this.#route.maxAttempts && canContinue;
+    }
+}
--- /dev/null
+++ b/src/edge/flow/requestBudget.ts
@@ -0,0 +1,56 @@
+/** Prepaid tokens of one request: reserved at its worst-case cost before it is sent, settled at what it delivered. */
+import type { BudgetKeeper, ReservationRefusal } from "../budget/budgetKeeper.js";
+import type { Reservation } from "../budget/teamAccount.js";
+import type { EdgeTeam, TokenCounts } from "../edgeTypes.js";
+import { costOfRequest, type Delivery } from "./requestCost.js";
+
+/** Reserves and settles the tokens of one request. */
+export class RequestBudget {
+    readonly #budgets: BudgetKeeper;
+    readonly #requestId: string;
+    readonly #team: EdgeTeam | undefined;
+    readonly #tokens: TokenCounts | undefined;
+    #reservation: Reservation | undefined;
+
+    /** @param tokens Undefined for requests that cost nothing. */
+    constructor(budgets: BudgetKeeper, requestId: string, team: EdgeTeam | undefined, tokens: TokenCounts | undefined) {
+        this.#budgets = budgets;
+        this.#requestId = requestId;
+        this.#team = team;
+        this.#tokens = tokens;
+    }
+
+    /** @returns Worst-case cost in tokens. */
+    get mostTokens(): number {
+        return (this.#tokens?.promptTokens ?? 0) + (this.#tokens?.maxOutputTokens ?? 0);
+    }
+
+    /** @returns Why the tokens are not available; `undefined` when they are reserved or none are needed. */
+    async reserve(remainingMs: number): Promise<ReservationRefusal | undefined> {
+        if (this.#team === undefined || this.#tokens === undefined) {
+            return undefined;
+        }
+        const result = await this.#budgets.reserve(this.#requestId, this.#team.name, this.mostTokens, remainingMs);
+        if (typeof result === "string") {
+            return result;
+        }
+        this.#reservation = result;
+        return undefined;
+    }
+
+    /** @returns Tokens charged. */
+    settle(delivery: Delivery): number {
+        const reservation = this.#reservation;
+        if (this.#team === undefined || this.#tokens === undefined || reservation === undefined) {
+            return 0;
+        }
+        const reservedTokens = reservation.ownTokens + reservation.borrowedTokens;
+        const costTokens = Math.min(
+            reservedTokens,
+            costOfRequest({ ...delivery, tokens: this.#tokens, reservedTokens }),
+        );
+        this.#budgets.settle(this.#team.name, reservation, costTokens);
+        this.#reservation = undefined;
+        return costTokens;
+    }
+}
--- a/src/edge/flow/requestCost.ts
+++ b/src/edge/flow/requestCost.ts
@@ -4,10 +4,8 @@
 /** Events that an upstream may have sent after the last one that arrived before its stream was stopped. */
 const EventsInFlight = 8;
 
-/** What the cost depends on. */
-export interface CostInput {
-    readonly tokens: TokenCounts;
-    readonly reservedTokens: number;
+/** What a request delivered. */
+export interface Delivery {
     /** Output tokens of one event; `undefined` when the service is no engine. */
     readonly tokensPerEvent: number | undefined;
     /** Events that were relayed, over all attempts. */
@@ -18,6 +16,12 @@
     readonly isAbandoned: boolean;
 }
 
+/** What the cost depends on. */
+export interface CostInput extends Delivery {
+    readonly tokens: TokenCounts;
+    readonly reservedTokens: number;
+}
+
 /**
  * The prompt counts once and the output as it was delivered, so a request that failed before its first output costs
  * nothing. Where output was delivered that cannot be counted, the whole reservation is charged: a team must not get
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -2,9 +2,7 @@
 import type { Clock } from "../../base/clock.js";
 import { log } from "../../base/log.js";
 import type { Random } from "../../base/random.js";
-import type { RanState } from "../../base/resultCodes.js";
 import type { BudgetKeeper } from "../budget/budgetKeeper.js";
-import type { Reservation } from "../budget/teamAccount.js";
 import type { CallerFacts, EdgeTeam, Route } from "../edgeTypes.js";
 import { EdgeCounterNames, type EdgeMetrics } from "../metrics.js";
 import type { PeerLoad } from "../peers/peerLoads.js";
@@ -16,8 +14,9 @@
 import { chooseUpstream } from "../upstream/upstreamChoice.js";
 import type { UpstreamDirectory } from "../upstream/upstreamDirectory.js";
 import { Attempt, type AttemptEnd, type AttemptListener } from "./attempt.js";
+import { AttemptHistory } from "./attemptHistory.js";
 import type { CallerAnswer, EdgeFailure } from "./callerAnswer.js";
-import { costOfRequest } from "./requestCost.js";
+import { RequestBudget } from "./requestBudget.js";
 import type { RetryBudgets } from "./retryBudgets.js";
 import { serialiseRequest } from "./serialiseRequest.js";
 import { StreamRelay } from "./streamRelay.js";
@@ -53,9 +52,6 @@
     readonly endsMs: number;
 }
 
-/** Sends at which nothing ran that one request may cause beyond its attempts. */
-const MaxExtraSends = 2;
-
 /** Idle time up to which a kept connection is trusted with work that may not be repeated, in milliseconds. */
 const NonIdempotentIdleMs = 1_500;
 const IdempotentIdleMs = 4_000;
@@ -93,18 +89,17 @@
     readonly #answer: CallerAnswer;
     readonly #service: string;
     readonly #relay: StreamRelay;
-    readonly #tried = new Set<string>();
+    readonly #history: AttemptHistory;
+    readonly #budget: RequestBudget;
     #attempt: Attempt | undefined;
     #endTimer: NodeJS.Timeout | undefined;
-    #reservation: Reservation | undefined;
-    #ran: RanState = "no";
-    /** Attempts that may have run. */
-    #runs = 0;
-    #sends = 0;
     /** Whether a running attempt was stopped. */
     #isAbandoned = false;
     /** Time from the arrival to the latest attempt's first byte, in milliseconds. */
     #firstByteMs: number | undefined;
+    /** When the stream last went on, and its longest pause, in milliseconds. */
+    #wentOnMs: number | undefined;
+    #longestPauseMs = 0;
     #isOver = false;
 
     constructor(parts: FlowParts, request: EdgeRequest, answer: CallerAnswer) {
@@ -113,6 +108,8 @@
         this.#answer = answer;
         this.#service = chooseService(request.route, parts.random.next());
         this.#relay = new StreamRelay(answer, request.facts.lastEventId);
+        this.#history = new AttemptHistory(request.route);
+        this.#budget = new RequestBudget(parts.budgets, request.requestId, request.team, request.facts.tokens);
     }
 
     /** Runs the request to its end. */
@@ -151,6 +148,7 @@
     }
 
     onBody(bytes: Buffer, attempt: Attempt): boolean {
+        this.#notePause();
         const outcome = this.#relay.push(bytes);
         if (outcome === "outOfOrder") {
             attempt.cancel();
@@ -163,12 +161,21 @@
         return outcome === "written";
     }
 
+    #notePause(): void {
+        const nowMs = this.#nowMs;
+        this.#longestPauseMs = Math.max(this.#longestPauseMs, nowMs - (this.#wentOnMs ?? nowMs));
+        this.#wentOnMs = nowMs;
+    }
+
     onEnd(end: AttemptEnd): void {
         if (this.#isOver) {
             return;
         }
         this.#attempt = undefined;
-        this.#noteRan(end);
+        if (end.status === "interrupted") {
+            this.#relay.interrupt();
+        }
+        this.#history.noteEnd(end, this.#relay.hasEvents);
         if (end.status === "answered") {
             this.#onAnswered(end.head, end.body);
             return;
@@ -190,61 +197,47 @@
         return this.#request.endsMs - this.#nowMs;
     }
 
-    get #isRepeatable(): boolean {
-        return this.#request.route.kind === "idempotent" || this.#isResumable;
-    }
-
-    get #isResumable(): boolean {
-        const { route } = this.#request;
-        return route.kind === "streaming" && route.isResumable;
-    }
-
     /** @returns Whether the tokens are reserved; otherwise the request is answered. */
     async #reserve(): Promise<boolean> {
-        const { requestId, team, facts } = this.#request;
-        if (team === undefined || facts.tokens === undefined) {
-            return true;
-        }
-        const costTokens = facts.tokens.promptTokens + facts.tokens.maxOutputTokens;
-        const outcome = await this.#parts.budgets.reserve(requestId, team.name, costTokens, this.#remainingMs);
-        if (typeof outcome !== "string") {
-            this.#reservation = outcome;
+        const refusal = await this.#budget.reserve(this.#remainingMs);
+        if (refusal === undefined) {
             if (this.#isOver) {
                 this.#settle(false);
             }
             return true;
         }
         this.#parts.metrics.counters.add(EdgeCounterNames.budgetRefusals);
-        const isExhausted = outcome === "exhausted";
         this.#fail({
-            code: isExhausted ? "BudgetExhausted" : "BudgetUnavailable",
+            code: refusal === "exhausted" ? "BudgetExhausted" : "BudgetUnavailable",
             ran: "no",
-            retryAfterMs: BudgetRetryMs[outcome],
-        }, `budget of ${team.name}: ${costTokens} tokens not available`);
+            retryAfterMs: BudgetRetryMs[refusal],
+        }, `budget of ${this.#request.team?.name}: ${this.#budget.mostTokens} tokens not available`);
         return false;
     }
 
     #sendNext(): void {
         const upstream = this.#choose();
         if (upstream === undefined) {
-            this.#fail({ code: "NoUpstream", ran: this.#ran, retryAfterMs: this.#retryAfterMs() }, "no upstream");
+            this.#fail(
+                { code: "NoUpstream", ran: this.#history.ran, retryAfterMs: this.#retryAfterMs() },
+                "no upstream",
+            );
             return;
         }
-        this.#sends++;
+        this.#history.noteSend(upstream.entry.id);
         this.#parts.metrics.counters.add(EdgeCounterNames.sends);
-        if (this.#sends > 1) {
+        if (this.#history.sends > 1) {
             this.#parts.metrics.counters.add(EdgeCounterNames.repeatedSends);
         }
-        this.#tried.add(upstream.entry.id);
-        const { route, requestId, facts } = this.#request;
+        const { route, requestId } = this.#request;
         const { objectiveMs } = route;
         this.#attempt = new Attempt(
             {
                 upstream,
                 request: this.#serialise(upstream),
                 requestId,
-                prefillTokens: facts.tokens?.promptTokens ?? 0,
-                maxIdleMs: this.#isRepeatable ? IdempotentIdleMs : NonIdempotentIdleMs,
+                prefillTokens: this.#request.facts.tokens?.promptTokens ?? 0,
+                maxIdleMs: this.#history.isRepeatable ? IdempotentIdleMs : NonIdempotentIdleMs,
                 patienceMs: Math.max(ShortestSilenceMs, objectiveMs * SilenceObjectives),
                 silenceLimitMs: this.#silenceLimitMs(),
             },
@@ -260,7 +253,7 @@
             candidates: this.#parts.directory.usable(this.#service),
             promptParts: facts.promptParts,
             promptTokens: facts.tokens?.promptTokens ?? 0,
-            excluded: this.#tried,
+            excluded: this.#history.tried,
             zone: this.#parts.zone,
             isGeneration: route.isGeneration,
             nowMs: this.#nowMs,
@@ -282,34 +275,15 @@
 
     /** Silence ends an attempt only if the request can still run elsewhere. */
     #silenceLimitMs(): number | undefined {
-        const { route } = this.#request;
-        if (!this.#isRepeatable || this.#runs + 1 >= route.maxAttempts) {
-            return undefined;
-        }
-        return Math.max(ShortestSilenceMs, route.objectiveMs * SilenceObjectives);
-    }
-
-    #noteRan(end: AttemptEnd): void {
-        if (end.status === "answered") {
-            this.#runs++;
-            this.#ran = "yes";
-        }
-        else if (end.status === "interrupted") {
-            this.#relay.interrupt();
-            this.#runs++;
-            this.#ran = this.#relay.hasEvents ? "yes" : this.#ran === "no" ? "unknown" : this.#ran;
-        }
+        return this.#history.hasRunToSpare ?
+            Math.max(ShortestSilenceMs, this.#request.route.objectiveMs * SilenceObjectives) :
+            undefined;
     }
 
     /** Whether another send is allowed, useful and within the budget of repeated sends. */
     #mayRepeat(end: AttemptEnd): boolean {
-        const { route } = this.#request;
-        const nothingRan = end.status === "unreachable" || end.status === "notExecuted";
-        const isAllowed = nothingRan ?
-            this.#sends - this.#runs <= MaxExtraSends :
-            this.#isRepeatable && this.#runs < route.maxAttempts &&
-            (!this.#relay.hasEvents || this.#relay.lastEventId !== undefined);
-        if (!isAllowed || this.#remainingMs < LeastUsefulMs) {
+        const canContinue = !this.#relay.hasEvents || this.#relay.lastEventId !== undefined;
+        if (!this.#history.allowsRepeat(end, canContinue) || this.#remainingMs < LeastUsefulMs) {
             return false;
         }
         return end.status === "unreachable" || this.#parts.retries.take(this.#service, this.#nowMs);
@@ -343,16 +317,17 @@
 
     #giveUp(end: AttemptEnd): void {
         if (end.status === "notExecuted" || end.status === "unreachable") {
-            const code = this.#ran === "no" ? "NoUpstream" : "UpstreamFailed";
-            this.#fail({ code, ran: this.#ran, retryAfterMs: this.#retryAfterMs() }, `upstream: ${end.status}`);
+            const { ran } = this.#history;
+            const code = ran === "no" ? "NoUpstream" : "UpstreamFailed";
+            this.#fail({ code, ran, retryAfterMs: this.#retryAfterMs() }, `upstream: ${end.status}`);
             return;
         }
-        this.#fail({ code: "UpstreamFailed", ran: this.#ran }, "the upstream failed");
+        this.#fail({ code: "UpstreamFailed", ran: this.#history.ran }, "the upstream failed");
     }
 
     #onTimeout(): void {
         this.#abandonAttempt();
-        const ran = this.#ran;
+        const { ran } = this.#history;
         this.#fail({ code: ran === "no" ? "Overloaded" : "UpstreamTimeout", ran }, "time is over");
     }
 
@@ -363,7 +338,7 @@
         }
         this.#attempt.cancel();
         this.#isAbandoned = true;
-        this.#ran = this.#relay.hasEvents ? "yes" : this.#ran === "no" ? "unknown" : this.#ran;
+        this.#history.noteStopped(this.#relay.hasEvents);
     }
 
     #retryAfterMs(): number {
@@ -397,26 +372,12 @@
 
     /** @param isAnswered Whether the caller got a whole successful answer. */
     #settle(isAnswered: boolean): number {
-        const { team, facts, table } = this.#request;
-        const reservation = this.#reservation;
-        if (team === undefined || facts.tokens === undefined || reservation === undefined) {
-            return 0;
-        }
-        const reservedTokens = reservation.ownTokens + reservation.borrowedTokens;
-        const costTokens = Math.min(
-            reservedTokens,
-            costOfRequest({
-                tokens: facts.tokens,
-                reservedTokens,
-                tokensPerEvent: table.findService(this.#service)?.engine?.tokensPerEvent,
-                eventCount: this.#relay.eventCount,
-                isAnswered,
-                isAbandoned: this.#isAbandoned,
-            }),
-        );
-        this.#parts.budgets.settle(team.name, reservation, costTokens);
-        this.#reservation = undefined;
-        return costTokens;
+        return this.#budget.settle({
+            tokensPerEvent: this.#request.table.findService(this.#service)?.engine?.tokensPerEvent,
+            eventCount: this.#relay.eventCount,
+            isAnswered,
+            isAbandoned: this.#isAbandoned,
+        });
     }
 
     #describe(): Record<string, unknown> {
@@ -425,11 +386,12 @@
             route: route.name,
             team: team?.name,
             configuration: table.configuration.version,
-            upstreams: [...this.#tried].join(","),
-            sends: this.#sends,
-            ran: this.#ran,
+            upstreams: [...this.#history.tried].join(","),
+            sends: this.#history.sends,
+            ran: this.#history.ran,
             events: this.#relay.eventCount,
             firstByteMs: this.#firstByteMs,
+            longestPauseMs: Math.round(this.#longestPauseMs),
             elapsedMs: Math.round(this.#nowMs - this.#request.arrivedMs),
         };
     }
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -11,7 +11,7 @@
 
 const ContentType = "text/plain; version=0.0.4";
 
-/** Names of all counters, with what they count. `docs/platform-operations.md` lists them. */
+/** Names of all counters; `docs/operations.md` says what they count. */
 export const EdgeCounterNames = {
     requestsComplete: "edge.requests.complete",
     requestsFailedUpstream: "edge.requests.upstreamFailure",
@@ -22,6 +22,11 @@
     repeatedSends: "edge.sends.repeated",
     tokensCharged: "edge.tokens.charged",
     budgetRefusals: "edge.budget.refusals",
+    budgetRecords: "edge.budget.records",
+    budgetLedgerWrites: "edge.budget.ledger.writes",
+    budgetLedgerConflicts: "edge.budget.ledger.conflicts",
+    tokensBorrowed: "edge.tokens.borrowed",
+    tokensLent: "edge.tokens.lent",
 } as const;
 
 /** Measurements of one process. */
@@ -76,6 +81,7 @@
     }
 }
 
-function metricName(name: string): string {
+/** @returns The name under which a counter is served. */
+export function metricName(name: string): string {
     return name.replace(/[^a-zA-Z0-9]/g, "_").replace(/([a-z])([A-Z])/g, "$1_$2").toLowerCase();
 }
