--- /dev/null
+++ b/src/base/groupBy.ts
@@ -0,0 +1,17 @@
+/** Grouping of values. */
+
+/** @returns The values grouped by a key. */
+export function groupBy<T>(values: readonly T[], keyOf: (value: T) => string): Map<string, T[]> {
+    const groups = new Map<string, T[]>();
+    for (const value of values) {
+        const key = keyOf(value);
+        const group = groups.get(key);
+        if (group === undefined) {
+            groups.set(key, [value]);
+        }
+        else {
+            group.push(value);
+        }
+    }
+    return groups;
+}
--- a/src/chaos/billingCheck.ts
+++ b/src/chaos/billingCheck.ts
@@ -1,6 +1,7 @@
 /** Check that each completed request has one bill line or lies in the at-risk amount of a sealed host. */
+import { groupBy } from "../base/groupBy.js";
 import type { CallRecord, Evidence, HostBillLine, Violation } from "./chaosTypes.js";
-import { answerTokens, groupBy } from "./evidenceReading.js";
+import { answerTokens } from "./evidenceReading.js";
 
 /** @returns Requests that are billed twice or with a wrong amount, and hosts whose at-risk amounts do not cover them. */
 export function billingViolations(evidence: Evidence): Violation[] {
--- a/src/chaos/chaosReport.ts
+++ b/src/chaos/chaosReport.ts
@@ -1,7 +1,7 @@
 /** Report of a chaos run: a table and one line of JSON. */
+import { groupBy } from "../base/groupBy.js";
 import type { ChaosResult } from "./chaosRun.js";
 import { PropertyNames } from "./chaosTypes.js";
-import { groupBy } from "./evidenceReading.js";
 
 /** Longest evidence of one violation on the terminal; `violations.json` holds all of it. */
 const MaxEvidenceCharacters = 3_000;
--- a/src/chaos/checks.ts
+++ b/src/chaos/checks.ts
@@ -1,8 +1,9 @@
 /** The properties that a chaos run checks, as pure functions of its evidence. */
+import { groupBy } from "../base/groupBy.js";
 import { freeTokens } from "../features/budget/budgetTypes.js";
 import { billingViolations } from "./billingCheck.js";
 import type { CallRecord, Evidence, UpstreamExecution, Violation } from "./chaosTypes.js";
-import { answerTokens, groupBy } from "./evidenceReading.js";
+import { answerTokens } from "./evidenceReading.js";
 
 /** @returns Every violation of every property. */
 export function checkAll(evidence: Evidence): Violation[] {
--- /dev/null
+++ b/src/edge/readout/fleetReadout.ts
@@ -0,0 +1,165 @@
+/** What operators read of a fleet of edges: configuration in force, balances, hosts and upstreams, all from the store. */
+import { Result } from "true-myth";
+import { ExitCodes } from "../../base/exitCodes.js";
+import { both, type CommandFailure, type CommandResult, fail, storeUnavailable } from "../../control/commandResult.js";
+import type { PlatformStore, StoredObject } from "../../platform/platformStore.js";
+import { EmptyLedger, type Ledger, LedgerSchema, type TeamLedger, unheldTokens } from "../budget/ledger.js";
+import type { EdgeConfiguration } from "../edgeTypes.js";
+import type { ObjectCodec } from "../protocolCodec.js";
+
+/** Objects that a listing asks for at once. */
+const PageSize = 500;
+
+/** Reads one fleet's state. */
+export class FleetReadout {
+    readonly #store: PlatformStore;
+    readonly #objects: ObjectCodec;
+
+    constructor(store: PlatformStore, objects: ObjectCodec) {
+        this.#store = store;
+        this.#objects = objects;
+    }
+
+    /** @returns The newest configuration: version, routes and services; never API keys. */
+    async configuration(): Promise<CommandResult> {
+        const configuration = await this.#readConfiguration();
+        return configuration.map(({ version, routes, services, teams }) => ({
+            value: {
+                version,
+                routes,
+                services,
+                teams: teams?.map(({ name, prepaidTokens }) => ({ name, prepaidTokens })),
+            },
+            table: {
+                columns: ["route", "host", "path", "kind", "services", "timeoutMs", "priority"],
+                rows: routes.map(route => [
+                    route.name,
+                    route.host,
+                    route.pathPrefix,
+                    route.kind,
+                    route.targets.map(({ service, weight }) => `${service}:${weight}`).join(" "),
+                    route.timeoutMs,
+                    route.priority,
+                ]),
+            },
+            lines: [`version ${version}, ${services.length} services, ${teams?.length ?? 0} teams`],
+        }));
+    }
+
+    /** @returns Tokens of each team: prepaid, known to be spent, at risk, held by hosts, and held by none. */
+    async balances(): Promise<CommandResult> {
+        const read = both(await this.#readConfiguration(), await this.#readLedger());
+        return read.map(([configuration, ledger]) => {
+            const balances = (configuration.teams ?? [])
+                .filter(team => team.prepaidTokens !== undefined)
+                .map(team => balanceOf(team.name, team.prepaidTokens ?? 0, ledger.teams[team.name]));
+            return {
+                value: balances,
+                table: {
+                    columns: ["team", "prepaid", "spent", "atRisk", "held", "unheld"],
+                    rows: balances.map(b => [
+                        b.team,
+                        b.prepaidTokens,
+                        b.spentTokens,
+                        b.atRiskTokens,
+                        b.heldTokens,
+                        b.unheldTokens,
+                    ]),
+                },
+            };
+        });
+    }
+
+    /** @returns Hosts that write to the ledger, with the age of their last write. */
+    async hosts(wallMs: number): Promise<CommandResult> {
+        const ledger = await this.#readLedger();
+        return ledger.map(({ hosts }) => {
+            const rows = Object.entries(hosts).map(([host, { incarnation, peerAddress, writtenAtMs }]) => (
+                { host, incarnation, peerAddress, ledgerAgeMs: Math.round(wallMs - writtenAtMs) }
+            ));
+            return {
+                value: rows,
+                table: {
+                    columns: ["host", "incarnation", "peerAddress", "ledgerAgeMs"],
+                    rows: rows.map(row => [row.host, row.incarnation, row.peerAddress, row.ledgerAgeMs]),
+                },
+            };
+        });
+    }
+
+    /** @returns Upstreams that the platform lists; entries that name none are shown with their problem. */
+    async upstreams(): Promise<CommandResult> {
+        const listed = await this.#listUpstreams();
+        return listed.map(objects => {
+            const rows = objects.map(object => {
+                const id = object.key.slice(this.#objects.upstreamPrefix.length);
+                const entry = this.#objects.readUpstream(id, object.value);
+                return typeof entry === "string" ? { id, problem: entry } : { ...entry, id };
+            });
+            return {
+                value: rows,
+                table: {
+                    columns: ["upstream", "service", "address", "zone", "state"],
+                    rows: rows.map(row =>
+                        "problem" in row ?
+                            [row.id, "", "", "", `ignored: ${row.problem}`] :
+                            [row.id, row.service, row.address, row.zone, row.isLeaving ? "leaving" : "ready"]
+                    ),
+                },
+            };
+        });
+    }
+
+    async #readConfiguration(): Promise<Result<EdgeConfiguration, CommandFailure>> {
+        const outcome = await this.#store.get(this.#objects.configurationKey);
+        if (outcome.status === "unavailable") {
+            return storeUnavailable(outcome.reason);
+        }
+        if (outcome.status === "absent") {
+            return fail(ExitCodes.Failed, "there is no configuration yet");
+        }
+        const configuration = this.#objects.readConfiguration(outcome.object.value);
+        return typeof configuration === "string" ?
+            fail(ExitCodes.Failed, `the configuration cannot be read: ${configuration}`) :
+            Result.ok(configuration);
+    }
+
+    async #readLedger(): Promise<Result<Ledger, CommandFailure>> {
+        const outcome = await this.#store.get(`${this.#objects.ownPrefix}ledger`);
+        if (outcome.status === "unavailable") {
+            return storeUnavailable(outcome.reason);
+        }
+        const ledger = LedgerSchema.safeParse(outcome.status === "absent" ? EmptyLedger : outcome.object.value);
+        return ledger.success ?
+            Result.ok(ledger.data) :
+            fail(ExitCodes.Failed, `the ledger cannot be read: ${ledger.error.message}`);
+    }
+
+    async #listUpstreams(): Promise<Result<readonly StoredObject[], CommandFailure>> {
+        const objects: StoredObject[] = [];
+        for (let more = true, afterKey = ""; more; afterKey = objects.at(-1)?.key ?? "") {
+            const page = await this.#store.list(this.#objects.upstreamPrefix, afterKey, PageSize);
+            if (page.status === "unavailable") {
+                return storeUnavailable(page.reason);
+            }
+            objects.push(...page.objects);
+            more = page.more && page.objects.length > 0;
+        }
+        return Result.ok(objects);
+    }
+}
+
+function balanceOf(team: string, prepaidTokens: number, ledger: TeamLedger | undefined) {
+    const known = ledger ?? { closedTokens: 0, atRiskTokens: 0, shares: {} };
+    const shares = Object.values(known.shares);
+    const settledTokens = shares.reduce((sum, share) => sum + share.settledTokens, 0);
+    const grantedTokens = shares.reduce((sum, share) => sum + share.grantedTokens, 0);
+    return {
+        team,
+        prepaidTokens,
+        spentTokens: known.closedTokens + settledTokens,
+        atRiskTokens: known.atRiskTokens,
+        heldTokens: grantedTokens - settledTokens,
+        unheldTokens: unheldTokens(known, prepaidTokens),
+    };
+}
--- a/src/features/budget/peerTransfers.ts
+++ b/src/features/budget/peerTransfers.ts
@@ -1,7 +1,7 @@
 /** Answers peers that ask for tokens or cancel a transfer. */
 import { match } from "ts-pattern";
+import type { PeerRequested } from "../../kernel/callResults.js";
 import type { ControllerContext } from "../../kernel/controller.js";
-import type { PeerRequested } from "../../kernel/effects.js";
 import type { PeerReply, TransferReply, TransferRequest } from "../../peer/peerMessages.js";
 import type { AccountBook } from "./accountBook.js";
 import type { BudgetAccount } from "./budgetAccount.js";
--- a/src/features/idempotency/idempotencyController.ts
+++ b/src/features/idempotency/idempotencyController.ts
@@ -1,7 +1,7 @@
 /** Claims idempotency keys, so that work that may not be repeated runs at most once in the whole fleet. */
 import { match, P } from "ts-pattern";
+import type { ResultEvent } from "../../kernel/callResults.js";
 import { Controller, type ControllerContext } from "../../kernel/controller.js";
-import type { ResultEvent } from "../../kernel/effects.js";
 import type { RouterEvent } from "../../kernel/events.js";
 import { AbsentVersion, type StoredObject, type WriteOutcome } from "../../platform/platformStore.js";
 import type { BillDraft } from "../budget/budgetTypes.js";
--- a/src/features/idempotency/ticketDesk.ts
+++ b/src/features/idempotency/ticketDesk.ts
@@ -1,7 +1,7 @@
 /** Issues tickets, and settles with their issuer what became of a ticket that arrives at another host. */
 import { match } from "ts-pattern";
+import type { PeerRequested, ResultEvent } from "../../kernel/callResults.js";
 import type { ControllerContext } from "../../kernel/controller.js";
-import type { PeerRequested, ResultEvent } from "../../kernel/effects.js";
 import type { PeerOutcome, TicketRequest } from "../../peer/peerMessages.js";
 import { AbsentVersion } from "../../platform/platformStore.js";
 import { splitHostKey } from "../journal/journalTypes.js";
--- a/src/peer/peerServer.ts
+++ b/src/peer/peerServer.ts
@@ -11,7 +11,7 @@
 import { readFileSync } from "node:fs";
 import type { Clock } from "../base/clock.js";
 import type { Counters } from "../base/counters.js";
-import type { PeerRequested } from "../kernel/effects.js";
+import type { PeerRequested } from "../kernel/callResults.js";
 import { CallRateLimit } from "./callRateLimit.js";
 import { PeerAuth, SenderEntry, SignatureEntry } from "./peerAuth.js";
 import { decodeRequest, encodeMessage, methodPath } from "./peerCodec.js";
--- a/src/router/grpcPeerLink.ts
+++ b/src/router/grpcPeerLink.ts
@@ -1,7 +1,7 @@
 /** Calls to and from other routers over gRPC. */
 import type { Clock } from "../base/clock.js";
 import type { Counters } from "../base/counters.js";
-import type { PeerRequested } from "../kernel/effects.js";
+import type { PeerRequested } from "../kernel/callResults.js";
 import { GrpcPeerClient } from "../peer/grpcPeerClient.js";
 import type { PeerReply } from "../peer/peerMessages.js";
 import { PeerServer } from "../peer/peerServer.js";
