Take no request at the end of a shutdown that cannot be finished

No request was open, so the edge was writing its budgets for the last time; it sent the new request to an upstream and closed all connections 21 ms later. Change: once the listener is closed, a connection ends with its current answer; a request that crosses the end is not taken; requests that arrive while the budgets are written are refused, and their answers are waited for. Ruled out: the grace period, which had 3 s left.

--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -139,7 +139,11 @@
         while (this.#listener.openCount > 0 && elapsedMs() < lastMs) {
             await sleep(ShutdownPollMs);
         }
+        this.#listener.refuseRequests();
         await Promise.race([this.#budgets.close(), sleep(FinalWriteMs)]);
+        while (this.#listener.openCount > 0 && elapsedMs() < lastMs) {
+            await sleep(ShutdownPollMs);
+        }
         clearInterval(this.#ticker);
         this.#configuration.stop();
         this.#upstreamFeed.stop();
--- a/src/edge/flow/callerListener.ts
+++ b/src/edge/flow/callerListener.ts
@@ -44,6 +44,8 @@
     readonly #parts: ListenerParts;
     readonly #server: Server;
     #openCount = 0;
+    #isStopping = false;
+    #isRefusing = false;
 
     constructor(parts: ListenerParts) {
         this.#parts = parts;
@@ -79,12 +81,18 @@
         this.#server.keepAliveTimeout = limits.idleTimeoutMs + IdleGraceMs;
     }
 
-    /** Stops accepting and closes idle connections; open requests go on. */
+    /** Stops accepting and closes idle connections; open requests go on, and their connections close after them. */
     stopAccepting(): void {
+        this.#isStopping = true;
         this.#server.close();
         this.#server.closeIdleConnections();
     }
 
+    /** Refuses requests that still arrive on kept connections: nothing can be finished any more. */
+    refuseRequests(): void {
+        this.#isRefusing = true;
+    }
+
     /** Closes every connection. */
     destroy(): void {
         this.#server.close();
@@ -92,9 +100,19 @@
     }
 
     #onRequest(request: IncomingMessage, response: ServerResponse): void {
+        if (!request.socket.writable) {
+            // The request crossed the end of its connection: it is not taken, as it could not be answered.
+            request.socket.destroy();
+            return;
+        }
         const arrivedMs = this.#parts.clock.monotonicMs();
         this.#openCount++;
         response.once("close", () => this.#openCount--);
+        response.once("finish", () => {
+            if (this.#isStopping) {
+                request.socket.end();
+            }
+        });
         response.on("error", error => log.debug("caller connection failed", { error: error.message }));
         if (this.#parts.isLeaving()) {
             response.shouldKeepAlive = false;
@@ -120,6 +138,9 @@
 
     #route(request: IncomingMessage, facts: CallerFacts): Routed | EdgeFailure {
         const { table, isFresh } = this.#parts.configuration();
+        if (this.#isRefusing) {
+            return { code: "NotReady", ran: "no", retryAfterMs: 0 };
+        }
         if (table === undefined) {
             return { code: "NotReady", ran: "no", retryAfterMs: NotReadyRetryMs };
         }
