--- a/src/edge/budget/ledger.spec.ts
+++ b/src/edge/budget/ledger.spec.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { closePredecessor, type Ledger, recordAgeMs, settledByOthers, unheldTokens } from "./ledger.js";
+import { closePredecessor, type Ledger, LedgerSchema, recordAgeMs, settledByOthers, unheldTokens } from "./ledger.js";
 import { allowedTokens, ReleaseAfterMs } from "./spendingRight.js";
 
 const host = {
@@ -102,6 +102,20 @@
     });
 });
 
+describe("LedgerSchema", () => {
+    describe("given a ledger that an earlier release wrote", () => {
+        it("reads it (guards against hosts that cannot start beside older ones)", () => {
+            const earlier: Partial<typeof share> = { ...share };
+            delete earlier.burstTokens;
+            const teams = { t: { closedTokens: 0, atRiskTokens: 0, shares: { a: earlier } } };
+            expect(LedgerSchema.parse({ hosts: { a: host }, teams }).teams["t"]?.shares["a"]).toEqual({
+                ...share,
+                burstTokens: 0,
+            });
+        });
+    });
+});
+
 describe("sums of a team", () => {
     describe("given shares", () => {
         it("counts what no host holds and what others are known to have spent", () => {
--- a/src/edge/budget/recordSync.ts
+++ b/src/edge/budget/recordSync.ts
@@ -1,7 +1,7 @@
 /** Keeps this host's own record in the store: takes it over from the previous process, then writes what may be spent. */
 import type { Counters } from "../../base/counters.js";
 import { log } from "../../base/log.js";
-import type { PlatformStore, WriteOutcome } from "../../platform/platformStore.js";
+import { AbsentVersion, type PlatformStore, type WriteOutcome } from "../../platform/platformStore.js";
 import { EdgeCounterNames } from "../metrics.js";
 import type { EdgeAccounts } from "./edgeAccounts.js";
 import type { OwnRecords } from "./ownRecords.js";
@@ -19,9 +19,6 @@
 /** Time without an answer after which a call is not waited for, in milliseconds; a slow store answers in 200 ms. */
 export const StalledAfterMs = 300;
 
-/** Version of an object that does not exist. */
-const AbsentVersion = 0;
-
 /** What the synchronisation is built from. */
 export interface RecordSyncParts {
     readonly store: PlatformStore;
--- a/src/edge/budget/spendingRecord.ts
+++ b/src/edge/budget/spendingRecord.ts
@@ -12,8 +12,8 @@
     limitTokens: TokensSchema,
     /** Tokens per second by which the limit rises once the record is old. */
     releaseTokensPerS: TokensSchema,
-    /** Tokens by which the limit rises in addition, soon after that. */
-    burstTokens: TokensSchema,
+    /** Tokens by which the limit rises in addition, soon after that. Entries of earlier releases have none. */
+    burstTokens: TokensSchema.default(0),
     /** Tokens that finished requests have cost so far. */
     settledTokens: TokensSchema,
 });
