--- a/src/edge/budget/ledgerSync.ts
+++ b/src/edge/budget/ledgerSync.ts
@@ -11,12 +11,10 @@
     type HostShare,
     type Ledger,
     LedgerSchema,
-    newerRecord,
     type ProcessStart,
-    recordAgeMs,
     type TeamLedger,
-    unheldTokens,
 } from "./ledger.js";
+import { logClosedShares, logWrittenShares } from "./ledgerLog.js";
 import type { OwnRecords } from "./ownRecords.js";
 import { type RecordSync, StalledAfterMs } from "./recordSync.js";
 import { planGrant } from "./sharePlan.js";
@@ -208,7 +206,7 @@
             this.#recordSync.noteRecorded();
             this.#take({ ledger: next, version: outcome.version });
             this.#noteRegained();
-            this.#logShares(outcome.version);
+            logWrittenShares(this.#accounts, next, outcome.version, this.#parts.prepaidTokens);
             return false;
         }
         if (outcome.status === "conflict") {
@@ -297,7 +295,8 @@
         const { hostId, incarnation, start } = this.#parts;
         const ledger = closePredecessor(stored, hostId, incarnation, start, this.#recordSync.predecessorRecord);
         if (stored !== ledger) {
-            this.#logClosed(stored, ledger);
+            const record = this.#recordSync.predecessorRecord;
+            logClosedShares({ hostId, start, record, stored, closed: ledger, version: this.#known?.version });
             this.#inheritDemand(stored);
         }
         const date = this.#records.next();
@@ -362,35 +361,6 @@
         }
     }
 
-    /** One line when shares are closed: tokens spent by the record and at risk, by team. */
-    #logClosed(stored: Ledger, closed: Ledger): void {
-        const host = stored.hosts[this.#parts.hostId];
-        if (host === undefined) {
-            return;
-        }
-        const shares = Object.entries(closed.teams).map(([name, team]) => {
-            const before = stored.teams[name] ?? EmptyTeamLedger;
-            return `${name}:${team.closedTokens - before.closedTokens}/${team.atRiskTokens - before.atRiskTokens}`;
-        });
-        log.info("budget shares of the previous process closed", {
-            host: this.#parts.hostId,
-            predecessor: host.incarnation,
-            recordAgeMs: recordAgeMs(newerRecord(host, this.#recordSync.predecessorRecord) ?? host, this.#parts.start),
-            ledgerVersion: this.#known?.version,
-            shares: shares.join(" "),
-        });
-    }
-
-    /** One line a write: tokens granted, used and left unheld, by team. */
-    #logShares(version: number): void {
-        const shares = this.#accounts.all.map(account => {
-            const team = this.#known?.ledger.teams[account.name] ?? EmptyTeamLedger;
-            const unheld = unheldTokens(team, this.#parts.prepaidTokens(account.name) ?? 0);
-            return `${account.name}:${account.grantedTokens}/${account.usedTokens}/${unheld}`;
-        });
-        log.info("budget shares written", { version, shares: shares.join(" ") });
-    }
-
     #noteFailure(reason: string): void {
         this.#nextWriteMs = this.#accounts.nowMs + FailurePauseMs;
         if (!this.#isFailing) {
--- a/src/edge/budget/tokenLoans.ts
+++ b/src/edge/budget/tokenLoans.ts
@@ -27,6 +27,9 @@
 /** Time for which a late answer is still accepted, in milliseconds. */
 const LateAnswerMs = 5_000;
 
+/** Borrowing processes that are remembered; far more than run at the same time. */
+const MostBorrowers = 1_000;
+
 /** What loans are built from. */
 export interface TokenLoansParts {
     readonly clock: Clock;
@@ -147,6 +150,10 @@
             return;
         }
         this.#served.set(request.i, request.n);
+        const [oldest] = this.#served.keys();
+        if (this.#served.size > MostBorrowers && oldest !== undefined) {
+            this.#served.delete(oldest);
+        }
         const tokens = this.#parts.accounts.find(request.t)?.lend(request.w, this.#nowMs) ?? 0;
         if (tokens > 0) {
             this.#parts.counters.add(EdgeCounterNames.tokensLent, tokens);
