Let the test fleet listen on ports that the system chooses

The fleet of the adapter's tests looked up a free port, closed it and bound it later; a test in another process can take it in between. Ruled out: an edge that keeps its port after stop, since each test starts a new fleet with new ports.

--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -1,5 +1,6 @@
 /** The edge process: listeners, feeds, budgets and the order of start and shutdown. */
 import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
 import { splitAddress } from "../base/address.js";
 import { type Clock, SystemClock } from "../base/clock.js";
 import { Counters } from "../base/counters.js";
@@ -27,6 +28,12 @@
     readonly objects: ObjectCodec;
 }
 
+/** Ports of the listeners. */
+export interface BoundPorts {
+    readonly callerPort: number;
+    readonly readinessPort: number;
+}
+
 /** Interval of periodic work, in milliseconds. */
 const TickIntervalMs = 20;
 
@@ -97,13 +104,16 @@
         return !this.#isLeaving && this.#configuration.table !== undefined && !this.#directory.isEmpty;
     }
 
-    /** Opens the listeners and starts to follow the store. */
-    async start(): Promise<void> {
+    /**
+     * Opens the listeners and starts to follow the store.
+     * @returns Ports that were opened; they differ from the settings where those name port 0.
+     */
+    async start(): Promise<BoundPorts> {
         const caller = splitAddress(this.#settings.listen.caller);
         const readiness = splitAddress(this.#settings.listen.readiness);
         this.#configuration.start();
         this.#upstreamFeed.start();
-        await this.#listener.start(caller.host, caller.port);
+        const callerPort = await this.#listener.start(caller.host, caller.port);
         await new Promise<void>((resolve, reject) => {
             this.#readiness.once("error", reject);
             this.#readiness.listen(readiness.port, readiness.host, resolve);
@@ -123,6 +133,7 @@
             caller: this.#settings.listen.caller,
             steadyMs: this.#start.steadyMs,
         });
+        return { callerPort, readinessPort: (this.#readiness.address() as AddressInfo).port };
     }
 
     /** Stops taking new connections, finishes open requests, gives unused tokens back. */
