--- a/src/edge/budget/budgetKeeper.spec.ts
+++ b/src/edge/budget/budgetKeeper.spec.ts
@@ -10,7 +10,8 @@
     type WriteOutcome,
 } from "../../platform/platformStore.js";
 import { PeerChannel, type PeerListener, type PeerMessage } from "../peers/peerChannel.js";
-import { BudgetKeeper, type ReservationRefusal } from "./budgetKeeper.js";
+import { BudgetKeeper, isRefusal } from "./budgetKeeper.js";
+import type { BudgetRefusal } from "./budgetRefusal.js";
 import type { Reservation } from "./teamAccount.js";
 
 type Fault = "none" | "down" | "lost" | "late";
@@ -139,14 +140,19 @@
     readonly store = new FaultyStore();
     readonly network = new PeerNetwork();
     prepaidTokens = 100_000;
+    /** Hosts that the others know. */
+    hostIds = ["a", "b"];
     #starts = 0;
 
     start(hostId: string): BudgetKeeper {
+        const others = this.hostIds
+            .filter(id => id !== hostId)
+            .map(id => ({ hostId: id, zone: "z", peerAddress: `${id}:1` }));
         return new BudgetKeeper({
             clock: this.clock,
             counters: new Counters(),
             store: this.store,
-            key: "ledger",
+            ledgerPrefix: "ledger-",
             recordKey: `host-${hostId}`,
             hostId,
             incarnation: `${hostId}-${++this.#starts}`,
@@ -154,7 +160,8 @@
             channel: this.network.open(`${hostId}:1`),
             start: { wallMs: this.clock.wallMs(), steadyMs: this.clock.monotonicMs() },
             steadyMs: () => this.clock.monotonicMs(),
-            expectedHostCount: 2,
+            zone: "z",
+            otherHosts: () => others,
             prepaidTokens: team => team === "free" ? undefined : this.prepaidTokens,
             limitedTeams: () => ["t"],
         });
@@ -171,8 +178,8 @@
     }
 }
 
-function isReserved(result: Reservation | ReservationRefusal): result is Reservation {
-    return typeof result !== "string";
+function isReserved(result: Reservation | BudgetRefusal): result is Reservation {
+    return !isRefusal(result);
 }
 
 /** Reserves and settles at the full cost. */
@@ -201,7 +208,7 @@
             world.store.fault = "down";
             const keeper = world.start("a");
             await world.run([keeper], 2_000);
-            expect(await keeper.reserve("r", "t", 10, 1)).toBe("heldElsewhere");
+            expect(await keeper.reserve("r", "t", 10, 1)).toMatchObject({ reason: "heldElsewhere" });
         });
     });
 
@@ -216,29 +223,29 @@
             const keepers = [world.start("a"), world.start("b")];
             await world.run(keepers, 1_000);
             let spent = 0;
-            let refused: ReservationRefusal | undefined;
+            const refused: BudgetRefusal[] = [];
             for (let round = 0; round < 400; round++) {
                 const keeper = keepers[round % 2]!;
-                const outcome = keeper.reserve(`r${round}`, "t", 500, 1_000);
+                void keeper.reserve(`r${round}`, "t", 500, 1_000).then(result => {
+                    if (isReserved(result)) {
+                        keeper.settle("t", result, 500);
+                        spent += 500;
+                    }
+                    else {
+                        refused.push(result);
+                    }
+                });
                 await world.run(keepers, 100);
-                // The wait for tokens has a real timer; closed accounts decide without it.
-                const result = await Promise.race([outcome, Promise.resolve("fragmented" as const)]);
-                if (isReserved(result)) {
-                    keeper.settle("t", result, 500);
-                    spent += 500;
-                }
-                else {
-                    refused = result;
-                }
             }
             expect(spent).toBeLessThanOrEqual(world.prepaidTokens);
             expect(spent).toBeGreaterThan(0.98 * world.prepaidTokens);
-            expect(refused).toBeDefined();
+            expect(refused.length).toBeGreaterThan(0);
         });
     });
 
     describe("in an outage of the store", () => {
         it("goes on as its record ages (guards against teams that stop after a second)", async () => {
+            world.hostIds = ["a"];
             const keeper = world.start("a");
             await world.run([keeper], 500);
             let served = 0;
@@ -330,21 +337,21 @@
                 await settleCalls();
                 return result;
             }));
-            expect(results).toSatisfy((all: (Reservation | ReservationRefusal)[]) => all.every(isReserved));
+            expect(results).toSatisfy((all: (Reservation | BudgetRefusal)[]) => all.every(isReserved));
             expect(results.filter(isReserved).some(({ borrowedTokens }) => borrowedTokens > 0)).toBe(true);
         });
 
         it("refuses at once when the others cannot lend either (guards against requests that wait for nothing)", async () => {
             const outcome = keepers[0]!.reserve("r", "t", 30_000, 60_000);
             const result = await Promise.race([outcome, new Promise(resolve => setTimeout(resolve, 300))]);
-            expect(["fragmented", "heldElsewhere"]).toContain(result);
+            expect(result).toMatchObject({ reason: "fragmented" });
         });
 
         it("is refused when the others cannot be reached, after their time to answer", async () => {
             world.network.fault = "cut";
             const outcome = keepers[0]!.reserve("r", "t", 30_000, 60_000);
             const result = await Promise.race([outcome, new Promise(resolve => setTimeout(resolve, 300))]);
-            expect(["fragmented", "heldElsewhere"]).toContain(result);
+            expect(result).toMatchObject({ reason: "heldElsewhere" });
         });
     });
 
@@ -363,12 +370,12 @@
         const action = fc.oneof(
             fc.record({
                 kind: fc.constant("spend" as const),
-                host: fc.nat(2),
+                host: fc.nat(3),
                 tokens: fc.integer({ min: 1, max: 2_500 }),
             }),
-            fc.record({ kind: fc.constant("run" as const), host: fc.nat(2), tokens: fc.integer({ min: 1, max: 40 }) }),
-            fc.record({ kind: fc.constant("kill" as const), host: fc.nat(2), tokens: fc.constant(0) }),
-            fc.record({ kind: fc.constant("late" as const), host: fc.nat(2), tokens: fc.constant(0) }),
+            fc.record({ kind: fc.constant("run" as const), host: fc.nat(3), tokens: fc.integer({ min: 1, max: 40 }) }),
+            fc.record({ kind: fc.constant("kill" as const), host: fc.nat(3), tokens: fc.constant(0) }),
+            fc.record({ kind: fc.constant("late" as const), host: fc.nat(3), tokens: fc.constant(0) }),
             fc.record({ kind: fc.constant("fault" as const), host: fc.nat(3), tokens: fc.constant(0) }),
             fc.record({ kind: fc.constant("peers" as const), host: fc.nat(3), tokens: fc.constant(0) }),
         );
@@ -378,7 +385,8 @@
                 fc.asyncProperty(fc.array(action, { minLength: 20, maxLength: 120 }), async actions => {
                     const fuzzed = new World();
                     fuzzed.prepaidTokens = 20_000;
-                    const hosts = ["a", "b", "c"];
+                    const hosts = ["a", "b", "c", "d"];
+                    fuzzed.hostIds = hosts;
                     const keepers = hosts.map(host => fuzzed.start(host));
                     let spent = 0;
                     const outcomes: Promise<void>[] = [];
--- a/src/edge/budget/budgetKeeper.ts
+++ b/src/edge/budget/budgetKeeper.ts
@@ -1,131 +1,122 @@
 /** Decides whether a request may spend its team's prepaid tokens. */
-import type { Clock } from "../../base/clock.js";
 import { log } from "../../base/log.js";
 import type { PeerChannel } from "../peers/peerChannel.js";
+import { BudgetHomes, type Lenders } from "./budgetHomes.js";
+import { type BudgetRefusal, NoLender, refusalOf, ReleaseHorizonMs } from "./budgetRefusal.js";
 import { EdgeAccounts } from "./edgeAccounts.js";
-import {
-    countRecentHosts,
-    EmptyTeamLedger,
-    lendersOf,
-    mostHeldByOthers,
-    settledByOthers,
-    unheldTokens,
-} from "./ledger.js";
-import { LedgerSync, type LedgerSyncParts } from "./ledgerSync.js";
-import { OwnRecords } from "./ownRecords.js";
-import { RecordSync } from "./recordSync.js";
+import { EmptyTeamLedger, type TeamLedger, unheldTokens } from "./ledger.js";
+import { LoanBorrower } from "./loanBorrower.js";
+import { type LoanDecision, LoanLender } from "./loanLender.js";
 import type { Reservation, TeamAccount } from "./teamAccount.js";
-import { TokenLoans } from "./tokenLoans.js";
+import { TeamLedgers, type TeamLedgersParts } from "./teamLedgers.js";
 
-/** Age up to which the ledger's word that no tokens are left to draw is taken for true, in milliseconds. */
-const FreshLedgerMs = 1_000;
-
-/** Time after which a host that wrote nothing is not counted, in milliseconds. */
-const HostSilenceMs = 15_000;
+/**
+ * Age up to which the ledger's word that no tokens are left to draw is taken for true, in milliseconds. Top-ups are known from
+ * the configuration at once; what else changes it is a host that gives tokens back.
+ */
+const FreshLedgerMs = 3_000;
 
 /** Longest wait of a request for tokens, in milliseconds: a release that is due, or calls of a store that answers slowly. */
 const LongestWaitMs = 800;
 
+/** Longest wait of another host's request, in milliseconds: within the wait of the request that it asks for. */
+const LongestLoanWaitMs = 500;
+
 /** Time that a write to the ledger has before other hosts are asked, in milliseconds: a few answers of a sound store. */
 const BorrowAfterMs = 40;
 
-/**
- * Why tokens are not available: `exhausted` by the known spending of all hosts; `heldElsewhere`, so that another host may serve
- * the request at once; `fragmented` among hosts until they divide the rest anew; `atRisk` with processes that were killed,
- * so that only a top-up helps.
- */
-export type ReservationRefusal = "exhausted" | "heldElsewhere" | "fragmented" | "atRisk";
-
 /** Reservation of a team without a limit. */
 const FreeReservation: Reservation = { ownTokens: 0, borrowedTokens: 0 };
 
+/** Another host, as the budgets see it. */
+export interface BudgetPeer {
+    readonly hostId: string;
+    readonly zone: string;
+    readonly peerAddress: string;
+}
+
 /** What the keeper is built from. */
-export interface BudgetKeeperParts extends LedgerSyncParts {
-    readonly clock: Clock;
+export interface BudgetKeeperParts extends Omit<TeamLedgersParts, "homeIds"> {
     /** Carries loans between hosts. */
     readonly channel: PeerChannel;
-    /** Key of this host's own record; `key` is that of the ledger. */
-    readonly recordKey: string;
-    /** @returns The machine's steady clock in milliseconds; processes of one start of a machine share it. */
-    steadyMs(): number;
+    readonly zone: string;
+    /** @returns The other hosts, the same object until they change; `undefined` before they are known. */
+    otherHosts(): readonly BudgetPeer[] | undefined;
 }
 
-/** Reserves tokens locally; draws and returns shares in the background. */
+/** Homes among the hosts that were known when they were chosen. */
+interface ChosenHomes {
+    readonly others: readonly BudgetPeer[];
+    readonly homes: BudgetHomes<BudgetPeer>;
+}
+
+/** Reserves tokens of this host, or of the hosts that hold the team's. */
 export class BudgetKeeper {
     readonly #parts: BudgetKeeperParts;
     readonly #accounts: EdgeAccounts;
-    readonly #sync: LedgerSync;
-    readonly #recordSync: RecordSync;
-    readonly #loans: TokenLoans;
+    readonly #ledgers: TeamLedgers;
+    readonly #borrower: LoanBorrower;
+    #chosen: ChosenHomes | undefined;
+    #isLeaving = false;
 
     constructor(parts: BudgetKeeperParts) {
         this.#parts = parts;
         this.#accounts = new EdgeAccounts(parts.clock);
-        const records = new OwnRecords(parts.incarnation, this.#accounts, () => parts.steadyMs());
-        const { store, recordKey, incarnation, counters } = parts;
-        this.#recordSync = new RecordSync({ store, key: recordKey, incarnation, counters, records }, this.#accounts);
-        this.#sync = new LedgerSync(parts, this.#accounts, records, this.#recordSync);
-        this.#loans = new TokenLoans({
-            clock: parts.clock,
-            counters: parts.counters,
-            channel: parts.channel,
+        this.#ledgers = new TeamLedgers({ ...parts, homeIds: team => this.#homeIds(team) }, this.#accounts);
+        const { clock, counters, channel, incarnation } = parts;
+        this.#borrower = new LoanBorrower({
+            clock,
+            counters,
+            channel,
+            incarnation,
+            lenders: team => this.#lendersOf(team),
+            onSilence: team => this.#ledgers.open(team),
+        });
+        new LoanLender({
+            counters,
+            channel,
+            incarnation,
             accounts: this.#accounts,
-            incarnation: parts.incarnation,
-            lenders: team => lendersOf(this.#sync.known?.ledger, team, parts.hostId, this.#accounts.wallMs),
-            onFruitless: account => this.#refuseWaiting(account),
+            reserveForLoan: (team, tokens) => this.#reserveForLoan(team, tokens),
         });
     }
 
-    /** @returns Whether the shares of this incarnation are acknowledged. */
-    get isEstablished(): boolean {
-        return this.#sync.isEstablished;
-    }
-
-    /** @returns Hosts that share the budgets. */
-    get hostCount(): number {
-        const ledger = this.#sync.known?.ledger;
-        const recent = ledger === undefined ? 0 : countRecentHosts(ledger, this.#accounts.wallMs, HostSilenceMs);
-        return Math.max(1, recent, this.#parts.expectedHostCount);
-    }
-
-    /** @returns Addresses of the other hosts, for load reports. */
-    get peerAddresses(): readonly string[] {
-        return Object.entries(this.#sync.known?.ledger.hosts ?? {})
-            .filter(([id]) => id !== this.#parts.hostId)
-            .map(([, { peerAddress }]) => peerAddress);
-    }
-
     /** @returns Numbers of each team, for the state dump. */
     dumpState(): unknown {
         return {
-            established: this.#sync.isEstablished,
-            version: this.#sync.known?.version,
+            established: this.#ledgers.isEstablished,
             teams: Object.fromEntries(this.#accounts.all.map(account => [account.name, {
+                ledgerVersion: this.#ledgers.find(account.name)?.known?.version,
                 grantedTokens: account.grantedTokens,
                 usedTokens: account.usedTokens,
                 settledTokens: account.settledTokens,
+                borrowedTokens: account.borrowedTokens,
             }])),
         };
     }
 
-    /** Writes when something is due; called every few ten milliseconds. */
+    /** Writes and reports when something is due; called every few ten milliseconds. */
     tick(): void {
-        this.#sync.tick();
-        this.#recordSync.tick(this.#sync.mayRecord);
+        this.#ledgers.tick();
+        this.#borrower.tick();
         for (const account of this.#accounts.all) {
-            account.serveWaiting(this.#accounts.nowMs);
+            account.serveWaiting(this.#nowMs);
         }
     }
 
     /** The store answers again. */
     onStoreReturned(): void {
-        this.#sync.onStoreReturned();
-        this.#recordSync.onStoreReturned();
+        this.#ledgers.onStoreReturned();
+    }
+
+    /** Lends no more, so that open loans can be settled before the process ends. */
+    leave(): void {
+        this.#isLeaving = true;
     }
 
     /** Gives all unused tokens back. */
     close(): Promise<void> {
-        return this.#sync.close();
+        return this.#ledgers.close();
     }
 
     /**
@@ -138,135 +129,209 @@
         team: string,
         costTokens: number,
         waitMs: number,
-    ): Promise<Reservation | ReservationRefusal> {
-        const result = await this.#reserve(team, costTokens, waitMs);
-        if (typeof result === "string") {
-            this.#logRefusal(requestId, team, costTokens, result);
-        }
-        return result;
-    }
-
-    async #reserve(team: string, costTokens: number, waitMs: number): Promise<Reservation | ReservationRefusal> {
+    ): Promise<Reservation | BudgetRefusal> {
         if (this.#parts.prepaidTokens(team) === undefined) {
             return FreeReservation;
         }
         const account = this.#accounts.open(team);
-        account.noteDemand(costTokens, this.#accounts.nowMs);
-        const reservation = account.tryReserve(costTokens, this.#accounts.nowMs);
-        if (reservation !== undefined) {
-            return reservation;
+        account.noteDemand(costTokens, this.#nowMs);
+        const startedMs = this.#nowMs;
+        const result = await this.#reserve(account, costTokens, Math.min(waitMs, LongestWaitMs), true);
+        if (isRefusal(result)) {
+            this.#logRefusal(requestId, account, costTokens, startedMs, result);
         }
-        if (this.#refusalFor(team, costTokens) === "exhausted") {
-            return "exhausted";
-        }
-        return await this.#waitForTokens(account, costTokens, waitMs) ?? this.#refusalFor(team, costTokens);
+        return result;
     }
 
     /** Replaces a reservation by what the request cost. */
     settle(team: string, reservation: Reservation, costTokens: number): void {
         const account = this.#accounts.find(team);
         account?.settle(reservation, costTokens);
-        account?.serveWaiting(this.#accounts.nowMs);
+        account?.serveWaiting(this.#nowMs);
     }
 
-    /** The numbers that decided a refusal, and how old they are. */
-    #logRefusal(requestId: string, team: string, costTokens: number, result: ReservationRefusal): void {
+    get #nowMs(): number {
+        return this.#accounts.nowMs;
+    }
+
+    /** A host that leaves is no home: it gives back what its open requests and loans do not need. */
+    #homeIds(team: string): readonly string[] {
+        const homeIds = this.#homes?.homesOf(team) ?? [];
+        return this.#isLeaving ? homeIds.filter(id => id !== this.#parts.hostId) : homeIds;
+    }
+
+    get #homes(): BudgetHomes<BudgetPeer> | undefined {
+        const others = this.#parts.otherHosts();
+        if (others !== undefined && this.#chosen?.others !== others) {
+            const { hostId, zone, peerAddress } = this.#parts;
+            this.#chosen = { others, homes: new BudgetHomes([...others, { hostId, zone, peerAddress }]) };
+        }
+        return this.#chosen?.homes;
+    }
+
+    #lendersOf(team: string): Lenders<string> {
+        const lenders = this.#homes?.lendersOf(team, this.#parts);
+        return {
+            homes: lenders?.homes.map(({ peerAddress }) => peerAddress) ?? [],
+            standIns: lenders?.standIns.map(({ peerAddress }) => peerAddress) ?? [],
+        };
+    }
+
+    #ledgerOf(team: string): TeamLedger | undefined {
+        const known = this.#ledgers.find(team)?.known;
+        return known === undefined ? undefined : known.ledger.teams[team] ?? EmptyTeamLedger;
+    }
+
+    /** Reserves at once, or waits for a write to the ledger, a release or a loan, whichever comes first. */
+    #reserve(
+        account: TeamAccount,
+        costTokens: number,
+        waitMs: number,
+        mayBorrow: boolean,
+    ): Reservation | BudgetRefusal | Promise<Reservation | BudgetRefusal> {
+        const reservation = account.tryReserve(costTokens, this.#nowMs);
+        if (reservation !== undefined) {
+            return reservation;
+        }
+        const refusal = this.#refusalFor(account, costTokens);
+        const isHopeless = refusal.reason === "exhausted" ||
+            (!mayBorrow && !this.#mayDraw(account, costTokens) && !this.#isReleaseDue(account, costTokens, waitMs));
+        return isHopeless ? refusal : this.#waitForTokens(account, costTokens, waitMs, mayBorrow);
+    }
+
+    /** Serves another host from own tokens; what is there is lent when the whole is not to be had. */
+    #reserveForLoan(team: string, tokens: number): LoanDecision | Promise<LoanDecision> {
+        if (this.#parts.prepaidTokens(team) === undefined || this.#isLeaving) {
+            return { ownTokens: 0, refusal: NoLender };
+        }
+        this.#ledgers.open(team);
         const account = this.#accounts.open(team);
-        const ledger = this.#sync.known?.ledger.teams[team] ?? EmptyTeamLedger;
-        const prepaidTokens = this.#parts.prepaidTokens(team) ?? 0;
-        const spentTokens = settledByOthers(ledger, this.#parts.hostId) + account.usedTokens;
-        log.info("reservation refused", {
-            request: requestId,
-            team,
-            result,
-            costTokens,
-            spareTokens: account.spareTokens(this.#accounts.nowMs),
-            heldTokens: account.grantedTokens - account.usedTokens,
-            borrowedTokens: account.borrowedTokens,
-            prepaidTokens,
-            unheldTokens: unheldTokens(ledger, prepaidTokens),
-            unspentTokens: prepaidTokens - spentTokens - ledger.atRiskTokens,
-            atRiskTokens: ledger.atRiskTokens,
-            ledgerVersion: this.#sync.known?.version,
-            ledgerAgeMs: Math.round(this.#sync.ageMs),
-            storeLost: this.#isStoreLost,
-        });
+        account.noteDemand(tokens, this.#nowMs);
+        const result = this.#reserve(account, tokens, LongestLoanWaitMs, false);
+        return result instanceof Promise ?
+            result.then(late => this.#toLoan(account, late)) :
+            this.#toLoan(account, result);
     }
 
-    get #isStoreLost(): boolean {
-        return this.#sync.isFailing || this.#recordSync.isFailing;
+    #toLoan(account: TeamAccount, result: Reservation | BudgetRefusal): LoanDecision {
+        if (!isRefusal(result)) {
+            account.borrow(result.borrowedTokens);
+            return { ownTokens: result.ownTokens };
+        }
+        const spareTokens = account.waiting.length > 0 ? 0 : Math.max(0, account.spareTokens(this.#nowMs));
+        const partly = account.tryReserve(spareTokens, this.#nowMs);
+        account.borrow(partly?.borrowedTokens ?? 0);
+        return { ownTokens: partly?.ownTokens ?? 0, refusal: result };
     }
 
-    /** Whether a wait can help: not while the store is lost, nor when it has just said that nothing is left to draw. */
-    #mayDraw(account: TeamAccount): boolean {
-        if (this.#isStoreLost || this.#sync.known === undefined) {
-            return !this.#isStoreLost;
+    /** Whether a write can help: not while the store is lost, nor when it has just said that nothing is left to draw. */
+    #mayDraw(account: TeamAccount, wantedTokens: number): boolean {
+        const ledger = this.#ledgers.find(account.name);
+        if (ledger === undefined || this.#ledgers.isLost(account.name)) {
+            return false;
+        }
+        const team = this.#ledgerOf(account.name);
+        if (team === undefined || ledger.ageMs >= FreshLedgerMs) {
+            return true;
         }
-        const team = this.#sync.known.ledger.teams[account.name] ?? EmptyTeamLedger;
         const prepaid = this.#parts.prepaidTokens(account.name) ?? 0;
-        const held = account.grantedTokens - account.usedTokens;
-        const isFresh = this.#sync.ageMs < FreshLedgerMs;
-        return !isFresh || held + unheldTokens(team, prepaid) >= account.waitingTokens;
+        return account.grantedTokens - account.usedTokens + unheldTokens(team, prepaid) >= wantedTokens;
+    }
+
+    /** Whether the release of the own record covers the request soon, after those that wait already. */
+    #isReleaseDue(account: TeamAccount, costTokens: number, withinMs: number): boolean {
+        const wantedTokens = account.waitingTokens + costTokens;
+        return account.releaseWaitMs(wantedTokens, this.#nowMs, withinMs) !== undefined;
     }
 
-    /** Waits for a write to the ledger or a loan, whichever covers the request first. */
-    #waitForTokens(account: TeamAccount, costTokens: number, waitMs: number): Promise<Reservation | undefined> {
+    #waitForTokens(
+        account: TeamAccount,
+        costTokens: number,
+        waitMs: number,
+        mayBorrow: boolean,
+    ): Promise<Reservation | BudgetRefusal> {
         return new Promise(resolve => {
-            const timer = setTimeout(() => item.settle(undefined), Math.min(waitMs, LongestWaitMs));
-            const borrowTimer = setTimeout(() => this.#loans.search(account), BorrowAfterMs);
+            let loanRefusal: BudgetRefusal | undefined;
+            const finish = (reservation: Reservation | undefined) => {
+                clearTimeout(timer);
+                clearTimeout(borrowTimer);
+                const index = account.waiting.indexOf(item);
+                if (index >= 0) {
+                    account.waiting.splice(index, 1);
+                }
+                resolve(reservation ?? loanRefusal ?? this.#refusalFor(account, costTokens));
+            };
             const item = {
                 costTokens,
-                isDrawing: () => this.#mayDraw(account),
-                settle: (reservation: Reservation | undefined) => {
-                    clearTimeout(timer);
-                    clearTimeout(borrowTimer);
-                    const index = account.waiting.indexOf(item);
-                    if (index >= 0) {
-                        account.waiting.splice(index, 1);
-                    }
-                    resolve(reservation);
-                },
+                isDrawing: () => this.#mayDraw(account, account.waitingTokens),
+                settle: finish,
             };
+            const isWaiting = () => account.waiting.includes(item);
+            const borrow = () =>
+                this.#borrower.borrow(account, costTokens, isWaiting, refusal => {
+                    loanRefusal = refusal;
+                    if (isWaiting() && !item.isDrawing() && !this.#isReleaseDue(account, 0, waitMs)) {
+                        finish(undefined);
+                    }
+                });
+            const isDrawing = this.#mayDraw(account, account.waitingTokens + costTokens);
+            const timer = setTimeout(() => finish(undefined), waitMs);
+            const borrowTimer = mayBorrow && isDrawing ? setTimeout(borrow, BorrowAfterMs) : undefined;
             account.waiting.push(item);
-            if (item.isDrawing()) {
+            if (isDrawing) {
                 this.tick();
             }
-            else {
-                this.#loans.search(account);
+            else if (mayBorrow) {
+                borrow();
             }
         });
     }
 
-    /** A balance counts as exhausted only if the known spending of all hosts leaves too little, whoever holds the rest. */
-    #refusalFor(team: string, costTokens: number): ReservationRefusal {
-        const prepaid = this.#parts.prepaidTokens(team);
-        const ledger = this.#sync.known?.ledger.teams[team];
-        if (prepaid === undefined || ledger === undefined) {
-            return "heldElsewhere";
-        }
-        const spent = settledByOthers(ledger, this.#parts.hostId) + this.#accounts.open(team).usedTokens;
-        if (prepaid - spent < costTokens) {
-            return "exhausted";
-        }
-        if (prepaid - spent - ledger.atRiskTokens < costTokens) {
-            return "atRisk";
-        }
-        const isHeld = unheldTokens(ledger, prepaid) >= costTokens ||
-            mostHeldByOthers(ledger, this.#parts.hostId) >= costTokens;
-        return isHeld ? "heldElsewhere" : "fragmented";
+    #refusalFor(account: TeamAccount, costTokens: number): BudgetRefusal {
+        return refusalOf({
+            costTokens,
+            prepaidTokens: this.#parts.prepaidTokens(account.name) ?? 0,
+            ledger: this.#ledgerOf(account.name),
+            hostId: this.#parts.hostId,
+            settledTokens: account.settledTokens,
+            isStoreLost: this.#ledgers.isLost(account.name),
+            releaseWaitMs: () =>
+                account.releaseWaitMs(account.waitingTokens + costTokens, this.#nowMs, ReleaseHorizonMs),
+        });
     }
 
-    /** Nobody can lend: refuses the requests that neither a write nor a release serves in time. */
-    #refuseWaiting(account: TeamAccount): void {
-        let releasedTokens = 0;
-        for (const item of account.waiting.filter(waiting => !waiting.isDrawing())) {
-            const wantedTokens = releasedTokens + item.costTokens;
-            if (account.releaseWaitMs(wantedTokens, this.#accounts.nowMs, LongestWaitMs) === undefined) {
-                item.settle(undefined);
-            }
-            else {
-                releasedTokens = wantedTokens;
-            }
-        }
+    /** The numbers that decided a refusal, and how old they are. */
+    #logRefusal(
+        requestId: string,
+        account: TeamAccount,
+        costTokens: number,
+        startedMs: number,
+        refusal: BudgetRefusal,
+    ): void {
+        const ledger = this.#ledgerOf(account.name) ?? EmptyTeamLedger;
+        const prepaidTokens = this.#parts.prepaidTokens(account.name) ?? 0;
+        const sync = this.#ledgers.find(account.name);
+        log.info("reservation refused", {
+            request: requestId,
+            team: account.name,
+            result: refusal.reason,
+            retryAfterMs: refusal.retryAfterMs,
+            waitedMs: Math.round(this.#nowMs - startedMs),
+            costTokens,
+            spareTokens: account.spareTokens(this.#nowMs),
+            heldTokens: account.grantedTokens - account.usedTokens,
+            borrowedTokens: account.borrowedTokens,
+            prepaidTokens,
+            unheldTokens: unheldTokens(ledger, prepaidTokens),
+            atRiskTokens: ledger.atRiskTokens,
+            ledgerVersion: sync?.known?.version,
+            ledgerAgeMs: sync === undefined ? undefined : Math.round(sync.ageMs),
+            storeLost: this.#ledgers.isLost(account.name),
+        });
     }
 }
+
+/** @returns Whether the tokens were refused. */
+export function isRefusal(result: Reservation | BudgetRefusal): result is BudgetRefusal {
+    return "reason" in result;
+}
--- a/src/edge/budget/edgeAccounts.ts
+++ b/src/edge/budget/edgeAccounts.ts
@@ -1,8 +1,8 @@
-/** The accounts of all teams on this host. */
+/** A collection of teams' accounts on this host. */
 import type { Clock } from "../../base/clock.js";
 import { TeamAccount } from "./teamAccount.js";
 
-/** Accounts by team; opened on demand. */
+/** Accounts by team. */
 export class EdgeAccounts {
     readonly #clock: Clock;
     readonly #byTeam = new Map<string, TeamAccount>();
@@ -21,7 +21,7 @@
         return this.#clock.wallMs();
     }
 
-    /** @returns All open accounts. */
+    /** @returns All accounts. */
     get all(): readonly TeamAccount[] {
         return [...this.#byTeam.values()];
     }
@@ -43,7 +43,7 @@
         return this.all.some(account => account.wantsGrant);
     }
 
-    /** @returns The account of a team. */
+    /** @returns The account of a team; opened on demand. */
     open(team: string): TeamAccount {
         let account = this.#byTeam.get(team);
         if (account === undefined) {
@@ -53,12 +53,9 @@
         return account;
     }
 
-    /** @returns The accounts of the named teams and all others that are open. */
-    openAll(teams: readonly string[]): readonly TeamAccount[] {
-        for (const team of teams) {
-            this.open(team);
-        }
-        return this.all;
+    /** Adds an account that another collection holds as well. */
+    add(account: TeamAccount): void {
+        this.#byTeam.set(account.name, account);
     }
 
     /** @returns The account of a team if it is open. */
--- a/src/edge/budget/ledger.ts
+++ b/src/edge/budget/ledger.ts
@@ -1,4 +1,4 @@
-/** The stored ledger of prepaid tokens: what each host may spend of each team's budget. */
+/** The stored ledgers of prepaid tokens, one object a team: what each host may spend of the team's budget. */
 import { z } from "zod";
 import { type RecordDate, RecordDateSchema, RecordedBoundSchema, type SpendingRecord } from "./spendingRecord.js";
 import { allowedTokens } from "./spendingRight.js";
@@ -61,31 +61,6 @@
     return Math.max(0, ...held);
 }
 
-/**
- * Other hosts by the tokens that they may spend of a team's budget as far as their records tell, the most first.
- * @param wallMs Wall-clock time by this host's clock, in milliseconds.
- * @returns Addresses for peer messages.
- */
-export function lendersOf(ledger: Ledger | undefined, team: string, hostId: string, wallMs: number): string[] {
-    const shares = ledger?.teams[team]?.shares ?? {};
-    return Object.entries(ledger?.hosts ?? {})
-        .filter(([id]) => id !== hostId)
-        .map(([id, host]) => {
-            const share = shares[id];
-            const spareTokens = share === undefined ?
-                0 :
-                allowedTokens(share, share.grantedTokens, wallMs - host.writtenAtMs) - share.settledTokens;
-            return { address: host.peerAddress, spareTokens };
-        })
-        .sort((left, right) => right.spareTokens - left.spareTokens)
-        .map(({ address }) => address);
-}
-
-/** @returns Hosts that wrote within a time. */
-export function countRecentHosts(ledger: Ledger, wallMs: number, withinMs: number): number {
-    return Object.values(ledger.hosts).filter(host => Math.abs(wallMs - host.writtenAtMs) <= withinMs).length;
-}
-
 /** When a process started, by its machine's clocks. */
 export interface ProcessStart {
     readonly wallMs: number;
--- a/src/edge/budget/ledgerSync.ts
+++ b/src/edge/budget/ledgerSync.ts
@@ -1,4 +1,4 @@
-/** Keeps the stored ledger and this host's accounts in step: reads, plans, writes and resolves what got no answer. */
+/** Keeps the stored ledger of one team and this host's account in step: reads, plans, writes and resolves what got no answer. */
 import type { Counters } from "../../base/counters.js";
 import { log } from "../../base/log.js";
 import type { PlatformStore, WriteOutcome } from "../../platform/platformStore.js";
@@ -20,10 +20,10 @@
 import { planGrant } from "./sharePlan.js";
 import type { TeamAccount } from "./teamAccount.js";
 
-/** Interval of writes by a host with traffic, in milliseconds: other hosts divide the budgets by its demand. */
+/** Interval of writes by a host with traffic, in milliseconds: the team's other home divides the budget by its demand. */
 const ReportIntervalMs = 5_000;
 
-/** Interval of writes by a host without traffic, in milliseconds: it stays known to the other hosts. */
+/** Interval of writes by a home without traffic, in milliseconds: it learns what the other home needs. */
 const IdleReportIntervalMs = 8_000;
 
 /** Pause after the store failed, in milliseconds; retried often enough to be in step a second after it returns. */
@@ -49,12 +49,11 @@
     readonly peerAddress: string;
     /** When this process started. */
     readonly start: ProcessStart;
-    /** Hosts to assume as long as the ledger shows fewer. */
-    readonly expectedHostCount: number;
+    readonly team: string;
+    /** @returns Hosts that should hold the team's tokens. */
+    homeIds(): readonly string[];
     /** @returns Prepaid tokens of a team by the configuration in force; `undefined` for no limit. */
     prepaidTokens(team: string): number | undefined;
-    /** @returns Teams with a prepaid amount. */
-    limitedTeams(): readonly string[];
 }
 
 /** The ledger as last seen, with its version. */
@@ -63,9 +62,10 @@
     readonly version: number;
 }
 
-/** One writer of the ledger. */
+/** One writer of a team's ledger. */
 export class LedgerSync {
     readonly #parts: LedgerSyncParts;
+    /** Holds the team's account alone. */
     readonly #accounts: EdgeAccounts;
     readonly #records: OwnRecords;
     readonly #recordSync: RecordSync;
@@ -115,7 +115,10 @@
 
     /** Writes when something is due; called every few ten milliseconds. */
     tick(): void {
-        if (this.#isSyncing || !this.#recordSync.hasTakenOver || this.#accounts.nowMs < this.#nextWriteMs) {
+        if (
+            this.#isSyncing || !this.#recordSync.covers(this.#parts.team) ||
+            this.#accounts.nowMs < this.#nextWriteMs
+        ) {
             return;
         }
         if (
@@ -126,9 +129,9 @@
         }
     }
 
-    /** @returns Whether this process writes its own record: it has shares and does not give them back. */
-    get mayRecord(): boolean {
-        return this.#isEstablished && !this.#isClosing;
+    /** @returns Whether the shares are being given back. */
+    get isClosing(): boolean {
+        return this.#isClosing;
     }
 
     /** The store answers again: a record that is written at once bounds what the outage puts at risk. */
@@ -144,9 +147,15 @@
         }
     }
 
+    /** @returns Whether this host holds tokens, or should. */
+    get #isHolder(): boolean {
+        return this.#accounts.all.some(({ grantedTokens, usedTokens }) => grantedTokens > usedTokens) ||
+            this.#parts.homeIds().includes(this.#parts.hostId);
+    }
+
     #isReportDue(): boolean {
         const ageMs = this.#accounts.nowMs - this.#reportedMs;
-        return ageMs >= IdleReportIntervalMs ||
+        return (ageMs >= IdleReportIntervalMs && this.#isHolder) ||
             (ageMs >= ReportIntervalMs && this.#accounts.usedTokens !== this.#reportedUsedTokens);
     }
 
@@ -158,10 +167,9 @@
         }
         this.#nextPlanMs = nowMs + PlanIntervalMs;
         const { ledger } = this.#known;
-        const totalDemandTokensPerS = this.#totalDemandTokensPerS();
         return this.#accounts.all.some(account => {
             const team = ledger.teams[account.name] ?? EmptyTeamLedger;
-            return this.#planGrant(ledger, team, account, totalDemandTokensPerS) !== account.grantedTokens;
+            return this.#planGrant(team, account) !== account.grantedTokens;
         });
     }
 
@@ -203,7 +211,6 @@
             this.#isEstablished = true;
             this.#reportedMs = this.#accounts.nowMs;
             this.#reportedUsedTokens = this.#accounts.usedTokens;
-            this.#recordSync.noteRecorded();
             this.#take({ ledger: next, version: outcome.version });
             this.#noteRegained();
             logWrittenShares(this.#accounts, next, outcome.version, this.#parts.prepaidTokens);
@@ -301,12 +308,10 @@
         }
         const date = this.#records.next();
         const madeMs = this.#records.madeMs(date)!;
-        const accounts = this.#accounts.openAll(this.#parts.limitedTeams());
-        const totalDemandTokensPerS = this.#totalDemandTokensPerS();
         const teams: Record<string, TeamLedger> = { ...ledger.teams };
-        for (const account of accounts) {
+        for (const account of this.#accounts.all) {
             const team = ledger.teams[account.name] ?? EmptyTeamLedger;
-            const share = this.#planShare(ledger, team, account, totalDemandTokensPerS);
+            const share = this.#planShare(team, account);
             account.propose({ ...share, sequence: date.sequence, madeMs }, share.grantedTokens);
             teams[account.name] = { ...team, shares: { ...team.shares, [hostId]: share } };
         }
@@ -315,11 +320,9 @@
         return { hosts: { ...ledger.hosts, [hostId]: host }, teams };
     }
 
-    #planShare(ledger: Ledger, team: TeamLedger, account: TeamAccount, totalDemandTokensPerS: number): HostShare {
+    #planShare(team: TeamLedger, account: TeamAccount): HostShare {
         const nowMs = this.#accounts.nowMs;
-        const granted = this.#isClosing ?
-            account.usedTokens :
-            this.#planGrant(ledger, team, account, totalDemandTokensPerS);
+        const granted = this.#isClosing ? account.usedTokens : this.#planGrant(team, account);
         return {
             grantedTokens: granted,
             ...account.planBound(granted, nowMs),
@@ -327,26 +330,19 @@
         };
     }
 
-    #planGrant(ledger: Ledger, team: TeamLedger, account: TeamAccount, totalDemandTokensPerS: number): number {
+    #planGrant(team: TeamLedger, account: TeamAccount): number {
         return planGrant({
-            ledger,
             team,
             hostId: this.#parts.hostId,
+            homeIds: this.#parts.homeIds(),
             prepaidTokens: this.#parts.prepaidTokens(account.name) ?? 0,
-            expectedHostCount: this.#parts.expectedHostCount,
             grantedTokens: account.grantedTokens,
             usedTokens: account.usedTokens,
             neededTokens: account.waitingTokens,
             demandTokensPerS: account.demandTokensPerS(this.#accounts.nowMs),
-            totalDemandTokensPerS,
         });
     }
 
-    #totalDemandTokensPerS(): number {
-        const nowMs = this.#accounts.nowMs;
-        return this.#accounts.all.reduce((sum, account) => sum + account.demandTokensPerS(nowMs), 0);
-    }
-
     /** The first try only: a conflict leads here again. */
     #inheritDemand(stored: Ledger): void {
         if (this.#hasInherited) {
--- /dev/null
+++ b/src/edge/budget/loanLender.ts
@@ -0,0 +1,148 @@
+/** Lends prepaid tokens that this host holds to the hosts that serve the requests. */
+import type { Counters } from "../../base/counters.js";
+import { log } from "../../base/log.js";
+import { EdgeCounterNames } from "../metrics.js";
+import type { PeerChannel } from "../peers/peerChannel.js";
+import type { BudgetRefusal } from "./budgetRefusal.js";
+import type { EdgeAccounts } from "./edgeAccounts.js";
+import type { BorrowRequest, Loan, LoanReport } from "./loanMessages.js";
+import type { TeamAccount } from "./teamAccount.js";
+
+/** Answers that are remembered for repeated requests; those of some seconds at a thousand requests a second. */
+const MostAnswers = 5_000;
+
+/** Borrowing processes and teams that are remembered; far more than run at the same time. */
+const MostBorrowers = 5_000;
+
+/** What a lender has for a request: reserved tokens, perhaps too few, and why there are not more. */
+export interface LoanDecision {
+    readonly ownTokens: number;
+    readonly refusal?: BudgetRefusal | undefined;
+}
+
+/** What lending is built from. */
+export interface LoanLenderParts {
+    readonly counters: Counters;
+    readonly channel: PeerChannel;
+    readonly accounts: EdgeAccounts;
+    readonly incarnation: string;
+    /** Reserves own tokens for another host; a promise when tokens must be drawn first. */
+    reserveForLoan(team: string, tokens: number): LoanDecision | Promise<LoanDecision>;
+}
+
+/** Loans to one borrowing process for one team, in all. */
+interface LentTokens {
+    readonly account: TeamAccount;
+    lentTokens: number;
+    spentTokens: number;
+    returnedTokens: number;
+}
+
+/** Answers other hosts. */
+export class LoanLender {
+    readonly #parts: LoanLenderParts;
+    /** Answers by request; `undefined` while the tokens are drawn. */
+    readonly #answers = new Map<string, Loan | undefined>();
+    readonly #lent = new Map<string, LentTokens>();
+
+    constructor(parts: LoanLenderParts) {
+        this.#parts = parts;
+        parts.channel.onMessage((message, sender) => {
+            if (message.k === "b") {
+                void this.#onRequest(message, sender);
+            }
+            else if (message.k === "r") {
+                this.#onReport(message);
+            }
+        });
+    }
+
+    async #onRequest(request: BorrowRequest, sender: string): Promise<void> {
+        const key = `${request.i}/${request.n}`;
+        if (this.#answers.has(key)) {
+            this.#repeat(request, this.#answers.get(key), sender);
+            return;
+        }
+        remember(this.#answers, key, undefined, MostAnswers);
+        let decision = this.#parts.reserveForLoan(request.t, request.w);
+        if (decision instanceof Promise) {
+            this.#announce(request, sender);
+            decision = await decision;
+        }
+        this.#parts.channel.send(sender, this.#lend(request, decision, key, sender));
+    }
+
+    #repeat(request: BorrowRequest, answer: Loan | undefined, sender: string): void {
+        if (answer === undefined) {
+            this.#announce(request, sender);
+        }
+        else {
+            this.#parts.channel.send(sender, answer);
+        }
+    }
+
+    #announce({ i, n }: BorrowRequest, sender: string): void {
+        this.#parts.channel.send(sender, { k: "p", i, n });
+    }
+
+    #lend(request: BorrowRequest, { ownTokens, refusal }: LoanDecision, key: string, sender: string): Loan {
+        const account = this.#parts.accounts.open(request.t);
+        if (ownTokens > 0) {
+            account.lend(ownTokens);
+            const borrower = `${request.i}|${request.t}`;
+            const lent = this.#lent.get(borrower) ?? { account, lentTokens: 0, spentTokens: 0, returnedTokens: 0 };
+            lent.lentTokens += ownTokens;
+            remember(this.#lent, borrower, lent, MostBorrowers);
+            this.#parts.counters.add(EdgeCounterNames.tokensLent, ownTokens);
+        }
+        const answer: Loan = {
+            k: "g",
+            i: request.i,
+            n: request.n,
+            w: ownTokens,
+            c: this.#parts.incarnation,
+            r: refusal?.reason,
+            d: refusal?.retryAfterMs,
+        };
+        remember(this.#answers, key, answer, MostAnswers);
+        if (refusal !== undefined) {
+            log.info("loan refused", {
+                team: request.t,
+                borrower: sender,
+                tokens: ownTokens,
+                wanted: request.w,
+                ...refusal,
+            });
+        }
+        return answer;
+    }
+
+    /** Reports carry totals: an overtaken one changes nothing, and none can give back more than was lent. */
+    #onReport({ i, c, t, s, w }: LoanReport): void {
+        const lent = this.#lent.get(`${i}|${t}`);
+        if (c !== this.#parts.incarnation || lent === undefined || s < lent.spentTokens || w < lent.returnedTokens) {
+            return;
+        }
+        if (s + w > lent.lentTokens) {
+            log.error("loan report exceeds the loan", {
+                team: t,
+                borrower: i,
+                spent: s,
+                returned: w,
+                lent: lent.lentTokens,
+            });
+            return;
+        }
+        lent.account.settleLoan(s - lent.spentTokens, w - lent.returnedTokens);
+        lent.spentTokens = s;
+        lent.returnedTokens = w;
+    }
+}
+
+function remember<T>(map: Map<string, T>, key: string, value: T, most: number): void {
+    map.set(key, value);
+    const [oldest] = map.keys();
+    if (map.size > most && oldest !== undefined) {
+        map.delete(oldest);
+    }
+}
--- a/src/edge/budget/recordSync.spec.ts
+++ b/src/edge/budget/recordSync.spec.ts
@@ -65,7 +65,14 @@
         const accounts = new EdgeAccounts(clock);
         account = accounts.open("t");
         const records = new OwnRecords(incarnation, accounts, () => clock.monotonicMs());
-        sync = new RecordSync({ store, key: "host-a", incarnation, counters: new Counters(), records }, accounts);
+        sync = new RecordSync({
+            store,
+            key: "host-a",
+            incarnation,
+            counters: new Counters(),
+            records,
+            wantedLedgers: () => ["t"],
+        }, accounts);
     }
 
     async function tick(): Promise<void> {
@@ -128,7 +135,7 @@
     describe("given an object that another process took over", () => {
         it("stops writing (guards against two processes that record in turn)", async () => {
             await tick();
-            store.value = { owner: "other" } satisfies HostObject;
+            store.value = { owner: "other", ledgers: [] } satisfies HostObject;
             store.version++;
             account.tryReserve(1, clock.monotonicMs());
             await tick();
--- a/src/edge/budget/recordSync.ts
+++ b/src/edge/budget/recordSync.ts
@@ -27,6 +27,8 @@
     readonly incarnation: string;
     readonly counters: Counters;
     readonly records: OwnRecords;
+    /** @returns Teams whose ledgers this host is to have shares in. */
+    wantedLedgers(): readonly string[];
 }
 
 /** One writer of a host's record. */
@@ -37,6 +39,8 @@
     #version: number | undefined;
     #stored: HostObject | undefined;
     #hasTakenOver = false;
+    #inheritedLedgers: readonly string[] = [];
+    #coveredLedgers: ReadonlySet<string> = new Set();
     #isReplaced = false;
     #isSyncing = false;
     #isFailing = false;
@@ -55,6 +59,16 @@
         return this.#hasTakenOver;
     }
 
+    /** @returns Teams in whose ledgers an earlier process may have left a share. */
+    get inheritedLedgers(): readonly string[] {
+        return this.#inheritedLedgers;
+    }
+
+    /** @returns Whether the stored object names the team's ledger, so that a successor would find a share in it. */
+    covers(team: string): boolean {
+        return this.#hasTakenOver && this.#coveredLedgers.has(team);
+    }
+
     /** @returns Whether the newest call to the store failed, or has waited for its answer for long. */
     get isFailing(): boolean {
         return this.#isFailing || (this.#isSyncing && this.#accounts.nowMs - this.#startedMs > StalledAfterMs);
@@ -70,8 +84,8 @@
         if (this.#isSyncing || this.#isReplaced || this.#accounts.nowMs < this.#nextWriteMs) {
             return;
         }
-        if (!this.#hasTakenOver || (mayRecord && this.#isDue)) {
-            void this.#sync();
+        if (!this.#hasTakenOver || this.#hasUncovered || (mayRecord && this.#isDue)) {
+            void this.#sync(mayRecord);
         }
     }
 
@@ -81,10 +95,8 @@
         this.#writtenMs = Number.NEGATIVE_INFINITY;
     }
 
-    /** A write to the ledger has recorded the same. */
-    noteRecorded(): void {
-        this.#writtenMs = this.#accounts.nowMs;
-        this.#writtenUsedTokens = this.#accounts.usedTokens;
+    get #hasUncovered(): boolean {
+        return this.#parts.wantedLedgers().some(team => !this.#coveredLedgers.has(team));
     }
 
     get #isDue(): boolean {
@@ -93,11 +105,11 @@
             (hasSpent && this.#accounts.nowMs - this.#writtenMs >= RecordIntervalMs);
     }
 
-    async #sync(): Promise<void> {
+    async #sync(mayRecord: boolean): Promise<void> {
         this.#isSyncing = true;
         this.#startedMs = this.#accounts.nowMs;
         try {
-            await (this.#hasTakenOver ? this.#write() : this.#takeOver());
+            await (this.#hasTakenOver && mayRecord ? this.#write() : this.#takeOver());
         }
         catch (error) {
             this.#noteFailure(String(error));
@@ -107,16 +119,23 @@
         }
     }
 
+    /** Makes the object this process's; the predecessor's record stays until its shares are closed. */
     async #takeOver(): Promise<void> {
         if (this.#version === undefined && !await this.#read()) {
             return;
         }
-        const object: HostObject = { owner: this.#parts.incarnation, record: this.#stored?.record };
+        if (!this.#hasTakenOver) {
+            const recorded = Object.keys(this.#stored?.record?.teams ?? {});
+            this.#inheritedLedgers = [...new Set([...this.#stored?.ledgers ?? [], ...recorded])];
+        }
+        const ledgers = this.#allLedgers;
+        const object: HostObject = { owner: this.#parts.incarnation, ledgers, record: this.#stored?.record };
         const outcome = await this.#parts.store.put(this.#parts.key, object, this.#version ?? AbsentVersion);
         if (outcome.status === "applied") {
             this.#version = outcome.version;
             this.#stored = object;
             this.#hasTakenOver = true;
+            this.#coveredLedgers = new Set(ledgers);
             return;
         }
         this.#version = undefined;
@@ -125,6 +144,10 @@
         }
     }
 
+    get #allLedgers(): string[] {
+        return [...new Set([...this.#inheritedLedgers, ...this.#coveredLedgers, ...this.#parts.wantedLedgers()])];
+    }
+
     async #read(): Promise<boolean> {
         const outcome = await this.#parts.store.get(this.#parts.key);
         if (outcome.status === "unavailable") {
@@ -162,7 +185,8 @@
             account.propose({ ...bound, sequence: date.sequence, madeMs });
             teams[account.name] = bound;
         }
-        const object: HostObject = { owner: this.#parts.incarnation, record: { ...date, teams } };
+        const ledgers = this.#allLedgers;
+        const object: HostObject = { owner: this.#parts.incarnation, ledgers, record: { ...date, teams } };
         const outcome = await this.#parts.store.put(this.#parts.key, object, this.#version ?? AbsentVersion);
         this.#handle(outcome, object, usedTokens);
     }
@@ -175,6 +199,7 @@
             this.#stored = object;
             this.#writtenMs = this.#accounts.nowMs;
             this.#writtenUsedTokens = usedTokens;
+            this.#coveredLedgers = new Set(object.ledgers);
             this.#acknowledge(object);
             this.#noteRegained();
         }
--- a/src/edge/budget/sharePlan.spec.ts
+++ b/src/edge/budget/sharePlan.spec.ts
@@ -1,27 +1,22 @@
 import { describe, expect, it } from "vitest";
-import type { Ledger, TeamLedger } from "./ledger.js";
+import type { TeamLedger } from "./ledger.js";
 import { planGrant, type SharePlanInput } from "./sharePlan.js";
 
-const host = { incarnation: "x", peerAddress: "", sequence: 1, writtenAtMs: 0, writtenSteadyMs: 0 };
 const share = (grantedTokens: number, settledTokens: number, demandTokensPerS: number) => (
     { grantedTokens, limitTokens: 0, releaseTokensPerS: 0, burstTokens: 0, settledTokens, demandTokensPerS }
 );
 
 function input(others: TeamLedger, own: Partial<SharePlanInput>): SharePlanInput {
     const team = { ...others, shares: { ...others.shares, a: share(own.grantedTokens ?? 0, own.usedTokens ?? 0, 0) } };
-    const hosts = Object.fromEntries(["a", ...Object.keys(team.shares)].map(id => [id, host]));
-    const ledger: Ledger = { hosts, teams: { t: team } };
     return {
-        ledger,
         team,
         hostId: "a",
         prepaidTokens: 1_000_000,
-        expectedHostCount: 2,
+        homeIds: ["a", "b"],
         grantedTokens: 0,
         usedTokens: 0,
         neededTokens: 0,
         demandTokensPerS: 0,
-        totalDemandTokensPerS: 0,
         ...own,
     };
 }
@@ -40,7 +35,7 @@
 
         it("draws more than the even part there (guards against tokens that idle hosts hold in a cut)", () => {
             const granted = planGrant(
-                input(team, { grantedTokens: 400_000, demandTokensPerS: 30_000, totalDemandTokensPerS: 30_000 }),
+                input(team, { grantedTokens: 400_000, demandTokensPerS: 30_000 }),
             );
             expect(granted).toBe(600_000);
         });
@@ -52,6 +47,21 @@
         });
     });
 
+    describe("given a host that is no home of the team any more", () => {
+        it("gives everything back that is not used (guards against tokens that few requests reach)", () => {
+            const team = { closedTokens: 0, atRiskTokens: 0, shares: { b: share(400_000, 0, 5_000) } };
+            const granted = planGrant(
+                input(team, {
+                    homeIds: ["b", "c"],
+                    grantedTokens: 400_000,
+                    usedTokens: 7_000,
+                    demandTokensPerS: 5_000,
+                }),
+            );
+            expect(granted).toBe(7_000);
+        });
+    });
+
     describe("given a request that waits", () => {
         it("draws what it needs if it is unheld (guards against a refusal while tokens are free)", () => {
             const team = { closedTokens: 990_000, atRiskTokens: 0, shares: {} };
--- a/src/edge/budget/sharePlan.ts
+++ b/src/edge/budget/sharePlan.ts
@@ -1,5 +1,5 @@
 /** Division of a team's unspent tokens among the hosts. Pure functions over one ledger. */
-import type { HostShare, Ledger, TeamLedger } from "./ledger.js";
+import type { TeamLedger } from "./ledger.js";
 import { unheldTokens } from "./ledger.js";
 
 /**
@@ -9,14 +9,8 @@
 const HeldPart = 0.85;
 
 /**
- * How much of a host's weight follows its traffic in all, the rest its traffic for the team. A large team's callers often
- * reach one host only, and what other hosts hold of its tokens is out of use.
- */
-const OverallPart = 0.1;
-
-/**
- * Demand assumed for every host in addition: one summary of 10,000 tokens within the window of the demand average. With
- * less, a host that a small team's callers have not reached yet gives everything back and refuses the first of them.
+ * Demand assumed for every home in addition: one summary of 10,000 tokens within the window of the demand average. With
+ * less, a home that a small team's borrowers have not asked yet gives everything back.
  */
 const BaseDemandTokensPerS = 500;
 
@@ -25,23 +19,21 @@
 
 /** What a plan depends on. */
 export interface SharePlanInput {
-    readonly ledger: Ledger;
     readonly team: TeamLedger;
     readonly hostId: string;
     readonly prepaidTokens: number;
-    /** Hosts to assume as long as the ledger shows fewer. */
-    readonly expectedHostCount: number;
+    /** Hosts that hold the team's tokens; others give back what they have. */
+    readonly homeIds: readonly string[];
     /** Granted so far, spent or reserved, and wanted by requests that wait; of this host. */
     readonly grantedTokens: number;
     readonly usedTokens: number;
     readonly neededTokens: number;
+    /** Demand that reaches this host, also from hosts that borrow from it. */
     readonly demandTokensPerS: number;
-    /** Demand of this host for all teams. */
-    readonly totalDemandTokensPerS: number;
 }
 
 /**
- * Decides how many tokens this host should be granted in all. Every host aims at the part of the unspent tokens that
+ * Decides how many tokens this host should be granted in all. Every home aims at the part of the unspent tokens that
  * matches its part of the demand. That leaves next to nothing unheld: in a cut from the store a host can spend only
  * what it holds.
  */
@@ -66,24 +58,11 @@
 }
 
 /** @returns Part of the unspent tokens that is this host's, 0 to 1. */
-function weightOf(input: SharePlanInput): number {
-    const { ledger, team, hostId, expectedHostCount } = input;
-    const others = Object.keys(ledger.hosts).filter(id => id !== hostId);
-    const hostCount = Math.max(expectedHostCount, others.length + 1);
-    const overall = part(input.totalDemandTokensPerS, others.map(id => demandOf(ledger, id)), hostCount);
-    const own = part(input.demandTokensPerS, others.map(id => team.shares[id]?.demandTokensPerS ?? 0), hostCount);
-    return OverallPart * overall + (1 - OverallPart) * own;
-}
-
-function part(own: number, others: readonly number[], hostCount: number): number {
-    const sum = others.reduce((total, demand) => total + demand, own);
-    return (own + BaseDemandTokensPerS) / (sum + BaseDemandTokensPerS * hostCount);
-}
-
-function demandOf(ledger: Ledger, hostId: string): number {
-    return Object.values(ledger.teams).reduce((sum, team) => sum + shareDemand(team.shares[hostId]), 0);
-}
-
-function shareDemand(share: HostShare | undefined): number {
-    return share?.demandTokensPerS ?? 0;
+function weightOf({ team, hostId, homeIds, demandTokensPerS }: SharePlanInput): number {
+    if (!homeIds.includes(hostId)) {
+        return 0;
+    }
+    const others = homeIds.filter(id => id !== hostId).map(id => team.shares[id]?.demandTokensPerS ?? 0);
+    const totalTokensPerS = others.reduce((sum, demand) => sum + demand, demandTokensPerS);
+    return (demandTokensPerS + BaseDemandTokensPerS) / (totalTokensPerS + BaseDemandTokensPerS * homeIds.length);
 }
--- a/src/edge/budget/spendingRecord.ts
+++ b/src/edge/budget/spendingRecord.ts
@@ -1,6 +1,6 @@
 /**
  * The record of what a host may spend, in an object that this host alone writes. It bounds spending more closely than the
- * ledger does, and costs one call without conflicts.
+ * ledgers do, and costs one call without conflicts.
  */
 import { z } from "zod";
 
@@ -39,6 +39,8 @@
 export const HostObjectSchema = z.object({
     /** Process that writes. A successor takes the object over first, so that no write of its predecessor follows. */
     owner: z.string(),
+    /** Teams in whose ledgers the host may have a share; written before the share, so that a successor closes all. */
+    ledgers: z.array(z.string()).default([]),
     /** Newest record of a process that had shares. */
     record: SpendingRecordSchema.optional(),
 });
--- a/src/edge/budget/teamAccount.ts
+++ b/src/edge/budget/teamAccount.ts
@@ -87,9 +87,12 @@
     #largeCostTokens = 0;
     #reservedTokens = 0;
     #settledTokens = 0;
+    /** Lent tokens of which the borrowers have not yet said what became of them, and those that they have spent. */
     #lentTokens = 0;
-    /** Borrowed tokens that are not reserved. */
+    #lentSpentTokens = 0;
+    /** Borrowed tokens that are not reserved, and those that finished requests have cost. */
     #borrowedTokens = 0;
+    #borrowedSpentTokens = 0;
 
     constructor(name: string, nowMs: number) {
         this.name = name;
@@ -104,12 +107,12 @@
 
     /** @returns Tokens of the own record that are spent, lent or reserved. */
     get usedTokens(): number {
-        return this.settledTokens + this.#reservedTokens;
+        return this.settledTokens + this.#reservedTokens + this.#lentTokens;
     }
 
-    /** @returns Tokens of the own record that finished requests have cost or that were lent. */
+    /** @returns Tokens of the own record that finished requests have cost, here or at borrowers. */
     get settledTokens(): number {
-        return this.#settledTokens + this.#lentTokens;
+        return this.#settledTokens + this.#lentSpentTokens;
     }
 
     /** @returns Borrowed tokens that may be reserved. */
@@ -117,16 +120,16 @@
         return this.#borrowedTokens;
     }
 
+    /** @returns Borrowed tokens that finished requests have cost; cumulative. */
+    get borrowedSpentTokens(): number {
+        return this.#borrowedSpentTokens;
+    }
+
     /** @returns Sum of the waiting reservations. */
     get waitingTokens(): number {
         return this.waiting.reduce((sum, { costTokens }) => sum + costTokens, 0);
     }
 
-    /** @returns Tokens that the waiting reservations miss. */
-    missingTokens(nowMs: number): number {
-        return this.waitingTokens - this.#borrowedTokens - Math.max(0, this.spareTokens(nowMs));
-    }
-
     /** @returns Tokens of the own record that may be reserved now. */
     spareTokens(nowMs: number): number {
         const { grantedTokens } = this;
@@ -193,6 +196,7 @@
     settle({ ownTokens, borrowedTokens }: Reservation, costTokens: number): void {
         const costBorrowed = Math.min(costTokens, borrowedTokens);
         this.#borrowedTokens += borrowedTokens - costBorrowed;
+        this.#borrowedSpentTokens += costBorrowed;
         this.#reservedTokens -= ownTokens;
         this.#settledTokens += Math.min(costTokens - costBorrowed, ownTokens);
     }
@@ -203,16 +207,27 @@
     }
 
     /**
-     * Gives tokens to another host; this host counts them as spent. Its own waiting requests go first.
-     * @returns Tokens lent, at most as many as wanted.
+     * Borrowed tokens go back to their lender.
+     * @returns Tokens given back, at most as many as are not reserved.
      */
-    lend(wantedTokens: number, nowMs: number): number {
-        const spareTokens = this.waiting.length > 0 ? 0 : Math.max(0, this.spareTokens(nowMs));
-        const tokens = Math.min(wantedTokens, spareTokens);
-        this.#lentTokens += tokens;
+    giveBack(mostTokens: number): number {
+        const tokens = Math.min(mostTokens, this.#borrowedTokens);
+        this.#borrowedTokens -= tokens;
         return tokens;
     }
 
+    /** Hands a reservation of own tokens over to another host; they count as used until it tells what became of them. */
+    lend(ownTokens: number): void {
+        this.#reservedTokens -= ownTokens;
+        this.#lentTokens += ownTokens;
+    }
+
+    /** A borrower has told what became of lent tokens. */
+    settleLoan(spentTokens: number, returnedTokens: number): void {
+        this.#lentTokens -= spentTokens + returnedTokens;
+        this.#lentSpentTokens += spentTokens;
+    }
+
     /** Lets waiting reservations have what is spare, in order; a smaller one may pass a larger one. */
     serveWaiting(nowMs: number): void {
         for (const item of [...this.waiting]) {
--- /dev/null
+++ b/src/edge/budget/teamLedgers.ts
@@ -0,0 +1,127 @@
+/** The ledgers in which this host has shares: those of the teams whose home it is, and those of its predecessor. */
+import type { Clock } from "../../base/clock.js";
+import type { Counters } from "../../base/counters.js";
+import type { PlatformStore } from "../../platform/platformStore.js";
+import { EdgeAccounts } from "./edgeAccounts.js";
+import type { ProcessStart } from "./ledger.js";
+import { LedgerSync } from "./ledgerSync.js";
+import { OwnRecords } from "./ownRecords.js";
+import { RecordSync } from "./recordSync.js";
+
+/** What the ledgers are built from. */
+export interface TeamLedgersParts {
+    readonly store: PlatformStore;
+    readonly clock: Clock;
+    readonly counters: Counters;
+    /** Prefix of the ledgers' keys; a team's name follows. */
+    readonly ledgerPrefix: string;
+    /** Key of this host's own record. */
+    readonly recordKey: string;
+    readonly hostId: string;
+    readonly incarnation: string;
+    /** `IP:port` for messages of other hosts. */
+    readonly peerAddress: string;
+    /** When this process started. */
+    readonly start: ProcessStart;
+    /** @returns The machine's steady clock in milliseconds; processes of one start of a machine share it. */
+    steadyMs(): number;
+    /** @returns Prepaid tokens of a team by the configuration in force; `undefined` for no limit. */
+    prepaidTokens(team: string): number | undefined;
+    /** @returns Teams with a prepaid amount. */
+    limitedTeams(): readonly string[];
+    /** @returns Hosts that should hold the team's tokens; none before the hosts are known. */
+    homeIds(team: string): readonly string[];
+}
+
+/** Opens ledgers as they are needed, and keeps them and the record in step with the store. */
+export class TeamLedgers {
+    readonly #parts: TeamLedgersParts;
+    readonly #accounts: EdgeAccounts;
+    /** Accounts of the teams with a ledger here: the record names them alone. */
+    readonly #recorded: EdgeAccounts;
+    readonly #records: OwnRecords;
+    readonly #recordSync: RecordSync;
+    readonly #byTeam = new Map<string, LedgerSync>();
+    #isClosing = false;
+
+    constructor(parts: TeamLedgersParts, accounts: EdgeAccounts) {
+        this.#parts = parts;
+        this.#accounts = accounts;
+        this.#recorded = new EdgeAccounts(parts.clock);
+        this.#records = new OwnRecords(parts.incarnation, this.#recorded, () => parts.steadyMs());
+        const { store, recordKey, incarnation, counters } = parts;
+        const records = this.#records;
+        const wantedLedgers = () => [...this.#byTeam.keys()];
+        this.#recordSync = new RecordSync(
+            { store, key: recordKey, incarnation, counters, records, wantedLedgers },
+            this.#recorded,
+        );
+    }
+
+    /** @returns Whether all shares of the predecessor are closed, so that this process may write its own record. */
+    get isEstablished(): boolean {
+        return this.#recordSync.hasTakenOver &&
+            this.#recordSync.inheritedLedgers.every(team => this.#byTeam.get(team)?.isEstablished === true);
+    }
+
+    /** @returns The open ledger of a team. */
+    find(team: string): LedgerSync | undefined {
+        return this.#byTeam.get(team);
+    }
+
+    /** @returns Whether calls for the team's tokens get no answer. */
+    isLost(team: string): boolean {
+        return this.#recordSync.isFailing || this.#byTeam.get(team)?.isFailing === true;
+    }
+
+    /** Opens the ledger of a team, whose tokens this host holds from then on as far as they are needed. */
+    open(team: string): void {
+        if (this.#byTeam.has(team) || this.#isClosing) {
+            return;
+        }
+        const account = this.#accounts.open(team);
+        const own = new EdgeAccounts(this.#parts.clock);
+        own.add(account);
+        this.#recorded.add(account);
+        const { ledgerPrefix, homeIds } = this.#parts;
+        this.#byTeam.set(
+            team,
+            new LedgerSync(
+                { ...this.#parts, key: `${ledgerPrefix}${team}`, team, homeIds: () => homeIds(team) },
+                own,
+                this.#records,
+                this.#recordSync,
+            ),
+        );
+    }
+
+    /** Writes what is due; called every few ten milliseconds. */
+    tick(): void {
+        for (const team of this.#recordSync.inheritedLedgers) {
+            this.open(team);
+        }
+        for (const team of this.#parts.limitedTeams()) {
+            if (this.#parts.homeIds(team).includes(this.#parts.hostId)) {
+                this.open(team);
+            }
+        }
+        for (const ledger of this.#byTeam.values()) {
+            ledger.tick();
+        }
+        this.#recordSync.tick(this.isEstablished && !this.#isClosing);
+    }
+
+    /** The store answers again. */
+    onStoreReturned(): void {
+        for (const ledger of this.#byTeam.values()) {
+            ledger.onStoreReturned();
+        }
+        this.#recordSync.onStoreReturned();
+    }
+
+    /** Gives all unused tokens back. */
+    async close(): Promise<void> {
+        this.#isClosing = true;
+        await Promise.all([...this.#byTeam.values()].map(ledger => ledger.close()));
+    }
+}
--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -16,6 +16,7 @@
 import { RetryBudgets } from "./flow/retryBudgets.js";
 import { EdgeMetrics } from "./metrics.js";
 import { LoadGossip } from "./peers/loadGossip.js";
+import { MemberList } from "./peers/memberList.js";
 import { UdpPeerChannel } from "./peers/peerChannel.js";
 import type { HeaderCodec, ObjectCodec } from "./protocolCodec.js";
 import { UpstreamDirectory } from "./upstream/upstreamDirectory.js";
@@ -48,7 +49,7 @@
 
 const NsPerMs = 1_000_000n;
 
-/** Hosts to assume for each zone until the ledger shows them. */
+/** Hosts to assume for each zone until they are listed. */
 const ExpectedHostsPerZone = 2;
 
 /** An edge router. */
@@ -62,7 +63,8 @@
     readonly #directory: UpstreamDirectory;
     readonly #upstreamFeed: UpstreamFeed;
     readonly #budgets: BudgetKeeper;
-    readonly #channel = new UdpPeerChannel(() => this.#budgets.peerAddresses);
+    readonly #members: MemberList;
+    readonly #channel: UdpPeerChannel;
     readonly #gossip: LoadGossip;
     readonly #listener: CallerListener;
     readonly #readiness: Server;
@@ -82,6 +84,16 @@
             this.#listener.applyLimits(table.configuration.limits);
         });
         this.#upstreamFeed = new UpstreamFeed(parts.store, parts.objects, this.#clock, this.#directory);
+        this.#members = new MemberList({
+            store: parts.store,
+            clock: this.#clock,
+            prefix: parts.objects.hostPrefix,
+            own: { hostId: settings.hostId, zone: settings.zone, peerAddress: settings.peerAddress },
+        });
+        this.#channel = new UdpPeerChannel(
+            address => this.#members.has(address),
+            () => this.#members.noteStranger(),
+        );
         this.#budgets = this.#createBudgets();
         this.#gossip = new LoadGossip({
             clock: this.#clock,
@@ -90,7 +102,7 @@
             channel: this.#channel,
             hostId: settings.hostId,
             incarnation: this.#incarnation,
-            peerAddresses: () => this.#budgets.peerAddresses,
+            peerAddresses: () => (this.#members.others ?? []).map(({ peerAddress }) => peerAddress),
         });
         this.#listener = this.#createListener();
         this.#readiness = createServer((_request, response) => {
@@ -141,6 +153,7 @@
         this.#isLeaving = true;
         const startedMs = this.#clock.monotonicMs();
         const elapsedMs = () => this.#clock.monotonicMs() - startedMs;
+        this.#budgets.leave();
         log.info("edge stops", { host: this.#settings.hostId, open: this.#listener.openCount });
         const lastMs = this.#settings.graceMs - ExitReserveMs;
         while (elapsedMs() < Math.min(this.#settings.drainNoticeMs, lastMs)) {
@@ -151,7 +164,7 @@
             await sleep(ShutdownPollMs);
         }
         this.#listener.refuseRequests();
-        await Promise.race([this.#budgets.close(), sleep(FinalWriteMs)]);
+        await Promise.race([Promise.all([this.#budgets.close(), this.#members.leave()]), sleep(FinalWriteMs)]);
         while (this.#listener.openCount > 0 && elapsedMs() < lastMs) {
             await sleep(ShutdownPollMs);
         }
@@ -193,8 +206,15 @@
         };
     }
 
+    /** @returns Hosts that share what a service allows in repeated sends. */
+    get #hostCount(): number {
+        const knownCount = (this.#members.others?.length ?? 0) + 1;
+        return Math.max(knownCount, this.#settings.zoneCount * ExpectedHostsPerZone);
+    }
+
     #tick(): void {
         this.#directory.tick();
+        this.#members.tick();
         const { isConnected } = this.#configuration;
         if (isConnected && !this.#wasConnected) {
             this.#budgets.onStoreReturned();
@@ -211,14 +231,15 @@
             clock: this.#clock,
             counters: this.#metrics.counters,
             channel: this.#channel,
-            key: `${this.#parts.objects.ownPrefix}ledger`,
+            ledgerPrefix: `${this.#parts.objects.ownPrefix}ledger-`,
             recordKey: `${this.#parts.objects.ownPrefix}host-${this.#settings.hostId}`,
             hostId: this.#settings.hostId,
             incarnation: this.#incarnation,
             peerAddress: this.#settings.peerAddress,
             start: this.#start,
             steadyMs,
-            expectedHostCount: this.#settings.zoneCount * ExpectedHostsPerZone,
+            zone: this.#settings.zone,
+            otherHosts: () => this.#members.others,
             prepaidTokens: team => this.#configuration.table?.teamNamed(team)?.prepaidTokens,
             limitedTeams: () =>
                 (this.#configuration.table?.configuration.teams ?? [])
@@ -237,7 +258,7 @@
             budgets: this.#budgets,
             retries: new RetryBudgets(
                 { ratio: retryRatio, windowMs: retryWindowMs, slackCount: retrySlackCount },
-                () => this.#budgets.hostCount,
+                () => this.#hostCount,
             ),
             metrics: this.#metrics,
             zone,
--- a/src/edge/flow/requestBudget.ts
+++ b/src/edge/flow/requestBudget.ts
@@ -1,5 +1,6 @@
 /** Prepaid tokens of one request: reserved at its worst-case cost before it is sent, settled at what it delivered. */
-import type { BudgetKeeper, ReservationRefusal } from "../budget/budgetKeeper.js";
+import { type BudgetKeeper, isRefusal } from "../budget/budgetKeeper.js";
+import type { BudgetRefusal } from "../budget/budgetRefusal.js";
 import type { Reservation } from "../budget/teamAccount.js";
 import type { EdgeTeam, TokenCounts } from "../edgeTypes.js";
 import { costOfRequest, type Delivery } from "./requestCost.js";
@@ -26,12 +27,12 @@
     }
 
     /** @returns Why the tokens are not available; `undefined` when they are reserved or none are needed. */
-    async reserve(remainingMs: number): Promise<ReservationRefusal | undefined> {
+    async reserve(remainingMs: number): Promise<BudgetRefusal | undefined> {
         if (this.#team === undefined || this.#tokens === undefined) {
             return undefined;
         }
         const result = await this.#budgets.reserve(this.#requestId, this.#team.name, this.mostTokens, remainingMs);
-        if (typeof result === "string") {
+        if (isRefusal(result)) {
             return result;
         }
         this.#reservation = result;
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -67,12 +67,6 @@
 const RetryAfterPart = 1 / 4;
 const LongestRetryAfterMs = 1_000;
 
-/**
- * Retry-After by the reason why tokens are not available, in milliseconds: at once where another host, to which a retry
- * goes, holds them; after the next division among hosts; after a top-up, of which a day has a few.
- */
-const BudgetRetryMs = { exhausted: undefined, heldElsewhere: 20, fragmented: 1_500, atRisk: 5_000 } as const;
-
 /** How a request ended, with the counter of each way. */
 const OutcomeCounters = {
     complete: EdgeCounterNames.requestsComplete,
@@ -208,9 +202,9 @@
         }
         this.#parts.metrics.counters.add(EdgeCounterNames.budgetRefusals);
         this.#fail({
-            code: refusal === "exhausted" ? "BudgetExhausted" : "BudgetUnavailable",
+            code: refusal.reason === "exhausted" ? "BudgetExhausted" : "BudgetUnavailable",
             ran: "no",
-            retryAfterMs: BudgetRetryMs[refusal],
+            retryAfterMs: refusal.retryAfterMs,
         }, `budget of ${this.#request.team?.name}: ${this.#budget.mostTokens} tokens not available`);
         return false;
     }
--- a/src/edge/peers/peerChannel.ts
+++ b/src/edge/peers/peerChannel.ts
@@ -3,14 +3,20 @@
 import { z } from "zod";
 import { splitAddress } from "../../base/address.js";
 import { log } from "../../base/log.js";
-import { BorrowRequestSchema, LoanSchema } from "../budget/loanMessages.js";
+import { BorrowRequestSchema, LoanDelaySchema, LoanReportSchema, LoanSchema } from "../budget/loanMessages.js";
 import { LoadReportSchema } from "./peerLoads.js";
 
 /** Largest datagram, in bytes; stays within one packet on common links. */
 const MaxDatagramBytes = 1_400;
 
 /** What hosts tell each other; `k` names the kind. */
-export const PeerMessageSchema = z.discriminatedUnion("k", [LoadReportSchema, BorrowRequestSchema, LoanSchema]);
+export const PeerMessageSchema = z.discriminatedUnion("k", [
+    LoadReportSchema,
+    BorrowRequestSchema,
+    LoanSchema,
+    LoanDelaySchema,
+    LoanReportSchema,
+]);
 export type PeerMessage = z.infer<typeof PeerMessageSchema>;
 
 /** Receives a message of another host. */
@@ -27,15 +33,20 @@
 
 /** Channel over UDP. */
 export class UdpPeerChannel extends PeerChannel {
-    readonly #peerAddresses: () => readonly string[];
+    readonly #isHost: (address: string) => boolean;
+    readonly #onStranger: () => void;
     readonly #listeners: PeerListener[] = [];
     #socket: Socket | undefined;
     #hasDroppedLarge = false;
 
-    /** @param peerAddresses Senders that are believed. */
-    constructor(peerAddresses: () => readonly string[]) {
+    /**
+     * @param isHost Tells whether an address is another host's; no other sender is believed.
+     * @param onStranger Called when another sender's message arrives.
+     */
+    constructor(isHost: (address: string) => boolean, onStranger: () => void) {
         super();
-        this.#peerAddresses = peerAddresses;
+        this.#isHost = isHost;
+        this.#onStranger = onStranger;
     }
 
     /** Opens the socket. */
@@ -75,7 +86,8 @@
     }
 
     #receive(bytes: Buffer, sender: string): void {
-        if (!this.#peerAddresses().includes(sender)) {
+        if (!this.#isHost(sender)) {
+            this.#onStranger();
             return;
         }
         const message = parseMessage(bytes);
--- a/src/edge/protocolCodec.ts
+++ b/src/edge/protocolCodec.ts
@@ -31,9 +31,12 @@
     /** Common prefix of the keys of upstreams. */
     abstract get upstreamPrefix(): string;
 
-    /** Prefix under which the edge keeps objects of its own. */
+    /** Prefix under which the edge keeps budgets. */
     abstract get ownPrefix(): string;
 
+    /** Prefix under which each host of the edge keeps its address. */
+    abstract get hostPrefix(): string;
+
     /**
      * @param value Stored value.
      * @returns The configuration, or what is wrong with it.
--- a/src/edge/readout/fleetReadout.ts
+++ b/src/edge/readout/fleetReadout.ts
@@ -3,8 +3,9 @@
 import { ExitCodes } from "../../base/exitCodes.js";
 import { both, type CommandFailure, type CommandResult, fail, storeUnavailable } from "../../control/commandResult.js";
 import type { PlatformStore, StoredObject } from "../../platform/platformStore.js";
-import { EmptyLedger, type Ledger, LedgerSchema, type TeamLedger, unheldTokens } from "../budget/ledger.js";
+import { LedgerSchema, type TeamLedger, unheldTokens } from "../budget/ledger.js";
 import type { EdgeConfiguration } from "../edgeTypes.js";
+import { MemberSchema } from "../peers/memberList.js";
 import type { ObjectCodec } from "../protocolCodec.js";
 
 /** Objects that a listing asks for at once. */
@@ -48,11 +49,11 @@
 
     /** @returns Tokens of each team: prepaid, known to be spent, at risk, held by hosts, and held by none. */
     async balances(): Promise<CommandResult> {
-        const read = both(await this.#readConfiguration(), await this.#readLedger());
-        return read.map(([configuration, ledger]) => {
+        const read = both(await this.#readConfiguration(), await this.#readLedgers());
+        return read.map(([configuration, ledgers]) => {
             const balances = (configuration.teams ?? [])
                 .filter(team => team.prepaidTokens !== undefined)
-                .map(team => balanceOf(team.name, team.prepaidTokens ?? 0, ledger.teams[team.name]));
+                .map(team => balanceOf(team.name, team.prepaidTokens ?? 0, ledgers.get(team.name)));
             return {
                 value: balances,
                 table: {
@@ -70,18 +71,22 @@
         });
     }
 
-    /** @returns Hosts that write to the ledger, with the age of their last write. */
-    async hosts(wallMs: number): Promise<CommandResult> {
-        const ledger = await this.#readLedger();
-        return ledger.map(({ hosts }) => {
-            const rows = Object.entries(hosts).map(([host, { incarnation, peerAddress, writtenAtMs }]) => (
-                { host, incarnation, peerAddress, ledgerAgeMs: Math.round(wallMs - writtenAtMs) }
-            ));
+    /** @returns Hosts of the fleet and their addresses; objects that name none are shown with their problem. */
+    async hosts(): Promise<CommandResult> {
+        const listed = await this.#listAll(this.#objects.hostPrefix);
+        return listed.map(objects => {
+            const rows = objects.map(object => {
+                const host = object.key.slice(this.#objects.hostPrefix.length);
+                const member = MemberSchema.safeParse(object.value);
+                return member.success ?
+                    { host, zone: member.data.zone, peerAddress: member.data.peerAddress, problem: "" } :
+                    { host, zone: "", peerAddress: "", problem: member.error.message };
+            });
             return {
                 value: rows,
                 table: {
-                    columns: ["host", "incarnation", "peerAddress", "ledgerAgeMs"],
-                    rows: rows.map(row => [row.host, row.incarnation, row.peerAddress, row.ledgerAgeMs]),
+                    columns: ["host", "zone", "peerAddress", "problem"],
+                    rows: rows.map(row => [row.host, row.zone, row.peerAddress, row.problem]),
                 },
             };
         });
@@ -89,7 +94,7 @@
 
     /** @returns Upstreams that the platform lists; entries that name none are shown with their problem. */
     async upstreams(): Promise<CommandResult> {
-        const listed = await this.#listUpstreams();
+        const listed = await this.#listAll(this.#objects.upstreamPrefix);
         return listed.map(objects => {
             const rows = objects.map(object => {
                 const id = object.key.slice(this.#objects.upstreamPrefix.length);
@@ -124,21 +129,26 @@
             Result.ok(configuration);
     }
 
-    async #readLedger(): Promise<Result<Ledger, CommandFailure>> {
-        const outcome = await this.#store.get(`${this.#objects.ownPrefix}ledger`);
-        if (outcome.status === "unavailable") {
-            return storeUnavailable(outcome.reason);
-        }
-        const ledger = LedgerSchema.safeParse(outcome.status === "absent" ? EmptyLedger : outcome.object.value);
-        return ledger.success ?
-            Result.ok(ledger.data) :
-            fail(ExitCodes.Failed, `the ledger cannot be read: ${ledger.error.message}`);
+    async #readLedgers(): Promise<Result<ReadonlyMap<string, TeamLedger>, CommandFailure>> {
+        const prefix = `${this.#objects.ownPrefix}ledger-`;
+        const listed = await this.#listAll(this.#objects.ownPrefix);
+        return listed.andThen(objects => {
+            const teams = new Map<string, TeamLedger>();
+            for (const { key, value } of objects.filter(object => object.key.startsWith(prefix))) {
+                const ledger = LedgerSchema.safeParse(value);
+                if (!ledger.success) {
+                    return fail(ExitCodes.Failed, `${key} cannot be read: ${ledger.error.message}`);
+                }
+                Object.entries(ledger.data.teams).forEach(([name, team]) => teams.set(name, team));
+            }
+            return Result.ok(teams);
+        });
     }
 
-    async #listUpstreams(): Promise<Result<readonly StoredObject[], CommandFailure>> {
+    async #listAll(prefix: string): Promise<Result<readonly StoredObject[], CommandFailure>> {
         const objects: StoredObject[] = [];
         for (let more = true, afterKey = ""; more; afterKey = objects.at(-1)?.key ?? "") {
-            const page = await this.#store.list(this.#objects.upstreamPrefix, afterKey, PageSize);
+            const page = await this.#store.list(prefix, afterKey, PageSize);
             if (page.status === "unavailable") {
                 return storeUnavailable(page.reason);
             }
--- /dev/null
+++ b/src/standins/recordingChannel.ts
@@ -0,0 +1,21 @@
+/** Channel for tests: records what is sent and hands over what a test receives. */
+import { PeerChannel, type PeerListener, type PeerMessage } from "../edge/peers/peerChannel.js";
+
+/** A channel without a network. */
+export class RecordingChannel extends PeerChannel {
+    readonly sent: { readonly address: string; readonly message: PeerMessage; }[] = [];
+    readonly #listeners: PeerListener[] = [];
+
+    override send(address: string, message: PeerMessage): void {
+        this.sent.push({ address, message });
+    }
+
+    override onMessage(listener: PeerListener): void {
+        this.#listeners.push(listener);
+    }
+
+    /** Hands a message of another host over. */
+    receive(sender: string, message: PeerMessage): void {
+        this.#listeners.forEach(listener => listener(message, sender));
+    }
+}
