Let two watchers of each zone follow the store in large fleets, and settle loans before a process ends

Cause: every host kept two watches on the store, and each watch ends with each change.

Ruled out: stale reads of the store (a tenth of the price, seconds old: requests would reach upstreams that have left), pushing changes over UDP (datagrams are lost, and a configuration does not fit).

A process that ends now reports its loans at once, and an object that another process owns is not taken back. Both have tests that fail without the change.

--- a/src/edge/budget/budgetKeeper.ts
+++ b/src/edge/budget/budgetKeeper.ts
@@ -114,8 +114,9 @@
         this.#isLeaving = true;
     }
 
-    /** Gives all unused tokens back. */
+    /** Gives all unused tokens back, to lenders and to the ledgers. */
     close(): Promise<void> {
+        this.#borrower.close();
         return this.#ledgers.close();
     }
 
--- a/src/edge/budget/loanBook.ts
+++ b/src/edge/budget/loanBook.ts
@@ -77,7 +77,9 @@
         const nowMs = this.#parts.clock.monotonicMs();
         for (const entry of this.#entries.values()) {
             this.#assignSpent(entry);
-            this.#giveBack(entry, nowMs);
+            if (this.#isUnused(entry.account, nowMs)) {
+                this.#giveBack(entry);
+            }
             const spacingMs = entry.dueReports === ReportCount ? ReportSpacingMs : RepeatAfterMs;
             if (entry.dueReports > 0 && nowMs - entry.reportedMs >= spacingMs) {
                 this.#report(entry, nowMs);
@@ -85,6 +87,18 @@
         }
     }
 
+    /** Gives back and reports everything at once, before the process ends. */
+    flush(): void {
+        const nowMs = this.#parts.clock.monotonicMs();
+        for (const entry of this.#entries.values()) {
+            this.#assignSpent(entry);
+            this.#giveBack(entry);
+            if (entry.dueReports > 0) {
+                this.#report(entry, nowMs);
+            }
+        }
+    }
+
     #assignSpent(entry: BookEntry): void {
         const assigned = this.#assignedTokens.get(entry.account) ?? 0;
         const tokens = Math.min(openTokens(entry), entry.account.borrowedSpentTokens - assigned);
@@ -95,12 +109,13 @@
         }
     }
 
-    #giveBack(entry: BookEntry, nowMs: number): void {
-        const { account } = entry;
-        if (account.waiting.length > 0 || nowMs - (this.#borrowedMs.get(account) ?? 0) < ReturnAfterMs) {
-            return;
-        }
-        const tokens = account.giveBack(openTokens(entry));
+    /** @returns Whether no request is about to use what was borrowed. */
+    #isUnused(account: TeamAccount, nowMs: number): boolean {
+        return account.waiting.length === 0 && nowMs - (this.#borrowedMs.get(account) ?? 0) >= ReturnAfterMs;
+    }
+
+    #giveBack(entry: BookEntry): void {
+        const tokens = entry.account.giveBack(openTokens(entry));
         if (tokens > 0) {
             entry.returnedTokens += tokens;
             entry.dueReports = ReportCount;
--- a/src/edge/budget/loanBorrower.spec.ts
+++ b/src/edge/budget/loanBorrower.spec.ts
@@ -179,6 +179,14 @@
             expect(reports().filter(([, spent, returned]) => spent === 700 && returned === 300).length).toBe(2);
         });
 
+        it("gives everything back at once when the process ends (guards against tokens lost with each restart)", () => {
+            borrow(1_000);
+            answer("b:1", 1_000);
+            account.settle(account.tryReserve(1_000, clock.monotonicMs())!, 700);
+            borrower.close();
+            expect(reports()).toEqual([["b:1-1", 700, 300]]);
+        });
+
         it("never reports more than each lender gave (guards against tokens that return to the wrong host)", async () => {
             borrow(1_000);
             answer("b:1", 400, { r: "fragmented" });
--- a/src/edge/budget/loanBorrower.ts
+++ b/src/edge/budget/loanBorrower.ts
@@ -98,6 +98,11 @@
         this.#book.tick();
     }
 
+    /** Gives everything back that is not used, before the process ends. */
+    close(): void {
+        this.#book.flush();
+    }
+
     /**
      * Looks for tokens; what lenders give goes to the account, whose waiting requests it serves.
      * @param onRefused Called when no lender has enough.
--- a/src/edge/budget/recordSync.spec.ts
+++ b/src/edge/budget/recordSync.spec.ts
@@ -60,6 +60,7 @@
     let store: OneObjectStore;
     let account: TeamAccount;
     let sync: RecordSync;
+    let wantedLedgers: string[];
 
     function start(incarnation: string): void {
         const accounts = new EdgeAccounts(clock);
@@ -71,7 +72,7 @@
             incarnation,
             counters: new Counters(),
             records,
-            wantedLedgers: () => ["t"],
+            wantedLedgers: () => wantedLedgers,
         }, accounts);
     }
 
@@ -85,6 +86,7 @@
 
     beforeEach(async () => {
         clock = new ManualClock();
+        wantedLedgers = ["t"];
         store = new OneObjectStore();
         start("first");
         await tick();
@@ -132,6 +134,35 @@
         });
     });
 
+    describe("given a ledger that the host is to have a share in", () => {
+        it("names it before the share is written, beside those of the predecessor (guards against shares that no successor closes)", async () => {
+            start("second");
+            wantedLedgers = ["u"];
+            expect(sync.covers("u")).toBe(false);
+            sync.tick(false);
+            expect(sync.covers("u")).toBe(false);
+            await tick();
+            expect((store.value as HostObject).ledgers).toEqual(["t", "u"]);
+            expect([sync.covers("u"), sync.inheritedLedgers]).toEqual([true, ["t"]]);
+        });
+
+        it("does not take the object back from another process (guards against two owners)", async () => {
+            await tick();
+            wantedLedgers = ["t", "u"];
+            store.value = { owner: "other", ledgers: [] } satisfies HostObject;
+            store.version++;
+            for (let turn = 0; turn < 3; turn++) {
+                clock.advance(1_000);
+                sync.tick(false);
+                for (let call = 0; call < 10; call++) {
+                    await Promise.resolve();
+                }
+            }
+            expect((store.value as HostObject).owner).toBe("other");
+            expect(sync.covers("u")).toBe(false);
+        });
+    });
+
     describe("given an object that another process took over", () => {
         it("stops writing (guards against two processes that record in turn)", async () => {
             await tick();
--- a/src/edge/budget/recordSync.ts
+++ b/src/edge/budget/recordSync.ts
@@ -124,6 +124,9 @@
         if (this.#version === undefined && !await this.#read()) {
             return;
         }
+        if (this.#hasTakenOver && this.#isReplacedBy(this.#stored?.owner)) {
+            return;
+        }
         if (!this.#hasTakenOver) {
             const recorded = Object.keys(this.#stored?.record?.teams ?? {});
             this.#inheritedLedgers = [...new Set([...this.#stored?.ledgers ?? [], ...recorded])];
@@ -224,15 +227,21 @@
         if (!await this.#read()) {
             return false;
         }
-        if (this.#stored?.owner !== this.#parts.incarnation) {
-            this.#isReplaced = true;
-            log.error("another process writes this host's record", { owner: this.#stored?.owner });
+        if (this.#stored === undefined || this.#isReplacedBy(this.#stored.owner)) {
             return false;
         }
         this.#acknowledge(this.#stored);
         return true;
     }
 
+    #isReplacedBy(owner: string | undefined): boolean {
+        this.#isReplaced = owner !== this.#parts.incarnation;
+        if (this.#isReplaced) {
+            log.error("another process writes this host's record", { owner });
+        }
+        return this.#isReplaced;
+    }
+
     /**
      * Takes over what the store holds. A write that is still on its way may take effect only if its version holds, so
      * spending keeps to it until a later write has changed the version.
--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -19,6 +19,10 @@
 import { MemberList } from "./peers/memberList.js";
 import { UdpPeerChannel } from "./peers/peerChannel.js";
 import type { HeaderCodec, ObjectCodec } from "./protocolCodec.js";
+import { RelayClient } from "./relay/relayClient.js";
+import { RelayedStore } from "./relay/relayedStore.js";
+import { RelayServer } from "./relay/relayServer.js";
+import { watchersFor } from "./relay/watcherChoice.js";
 import { UpstreamDirectory } from "./upstream/upstreamDirectory.js";
 import { UpstreamFeed } from "./upstream/upstreamFeed.js";
 
@@ -64,6 +68,8 @@
     readonly #upstreamFeed: UpstreamFeed;
     readonly #budgets: BudgetKeeper;
     readonly #members: MemberList;
+    readonly #relayClient = new RelayClient();
+    readonly #relayServer: RelayServer;
     readonly #channel: UdpPeerChannel;
     readonly #gossip: LoadGossip;
     readonly #listener: CallerListener;
@@ -80,10 +86,12 @@
         this.#start = { wallMs: this.#clock.wallMs(), steadyMs: steadyMs() };
         this.#incarnation = `${Math.floor(this.#clock.wallMs()).toString(36)}${this.#random.hex(6)}`;
         this.#directory = new UpstreamDirectory(this.#clock);
-        this.#configuration = new ConfigurationKeeper(parts.store, parts.objects, this.#clock, table => {
+        const watched = this.#createRelayedStore();
+        this.#relayServer = new RelayServer({ clock: this.#clock, logOf: prefix => watched.logOf(prefix) });
+        this.#configuration = new ConfigurationKeeper(watched, parts.objects, this.#clock, table => {
             this.#listener.applyLimits(table.configuration.limits);
         });
-        this.#upstreamFeed = new UpstreamFeed(parts.store, parts.objects, this.#clock, this.#directory);
+        this.#upstreamFeed = new UpstreamFeed(watched, parts.objects, this.#clock, this.#directory);
         this.#members = new MemberList({
             store: parts.store,
             clock: this.#clock,
@@ -135,6 +143,7 @@
             await this.#metrics.start(metrics.host, metrics.port);
         }
         const peer = splitAddress(this.#settings.peerAddress);
+        await this.#relayServer.start(peer.host, peer.port);
         this.#channel.start(peer.host, peer.port);
         this.#gossip.start();
         this.#ticker = setInterval(() => this.#tick(), TickIntervalMs);
@@ -173,6 +182,8 @@
         this.#upstreamFeed.stop();
         this.#gossip.stop();
         this.#channel.stop();
+        this.#relayServer.stop();
+        this.#relayClient.close();
         this.#metrics.stop();
         this.#listener.destroy();
         this.#readiness.close();
@@ -225,6 +236,19 @@
         }
     }
 
+    /** Watches of both feeds; they go to a watcher of the zone where there is one. */
+    #createRelayedStore(): RelayedStore {
+        const { hostId, zone, peerAddress } = this.#settings;
+        const own = { hostId, zone, peerAddress };
+        return new RelayedStore({
+            store: this.#parts.store,
+            client: this.#relayClient,
+            clock: this.#clock,
+            counters: this.#metrics.counters,
+            choice: () => watchersFor([...this.#members.others ?? [], own], own),
+        });
+    }
+
     #createBudgets(): BudgetKeeper {
         return new BudgetKeeper({
             store: this.#parts.store,
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -27,6 +27,7 @@
     budgetLedgerConflicts: "edge.budget.ledger.conflicts",
     tokensBorrowed: "edge.tokens.borrowed",
     tokensLent: "edge.tokens.lent",
+    relayFailures: "edge.relay.failures",
 } as const;
 
 /** Measurements of one process. */
--- a/src/edge/storeFeed.ts
+++ b/src/edge/storeFeed.ts
@@ -116,15 +116,15 @@
             log.info("store history is gone", { prefix: this.#prefix, revision });
             return await this.#list();
         }
-        this.#noteAnswer();
+        this.#noteAnswer(outcome.ageMs);
         if (outcome.changes.length > 0) {
             this.#listener.onChanges(outcome.changes);
         }
         return outcome.revision;
     }
 
-    #noteAnswer(): void {
-        this.#confirmedMs = this.#clock.monotonicMs();
+    #noteAnswer(ageMs = 0): void {
+        this.#confirmedMs = this.#clock.monotonicMs() - ageMs;
         if (this.#isFailing) {
             this.#isFailing = false;
             log.info("store regained", {
--- a/src/platform/platformStore.ts
+++ b/src/platform/platformStore.ts
@@ -52,7 +52,13 @@
 
 /** Outcome of a watch. Without changes the list is empty and the revision is the newest one. */
 export type WatchOutcome =
-    | { readonly status: "changed"; readonly changes: readonly WatchedChange[]; readonly revision: number; }
+    | {
+        readonly status: "changed";
+        readonly changes: readonly WatchedChange[];
+        readonly revision: number;
+        /** Age of the store's word in milliseconds, where it came by way of another host. */
+        readonly ageMs?: number | undefined;
+    }
     /** The changes since that revision are no longer kept; list the prefix again. */
     | { readonly status: "tooOld"; readonly revision: number; }
     | { readonly status: "unavailable"; readonly reason: string; };
