List the store apart from other calls while it is lost, and send callers elsewhere when a small link is full

Two findings of large fleets.

Listings are now tested apart, by prefix. The new test fails without the change. Ruled out: the stand-in, which ran at most 137 ms late.

Also: a watcher whose log begins after the asked revision sends the asker to the store once instead of being passed over for 5 s, and hosts that others tell of the store's return test it every 1.5 s.

--- a/src/edge/budget/budgetKeeper.ts
+++ b/src/edge/budget/budgetKeeper.ts
@@ -81,6 +81,11 @@
         });
     }
 
+    /** @returns Whether this host holds tokens of any team, or may. */
+    get holdsTokens(): boolean {
+        return this.#ledgers.isHolder;
+    }
+
     /** @returns Numbers of each team, for the state dump. */
     dumpState(): unknown {
         return {
--- a/src/edge/budget/teamLedgers.ts
+++ b/src/edge/budget/teamLedgers.ts
@@ -64,6 +64,11 @@
             this.#recordSync.inheritedLedgers.every(team => this.#byTeam.get(team)?.isEstablished === true);
     }
 
+    /** @returns Whether a ledger is open. */
+    get isHolder(): boolean {
+        return this.#byTeam.size > 0;
+    }
+
     /** @returns The open ledger of a team. */
     find(team: string): LedgerSync | undefined {
         return this.#byTeam.get(team);
--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -7,8 +7,9 @@
 import { log } from "../base/log.js";
 import { type Random, SystemRandom } from "../base/random.js";
 import { sleep } from "../base/sleep.js";
+import { GatedStore } from "../platform/gatedStore.js";
 import type { PlatformStore } from "../platform/platformStore.js";
-import { BudgetKeeper } from "./budget/budgetKeeper.js";
+import { BudgetKeeper, type BudgetPeer } from "./budget/budgetKeeper.js";
 import type { ProcessStart } from "./budget/ledger.js";
 import { ConfigurationKeeper } from "./configurationKeeper.js";
 import type { EdgeSettings } from "./edgeSettings.js";
@@ -22,7 +23,7 @@
 import { RelayClient } from "./relay/relayClient.js";
 import { RelayedStore } from "./relay/relayedStore.js";
 import { RelayServer } from "./relay/relayServer.js";
-import { watchersFor } from "./relay/watcherChoice.js";
+import { type WatcherChoice, watchersFor } from "./relay/watcherChoice.js";
 import { UpstreamDirectory } from "./upstream/upstreamDirectory.js";
 import { UpstreamFeed } from "./upstream/upstreamFeed.js";
 
@@ -52,6 +53,16 @@
 const FinalWriteMs = 400;
 
 const NsPerMs = 1_000_000n;
+const BytesPerMbit = 125_000;
+
+/**
+ * Interval in which a lost store is tested, in milliseconds; each call is priced. A host that others tell of its return tests it
+ * less often, and is in step well within the time in which the store counts as unstable.
+ */
+const ProbeIntervalMs = 500;
+const ToldProbeIntervalMs = 1_500;
+
+const NoHosts: readonly BudgetPeer[] = [];
 
 /** Hosts to assume for each zone until they are listed. */
 const ExpectedHostsPerZone = 2;
@@ -67,6 +78,7 @@
     readonly #directory: UpstreamDirectory;
     readonly #upstreamFeed: UpstreamFeed;
     readonly #budgets: BudgetKeeper;
+    readonly #store: GatedStore;
     readonly #members: MemberList;
     readonly #relayClient = new RelayClient();
     readonly #relayServer: RelayServer;
@@ -77,12 +89,14 @@
     readonly #incarnation: string;
     readonly #start: ProcessStart;
     #ticker: NodeJS.Timeout | undefined;
+    #chosen: { readonly others: readonly BudgetPeer[]; readonly choice: WatcherChoice<BudgetPeer>; } | undefined;
     #isLeaving = false;
     #wasConnected = true;
 
     constructor(settings: EdgeSettings, parts: EdgeParts) {
         this.#settings = settings;
         this.#parts = parts;
+        this.#store = new GatedStore(parts.store, this.#clock);
         this.#start = { wallMs: this.#clock.wallMs(), steadyMs: steadyMs() };
         this.#incarnation = `${Math.floor(this.#clock.wallMs()).toString(36)}${this.#random.hex(6)}`;
         this.#directory = new UpstreamDirectory(this.#clock);
@@ -93,7 +107,7 @@
         });
         this.#upstreamFeed = new UpstreamFeed(watched, parts.objects, this.#clock, this.#directory);
         this.#members = new MemberList({
-            store: parts.store,
+            store: this.#store,
             clock: this.#clock,
             prefix: parts.objects.hostPrefix,
             own: { hostId: settings.hostId, zone: settings.zone, peerAddress: settings.peerAddress },
@@ -121,7 +135,8 @@
 
     /** @returns Whether a request taken now could be served. */
     get isReady(): boolean {
-        return !this.#isLeaving && this.#configuration.table !== undefined && !this.#directory.isEmpty;
+        return !this.#isLeaving && !this.#listener.isBusy && this.#configuration.table !== undefined &&
+            !this.#directory.isEmpty;
     }
 
     /**
@@ -223,35 +238,52 @@
         return Math.max(knownCount, this.#settings.zoneCount * ExpectedHostsPerZone);
     }
 
+    /** @returns Whether other hosts tell this one of the store's return, and it has no budgets to keep there. */
+    get #isTold(): boolean {
+        return this.#watcherChoice.kind === "ask" && !this.#budgets.holdsTokens &&
+            this.#configuration.table !== undefined;
+    }
+
     #tick(): void {
         this.#directory.tick();
         this.#members.tick();
+        this.#listener.tick();
         const { isConnected } = this.#configuration;
         if (isConnected && !this.#wasConnected) {
             this.#budgets.onStoreReturned();
         }
         this.#wasConnected = isConnected;
+        this.#store.probeIntervalMs = this.#isTold ? ToldProbeIntervalMs : ProbeIntervalMs;
         if (this.#configuration.table !== undefined) {
             this.#budgets.tick();
         }
     }
 
+    /** The choice depends on the list of hosts alone and is made anew when that changes. */
+    get #watcherChoice(): WatcherChoice<BudgetPeer> {
+        const others = this.#members.others ?? NoHosts;
+        if (this.#chosen?.others !== others) {
+            const { hostId, zone, peerAddress } = this.#settings;
+            const own = { hostId, zone, peerAddress };
+            this.#chosen = { others, choice: watchersFor([...others, own], own) };
+        }
+        return this.#chosen.choice;
+    }
+
     /** Watches of both feeds; they go to a watcher of the zone where there is one. */
     #createRelayedStore(): RelayedStore {
-        const { hostId, zone, peerAddress } = this.#settings;
-        const own = { hostId, zone, peerAddress };
         return new RelayedStore({
-            store: this.#parts.store,
+            store: this.#store,
             client: this.#relayClient,
             clock: this.#clock,
             counters: this.#metrics.counters,
-            choice: () => watchersFor([...this.#members.others ?? [], own], own),
+            choice: () => this.#watcherChoice,
         });
     }
 
     #createBudgets(): BudgetKeeper {
         return new BudgetKeeper({
-            store: this.#parts.store,
+            store: this.#store,
             clock: this.#clock,
             counters: this.#metrics.counters,
             channel: this.#channel,
@@ -273,7 +305,7 @@
     }
 
     #createListener(): CallerListener {
-        const { retryRatio, retryWindowMs, retrySlackCount, maxHeaderBytes, zone } = this.#settings;
+        const { retryRatio, retryWindowMs, retrySlackCount, maxHeaderBytes, zone, linkMbps } = this.#settings;
         return new CallerListener({
             clock: this.#clock,
             random: this.#random,
@@ -287,6 +319,7 @@
             metrics: this.#metrics,
             zone,
             maxHeaderBytes,
+            linkBytesPerS: linkMbps === undefined ? undefined : linkMbps * BytesPerMbit,
             othersLoad: upstream => this.#gossip.loadAt(upstream.entry.id),
             configuration: () => this.#configuration,
             isLeaving: () => this.#isLeaving,
--- a/src/edge/flow/callerListener.ts
+++ b/src/edge/flow/callerListener.ts
@@ -6,6 +6,8 @@
 import { EdgeCounterNames } from "../metrics.js";
 import type { RouteTable } from "../routing/routeTable.js";
 import { CallerAnswer, type EdgeFailure } from "./callerAnswer.js";
+import { ConnectionBytes } from "./connectionBytes.js";
+import { LinkLoad } from "./linkLoad.js";
 import { type EdgeRequest, type FlowParts, RequestFlow } from "./requestFlow.js";
 
 /** The configuration in force, as the listener needs it. */
@@ -19,6 +21,8 @@
 export interface ListenerParts extends FlowParts {
     readonly maxHeaderBytes: number;
     configuration(): ConfigurationView;
+    /** Capacity of the host's link in each direction, in bytes per second; `undefined` when it is not known. */
+    readonly linkBytesPerS: number | undefined;
     /** @returns Whether the process is shutting down. */
     isLeaving(): boolean;
 }
@@ -33,6 +37,12 @@
 /** Retry-After while the host cannot judge a request: a store outage of some seconds may last on, in milliseconds. */
 const NotReadyRetryMs = 500;
 
+/** Retry-After while the link is full, in milliseconds: a retry goes to another host. */
+const LinkFullRetryMs = 50;
+
+/** Interval in which the link's load is looked at, in milliseconds. */
+const LinkCheckIntervalMs = 100;
+
 /** Time allowed for a request whose caller states no deadline, in milliseconds. */
 const DefaultDeadlineMs = 60_000;
 
@@ -43,6 +53,10 @@
 export class CallerListener {
     readonly #parts: ListenerParts;
     readonly #server: Server;
+    readonly #bytes: ConnectionBytes;
+    readonly #link: LinkLoad;
+    #linkCheckMs = 0;
+    #wasBusy = false;
     #openCount = 0;
     #isStopping = false;
     #isRefusing = false;
@@ -57,6 +71,8 @@
             connectionsCheckingInterval: HeadCheckIntervalMs,
             noDelay: true,
         }, (request, response) => this.#onRequest(request, response));
+        this.#bytes = new ConnectionBytes(this.#server);
+        this.#link = new LinkLoad(parts.linkBytesPerS);
         this.#server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => onBadRequest(error, socket));
     }
 
@@ -65,6 +81,28 @@
         return this.#openCount;
     }
 
+    /** @returns Whether new callers should go to other hosts. */
+    get isBusy(): boolean {
+        return this.#link.isBusy;
+    }
+
+    /** Looks at the link's load; called every few ten milliseconds. */
+    tick(): void {
+        const nowMs = this.#parts.clock.monotonicMs();
+        if (nowMs - this.#linkCheckMs < LinkCheckIntervalMs) {
+            return;
+        }
+        this.#linkCheckMs = nowMs;
+        this.#link.note(this.#bytes.totalBytes, nowMs);
+        if (this.#link.isBusy !== this.#wasBusy) {
+            this.#wasBusy = this.#link.isBusy;
+            log.info(this.#wasBusy ? "link busy" : "link calm", {
+                usedPart: this.#link.usedPart,
+                open: this.#openCount,
+            });
+        }
+    }
+
     /** Opens the listener. */
     async start(host: string, port: number): Promise<number> {
         await new Promise<void>((resolve, reject) => {
@@ -114,7 +152,7 @@
             }
         });
         response.on("error", error => log.debug("caller connection failed", { error: error.message }));
-        if (this.#parts.isLeaving()) {
+        if (this.#parts.isLeaving() || this.#link.movesConnections(arrivedMs)) {
             response.shouldKeepAlive = false;
         }
         const facts = this.#parts.codec.readCaller(request.rawHeaders);
@@ -144,6 +182,9 @@
         if (table === undefined) {
             return { code: "NotReady", ran: "no", retryAfterMs: NotReadyRetryMs };
         }
+        if (this.#link.isFull) {
+            return { code: "Overloaded", ran: "no", retryAfterMs: LinkFullRetryMs };
+        }
         if (facts.requestId === undefined) {
             return { code: "MalformedHeader", ran: "no" };
         }
--- a/src/edge/relay/changeLog.ts
+++ b/src/edge/relay/changeLog.ts
@@ -25,8 +25,10 @@
         readonly revision: number;
         readonly ageMs: number;
     }
-    /** The asked revision is older than the log, or the log is too old. */
-    | { readonly kind: "unknown"; };
+    /** The asked revision is older than the log: the store knows what came since. */
+    | { readonly kind: "olderThanLog"; }
+    /** The store was not heard for too long. */
+    | { readonly kind: "stale"; };
 
 /** Log of one prefix. */
 export class ChangeLog {
@@ -66,8 +68,11 @@
 
     /** @returns What is known of the changes after a revision. */
     since(afterRevision: number, nowMs: number): LogAnswer {
-        if (this.#firstRevision === undefined || afterRevision < this.#firstRevision || this.freshForMs(nowMs) < 0) {
-            return { kind: "unknown" };
+        if (this.#firstRevision === undefined || this.freshForMs(nowMs) < 0) {
+            return { kind: "stale" };
+        }
+        if (afterRevision < this.#firstRevision) {
+            return { kind: "olderThanLog" };
         }
         return {
             kind: "changes",
--- a/src/edge/relay/relay.spec.ts
+++ b/src/edge/relay/relay.spec.ts
@@ -141,17 +141,22 @@
         });
     });
 
+    describe("given a watcher whose log begins later", () => {
+        it("catches up from the store, and asks the watcher again (guards against a fleet that watches after each start)", async () => {
+            await asker.watch("k/", 9, 3_000);
+            expect(store.watches).toEqual([{ after: 9, waitMs: 1 }]);
+            expect(counters.snapshot()["edge.relay.failures"] ?? 0).toBe(0);
+            await asker.watch("k/", 10, 50);
+            expect(store.watches.length).toBe(1);
+        });
+    });
+
     describe("given a watcher that cannot be used", () => {
         const watchesStore = async () => {
             await asker.watch("k/", 10, 3_000);
             return store.watches;
         };
 
-        it("watches the store when the watcher does not know the revision", async () => {
-            await asker.watch("k/", 9, 3_000);
-            expect(store.watches).toEqual([{ after: 9, waitMs: 1 }]);
-        });
-
         it("watches the store when the watcher has not heard of it (guards against news that stop with one cut)", async () => {
             clock.advance(1_500);
             expect(await watchesStore()).toEqual([{ after: 10, waitMs: 1 }]);
--- a/src/edge/relay/relayClient.ts
+++ b/src/edge/relay/relayClient.ts
@@ -2,7 +2,7 @@
 import { Agent, request as httpRequest } from "node:http";
 import { splitAddress } from "../../base/address.js";
 import type { WatchedChange, WatchOutcome } from "../../platform/platformStore.js";
-import { RelayAnswerSchema, RelayPath, TooLargeStatus } from "./relayServer.js";
+import { AskStoreStatus, RelayAnswerSchema, RelayPath } from "./relayServer.js";
 
 /** Time for an answer beyond the wait that was asked for, in milliseconds: a few round trips and a busy watcher. */
 const AnswerTimeoutMs = 300;
@@ -13,8 +13,8 @@
 /** Answer of a watcher, or why there is none. */
 export type RelayOutcome =
     | { readonly status: "changed"; readonly outcome: WatchOutcome; }
-    /** There are changes that are left to the store. */
-    | { readonly status: "tooLarge"; }
+    /** A sound watcher leaves the changes to the store. */
+    | { readonly status: "askStore"; }
     | { readonly status: "failed"; readonly reason: string; };
 
 /** Client with kept connections. */
@@ -60,8 +60,8 @@
 }
 
 function readAnswer(status: number, text: string): RelayOutcome {
-    if (status === TooLargeStatus) {
-        return { status: "tooLarge" };
+    if (status === AskStoreStatus) {
+        return { status: "askStore" };
     }
     if (status !== 200) {
         return { status: "failed", reason: `status ${status}` };
--- a/src/edge/relay/relayServer.ts
+++ b/src/edge/relay/relayServer.ts
@@ -9,8 +9,8 @@
 /** Path of the only call. */
 export const RelayPath = "/changes";
 
-/** Status of an answer whose changes are left to the store. */
-export const TooLargeStatus = 413;
+/** Status of an answer by a sound watcher that leaves the changes to the store. */
+export const AskStoreStatus = 409;
 
 /** Longest wait of a call, in milliseconds. */
 const LongestWaitMs = 5_000;
@@ -79,8 +79,8 @@
     #answerOrWait(changes: ChangeLog, { after, waitMs }: z.infer<typeof QuerySchema>, response: ServerResponse): void {
         const nowMs = this.#parts.clock.monotonicMs();
         const known = changes.since(after, nowMs);
-        if (known.kind === "unknown") {
-            answer(response, 503, {});
+        if (known.kind !== "changes") {
+            answer(response, known.kind === "stale" ? 503 : AskStoreStatus, {});
             return;
         }
         if (known.changes.length > 0 || waitMs <= 0) {
@@ -109,7 +109,7 @@
 ): void {
     const text = JSON.stringify({ changes: known.changes, revision: known.revision, ageMs: known.ageMs });
     if (text.length > MostRelayedBytes) {
-        answer(response, TooLargeStatus, {});
+        answer(response, AskStoreStatus, {});
         return;
     }
     send(response, 200, text);
--- a/src/edge/storeFeed.spec.ts
+++ b/src/edge/storeFeed.spec.ts
@@ -130,6 +130,32 @@
             expect(store.lists).toBe(3);
         });
 
+        it("lists although other calls use up the tests (guards against a host that stays without a configuration)", async () => {
+            const store = new ScriptedStore();
+            const clock = new ManualClock();
+            const gated = new GatedStore(store, clock);
+            for (let call = 0; call < 30; call++) {
+                await gated.put("k/a", 1, 0);
+                await gated.put("k/a", 1, 0);
+                clock.advance(500);
+                await gated.put("k/a", 1, 0);
+                expect((await gated.list("k/", "", 1)).status).toBe("listed");
+            }
+        });
+
+        it("tests it as often as it is told to", async () => {
+            const store = new ScriptedStore();
+            const clock = new ManualClock();
+            const gated = new GatedStore(store, clock);
+            gated.probeIntervalMs = 1_500;
+            store.listOutcome = { status: "unavailable", reason: "down" };
+            for (let call = 0; call < 32; call++) {
+                await gated.list("k/", "", 1);
+                clock.advance(100);
+            }
+            expect(store.lists).toBe(2 + 2);
+        });
+
         it("passes calls on as soon as one is answered", async () => {
             const store = new ScriptedStore();
             const clock = new ManualClock();
--- a/src/platform/gatedStore.ts
+++ b/src/platform/gatedStore.ts
@@ -1,4 +1,4 @@
-/** Spares a store that does not answer: while it is lost, one call at a time tests whether it is back. */
+/** Spares a store that does not answer: while it is lost, one call at a time, and one listing of each prefix, test it. */
 import type { Clock } from "../base/clock.js";
 import {
     type ListOutcome,
@@ -8,8 +8,8 @@
     type WriteOutcome,
 } from "./platformStore.js";
 
-/** Shortest time between the starts of two calls to a lost store, in milliseconds. Each call is priced, also a refused one. */
-const ProbeIntervalMs = 500;
+/** Time between two tests unless it is set, in milliseconds. */
+const DefaultProbeIntervalMs = 500;
 
 const Lost = "the store is lost and is being tested";
 
@@ -19,13 +19,22 @@
 /** Longest wait of a watch that may test a lost store, in milliseconds; a longer one would hold up all other calls. */
 const LongestProbeWaitMs = 100;
 
+/** A test of a lost store. */
+interface Probe {
+    startedMs: number;
+    isOpen: boolean;
+}
+
 /** Passes calls on; while the store is lost, most are refused without a call. */
 export class GatedStore extends PlatformStore {
     readonly #store: PlatformStore;
     readonly #clock: Clock;
+    /** Shortest time between the starts of two calls to a lost store, in milliseconds. */
+    probeIntervalMs = DefaultProbeIntervalMs;
     #failures = 0;
-    #probeMs = Number.NEGATIVE_INFINITY;
-    #isProbing = false;
+    readonly #anyCall: Probe = { startedMs: Number.NEGATIVE_INFINITY, isOpen: false };
+    /** Tests by listings, by prefix: other calls must not use up the tests of a process that has no configuration yet. */
+    readonly #listings = new Map<string, Probe>();
 
     constructor(store: PlatformStore, clock: Clock) {
         super();
@@ -46,7 +55,10 @@
     }
 
     override list(prefix: string, afterKey: string, limit: number): Promise<ListOutcome> {
-        return this.#pass(() => this.#store.list(prefix, afterKey, limit), { status: "unavailable", reason: Lost });
+        const probe = this.#listings.get(prefix) ?? { startedMs: Number.NEGATIVE_INFINITY, isOpen: false };
+        this.#listings.set(prefix, probe);
+        const lost: ListOutcome = { status: "unavailable", reason: Lost };
+        return this.#pass(() => this.#store.list(prefix, afterKey, limit), lost, probe);
     }
 
     override watch(prefix: string, afterRevision: number, waitMs: number): Promise<WatchOutcome> {
@@ -57,21 +69,25 @@
         return this.#pass(() => this.#store.watch(prefix, afterRevision, waitMs), lost);
     }
 
-    async #pass<T extends { readonly status: string; }>(call: () => Promise<T>, lost: T): Promise<T> {
+    async #pass<T extends { readonly status: string; }>(
+        call: () => Promise<T>,
+        lost: T,
+        probe = this.#anyCall,
+    ): Promise<T> {
         if (!this.#isLost) {
             return this.#note(await call());
         }
         const nowMs = this.#clock.monotonicMs();
-        if (this.#isProbing || nowMs - this.#probeMs < ProbeIntervalMs) {
+        if (probe.isOpen || nowMs - probe.startedMs < this.probeIntervalMs) {
             return lost;
         }
-        this.#probeMs = nowMs;
-        this.#isProbing = true;
+        probe.startedMs = nowMs;
+        probe.isOpen = true;
         try {
             return this.#note(await call());
         }
         finally {
-            this.#isProbing = false;
+            probe.isOpen = false;
         }
     }
 
