Ask a watcher that lost the store again after a second

A watcher that says that it has lost the store, or has just started, answers at once and costs no call: it is asked again after 1 s. Watchers that do not answer are still passed over for 5 s. Two tests fail without the change.

--- a/src/edge/relay/relay.spec.ts
+++ b/src/edge/relay/relay.spec.ts
@@ -162,6 +162,24 @@
             expect(await watchesStore()).toEqual([{ after: 10, waitMs: 1 }]);
         });
 
+        it("asks it again soon after it heard of the store (guards against an outage after which all hosts watch)", async () => {
+            clock.advance(1_500);
+            await watchesStore();
+            clock.advance(1_000);
+            await watcher.watch("k/", 10, 3_000);
+            await asker.watch("k/", 10, 50);
+            expect(store.watches.length).toBe(1);
+        });
+
+        it("asks it again soon when it has just started", async () => {
+            await asker.watch("other/", 10, 3_000);
+            expect(store.watches).toEqual([{ after: 10, waitMs: 1 }]);
+            clock.advance(1_000);
+            await watcher.watch("other/", 10, 3_000);
+            await asker.watch("other/", 10, 50);
+            expect(store.watches.length).toBe(1);
+        });
+
         it("is told when the watcher loses the store while it waits", async () => {
             const outcome = watchesStore();
             await sleep(100);
--- a/src/edge/relay/relayClient.ts
+++ b/src/edge/relay/relayClient.ts
@@ -2,7 +2,7 @@
 import { Agent, request as httpRequest } from "node:http";
 import { splitAddress } from "../../base/address.js";
 import type { WatchedChange, WatchOutcome } from "../../platform/platformStore.js";
-import { AskStoreStatus, RelayAnswerSchema, RelayPath } from "./relayServer.js";
+import { AskStoreStatus, RelayAnswerSchema, RelayPath, StaleStatus } from "./relayServer.js";
 
 /** Time for an answer beyond the wait that was asked for, in milliseconds: a few round trips and a busy watcher. */
 const AnswerTimeoutMs = 300;
@@ -15,6 +15,8 @@
     | { readonly status: "changed"; readonly outcome: WatchOutcome; }
     /** A sound watcher leaves the changes to the store. */
     | { readonly status: "askStore"; }
+    /** The watcher has lost the store itself. */
+    | { readonly status: "stale"; }
     | { readonly status: "failed"; readonly reason: string; };
 
 /** Client with kept connections. */
@@ -63,6 +65,9 @@
     if (status === AskStoreStatus) {
         return { status: "askStore" };
     }
+    if (status === StaleStatus) {
+        return { status: "stale" };
+    }
     if (status !== 200) {
         return { status: "failed", reason: `status ${status}` };
     }
--- a/src/edge/relay/relayServer.ts
+++ b/src/edge/relay/relayServer.ts
@@ -12,6 +12,9 @@
 /** Status of an answer by a sound watcher that leaves the changes to the store. */
 export const AskStoreStatus = 409;
 
+/** Status of an answer by a watcher that has lost the store. */
+export const StaleStatus = 503;
+
 /** Longest wait of a call, in milliseconds. */
 const LongestWaitMs = 5_000;
 
@@ -68,11 +71,15 @@
     #serve(request: IncomingMessage, response: ServerResponse): void {
         const url = new URL(request.url ?? "/", "http://relay");
         const query = QuerySchema.safeParse(Object.fromEntries(url.searchParams));
-        const changes = query.success && url.pathname === RelayPath ? this.#parts.logOf(query.data.prefix) : undefined;
-        if (!query.success || changes === undefined) {
+        if (!query.success || url.pathname !== RelayPath) {
             answer(response, 404, {});
             return;
         }
+        const changes = this.#parts.logOf(query.data.prefix);
+        if (changes === undefined) {
+            answer(response, StaleStatus, {});
+            return;
+        }
         this.#answerOrWait(changes, query.data, response);
     }
 
@@ -80,7 +87,7 @@
         const nowMs = this.#parts.clock.monotonicMs();
         const known = changes.since(after, nowMs);
         if (known.kind !== "changes") {
-            answer(response, known.kind === "stale" ? 503 : AskStoreStatus, {});
+            answer(response, known.kind === "stale" ? StaleStatus : AskStoreStatus, {});
             return;
         }
         if (known.changes.length > 0 || waitMs <= 0) {
--- a/src/edge/relay/relayedStore.ts
+++ b/src/edge/relay/relayedStore.ts
@@ -14,7 +14,7 @@
 } from "../../platform/platformStore.js";
 import { EdgeCounterNames } from "../metrics.js";
 import { ChangeLog } from "./changeLog.js";
-import type { RelayClient } from "./relayClient.js";
+import type { RelayClient, RelayOutcome } from "./relayClient.js";
 import type { WatcherChoice } from "./watcherChoice.js";
 
 /**
@@ -27,7 +27,13 @@
 const DirectWaitMs = 1_000;
 
 /** Time for which a watcher that failed is passed over, in milliseconds; a process is replaced in one to three seconds. */
-const AvoidMs = 5_000;
+const AvoidFailedMs = 5_000;
+
+/**
+ * Time for which a watcher that has lost the store is passed over, in milliseconds. It answers at once and costs no call; after an
+ * outage of all hosts a longer time would have each of them watch the store for itself.
+ */
+const AvoidStaleMs = 1_000;
 
 /** What the store is built from. */
 export interface RelayedStoreParts {
@@ -39,6 +45,9 @@
     choice(): WatcherChoice<{ readonly peerAddress: string; }>;
 }
 
+/** An answer that does not help, of a watcher that is not sound. */
+type RelayFailure = Extract<RelayOutcome, { status: "failed" | "stale"; }>;
+
 /** Decides for each watch where it goes. */
 export class RelayedStore extends PlatformStore {
     readonly #parts: RelayedStoreParts;
@@ -91,8 +100,8 @@
             if (relayed.status === "changed") {
                 return relayed.outcome;
             }
-            if (relayed.status === "failed") {
-                this.#avoid(watcher, prefix, relayed.reason);
+            if (relayed.status !== "askStore") {
+                this.#avoid(watcher, prefix, relayed);
             }
         }
         // After a watcher was asked the call only tells what it did not.
@@ -111,9 +120,10 @@
         return outcome;
     }
 
-    #avoid(watcher: string, prefix: string, reason: string): void {
-        this.#avoidedUntilMs.set(watcher, this.#parts.clock.monotonicMs() + AvoidMs);
+    #avoid(watcher: string, prefix: string, outcome: RelayFailure): void {
+        const forMs = outcome.status === "stale" ? AvoidStaleMs : AvoidFailedMs;
+        this.#avoidedUntilMs.set(watcher, this.#parts.clock.monotonicMs() + forMs);
         this.#parts.counters.add(EdgeCounterNames.relayFailures);
-        log.info("watcher passed over", { watcher, prefix, reason, forMs: AvoidMs });
+        log.info("watcher passed over", { watcher, prefix, ...outcome, forMs });
     }
 }
