Name the lender in refusals, and its numbers in the lender's log

A request that is refused for its team's budget is decided by another host since tokens lie at two homes. Its line now names that host, and the line of the refused loan there has the numbers and their age; docs/operations.md says how to follow them. No change of behaviour.

--- a/src/edge/budget/budgetKeeper.ts
+++ b/src/edge/budget/budgetKeeper.ts
@@ -78,6 +78,7 @@
             incarnation,
             accounts: this.#accounts,
             reserveForLoan: (team, tokens) => this.#reserveForLoan(team, tokens),
+            describe: team => this.#describe(this.#accounts.open(team)),
         });
     }
 
@@ -306,7 +307,6 @@
         });
     }
 
-    /** The numbers that decided a refusal, and how old they are. */
     #logRefusal(
         requestId: string,
         account: TeamAccount,
@@ -314,16 +314,24 @@
         startedMs: number,
         refusal: BudgetRefusal,
     ): void {
-        const ledger = this.#ledgerOf(account.name) ?? EmptyTeamLedger;
-        const prepaidTokens = this.#parts.prepaidTokens(account.name) ?? 0;
-        const sync = this.#ledgers.find(account.name);
         log.info("reservation refused", {
             request: requestId,
             team: account.name,
             result: refusal.reason,
             retryAfterMs: refusal.retryAfterMs,
+            lender: refusal.lender,
             waitedMs: Math.round(this.#nowMs - startedMs),
             costTokens,
+            ...this.#describe(account),
+        });
+    }
+
+    /** The numbers that decide about a team's tokens here, and how old they are. */
+    #describe(account: TeamAccount): Record<string, unknown> {
+        const ledger = this.#ledgerOf(account.name) ?? EmptyTeamLedger;
+        const prepaidTokens = this.#parts.prepaidTokens(account.name) ?? 0;
+        const sync = this.#ledgers.find(account.name);
+        return {
             spareTokens: account.spareTokens(this.#nowMs),
             heldTokens: account.grantedTokens - account.usedTokens,
             borrowedTokens: account.borrowedTokens,
@@ -333,7 +341,7 @@
             ledgerVersion: sync?.known?.version,
             ledgerAgeMs: sync === undefined ? undefined : Math.round(sync.ageMs),
             storeLost: this.#ledgers.isLost(account.name),
-        });
+        };
     }
 }
 
--- a/src/edge/budget/budgetRefusal.ts
+++ b/src/edge/budget/budgetRefusal.ts
@@ -11,6 +11,8 @@
     readonly reason: RefusalReason;
     /** Time after which a retry is of use, in milliseconds; `undefined` when none is. */
     readonly retryAfterMs: number | undefined;
+    /** Address of the host that gave the reason, where another one did; its log has the numbers. */
+    readonly lender?: string | undefined;
 }
 
 /** Retry-After where another host, to which a retry goes, may serve it, in milliseconds. */
--- a/src/edge/budget/loanBorrower.spec.ts
+++ b/src/edge/budget/loanBorrower.spec.ts
@@ -70,7 +70,7 @@
             borrow(1_000);
             answer("b:1", 0, { r: "atRisk", d: 5_000 });
             answer("c:1", 0, { r: "paced", d: 700 });
-            expect(refusals).toEqual([{ reason: "paced", retryAfterMs: 700 }]);
+            expect(refusals).toEqual([{ reason: "paced", retryAfterMs: 700, lender: "c:1" }]);
             expect(asked().length).toBe(2);
         });
 
--- a/src/edge/budget/loanBorrower.ts
+++ b/src/edge/budget/loanBorrower.ts
@@ -192,7 +192,7 @@
             this.#take(loan, ask);
         }
         if (loan.r !== undefined) {
-            search.refusals.push({ reason: loan.r, retryAfterMs: loan.d });
+            search.refusals.push({ reason: loan.r, retryAfterMs: loan.d, lender: sender });
         }
         search.missingTokens -= loan.w;
         if (search.number === loan.n) {
--- a/src/edge/budget/loanLender.spec.ts
+++ b/src/edge/budget/loanLender.spec.ts
@@ -35,6 +35,7 @@
             accounts,
             incarnation: "own",
             reserveForLoan: (_team, tokens) => decide(tokens),
+            describe: () => ({}),
         });
     });
 
--- a/src/edge/budget/loanLender.ts
+++ b/src/edge/budget/loanLender.ts
@@ -28,6 +28,8 @@
     readonly incarnation: string;
     /** Reserves own tokens for another host; a promise when tokens must be drawn first. */
     reserveForLoan(team: string, tokens: number): LoanDecision | Promise<LoanDecision>;
+    /** @returns The numbers that decide about a team's tokens, and how old they are, for the log. */
+    describe(team: string): Record<string, unknown>;
 }
 
 /** Loans to one borrowing process for one team, in all. */
@@ -112,6 +114,7 @@
                 tokens: ownTokens,
                 wanted: request.w,
                 ...refusal,
+                ...this.#parts.describe(request.t),
             });
         }
         return answer;
