--- a/src/edge/flow/linkLoad.ts
+++ b/src/edge/flow/linkLoad.ts
@@ -3,8 +3,8 @@
  * than others: on a small link requests then wait for each other until their deadlines pass, while other hosts are idle.
  */
 
-/** Time over which the rate is taken, in milliseconds: some large requests on a small link. */
-const RateWindowMs = 500;
+/** Time over which the rate is taken, in milliseconds: ten large requests at once are a fifth of a small link. */
+const RateWindowMs = 1_000;
 
 /**
  * Part of the link from which the host wants no more callers, and below which it takes them again. A link that is overrun takes
