--- a/src/edge/budget/budgetKeeper.ts
+++ b/src/edge/budget/budgetKeeper.ts
@@ -11,7 +11,7 @@
 import { TeamLedgers, type TeamLedgersParts } from "./teamLedgers.js";
 
 /**
- * Age up to which the ledger's word that no tokens are left to draw is taken for true, in milliseconds. Top-ups are known from
+ * Age up to which a ledger without tokens to draw is not read again, in milliseconds. Top-ups are known from
  * the configuration at once; what else changes it is a host that gives tokens back.
  */
 const FreshLedgerMs = 3_000;
--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -133,7 +133,7 @@
         });
     }
 
-    /** @returns Whether a request taken now could be served. */
+    /** @returns Whether a request taken now could be served, and the link has room for more callers. */
     get isReady(): boolean {
         return !this.#isLeaving && !this.#listener.isBusy && this.#configuration.table !== undefined &&
             !this.#directory.isEmpty;
--- a/src/edge/relay/changeLog.ts
+++ b/src/edge/relay/changeLog.ts
@@ -5,7 +5,7 @@
 const MostBatches = 200;
 
 /**
- * Age of the store's last answer up to which a watcher's word is good, in milliseconds: the longest wait of a watcher's own
+ * Age of the store's last answer up to which a watcher's log counts as current, in milliseconds: the longest wait of a watcher's own
  * call and a slow answer. Hosts must learn of a leaving upstream within two seconds, also when their watcher is cut off.
  */
 export const FreshMs = 1_400;
--- a/src/edge/relay/relayServer.ts
+++ b/src/edge/relay/relayServer.ts
@@ -31,7 +31,7 @@
 export const RelayAnswerSchema = z.object({
     changes: z.array(z.object({ key: z.string(), object: StoredObjectSchema.optional() })),
     revision: z.number().int().nonnegative(),
-    /** Age of the store's last word, in milliseconds. */
+    /** Age of the store's last answer, in milliseconds. */
     ageMs: z.number().nonnegative(),
 });
 
--- a/src/platform/platformStore.ts
+++ b/src/platform/platformStore.ts
@@ -56,7 +56,7 @@
         readonly status: "changed";
         readonly changes: readonly WatchedChange[];
         readonly revision: number;
-        /** Age of the store's word in milliseconds, where it came by way of another host. */
+        /** Age of the store's answer in milliseconds, where it was relayed by another host. */
         readonly ageMs?: number | undefined;
     }
     /** The changes since that revision are no longer kept; list the prefix again. */
