--- a/src/control/storeAccess.ts
+++ b/src/control/storeAccess.ts
@@ -9,7 +9,7 @@
 
 /** Reads all objects below a prefix, in pages. */
 export async function listAll(
-    context: ControlContext,
+    context: Pick<ControlContext, "store">,
     prefix: string,
 ): Promise<Result<StoredObject[], CommandFailure>> {
     const objects: StoredObject[] = [];
--- a/src/edge/readout/fleetReadout.ts
+++ b/src/edge/readout/fleetReadout.ts
@@ -2,15 +2,13 @@
 import { Result } from "true-myth";
 import { ExitCodes } from "../../base/exitCodes.js";
 import { both, type CommandFailure, type CommandResult, fail, storeUnavailable } from "../../control/commandResult.js";
-import type { PlatformStore, StoredObject } from "../../platform/platformStore.js";
+import { listAll } from "../../control/storeAccess.js";
+import type { PlatformStore } from "../../platform/platformStore.js";
 import { LedgerSchema, type TeamLedger, unheldTokens } from "../budget/ledger.js";
 import type { EdgeConfiguration } from "../edgeTypes.js";
 import { MemberSchema } from "../peers/memberList.js";
 import type { ObjectCodec } from "../protocolCodec.js";
 
-/** Objects that a listing asks for at once. */
-const PageSize = 500;
-
 /** Reads one fleet's state. */
 export class FleetReadout {
     readonly #store: PlatformStore;
@@ -73,7 +71,7 @@
 
     /** @returns Hosts of the fleet and their addresses; objects that name none are shown with their problem. */
     async hosts(): Promise<CommandResult> {
-        const listed = await this.#listAll(this.#objects.hostPrefix);
+        const listed = await listAll({ store: this.#store }, this.#objects.hostPrefix);
         return listed.map(objects => {
             const rows = objects.map(object => {
                 const host = object.key.slice(this.#objects.hostPrefix.length);
@@ -94,7 +92,7 @@
 
     /** @returns Upstreams that the platform lists; entries that name none are shown with their problem. */
     async upstreams(): Promise<CommandResult> {
-        const listed = await this.#listAll(this.#objects.upstreamPrefix);
+        const listed = await listAll({ store: this.#store }, this.#objects.upstreamPrefix);
         return listed.map(objects => {
             const rows = objects.map(object => {
                 const id = object.key.slice(this.#objects.upstreamPrefix.length);
@@ -131,7 +129,7 @@
 
     async #readLedgers(): Promise<Result<ReadonlyMap<string, TeamLedger>, CommandFailure>> {
         const prefix = `${this.#objects.ownPrefix}ledger-`;
-        const listed = await this.#listAll(this.#objects.ownPrefix);
+        const listed = await listAll({ store: this.#store }, this.#objects.ownPrefix);
         return listed.andThen(objects => {
             const teams = new Map<string, TeamLedger>();
             for (const { key, value } of objects.filter(object => object.key.startsWith(prefix))) {
@@ -144,19 +142,6 @@
             return Result.ok(teams);
         });
     }
-
-    async #listAll(prefix: string): Promise<Result<readonly StoredObject[], CommandFailure>> {
-        const objects: StoredObject[] = [];
-        for (let more = true, afterKey = ""; more; afterKey = objects.at(-1)?.key ?? "") {
-            const page = await this.#store.list(prefix, afterKey, PageSize);
-            if (page.status === "unavailable") {
-                return storeUnavailable(page.reason);
-            }
-            objects.push(...page.objects);
-            more = page.more && page.objects.length > 0;
-        }
-        return Result.ok(objects);
-    }
 }
 
 function balanceOf(team: string, prepaidTokens: number, ledger: TeamLedger | undefined) {
