Log what a request was doing when its caller left, and how far the event loop is behind

A caller that leaves is now logged with the stage of its request (reading, reserving, connecting, sent, answering), the age of the written bytes, the newest delay of the event loop and the used part of the link; orders that go on without their callers are logged too. Counters for each stage and a summary of the loop's delay are served with the other figures. No decision changes.

--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -15,6 +15,7 @@
 import type { EdgeSettings } from "./edgeSettings.js";
 import { CallerListener } from "./flow/callerListener.js";
 import { RetryBudgets } from "./flow/retryBudgets.js";
+import { LoopDelay } from "./loopDelay.js";
 import { EdgeMetrics } from "./metrics.js";
 import { LoadGossip } from "./peers/loadGossip.js";
 import { MemberList } from "./peers/memberList.js";
@@ -74,6 +75,7 @@
     readonly #clock: Clock = new SystemClock();
     readonly #random: Random = new SystemRandom();
     readonly #metrics = new EdgeMetrics(new Counters());
+    readonly #loopDelay = new LoopDelay(TickIntervalMs, delayMs => this.#metrics.recordLoopDelay(delayMs));
     readonly #configuration: ConfigurationKeeper;
     readonly #directory: UpstreamDirectory;
     readonly #upstreamFeed: UpstreamFeed;
@@ -245,6 +247,7 @@
     }
 
     #tick(): void {
+        this.#loopDelay.note(this.#clock.monotonicMs());
         this.#directory.tick();
         this.#members.tick();
         this.#listener.tick();
@@ -323,6 +326,7 @@
             othersLoad: upstream => this.#gossip.loadAt(upstream.entry.id),
             configuration: () => this.#configuration,
             isLeaving: () => this.#isLeaving,
+            loopDelayMs: () => this.#loopDelay.latestMs,
         });
     }
 }
--- a/src/edge/flow/attempt.ts
+++ b/src/edge/flow/attempt.ts
@@ -64,6 +64,7 @@
     #isOver = false;
     #isPaused = false;
     #heardAtMs: number;
+    #writtenAtMs: number | undefined;
     #silenceTimer: NodeJS.Timeout | undefined;
 
     constructor(input: AttemptInput, codec: HeaderCodec, clock: Clock, listener: AttemptListener) {
@@ -77,6 +78,7 @@
         this.#armSilence(input.silenceLimitMs);
         this.#connection.send(input.request, {
             accepts: head => this.#accepts(head),
+            onWritten: () => this.#writtenAtMs = this.#clock.monotonicMs(),
             onHead: head => this.#onHead(head),
             onBody: bytes => this.#onBody(bytes),
             onComplete: () => this.#onComplete(),
@@ -84,6 +86,11 @@
         });
     }
 
+    /** @returns Monotonic time at which the request was written, in milliseconds; `undefined` before the connection is open. */
+    get writtenAtMs(): number | undefined {
+        return this.#writtenAtMs;
+    }
+
     /** Stops the request at the upstream by closing its connection. */
     cancel(): void {
         if (!this.#isOver) {
--- a/src/edge/flow/callerListener.ts
+++ b/src/edge/flow/callerListener.ts
@@ -18,13 +18,15 @@
 }
 
 /** What the listener is built from. */
-export interface ListenerParts extends FlowParts {
+export interface ListenerParts extends Omit<FlowParts, "pressure"> {
     readonly maxHeaderBytes: number;
     configuration(): ConfigurationView;
     /** Capacity of the host's link in each direction, in bytes per second; `undefined` when it is not known. */
     readonly linkBytesPerS: number | undefined;
     /** @returns Whether the process is shutting down. */
     isLeaving(): boolean;
+    /** @returns Newest delay of the event loop, in milliseconds. */
+    loopDelayMs(): number;
 }
 
 /** Interval in which over-long heads are looked for, in milliseconds. */
@@ -52,6 +54,7 @@
 /** Listener for callers. */
 export class CallerListener {
     readonly #parts: ListenerParts;
+    readonly #flowParts: FlowParts;
     readonly #server: Server;
     readonly #bytes: ConnectionBytes;
     readonly #link: LinkLoad;
@@ -63,6 +66,13 @@
 
     constructor(parts: ListenerParts) {
         this.#parts = parts;
+        this.#flowParts = {
+            ...parts,
+            pressure: () => ({
+                loopDelayMs: Math.round(parts.loopDelayMs()),
+                linkUsedPart: Math.round(this.#link.usedPart * 100) / 100,
+            }),
+        };
         this.#server = createServer({
             maxHeaderSize: parts.maxHeaderBytes,
             keepAliveTimeout: InitialIdleMs + IdleGraceMs,
@@ -228,7 +238,7 @@
                 arrivedMs,
                 endsMs: arrivedMs + timeLimitMs,
             };
-            const flow = new RequestFlow(this.#parts, request, answer);
+            const flow = new RequestFlow(this.#flowParts, request, answer);
             response.once("close", () => {
                 if (!response.writableFinished) {
                     flow.onCallerGone();
@@ -243,6 +253,15 @@
             run(undefined);
             return;
         }
+        message.once("aborted", () => {
+            this.#parts.metrics.counters.add(EdgeCounterNames.callersLeftReading);
+            log.info("caller left while its request was read", {
+                request: facts.requestId,
+                route: route.name,
+                elapsedMs: Math.round(this.#parts.clock.monotonicMs() - arrivedMs),
+                ...this.#flowParts.pressure(),
+            });
+        });
         collectBody(message, table.configuration.limits.maxBodyBytes, body => {
             if (body === undefined) {
                 answer.fail({ code: "BodyTooLarge", ran: "no" });
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -21,6 +21,14 @@
 import { serialiseRequest } from "./serialiseRequest.js";
 import { StreamRelay } from "./streamRelay.js";
 
+/** How busy the host is. */
+export interface HostPressure {
+    /** Newest delay of the event loop, in milliseconds. */
+    readonly loopDelayMs: number;
+    /** Part of the host's link in use, 0 to 1. */
+    readonly linkUsedPart: number;
+}
+
 /** What all requests share. */
 export interface FlowParts {
     readonly clock: Clock;
@@ -33,6 +41,8 @@
     readonly zone: string;
     /** @returns Load that other hosts put on an upstream. */
     othersLoad(upstream: Upstream): PeerLoad;
+    /** @returns How busy the host is now. */
+    pressure(): HostPressure;
 }
 
 /** A caller's request, routed and read. */
@@ -67,6 +77,15 @@
 const RetryAfterPart = 1 / 4;
 const LongestRetryAfterMs = 1_000;
 
+/** What a request was doing when its caller left, with the counter of each. */
+const LeaveCounters = {
+    reserving: EdgeCounterNames.callersLeftReserving,
+    connecting: EdgeCounterNames.callersLeftConnecting,
+    sent: EdgeCounterNames.callersLeftSent,
+    answering: EdgeCounterNames.callersLeftAnswering,
+} as const;
+type LeaveStage = keyof typeof LeaveCounters;
+
 /** How a request ended, with the counter of each way. */
 const OutcomeCounters = {
     complete: EdgeCounterNames.requestsComplete,
@@ -126,11 +145,24 @@
         if (this.#isOver) {
             return;
         }
+        const stage = this.#stage;
+        this.#parts.metrics.counters.add(LeaveCounters[stage]);
+        const { writtenAtMs } = this.#attempt ?? {};
+        const details = {
+            stage,
+            writtenAgeMs: writtenAtMs === undefined ? undefined : Math.round(this.#nowMs - writtenAtMs),
+            ...this.#parts.pressure(),
+        };
         if (this.#attempt !== undefined && this.#request.route.kind === "nonIdempotent") {
+            log.info("caller left, its request goes on", {
+                request: this.#request.requestId,
+                ...this.#describe(),
+                ...details,
+            });
             return;
         }
         this.#abandonAttempt();
-        this.#conclude("callerGone");
+        this.#conclude("callerGone", details);
     }
 
     onHead(head: ResponseHead): boolean {
@@ -187,6 +219,16 @@
         return this.#parts.clock.monotonicMs();
     }
 
+    get #stage(): LeaveStage {
+        if (this.#attempt === undefined) {
+            return "reserving";
+        }
+        if (this.#attempt.writtenAtMs === undefined) {
+            return "connecting";
+        }
+        return this.#firstByteMs === undefined ? "sent" : "answering";
+    }
+
     get #remainingMs(): number {
         return this.#request.endsMs - this.#nowMs;
     }
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -16,6 +16,11 @@
     requestsComplete: "edge.requests.complete",
     requestsFailedUpstream: "edge.requests.upstreamFailure",
     requestsCallerGone: "edge.requests.callerGone",
+    callersLeftReading: "edge.callers.left.reading",
+    callersLeftReserving: "edge.callers.left.reserving",
+    callersLeftConnecting: "edge.callers.left.connecting",
+    callersLeftSent: "edge.callers.left.sent",
+    callersLeftAnswering: "edge.callers.left.answering",
     requestsFailed: "edge.requests.failed",
     requestsRefused: "edge.requests.refused",
     sends: "edge.sends",
@@ -34,6 +39,7 @@
 export class EdgeMetrics {
     readonly counters: Counters;
     readonly #answerMs: Histogram = build({ highestTrackableValue: MaxLatencyMs });
+    readonly #loopDelayMs: Histogram = build({ highestTrackableValue: MaxLatencyMs });
     #server: Server | undefined;
 
     constructor(counters: Counters) {
@@ -42,7 +48,12 @@
 
     /** Records the time from a request's arrival to the first byte of its answer. */
     recordAnswer(elapsedMs: number): void {
-        this.#answerMs.recordValue(Math.min(MaxLatencyMs, Math.max(0, Math.round(elapsedMs))));
+        record(this.#answerMs, elapsedMs);
+    }
+
+    /** Records by how much a turn of the event loop was late. */
+    recordLoopDelay(delayMs: number): void {
+        record(this.#loopDelayMs, delayMs);
     }
 
     /** @returns All figures as text. */
@@ -51,15 +62,11 @@
             const metric = metricName(name);
             return `# TYPE ${metric} counter\n${metric} ${value}`;
         });
-        const quantiles = Percentiles.map(percent =>
-            `edge_answer_ms{quantile="${percent / 100}"} ${this.#answerMs.getValueAtPercentile(percent)}`
-        );
-        const summary = [
-            "# TYPE edge_answer_ms summary",
-            ...quantiles,
-            `edge_answer_ms_count ${this.#answerMs.totalCount}`,
+        const summaries = [
+            ...renderSummary("edge_answer_ms", this.#answerMs),
+            ...renderSummary("edge_loop_delay_ms", this.#loopDelayMs),
         ];
-        return `${[...counters, ...summary].join("\n")}\n`;
+        return `${[...counters, ...summaries].join("\n")}\n`;
     }
 
     /** Serves the figures. */
@@ -82,6 +89,17 @@
     }
 }
 
+function record(histogram: Histogram, valueMs: number): void {
+    histogram.recordValue(Math.min(MaxLatencyMs, Math.max(0, Math.round(valueMs))));
+}
+
+function renderSummary(name: string, histogram: Histogram): string[] {
+    const quantiles = Percentiles.map(percent =>
+        `${name}{quantile="${percent / 100}"} ${histogram.getValueAtPercentile(percent)}`
+    );
+    return [`# TYPE ${name} summary`, ...quantiles, `${name}_count ${histogram.totalCount}`];
+}
+
 /** @returns The name under which a counter is served. */
 export function metricName(name: string): string {
     return name.replace(/[^a-zA-Z0-9]/g, "_").replace(/([a-z])([A-Z])/g, "$1_$2").toLowerCase();
--- a/src/edge/transport/upstreamConnection.ts
+++ b/src/edge/transport/upstreamConnection.ts
@@ -16,6 +16,8 @@
 export interface ExchangeListener {
     /** @returns Whether the response belongs to the request; another one is skipped once. */
     accepts(head: ResponseHead): boolean;
+    /** The request was handed to the kernel, or waits in the socket's buffer. */
+    onWritten(): void;
     onHead(head: ResponseHead): void;
     onBody(bytes: Buffer): void;
     onComplete(): void;
@@ -132,6 +134,7 @@
             this.#socket.write(request.body);
         }
         this.#socket.uncork();
+        this.#listener?.onWritten();
     }
 
     #failureKind(): ExchangeFailure {
