Log the backlog of the host's outgoing link with callers that left

A kernel takes bytes long before a small link has carried them, and the log did not tell how many still waited when a caller left. The host now counts what it writes against the rate of its link (OutgoingLink) and logs the wait. No decision depends on it yet.

--- a/src/edge/flow/attempt.ts
+++ b/src/edge/flow/attempt.ts
@@ -24,6 +24,8 @@
 
 /** Receives a streamed answer as it arrives. */
 export interface AttemptListener {
+    /** The request was handed to the kernel. */
+    onWritten(bytes: number): void;
     /** @returns Whether the body is handed on as it arrives; otherwise it is collected. */
     onHead(head: ResponseHead): boolean;
     /** @returns Whether the caller keeps up. */
@@ -78,7 +80,7 @@
         this.#armSilence(input.silenceLimitMs);
         this.#connection.send(input.request, {
             accepts: head => this.#accepts(head),
-            onWritten: () => this.#writtenAtMs = this.#clock.monotonicMs(),
+            onWritten: () => this.#onWritten(),
             onHead: head => this.#onHead(head),
             onBody: bytes => this.#onBody(bytes),
             onComplete: () => this.#onComplete(),
@@ -122,6 +124,12 @@
         return requestId === undefined ? head.statusCode >= 400 : requestId === this.input.requestId;
     }
 
+    #onWritten(): void {
+        this.#writtenAtMs = this.#clock.monotonicMs();
+        const { head, body } = this.input.request;
+        this.#listener.onWritten(head.length + (body?.length ?? 0));
+    }
+
     #onHead(head: ResponseHead): void {
         this.#heard();
         this.#head = head;
--- a/src/edge/flow/callerAnswer.ts
+++ b/src/edge/flow/callerAnswer.ts
@@ -28,10 +28,18 @@
     readonly #response: ServerResponse;
     readonly #requestIdHeader: string;
     readonly #requestId: string | undefined;
+    readonly #onWritten: (bytes: number) => void;
     #isEnded = false;
 
-    constructor(response: ServerResponse, requestIdHeader: string, requestId: string | undefined) {
+    /** @param onWritten Called with the bytes of each body, or part of one, that is written. */
+    constructor(
+        response: ServerResponse,
+        requestIdHeader: string,
+        requestId: string | undefined,
+        onWritten: (bytes: number) => void,
+    ) {
         this.#response = response;
+        this.#onWritten = onWritten;
         this.#requestIdHeader = requestIdHeader;
         this.#requestId = requestId;
     }
@@ -60,6 +68,7 @@
 
     /** @returns Whether the caller keeps up. */
     write(bytes: Buffer): boolean {
+        this.#onWritten(bytes.length);
         return this.#response.write(bytes);
     }
 
@@ -71,6 +80,7 @@
     /** Ends a complete answer. */
     end(bytes?: Buffer): void {
         this.#isEnded = true;
+        this.#onWritten(bytes?.length ?? 0);
         this.#response.end(bytes);
     }
 
--- a/src/edge/flow/callerListener.ts
+++ b/src/edge/flow/callerListener.ts
@@ -8,6 +8,7 @@
 import { CallerAnswer, type EdgeFailure } from "./callerAnswer.js";
 import { ConnectionBytes } from "./connectionBytes.js";
 import { LinkLoad } from "./linkLoad.js";
+import { OutgoingLink } from "./outgoingLink.js";
 import { type EdgeRequest, type FlowParts, RequestFlow } from "./requestFlow.js";
 
 /** The configuration in force, as the listener needs it. */
@@ -18,7 +19,7 @@
 }
 
 /** What the listener is built from. */
-export interface ListenerParts extends Omit<FlowParts, "pressure"> {
+export interface ListenerParts extends Omit<FlowParts, "pressure" | "link"> {
     readonly maxHeaderBytes: number;
     configuration(): ConfigurationView;
     /** Capacity of the host's link in each direction, in bytes per second; `undefined` when it is not known. */
@@ -58,6 +59,7 @@
     readonly #server: Server;
     readonly #bytes: ConnectionBytes;
     readonly #link: LinkLoad;
+    readonly #outgoing: OutgoingLink;
     #linkCheckMs = 0;
     #wasBusy = false;
     #openCount = 0;
@@ -66,11 +68,14 @@
 
     constructor(parts: ListenerParts) {
         this.#parts = parts;
+        this.#outgoing = new OutgoingLink(parts.linkBytesPerS, parts.clock);
         this.#flowParts = {
             ...parts,
+            link: this.#outgoing,
             pressure: () => ({
                 loopDelayMs: Math.round(parts.loopDelayMs()),
                 linkUsedPart: Math.round(this.#link.usedPart * 100) / 100,
+                linkBacklogMs: Math.round(this.#outgoing.backlogMs),
             }),
         };
         this.#server = createServer({
@@ -166,7 +171,12 @@
             response.shouldKeepAlive = false;
         }
         const facts = this.#parts.codec.readCaller(request.rawHeaders);
-        const answer = new CallerAnswer(response, this.#parts.codec.requestIdHeader, facts.requestId);
+        const answer = new CallerAnswer(
+            response,
+            this.#parts.codec.requestIdHeader,
+            facts.requestId,
+            bytes => this.#outgoing.add(bytes),
+        );
         const routed = this.#route(request, facts);
         if ("code" in routed) {
             this.#parts.metrics.counters.add(EdgeCounterNames.requestsRefused);
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -16,6 +16,7 @@
 import { Attempt, type AttemptEnd, type AttemptListener } from "./attempt.js";
 import { AttemptHistory } from "./attemptHistory.js";
 import type { CallerAnswer, EdgeFailure } from "./callerAnswer.js";
+import type { OutgoingLink } from "./outgoingLink.js";
 import { RequestBudget } from "./requestBudget.js";
 import type { RetryBudgets } from "./retryBudgets.js";
 import { serialiseRequest } from "./serialiseRequest.js";
@@ -27,6 +28,8 @@
     readonly loopDelayMs: number;
     /** Part of the host's link in use, 0 to 1. */
     readonly linkUsedPart: number;
+    /** Time that bytes written now wait for the link, in milliseconds. */
+    readonly linkBacklogMs: number;
 }
 
 /** What all requests share. */
@@ -41,6 +44,8 @@
     readonly zone: string;
     /** @returns Load that other hosts put on an upstream. */
     othersLoad(upstream: Upstream): PeerLoad;
+    /** Outgoing direction of the host's link. */
+    readonly link: OutgoingLink;
     /** @returns How busy the host is now. */
     pressure(): HostPressure;
 }
@@ -165,6 +170,10 @@
         this.#conclude("callerGone", details);
     }
 
+    onWritten(bytes: number): void {
+        this.#parts.link.add(bytes);
+    }
+
     onHead(head: ResponseHead): boolean {
         const elapsedMs = this.#nowMs - this.#request.arrivedMs;
         this.#firstByteMs = Math.round(elapsedMs);
@@ -267,10 +276,11 @@
         }
         const { route, requestId } = this.#request;
         const { objectiveMs } = route;
+        const request = this.#serialise(upstream);
         this.#attempt = new Attempt(
             {
                 upstream,
-                request: this.#serialise(upstream),
+                request,
                 requestId,
                 prefillTokens: this.#request.facts.tokens?.promptTokens ?? 0,
                 maxIdleMs: this.#history.isRepeatable ? IdempotentIdleMs : NonIdempotentIdleMs,
