Send no order again after its caller left

Callers saw nothing, but orders started for callers that had left: when the caller of a request that may not be repeated leaves, the send goes on, since cutting an order halfway is worse.

The flow now remembers that the caller left and ends with the attempt.

--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -118,6 +118,8 @@
     /** When the stream last went on, and its longest pause, in milliseconds. */
     #wentOnMs: number | undefined;
     #longestPauseMs = 0;
+    /** Whether the caller left while work that may not be repeated goes on. */
+    #isCallerGone = false;
     #isOver = false;
 
     constructor(parts: FlowParts, request: EdgeRequest, answer: CallerAnswer) {
@@ -159,6 +161,7 @@
             ...this.#parts.pressure(),
         };
         if (this.#attempt !== undefined && this.#request.route.kind === "nonIdempotent") {
+            this.#isCallerGone = true;
             log.info("caller left, its request goes on", {
                 request: this.#request.requestId,
                 ...this.#describe(),
@@ -216,7 +219,10 @@
             return;
         }
         log.info("attempt failed", { request: this.#request.requestId, ...this.#describe(), ...end });
-        if (this.#mayRepeat(end)) {
+        if (this.#isCallerGone) {
+            this.#conclude("callerGone");
+        }
+        else if (this.#mayRepeat(end)) {
             this.#sendNext();
         }
         else {
