Stop opening a connection for an order whose caller left

An order whose connection to the upstream was still being opened when its caller left was written as soon as the connection opened, up to 500 ms later. A request that ends at its deadline before a byte was written is answered as not run (503) instead of unknown (504): nothing was sent.

--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -160,7 +160,7 @@
             writtenAgeMs: writtenAtMs === undefined ? undefined : Math.round(this.#nowMs - writtenAtMs),
             ...this.#parts.pressure(),
         };
-        if (this.#attempt !== undefined && this.#request.route.kind === "nonIdempotent") {
+        if (writtenAtMs !== undefined && this.#request.route.kind === "nonIdempotent") {
             this.#isCallerGone = true;
             log.info("caller left, its request goes on", {
                 request: this.#request.requestId,
@@ -389,8 +389,10 @@
             return;
         }
         this.#attempt.cancel();
-        this.#isAbandoned = true;
-        this.#history.noteStopped(this.#relay.hasEvents);
+        if (this.#attempt.writtenAtMs !== undefined) {
+            this.#isAbandoned = true;
+            this.#history.noteStopped(this.#relay.hasEvents);
+        }
     }
 
     #retryAfterMs(): number {
