Reset the upstream's connection when a request is given up

When a caller left, the host closed the connection to the upstream in an orderly way. The same holds for requests given up at their deadline, for silence and for events out of order.

A running exchange is now ended with a reset, which drops what has not left the host.

--- a/src/edge/transport/upstreamConnection.ts
+++ b/src/edge/transport/upstreamConnection.ts
@@ -115,9 +115,16 @@
         this.#socket.resume();
     }
 
-    /** Closes the connection at once; a running exchange gets no further call. */
+    /**
+     * Closes the connection at once; a running exchange gets no further call. Its connection is reset: after an orderly close the
+     * kernel would still deliver what waits in the socket, and the upstream would run it.
+     */
     destroy(): void {
+        const isRunning = this.#listener !== undefined;
         this.#listener = undefined;
+        if (isRunning && this.#connected && !this.#closed) {
+            this.#socket.resetAndDestroy();
+        }
         this.#close();
     }
 
