Look for the caller's close before a request is sent

A request that waits in its socket beside its caller's close was sent: the event loop reads the bytes first and finds the close in its next turn. The close itself was noticed only when the connection was closed, one or two turns after the end of the caller's bytes.

The flow now waits for one more poll of the sockets before it reserves tokens and sends; repeated sends and requests whose connection has just opened wait for the rest of their turn. The leave is taken from the end of the caller's bytes (CallerPresence). An idle loop polls at once, so this costs one system call a request.

The counter of callers that left before a send is named waiting, as it is no longer only for tokens that requests wait.

--- a/src/edge/flow/callerListener.ts
+++ b/src/edge/flow/callerListener.ts
@@ -6,6 +6,7 @@
 import { EdgeCounterNames } from "../metrics.js";
 import type { RouteTable } from "../routing/routeTable.js";
 import { CallerAnswer, type EdgeFailure } from "./callerAnswer.js";
+import { CallerPresence } from "./callerPresence.js";
 import { ConnectionBytes } from "./connectionBytes.js";
 import { LinkLoad } from "./linkLoad.js";
 import { OutgoingLink } from "./outgoingLink.js";
@@ -191,7 +192,7 @@
             answer.fail(routed);
             return;
         }
-        this.#readAndRun(request, response, answer, facts, routed, arrivedMs);
+        this.#readAndRun(request, new CallerPresence(request, response), answer, facts, routed, arrivedMs);
     }
 
     #route(request: IncomingMessage, facts: CallerFacts): Routed | EdgeFailure {
@@ -225,7 +226,7 @@
 
     #readAndRun(
         message: IncomingMessage,
-        response: ServerResponse,
+        caller: CallerPresence,
         answer: CallerAnswer,
         facts: CallerFacts,
         { table, route, team }: Routed,
@@ -249,11 +250,7 @@
                 endsMs: arrivedMs + timeLimitMs,
             };
             const flow = new RequestFlow(this.#flowParts, request, answer);
-            response.once("close", () => {
-                if (!response.writableFinished) {
-                    flow.onCallerGone();
-                }
-            });
+            caller.whenGone(() => flow.onCallerGone());
             flow.run().catch((error: unknown) => {
                 log.error("request flow failed", { request: facts.requestId, error: String(error) });
                 answer.breakOff();
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -1,6 +1,7 @@
 /** The course of one request: route, authenticate, reserve, send, relay, settle. */
 import type { Clock } from "../../base/clock.js";
 import { log } from "../../base/log.js";
+import { nextPoll } from "../../base/nextPoll.js";
 import type { Random } from "../../base/random.js";
 import type { BudgetKeeper } from "../budget/budgetKeeper.js";
 import type { CallerFacts, EdgeTeam, Route } from "../edgeTypes.js";
@@ -84,7 +85,7 @@
 
 /** What a request was doing when its caller left, with the counter of each. */
 const LeaveCounters = {
-    reserving: EdgeCounterNames.callersLeftReserving,
+    waiting: EdgeCounterNames.callersLeftWaiting,
     connecting: EdgeCounterNames.callersLeftConnecting,
     sent: EdgeCounterNames.callersLeftSent,
     answering: EdgeCounterNames.callersLeftAnswering,
@@ -141,13 +142,18 @@
         }
         this.#endTimer = setTimeout(() => this.#onTimeout(), remainingMs);
         this.#parts.retries.countRequest(this.#service, this.#nowMs);
+        // A request that waited in the socket is read before its caller's close, which the next poll finds.
+        await nextPoll();
+        if (this.#isOver) {
+            return;
+        }
         if (!await this.#reserve() || this.#isOver) {
             return;
         }
         this.#sendNext();
     }
 
-    /** The caller closed its connection: work that may be repeated or is a stream stops at the upstream. */
+    /** The caller closed its connection: what is not written is not sent, and only orders that are written go on. */
     onCallerGone(): void {
         if (this.#isOver) {
             return;
@@ -223,20 +229,29 @@
             this.#conclude("callerGone");
         }
         else if (this.#mayRepeat(end)) {
-            this.#sendNext();
+            this.#repeat();
         }
         else {
             this.#giveUp(end);
         }
     }
 
+    /** Sends once more after this turn of the event loop, which may have found the caller's close as well. */
+    #repeat(): void {
+        setImmediate(() => {
+            if (!this.#isOver) {
+                this.#sendNext();
+            }
+        });
+    }
+
     get #nowMs(): number {
         return this.#parts.clock.monotonicMs();
     }
 
     get #stage(): LeaveStage {
         if (this.#attempt === undefined) {
-            return "reserving";
+            return "waiting";
         }
         if (this.#attempt.writtenAtMs === undefined) {
             return "connecting";
@@ -363,7 +378,7 @@
             this.#giveUp(failed);
         }
         else {
-            this.#sendNext();
+            this.#repeat();
         }
     }
 
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -17,7 +17,7 @@
     requestsFailedUpstream: "edge.requests.upstreamFailure",
     requestsCallerGone: "edge.requests.callerGone",
     callersLeftReading: "edge.callers.left.reading",
-    callersLeftReserving: "edge.callers.left.reserving",
+    callersLeftWaiting: "edge.callers.left.waiting",
     callersLeftConnecting: "edge.callers.left.connecting",
     callersLeftSent: "edge.callers.left.sent",
     callersLeftAnswering: "edge.callers.left.answering",
--- a/src/edge/transport/upstreamConnection.ts
+++ b/src/edge/transport/upstreamConnection.ts
@@ -72,7 +72,8 @@
         this.#socket.once("connect", () => {
             clearTimeout(timer);
             this.#connected = true;
-            this.#flush();
+            // The request is written after the other events of this turn: one may tell that it is not wanted any more.
+            setImmediate(() => this.#flush());
         });
         this.#socket.on("data", (bytes: Buffer) => this.#onData(bytes));
         this.#socket.on("end", () => this.#onPeerEnd());
