End the wait for tokens when the caller leaves

A request whose caller left while it waited for tokens stayed in the queue of its team for up to 800 ms: it kept others waiting behind it, and went on asking lenders. Nothing was sent for it, but what it drew or borrowed was out of reach of requests whose callers are there.

The end of a request now aborts its wait.

--- a/src/edge/budget/budgetKeeper.spec.ts
+++ b/src/edge/budget/budgetKeeper.spec.ts
@@ -92,6 +92,29 @@
         });
     });
 
+    describe("given a request whose caller leaves while it waits for tokens", () => {
+        it("ends the wait (guards against tokens that are drawn and borrowed for nobody)", async () => {
+            world.hostIds = ["a"];
+            const keeper = world.start("a");
+            await world.run([keeper], 500);
+            for (let round = 0; round < 10; round++) {
+                await spend(keeper, `r${round}`, 200);
+                await world.run([keeper], 200);
+            }
+            world.store.fault = "down";
+            await world.run([keeper], 2_600);
+            while (await spend(keeper, "r", 50)) {
+                // What the record and its release allow by now is used up; more is released later.
+            }
+            const caller = new AbortController();
+            const startedMs = performance.now();
+            const waiting = keeper.reserve("r", "t", 50, 800, caller.signal);
+            caller.abort();
+            expect(await waiting).toSatisfy(isRefusal);
+            expect(performance.now() - startedMs).toBeLessThan(400);
+        });
+    });
+
     describe("in an outage of the store, for a team without requests at the host so far", () => {
         it("serves a small request after a while (guards against held tokens that nobody may spend)", async () => {
             const keeper = world.start("a");
--- a/src/edge/budget/budgetKeeper.ts
+++ b/src/edge/budget/budgetKeeper.ts
@@ -25,6 +25,18 @@
 /** Time that a write to the ledger has before other hosts are asked, in milliseconds: a few answers of a sound store. */
 const BorrowAfterMs = 40;
 
+/** How a request waits for tokens. */
+interface TokenWait {
+    readonly longestMs: number;
+    /** Whether other hosts may be asked for tokens. */
+    readonly mayBorrow: boolean;
+    /** Ends the wait; `undefined` where nobody can leave. */
+    readonly unwanted: AbortSignal | undefined;
+}
+
+/** How another host's request waits here. */
+const LoanWait: TokenWait = { longestMs: LongestLoanWaitMs, mayBorrow: false, unwanted: undefined };
+
 /** Reservation of a team without a limit. */
 const FreeReservation: Reservation = { ownTokens: 0, borrowedTokens: 0 };
 
@@ -130,12 +142,14 @@
      * Reserves the worst-case cost of a request.
      * @param requestId Names the request in the log.
      * @param waitMs Longest wait for tokens, in milliseconds.
+     * @param unwanted Ends the wait, with a refusal that is not logged.
      */
     async reserve(
         requestId: string,
         team: string,
         costTokens: number,
         waitMs: number,
+        unwanted?: AbortSignal,
     ): Promise<Reservation | BudgetRefusal> {
         if (this.#parts.prepaidTokens(team) === undefined) {
             return FreeReservation;
@@ -143,8 +157,9 @@
         const account = this.#accounts.open(team);
         account.noteDemand(costTokens, this.#nowMs);
         const startedMs = this.#nowMs;
-        const result = await this.#reserve(account, costTokens, Math.min(waitMs, LongestWaitMs), true);
-        if (isRefusal(result)) {
+        const wait: TokenWait = { longestMs: Math.min(waitMs, LongestWaitMs), mayBorrow: true, unwanted };
+        const result = await this.#reserve(account, costTokens, wait);
+        if (isRefusal(result) && unwanted?.aborted !== true) {
             this.#logRefusal(requestId, account, costTokens, startedMs, result);
         }
         return result;
@@ -193,8 +208,7 @@
     #reserve(
         account: TeamAccount,
         costTokens: number,
-        waitMs: number,
-        mayBorrow: boolean,
+        wait: TokenWait,
     ): Reservation | BudgetRefusal | Promise<Reservation | BudgetRefusal> {
         const reservation = account.tryReserve(costTokens, this.#nowMs);
         if (reservation !== undefined) {
@@ -202,8 +216,9 @@
         }
         const refusal = this.#refusalFor(account, costTokens);
         const isHopeless = refusal.reason === "exhausted" ||
-            (!mayBorrow && !this.#mayDraw(account, costTokens) && !this.#isReleaseDue(account, costTokens, waitMs));
-        return isHopeless ? refusal : this.#waitForTokens(account, costTokens, waitMs, mayBorrow);
+            (!wait.mayBorrow && !this.#mayDraw(account, costTokens) &&
+                !this.#isReleaseDue(account, costTokens, wait.longestMs));
+        return isHopeless || wait.unwanted?.aborted === true ? refusal : this.#waitForTokens(account, costTokens, wait);
     }
 
     /** Serves another host from own tokens; what is there is lent when the whole is not to be had. */
@@ -214,7 +229,7 @@
         this.#ledgers.open(team);
         const account = this.#accounts.open(team);
         account.noteDemand(tokens, this.#nowMs);
-        const result = this.#reserve(account, tokens, LongestLoanWaitMs, false);
+        const result = this.#reserve(account, tokens, LoanWait);
         return result instanceof Promise ?
             result.then(late => this.#toLoan(account, late)) :
             this.#toLoan(account, result);
@@ -254,20 +269,21 @@
     #waitForTokens(
         account: TeamAccount,
         costTokens: number,
-        waitMs: number,
-        mayBorrow: boolean,
+        { longestMs, mayBorrow, unwanted }: TokenWait,
     ): Promise<Reservation | BudgetRefusal> {
         return new Promise(resolve => {
             let loanRefusal: BudgetRefusal | undefined;
             const finish = (reservation: Reservation | undefined) => {
                 clearTimeout(timer);
                 clearTimeout(borrowTimer);
+                unwanted?.removeEventListener("abort", abandon);
                 const index = account.waiting.indexOf(item);
                 if (index >= 0) {
                     account.waiting.splice(index, 1);
                 }
                 resolve(reservation ?? loanRefusal ?? this.#refusalFor(account, costTokens));
             };
+            const abandon = () => finish(undefined);
             const item = {
                 costTokens,
                 isDrawing: () => this.#mayDraw(account, account.waitingTokens),
@@ -277,13 +293,14 @@
             const borrow = () =>
                 this.#borrower.borrow(account, costTokens, isWaiting, refusal => {
                     loanRefusal = refusal;
-                    if (isWaiting() && !item.isDrawing() && !this.#isReleaseDue(account, 0, waitMs)) {
+                    if (isWaiting() && !item.isDrawing() && !this.#isReleaseDue(account, 0, longestMs)) {
                         finish(undefined);
                     }
                 });
             const isDrawing = this.#mayDraw(account, account.waitingTokens + costTokens);
-            const timer = setTimeout(() => finish(undefined), waitMs);
+            const timer = setTimeout(() => finish(undefined), longestMs);
             const borrowTimer = mayBorrow && isDrawing ? setTimeout(borrow, BorrowAfterMs) : undefined;
+            unwanted?.addEventListener("abort", abandon);
             account.waiting.push(item);
             if (isDrawing) {
                 this.tick();
--- a/src/edge/flow/requestBudget.ts
+++ b/src/edge/flow/requestBudget.ts
@@ -26,12 +26,21 @@
         return (this.#tokens?.promptTokens ?? 0) + (this.#tokens?.maxOutputTokens ?? 0);
     }
 
-    /** @returns Why the tokens are not available; `undefined` when they are reserved or none are needed. */
-    async reserve(remainingMs: number): Promise<BudgetRefusal | undefined> {
+    /**
+     * @param unwanted Ends the wait for tokens.
+     * @returns Why the tokens are not available; `undefined` when they are reserved or none are needed.
+     */
+    async reserve(remainingMs: number, unwanted: AbortSignal): Promise<BudgetRefusal | undefined> {
         if (this.#team === undefined || this.#tokens === undefined) {
             return undefined;
         }
-        const result = await this.#budgets.reserve(this.#requestId, this.#team.name, this.mostTokens, remainingMs);
+        const result = await this.#budgets.reserve(
+            this.#requestId,
+            this.#team.name,
+            this.mostTokens,
+            remainingMs,
+            unwanted,
+        );
         if (isRefusal(result)) {
             return result;
         }
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -122,6 +122,8 @@
     /** Whether the caller left while work that may not be repeated goes on. */
     #isCallerGone = false;
     #isOver = false;
+    /** Aborted at the end of the request, which ends a wait for tokens. */
+    readonly #ended = new AbortController();
 
     constructor(parts: FlowParts, request: EdgeRequest, answer: CallerAnswer) {
         this.#parts = parts;
@@ -265,13 +267,16 @@
 
     /** @returns Whether the tokens are reserved; otherwise the request is answered. */
     async #reserve(): Promise<boolean> {
-        const refusal = await this.#budget.reserve(this.#remainingMs);
+        const refusal = await this.#budget.reserve(this.#remainingMs, this.#ended.signal);
         if (refusal === undefined) {
             if (this.#isOver) {
                 this.#settle(false);
             }
             return true;
         }
+        if (this.#isOver) {
+            return false;
+        }
         this.#parts.metrics.counters.add(EdgeCounterNames.budgetRefusals);
         this.#fail({
             code: refusal.reason === "exhausted" ? "BudgetExhausted" : "BudgetUnavailable",
@@ -425,6 +430,7 @@
     /** Settles, counts and logs the end of the request. */
     #conclude(outcome: RequestOutcome, details: Record<string, unknown> = {}): void {
         this.#isOver = true;
+        this.#ended.abort();
         this.#attempt = undefined;
         clearTimeout(this.#endTimer);
         const chargedTokens = this.#settle(outcome === "complete");
