Keep requests from upstreams that state in an answer that they leave or want none

An upstream that leaves says so in its answers (Server-Leaving), at times before its entry in the store says so or reaches the host. A host that has seen it sends that start of the upstream nothing more. An upstream that turns a request away with 503 may add Retry-After; the host then sends it nothing for that time. When no other upstream is left, the caller is refused at once with the shortest such time, where it was told a part of its own deadline before.

Answers of another instance at the same address (421) say nothing of the upstream.

--- a/src/edge/edgeTypes.ts
+++ b/src/edge/edgeTypes.ts
@@ -145,4 +145,8 @@
     readonly isWrongUpstream: boolean;
     /** Whether the response bears the upstream's signature. */
     readonly isSigned: boolean;
+    /** Whether the upstream states that it leaves: it must get no new requests. */
+    readonly isLeaving: boolean;
+    /** Time for which the upstream wants no request of this host, in milliseconds; `undefined` when it states none. */
+    readonly restMs: number | undefined;
 }
--- a/src/edge/flow/attempt.ts
+++ b/src/edge/flow/attempt.ts
@@ -1,5 +1,6 @@
 /** One send of a request to one upstream. */
 import type { Clock } from "../../base/clock.js";
+import { log } from "../../base/log.js";
 import type { AnswerFacts } from "../edgeTypes.js";
 import type { HeaderCodec } from "../protocolCodec.js";
 import type { ResponseHead } from "../transport/responseParser.js";
@@ -134,6 +135,7 @@
         this.#heard();
         this.#head = head;
         this.#facts = this.#codec.readAnswer(head);
+        this.#noteWishes(this.#facts);
         if (head.statusCode < 300 && !this.#facts.isSigned) {
             this.#interrupt("malformed", "a success without the upstream's signature");
             return;
@@ -141,6 +143,22 @@
         this.#relays = !this.#isNotExecuted && this.#listener.onHead(head);
     }
 
+    /** Takes over what the upstream says of itself; an answer of another one at its address says nothing of it. */
+    #noteWishes({ isLeaving, isWrongUpstream, restMs }: AnswerFacts): void {
+        const { upstream, requestId } = this.input;
+        if (isWrongUpstream) {
+            return;
+        }
+        if (isLeaving && !upstream.isLeaving) {
+            upstream.leave();
+            log.info("upstream leaves", { upstream: upstream.entry.id, statedTo: requestId });
+        }
+        if (restMs !== undefined && restMs > 0) {
+            upstream.rest(restMs);
+            log.info("upstream wants no requests", { upstream: upstream.entry.id, forMs: restMs, statedTo: requestId });
+        }
+    }
+
     #onBody(bytes: Buffer): void {
         this.#heard();
         if (this.#relays) {
--- a/src/edge/flow/callerListener.ts
+++ b/src/edge/flow/callerListener.ts
@@ -8,9 +8,10 @@
 import { CallerAnswer, type EdgeFailure } from "./callerAnswer.js";
 import { CallerPresence } from "./callerPresence.js";
 import { ConnectionBytes } from "./connectionBytes.js";
+import type { EdgeRequest, FlowParts } from "./flowTypes.js";
 import { LinkLoad } from "./linkLoad.js";
 import { OutgoingLink } from "./outgoingLink.js";
-import { type EdgeRequest, type FlowParts, RequestFlow } from "./requestFlow.js";
+import { RequestFlow } from "./requestFlow.js";
 
 /** The configuration in force, as the listener needs it. */
 export interface ConfigurationView {
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -1,73 +1,20 @@
 /** The course of one request: route, authenticate, reserve, send, relay, settle. */
-import type { Clock } from "../../base/clock.js";
 import { log } from "../../base/log.js";
 import { nextPoll } from "../../base/nextPoll.js";
-import type { Random } from "../../base/random.js";
-import type { BudgetKeeper } from "../budget/budgetKeeper.js";
-import type { CallerFacts, EdgeTeam, Route } from "../edgeTypes.js";
-import { EdgeCounterNames, type EdgeMetrics } from "../metrics.js";
-import type { PeerLoad } from "../peers/peerLoads.js";
-import type { HeaderCodec, RawHeaders } from "../protocolCodec.js";
-import { chooseService, type RouteTable } from "../routing/routeTable.js";
+import { EdgeCounterNames } from "../metrics.js";
+import { chooseService } from "../routing/routeTable.js";
 import type { ResponseHead } from "../transport/responseParser.js";
 import type { OutgoingRequest } from "../transport/upstreamConnection.js";
 import type { Upstream } from "../upstream/upstream.js";
 import { chooseUpstream } from "../upstream/upstreamChoice.js";
-import type { UpstreamDirectory } from "../upstream/upstreamDirectory.js";
 import { Attempt, type AttemptEnd, type AttemptListener } from "./attempt.js";
 import { AttemptHistory } from "./attemptHistory.js";
 import type { CallerAnswer, EdgeFailure } from "./callerAnswer.js";
-import type { OutgoingLink } from "./outgoingLink.js";
+import type { EdgeRequest, FlowParts } from "./flowTypes.js";
 import { RequestBudget } from "./requestBudget.js";
-import type { RetryBudgets } from "./retryBudgets.js";
 import { serialiseRequest } from "./serialiseRequest.js";
 import { StreamRelay } from "./streamRelay.js";
 
-/** How busy the host is. */
-export interface HostPressure {
-    /** Newest delay of the event loop, in milliseconds. */
-    readonly loopDelayMs: number;
-    /** Part of the host's link in use, 0 to 1. */
-    readonly linkUsedPart: number;
-    /** Time that bytes written now wait for the link, in milliseconds. */
-    readonly linkBacklogMs: number;
-}
-
-/** What all requests share. */
-export interface FlowParts {
-    readonly clock: Clock;
-    readonly random: Random;
-    readonly codec: HeaderCodec;
-    readonly directory: UpstreamDirectory;
-    readonly budgets: BudgetKeeper;
-    readonly retries: RetryBudgets;
-    readonly metrics: EdgeMetrics;
-    readonly zone: string;
-    /** @returns Load that other hosts put on an upstream. */
-    othersLoad(upstream: Upstream): PeerLoad;
-    /** Outgoing direction of the host's link. */
-    readonly link: OutgoingLink;
-    /** @returns How busy the host is now. */
-    pressure(): HostPressure;
-}
-
-/** A caller's request, routed and read. */
-export interface EdgeRequest {
-    readonly requestId: string;
-    readonly method: string;
-    /** Path and query as the caller sent them. */
-    readonly target: string;
-    readonly headers: RawHeaders;
-    readonly body: Buffer | undefined;
-    readonly facts: CallerFacts;
-    readonly route: Route;
-    readonly team: EdgeTeam | undefined;
-    readonly table: RouteTable;
-    /** Monotonic time of arrival and of the latest answer, in milliseconds. */
-    readonly arrivedMs: number;
-    readonly endsMs: number;
-}
-
 /** Idle time up to which a kept connection is trusted with work that may not be repeated, in milliseconds. */
 const NonIdempotentIdleMs = 1_500;
 const IdempotentIdleMs = 4_000;
@@ -289,10 +236,8 @@
     #sendNext(): void {
         const upstream = this.#choose();
         if (upstream === undefined) {
-            this.#fail(
-                { code: "NoUpstream", ran: this.#history.ran, retryAfterMs: this.#retryAfterMs() },
-                "no upstream",
-            );
+            const retryAfterMs = Math.max(this.#retryAfterMs(), this.#shortestRestMs);
+            this.#fail({ code: "NoUpstream", ran: this.#history.ran, retryAfterMs }, "no upstream");
             return;
         }
         this.#history.noteSend(upstream.entry.id);
@@ -333,6 +278,13 @@
         }, this.#parts.random);
     }
 
+    /** Time until the first upstream takes requests again, in milliseconds; 0 when one does, or when there is none. */
+    get #shortestRestMs(): number {
+        const nowMs = this.#nowMs;
+        const restsMs = this.#parts.directory.usable(this.#service).map(upstream => upstream.restMs(nowMs));
+        return restsMs.length === 0 ? 0 : Math.min(...restsMs);
+    }
+
     #serialise(upstream: Upstream): OutgoingRequest {
         const { method, target, headers, body, team, route } = this.#request;
         const encoded = this.#parts.codec.encodeDispatch(headers, {
--- a/src/edge/upstream/upstream.ts
+++ b/src/edge/upstream/upstream.ts
@@ -23,6 +23,7 @@
     readonly #open = new Set<OpenDispatch>();
     #isLeaving: boolean;
     #heardAtMs = Number.NEGATIVE_INFINITY;
+    #restsUntilMs = Number.NEGATIVE_INFINITY;
 
     constructor(entry: UpstreamEntry, clock: Clock) {
         this.entry = entry;
@@ -42,6 +43,16 @@
         this.pool.closeIdle();
     }
 
+    /** Keeps requests away for a time that the upstream asked for, in milliseconds. */
+    rest(durationMs: number): void {
+        this.#restsUntilMs = Math.max(this.#restsUntilMs, this.#clock.monotonicMs() + durationMs);
+    }
+
+    /** @returns Time for which the upstream still wants no request, in milliseconds; 0 when it takes them. */
+    restMs(nowMs: number): number {
+        return Math.max(0, this.#restsUntilMs - nowMs);
+    }
+
     /** @returns Open requests of this host. */
     get openCount(): number {
         return this.#open.size;
--- a/src/edge/upstream/upstreamChoice.ts
+++ b/src/edge/upstream/upstreamChoice.ts
@@ -52,7 +52,9 @@
  * @returns The upstream, or `undefined` when no candidate is left.
  */
 export function chooseUpstream(input: ChoiceInput, random: Random): Upstream | undefined {
-    const untried = input.candidates.filter(({ entry }) => !input.excluded.has(entry.id));
+    const untried = input.candidates.filter(upstream =>
+        !input.excluded.has(upstream.entry.id) && upstream.restMs(input.nowMs) === 0
+    );
     const sound = untried.filter(upstream =>
         !upstream.health.isAvoided(input.nowMs) && !upstream.isSilent(input.nowMs)
     );
