--- a/src/edge/storeFeed.ts
+++ b/src/edge/storeFeed.ts
@@ -19,6 +19,9 @@
 /** Shortest time between two watch calls, so that a storm of changes is read in batches, in milliseconds. */
 const WatchSpacingMs = 30;
 
+/** Shortest time between two log lines on a store that stays lost, in milliseconds. */
+const LostLogSpacingMs = 1_000;
+
 /** Receives the objects. */
 export interface FeedListener {
     /** All objects, after the start and after each gap. */
@@ -36,6 +39,7 @@
     #confirmedMs = Number.NEGATIVE_INFINITY;
     #failedMs = Number.NEGATIVE_INFINITY;
     #isFailing = false;
+    #loggedMs = Number.NEGATIVE_INFINITY;
 
     constructor(store: PlatformStore, prefix: string, clock: Clock, listener: FeedListener) {
         this.#store = store;
@@ -136,14 +140,15 @@
 
     #noteFailure(reason: string): void {
         const nowMs = this.#clock.monotonicMs();
-        if (!this.#isFailing) {
-            this.#isFailing = true;
-            log.warn("store lost", {
+        if (!this.#isFailing || nowMs - this.#loggedMs >= LostLogSpacingMs) {
+            log.warn(this.#isFailing ? "store still lost" : "store lost", {
                 prefix: this.#prefix,
                 reason,
                 confirmedAgeMs: Math.round(nowMs - this.#confirmedMs),
             });
+            this.#loggedMs = nowMs;
         }
+        this.#isFailing = true;
         this.#failedMs = nowMs;
     }
 }
