Give up on answers whose bytes never end

Heads, chunk sizes and collected bodies were bounded already. Six ways were not, and held the caller until its deadline or filled the memory: interim answers, trailers, the body of an answer to another request, an event of a stream that does not end, and a stream with more events than the request has output tokens (each event holds one or more).

Each now ends the attempt as malformed and resets the connection.

--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -77,7 +77,11 @@
         this.#request = request;
         this.#answer = answer;
         this.#service = chooseService(request.route, parts.random.next());
-        this.#relay = new StreamRelay(answer, request.facts.lastEventId);
+        this.#relay = new StreamRelay(
+            answer,
+            request.facts.lastEventId,
+            request.facts.tokens?.maxOutputTokens,
+        );
         this.#history = new AttemptHistory(request.route);
         this.#budget = new RequestBudget(parts.budgets, request.requestId, request.team, request.facts.tokens);
     }
@@ -143,9 +147,10 @@
     onBody(bytes: Buffer, attempt: Attempt): boolean {
         this.#notePause();
         const outcome = this.#relay.push(bytes);
-        if (outcome === "outOfOrder") {
+        if (outcome === "outOfOrder" || outcome === "tooLong") {
             attempt.cancel();
-            this.onEnd({ status: "interrupted", reason: "malformed", detail: "events are out of order" });
+            const detail = outcome === "tooLong" ? "more events than output tokens" : "events are out of order";
+            this.onEnd({ status: "interrupted", reason: "malformed", detail });
             return true;
         }
         if (outcome === "callerIsSlow") {
--- a/src/edge/flow/streamRelay.ts
+++ b/src/edge/flow/streamRelay.ts
@@ -4,20 +4,28 @@
 import type { CallerAnswer } from "./callerAnswer.js";
 
 /** What became of a piece of the stream. */
-export type RelayOutcome = "written" | "callerIsSlow" | "outOfOrder";
+export type RelayOutcome = "written" | "callerIsSlow" | "outOfOrder" | "tooLong";
+
+/** Events beyond one for each output token: the start and the end of a stream may have their own. */
+const SpareEvents = 16;
 
 /** Hands complete events to the caller in order. */
 export class StreamRelay {
     readonly #answer: CallerAnswer;
+    readonly #mostEvents: number;
     #splitter = new EventSplitter();
     #head: ResponseHead | undefined;
     #isOpen = false;
     #eventCount = 0;
     #lastEventId: string | undefined;
 
-    /** @param lastEventId Event after which the caller resumes the stream. */
-    constructor(answer: CallerAnswer, lastEventId: string | undefined) {
+    /**
+     * @param lastEventId Event after which the caller resumes the stream.
+     * @param maxOutputTokens Most output tokens of the request; each event holds one or more.
+     */
+    constructor(answer: CallerAnswer, lastEventId: string | undefined, maxOutputTokens: number | undefined) {
         this.#answer = answer;
+        this.#mostEvents = (maxOutputTokens ?? Number.POSITIVE_INFINITY) + SpareEvents;
         this.#lastEventId = lastEventId;
     }
 
@@ -60,6 +68,10 @@
                 this.#isOpen = false;
                 return "outOfOrder";
             }
+            if (this.#eventCount >= this.#mostEvents) {
+                this.#isOpen = false;
+                return "tooLong";
+            }
             this.#start();
             this.#eventCount++;
             this.#lastEventId = event.id ?? this.#lastEventId;
--- a/src/edge/transport/eventSplitter.spec.ts
+++ b/src/edge/transport/eventSplitter.spec.ts
@@ -1,7 +1,16 @@
 import { describe, expect, it } from "vitest";
 import { EventSplitter } from "./eventSplitter.js";
+import { ResponseSyntaxError } from "./responseParser.js";
 
 describe("EventSplitter", () => {
+    describe("given an event without end", () => {
+        it("gives up (guards against a stream that fills the memory)", () => {
+            const splitter = new EventSplitter();
+            const push = () => splitter.push(Buffer.alloc(60_000, "x"));
+            expect(() => Array.from({ length: 10 }, push)).toThrow(ResponseSyntaxError);
+        });
+    });
+
     describe("given a stream in pieces", () => {
         it("hands on whole events only (guards against an event that breaks off at the caller)", () => {
             const splitter = new EventSplitter();
--- a/src/edge/transport/eventSplitter.ts
+++ b/src/edge/transport/eventSplitter.ts
@@ -1,5 +1,7 @@
 /** Splits a stream of server-sent events into complete events. */
 
+import { ResponseSyntaxError } from "./responseParser.js";
+
 /** One complete event with its separator. */
 export interface StreamEvent {
     readonly bytes: Buffer;
@@ -7,6 +9,9 @@
     readonly id: string | undefined;
 }
 
+/** Longest event, in bytes: far more than the output tokens of one event need. */
+const MaxEventBytes = 65_536;
+
 const NoBytes = Buffer.alloc(0);
 const IdField = /(?:^|\r?\n|\r)id:[ ]?([^\r\n]*)/;
 
@@ -17,6 +22,7 @@
     /**
      * @param bytes Bytes as received.
      * @returns The events that are complete now.
+     * @throws ResponseSyntaxError when an event does not end.
      */
     push(bytes: Buffer): StreamEvent[] {
         const data = this.#partial.length === 0 ? bytes : Buffer.concat([this.#partial, bytes]);
@@ -28,6 +34,9 @@
             start = end;
         }
         this.#partial = start === data.length ? NoBytes : data.subarray(start);
+        if (this.#partial.length > MaxEventBytes) {
+            throw new ResponseSyntaxError("an event of the stream does not end");
+        }
         return events;
     }
 
--- a/src/edge/transport/responseParser.spec.ts
+++ b/src/edge/transport/responseParser.spec.ts
@@ -18,6 +18,21 @@
 }
 
 describe("ResponseParser", () => {
+    describe("given bytes without end (guards against upstreams that hold a request until its deadline)", () => {
+        const endless = (start: string, piece: string) => () => parse("GET", start, piece.repeat(20_000));
+
+        it.each([
+            ["in a status line", "HTTP/1.1 200 O", "K"],
+            ["in a header", "HTTP/1.1 200 OK\r\nX-A: ", "a"],
+            ["in ever more headers", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n"],
+            ["in interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"],
+            ["in a chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"],
+            ["in a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n"],
+        ])("gives up %s", (_where, start, piece) => {
+            expect(endless(start, piece)).toThrow(ResponseSyntaxError);
+        });
+    });
+
     describe("given a response with a length", () => {
         it("ends after the last byte however it is cut (guards against answers that depend on packets)", () => {
             const text = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: b\r\n\r\nhello";
--- a/src/edge/transport/responseParser.ts
+++ b/src/edge/transport/responseParser.ts
@@ -28,6 +28,10 @@
 
 /** Longest head or chunk line, in bytes; matches the default of Node's own parser. */
 const MaxHeadBytes = 16_384;
+
+/** Interim answers before the final one; no server in use sends more than two. */
+const MostInterimAnswers = 8;
+
 const HeadEnd = Buffer.from("\r\n\r\n");
 const LineEnd = Buffer.from("\r\n");
 const StatusLine = /^HTTP\/1\.([01]) ([1-5][0-9][0-9])(?: ([^\r\n]*))?$/;
@@ -44,6 +48,8 @@
     #buffered: Buffer = NoBytes;
     #remainingBytes = 0;
     #hasBody = true;
+    #interimAnswers = 0;
+    #trailerBytes = 0;
 
     constructor(listener: ResponseListener) {
         this.#listener = listener;
@@ -56,6 +62,8 @@
     expectResponse(method: string): void {
         this.#state = "head";
         this.#hasBody = method !== "HEAD";
+        this.#interimAnswers = 0;
+        this.#trailerBytes = 0;
     }
 
     /** @returns Whether bytes are held back that belong to no finished part. */
@@ -125,6 +133,10 @@
         }
         const head = parseHead(this.#take(end + HeadEnd.length).subarray(0, end).toString("latin1"), this.#hasBody);
         if (head.statusCode < 200) {
+            this.#interimAnswers++;
+            if (this.#interimAnswers > MostInterimAnswers) {
+                throw new ResponseSyntaxError("no final answer after many interim ones");
+            }
             return true;
         }
         this.#listener.onHead(head);
@@ -191,6 +203,11 @@
         }
         if (line === "") {
             this.#end();
+            return true;
+        }
+        this.#trailerBytes += line.length;
+        if (this.#trailerBytes > MaxHeadBytes) {
+            throw new ResponseSyntaxError("the trailer is too long");
         }
         return true;
     }
--- a/src/edge/transport/upstreamConnection.ts
+++ b/src/edge/transport/upstreamConnection.ts
@@ -34,6 +34,9 @@
 /** Responses of earlier requests that are skipped on one connection before it is given up. */
 const MaxSkippedResponses = 2;
 
+/** Bytes of skipped responses after which the connection is given up; longer than any answer to a plain request. */
+const MaxSkippedBytes = 262_144;
+
 /** An empty line, which a server ignores before a request. */
 const ResetProbe = "\r\n";
 
@@ -48,6 +51,7 @@
     #head: ResponseHead | undefined;
     #skips = false;
     #skipped = 0;
+    #skippedBytes = 0;
     #connected = false;
     #closed = false;
     #written = false;
@@ -179,6 +183,11 @@
     #onBody(bytes: Buffer): void {
         if (!this.#skips) {
             this.#listener?.onBody(bytes);
+            return;
+        }
+        this.#skippedBytes += bytes.length;
+        if (this.#skippedBytes > MaxSkippedBytes) {
+            this.#fail("malformed", "the response belongs to another request and is too long");
         }
     }
 
