--- a/src/edge/storeFeed.ts
+++ b/src/edge/storeFeed.ts
@@ -117,7 +117,7 @@
             return revision;
         }
         if (outcome.status === "tooOld") {
-            log.info("store history is gone", { prefix: this.#prefix, revision });
+            log.info("store is listed again", { prefix: this.#prefix, revision });
             return await this.#list();
         }
         this.#noteAnswer(outcome.ageMs);
--- a/src/platform/platformStore.ts
+++ b/src/platform/platformStore.ts
@@ -59,7 +59,7 @@
         /** Age of the store's answer in milliseconds, where it was relayed by another host. */
         readonly ageMs?: number | undefined;
     }
-    /** The changes since that revision are no longer kept; list the prefix again. */
+    /** The changes since that revision are no longer kept, or are too many to be read; list the prefix again. */
     | { readonly status: "tooOld"; readonly revision: number; }
     | { readonly status: "unavailable"; readonly reason: string; };
 
