Give up on bodies of ever smaller chunks

Framing that outweighs the chunks by 16 KiB is now malformed. The parser's test for chunks of a byte failed before.

--- a/src/edge/transport/responseParser.spec.ts
+++ b/src/edge/transport/responseParser.spec.ts
@@ -27,6 +27,7 @@
             ["in ever more headers", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n"],
             ["in interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"],
             ["in a chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"],
+            ["in chunks of a byte", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"],
             ["in a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n"],
         ])("gives up %s", (_where, start, piece) => {
             expect(endless(start, piece)).toThrow(ResponseSyntaxError);
--- a/src/edge/transport/responseParser.ts
+++ b/src/edge/transport/responseParser.ts
@@ -50,6 +50,8 @@
     #hasBody = true;
     #interimAnswers = 0;
     #trailerBytes = 0;
+    /** Bytes of chunk sizes and line ends beyond those of the chunks. */
+    #excessFramingBytes = 0;
 
     constructor(listener: ResponseListener) {
         this.#listener = listener;
@@ -64,6 +66,7 @@
         this.#hasBody = method !== "HEAD";
         this.#interimAnswers = 0;
         this.#trailerBytes = 0;
+        this.#excessFramingBytes = 0;
     }
 
     /** @returns Whether bytes are held back that belong to no finished part. */
@@ -181,6 +184,11 @@
             throw new ResponseSyntaxError("a chunk has no valid size");
         }
         this.#remainingBytes = Number.parseInt(size, 16);
+        const framingBytes = line.length + 2 * LineEnd.length;
+        this.#excessFramingBytes = Math.max(0, this.#excessFramingBytes + framingBytes - this.#remainingBytes);
+        if (this.#excessFramingBytes > MaxHeadBytes) {
+            throw new ResponseSyntaxError("the chunks of the body are too small");
+        }
         this.#state = this.#remainingBytes === 0 ? "trailer" : "chunkData";
         return true;
     }
