--- a/src/edge/peers/loadGossip.ts
+++ b/src/edge/peers/loadGossip.ts
@@ -11,6 +11,9 @@
 /** Most hosts that get a report; in a larger fleet they are drawn anew for each one. */
 const MostReceivers = 8;
 
+/** Most upstreams in one report, so that it fits into a datagram: about 30 bytes each, with prompts of 100,000 tokens. */
+const MostUpstreams = 40;
+
 /** What the exchange is built from. */
 export interface LoadGossipParts {
     readonly clock: Clock;
@@ -56,12 +59,7 @@
     }
 
     #send(): void {
-        const load: LoadReport["l"] = {};
-        for (const upstream of this.#parts.directory.all) {
-            if (upstream.openCount > 0) {
-                load[upstream.entry.id] = [upstream.openCount, upstream.waitingPrefillTokens];
-            }
-        }
+        const load = this.#ownLoad();
         const isIdle = Object.keys(load).length === 0;
         if (isIdle && this.#wasIdle) {
             return;
@@ -74,6 +72,17 @@
         }
     }
 
+    /** Load at the upstreams with most open requests; the others hardly change a choice. */
+    #ownLoad(): LoadReport["l"] {
+        const busy = this.#parts.directory.all.filter(upstream => upstream.openCount > 0);
+        const reported = busy.length <= MostUpstreams ?
+            busy :
+            busy.toSorted((left, right) => right.openCount - left.openCount).slice(0, MostUpstreams);
+        return Object.fromEntries(
+            reported.map(upstream => [upstream.entry.id, [upstream.openCount, upstream.waitingPrefillTokens]]),
+        );
+    }
+
     #receivers(): readonly string[] {
         const addresses = [...this.#parts.peerAddresses()];
         while (addresses.length > MostReceivers) {
--- a/src/edge/peers/peerChannel.ts
+++ b/src/edge/peers/peerChannel.ts
@@ -7,7 +7,7 @@
 import { LoadReportSchema } from "./peerLoads.js";
 
 /** Largest datagram, in bytes; stays within one packet on common links. */
-const MaxDatagramBytes = 1_400;
+export const MaxDatagramBytes = 1_400;
 
 /** What hosts tell each other; `k` names the kind. */
 export const PeerMessageSchema = z.discriminatedUnion("k", [
