--- /dev/null
+++ b/src/edge/flow/callerLeave.ts
@@ -0,0 +1,34 @@
+/** What a request was doing when its caller left. */
+import { EdgeCounterNames } from "../metrics.js";
+import type { Attempt } from "./attempt.js";
+
+/** Counter of each stage. `waiting` is before the first send, or between two. */
+export const LeaveCounters = {
+    waiting: EdgeCounterNames.callersLeftWaiting,
+    connecting: EdgeCounterNames.callersLeftConnecting,
+    sent: EdgeCounterNames.callersLeftSent,
+    answering: EdgeCounterNames.callersLeftAnswering,
+} as const;
+export type LeaveStage = keyof typeof LeaveCounters;
+
+/** Stage of a request at the time of the leave. */
+export interface Leave {
+    readonly stage: LeaveStage;
+    /** Time since the request was written, in milliseconds; `undefined` when no byte was. */
+    readonly writtenAgeMs: number | undefined;
+}
+
+/**
+ * @param attempt The running attempt, if any.
+ * @param isAnswering Whether an answer has begun.
+ */
+export function describeLeave(attempt: Attempt | undefined, isAnswering: boolean, nowMs: number): Leave {
+    if (attempt === undefined) {
+        return { stage: "waiting", writtenAgeMs: undefined };
+    }
+    const { writtenAtMs } = attempt;
+    if (writtenAtMs === undefined) {
+        return { stage: "connecting", writtenAgeMs: undefined };
+    }
+    return { stage: isAnswering ? "answering" : "sent", writtenAgeMs: Math.round(nowMs - writtenAtMs) };
+}
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -10,6 +10,7 @@
 import { Attempt, type AttemptEnd, type AttemptListener } from "./attempt.js";
 import { AttemptHistory } from "./attemptHistory.js";
 import type { CallerAnswer, EdgeFailure } from "./callerAnswer.js";
+import { describeLeave, LeaveCounters } from "./callerLeave.js";
 import type { EdgeRequest, FlowParts } from "./flowTypes.js";
 import { RequestBudget } from "./requestBudget.js";
 import { serialiseRequest } from "./serialiseRequest.js";
@@ -30,15 +31,6 @@
 const RetryAfterPart = 1 / 4;
 const LongestRetryAfterMs = 1_000;
 
-/** What a request was doing when its caller left, with the counter of each. */
-const LeaveCounters = {
-    waiting: EdgeCounterNames.callersLeftWaiting,
-    connecting: EdgeCounterNames.callersLeftConnecting,
-    sent: EdgeCounterNames.callersLeftSent,
-    answering: EdgeCounterNames.callersLeftAnswering,
-} as const;
-type LeaveStage = keyof typeof LeaveCounters;
-
 /** How a request ended, with the counter of each way. */
 const OutcomeCounters = {
     complete: EdgeCounterNames.requestsComplete,
@@ -111,15 +103,10 @@
         if (this.#isOver) {
             return;
         }
-        const stage = this.#stage;
-        this.#parts.metrics.counters.add(LeaveCounters[stage]);
-        const { writtenAtMs } = this.#attempt ?? {};
-        const details = {
-            stage,
-            writtenAgeMs: writtenAtMs === undefined ? undefined : Math.round(this.#nowMs - writtenAtMs),
-            ...this.#parts.pressure(),
-        };
-        if (writtenAtMs !== undefined && this.#request.route.kind === "nonIdempotent") {
+        const leave = describeLeave(this.#attempt, this.#firstByteMs !== undefined, this.#nowMs);
+        this.#parts.metrics.counters.add(LeaveCounters[leave.stage]);
+        const details = { ...leave, ...this.#parts.pressure() };
+        if (leave.writtenAgeMs !== undefined && this.#request.route.kind === "nonIdempotent") {
             this.#isCallerGone = true;
             log.info("caller left, its request goes on", {
                 request: this.#request.requestId,
@@ -203,16 +190,6 @@
         return this.#parts.clock.monotonicMs();
     }
 
-    get #stage(): LeaveStage {
-        if (this.#attempt === undefined) {
-            return "waiting";
-        }
-        if (this.#attempt.writtenAtMs === undefined) {
-            return "connecting";
-        }
-        return this.#firstByteMs === undefined ? "sent" : "answering";
-    }
-
     get #remainingMs(): number {
         return this.#request.endsMs - this.#nowMs;
     }
@@ -325,23 +302,17 @@
             return;
         }
         const failed: AttemptEnd = { status: "interrupted", reason: "malformed", detail: `status ${head.statusCode}` };
-        if (this.#relay.hasEvents || (head.statusCode >= 500 && this.#mayRepeat(failed))) {
-            this.#repeatAfter(failed);
-            return;
-        }
-        this.#answer.start(head);
-        this.#answer.end(body);
-        this.#conclude(head.statusCode < 400 ? "complete" : "upstreamFailure");
-    }
-
-    /** A failed answer of an upstream is replaced by another run, or ends a stream that had begun. */
-    #repeatAfter(failed: AttemptEnd): void {
         if (this.#relay.hasEvents) {
             this.#giveUp(failed);
+            return;
         }
-        else {
+        if (head.statusCode >= 500 && this.#mayRepeat(failed)) {
             this.#repeat();
+            return;
         }
+        this.#answer.start(head);
+        this.#answer.end(body);
+        this.#conclude(head.statusCode < 400 ? "complete" : "upstreamFailure");
     }
 
     #giveUp(end: AttemptEnd): void {
