--- a/src/base/nextPoll.spec.ts
+++ b/src/base/nextPoll.spec.ts
@@ -1,27 +1,35 @@
-import { connect, createServer } from "node:net";
-import { describe, expect, it } from "vitest";
+import { connect, createServer, type Socket } from "node:net";
+import { afterEach, describe, expect, it } from "vitest";
 import { nextPoll } from "./nextPoll.js";
 
 describe("nextPoll", () => {
-    describe("given bytes that wait in a socket", () => {
+    const closing: { close(): void; }[] = [];
+
+    afterEach(() => closing.splice(0).forEach(each => each.close()));
+
+    describe("given bytes that arrive while the event loop handles what it found", () => {
         it("settles after they were read (guards against decisions that miss what has arrived)", async () => {
-            const server = createServer(socket => socket.write("x"));
+            let peer: Socket | undefined;
+            const server = createServer(socket => {
+                peer = socket;
+                socket.write("1");
+            });
             await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
             const address = server.address();
-            const port = typeof address === "object" ? address!.port : 0;
-            const socket = connect(port, "127.0.0.1");
-            let received = false;
-            socket.on("data", () => received = true);
-            await new Promise(resolve => socket.once("connect", resolve));
-            await nextPoll();
-            const untilMs = performance.now() + 50;
-            while (performance.now() < untilMs) {
-                // The bytes arrive while the event loop stands still.
-            }
-            await nextPoll();
-            expect(received).toBe(true);
-            socket.destroy();
-            server.close();
+            const client = connect(typeof address === "object" ? address!.port : 0, "127.0.0.1");
+            closing.push({ close: () => client.destroy() }, server);
+            let received = "";
+            const settled = new Promise<string>(resolve => {
+                client.on("data", bytes => {
+                    received += bytes.toString();
+                    if (received === "1") {
+                        // This is the poll phase: the next byte is in the kernel before the immediates of this turn run.
+                        peer?.write("2");
+                        void nextPoll().then(() => resolve(received));
+                    }
+                });
+            });
+            expect(await settled).toBe("12");
         });
     });
 });
