Name the relay's time-out in the test fleet, and build its listing without a cast

The time after which a host gives a watcher up used the constant of a slow store, which is 300 ms by coincidence. No behaviour changes; the fleet's seven tests pass.

--- a/src/standins/relayWorld.ts
+++ b/src/standins/relayWorld.ts
@@ -24,6 +24,9 @@
 export const HostFaults = ["dead", "frozen", "suspended", "storeCut", "peerCut", "storeSlow"] as const;
 export type HostFault = (typeof HostFaults)[number];
 
+/** Objects of a page, as the feed asks for; the fleet has one object. */
+const PageSize = 500;
+
 const Prefix = "config/";
 const Key = "config/main";
 
@@ -31,6 +34,9 @@
 const CallTimeoutMs = 1_000;
 const SlowMs = 300;
 
+/** Time beyond the wait after which an asker gives a watcher up, in milliseconds, as in the relay's client. */
+const AskTimeoutMs = 300;
+
 /** Interval in which a call looks whether its host's fault is over, in milliseconds. */
 const PollMs = 10;
 
@@ -71,7 +77,8 @@
 
     override async list(prefix: string): Promise<ListOutcome> {
         const failure = await this.#delay();
-        return failure ?? { ...this.#objects.list(prefix, "", 500), revision: this.#objects.revision } as ListOutcome;
+        const listed = this.#objects.list(prefix, "", PageSize);
+        return failure ?? (listed.status === "listed" ? { ...listed, revision: this.#objects.revision } : listed);
     }
 
     override async watch(prefix: string, afterRevision: number, waitMs: number): Promise<WatchOutcome> {
@@ -148,7 +155,7 @@
                 return outcome;
             }
         }
-        await sleep(waitMs + SlowMs);
+        await sleep(waitMs + AskTimeoutMs);
         await this.#own.running();
         return { status: "failed", reason: "no answer" };
     }
