Refuse request heads whose header names are not tokens

What callers saw: Node 20.19 with llhttp 8.1.2 on arm64 takes `Authorization : x`, `Foo : x` and `A B: x` for valid heads and reports the names with their spaces. The gateway read a request without a key, and the edge forwarded such names as they came: `Toucanjunction-Tenant : team-b`, which only the edge may set, reached the upstream.

Cause: both request paths relied on the parser of the runtime to check the names.

Change: header names are checked against the token of RFC 9110, 5.6.2, at the entry of the gateway, of the edge and of the listener for other hosts; the request gets 400 with code 1008, nothing runs, and the edge closes the connection. Heads that the edge's parser itself refuses with 400 get the same error body, so that callers see one answer whichever check refuses. The check of the names in responses uses the same function. The stand-ins are not changed: they get requests of our own clients only.

--- /dev/null
+++ b/src/base/headerNames.ts
@@ -0,0 +1,19 @@
+/** Names of HTTP headers. */
+
+/** A token as RFC 9110, section 5.6.2, defines it. */
+const TokenPattern = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/;
+
+/** @returns Whether a text is a valid header name. */
+export function isHeaderName(name: string): boolean {
+    return TokenPattern.test(name);
+}
+
+/**
+ * Finds a header name that is not a token. Node's HTTP parser accepts some of them, such as names with a space before the colon. Other
+ * readers may take such a header for the one without the space.
+ * @param rawHeaders Alternating header names and values, as in Node's `rawHeaders`.
+ * @returns The first invalid name; `undefined` if all are valid.
+ */
+export function findInvalidHeaderName(rawHeaders: readonly string[]): string | undefined {
+    return rawHeaders.find((name, index) => index % 2 === 0 && !isHeaderName(name));
+}
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -2,7 +2,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import { waitForEventLoopPoll } from "../../base/eventLoopPoll.js";
+import { findInvalidHeaderName } from "../../base/headerNames.js";
 import { log } from "../../base/log.js";
+import { errorBody, ResultCodes } from "../../base/resultCodes.js";
 import type { CallerLimits, EdgeTeam, RequestMetadata, Route } from "../edgeTypes.js";
 import { EdgeCounterNames } from "../metrics.js";
 import type { RouteTable } from "../routing/routeTable.js";
@@ -205,7 +207,11 @@
             metadata.requestId,
             bytes => this.#linkBacklog.recordWritten(bytes),
         );
-        const routed = this.#route(request, metadata);
+        const isHeadValid = findInvalidHeaderName(request.rawHeaders) === undefined;
+        if (!isHeadValid) {
+            response.shouldKeepAlive = false;
+        }
+        const routed = isHeadValid ? this.#route(request, metadata) : MalformedHead;
         if ("code" in routed) {
             this.#dependencies.metrics.counters.add(EdgeCounterNames.requestsRefused);
             log.info("request refused", {
@@ -313,6 +319,9 @@
     }
 }
 
+/** Refusal of a request whose head has an invalid header name, which an upstream might read as another header. */
+const MalformedHead: EdgeFailure = { code: "MalformedHeader", ran: "no" };
+
 /** Route and team of a request, with the configuration that they come from. */
 interface RoutedRequest {
     readonly table: RouteTable;
@@ -362,5 +371,7 @@
         error.code === "ERR_HTTP_REQUEST_TIMEOUT" ?
         "408 Request Timeout" :
         "400 Bad Request";
-    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    const body = status.startsWith("400") ? JSON.stringify(errorBody(ResultCodes.MalformedHeader)) : "";
+    const type = body === "" ? "" : "Content-Type: application/json\r\n";
+    socket.end(`HTTP/1.1 ${status}\r\n${type}Connection: close\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
 }
--- a/src/edge/relay/relayServer.ts
+++ b/src/edge/relay/relayServer.ts
@@ -5,6 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { z } from "zod";
 import type { Clock } from "../../base/clock.js";
+import { findInvalidHeaderName } from "../../base/headerNames.js";
 import { log } from "../../base/log.js";
 import { StoredObjectSchema, type WatchedChange } from "../../platform/platformStore.js";
 import type { ChangeLog } from "./changeLog.js";
@@ -14,6 +15,9 @@
 /** Path of the endpoint for changes. */
 export const RelayPath = "/changes";
 
+/** Status of a response to a head with an invalid header name. */
+const MalformedStatus = 400;
+
 /** Status of a response by a healthy watcher whose caller must read the changes from the store. */
 export const UseStoreStatus = 409;
 
@@ -79,6 +83,10 @@
     }
 
     #serve(request: IncomingMessage, response: ServerResponse): void {
+        if (findInvalidHeaderName(request.rawHeaders) !== undefined) {
+            sendJson(response, MalformedStatus, {});
+            return;
+        }
         const url = new URL(request.url ?? "/", "http://relay");
         if (url.pathname === StoreProxyPath) {
             void this.#dependencies.storeProxy.serve(request, response);
--- a/src/edge/transport/responseParser.ts
+++ b/src/edge/transport/responseParser.ts
@@ -1,4 +1,5 @@
 /** Strict incremental parser of HTTP/1.1 responses. */
+import { isHeaderName } from "../../base/headerNames.js";
 
 /** Head of a response. Header names keep the case in which the upstream sent them. */
 export interface ResponseHead {
@@ -36,7 +37,6 @@
 const HeadEnd = Buffer.from("\r\n\r\n");
 const LineEnd = Buffer.from("\r\n");
 const StatusLine = /^HTTP\/1\.([01]) ([1-5][0-9][0-9])(?: ([^\r\n]*))?$/;
-const HeaderName = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/;
 const ChunkSize = /^([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?$/;
 const NoBytes = Buffer.alloc(0);
 
@@ -301,7 +301,7 @@
 function parseHeader(line: string): readonly [string, string] {
     const colon = line.indexOf(":");
     const name = line.slice(0, colon);
-    if (colon < 1 || !HeaderName.test(name)) {
+    if (colon < 1 || !isHeaderName(name)) {
         throw new ResponseSyntaxError("a header line is not valid");
     }
     return [name, line.slice(colon + 1).trim()];
--- a/src/gateway/gateway.spec.ts
+++ b/src/gateway/gateway.spec.ts
@@ -100,6 +100,8 @@
             ["key with a space", head(key, "Idempotency-Key: a b", "Content-Length: 0")],
             ["missing host", `GET /v1/models HTTP/1.1\r\n${key}\r\nConnection: close\r\n\r\n`],
             ["space before the colon", head("Authorization : Bearer x", "Content-Length: 0")],
+            ["space within a header name", head(key, "A B: x", "Content-Length: 0")],
+            ["header without a name", head(key, ": x", "Content-Length: 0")],
         ])("rejects %s with one response and runs nothing (guards against request smuggling)", async (_name, text) => {
             const responseText = await send(text);
             expect(responseText).toContain("400 Bad Request");
--- a/src/gateway/headerValidation.ts
+++ b/src/gateway/headerValidation.ts
@@ -1,5 +1,6 @@
 /** Validates request heads, as a guard against request smuggling and ambiguous identities. */
 import type { IncomingMessage } from "node:http";
+import { findInvalidHeaderName } from "../base/headerNames.js";
 import { ResourceNameSchema } from "../features/config/configTypes.js";
 
 /** Headers that may appear at most once, because two readers could pick different values. */
@@ -23,6 +24,9 @@
 export function validateHeaders(incoming: IncomingMessage): string | undefined {
     const seen = new Set<string>();
     const { rawHeaders } = incoming;
+    if (findInvalidHeaderName(rawHeaders) !== undefined) {
+        return "a header name is not valid";
+    }
     for (let index = 0; index < rawHeaders.length; index += 2) {
         const name = rawHeaders[index]!.toLowerCase();
         if (ControlCharacterPattern.test(rawHeaders[index + 1]!)) {
