Log and count why the edge closes a caller's connection

A request that ended without an answer could not be traced: an idle close, a planned stop and a full link left no line, and a request read from a connection that the edge had already closed was dropped silently.

Each close now has one line `caller connection closed` with its reason, the caller's address, the idle time that the last response announced and the idle time that passed, and a counter per reason. A request dropped on a closed connection and a response that is broken off have a line and a counter each.

--- a/src/edge/flow/callerResponse.ts
+++ b/src/edge/flow/callerResponse.ts
@@ -30,17 +30,23 @@
     readonly #requestIdHeader: string;
     readonly #requestId: string | undefined;
     readonly #onWritten: (bytes: number) => void;
+    readonly #onAborted: () => void;
     #isEnded = false;
 
-    /** @param onWritten Called with the size of each body, or piece of one, that is written, in bytes. */
+    /**
+     * @param onWritten Called with the size of each body, or piece of one, that is written, in bytes.
+     * @param onAborted Called when the response cannot be completed and the connection is closed.
+     */
     constructor(
         response: ServerResponse,
         requestIdHeader: string,
         requestId: string | undefined,
         onWritten: (bytes: number) => void,
+        onAborted: () => void,
     ) {
         this.#response = response;
         this.#onWritten = onWritten;
+        this.#onAborted = onAborted;
         this.#requestIdHeader = requestIdHeader;
         this.#requestId = requestId;
     }
@@ -91,6 +97,7 @@
     /** Closes the connection, so that the caller cannot take the response for complete. */
     abort(): void {
         this.#isEnded = true;
+        this.#onAborted();
         this.#response.destroy();
     }
 
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -6,7 +6,7 @@
 import type { CallerLimits, EdgeTeam, RequestMetadata, Route } from "../edgeTypes.js";
 import { EdgeCounterNames } from "../metrics.js";
 import type { RouteTable } from "../routing/routeTable.js";
-import { CallerConnections } from "./callerConnections.js";
+import { CallerConnections, type CloseReason } from "./callerConnections.js";
 import { CallerDisconnectMonitor } from "./callerDisconnectMonitor.js";
 import { CallerResponse, type EdgeFailure } from "./callerResponse.js";
 import { ConnectionByteCounter } from "./connectionByteCounter.js";
@@ -95,9 +95,19 @@
             noDelay: true,
         }, (request, response) => this.#onRequest(request, response));
         this.#byteCounter = new ConnectionByteCounter(this.#server);
-        this.#connections = new CallerConnections(this.#server);
+        this.#connections = new CallerConnections(
+            this.#server,
+            dependencies.clock,
+            dependencies.metrics.counters,
+        );
         this.#linkLoad = new LinkLoad(dependencies.linkBytesPerS);
-        this.#server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => onBadRequest(error, socket));
+        this.#server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
+            if (error.code !== "ECONNRESET") {
+                const isTimeout = error.code === "ERR_HTTP_REQUEST_TIMEOUT";
+                this.#connections.recordClose(socket, isTimeout ? "headTimeout" : "unreadable");
+            }
+            onBadRequest(error, socket);
+        });
     }
 
     /** @returns Number of requests without a complete response. */
@@ -182,6 +192,8 @@
     #onRequest(request: IncomingMessage, response: ServerResponse): void {
         if (!request.socket.writable) {
             // The request arrived while its connection was being closed. It is not run, as no response could be sent.
+            const { requestId } = this.#dependencies.codec.readRequestHeaders(request.rawHeaders);
+            this.#connections.recordRequestAfterClose(request.socket, requestId);
             request.socket.destroy();
             return;
         }
@@ -191,12 +203,15 @@
         this.#connections.recordRequest(request.socket, onClosed => response.once("close", onClosed));
         response.once("finish", () => {
             if (this.#isStopping) {
+                this.#connections.recordClose(request.socket, "stop");
                 request.socket.end();
             }
         });
         response.on("error", error => log.debug("caller connection failed", { error: error.message }));
-        if (this.#dependencies.isLeaving() || this.#linkLoad.shouldCloseConnections(arrivedAtMs)) {
+        const closeReason = this.#closeReason(arrivedAtMs);
+        if (closeReason !== undefined) {
             response.shouldKeepAlive = false;
+            response.once("finish", () => this.#connections.recordClose(request.socket, closeReason));
         }
         const metadata = this.#dependencies.codec.readRequestHeaders(request.rawHeaders);
         const callerResponse = new CallerResponse(
@@ -204,6 +219,10 @@
             this.#dependencies.codec.requestIdHeader,
             metadata.requestId,
             bytes => this.#linkBacklog.recordWritten(bytes),
+            () => {
+                this.#dependencies.metrics.counters.add(EdgeCounterNames.responsesAborted);
+                log.info("response aborted", { request: metadata.requestId, hasBegun: response.headersSent });
+            },
         );
         const routed = this.#route(request, metadata);
         if ("code" in routed) {
@@ -229,6 +248,14 @@
         );
     }
 
+    /** @returns Why the connection of a request that arrives now is closed after its response; `undefined` when it is kept. */
+    #closeReason(nowMs: number): CloseReason | undefined {
+        if (this.#dependencies.isLeaving()) {
+            return "stop";
+        }
+        return this.#linkLoad.shouldCloseConnections(nowMs) ? "link" : undefined;
+    }
+
     #route(request: IncomingMessage, metadata: RequestMetadata): RoutedRequest | EdgeFailure {
         const { routeTable: table, isFresh } = this.#dependencies.configuration();
         if (this.#isRefusing) {
