Close idle connections by what each one was told

What callers saw: a request on a kept connection, sent within the time that `Keep-Alive` stated, found the connection closed and got neither an answer nor a refusal; most of all beside a new configuration.

Cause: the idle limit was `keepAliveTimeout` of the HTTP server. Node announces the value at the arrival of a request, but arms the timer with the value at the end of its response. A response that spans a configuration with a lower idle limit had announced the old time and was followed by the new one. A raised limit did not reach connections that were idle already. Timers also run before the sockets are read: after a stall of the event loop, as the parsing of a large configuration causes, the timer destroyed connections whose next request was already in the socket's buffer. A blank line after a response cleared node's timer, and the connection was never closed.

CallerConnections now closes idle connections itself. The limit is the idle time that the last response announced, or that of the configuration in force if longer, plus the second that node added as well. A connection past its limit is closed after one more poll of the sockets, and only if no byte has arrived since its last request; with such bytes it gets the header timeout on top.

--- a/src/edge/flow/callerConnections.ts
+++ b/src/edge/flow/callerConnections.ts
@@ -1,10 +1,12 @@
 /** Tracks the connections of callers and closes them; records why each one is closed. */
-import type { Server } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Clock } from "../../base/clock.js";
 import type { Counters } from "../../base/counters.js";
+import { waitForEventLoopPoll } from "../../base/eventLoopPoll.js";
 import { log } from "../../base/log.js";
 import { EdgeCounterNames } from "../metrics.js";
+import { hasBody } from "./requestBody.js";
 
 /** Counter of each reason for which the server closes a connection; the keys are logged. */
 const CloseCounters = {
@@ -21,6 +23,18 @@
  */
 export type CloseReason = keyof typeof CloseCounters;
 
+/** Interval at which connections are checked for the end of their idle time, in milliseconds. */
+const IdleCheckIntervalMs = 100;
+
+/** Added to the idle time that a response announces so that requests rarely arrive while the connection is being closed, in milliseconds. */
+const IdleGraceMs = 1_000;
+
+/**
+ * Time after which a connection is closed on which bytes arrived, but no request began and none is open, in milliseconds. The server's
+ * header timeout, which is checked every 500 ms, ends a request that has begun before that.
+ */
+const StrayBytesGraceMs = 2_000;
+
 /** State of one connection. */
 interface ConnectionState {
     /** Address and port of the caller. */
@@ -32,15 +46,21 @@
     announcedIdleMs: number;
     /** Monotonic time of the end of the latest response or, before the first one, of the connection's start, in milliseconds. */
     idleSinceMs: number;
+    /** Bytes that had been read when the latest request had been read; later ones belong to the next request. */
+    requestEndBytes: number;
     closed: { readonly reason: CloseReason; readonly atMs: number; } | undefined;
 }
 
-/** Knows for each open connection whether it has carried a request, and whether one is open. */
+/**
+ * Knows for each open connection whether it has carried a request, and whether one is open, and closes idle connections. The limit of
+ * a connection is the idle time that its latest response announced, or that of the configuration in force if this is longer.
+ */
 export class CallerConnections {
     readonly #server: Server;
     readonly #clock: Clock;
     readonly #counters: Counters;
     readonly #states = new Map<Socket, ConnectionState>();
+    #idleCheckedAtMs = 0;
 
     constructor(server: Server, clock: Clock, counters: Counters) {
         this.#server = server;
@@ -53,14 +73,14 @@
                 requestCount: 0,
                 announcedIdleMs: 0,
                 idleSinceMs: clock.monotonicMs(),
+                requestEndBytes: 0,
                 closed: undefined,
             });
             socket.once("close", () => this.#states.delete(socket));
         });
-        server.on("timeout", (socket: Socket) => {
-            this.recordClose(socket, "idle");
-            socket.destroy();
-        });
+        // The server's own idle timer takes the limit at the end of a response, which may be shorter than what the response announced.
+        // It would close the connection if this event had no handler.
+        server.on("timeout", () => undefined);
     }
 
     /** @returns Number of connections whose first request has not arrived. */
@@ -68,16 +88,35 @@
         return [...this.#states.values()].filter(({ requestCount }) => requestCount === 0).length;
     }
 
+    /** Closes the connections whose idle time is over; called every few tens of milliseconds. */
+    tick(): void {
+        const nowMs = this.#clock.monotonicMs();
+        if (nowMs - this.#idleCheckedAtMs < IdleCheckIntervalMs) {
+            return;
+        }
+        this.#idleCheckedAtMs = nowMs;
+        const due = [...this.#states].filter(([socket, state]) => this.#isIdleTimeOver(socket, state, nowMs));
+        if (due.length > 0) {
+            void this.#closeIdle(due);
+        }
+    }
+
     /** Records a request, until its response is closed. */
-    recordRequest(socket: Socket, onResponseClosed: (callback: () => void) => void): void {
+    recordRequest(request: IncomingMessage, response: ServerResponse): void {
+        const { socket } = request;
         const state = this.#states.get(socket);
         if (state === undefined) {
             return;
         }
         state.requestCount++;
         state.openRequestCount++;
+        // The server announces in the response the limit at this time.
         state.announcedIdleMs = this.#server.keepAliveTimeout;
-        onResponseClosed(() => {
+        state.requestEndBytes = socket.bytesRead;
+        if (hasBody(request)) {
+            request.once("end", () => state.requestEndBytes = socket.bytesRead);
+        }
+        response.once("close", () => {
             state.openRequestCount--;
             state.idleSinceMs = this.#clock.monotonicMs();
         });
@@ -118,6 +157,27 @@
         this.#end(() => true);
     }
 
+    /** A request that arrived in time may still be in the socket's buffer, above all when the event loop was behind. */
+    async #closeIdle(connections: readonly (readonly [Socket, ConnectionState])[]): Promise<void> {
+        await waitForEventLoopPoll();
+        const nowMs = this.#clock.monotonicMs();
+        for (const [socket, state] of connections) {
+            if (this.#isIdleTimeOver(socket, state, nowMs)) {
+                this.recordClose(socket, "idle");
+                socket.destroy();
+            }
+        }
+    }
+
+    #isIdleTimeOver(socket: Socket, state: ConnectionState, nowMs: number): boolean {
+        if (state.requestCount === 0 || state.openRequestCount > 0) {
+            return false;
+        }
+        const limitMs = Math.max(state.announcedIdleMs, this.#server.keepAliveTimeout) + IdleGraceMs;
+        const graceMs = socket.bytesRead > state.requestEndBytes ? this.#server.headersTimeout + StrayBytesGraceMs : 0;
+        return nowMs - state.idleSinceMs >= limitMs + graceMs;
+    }
+
     #end(isIncluded: (state: ConnectionState) => boolean): void {
         for (const [socket, state] of this.#states) {
             if (state.openRequestCount === 0 && isIncluded(state)) {
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -13,6 +13,7 @@
 import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
 import { LinkLoad } from "./linkLoad.js";
 import { OutgoingLinkBacklog } from "./outgoingLinkBacklog.js";
+import { collectBody, hasBody } from "./requestBody.js";
 import { RequestFlow } from "./requestFlow.js";
 
 /** The configuration in force, as the server needs it. */
@@ -56,8 +57,8 @@
 /** Time limit of a request whose caller states no deadline, in milliseconds. */
 const DefaultDeadlineMs = 60_000;
 
-/** Added to the idle timeout so that requests rarely arrive while the connection is being closed, in milliseconds. */
-const IdleGraceMs = 1_000;
+/** Added to the idle timeout that responses announce, so that requests rarely arrive while the connection is being closed, in milliseconds. */
+const AnnouncedGraceMs = 1_000;
 
 /** HTTP server for callers. */
 export class CallerServer {
@@ -88,7 +89,7 @@
         };
         this.#server = createServer({
             maxHeaderSize: dependencies.maxHeaderBytes,
-            keepAliveTimeout: InitialIdleMs + IdleGraceMs,
+            keepAliveTimeout: InitialIdleMs + AnnouncedGraceMs,
             headersTimeout: InitialHeaderMs,
             requestTimeout: 0,
             connectionsCheckingInterval: HeadCheckIntervalMs,
@@ -120,8 +121,9 @@
         return this.#linkLoad.isBusy;
     }
 
-    /** Measures the load of the link; called every few tens of milliseconds. */
+    /** Closes idle connections and measures the load of the link; called every few tens of milliseconds. */
     tick(): void {
+        this.#connections.tick();
         const nowMs = this.#dependencies.clock.monotonicMs();
         if (nowMs - this.#linkCheckedAtMs < LinkCheckIntervalMs) {
             return;
@@ -153,7 +155,7 @@
     /** Applies the timeouts of a configuration to later requests. */
     applyLimits(limits: CallerLimits): void {
         this.#server.headersTimeout = limits.headerTimeoutMs;
-        this.#server.keepAliveTimeout = limits.idleTimeoutMs + IdleGraceMs;
+        this.#server.keepAliveTimeout = limits.idleTimeoutMs + AnnouncedGraceMs;
     }
 
     /**
@@ -200,7 +202,7 @@
         const arrivedAtMs = this.#dependencies.clock.monotonicMs();
         this.#openRequestCount++;
         response.once("close", () => this.#openRequestCount--);
-        this.#connections.recordRequest(request.socket, onClosed => response.once("close", onClosed));
+        this.#connections.recordRequest(request, response);
         response.once("finish", () => {
             if (this.#isStopping) {
                 this.#connections.recordClose(request.socket, "stop");
@@ -294,8 +296,6 @@
         arrivedAtMs: number,
     ): void {
         const timeLimitMs = Math.min(metadata.deadlineMs ?? DefaultDeadlineMs, route.timeoutMs);
-        const hasBody = message.headers["transfer-encoding"] !== undefined ||
-            Number(message.headers["content-length"] ?? 0) > 0;
         const run = (body: Buffer | undefined) => {
             const request: EdgeRequest = {
                 requestId: metadata.requestId!,
@@ -317,7 +317,7 @@
                 callerResponse.abort();
             });
         };
-        if (!hasBody) {
+        if (!hasBody(message)) {
             run(undefined);
             return;
         }
@@ -357,26 +357,6 @@
     return query < 0 ? target : target.slice(0, query);
 }
 
-/** Collects a body; reports `undefined` when it exceeds the limit, and nothing when the caller disconnects first. */
-function collectBody(message: IncomingMessage, maxBytes: number, done: (body: Buffer | undefined) => void): void {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    message.on("data", (chunk: Buffer) => {
-        size += chunk.length;
-        if (size <= maxBytes) {
-            chunks.push(chunk);
-        }
-        else if (size - chunk.length <= maxBytes) {
-            done(undefined);
-        }
-    });
-    message.on("end", () => {
-        if (size <= maxBytes) {
-            done(Buffer.concat(chunks));
-        }
-    });
-}
-
 /** Responds to bytes that are not a valid request, and closes the connection. */
 function onBadRequest(error: NodeJS.ErrnoException, socket: Socket): void {
     log.info("request not readable", { code: error.code, remote: socket.remoteAddress });
