Apply a lower header timeout only to heads that begin under it, and read the sockets before a head counts as late

What callers saw: a 408 for a request whose head kept the limit: when a configuration lowered `header-timeout-ms` while the head was being sent, and when the rest of the head arrived while the event loop was busy.

Cause: `headersTimeout` of the server applies to all connections at its next check, also to heads that began under a higher limit. The check is a timer, which runs before the sockets are read.

HeaderTimeout holds a replaced higher limit for as long as heads that began under it may take; then the lower one applies. The limit of a head never exceeds the higher of both. A head that is past its limit is refused after one more poll of the sockets, if it is still incomplete. Errors of unreadable bytes are now handled in CallerConnections, which records the close.

--- a/src/edge/flow/callerConnections.ts
+++ b/src/edge/flow/callerConnections.ts
@@ -35,6 +35,9 @@
  */
 const StrayBytesGraceMs = 2_000;
 
+/** Code of the error with which the server reports a request head that takes too long. */
+const HeadTimeoutCode = "ERR_HTTP_REQUEST_TIMEOUT";
+
 /** State of one connection. */
 interface ConnectionState {
     /** Address and port of the caller. */
@@ -81,6 +84,15 @@
         // The server's own idle timer takes the limit at the end of a response, which may be shorter than what the response announced.
         // It would close the connection if this event had no handler.
         server.on("timeout", () => undefined);
+        server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
+            this.#onUnreadable(error, socket).catch((failure: unknown) => {
+                log.error("connection not refused", {
+                    remote: this.#states.get(socket)?.remote,
+                    error: String(failure),
+                });
+                socket.destroy();
+            });
+        });
     }
 
     /** @returns Number of connections whose first request has not arrived. */
@@ -157,6 +169,28 @@
         this.#end(() => true);
     }
 
+    /**
+     * Refuses bytes that are no request, or a request head that takes too long, and closes the connection. The rest of such a head may
+     * already be in the socket's buffer, above all when the event loop was behind.
+     */
+    async #onUnreadable(error: NodeJS.ErrnoException, socket: Socket): Promise<void> {
+        const state = this.#states.get(socket);
+        if (error.code === HeadTimeoutCode) {
+            const { requestCount } = state ?? {};
+            await waitForEventLoopPoll();
+            if (state?.requestCount !== requestCount) {
+                return;
+            }
+        }
+        log.info("request not readable", { code: error.code, remote: state?.remote ?? socket.remoteAddress });
+        if (error.code === "ECONNRESET" || !socket.writable) {
+            socket.destroy();
+            return;
+        }
+        this.recordClose(socket, error.code === HeadTimeoutCode ? "headTimeout" : "unreadable");
+        socket.end(`HTTP/1.1 ${refusalStatusOf(error)}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    }
+
     /** A request that arrived in time may still be in the socket's buffer, above all when the event loop was behind. */
     async #closeIdle(connections: readonly (readonly [Socket, ConnectionState])[]): Promise<void> {
         await waitForEventLoopPoll();
@@ -198,3 +232,11 @@
         };
     }
 }
+
+/** @returns Status code and reason of the response to bytes that are no request. */
+function refusalStatusOf({ code }: NodeJS.ErrnoException): string {
+    if (code === "HPE_HEADER_OVERFLOW") {
+        return "431 Request Header Fields Too Large";
+    }
+    return code === HeadTimeoutCode ? "408 Request Timeout" : "400 Bad Request";
+}
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -1,6 +1,6 @@
 /** The HTTP server for callers: reads requests, routes them and starts their flows. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { Server as NetServer, type Socket } from "node:net";
+import { Server as NetServer } from "node:net";
 import { waitForEventLoopPoll } from "../../base/eventLoopPoll.js";
 import { log } from "../../base/log.js";
 import type { CallerLimits, EdgeTeam, RequestMetadata, Route } from "../edgeTypes.js";
@@ -11,6 +11,7 @@
 import { CallerResponse, type EdgeFailure } from "./callerResponse.js";
 import { ConnectionByteCounter } from "./connectionByteCounter.js";
 import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
+import { HeaderTimeout } from "./headerTimeout.js";
 import { LinkLoad } from "./linkLoad.js";
 import { OutgoingLinkBacklog } from "./outgoingLinkBacklog.js";
 import { collectBody, hasBody } from "./requestBody.js";
@@ -67,6 +68,7 @@
     readonly #server: Server;
     readonly #byteCounter: ConnectionByteCounter;
     readonly #connections: CallerConnections;
+    readonly #headerTimeout = new HeaderTimeout(InitialHeaderMs);
     readonly #linkLoad: LinkLoad;
     readonly #linkBacklog: OutgoingLinkBacklog;
     #linkCheckedAtMs = 0;
@@ -102,13 +104,6 @@
             dependencies.metrics.counters,
         );
         this.#linkLoad = new LinkLoad(dependencies.linkBytesPerS);
-        this.#server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
-            if (error.code !== "ECONNRESET") {
-                const isTimeout = error.code === "ERR_HTTP_REQUEST_TIMEOUT";
-                this.#connections.recordClose(socket, isTimeout ? "headTimeout" : "unreadable");
-            }
-            onBadRequest(error, socket);
-        });
     }
 
     /** @returns Number of requests without a complete response. */
@@ -129,6 +124,7 @@
             return;
         }
         this.#linkCheckedAtMs = nowMs;
+        this.#server.headersTimeout = this.#headerTimeout.effectiveMs(nowMs);
         this.#linkLoad.recordBytes(this.#byteCounter.totalBytes, nowMs);
         if (this.#linkLoad.isBusy !== this.#wasLinkBusy) {
             this.#wasLinkBusy = this.#linkLoad.isBusy;
@@ -152,9 +148,11 @@
         return typeof address === "object" && address !== null ? address.port : port;
     }
 
-    /** Applies the timeouts of a configuration to later requests. */
+    /** Applies the timeouts of a configuration to request heads that begin, and responses that are announced, from now on. */
     applyLimits(limits: CallerLimits): void {
-        this.#server.headersTimeout = limits.headerTimeoutMs;
+        const nowMs = this.#dependencies.clock.monotonicMs();
+        this.#headerTimeout.set(limits.headerTimeoutMs, nowMs);
+        this.#server.headersTimeout = this.#headerTimeout.effectiveMs(nowMs);
         this.#server.keepAliveTimeout = limits.idleTimeoutMs + AnnouncedGraceMs;
     }
 
@@ -356,18 +354,3 @@
     const query = target.indexOf("?");
     return query < 0 ? target : target.slice(0, query);
 }
-
-/** Responds to bytes that are not a valid request, and closes the connection. */
-function onBadRequest(error: NodeJS.ErrnoException, socket: Socket): void {
-    log.info("request not readable", { code: error.code, remote: socket.remoteAddress });
-    if (error.code === "ECONNRESET" || !socket.writable) {
-        socket.destroy();
-        return;
-    }
-    const status = error.code === "HPE_HEADER_OVERFLOW" ?
-        "431 Request Header Fields Too Large" :
-        error.code === "ERR_HTTP_REQUEST_TIMEOUT" ?
-        "408 Request Timeout" :
-        "400 Bad Request";
-    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-}
