--- a/src/edge/flow/callerConnections.ts
+++ b/src/edge/flow/callerConnections.ts
@@ -1,44 +1,168 @@
-/** Tracks the connections of callers, so that a shutdown closes only those on which no request is expected. */
-import type { Server } from "node:http";
+/** Tracks the connections of callers and closes them; records why each one is closed. */
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { Clock } from "../../base/clock.js";
+import type { Counters } from "../../base/counters.js";
+import { waitForEventLoopPoll } from "../../base/eventLoopPoll.js";
+import { log } from "../../base/log.js";
+import { errorBody, ResultCodes } from "../../base/resultCodes.js";
+import { EdgeCounterNames } from "../metrics.js";
+import { hasBody } from "./requestBody.js";
+
+/** Counter of each reason for which the server closes a connection; the keys are logged. */
+const CloseCounters = {
+    idle: EdgeCounterNames.connectionsClosedIdle,
+    headTimeout: EdgeCounterNames.connectionsClosedHeadTimeout,
+    unreadable: EdgeCounterNames.connectionsClosedUnreadable,
+    stop: EdgeCounterNames.connectionsClosedStop,
+    link: EdgeCounterNames.connectionsClosedLink,
+} as const;
+
+/**
+ * Why the server closes a connection: no request came in time, a request head took too long, bytes are no request, the process stops,
+ * or the host's link is full.
+ */
+export type CloseReason = keyof typeof CloseCounters;
+
+/** Interval at which connections are checked for the end of their idle time, in milliseconds. */
+const IdleCheckIntervalMs = 100;
+
+/** Added to the idle time that a response announces so that requests rarely arrive while the connection is being closed, in milliseconds. */
+const IdleGraceMs = 1_000;
+
+/**
+ * Time after which a connection is closed on which bytes arrived, but no request began and none is open, in milliseconds. The server's
+ * header timeout, which is checked every 500 ms, ends a request that has begun before that.
+ */
+const StrayBytesGraceMs = 2_000;
+
+/** Code of the error with which the server reports a request head that takes too long. */
+const HeadTimeoutCode = "ERR_HTTP_REQUEST_TIMEOUT";
 
 /** State of one connection. */
 interface ConnectionState {
+    /** Address and port of the caller. */
+    readonly remote: string;
     /** Requests whose response is not complete. */
     openRequestCount: number;
-    hasReceivedRequest: boolean;
+    requestCount: number;
+    /** Idle time that the latest response announced, in milliseconds. */
+    announcedIdleMs: number;
+    /** Monotonic time of the end of the latest response or, before the first one, of the connection's start, in milliseconds. */
+    idleSinceMs: number;
+    /** Bytes that had been read when the latest request had been read; later ones belong to the next request. */
+    requestEndBytes: number;
+    closed: { readonly reason: CloseReason; readonly atMs: number; } | undefined;
 }
 
-/** Knows for each open connection whether it has carried a request, and whether one is open. */
+/**
+ * Knows for each open connection whether it has carried a request, and whether one is open, and closes idle connections. The limit of
+ * a connection is the idle time that its latest response announced, or that of the configuration in force if this is longer.
+ */
 export class CallerConnections {
+    readonly #server: Server;
+    readonly #clock: Clock;
+    readonly #counters: Counters;
     readonly #states = new Map<Socket, ConnectionState>();
+    #idleCheckedAtMs = 0;
 
-    constructor(server: Server) {
+    constructor(server: Server, clock: Clock, counters: Counters) {
+        this.#server = server;
+        this.#clock = clock;
+        this.#counters = counters;
         server.on("connection", (socket: Socket) => {
-            this.#states.set(socket, { openRequestCount: 0, hasReceivedRequest: false });
+            this.#states.set(socket, {
+                remote: `${socket.remoteAddress}:${socket.remotePort}`,
+                openRequestCount: 0,
+                requestCount: 0,
+                announcedIdleMs: 0,
+                idleSinceMs: clock.monotonicMs(),
+                requestEndBytes: 0,
+                closed: undefined,
+            });
             socket.once("close", () => this.#states.delete(socket));
         });
+        // The server's own idle timer takes the limit at the end of a response, which may be shorter than what the response announced.
+        // It would close the connection if this event had no handler.
+        server.on("timeout", () => undefined);
+        server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
+            this.#onUnreadable(error, socket).catch((failure: unknown) => {
+                log.error("connection not refused", {
+                    remote: this.#states.get(socket)?.remote,
+                    error: String(failure),
+                });
+                socket.destroy();
+            });
+        });
     }
 
     /** @returns Number of connections whose first request has not arrived. */
     get newCount(): number {
-        return [...this.#states.values()].filter(({ hasReceivedRequest }) => !hasReceivedRequest).length;
+        return [...this.#states.values()].filter(({ requestCount }) => requestCount === 0).length;
+    }
+
+    /** Closes the connections whose idle time is over; called every few tens of milliseconds. */
+    tick(): void {
+        const nowMs = this.#clock.monotonicMs();
+        if (nowMs - this.#idleCheckedAtMs < IdleCheckIntervalMs) {
+            return;
+        }
+        this.#idleCheckedAtMs = nowMs;
+        const due = [...this.#states].filter(([socket, state]) => this.#isIdleTimeOver(socket, state, nowMs));
+        if (due.length > 0) {
+            void this.#closeIdle(due);
+        }
     }
 
     /** Records a request, until its response is closed. */
-    recordRequest(socket: Socket, onResponseClosed: (callback: () => void) => void): void {
+    recordRequest(request: IncomingMessage, response: ServerResponse): void {
+        const { socket } = request;
         const state = this.#states.get(socket);
         if (state === undefined) {
             return;
         }
-        state.hasReceivedRequest = true;
+        state.requestCount++;
         state.openRequestCount++;
-        onResponseClosed(() => state.openRequestCount--);
+        // The server announces in the response the limit at this time.
+        state.announcedIdleMs = this.#server.keepAliveTimeout;
+        state.requestEndBytes = socket.bytesRead;
+        if (hasBody(request)) {
+            request.once("end", () => state.requestEndBytes = socket.bytesRead);
+        }
+        response.once("close", () => {
+            state.openRequestCount--;
+            state.idleSinceMs = this.#clock.monotonicMs();
+        });
+    }
+
+    /** Records that the server closes a connection, with a log line and a counter; later calls for the connection have no effect. */
+    recordClose(socket: Socket, reason: CloseReason): void {
+        const state = this.#states.get(socket);
+        if (state === undefined || state.closed !== undefined) {
+            return;
+        }
+        const nowMs = this.#clock.monotonicMs();
+        state.closed = { reason, atMs: nowMs };
+        this.#counters.add(CloseCounters[reason]);
+        log.info("caller connection closed", { reason, ...this.#describe(state, nowMs) });
+    }
+
+    /** Records a request that was read from a connection which the server had closed, and which is not run. */
+    recordRequestAfterClose(socket: Socket, requestId: string | undefined): void {
+        this.#counters.add(EdgeCounterNames.requestsAfterClose);
+        const state = this.#states.get(socket);
+        const nowMs = this.#clock.monotonicMs();
+        log.info("request not run: its connection is closed", {
+            request: requestId,
+            reason: state?.closed?.reason,
+            closedForMs: state?.closed === undefined ? undefined : Math.round(nowMs - state.closed.atMs),
+            ...(state === undefined ? {} : this.#describe(state, nowMs)),
+        });
     }
 
     /** Ends the connections on which no request is open, except new ones, whose first request may be on its way. */
     endIdle(): void {
-        this.#end(state => state.hasReceivedRequest);
+        this.#end(state => state.requestCount > 0);
     }
 
     /** Ends all connections on which no request is open. */
@@ -46,11 +170,79 @@
         this.#end(() => true);
     }
 
+    /**
+     * Refuses bytes that are no request, or a request head that takes too long, and closes the connection. The rest of such a head may
+     * already be in the socket's buffer, above all when the event loop was behind.
+     */
+    async #onUnreadable(error: NodeJS.ErrnoException, socket: Socket): Promise<void> {
+        const state = this.#states.get(socket);
+        if (error.code === HeadTimeoutCode) {
+            const { requestCount } = state ?? {};
+            await waitForEventLoopPoll();
+            if (state?.requestCount !== requestCount) {
+                return;
+            }
+        }
+        log.info("request not readable", { code: error.code, remote: state?.remote ?? socket.remoteAddress });
+        if (error.code === "ECONNRESET" || !socket.writable) {
+            socket.destroy();
+            return;
+        }
+        this.recordClose(socket, error.code === HeadTimeoutCode ? "headTimeout" : "unreadable");
+        socket.end(refusalOf(error));
+    }
+
+    /** A request that arrived in time may still be in the socket's buffer, above all when the event loop was behind. */
+    async #closeIdle(connections: readonly (readonly [Socket, ConnectionState])[]): Promise<void> {
+        await waitForEventLoopPoll();
+        const nowMs = this.#clock.monotonicMs();
+        for (const [socket, state] of connections) {
+            if (this.#isIdleTimeOver(socket, state, nowMs)) {
+                this.recordClose(socket, "idle");
+                socket.destroy();
+            }
+        }
+    }
+
+    #isIdleTimeOver(socket: Socket, state: ConnectionState, nowMs: number): boolean {
+        if (state.requestCount === 0 || state.openRequestCount > 0) {
+            return false;
+        }
+        const limitMs = Math.max(state.announcedIdleMs, this.#server.keepAliveTimeout) + IdleGraceMs;
+        const graceMs = socket.bytesRead > state.requestEndBytes ? this.#server.headersTimeout + StrayBytesGraceMs : 0;
+        return nowMs - state.idleSinceMs >= limitMs + graceMs;
+    }
+
     #end(isIncluded: (state: ConnectionState) => boolean): void {
         for (const [socket, state] of this.#states) {
             if (state.openRequestCount === 0 && isIncluded(state)) {
+                this.recordClose(socket, "stop");
                 socket.end();
             }
         }
     }
+
+    #describe(state: ConnectionState, nowMs: number): Record<string, unknown> {
+        const { remote, requestCount, openRequestCount, announcedIdleMs, idleSinceMs } = state;
+        return {
+            remote,
+            requests: requestCount,
+            open: openRequestCount,
+            announcedIdleMs,
+            idleMs: Math.round(nowMs - idleSinceMs),
+        };
+    }
+}
+
+/** @returns The response to bytes that are no request. */
+function refusalOf({ code }: NodeJS.ErrnoException): string {
+    const close = "Connection: close\r\n";
+    if (code === "HPE_HEADER_OVERFLOW") {
+        return `HTTP/1.1 431 Request Header Fields Too Large\r\n${close}Content-Length: 0\r\n\r\n`;
+    }
+    if (code === HeadTimeoutCode) {
+        return `HTTP/1.1 408 Request Timeout\r\n${close}Content-Length: 0\r\n\r\n`;
+    }
+    const body = JSON.stringify(errorBody(ResultCodes.MalformedHeader));
+    return `HTTP/1.1 400 Bad Request\r\n${close}Content-Type: application/json\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
 }
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -1,20 +1,21 @@
 /** The HTTP server for callers: reads requests, routes them and starts their flows. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { Server as NetServer, type Socket } from "node:net";
+import { Server as NetServer } from "node:net";
 import { waitForEventLoopPoll } from "../../base/eventLoopPoll.js";
 import { findInvalidHeaderName } from "../../base/headerNames.js";
 import { log } from "../../base/log.js";
-import { errorBody, ResultCodes } from "../../base/resultCodes.js";
 import type { CallerLimits, EdgeTeam, RequestMetadata, Route } from "../edgeTypes.js";
 import { EdgeCounterNames } from "../metrics.js";
 import type { RouteTable } from "../routing/routeTable.js";
-import { CallerConnections } from "./callerConnections.js";
+import { CallerConnections, type CloseReason } from "./callerConnections.js";
 import { CallerDisconnectMonitor } from "./callerDisconnectMonitor.js";
 import { CallerResponse, type EdgeFailure } from "./callerResponse.js";
 import { ConnectionByteCounter } from "./connectionByteCounter.js";
 import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
+import { HeaderTimeout } from "./headerTimeout.js";
 import { LinkLoad } from "./linkLoad.js";
 import { OutgoingLinkBacklog } from "./outgoingLinkBacklog.js";
+import { collectBody, hasBody } from "./requestBody.js";
 import { RequestFlow } from "./requestFlow.js";
 
 /** The configuration in force, as the server needs it. */
@@ -58,8 +59,8 @@
 /** Time limit of a request whose caller states no deadline, in milliseconds. */
 const DefaultDeadlineMs = 60_000;
 
-/** Added to the idle timeout so that requests rarely arrive while the connection is being closed, in milliseconds. */
-const IdleGraceMs = 1_000;
+/** Added to the idle timeout that responses announce, so that requests rarely arrive while the connection is being closed, in milliseconds. */
+const AnnouncedGraceMs = 1_000;
 
 /** HTTP server for callers. */
 export class CallerServer {
@@ -68,6 +69,7 @@
     readonly #server: Server;
     readonly #byteCounter: ConnectionByteCounter;
     readonly #connections: CallerConnections;
+    readonly #headerTimeout = new HeaderTimeout(InitialHeaderMs);
     readonly #linkLoad: LinkLoad;
     readonly #linkBacklog: OutgoingLinkBacklog;
     #linkCheckedAtMs = 0;
@@ -90,16 +92,19 @@
         };
         this.#server = createServer({
             maxHeaderSize: dependencies.maxHeaderBytes,
-            keepAliveTimeout: InitialIdleMs + IdleGraceMs,
+            keepAliveTimeout: InitialIdleMs + AnnouncedGraceMs,
             headersTimeout: InitialHeaderMs,
             requestTimeout: 0,
             connectionsCheckingInterval: HeadCheckIntervalMs,
             noDelay: true,
         }, (request, response) => this.#onRequest(request, response));
         this.#byteCounter = new ConnectionByteCounter(this.#server);
-        this.#connections = new CallerConnections(this.#server);
+        this.#connections = new CallerConnections(
+            this.#server,
+            dependencies.clock,
+            dependencies.metrics.counters,
+        );
         this.#linkLoad = new LinkLoad(dependencies.linkBytesPerS);
-        this.#server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => onBadRequest(error, socket));
     }
 
     /** @returns Number of requests without a complete response. */
@@ -112,13 +117,15 @@
         return this.#linkLoad.isBusy;
     }
 
-    /** Measures the load of the link; called every few tens of milliseconds. */
+    /** Closes idle connections and measures the load of the link; called every few tens of milliseconds. */
     tick(): void {
+        this.#connections.tick();
         const nowMs = this.#dependencies.clock.monotonicMs();
         if (nowMs - this.#linkCheckedAtMs < LinkCheckIntervalMs) {
             return;
         }
         this.#linkCheckedAtMs = nowMs;
+        this.#server.headersTimeout = this.#headerTimeout.effectiveMs(nowMs);
         this.#linkLoad.recordBytes(this.#byteCounter.totalBytes, nowMs);
         if (this.#linkLoad.isBusy !== this.#wasLinkBusy) {
             this.#wasLinkBusy = this.#linkLoad.isBusy;
@@ -142,10 +149,12 @@
         return typeof address === "object" && address !== null ? address.port : port;
     }
 
-    /** Applies the timeouts of a configuration to later requests. */
+    /** Applies the timeouts of a configuration to request heads that begin, and responses that are announced, from now on. */
     applyLimits(limits: CallerLimits): void {
-        this.#server.headersTimeout = limits.headerTimeoutMs;
-        this.#server.keepAliveTimeout = limits.idleTimeoutMs + IdleGraceMs;
+        const nowMs = this.#dependencies.clock.monotonicMs();
+        this.#headerTimeout.set(limits.headerTimeoutMs, nowMs);
+        this.#server.headersTimeout = this.#headerTimeout.effectiveMs(nowMs);
+        this.#server.keepAliveTimeout = limits.idleTimeoutMs + AnnouncedGraceMs;
     }
 
     /**
@@ -184,21 +193,27 @@
     #onRequest(request: IncomingMessage, response: ServerResponse): void {
         if (!request.socket.writable) {
             // The request arrived while its connection was being closed. It is not run, as no response could be sent.
+            const { requestId } = this.#dependencies.codec.readRequestHeaders(request.rawHeaders);
+            this.#connections.recordRequestAfterClose(request.socket, requestId);
             request.socket.destroy();
             return;
         }
         const arrivedAtMs = this.#dependencies.clock.monotonicMs();
         this.#openRequestCount++;
         response.once("close", () => this.#openRequestCount--);
-        this.#connections.recordRequest(request.socket, onClosed => response.once("close", onClosed));
+        this.#connections.recordRequest(request, response);
         response.once("finish", () => {
             if (this.#isStopping) {
+                this.#connections.recordClose(request.socket, "stop");
                 request.socket.end();
             }
         });
         response.on("error", error => log.debug("caller connection failed", { error: error.message }));
-        if (this.#dependencies.isLeaving() || this.#linkLoad.shouldCloseConnections(arrivedAtMs)) {
+        const isHeadValid = findInvalidHeaderName(request.rawHeaders) === undefined;
+        const closeReason = isHeadValid ? this.#closeReason(arrivedAtMs) : "unreadable";
+        if (closeReason !== undefined) {
             response.shouldKeepAlive = false;
+            response.once("finish", () => this.#connections.recordClose(request.socket, closeReason));
         }
         const metadata = this.#dependencies.codec.readRequestHeaders(request.rawHeaders);
         const callerResponse = new CallerResponse(
@@ -206,11 +221,11 @@
             this.#dependencies.codec.requestIdHeader,
             metadata.requestId,
             bytes => this.#linkBacklog.recordWritten(bytes),
+            () => {
+                this.#dependencies.metrics.counters.add(EdgeCounterNames.responsesAborted);
+                log.info("response aborted", { request: metadata.requestId, hasBegun: response.headersSent });
+            },
         );
-        const isHeadValid = findInvalidHeaderName(request.rawHeaders) === undefined;
-        if (!isHeadValid) {
-            response.shouldKeepAlive = false;
-        }
         const routed = isHeadValid ? this.#route(request, metadata) : MalformedHead;
         if ("code" in routed) {
             this.#dependencies.metrics.counters.add(EdgeCounterNames.requestsRefused);
@@ -235,6 +250,14 @@
         );
     }
 
+    /** @returns Why the connection of a request that arrives now is closed after its response; `undefined` when it is kept. */
+    #closeReason(nowMs: number): CloseReason | undefined {
+        if (this.#dependencies.isLeaving()) {
+            return "stop";
+        }
+        return this.#linkLoad.shouldCloseConnections(nowMs) ? "link" : undefined;
+    }
+
     #route(request: IncomingMessage, metadata: RequestMetadata): RoutedRequest | EdgeFailure {
         const { routeTable: table, isFresh } = this.#dependencies.configuration();
         if (this.#isRefusing) {
@@ -273,8 +296,6 @@
         arrivedAtMs: number,
     ): void {
         const timeLimitMs = Math.min(metadata.deadlineMs ?? DefaultDeadlineMs, route.timeoutMs);
-        const hasBody = message.headers["transfer-encoding"] !== undefined ||
-            Number(message.headers["content-length"] ?? 0) > 0;
         const run = (body: Buffer | undefined) => {
             const request: EdgeRequest = {
                 requestId: metadata.requestId!,
@@ -296,7 +317,7 @@
                 callerResponse.abort();
             });
         };
-        if (!hasBody) {
+        if (!hasBody(message)) {
             run(undefined);
             return;
         }
@@ -338,40 +359,3 @@
     const query = target.indexOf("?");
     return query < 0 ? target : target.slice(0, query);
 }
-
-/** Collects a body; reports `undefined` when it exceeds the limit, and nothing when the caller disconnects first. */
-function collectBody(message: IncomingMessage, maxBytes: number, done: (body: Buffer | undefined) => void): void {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    message.on("data", (chunk: Buffer) => {
-        size += chunk.length;
-        if (size <= maxBytes) {
-            chunks.push(chunk);
-        }
-        else if (size - chunk.length <= maxBytes) {
-            done(undefined);
-        }
-    });
-    message.on("end", () => {
-        if (size <= maxBytes) {
-            done(Buffer.concat(chunks));
-        }
-    });
-}
-
-/** Responds to bytes that are not a valid request, and closes the connection. */
-function onBadRequest(error: NodeJS.ErrnoException, socket: Socket): void {
-    log.info("request not readable", { code: error.code, remote: socket.remoteAddress });
-    if (error.code === "ECONNRESET" || !socket.writable) {
-        socket.destroy();
-        return;
-    }
-    const status = error.code === "HPE_HEADER_OVERFLOW" ?
-        "431 Request Header Fields Too Large" :
-        error.code === "ERR_HTTP_REQUEST_TIMEOUT" ?
-        "408 Request Timeout" :
-        "400 Bad Request";
-    const body = status.startsWith("400") ? JSON.stringify(errorBody(ResultCodes.MalformedHeader)) : "";
-    const type = body === "" ? "" : "Content-Type: application/json\r\n";
-    socket.end(`HTTP/1.1 ${status}\r\n${type}Connection: close\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
-}
