Do not believe a refusal that does not name its request

Callers saw: 503 (not run, try again) for orders, lookups and streams that an upstream had run, and orders that ran at two upstreams. An upstream that had refused a request wrote this refusal once more, without a request id, on the kept connection, before, in the middle of or after the body of the next request, or after a 1xx.

Cause: Attempt.#isResponseToRequest accepted a response without a request id if its status was 400 or above, and the attempt then took its Toucanjunction-Not-Executed, or its status 421, for a statement about the request that was just sent. Its Retry-After and Server-Leaving were applied to the upstream as well.

Change: an error without a request id ends the attempt as interrupted: the outcome is unknown, the connection is closed and nothing that the response states is used. A request that may be repeated is sent elsewhere within its limits, any other ends with 502. The error itself is not relayed, since it may belong to an earlier request. Upstreams echo the id in all their responses, so that sound refusals are not affected. Responses with another id are skipped, as before. Each case is logged as 'attempt failed' with 'status N without the id of the request'.

--- a/src/edge/flow/attempt.ts
+++ b/src/edge/flow/attempt.ts
@@ -126,8 +126,8 @@
     }
 
     /**
-     * A response without a request id is accepted only if it is an error, so that a complete response to another request is never
-     * relayed.
+     * Skips a response to another request. A response without a request id is skipped too, unless it is an error, which
+     * ends the attempt: the upstream may send nothing else.
      */
     #isResponseToRequest(head: ResponseHead): boolean {
         const { requestId } = this.#codec.readResponseHead(head);
@@ -144,6 +144,11 @@
         this.#recordBytes();
         this.#head = head;
         this.#metadata = this.#codec.readResponseHead(head);
+        if (this.#metadata.requestId === undefined) {
+            // It may be an earlier response, written again, so that it states nothing about this request or the upstream.
+            this.#interrupt("malformed", `status ${head.statusCode} without the id of the request`);
+            return;
+        }
         this.#applyUpstreamState(this.#metadata);
         if (head.statusCode < 300 && !this.#metadata.hasSignature) {
             this.#interrupt("malformed", "a successful response without the upstream's signature");
