Do not join a head that was cut off with the response that follows it

Callers saw: 503 (not run, try again) for an order that an upstream had run, or the order ran at two upstreams. The upstream had written a part of an earlier refusal and, on the same connection, its response to the next request.

Cause: a part that ended in the reason phrase or in a header's value was continued by the next status line, so that the parser read one head with the status and Toucanjunction-Not-Executed of the refusal and the request id of the response.

Change: ResponseParser rejects a head that contains a status line after its first byte, so that the outcome is unknown and the connection is closed. A part that ends in a header's name or at a line's end was rejected before.

--- a/src/edge/transport/responseParser.ts
+++ b/src/edge/transport/responseParser.ts
@@ -36,6 +36,8 @@
 const HeadEnd = Buffer.from("\r\n\r\n");
 const LineEnd = Buffer.from("\r\n");
 const StatusLine = /^HTTP\/1\.([01]) ([1-5][0-9][0-9])(?: ([^\r\n]*))?$/;
+/** Occurs within a head only if the head was cut off and another response follows it on the connection. */
+const JoinedStatusLine = /.HTTP\/1\.[01] [1-5][0-9][0-9]/s;
 const HeaderName = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/;
 const ChunkSize = /^([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?$/;
 const NoBytes = Buffer.alloc(0);
@@ -253,6 +255,9 @@
     if (status === null) {
         throw new ResponseSyntaxError("the status line is not valid");
     }
+    if (JoinedStatusLine.test(text)) {
+        throw new ResponseSyntaxError("the head contains the status line of another response");
+    }
     const headers = lines.map(parseHeader);
     const byName = new Map<string, string>();
     for (const [name, value] of headers) {
