Keep a silent attempt of an idempotent request open beside a second one

Callers saw: an upstream that pauses for 1.3 s before or within its answer to a lookup lost the lookup after 0.3 s, and the caller got 500, or 502 with `ran: unknown`, when the other upstream failed, reset the connection or refused. The answer was on its way. With a second upstream that stayed silent the caller got 504.

Cause: RequestFlow cancelled an attempt after three times the route's objective without a byte, and from then on the answer depended on the second upstream alone.

Change: the attempt reports its silence instead of ending. ParallelSilenceHandler sends the request to a second upstream, within the route's attempts (open ones count as runs), the retry budget and the remaining time, and only while every open attempt is silent. The first whole answer is relayed and the other attempts are cancelled by reset. A refusal, a 5xx, a broken or missing connection of one does not end the request while another is open. At the deadline, and when the caller leaves, all are cancelled. A silent attempt that is cancelled still counts as silent for the health of its upstream, so that a dark upstream is avoided as before. Generations and streams are not run in parallel; they behave as before.

`edge_sends_parallel` counts the sends.

--- a/src/edge/flow/attempt.ts
+++ b/src/edge/flow/attempt.ts
@@ -24,16 +24,29 @@
         readonly detail: string;
     };
 
+/** A time without bytes from the upstream. */
+export interface AttemptSilence {
+    /** Time since the latest byte, or since the start of the attempt, in milliseconds. */
+    readonly silentMs: number;
+    /** Whether this is the first report about this silence. */
+    readonly isFirstReport: boolean;
+}
+
 /** Receives the events of an attempt; nothing more is reported after {@link Attempt.cancel}. */
 export interface AttemptListener {
     /** The request was written to the connection. */
     onWritten(bytes: number): void;
     /** @returns Whether to pass the body on as it arrives; otherwise the attempt collects it. */
-    onHead(head: ResponseHead): boolean;
+    onHead(head: ResponseHead, attempt: Attempt): boolean;
     /** @returns Whether the caller keeps up; if not, the attempt pauses until {@link Attempt.resume}. */
     onBody(bytes: Buffer, attempt: Attempt): boolean;
-    /** Called once when the attempt has ended by itself. */
-    onEnd(outcome: AttemptOutcome): void;
+    /**
+     * No byte has arrived for the time that {@link AttemptInput.silentAfterMs} states. Reported again every
+     * {@link SilenceReportIntervalMs} until bytes arrive or the attempt ends.
+     */
+    onSilence(silence: AttemptSilence, attempt: Attempt): void;
+    /** Called once when the attempt has ended by itself or by {@link Attempt.leave}. */
+    onEnd(outcome: AttemptOutcome, attempt: Attempt): void;
 }
 
 /** Request, target and time limits of an attempt. */
@@ -45,18 +58,18 @@
     readonly prefillTokens: number;
     /** Maximum idle time of a pooled connection that is reused, in milliseconds. */
     readonly maxIdleMs: number;
-    /** Time without a byte after which the choice of upstreams treats this one as silent, in milliseconds. */
+    /** Time without a byte after which the attempt, and for the choice of upstreams this one, is silent, in milliseconds. */
     readonly silentAfterMs: number;
-    /**
-     * Time without a byte after which the attempt is cancelled, in milliseconds; `undefined` when only the deadline of
-     * the request ends it.
-     */
-    readonly inactivityTimeoutMs: number | undefined;
+    /** Whether the listener is told of silence; otherwise only the deadline of the request ends a silent attempt. */
+    readonly isSilenceReported: boolean;
 }
 
 /** Maximum size of a response body that is collected before it is relayed, in bytes. */
 const MaxCollectedBytes = 262_144;
 
+/** Time between two reports of the same silence, in milliseconds: an upstream or a retry that was missing may be there now. */
+const SilenceReportIntervalMs = 250;
+
 /** Sends a request to one upstream on construction and reports the response. Reports nothing after {@link cancel}. */
 export class Attempt {
     readonly input: AttemptInput;
@@ -74,7 +87,9 @@
     #isPaused = false;
     #lastByteAtMs: number;
     #writtenAtMs: number | undefined;
-    #inactivityTimer: ResponseTimeout | undefined;
+    #headAtMs: number | undefined;
+    #isSilent = false;
+    #silenceTimer: ResponseTimeout | undefined;
 
     constructor(input: AttemptInput, codec: HeaderCodec, clock: Clock, listener: AttemptListener) {
         this.input = input;
@@ -84,7 +99,9 @@
         this.#lastByteAtMs = clock.monotonicMs();
         this.#dispatch = input.upstream.beginDispatch(input.prefillTokens, input.silentAfterMs);
         this.#connection = input.upstream.pool.acquire(input.maxIdleMs);
-        this.#armInactivityTimer(input.inactivityTimeoutMs);
+        if (input.isSilenceReported) {
+            this.#armSilenceTimer(input.silentAfterMs);
+        }
         this.#connection.send(input.request, {
             isResponseToRequest: head => this.#isResponseToRequest(head),
             onWritten: () => this.#onWritten(),
@@ -100,14 +117,29 @@
         return this.#writtenAtMs;
     }
 
+    /** @returns Monotonic time at which the head of the response arrived, in milliseconds; `undefined` before that. */
+    get headAtMs(): number | undefined {
+        return this.#headAtMs;
+    }
+
+    /** @returns Whether silence was reported and no byte has arrived since. */
+    get isSilent(): boolean {
+        return this.#isSilent;
+    }
+
     /** Cancels the request at the upstream by closing the connection. */
     cancel(): void {
         if (!this.#hasEnded) {
-            this.#finish("abandoned");
+            this.#finish(this.#isSilent ? "silent" : "abandoned");
             this.#connection.destroy();
         }
     }
 
+    /** Ends a silent attempt by closing the connection, and reports the end. */
+    leave(detail: string): void {
+        this.#interrupt("silent", detail);
+    }
+
     /** Stops reading the response until {@link resume}, because the caller reads more slowly than the upstream sends. */
     pause(): void {
         if (!this.#hasEnded) {
@@ -143,13 +175,14 @@
     #onHead(head: ResponseHead): void {
         this.#recordBytes();
         this.#head = head;
+        this.#headAtMs = this.#lastByteAtMs;
         this.#metadata = this.#codec.readResponseHead(head);
         this.#applyUpstreamState(this.#metadata);
         if (head.statusCode < 300 && !this.#metadata.hasSignature) {
             this.#interrupt("malformed", "a successful response without the upstream's signature");
             return;
         }
-        this.#isRelaying = !this.#isNotExecuted && this.#listener.onHead(head);
+        this.#isRelaying = !this.#isNotExecuted && this.#listener.onHead(head, this);
     }
 
     /**
@@ -201,11 +234,11 @@
         if (this.#isNotExecuted) {
             this.#finish("refused");
             const isWrongUpstream = this.#metadata?.isWrongUpstream === true;
-            this.#listener.onEnd({ status: "notExecuted", isWrongUpstream, statusCode: head.statusCode });
+            this.#listener.onEnd({ status: "notExecuted", isWrongUpstream, statusCode: head.statusCode }, this);
             return;
         }
         this.#finish(head.statusCode >= 500 ? "failed" : "answered");
-        this.#listener.onEnd({ status: "answered", head, body: Buffer.concat(this.#collected) });
+        this.#listener.onEnd({ status: "answered", head, body: Buffer.concat(this.#collected) }, this);
     }
 
     #onFailure(failure: ExchangeFailure, detail: string): void {
@@ -214,11 +247,11 @@
         }
         if (failure === "notConnected") {
             this.#finish("unreachable");
-            this.#listener.onEnd({ status: "unreachable", detail });
+            this.#listener.onEnd({ status: "unreachable", detail }, this);
             return;
         }
         this.#finish("failed");
-        this.#listener.onEnd({ status: "interrupted", reason: failure, detail });
+        this.#listener.onEnd({ status: "interrupted", reason: failure, detail }, this);
     }
 
     #interrupt(reason: "malformed" | "silent", detail: string): void {
@@ -227,7 +260,7 @@
         }
         this.#finish(reason === "silent" ? "silent" : "failed");
         this.#connection.destroy();
-        this.#listener.onEnd({ status: "interrupted", reason, detail });
+        this.#listener.onEnd({ status: "interrupted", reason, detail }, this);
     }
 
     get #isNotExecuted(): boolean {
@@ -236,29 +269,31 @@
 
     #recordBytes(): void {
         this.#lastByteAtMs = this.#clock.monotonicMs();
+        this.#isSilent = false;
         this.input.upstream.recordResponseBytes(this.#dispatch);
     }
 
     /** Checks the time of the last byte when the timer fires, so that the timer need not be reset for every byte. */
-    #armInactivityTimer(limitMs: number | undefined): void {
-        if (limitMs === undefined) {
-            return;
-        }
-        const inactiveMs = this.#isPaused ? 0 : this.#clock.monotonicMs() - this.#lastByteAtMs;
-        const remainingMs = limitMs - inactiveMs;
-        if (remainingMs <= 0) {
-            this.#interrupt("silent", `no byte for ${Math.round(limitMs)} ms`);
+    #armSilenceTimer(delayMs: number): void {
+        this.#silenceTimer = startResponseTimeout(() => this.#checkSilence(), Math.max(1, delayMs));
+    }
+
+    #checkSilence(): void {
+        const { silentAfterMs } = this.input;
+        const silentMs = this.#isPaused ? 0 : this.#clock.monotonicMs() - this.#lastByteAtMs;
+        if (silentMs < silentAfterMs) {
+            this.#armSilenceTimer(silentAfterMs - silentMs);
             return;
         }
-        this.#inactivityTimer = startResponseTimeout(
-            () => this.#armInactivityTimer(limitMs),
-            Math.max(1, remainingMs),
-        );
+        const isFirstReport = !this.#isSilent;
+        this.#isSilent = true;
+        this.#armSilenceTimer(SilenceReportIntervalMs);
+        this.#listener.onSilence({ silentMs: Math.round(silentMs), isFirstReport }, this);
     }
 
     #finish(outcome: DispatchOutcome): void {
         this.#hasEnded = true;
-        this.#inactivityTimer?.cancel();
+        this.#silenceTimer?.cancel();
         this.input.upstream.endDispatch(this.#dispatch, outcome);
     }
 }
--- a/src/edge/flow/attemptHistory.spec.ts
+++ b/src/edge/flow/attemptHistory.spec.ts
@@ -51,6 +51,36 @@
             expect(historyAfter("idempotent", [brokenOff, brokenOff]).canRetry(brokenOff, true)).toBe(false);
         });
 
+        it("counts open attempts as runs (guards against more runs than the route allows)", () => {
+            const history = new AttemptHistory({ ...route, maxAttempts: 3 });
+            history.recordSend("u0");
+            expect([history.canSendBeside(1), history.canSendBeside(3)]).toEqual([true, false]);
+            history.recordSend("u1");
+            history.recordOutcome(brokenOff, false);
+            expect(history.canRetry(brokenOff, true, 1)).toBe(true);
+            expect(history.canRetry(brokenOff, true, 2)).toBe(false);
+        });
+
+        it("allows two more sends after sends that were not executed while one is open (guards against retry storms)", () => {
+            const history = new AttemptHistory(route);
+            history.recordSend("u0");
+            expect(history.canSendBeside(1)).toBe(true);
+            for (const id of ["u1", "u2", "u3"]) {
+                expect(history.canSendBeside(1)).toBe(true);
+                history.recordSend(id);
+                history.recordOutcome(notExecuted, false);
+            }
+            expect(history.canSendBeside(1)).toBe(false);
+            expect(history.canRetry(notExecuted, true, 1)).toBe(false);
+        });
+
+        it("counts a run that was cancelled for another (guards against more runs than the route allows)", () => {
+            const history = historyAfter("idempotent", [notExecuted]);
+            history.recordCancelledRun();
+            expect(history.ran).toBe("unknown");
+            expect(history.canRetryNextRun).toBe(false);
+        });
+
         it("allows no further run when relayed output cannot be continued", () => {
             expect(historyAfter("idempotent", [brokenOff]).canRetry(brokenOff, false)).toBe(false);
         });
--- a/src/edge/flow/attemptHistory.ts
+++ b/src/edge/flow/attemptHistory.ts
@@ -62,16 +62,32 @@
         }
     }
 
+    /** Records that an attempt was cancelled because another one was answered. It may have run. */
+    recordCancelledRun(): void {
+        this.#runCount++;
+        this.recordCancellation(false);
+    }
+
     /** Records that a running attempt was cancelled or broke off. Whether it ran is unknown unless output was relayed. */
     recordCancellation(hasEvents: boolean): void {
         this.#ran = hasEvents ? "yes" : this.#ran === "no" ? "unknown" : this.#ran;
     }
 
+    /** @returns Whether the request may be sent once more while attempts are open, each of which may run it. */
+    canSendBeside(openCount: number): boolean {
+        return this.isRepeatable && this.#runCount + openCount < this.#route.maxAttempts &&
+            this.#sendCount - this.#runCount - openCount <= MaxExtraSends;
+    }
+
     /**
      * @param canContinue Whether the relayed output, if any, can be continued by another upstream.
+     * @param openCount Number of attempts that are still open.
      * @returns Whether the kind of request allows another send after an attempt with this outcome.
      */
-    canRetry(outcome: AttemptOutcome, canContinue: boolean): boolean {
+    canRetry(outcome: AttemptOutcome, canContinue: boolean, openCount = 0): boolean {
+        if (openCount > 0) {
+            return canContinue && this.canSendBeside(openCount);
+        }
         if (outcome.status === "unreachable" || outcome.status === "notExecuted") {
             return this.#sendCount - this.#runCount <= MaxExtraSends;
         }
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -7,15 +7,18 @@
 import type { ResponseHead } from "../transport/responseParser.js";
 import type { SerialisedRequest } from "../transport/upstreamConnection.js";
 import type { Upstream } from "../upstream/upstream.js";
-import { chooseUpstream } from "../upstream/upstreamChoice.js";
-import { Attempt, type AttemptListener, type AttemptOutcome } from "./attempt.js";
+import { Attempt, type AttemptListener, type AttemptOutcome, type AttemptSilence } from "./attempt.js";
 import { AttemptHistory } from "./attemptHistory.js";
 import { describeDisconnect, DisconnectCounters } from "./callerDisconnect.js";
 import type { CallerResponse, EdgeFailure } from "./callerResponse.js";
 import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
+import { OpenAttempts } from "./openAttempts.js";
 import { RequestBudget } from "./requestBudget.js";
+import { ResponseTiming } from "./responseTiming.js";
 import { serialiseRequest } from "./serialiseRequest.js";
+import { ParallelSilenceHandler, SequentialSilenceHandler, type SilenceDelegate } from "./silenceHandler.js";
 import { StreamRelay } from "./streamRelay.js";
+import { UpstreamSelector } from "./upstreamSelector.js";
 
 /**
  * Maximum idle time of a pooled connection that is reused, in milliseconds. It is shorter for requests that may not be
@@ -25,8 +28,8 @@
 const IdempotentMaxIdleMs = 4_000;
 
 /**
- * Time without a byte after which an attempt that may be repeated is cancelled, as a multiple of the route's latency
- * objective, and its lower bound in milliseconds.
+ * Time without a byte after which an attempt is silent, as a multiple of the route's latency objective, and its lower bound
+ * in milliseconds.
  */
 const SilenceObjectives = 3;
 const MinSilenceMs = 250;
@@ -59,15 +62,14 @@
     readonly #relay: StreamRelay;
     readonly #history: AttemptHistory;
     readonly #budget: RequestBudget;
-    #attempt: Attempt | undefined;
+    readonly #upstreams: UpstreamSelector;
+    readonly #parallelSilence: ParallelSilenceHandler;
+    readonly #sequentialSilence: SequentialSilenceHandler;
+    readonly #openAttempts = new OpenAttempts();
+    readonly #timing: ResponseTiming;
     #deadlineTimer: ResponseTimeout | undefined;
     /** Whether an attempt was cancelled after its request was written. */
     #wasAttemptCancelled = false;
-    /** Time from the arrival of the request to the first byte of the latest attempt that got one, in milliseconds. */
-    #firstByteMs: number | undefined;
-    /** Monotonic time of the latest bytes of the stream, and the longest pause between bytes, in milliseconds. */
-    #lastBodyAtMs: number | undefined;
-    #longestPauseMs = 0;
     /** Whether the caller disconnected while a request that may not be repeated continues. */
     #hasCallerDisconnected = false;
     #hasEnded = false;
@@ -85,12 +87,23 @@
             request.metadata.tokenCounts?.maxOutputTokens,
         );
         this.#history = new AttemptHistory(request.route);
+        this.#timing = new ResponseTiming(request.arrivedAtMs);
         this.#budget = new RequestBudget(
             dependencies.budgets,
             request.requestId,
             request.team,
             request.metadata.tokenCounts,
         );
+        this.#upstreams = new UpstreamSelector(dependencies, request, this.#service, this.#history);
+        const silenceDelegate: SilenceDelegate = {
+            describe: () => ({ request: request.requestId, ...this.#describe() }),
+            canSendBeside: () => this.#history.canSendBeside(this.#openAttempts.count) && this.#canSendBesideOpen,
+            canSendInstead: () => this.#history.canRetryNextRun,
+            tryAcquireRetry: () => this.#tryAcquireRetry(),
+            sendNext: () => this.#sendNext(),
+        };
+        this.#parallelSilence = new ParallelSilenceHandler(silenceDelegate);
+        this.#sequentialSilence = new SequentialSilenceHandler(silenceDelegate);
     }
 
     /**
@@ -124,7 +137,9 @@
         if (this.#hasEnded) {
             return;
         }
-        const disconnect = describeDisconnect(this.#attempt, this.#firstByteMs !== undefined, this.#nowMs);
+        const { furthest } = this.#openAttempts;
+        const hasResponseStarted = this.#relay.hasRelayedEvents || furthest?.headAtMs !== undefined;
+        const disconnect = describeDisconnect(furthest, hasResponseStarted, this.#nowMs);
         this.#dependencies.metrics.counters.add(DisconnectCounters[disconnect.stage]);
         const details = { ...disconnect, ...this.#dependencies.hostLoad() };
         if (disconnect.writtenAgeMs !== undefined && this.#request.route.kind === "nonIdempotent") {
@@ -136,7 +151,7 @@
             });
             return;
         }
-        this.#cancelAttempt();
+        this.#cancelAttempts();
         this.#conclude("callerGone", details);
     }
 
@@ -145,23 +160,29 @@
         this.#dependencies.linkBacklog.recordWritten(bytes);
     }
 
-    /** Records the time to the first byte and opens the relay if the response is a successful stream. */
-    onHead(head: ResponseHead): boolean {
-        const elapsedMs = this.#nowMs - this.#request.arrivedAtMs;
-        this.#firstByteMs = Math.round(elapsedMs);
-        this.#dependencies.metrics.recordTimeToFirstByte(elapsedMs);
+    /**
+     * Records the time to the first byte and opens the relay if the response is a successful stream. Other attempts end
+     * then, as only one stream can be relayed.
+     */
+    onHead(head: ResponseHead, attempt: Attempt): boolean {
+        this.#timing.recordHead(attempt.headAtMs);
+        this.#dependencies.metrics.recordTimeToFirstByte(this.#nowMs - this.#request.arrivedAtMs);
         const isStream = head.headersByName.get("content-type")?.startsWith("text/event-stream") === true;
-        return isStream && head.statusCode < 300 && this.#relay.begin(head);
+        if (!isStream || head.statusCode >= 300) {
+            return false;
+        }
+        this.#cancelOthers(attempt);
+        return this.#relay.begin(head);
     }
 
     /** Relays a piece of a stream; interrupts the attempt if the events are not valid. */
     onBody(bytes: Buffer, attempt: Attempt): boolean {
-        this.#recordPause();
+        this.#timing.recordBody(this.#nowMs);
         const outcome = this.#relay.push(bytes);
         if (outcome === "outOfOrder" || outcome === "tooLong") {
             attempt.cancel();
             const detail = outcome === "tooLong" ? "more events than output tokens" : "events are out of order";
-            this.onEnd({ status: "interrupted", reason: "malformed", detail });
+            this.onEnd({ status: "interrupted", reason: "malformed", detail }, attempt);
             return true;
         }
         if (outcome === "callerIsSlow") {
@@ -170,38 +191,49 @@
         return outcome === "written";
     }
 
-    #recordPause(): void {
-        const nowMs = this.#nowMs;
-        this.#longestPauseMs = Math.max(this.#longestPauseMs, nowMs - (this.#lastBodyAtMs ?? nowMs));
-        this.#lastBodyAtMs = nowMs;
+    /** Handles the silence of an attempt. */
+    onSilence(silence: AttemptSilence, attempt: Attempt): void {
+        const { kind, isGeneration } = this.#request.route;
+        // Two runs of a generation would take the slots of two engines, and only one stream can be relayed.
+        const mayRunInParallel = kind === "idempotent" && !isGeneration && !this.#relay.isOpen;
+        (mayRunInParallel ? this.#parallelSilence : this.#sequentialSilence).onSilence(silence, attempt);
     }
 
-    /** Records the end of an attempt, then completes the request, sends it again or reports a failure. */
-    onEnd(outcome: AttemptOutcome): void {
+    /** Records the end of an attempt, then completes the request, sends it again, waits for another or reports a failure. */
+    onEnd(outcome: AttemptOutcome, attempt: Attempt): void {
         if (this.#hasEnded) {
             return;
         }
-        this.#attempt = undefined;
+        this.#openAttempts.remove(attempt);
         if (outcome.status === "interrupted") {
             this.#relay.interrupt();
         }
         this.#history.recordOutcome(outcome, this.#relay.hasRelayedEvents);
         if (outcome.status === "answered") {
-            this.#onAnswered(outcome.head, outcome.body);
+            this.#onAnswered(outcome.head, outcome.body, attempt);
             return;
         }
-        log.info("attempt failed", { request: this.#request.requestId, ...this.#describe(), ...outcome });
+        this.#logFailedAttempt(outcome);
         if (this.#hasCallerDisconnected) {
             this.#conclude("callerGone");
         }
         else if (this.#canResend(outcome)) {
             this.#scheduleResend();
         }
-        else {
+        else if (this.#openAttempts.count === 0) {
             this.#giveUp(outcome);
         }
     }
 
+    #logFailedAttempt(outcome: AttemptOutcome): void {
+        log.info("attempt failed", {
+            request: this.#request.requestId,
+            ...this.#describe(),
+            ...outcome,
+            openAttempts: this.#openAttempts.count,
+        });
+    }
+
     /** Sends the request again after this turn of the event loop, which may also report that the caller has disconnected. */
     #scheduleResend(): void {
         setImmediate(() => {
@@ -241,9 +273,13 @@
     }
 
     #sendNext(): void {
-        const upstream = this.#chooseUpstream();
+        const upstream = this.#upstreams.choose();
+        if (upstream === undefined && this.#openAttempts.count > 0) {
+            log.info("request not sent again: no upstream", { request: this.#request.requestId, ...this.#describe() });
+            return;
+        }
         if (upstream === undefined) {
-            const retryAfterMs = Math.max(this.#retryAfterMs(), this.#minBackoffMs);
+            const retryAfterMs = Math.max(this.#retryAfterMs(), this.#upstreams.minBackoffMs);
             this.#fail({ code: "NoUpstream", ran: this.#history.ran, retryAfterMs }, "no upstream");
             return;
         }
@@ -252,50 +288,31 @@
         if (this.#history.sendCount > 1) {
             this.#dependencies.metrics.counters.add(EdgeCounterNames.repeatedSends);
         }
+        if (this.#openAttempts.count > 0) {
+            this.#dependencies.metrics.counters.add(EdgeCounterNames.parallelSends);
+        }
         const { route, requestId } = this.#request;
         const { objectiveMs } = route;
         const request = this.#serialise(upstream);
-        this.#attempt = new Attempt(
-            {
-                upstream,
-                request,
-                requestId,
-                prefillTokens: this.#request.metadata.tokenCounts?.promptTokens ?? 0,
-                maxIdleMs: this.#history.isRepeatable ? IdempotentMaxIdleMs : NonIdempotentMaxIdleMs,
-                silentAfterMs: Math.max(MinSilenceMs, objectiveMs * SilenceObjectives),
-                inactivityTimeoutMs: this.#inactivityTimeoutMs(),
-            },
-            this.#dependencies.codec,
-            this.#dependencies.clock,
-            this,
+        this.#openAttempts.add(
+            new Attempt(
+                {
+                    upstream,
+                    request,
+                    requestId,
+                    prefillTokens: this.#request.metadata.tokenCounts?.promptTokens ?? 0,
+                    maxIdleMs: this.#history.isRepeatable ? IdempotentMaxIdleMs : NonIdempotentMaxIdleMs,
+                    silentAfterMs: Math.max(MinSilenceMs, objectiveMs * SilenceObjectives),
+                    isSilenceReported: this.#history.isRepeatable,
+                },
+                this.#dependencies.codec,
+                this.#dependencies.clock,
+                this,
+            ),
         );
         this.#dependencies.onSent(this.#request.metadata.tokenCounts?.promptTokens ?? 0);
     }
 
-    #chooseUpstream(): Upstream | undefined {
-        const { route, metadata } = this.#request;
-        return chooseUpstream({
-            candidates: this.#dependencies.directory.findUsable(this.#service),
-            promptParts: metadata.promptParts,
-            promptTokens: metadata.tokenCounts?.promptTokens ?? 0,
-            excludedUpstreamIds: this.#history.triedUpstreamIds,
-            zone: this.#dependencies.zone,
-            isGeneration: route.isGeneration,
-            nowMs: this.#nowMs,
-            peerLoad: upstream => this.#dependencies.peerLoad(upstream),
-            hostCount: this.#dependencies.hostCount(),
-        }, this.#dependencies.random);
-    }
-
-    /** @returns Time until an upstream accepts requests again, in milliseconds; 0 when one does now, or when there is none. */
-    get #minBackoffMs(): number {
-        const nowMs = this.#nowMs;
-        const backoffsMs = this.#dependencies.directory.findUsable(this.#service).map(upstream =>
-            upstream.remainingBackoffMs(nowMs)
-        );
-        return backoffsMs.length === 0 ? 0 : Math.min(...backoffsMs);
-    }
-
     #serialise(upstream: Upstream): SerialisedRequest {
         const { method, target, headers, body, team, route } = this.#request;
         const encoded = this.#dependencies.codec.encodeUpstreamHeaders(headers, {
@@ -308,27 +325,29 @@
         return serialiseRequest(method, target, encoded, body);
     }
 
-    /**
-     * @returns Inactivity timeout of the next attempt, in milliseconds; `undefined` when the request could not run
-     * again elsewhere.
-     */
-    #inactivityTimeoutMs(): number | undefined {
-        return this.#history.canRetryNextRun ?
-            Math.max(MinSilenceMs, this.#request.route.objectiveMs * SilenceObjectives) :
-            undefined;
-    }
-
     /** @returns Whether another send is allowed, useful and within the retry budget, which counts it. */
     #canResend(outcome: AttemptOutcome): boolean {
         const canContinue = !this.#relay.hasRelayedEvents || this.#relay.lastEventId !== undefined;
-        if (!this.#history.canRetry(outcome, canContinue) || this.#remainingMs < MinUsefulMs) {
+        const openCount = this.#openAttempts.count;
+        if (!this.#history.canRetry(outcome, canContinue, openCount) || this.#remainingMs < MinUsefulMs) {
+            return false;
+        }
+        if (openCount > 0 && !this.#canSendBesideOpen) {
             return false;
         }
-        return outcome.status === "unreachable" ||
-            this.#dependencies.retryBudgets.tryAcquire(this.#service, this.#nowMs);
+        return outcome.status === "unreachable" || this.#tryAcquireRetry();
+    }
+
+    /** @returns Whether a send beside the open attempts is useful and there is an upstream for it. */
+    get #canSendBesideOpen(): boolean {
+        return this.#openAttempts.areAllSilent && this.#remainingMs >= MinUsefulMs && this.#upstreams.hasUntried;
+    }
+
+    #tryAcquireRetry(): boolean {
+        return this.#dependencies.retryBudgets.tryAcquire(this.#service, this.#nowMs);
     }
 
-    #onAnswered(head: ResponseHead, body: Buffer): void {
+    #onAnswered(head: ResponseHead, body: Buffer, attempt: Attempt): void {
         if (this.#relay.isOpen) {
             this.#relay.finish();
             this.#conclude("complete");
@@ -347,6 +366,12 @@
             this.#scheduleResend();
             return;
         }
+        if (head.statusCode >= 500 && this.#openAttempts.count > 0) {
+            this.#logFailedAttempt(failed);
+            return;
+        }
+        this.#cancelOthers(attempt);
+        this.#timing.recordHead(attempt.headAtMs);
         this.#response.start(head);
         this.#response.end(body);
         this.#conclude(head.statusCode < 400 ? "complete" : "upstreamFailure");
@@ -363,20 +388,33 @@
     }
 
     #onTimeout(): void {
-        this.#cancelAttempt();
+        this.#cancelAttempts();
         const { ran } = this.#history;
         this.#fail({ code: ran === "no" ? "Overloaded" : "UpstreamTimeout", ran }, "the deadline has passed");
     }
 
-    /** Cancels the running attempt. Output that it generated after the last event received is unknown. */
-    #cancelAttempt(): void {
-        if (this.#attempt === undefined) {
-            return;
+    /** Cancels the open attempts. Output that they generated after the last event received is unknown. */
+    #cancelAttempts(): void {
+        for (const attempt of this.#openAttempts.cancelAll()) {
+            if (attempt.writtenAtMs !== undefined) {
+                this.#wasAttemptCancelled = true;
+                this.#history.recordCancellation(this.#relay.hasRelayedEvents);
+            }
         }
-        this.#attempt.cancel();
-        if (this.#attempt.writtenAtMs !== undefined) {
-            this.#wasAttemptCancelled = true;
-            this.#history.recordCancellation(this.#relay.hasRelayedEvents);
+    }
+
+    /** Cancels the other attempts, as the response of one is relayed. */
+    #cancelOthers(attempt: Attempt): void {
+        for (const { input, isSilent, writtenAtMs } of this.#openAttempts.cancelAll(attempt)) {
+            if (writtenAtMs !== undefined) {
+                this.#history.recordCancelledRun();
+            }
+            log.info("attempt cancelled: another one was answered", {
+                request: this.#request.requestId,
+                upstream: input.upstream.entry.id,
+                isSilent,
+                answeredBy: attempt.input.upstream.entry.id,
+            });
         }
     }
 
@@ -396,7 +434,6 @@
     #conclude(outcome: RequestOutcome, details: Record<string, unknown> = {}): void {
         this.#hasEnded = true;
         this.#endController.abort();
-        this.#attempt = undefined;
         this.#deadlineTimer?.cancel();
         const chargedTokens = this.#settle(outcome === "complete");
         this.#dependencies.metrics.counters.add(OutcomeCounters[outcome]);
@@ -435,8 +472,8 @@
             sends: this.#history.sendCount,
             ran: this.#history.ran,
             events: this.#relay.eventCount,
-            firstByteMs: this.#firstByteMs,
-            longestPauseMs: Math.round(this.#longestPauseMs),
+            firstByteMs: this.#timing.firstByteMs,
+            longestPauseMs: this.#timing.longestPauseMs,
             elapsedMs: Math.round(this.#nowMs - this.#request.arrivedAtMs),
         };
     }
--- /dev/null
+++ b/src/edge/flow/responseTiming.ts
@@ -0,0 +1,35 @@
+/** Times of the response to one request, for its log lines. */
+export class ResponseTiming {
+    readonly #arrivedAtMs: number;
+    #firstByteMs: number | undefined;
+    #lastBodyAtMs: number | undefined;
+    #longestPauseMs = 0;
+
+    /** @param arrivedAtMs Monotonic time at which the request arrived, in milliseconds. */
+    constructor(arrivedAtMs: number) {
+        this.#arrivedAtMs = arrivedAtMs;
+    }
+
+    /** @returns Time from the arrival of the request to the first byte of the response, in whole milliseconds. */
+    get firstByteMs(): number | undefined {
+        return this.#firstByteMs;
+    }
+
+    /** @returns Longest pause between bytes of a stream, in whole milliseconds. */
+    get longestPauseMs(): number {
+        return Math.round(this.#longestPauseMs);
+    }
+
+    /** Records when the head of the latest response, or of the one that is relayed, arrived. */
+    recordHead(headAtMs: number | undefined): void {
+        if (headAtMs !== undefined) {
+            this.#firstByteMs = Math.round(headAtMs - this.#arrivedAtMs);
+        }
+    }
+
+    /** Records the arrival of bytes of a stream. */
+    recordBody(nowMs: number): void {
+        this.#longestPauseMs = Math.max(this.#longestPauseMs, nowMs - (this.#lastBodyAtMs ?? nowMs));
+        this.#lastBodyAtMs = nowMs;
+    }
+}
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -25,6 +25,7 @@
     requestsRefused: "edge.requests.refused",
     sends: "edge.sends",
     repeatedSends: "edge.sends.repeated",
+    parallelSends: "edge.sends.parallel",
     tokensCharged: "edge.tokens.charged",
     budgetRefusals: "edge.budget.refusals",
     budgetRecords: "edge.budget.records",
