--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -32,6 +32,7 @@
     connectionsClosedLink: "edge.connections.closed.link",
     sends: "edge.sends",
     repeatedSends: "edge.sends.repeated",
+    parallelSends: "edge.sends.parallel",
     tokensCharged: "edge.tokens.charged",
     budgetRefusals: "edge.budget.refusals",
     budgetRecords: "edge.budget.records",
