Send the refusal of unreadable bytes after the responses before them

What callers saw: with a second request, or stray bytes, behind a request that was being answered, a 400 or 408 in place of that answer, or in the middle of its stream. The upstream had the request; 408 promises that it did not run.

Cause: the handler of unreadable bytes and late heads wrote its refusal to the socket at once, whatever was open on the connection.

CallerConnections keeps the open requests of a connection. Requests that have been read completely get their responses first, then the refusal is sent and the connection closes. If the caller has closed its side, the connection ends at once, as before. A late head that is complete by then is served.

--- a/src/edge/flow/callerConnections.ts
+++ b/src/edge/flow/callerConnections.ts
@@ -38,12 +38,20 @@
 /** Code of the error with which the server reports a request head that takes too long. */
 const HeadTimeoutCode = "ERR_HTTP_REQUEST_TIMEOUT";
 
+/** A request and its response. */
+interface OpenRequest {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+}
+
 /** State of one connection. */
 interface ConnectionState {
     /** Address and port of the caller. */
     readonly remote: string;
-    /** Requests whose response is not complete. */
-    openRequestCount: number;
+    /** Requests whose response is not complete, in the order of their arrival. */
+    readonly open: Set<OpenRequest>;
+    /** The refusal of bytes behind the open requests, which is sent after their responses; `undefined` when there is none. */
+    refusal: NodeJS.ErrnoException | undefined;
     requestCount: number;
     /** Idle time that the latest response announced, in milliseconds. */
     announcedIdleMs: number;
@@ -72,7 +80,8 @@
         server.on("connection", (socket: Socket) => {
             this.#states.set(socket, {
                 remote: `${socket.remoteAddress}:${socket.remotePort}`,
-                openRequestCount: 0,
+                open: new Set(),
+                refusal: undefined,
                 requestCount: 0,
                 announcedIdleMs: 0,
                 idleSinceMs: clock.monotonicMs(),
@@ -121,7 +130,10 @@
             return;
         }
         state.requestCount++;
-        state.openRequestCount++;
+        // Only the head that took too long can still become a request.
+        state.refusal = undefined;
+        const open: OpenRequest = { request, response };
+        state.open.add(open);
         // The server announces in the response the limit at this time.
         state.announcedIdleMs = this.#server.keepAliveTimeout;
         state.requestEndBytes = socket.bytesRead;
@@ -129,8 +141,9 @@
             request.once("end", () => state.requestEndBytes = socket.bytesRead);
         }
         response.once("close", () => {
-            state.openRequestCount--;
+            state.open.delete(open);
             state.idleSinceMs = this.#clock.monotonicMs();
+            this.#sendRefusal(socket, state);
         });
     }
 
@@ -170,25 +183,46 @@
     }
 
     /**
-     * Refuses bytes that are no request, or a request head that takes too long, and closes the connection. The rest of such a head may
-     * already be in the socket's buffer, above all when the event loop was behind.
+     * Refuses bytes that are no request, or a request head that takes too long, and closes the connection, after the responses to the
+     * requests before them. The rest of such a head may already be in the socket's buffer, above all when the event loop was behind.
      */
     async #onUnreadable(error: NodeJS.ErrnoException, socket: Socket): Promise<void> {
         const state = this.#states.get(socket);
+        if (state === undefined) {
+            return;
+        }
+        if (state.refusal !== undefined) {
+            if (!socket.writable) {
+                socket.destroy();
+            }
+            return;
+        }
         if (error.code === HeadTimeoutCode) {
-            const { requestCount } = state ?? {};
+            const { requestCount } = state;
             await waitForEventLoopPoll();
-            if (state?.requestCount !== requestCount) {
+            if (state.requestCount !== requestCount) {
                 return;
             }
         }
-        log.info("request not readable", { code: error.code, remote: state?.remote ?? socket.remoteAddress });
+        log.info("request not readable", { code: error.code, remote: state.remote, open: state.open.size });
+        // The caller does not wait for responses if it has closed its side.
         if (error.code === "ECONNRESET" || !socket.writable) {
             socket.destroy();
             return;
         }
-        this.recordClose(socket, error.code === HeadTimeoutCode ? "headTimeout" : "unreadable");
-        socket.end(`HTTP/1.1 ${refusalStatusOf(error)}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+        state.refusal = error;
+        this.#sendRefusal(socket, state);
+    }
+
+    /** Sends the refusal of a connection, if there is one, unless a request that has been read completely waits for its response. */
+    #sendRefusal(socket: Socket, state: ConnectionState): void {
+        const { refusal } = state;
+        const hasRunningRequest = [...state.open].some(({ request }) => request.complete);
+        if (refusal === undefined || !socket.writable || (hasRunningRequest && !socket.readableEnded)) {
+            return;
+        }
+        this.recordClose(socket, refusal.code === HeadTimeoutCode ? "headTimeout" : "unreadable");
+        socket.end(`HTTP/1.1 ${refusalStatusOf(refusal)}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     }
 
     /** A request that arrived in time may still be in the socket's buffer, above all when the event loop was behind. */
@@ -204,7 +238,7 @@
     }
 
     #isIdleTimeOver(socket: Socket, state: ConnectionState, nowMs: number): boolean {
-        if (state.requestCount === 0 || state.openRequestCount > 0) {
+        if (state.requestCount === 0 || state.open.size > 0) {
             return false;
         }
         const limitMs = Math.max(state.announcedIdleMs, this.#server.keepAliveTimeout) + IdleGraceMs;
@@ -214,7 +248,7 @@
 
     #end(isIncluded: (state: ConnectionState) => boolean): void {
         for (const [socket, state] of this.#states) {
-            if (state.openRequestCount === 0 && isIncluded(state)) {
+            if (state.open.size === 0 && isIncluded(state)) {
                 this.recordClose(socket, "stop");
                 socket.end();
             }
@@ -222,11 +256,11 @@
     }
 
     #describe(state: ConnectionState, nowMs: number): Record<string, unknown> {
-        const { remote, requestCount, openRequestCount, announcedIdleMs, idleSinceMs } = state;
+        const { remote, requestCount, open, announcedIdleMs, idleSinceMs } = state;
         return {
             remote,
             requests: requestCount,
-            open: openRequestCount,
+            open: open.size,
             announcedIdleMs,
             idleMs: Math.round(nowMs - idleSinceMs),
         };
