Answer requests that have begun to arrive when a planned stop closes connections

What callers saw: during a planned stop, a request on a kept connection whose head was still arriving was read to its end and dropped without an answer; and the second of two requests sent behind each other was run by an upstream, but its response was lost when the connection ended with the response to the first.

Cause: the stop ended connections by what the server had parsed: a head read in part counted as idle. The end of a response ended the connection whatever else was open on it.

CallerConnections ends a connection during a stop only if no request is open on it and no byte has arrived since the latest request, and after a response not before one more poll of the sockets. The stop waits up to 500 ms for such requests, as for those of new connections; later ones are refused with an answer until the process ends.

--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -55,8 +55,11 @@
 /** Time at the end of the grace period that is reserved for the last write and the exit, in milliseconds. */
 const ExitReserveMs = 700;
 
-/** Time in which the first request of a connection that was accepted during the shutdown may arrive, in milliseconds. */
-const NewConnectionGraceMs = 500;
+/**
+ * Time in which the first request of a connection that was accepted during the shutdown may arrive, and the rest of a request that has
+ * arrived in part, in milliseconds.
+ */
+const ExpectedRequestGraceMs = 500;
 
 /** Maximum duration of the last writes to the store, which close the budgets and unregister the host, in milliseconds. */
 const FinalWriteTimeoutMs = 400;
@@ -231,10 +234,10 @@
             await sleep(ShutdownPollMs);
         }
         await this.#callerServer.stopAccepting();
-        const newConnectionsUntilMs = elapsedMs() + NewConnectionGraceMs;
+        const expectedUntilMs = elapsedMs() + ExpectedRequestGraceMs;
         const isRequestExpected = (): boolean =>
             this.#callerServer.openRequestCount > 0 ||
-            (this.#callerServer.newConnectionCount > 0 && elapsedMs() < newConnectionsUntilMs);
+            (this.#callerServer.expectedRequestCount > 0 && elapsedMs() < expectedUntilMs);
         while (isRequestExpected() && elapsedMs() < drainLimitMs) {
             await sleep(ShutdownPollMs);
         }
--- a/src/edge/flow/callerConnections.ts
+++ b/src/edge/flow/callerConnections.ts
@@ -62,6 +62,8 @@
     closed: { readonly reason: CloseReason; readonly atMs: number; } | undefined;
 }
 
+type Connection = readonly [Socket, ConnectionState];
+
 /**
  * Knows for each open connection whether it has carried a request, and whether one is open, and closes idle connections. The limit of
  * a connection is the idle time that its latest response announced, or that of the configuration in force if this is longer.
@@ -72,6 +74,7 @@
     readonly #counters: Counters;
     readonly #states = new Map<Socket, ConnectionState>();
     #idleCheckedAtMs = 0;
+    #isStopping = false;
 
     constructor(server: Server, clock: Clock, counters: Counters) {
         this.#server = server;
@@ -104,9 +107,12 @@
         });
     }
 
-    /** @returns Number of connections whose first request has not arrived. */
-    get newCount(): number {
-        return [...this.#states.values()].filter(({ requestCount }) => requestCount === 0).length;
+    /** @returns Number of connections without an open request on which one is expected: new ones, and those with a part of a request. */
+    get expectedRequestCount(): number {
+        return [...this.#states].filter(([socket, state]) =>
+            state.open.size === 0 && state.closed === undefined &&
+            (state.requestCount === 0 || hasPartOfRequest(socket, state))
+        ).length;
     }
 
     /** Closes the connections whose idle time is over; called every few tens of milliseconds. */
@@ -144,6 +150,9 @@
             state.open.delete(open);
             state.idleSinceMs = this.#clock.monotonicMs();
             this.#sendRefusal(socket, state);
+            if (this.#isStopping) {
+                void this.#endIdle([[socket, state]]);
+            }
         });
     }
 
@@ -172,14 +181,18 @@
         });
     }
 
-    /** Ends the connections on which no request is open, except new ones, whose first request may be on its way. */
-    endIdle(): void {
-        this.#end(state => state.requestCount > 0);
+    /**
+     * Ends the connections that have carried requests and on which none is open or begun, and from now on each one when its requests
+     * have their responses. New connections are kept, as their first request may be on its way.
+     */
+    startStopping(): void {
+        this.#isStopping = true;
+        this.#end([...this.#states].filter(([, state]) => state.requestCount > 0));
     }
 
-    /** Ends all connections on which no request is open. */
+    /** Ends all connections on which no request is open or begun. */
     endUnused(): void {
-        this.#end(() => true);
+        this.#end([...this.#states]);
     }
 
     /**
@@ -226,7 +239,7 @@
     }
 
     /** A request that arrived in time may still be in the socket's buffer, above all when the event loop was behind. */
-    async #closeIdle(connections: readonly (readonly [Socket, ConnectionState])[]): Promise<void> {
+    async #closeIdle(connections: readonly Connection[]): Promise<void> {
         await waitForEventLoopPoll();
         const nowMs = this.#clock.monotonicMs();
         for (const [socket, state] of connections) {
@@ -242,13 +255,19 @@
             return false;
         }
         const limitMs = Math.max(state.announcedIdleMs, this.#server.keepAliveTimeout) + IdleGraceMs;
-        const graceMs = socket.bytesRead > state.requestEndBytes ? this.#server.headersTimeout + StrayBytesGraceMs : 0;
+        const graceMs = hasPartOfRequest(socket, state) ? this.#server.headersTimeout + StrayBytesGraceMs : 0;
         return nowMs - state.idleSinceMs >= limitMs + graceMs;
     }
 
-    #end(isIncluded: (state: ConnectionState) => boolean): void {
-        for (const [socket, state] of this.#states) {
-            if (state.open.size === 0 && isIncluded(state)) {
+    /** Ends connections after their last response, unless the next request has begun to arrive. */
+    async #endIdle(connections: readonly Connection[]): Promise<void> {
+        await waitForEventLoopPoll();
+        this.#end(connections);
+    }
+
+    #end(connections: readonly Connection[]): void {
+        for (const [socket, state] of connections) {
+            if (socket.writable && state.open.size === 0 && !hasPartOfRequest(socket, state)) {
                 this.recordClose(socket, "stop");
                 socket.end();
             }
@@ -267,6 +286,11 @@
     }
 }
 
+/** @returns Whether bytes have arrived since the latest request was read. */
+function hasPartOfRequest(socket: Socket, state: ConnectionState): boolean {
+    return socket.bytesRead > state.requestEndBytes;
+}
+
 /** @returns Status code and reason of the response to bytes that are no request. */
 function refusalStatusOf({ code }: NodeJS.ErrnoException): string {
     if (code === "HPE_HEADER_OVERFLOW") {
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -74,7 +74,6 @@
     #linkCheckedAtMs = 0;
     #wasLinkBusy = false;
     #openRequestCount = 0;
-    #isStopping = false;
     #isRefusing = false;
 
     constructor(dependencies: CallerServerDependencies) {
@@ -161,19 +160,18 @@
      * that are already in the listen queue are accepted, and requests that have arrived are read, before that.
      */
     async stopAccepting(): Promise<void> {
-        this.#isStopping = true;
         await waitForEventLoopPoll();
         // `close` of an HTTP server also destroys connections whose first request has not been read.
         NetServer.prototype.close.call(this.#server);
-        this.#connections.endIdle();
+        this.#connections.startStopping();
     }
 
-    /** @returns Number of accepted connections whose first request has not arrived. */
-    get newConnectionCount(): number {
-        return this.#connections.newCount;
+    /** @returns Number of connections on which a request is expected: new ones, and those on which a part of one has arrived. */
+    get expectedRequestCount(): number {
+        return this.#connections.expectedRequestCount;
     }
 
-    /** Ends all connections without an open request. */
+    /** Ends all connections on which no request is open or begun. */
     endUnusedConnections(): void {
         this.#connections.endUnused();
     }
@@ -201,12 +199,6 @@
         this.#openRequestCount++;
         response.once("close", () => this.#openRequestCount--);
         this.#connections.recordRequest(request, response);
-        response.once("finish", () => {
-            if (this.#isStopping) {
-                this.#connections.recordClose(request.socket, "stop");
-                request.socket.end();
-            }
-        });
         response.on("error", error => log.debug("caller connection failed", { error: error.message }));
         const closeReason = this.#closeReason(arrivedAtMs);
         if (closeReason !== undefined) {
