Run no request behind a response that announces the close of its connection

What callers saw: requests sent behind each other while the host is leaving, or its link is busy: the second was run by an upstream and its connection ended without its response. The open request also kept the stop waiting until the end of the grace period.

Cause: each response carried `Connection: close`, after which node ends the connection, while the request behind it was run already.

A response whose head has not been sent keeps the connection open when another request arrives behind it; the last one announces the close. A request behind an announced close is not run, and is logged and counted.

--- a/src/edge/flow/callerConnections.ts
+++ b/src/edge/flow/callerConnections.ts
@@ -42,6 +42,8 @@
 interface OpenRequest {
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
+    /** Why the connection is closed after the response; `undefined` when it is kept. */
+    closeReason: CloseReason | undefined;
 }
 
 /** State of one connection. */
@@ -128,18 +130,28 @@
         }
     }
 
-    /** Records a request, until its response is closed. */
-    recordRequest(request: IncomingMessage, response: ServerResponse): void {
+    /**
+     * Records a request, until its response is closed.
+     * @param closeReason Why the connection is to be closed after the response; `undefined` when it is kept.
+     * @returns Whether the request can be answered; not if the response before it announces that the connection closes.
+     */
+    recordRequest(request: IncomingMessage, response: ServerResponse, closeReason: CloseReason | undefined): boolean {
         const { socket } = request;
         const state = this.#states.get(socket);
-        if (state === undefined) {
-            return;
+        if (state === undefined || !socket.writable || !reopenLastResponse(state)) {
+            return false;
         }
         state.requestCount++;
         // Only the head that took too long can still become a request.
         state.refusal = undefined;
-        const open: OpenRequest = { request, response };
+        const open: OpenRequest = { request, response, closeReason };
         state.open.add(open);
+        response.shouldKeepAlive &&= closeReason === undefined;
+        response.once("finish", () => {
+            if (open.closeReason !== undefined) {
+                this.recordClose(socket, open.closeReason);
+            }
+        });
         // The server announces in the response the limit at this time.
         state.announcedIdleMs = this.#server.keepAliveTimeout;
         state.requestEndBytes = socket.bytesRead;
@@ -154,6 +166,7 @@
                 void this.#endIdle([[socket, state]]);
             }
         });
+        return true;
     }
 
     /** Records that the server closes a connection, with a log line and a counter; later calls for the connection have no effect. */
@@ -168,7 +181,7 @@
         log.info("caller connection closed", { reason, ...this.#describe(state, nowMs) });
     }
 
-    /** Records a request that was read from a connection which the server had closed, and which is not run. */
+    /** Records a request that is not run, as the server has closed its connection or announced that it will. */
     recordRequestAfterClose(socket: Socket, requestId: string | undefined): void {
         this.#counters.add(EdgeCounterNames.requestsAfterClose);
         const state = this.#states.get(socket);
@@ -286,6 +299,23 @@
     }
 }
 
+/**
+ * Keeps the connection open after its last open response, as another request has arrived behind it.
+ * @returns Whether that is possible; not if the response has announced that the connection closes.
+ */
+function reopenLastResponse(state: ConnectionState): boolean {
+    const last = [...state.open].at(-1);
+    if (last?.closeReason === undefined) {
+        return true;
+    }
+    if (last.response.headersSent) {
+        return false;
+    }
+    last.response.shouldKeepAlive = true;
+    last.closeReason = undefined;
+    return true;
+}
+
 /** @returns Whether bytes have arrived since the latest request was read. */
 function hasPartOfRequest(socket: Socket, state: ConnectionState): boolean {
     return socket.bytesRead > state.requestEndBytes;
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -188,23 +188,14 @@
     }
 
     #onRequest(request: IncomingMessage, response: ServerResponse): void {
-        if (!request.socket.writable) {
-            // The request arrived while its connection was being closed. It is not run, as no response could be sent.
-            const { requestId } = this.#dependencies.codec.readRequestHeaders(request.rawHeaders);
-            this.#connections.recordRequestAfterClose(request.socket, requestId);
-            request.socket.destroy();
+        const arrivedAtMs = this.#dependencies.clock.monotonicMs();
+        if (!this.#connections.recordRequest(request, response, this.#closeReason(arrivedAtMs))) {
+            this.#ignore(request);
             return;
         }
-        const arrivedAtMs = this.#dependencies.clock.monotonicMs();
         this.#openRequestCount++;
         response.once("close", () => this.#openRequestCount--);
-        this.#connections.recordRequest(request, response);
         response.on("error", error => log.debug("caller connection failed", { error: error.message }));
-        const closeReason = this.#closeReason(arrivedAtMs);
-        if (closeReason !== undefined) {
-            response.shouldKeepAlive = false;
-            response.once("finish", () => this.#connections.recordClose(request.socket, closeReason));
-        }
         const metadata = this.#dependencies.codec.readRequestHeaders(request.rawHeaders);
         const callerResponse = new CallerResponse(
             response,
@@ -240,6 +231,16 @@
         );
     }
 
+    /** Handles a request that arrived while its connection was being closed. It is not run, as no response could be sent. */
+    #ignore(request: IncomingMessage): void {
+        const { requestId } = this.#dependencies.codec.readRequestHeaders(request.rawHeaders);
+        this.#connections.recordRequestAfterClose(request.socket, requestId);
+        request.resume();
+        if (!request.socket.writable) {
+            request.socket.destroy();
+        }
+    }
+
     /** @returns Why the connection of a request that arrives now is closed after its response; `undefined` when it is kept. */
     #closeReason(nowMs: number): CloseReason | undefined {
         if (this.#dependencies.isLeaving()) {
