--- a/src/edge/flow/callerConnections.ts
+++ b/src/edge/flow/callerConnections.ts
@@ -39,12 +39,22 @@
 /** Code of the error with which the server reports a request head that takes too long. */
 const HeadTimeoutCode = "ERR_HTTP_REQUEST_TIMEOUT";
 
+/** A request and its response. */
+interface OpenRequest {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    /** Why the connection is closed after the response; `undefined` when it is kept. */
+    closeReason: CloseReason | undefined;
+}
+
 /** State of one connection. */
 interface ConnectionState {
     /** Address and port of the caller. */
     readonly remote: string;
-    /** Requests whose response is not complete. */
-    openRequestCount: number;
+    /** Requests whose response is not complete, in the order of their arrival. */
+    readonly open: Set<OpenRequest>;
+    /** The refusal of bytes behind the open requests, which is sent after their responses; `undefined` when there is none. */
+    refusal: NodeJS.ErrnoException | undefined;
     requestCount: number;
     /** Idle time that the latest response announced, in milliseconds. */
     announcedIdleMs: number;
@@ -55,6 +65,8 @@
     closed: { readonly reason: CloseReason; readonly atMs: number; } | undefined;
 }
 
+type Connection = readonly [Socket, ConnectionState];
+
 /**
  * Knows for each open connection whether it has carried a request, and whether one is open, and closes idle connections. The limit of
  * a connection is the idle time that its latest response announced, or that of the configuration in force if this is longer.
@@ -65,6 +77,7 @@
     readonly #counters: Counters;
     readonly #states = new Map<Socket, ConnectionState>();
     #idleCheckedAtMs = 0;
+    #isStopping = false;
 
     constructor(server: Server, clock: Clock, counters: Counters) {
         this.#server = server;
@@ -73,7 +86,8 @@
         server.on("connection", (socket: Socket) => {
             this.#states.set(socket, {
                 remote: `${socket.remoteAddress}:${socket.remotePort}`,
-                openRequestCount: 0,
+                open: new Set(),
+                refusal: undefined,
                 requestCount: 0,
                 announcedIdleMs: 0,
                 idleSinceMs: clock.monotonicMs(),
@@ -96,9 +110,12 @@
         });
     }
 
-    /** @returns Number of connections whose first request has not arrived. */
-    get newCount(): number {
-        return [...this.#states.values()].filter(({ requestCount }) => requestCount === 0).length;
+    /** @returns Number of connections without an open request on which one is expected: new ones, and those with a part of a request. */
+    get expectedRequestCount(): number {
+        return [...this.#states].filter(([socket, state]) =>
+            state.open.size === 0 && state.closed === undefined &&
+            (state.requestCount === 0 || hasPartOfRequest(socket, state))
+        ).length;
     }
 
     /** Closes the connections whose idle time is over; called every few tens of milliseconds. */
@@ -114,15 +131,28 @@
         }
     }
 
-    /** Records a request, until its response is closed. */
-    recordRequest(request: IncomingMessage, response: ServerResponse): void {
+    /**
+     * Records a request, until its response is closed.
+     * @param closeReason Why the connection is to be closed after the response; `undefined` when it is kept.
+     * @returns Whether the request can be answered; not if the response before it announces that the connection closes.
+     */
+    recordRequest(request: IncomingMessage, response: ServerResponse, closeReason: CloseReason | undefined): boolean {
         const { socket } = request;
         const state = this.#states.get(socket);
-        if (state === undefined) {
-            return;
+        if (state === undefined || !socket.writable || !reopenLastResponse(state)) {
+            return false;
         }
         state.requestCount++;
-        state.openRequestCount++;
+        // Only the head that took too long can still become a request.
+        state.refusal = undefined;
+        const open: OpenRequest = { request, response, closeReason };
+        state.open.add(open);
+        response.shouldKeepAlive &&= closeReason === undefined;
+        response.once("finish", () => {
+            if (open.closeReason !== undefined) {
+                this.recordClose(socket, open.closeReason);
+            }
+        });
         // The server announces in the response the limit at this time.
         state.announcedIdleMs = this.#server.keepAliveTimeout;
         state.requestEndBytes = socket.bytesRead;
@@ -130,9 +160,14 @@
             request.once("end", () => state.requestEndBytes = socket.bytesRead);
         }
         response.once("close", () => {
-            state.openRequestCount--;
+            state.open.delete(open);
             state.idleSinceMs = this.#clock.monotonicMs();
+            this.#sendRefusal(socket, state);
+            if (this.#isStopping) {
+                void this.#endIdle([[socket, state]]);
+            }
         });
+        return true;
     }
 
     /** Records that the server closes a connection, with a log line and a counter; later calls for the connection have no effect. */
@@ -147,7 +182,7 @@
         log.info("caller connection closed", { reason, ...this.#describe(state, nowMs) });
     }
 
-    /** Records a request that was read from a connection which the server had closed, and which is not run. */
+    /** Records a request that is not run, as the server has closed its connection or announced that it will. */
     recordRequestAfterClose(socket: Socket, requestId: string | undefined): void {
         this.#counters.add(EdgeCounterNames.requestsAfterClose);
         const state = this.#states.get(socket);
@@ -160,40 +195,65 @@
         });
     }
 
-    /** Ends the connections on which no request is open, except new ones, whose first request may be on its way. */
-    endIdle(): void {
-        this.#end(state => state.requestCount > 0);
+    /**
+     * Ends the connections that have carried requests and on which none is open or begun, and from now on each one when its requests
+     * have their responses. New connections are kept, as their first request may be on its way.
+     */
+    startStopping(): void {
+        this.#isStopping = true;
+        this.#end([...this.#states].filter(([, state]) => state.requestCount > 0));
     }
 
-    /** Ends all connections on which no request is open. */
+    /** Ends all connections on which no request is open or begun. */
     endUnused(): void {
-        this.#end(() => true);
+        this.#end([...this.#states]);
     }
 
     /**
-     * Refuses bytes that are no request, or a request head that takes too long, and closes the connection. The rest of such a head may
-     * already be in the socket's buffer, above all when the event loop was behind.
+     * Refuses bytes that are no request, or a request head that takes too long, and closes the connection, after the responses to the
+     * requests before them. The rest of such a head may already be in the socket's buffer, above all when the event loop was behind.
      */
     async #onUnreadable(error: NodeJS.ErrnoException, socket: Socket): Promise<void> {
         const state = this.#states.get(socket);
+        if (state === undefined) {
+            return;
+        }
+        if (state.refusal !== undefined) {
+            if (!socket.writable) {
+                socket.destroy();
+            }
+            return;
+        }
         if (error.code === HeadTimeoutCode) {
-            const { requestCount } = state ?? {};
+            const { requestCount } = state;
             await waitForEventLoopPoll();
-            if (state?.requestCount !== requestCount) {
+            if (state.requestCount !== requestCount) {
                 return;
             }
         }
-        log.info("request not readable", { code: error.code, remote: state?.remote ?? socket.remoteAddress });
+        log.info("request not readable", { code: error.code, remote: state.remote, open: state.open.size });
+        // The caller does not wait for responses if it has closed its side.
         if (error.code === "ECONNRESET" || !socket.writable) {
             socket.destroy();
             return;
         }
-        this.recordClose(socket, error.code === HeadTimeoutCode ? "headTimeout" : "unreadable");
-        socket.end(refusalOf(error));
+        state.refusal = error;
+        this.#sendRefusal(socket, state);
+    }
+
+    /** Sends the refusal of a connection, if there is one, unless a request that has been read completely waits for its response. */
+    #sendRefusal(socket: Socket, state: ConnectionState): void {
+        const { refusal } = state;
+        const hasRunningRequest = [...state.open].some(({ request }) => request.complete);
+        if (refusal === undefined || !socket.writable || (hasRunningRequest && !socket.readableEnded)) {
+            return;
+        }
+        this.recordClose(socket, refusal.code === HeadTimeoutCode ? "headTimeout" : "unreadable");
+        socket.end(refusalOf(refusal));
     }
 
     /** A request that arrived in time may still be in the socket's buffer, above all when the event loop was behind. */
-    async #closeIdle(connections: readonly (readonly [Socket, ConnectionState])[]): Promise<void> {
+    async #closeIdle(connections: readonly Connection[]): Promise<void> {
         await waitForEventLoopPoll();
         const nowMs = this.#clock.monotonicMs();
         for (const [socket, state] of connections) {
@@ -205,17 +265,23 @@
     }
 
     #isIdleTimeOver(socket: Socket, state: ConnectionState, nowMs: number): boolean {
-        if (state.requestCount === 0 || state.openRequestCount > 0) {
+        if (state.requestCount === 0 || state.open.size > 0) {
             return false;
         }
         const limitMs = Math.max(state.announcedIdleMs, this.#server.keepAliveTimeout) + IdleGraceMs;
-        const graceMs = socket.bytesRead > state.requestEndBytes ? this.#server.headersTimeout + StrayBytesGraceMs : 0;
+        const graceMs = hasPartOfRequest(socket, state) ? this.#server.headersTimeout + StrayBytesGraceMs : 0;
         return nowMs - state.idleSinceMs >= limitMs + graceMs;
     }
 
-    #end(isIncluded: (state: ConnectionState) => boolean): void {
-        for (const [socket, state] of this.#states) {
-            if (state.openRequestCount === 0 && isIncluded(state)) {
+    /** Ends connections after their last response, unless the next request has begun to arrive. */
+    async #endIdle(connections: readonly Connection[]): Promise<void> {
+        await waitForEventLoopPoll();
+        this.#end(connections);
+    }
+
+    #end(connections: readonly Connection[]): void {
+        for (const [socket, state] of connections) {
+            if (socket.writable && state.open.size === 0 && !hasPartOfRequest(socket, state)) {
                 this.recordClose(socket, "stop");
                 socket.end();
             }
@@ -223,17 +289,39 @@
     }
 
     #describe(state: ConnectionState, nowMs: number): Record<string, unknown> {
-        const { remote, requestCount, openRequestCount, announcedIdleMs, idleSinceMs } = state;
+        const { remote, requestCount, open, announcedIdleMs, idleSinceMs } = state;
         return {
             remote,
             requests: requestCount,
-            open: openRequestCount,
+            open: open.size,
             announcedIdleMs,
             idleMs: Math.round(nowMs - idleSinceMs),
         };
     }
 }
 
+/**
+ * Keeps the connection open after its last open response, as another request has arrived behind it.
+ * @returns Whether that is possible; not if the response has announced that the connection closes.
+ */
+function reopenLastResponse(state: ConnectionState): boolean {
+    const last = [...state.open].at(-1);
+    if (last?.closeReason === undefined) {
+        return true;
+    }
+    if (last.response.headersSent) {
+        return false;
+    }
+    last.response.shouldKeepAlive = true;
+    last.closeReason = undefined;
+    return true;
+}
+
+/** @returns Whether bytes have arrived since the latest request was read. */
+function hasPartOfRequest(socket: Socket, state: ConnectionState): boolean {
+    return socket.bytesRead > state.requestEndBytes;
+}
+
 /** @returns The response to bytes that are no request. */
 function refusalOf({ code }: NodeJS.ErrnoException): string {
     const close = "Connection: close\r\n";
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -75,7 +75,6 @@
     #linkCheckedAtMs = 0;
     #wasLinkBusy = false;
     #openRequestCount = 0;
-    #isStopping = false;
     #isRefusing = false;
 
     constructor(dependencies: CallerServerDependencies) {
@@ -162,19 +161,18 @@
      * that are already in the listen queue are accepted, and requests that have arrived are read, before that.
      */
     async stopAccepting(): Promise<void> {
-        this.#isStopping = true;
         await waitForEventLoopPoll();
         // `close` of an HTTP server also destroys connections whose first request has not been read.
         NetServer.prototype.close.call(this.#server);
-        this.#connections.endIdle();
+        this.#connections.startStopping();
     }
 
-    /** @returns Number of accepted connections whose first request has not arrived. */
-    get newConnectionCount(): number {
-        return this.#connections.newCount;
+    /** @returns Number of connections on which a request is expected: new ones, and those on which a part of one has arrived. */
+    get expectedRequestCount(): number {
+        return this.#connections.expectedRequestCount;
     }
 
-    /** Ends all connections without an open request. */
+    /** Ends all connections on which no request is open or begun. */
     endUnusedConnections(): void {
         this.#connections.endUnused();
     }
@@ -191,30 +189,16 @@
     }
 
     #onRequest(request: IncomingMessage, response: ServerResponse): void {
-        if (!request.socket.writable) {
-            // The request arrived while its connection was being closed. It is not run, as no response could be sent.
-            const { requestId } = this.#dependencies.codec.readRequestHeaders(request.rawHeaders);
-            this.#connections.recordRequestAfterClose(request.socket, requestId);
-            request.socket.destroy();
+        const arrivedAtMs = this.#dependencies.clock.monotonicMs();
+        const isHeadValid = findInvalidHeaderName(request.rawHeaders) === undefined;
+        const closeReason = isHeadValid ? this.#closeReason(arrivedAtMs) : "unreadable";
+        if (!this.#connections.recordRequest(request, response, closeReason)) {
+            this.#ignore(request);
             return;
         }
-        const arrivedAtMs = this.#dependencies.clock.monotonicMs();
         this.#openRequestCount++;
         response.once("close", () => this.#openRequestCount--);
-        this.#connections.recordRequest(request, response);
-        response.once("finish", () => {
-            if (this.#isStopping) {
-                this.#connections.recordClose(request.socket, "stop");
-                request.socket.end();
-            }
-        });
         response.on("error", error => log.debug("caller connection failed", { error: error.message }));
-        const isHeadValid = findInvalidHeaderName(request.rawHeaders) === undefined;
-        const closeReason = isHeadValid ? this.#closeReason(arrivedAtMs) : "unreadable";
-        if (closeReason !== undefined) {
-            response.shouldKeepAlive = false;
-            response.once("finish", () => this.#connections.recordClose(request.socket, closeReason));
-        }
         const metadata = this.#dependencies.codec.readRequestHeaders(request.rawHeaders);
         const callerResponse = new CallerResponse(
             response,
@@ -250,6 +234,16 @@
         );
     }
 
+    /** Handles a request that arrived while its connection was being closed. It is not run, as no response could be sent. */
+    #ignore(request: IncomingMessage): void {
+        const { requestId } = this.#dependencies.codec.readRequestHeaders(request.rawHeaders);
+        this.#connections.recordRequestAfterClose(request.socket, requestId);
+        request.resume();
+        if (!request.socket.writable) {
+            request.socket.destroy();
+        }
+    }
+
     /** @returns Why the connection of a request that arrives now is closed after its response; `undefined` when it is kept. */
     #closeReason(nowMs: number): CloseReason | undefined {
         if (this.#dependencies.isLeaving()) {
