Keep a silent stream open unless its upstream cannot be reached

Callers saw: an upstream that paused for 1.3 s within a stream that may be resumed lost the stream after 0.3 s. Where the other upstream refused, failed with 500 or reset the connection, the caller got status 200, three of six events and a broken connection; the same when there was no other upstream.

Cause: RequestFlow ended the attempt after three times the route's objective without a byte, before it was known whether another send was possible, and aborted the response when it was not.

Change: two upstreams must not work on one generation at a time, so nothing is sent beside the silent attempt. At the present limit SequentialSilenceHandler finds out whether the upstream can be reached: by bytes of any of its responses within the limit, otherwise by a probe connection (400 ms at most, kept in the pool, shared by all checks of the upstream at that time). An upstream that cannot be reached loses the stream as before. One that can be reached loses it after 2 s of silence, or after the present limit if that is longer, and then only to a healthy upstream. In both cases the attempt is ended only when an attempt of the route, the retry budget, an upstream and the time of one objective are left; otherwise it stays open until the deadline, and the question is asked again every 250 ms. No check is made while no other upstream could take the stream. Silence alone no longer aborts a response.

Each decision is a line `attempt is silent`. `edge_upstreams_probes` and `edge_upstreams_probes_failed` count the connections. ResendPolicy holds the decisions about further sends.

--- a/src/edge/flow/attempt.ts
+++ b/src/edge/flow/attempt.ts
@@ -45,7 +45,7 @@
      * {@link SilenceReportIntervalMs} until bytes arrive or the attempt ends.
      */
     onSilence(silence: AttemptSilence, attempt: Attempt): void;
-    /** Called once when the attempt has ended by itself or by {@link Attempt.leave}. */
+    /** Called once when the attempt has ended by itself or by {@link Attempt.interruptSilent}. */
     onEnd(outcome: AttemptOutcome, attempt: Attempt): void;
 }
 
@@ -122,6 +122,11 @@
         return this.#headAtMs;
     }
 
+    /** @returns Whether the attempt has ended or was cancelled. */
+    get hasEnded(): boolean {
+        return this.#hasEnded;
+    }
+
     /** @returns Whether silence was reported and no byte has arrived since. */
     get isSilent(): boolean {
         return this.#isSilent;
@@ -136,7 +141,7 @@
     }
 
     /** Ends a silent attempt by closing the connection, and reports the end. */
-    leave(detail: string): void {
+    interruptSilent(detail: string): void {
         this.#interrupt("silent", detail);
     }
 
--- a/src/edge/flow/attemptHistory.spec.ts
+++ b/src/edge/flow/attemptHistory.spec.ts
@@ -57,8 +57,7 @@
             expect([history.canSendBeside(1), history.canSendBeside(3)]).toEqual([true, false]);
             history.recordSend("u1");
             history.recordOutcome(brokenOff, false);
-            expect(history.canRetry(brokenOff, true, 1)).toBe(true);
-            expect(history.canRetry(brokenOff, true, 2)).toBe(false);
+            expect([history.canSendBeside(1), history.canSendBeside(2)]).toEqual([true, false]);
         });
 
         it("allows two more sends after sends that were not executed while one is open (guards against retry storms)", () => {
@@ -71,7 +70,6 @@
                 history.recordOutcome(notExecuted, false);
             }
             expect(history.canSendBeside(1)).toBe(false);
-            expect(history.canRetry(notExecuted, true, 1)).toBe(false);
         });
 
         it("counts a run that was cancelled for another (guards against more runs than the route allows)", () => {
--- a/src/edge/flow/attemptHistory.ts
+++ b/src/edge/flow/attemptHistory.ts
@@ -81,13 +81,10 @@
 
     /**
      * @param canContinue Whether the relayed output, if any, can be continued by another upstream.
-     * @param openCount Number of attempts that are still open.
-     * @returns Whether the kind of request allows another send after an attempt with this outcome.
+     * @returns Whether the kind of request allows another send after an attempt with this outcome, if none is open; see
+     * {@link canSendBeside}.
      */
-    canRetry(outcome: AttemptOutcome, canContinue: boolean, openCount = 0): boolean {
-        if (openCount > 0) {
-            return canContinue && this.canSendBeside(openCount);
-        }
+    canRetry(outcome: AttemptOutcome, canContinue: boolean): boolean {
         if (outcome.status === "unreachable" || outcome.status === "notExecuted") {
             return this.#sendCount - this.#runCount <= MaxExtraSends;
         }
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -14,6 +14,7 @@
 import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
 import { OpenAttempts } from "./openAttempts.js";
 import { RequestBudget } from "./requestBudget.js";
+import { ResendPolicy } from "./resendPolicy.js";
 import { ResponseTiming } from "./responseTiming.js";
 import { serialiseRequest } from "./serialiseRequest.js";
 import { ParallelSilenceHandler, SequentialSilenceHandler, type SilenceDelegate } from "./silenceHandler.js";
@@ -34,9 +35,6 @@
 const SilenceObjectives = 3;
 const MinSilenceMs = 250;
 
-/** Minimum time before the deadline for a repeated send to be useful, in milliseconds. */
-const MinUsefulMs = 30;
-
 /**
  * Retry-After as a fraction of the caller's remaining time, and its maximum in milliseconds. Callers wait up to a
  * third of that time.
@@ -63,6 +61,7 @@
     readonly #history: AttemptHistory;
     readonly #budget: RequestBudget;
     readonly #upstreams: UpstreamSelector;
+    readonly #resendPolicy: ResendPolicy;
     readonly #parallelSilence: ParallelSilenceHandler;
     readonly #sequentialSilence: SequentialSilenceHandler;
     readonly #openAttempts = new OpenAttempts();
@@ -95,11 +94,17 @@
             request.metadata.tokenCounts,
         );
         this.#upstreams = new UpstreamSelector(dependencies, request, this.#service, this.#history);
+        this.#resendPolicy = new ResendPolicy(dependencies, request, {
+            service: this.#service,
+            history: this.#history,
+            openAttempts: this.#openAttempts,
+            relay: this.#relay,
+            upstreams: this.#upstreams,
+        });
         const silenceDelegate: SilenceDelegate = {
+            counters: dependencies.metrics.counters,
+            resendPolicy: this.#resendPolicy,
             describe: () => ({ request: request.requestId, ...this.#describe() }),
-            canSendBeside: () => this.#history.canSendBeside(this.#openAttempts.count) && this.#canSendBesideOpen,
-            canSendInstead: () => this.#history.canRetryNextRun,
-            tryAcquireRetry: () => this.#tryAcquireRetry(),
             sendNext: () => this.#sendNext(),
         };
         this.#parallelSilence = new ParallelSilenceHandler(silenceDelegate);
@@ -217,7 +222,7 @@
         if (this.#hasCallerDisconnected) {
             this.#conclude("callerGone");
         }
-        else if (this.#canResend(outcome)) {
+        else if (this.#resendPolicy.canResend(outcome)) {
             this.#scheduleResend();
         }
         else if (this.#openAttempts.count === 0) {
@@ -325,28 +330,6 @@
         return serialiseRequest(method, target, encoded, body);
     }
 
-    /** @returns Whether another send is allowed, useful and within the retry budget, which counts it. */
-    #canResend(outcome: AttemptOutcome): boolean {
-        const canContinue = !this.#relay.hasRelayedEvents || this.#relay.lastEventId !== undefined;
-        const openCount = this.#openAttempts.count;
-        if (!this.#history.canRetry(outcome, canContinue, openCount) || this.#remainingMs < MinUsefulMs) {
-            return false;
-        }
-        if (openCount > 0 && !this.#canSendBesideOpen) {
-            return false;
-        }
-        return outcome.status === "unreachable" || this.#tryAcquireRetry();
-    }
-
-    /** @returns Whether a send beside the open attempts is useful and there is an upstream for it. */
-    get #canSendBesideOpen(): boolean {
-        return this.#openAttempts.areAllSilent && this.#remainingMs >= MinUsefulMs && this.#upstreams.hasUntried;
-    }
-
-    #tryAcquireRetry(): boolean {
-        return this.#dependencies.retryBudgets.tryAcquire(this.#service, this.#nowMs);
-    }
-
     #onAnswered(head: ResponseHead, body: Buffer, attempt: Attempt): void {
         if (this.#relay.isOpen) {
             this.#relay.finish();
@@ -362,7 +345,7 @@
             this.#giveUp(failed);
             return;
         }
-        if (head.statusCode >= 500 && this.#canResend(failed)) {
+        if (head.statusCode >= 500 && this.#resendPolicy.canResend(failed)) {
             this.#scheduleResend();
             return;
         }
--- a/src/edge/flow/silenceHandler.ts
+++ b/src/edge/flow/silenceHandler.ts
@@ -1,17 +1,23 @@
 /** Decides what happens to a request whose upstream sends no bytes for a time. */
+import type { Counters } from "../../base/counters.js";
 import { log } from "../../base/log.js";
+import { EdgeCounterNames } from "../metrics.js";
+import type { Reachability } from "../upstream/upstream.js";
 import type { Attempt, AttemptSilence } from "./attempt.js";
+import type { ResendPolicy } from "./resendPolicy.js";
+
+/**
+ * Silence after which a stream is taken away from an upstream that can be reached, in milliseconds. A sound upstream may pause
+ * for a second or so and go on; twice that is no such pause.
+ */
+const MaxPauseMs = 2_000;
 
 /** The request of a silent attempt, as a {@link SilenceHandler} sees it. */
 export interface SilenceDelegate {
+    readonly counters: Counters;
+    readonly resendPolicy: ResendPolicy;
     /** @returns Fields for log entries about the request. */
     describe(): Record<string, unknown>;
-    /** @returns Whether the request may be sent once more beside its open attempts, all of which are silent. */
-    canSendBeside(): boolean;
-    /** @returns Whether the request may be sent once more after its attempt has been ended. */
-    canSendInstead(): boolean;
-    /** @returns Whether the retry budget allows one more send; counts it if so. */
-    tryAcquireRetry(): boolean;
     /** Sends the request to another upstream. */
     sendNext(): void;
 }
@@ -28,12 +34,18 @@
     abstract onSilence(silence: AttemptSilence, attempt: Attempt): void;
 
     /** Writes a log line about a decision. */
-    protected logDecision(decision: string, { silentMs }: AttemptSilence, attempt: Attempt): void {
+    protected logDecision(
+        decision: "sendBeside" | "move" | "wait",
+        { silentMs }: AttemptSilence,
+        attempt: Attempt,
+        details: object = {},
+    ): void {
         log.info("attempt is silent", {
             ...this.delegate.describe(),
             decision,
             upstream: attempt.input.upstream.entry.id,
             silentMs,
+            ...details,
         });
     }
 }
@@ -44,7 +56,7 @@
  */
 export class ParallelSilenceHandler extends SilenceHandler {
     onSilence(silence: AttemptSilence, attempt: Attempt): void {
-        const isSent = this.delegate.canSendBeside() && this.delegate.tryAcquireRetry();
+        const isSent = this.delegate.resendPolicy.canSendBeside() && this.delegate.resendPolicy.tryAcquireRetry();
         if (isSent || silence.isFirstReport) {
             this.logDecision(isSent ? "sendBeside" : "wait", silence, attempt);
         }
@@ -54,11 +66,58 @@
     }
 }
 
-/** For requests that only one upstream may run at a time. The silent attempt is ended if the request may run again. */
+/**
+ * For requests that only one upstream may run at a time. A silent attempt is ended only if its upstream cannot be reached, or is
+ * silent for longer than a pause lasts, and only if the request can be sent to another upstream. Otherwise it stays open until
+ * the deadline.
+ */
 export class SequentialSilenceHandler extends SilenceHandler {
-    onSilence({ silentMs, isFirstReport }: AttemptSilence, attempt: Attempt): void {
-        if (isFirstReport && this.delegate.canSendInstead()) {
-            attempt.leave(`no byte for ${silentMs} ms`);
+    #isUnreachable = false;
+    #isWaitLogged = false;
+
+    onSilence(silence: AttemptSilence, attempt: Attempt): void {
+        if (silence.isFirstReport) {
+            this.#isUnreachable = false;
+            this.#isWaitLogged = false;
+        }
+        if (this.#isUnreachable || silence.silentMs >= MaxPauseMs) {
+            this.#moveIfPossible(silence, attempt);
+        }
+        else if (silence.isFirstReport && this.delegate.resendPolicy.canSendInstead(false)) {
+            void this.#checkReachability(silence, attempt);
+        }
+    }
+
+    /** Ends the attempt if its upstream cannot be reached. */
+    async #checkReachability(silence: AttemptSilence, attempt: Attempt): Promise<void> {
+        const { upstream, silentAfterMs } = attempt.input;
+        const reachability = await upstream.checkReachability(silentAfterMs);
+        this.#countProbe(reachability);
+        if (reachability.isReachable || attempt.hasEnded || !attempt.isSilent) {
+            this.logDecision("wait", silence, attempt, { ...reachability, hasEnded: attempt.hasEnded });
+            return;
+        }
+        this.#isUnreachable = true;
+        this.#moveIfPossible(silence, attempt, reachability);
+    }
+
+    #countProbe({ evidence, detail }: Reachability): void {
+        if (evidence === "probe") {
+            this.delegate.counters.add(EdgeCounterNames.upstreamProbes);
+            this.delegate.counters.add(EdgeCounterNames.upstreamProbeFailures, detail === undefined ? 0 : 1);
+        }
+    }
+
+    #moveIfPossible(silence: AttemptSilence, attempt: Attempt, reachability?: Reachability): void {
+        const canMove = this.delegate.resendPolicy.canSendInstead(!this.#isUnreachable) &&
+            this.delegate.resendPolicy.tryAcquireRetry();
+        if (canMove || !this.#isWaitLogged) {
+            this.logDecision(canMove ? "move" : "wait", silence, attempt, reachability);
+        }
+        this.#isWaitLogged = true;
+        if (canMove) {
+            const cause = this.#isUnreachable ? "the upstream cannot be reached" : "longer than a pause";
+            attempt.interruptSilent(`no byte for ${silence.silentMs} ms: ${cause}`);
         }
     }
 }
--- a/src/edge/flow/upstreamSelector.ts
+++ b/src/edge/flow/upstreamSelector.ts
@@ -1,6 +1,6 @@
 /** Chooses the upstreams to which one request is sent. */
 import type { Upstream } from "../upstream/upstream.js";
-import { chooseUpstream } from "../upstream/upstreamChoice.js";
+import { chooseUpstream, isHealthy } from "../upstream/upstreamChoice.js";
 import type { AttemptHistory } from "./attemptHistory.js";
 import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
 
@@ -36,10 +36,13 @@
 
     /** @returns Whether an upstream for another send accepts requests now. */
     get hasUntried(): boolean {
+        return this.#untried.length > 0;
+    }
+
+    /** @returns Whether a healthy upstream for another send accepts requests now. */
+    get hasHealthyUntried(): boolean {
         const nowMs = this.#dependencies.clock.monotonicMs();
-        return this.#usable.some(upstream =>
-            !this.#history.triedUpstreamIds.has(upstream.entry.id) && upstream.remainingBackoffMs(nowMs) === 0
-        );
+        return this.#untried.some(upstream => isHealthy(upstream, nowMs));
     }
 
     /** @returns Time until an upstream accepts requests again, in milliseconds; 0 when one does now, or when there is none. */
@@ -49,6 +52,13 @@
         return backoffsMs.length === 0 ? 0 : Math.min(...backoffsMs);
     }
 
+    get #untried(): Upstream[] {
+        const nowMs = this.#dependencies.clock.monotonicMs();
+        return this.#usable.filter(upstream =>
+            !this.#history.triedUpstreamIds.has(upstream.entry.id) && upstream.remainingBackoffMs(nowMs) === 0
+        );
+    }
+
     get #usable(): Upstream[] {
         return this.#dependencies.directory.findUsable(this.#service);
     }
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -26,6 +26,8 @@
     sends: "edge.sends",
     repeatedSends: "edge.sends.repeated",
     parallelSends: "edge.sends.parallel",
+    upstreamProbes: "edge.upstreams.probes",
+    upstreamProbeFailures: "edge.upstreams.probes.failed",
     tokensCharged: "edge.tokens.charged",
     budgetRefusals: "edge.budget.refusals",
     budgetRecords: "edge.budget.records",
--- a/src/edge/transport/connectionPool.ts
+++ b/src/edge/transport/connectionPool.ts
@@ -43,9 +43,28 @@
             }
             connection.destroy();
         }
-        const opened = new UpstreamConnection(this.#address, ConnectTimeoutMs, closed => this.#remove(closed));
-        this.#connections.add(opened);
-        return opened;
+        return this.#open(ConnectTimeoutMs);
+    }
+
+    /**
+     * Opens a connection to find out whether the address can be reached, and keeps it for later requests.
+     * @param connectTimeoutMs Maximum time to open the connection, in milliseconds.
+     * @param isKept Called when the connection is open; it is closed at once if the result is `false`.
+     * @returns Why no connection could be opened; `undefined` if one was.
+     */
+    probe(connectTimeoutMs: number, isKept: () => boolean): Promise<string | undefined> {
+        return new Promise(resolve => {
+            const connection = this.#open(connectTimeoutMs);
+            connection.onceOpen(failure => {
+                if (failure === undefined && isKept()) {
+                    this.#keepIdle(connection, DefaultIdleMs);
+                }
+                else {
+                    connection.destroy();
+                }
+                resolve(failure);
+            });
+        });
     }
 
     /**
@@ -58,10 +77,7 @@
         }
         const announcedS = /(?:^|[\s,;])timeout=([0-9]+)/.exec(head.headersByName.get("keep-alive") ?? "")?.[1];
         const idleMs = announcedS === undefined ? DefaultIdleMs : Number(announcedS) * 1_000 * IdleLimitFraction;
-        const nowMs = this.#clock.monotonicMs();
-        connection.idleSinceMs = nowMs;
-        connection.reusableUntilMs = nowMs + Math.min(DefaultIdleMs, idleMs);
-        this.#idle.push(connection);
+        this.#keepIdle(connection, Math.min(DefaultIdleMs, idleMs));
     }
 
     /** Closes idle connections that may no longer be reused. */
@@ -84,6 +100,19 @@
         }
     }
 
+    #open(connectTimeoutMs: number): UpstreamConnection {
+        const opened = new UpstreamConnection(this.#address, connectTimeoutMs, closed => this.#remove(closed));
+        this.#connections.add(opened);
+        return opened;
+    }
+
+    #keepIdle(connection: UpstreamConnection, idleMs: number): void {
+        const nowMs = this.#clock.monotonicMs();
+        connection.idleSinceMs = nowMs;
+        connection.reusableUntilMs = nowMs + idleMs;
+        this.#idle.push(connection);
+    }
+
     #remove(connection: UpstreamConnection): void {
         this.#connections.delete(connection);
         const index = this.#idle.indexOf(connection);
--- a/src/edge/transport/upstreamConnection.ts
+++ b/src/edge/transport/upstreamConnection.ts
@@ -48,6 +48,7 @@
     readonly #parser: ResponseParser;
     readonly #onClosed: (connection: UpstreamConnection) => void;
     #listener: ExchangeListener | undefined;
+    #openListener: ((failure: string | undefined) => void) | undefined;
     #pendingRequest: SerialisedRequest | undefined;
     #method = "GET";
     #head: ResponseHead | undefined;
@@ -79,6 +80,7 @@
         this.#socket.once("connect", () => {
             timer.cancel();
             this.#isConnected = true;
+            this.#reportOpen(undefined);
             // The request is written after the other events of this turn, as one of them may cancel it.
             setImmediate(() => this.#writePendingRequest());
         });
@@ -101,6 +103,14 @@
         return this.#isClosed;
     }
 
+    /**
+     * @param listener Called once: with `undefined` when the connection is open, or with the reason why it could not be
+     * opened.
+     */
+    onceOpen(listener: (failure: string | undefined) => void): void {
+        this.#openListener = listener;
+    }
+
     /** Starts an exchange; the connection must be idle. The request is written once the connection is open. */
     send(request: SerialisedRequest, listener: ExchangeListener): void {
         this.#listener = listener;
@@ -236,9 +246,16 @@
         const listener = this.#listener;
         this.#listener = undefined;
         this.#close();
+        this.#reportOpen(detail);
         listener?.onFailure(failure, detail);
     }
 
+    #reportOpen(failure: string | undefined): void {
+        const listener = this.#openListener;
+        this.#openListener = undefined;
+        listener?.(failure);
+    }
+
     #close(): void {
         if (this.#isClosed) {
             return;
--- a/src/edge/upstream/upstream.ts
+++ b/src/edge/upstream/upstream.ts
@@ -15,6 +15,29 @@
     hasFirstByte: boolean;
 }
 
+/** Result of {@link Upstream.checkReachability}. */
+export interface Reachability {
+    readonly isReachable: boolean;
+    /** Bytes of a response, or the probe connection that was opened for this check or for another one at the same time. */
+    readonly evidence: "bytes" | "probe" | "sharedProbe";
+    /** Why the probe connection could not be opened. */
+    readonly detail?: string | undefined;
+}
+
+/** A connection that is or was opened to find out whether the upstream can be reached. */
+interface Probe {
+    readonly startedAtMs: number;
+    /** Resolves with the reason why the connection could not be opened, or `undefined`. */
+    readonly failure: Promise<string | undefined>;
+    isRunning: boolean;
+}
+
+/**
+ * Maximum time to open a probe connection, in milliseconds. A connection within a data centre opens in a few milliseconds, and
+ * one lost packet is repeated after about 200 ms.
+ */
+const ProbeTimeoutMs = 400;
+
 /** One incarnation of one upstream: a restart under the same id is a new instance. */
 export class Upstream {
     readonly entry: UpstreamEntry;
@@ -25,6 +48,7 @@
     #isLeaving: boolean;
     #lastByteAtMs = Number.NEGATIVE_INFINITY;
     #backoffUntilMs = Number.NEGATIVE_INFINITY;
+    #latestProbe: Probe | undefined;
 
     constructor(entry: UpstreamEntry, clock: Clock) {
         this.entry = entry;
@@ -90,6 +114,32 @@
         this.health.record(outcome, this.#clock.monotonicMs());
     }
 
+    /**
+     * Finds out whether the upstream can be reached: by bytes of its responses, otherwise by a connection, which is kept for
+     * later requests. Checks at the same time share one connection.
+     * @param maxAgeMs Maximum age of bytes or of a connection that count, in milliseconds.
+     */
+    async checkReachability(maxAgeMs: number): Promise<Reachability> {
+        const nowMs = this.#clock.monotonicMs();
+        if (nowMs - this.#lastByteAtMs <= maxAgeMs) {
+            return { isReachable: true, evidence: "bytes" };
+        }
+        const latest = this.#latestProbe;
+        const isShared = latest !== undefined && (latest.isRunning || nowMs - latest.startedAtMs <= maxAgeMs);
+        const probe = isShared ? latest : this.#startProbe(nowMs);
+        const detail = await probe.failure;
+        const isReachable = detail === undefined || this.#lastByteAtMs >= nowMs;
+        return { isReachable, evidence: isShared ? "sharedProbe" : "probe", detail };
+    }
+
+    #startProbe(nowMs: number): Probe {
+        const failure = this.pool.probe(ProbeTimeoutMs, () => !this.#isLeaving);
+        const probe: Probe = { startedAtMs: nowMs, failure, isRunning: true };
+        this.#latestProbe = probe;
+        void failure.then(() => probe.isRunning = false);
+        return probe;
+    }
+
     /** @returns Whether a request has waited longer than its limit while no bytes arrived from the upstream. */
     isSilent(nowMs: number): boolean {
         for (const dispatch of this.#openDispatches) {
--- a/src/edge/upstream/upstreamChoice.ts
+++ b/src/edge/upstream/upstreamChoice.ts
@@ -60,6 +60,11 @@
     return upstream.openRequestCount + others.openRequestCount + waitingTokens / TokensPerRequest;
 }
 
+/** @returns Whether requests to the upstream have not failed recently and none waits in vain for bytes. */
+export function isHealthy(upstream: Upstream, nowMs: number): boolean {
+    return !upstream.health.isAvoided(nowMs) && !upstream.isSilent(nowMs);
+}
+
 /**
  * Chooses the upstream for one request. Upstreams that failed recently or are silent are used only if there is no other.
  * Upstreams that asked for a pause are not used.
@@ -70,9 +75,7 @@
     const untried = input.candidates.filter(upstream =>
         !input.excludedUpstreamIds.has(upstream.entry.id) && upstream.remainingBackoffMs(input.nowMs) === 0
     );
-    const healthy = untried.filter(upstream =>
-        !upstream.health.isAvoided(input.nowMs) && !upstream.isSilent(input.nowMs)
-    );
+    const healthy = untried.filter(upstream => isHealthy(upstream, input.nowMs));
     const available = healthy.length > 0 ? healthy : untried;
     if (available.length === 0) {
         return undefined;
