Judge an upstream's silence once, and only until its next bytes

Callers saw: no failure by itself. An upstream that had paused and gone on was avoided for up to 2 s more, and longer by its failure average, so that its places stayed unused and the other upstreams got its requests.

Cause: each request that was given up during one pause of an upstream doubled the time for which it is avoided and counted as a failed request, and bytes that arrived afterwards changed nothing: only a complete answer did. One slow request counted as the silence of its upstream although other requests got bytes.

Change: the requests of one silence count once. Silence has its own pause, which the next bytes end, and no part in the failure average. A silent request whose upstream sent bytes to another one within the limit does not count. The pause after failed connections is as before; bytes on open connections do not end it. New requests still avoid an upstream while one of its requests waits in vain (Upstream.isSilent, unchanged).

--- a/src/edge/upstream/upstream.ts
+++ b/src/edge/upstream/upstream.ts
@@ -106,12 +106,15 @@
     recordResponseBytes(dispatch: OpenDispatch): void {
         dispatch.hasFirstByte = true;
         this.#lastByteAtMs = this.#clock.monotonicMs();
+        this.health.recordBytes();
     }
 
-    /** Records the end of a request and its outcome. */
+    /** Records the end of a request and its outcome. The silence of one request counts only if the others got no bytes. */
     endDispatch(dispatch: OpenDispatch, outcome: DispatchOutcome): void {
         this.#openDispatches.delete(dispatch);
-        this.health.record(outcome, this.#clock.monotonicMs());
+        const nowMs = this.#clock.monotonicMs();
+        const isOneSlowRequest = outcome === "silent" && nowMs - this.#lastByteAtMs <= dispatch.silentAfterMs;
+        this.health.record(isOneSlowRequest ? "abandoned" : outcome, nowMs);
     }
 
     /**
--- a/src/edge/upstream/upstreamHealth.ts
+++ b/src/edge/upstream/upstreamHealth.ts
@@ -6,7 +6,7 @@
 /** Weight of the newest result in the moving average of failures, which thus covers about eight results. */
 const FailureWeight = 1 / 8;
 
-/** Pause after a failed connection or a silent attempt, doubled with each failure up to the maximum, in milliseconds. */
+/** Pause after a failed connection or a silence, doubled with each further one up to the maximum, in milliseconds. */
 const MinPauseMs = 250;
 const MaxPauseMs = 2_000;
 
@@ -25,6 +25,9 @@
     #averagedAtMs = 0;
     #pausedUntilMs = Number.NEGATIVE_INFINITY;
     #pauseMs = MinPauseMs;
+    /** As the two above, for silence, which the next bytes end. */
+    #silencePausedUntilMs = Number.NEGATIVE_INFINITY;
+    #silencePauseMs = MinPauseMs;
 
     /** Records the outcome of a request; an abandoned one says nothing about the upstream and is ignored. */
     record(outcome: DispatchOutcome, nowMs: number): void {
@@ -42,6 +45,9 @@
         else if (outcome === "failed") {
             this.#addSample(1, nowMs);
         }
+        else if (outcome === "silent") {
+            this.#recordSilence(nowMs);
+        }
         else {
             this.#addSample(1, nowMs);
             this.#pausedUntilMs = nowMs + this.#pauseMs;
@@ -49,6 +55,23 @@
         }
     }
 
+    /** Records that bytes arrived: the upstream is no longer silent. */
+    recordBytes(): void {
+        this.#silencePausedUntilMs = Number.NEGATIVE_INFINITY;
+        this.#silencePauseMs = MinPauseMs;
+    }
+
+    /**
+     * Requests that wait during the same silence end at about the same time, so only the first one counts. Silence is no
+     * failed request: a sound upstream may pause and go on.
+     */
+    #recordSilence(nowMs: number): void {
+        if (nowMs >= this.#silencePausedUntilMs) {
+            this.#silencePausedUntilMs = nowMs + this.#silencePauseMs;
+            this.#silencePauseMs = Math.min(MaxPauseMs, this.#silencePauseMs * 2);
+        }
+    }
+
     /** @returns Fraction of recent requests that failed, 0 to 1. */
     failureRatio(nowMs: number): number {
         return this.#failureAverage * 0.5 ** (Math.max(0, nowMs - this.#averagedAtMs) / RecoveryHalfLifeMs);
@@ -56,7 +79,8 @@
 
     /** @returns Whether the upstream should get requests only if no other one is available. */
     isAvoided(nowMs: number): boolean {
-        return nowMs < this.#pausedUntilMs || this.failureRatio(nowMs) > UnhealthyAverage;
+        const pausedUntilMs = Math.max(this.#pausedUntilMs, this.#silencePausedUntilMs);
+        return nowMs < pausedUntilMs || this.failureRatio(nowMs) > UnhealthyAverage;
     }
 
     #addSample(sample: number, nowMs: number): void {
