Relay streams without the length that their first upstream announced

Callers saw: bytes after the announced end of a stream, which a client takes for an invalid response (Node's client ended the call without any response), when a stream with a Content-Length broke off and was resumed elsewhere with events of another total length.

Cause: the head of the first upstream was relayed with its Content-Length, although the events after the break come from another upstream.

Change: StreamRelay drops Content-Length, so that the stream is sent in chunks and ends visibly where the edge ends it.

Evidence, platform/streamContinuation.spec.ts: before, expected { status: +0, body: '', ... } to match object { body: events 1 to 5, isComplete: true } and after it the test passes. The other cases of this spec show that the next upstream's answer (404 with and without an id, 500 with a length, as a stream and up to the end of the connection, a stream from its beginning, a 200 that is no stream, a head that is cut off) never reaches the caller of a stream that has begun, and that the caller's stream is broken off instead; they passed before and stay as regression tests.

--- a/src/edge/flow/streamRelay.ts
+++ b/src/edge/flow/streamRelay.ts
@@ -103,7 +103,7 @@
 
     #start(): void {
         if (!this.#response.isStarted && this.#head !== undefined) {
-            this.#response.start(this.#head);
+            this.#response.start(withoutLength(this.#head));
         }
     }
 
@@ -117,3 +117,8 @@
         return !Number.isInteger(last) || !Number.isInteger(next) || next > last;
     }
 }
+
+/** @returns The head without `Content-Length`, as the events of another upstream may follow. */
+function withoutLength(head: ResponseHead): ResponseHead {
+    return { ...head, headers: head.headers.filter(([name]) => name.toLowerCase() !== "content-length") };
+}
