Treat a stream that ends within an event as broken off

Callers saw: a part of an event, and then the end of a stream that looked complete, when an upstream stopped within an event and its response ended as its framing announced: with the last chunk, at its length, or with its connection.

Cause: StreamRelay.finish() relayed the bytes after the last complete event as they were and ended the response as complete.

Change: such an end counts as an interruption. Nothing incomplete is passed on; the stream is resumed elsewhere with Last-Event-Id where its route allows it, otherwise the caller's connection breaks, or the caller gets 502 if no event was relayed yet. By the event-stream format an event ends at a blank line, so that a last event without one is incomplete; comments and blank lines belong to no event and may follow the last one.

--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -177,10 +177,11 @@
     }
 
     /** Records the end of an attempt, then completes the request, sends it again or reports a failure. */
-    onEnd(outcome: AttemptOutcome): void {
+    onEnd(attemptOutcome: AttemptOutcome): void {
         if (this.#hasEnded) {
             return;
         }
+        const outcome = this.#checkStreamEnd(attemptOutcome);
         this.#attempt = undefined;
         if (outcome.status === "interrupted") {
             this.#relay.interrupt();
@@ -202,6 +203,13 @@
         }
     }
 
+    /** @returns The outcome; that of an attempt that broke off if its stream ended within an event, however it was framed. */
+    #checkStreamEnd(outcome: AttemptOutcome): AttemptOutcome {
+        return outcome.status === "answered" && this.#relay.isOpen && this.#relay.isInsideEvent ?
+            { status: "interrupted", reason: "brokenOff", detail: "the stream ended within an event" } :
+            outcome;
+    }
+
     /** Sends the request again after this turn of the event loop, which may also report that the caller has disconnected. */
     #scheduleResend(): void {
         setImmediate(() => {
--- a/src/edge/flow/streamRelay.ts
+++ b/src/edge/flow/streamRelay.ts
@@ -35,6 +35,11 @@
         return this.#isOpen;
     }
 
+    /** @returns Whether the upstream's bytes so far end within an event, so that their end would break the stream off. */
+    get isInsideEvent(): boolean {
+        return this.#splitter.isInsideEvent;
+    }
+
     /** @returns Whether any events were relayed. */
     get hasRelayedEvents(): boolean {
         return this.#eventCount > 0;
@@ -87,7 +92,7 @@
         return outcome;
     }
 
-    /** Completes the response after the upstream's stream; bytes after the last complete event are relayed as they are. */
+    /** Completes the response after the upstream's stream; comments and blank lines after its last event are relayed as they are. */
     finish(): void {
         this.#isOpen = false;
         this.#start();
--- a/src/edge/transport/eventSplitter.ts
+++ b/src/edge/transport/eventSplitter.ts
@@ -14,6 +14,7 @@
 const MaxEventBytes = 65_536;
 
 const NoBytes = Buffer.alloc(0);
+const AnyLineEnd = /\r\n|\n|\r/;
 const IdField = /(?:^|\r?\n|\r)id:[ ]?([^\r\n]*)/;
 
 /** Collects bytes until an event is complete, so that an interrupted event never reaches the caller. */
@@ -46,6 +47,14 @@
     get partial(): Buffer {
         return this.#partial;
     }
+
+    /** @returns Whether the bytes after the last blank line belong to an event; comments and blank lines do not. */
+    get isInsideEvent(): boolean {
+        const lines = this.#partial.toString("latin1").split(AnyLineEnd);
+        const fieldIndex = lines.findLastIndex(line => line !== "" && !line.startsWith(":"));
+        // The last element follows the last line end, so that an empty one is no blank line.
+        return fieldIndex >= 0 && !lines.slice(fieldIndex, -1).includes("");
+    }
 }
 
 /** @returns Index after the blank line that ends an event, or -1. */
