Do not continue a stream with events that do not name their place

Callers saw: a piece of another run at the end of their stream, which then ended as complete: a stream whose events have ids broke off, and the next upstream answered with a stream whose events have none.

Cause: StreamRelay takes every event without an id for the next one, also in a continuation, where it may as well be from the beginning.

Change: in a continuation, data without an id before the first event with an id counts as out of order, so that the attempt ends as malformed and the stream is tried elsewhere or broken off. Comments without an id may come first.

--- a/src/edge/flow/streamRelay.ts
+++ b/src/edge/flow/streamRelay.ts
@@ -1,5 +1,5 @@
 /** Relays the events of one stream, which may come from several upstreams in succession. */
-import { EventSplitter } from "../transport/eventSplitter.js";
+import { EventSplitter, type StreamEvent } from "../transport/eventSplitter.js";
 import type { ResponseHead } from "../transport/responseParser.js";
 import type { CallerResponse } from "./callerResponse.js";
 
@@ -9,6 +9,8 @@
 /** Events allowed beyond one for each output token, as the start and the end of a stream may have events of their own. */
 const ExtraEvents = 16;
 
+const DataField = /(?:^|[\r\n])data[:\r\n]/;
+
 /** Writes complete events to the caller, in order. */
 export class StreamRelay {
     readonly #response: CallerResponse;
@@ -16,6 +18,8 @@
     #splitter = new EventSplitter();
     #head: ResponseHead | undefined;
     #isOpen = false;
+    /** Whether the upstream has yet to show, by the id of an event, that it continues the stream. */
+    #isContinuationUnproven = false;
     #eventCount = 0;
     #lastEventId: string | undefined;
 
@@ -62,6 +66,7 @@
      */
     begin(head: ResponseHead): true {
         this.#head = this.#response.isStarted ? this.#head : head;
+        this.#isContinuationUnproven = this.hasRelayedEvents;
         this.#splitter = new EventSplitter();
         this.#isOpen = true;
         return true;
@@ -74,7 +79,7 @@
     push(bytes: Buffer): StreamWriteOutcome {
         let outcome: StreamWriteOutcome = "written";
         for (const event of this.#splitter.push(bytes)) {
-            if (!this.#isNext(event.id)) {
+            if (!this.#isNext(event)) {
                 this.#isOpen = false;
                 return "outOfOrder";
             }
@@ -112,9 +117,16 @@
         }
     }
 
-    /** Numeric ids must increase; a repeated id means that the upstream did not resume the stream. */
-    #isNext(id: string | undefined): boolean {
-        if (id === undefined || this.#lastEventId === undefined) {
+    /**
+     * Numeric ids must increase; a repeated id means that the upstream did not resume the stream. So may data without an
+     * id before the first event with one.
+     */
+    #isNext({ id, bytes }: StreamEvent): boolean {
+        if (id === undefined) {
+            return !this.#isContinuationUnproven || !DataField.test(bytes.toString("latin1"));
+        }
+        this.#isContinuationUnproven = false;
+        if (this.#lastEventId === undefined) {
             return true;
         }
         const last = Number(this.#lastEventId);
