Gateway: do not join a head that was cut off with the response that follows it

Callers saw: ran: no (for leaving upstreams and 4xx) for an order that an upstream had run: it wrote a part of an earlier refusal on a kept connection and then its response to the order.

Cause: undici's parser continues a reason phrase or a header's value with the next status line, so that the head has the status of the refusal and the request id of the response, which Attempt checks.

Change: UndiciUpstreamClient fails a call whose reason phrase or headers contain a status line, with the outcome unknown and the connection closed.

--- a/src/gateway/undiciUpstreamClient.ts
+++ b/src/gateway/undiciUpstreamClient.ts
@@ -18,6 +18,9 @@
 /** Maximum number of idle connections kept for one upstream. */
 const MaxIdleConnections = 64;
 
+/** Occurs within a head only if the head was cut off and another response follows it on the connection. */
+const StatusLine = /HTTP\/1\.[01] [1-5][0-9][0-9]/;
+
 /** Connections to one upstream. A connection becomes idle and is reused only after a complete response. */
 class ConnectionPool {
     readonly #origin: string;
@@ -189,10 +192,20 @@
         this.#lastActivityMs = performance.now();
     }
 
-    onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
-        if (!this.#ended && status >= 200) {
-            this.#listener.onHead(status, headers);
+    onResponseStart(
+        _controller: Dispatcher.DispatchController,
+        status: number,
+        headers: IncomingHttpHeaders,
+        reasonPhrase = "",
+    ): void {
+        if (this.#ended || status < 200) {
+            return;
+        }
+        if ([reasonPhrase, ...Object.values(headers).flat()].some(text => StatusLine.test(text ?? ""))) {
+            this.#fail("the head contains the status line of another response");
+            return;
         }
+        this.#listener.onHead(status, headers);
     }
 
     onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -227,6 +240,12 @@
         this.#listener.onEnd({ status: "failed", sent: this.sent, timedOut: false, reason: error.message });
     }
 
+    #fail(reason: string): void {
+        const { sent } = this;
+        this.cancel();
+        this.#listener.onEnd({ status: "failed", sent, timedOut: false, reason });
+    }
+
     #finish(): void {
         this.#ended = true;
         this.#onFinished(this);
