Gateway: do not reuse a connection whose request was not written whole

Callers saw: 504 for a request that followed a refused one on the same connection. The upstream had refused a request with a long body before it read the body, and never read on.

Cause: undici counts a request as sent once its body is in the socket's buffer, so that the pool reused a connection on which a part of it was still waiting.

Change: ConnectionPool.release destroys a connection whose socket still holds bytes to write. The refusal itself is believed as before, as it names its request.

--- a/src/gateway/undiciUpstreamClient.ts
+++ b/src/gateway/undiciUpstreamClient.ts
@@ -1,5 +1,6 @@
 /** Upstream client based on undici: one connection pool per upstream, one request at a time on each connection. */
 import type { IncomingHttpHeaders } from "node:http";
+import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
 import {
     UpstreamCall,
@@ -27,6 +28,7 @@
     readonly #timeouts: UpstreamTimeouts;
     readonly #idleClients: Client[] = [];
     readonly #clients = new Set<Client>();
+    readonly #sockets = new WeakMap<Client, Socket>();
 
     constructor(origin: string, timeouts: UpstreamTimeouts) {
         this.#origin = origin;
@@ -38,9 +40,13 @@
         return this.#idleClients.pop() ?? this.#open();
     }
 
-    /** Returns a connection to the pool after a complete response. */
+    /**
+     * Returns a connection to the pool after a complete response. It is destroyed if a part of the request is not
+     * written, as the upstream may never read it.
+     */
     release(client: Client): void {
-        if (this.#idleClients.length < MaxIdleConnections && !client.destroyed && this.#clients.has(client)) {
+        const isIdle = this.#sockets.get(client)?.writableLength === 0;
+        if (isIdle && this.#idleClients.length < MaxIdleConnections && !client.destroyed && this.#clients.has(client)) {
             this.#idleClients.push(client);
         }
         else {
@@ -64,7 +70,7 @@
 
     #open(): Client {
         const client = new Client(this.#origin, {
-            connect: createConnector(this.#timeouts.connectTimeoutMs),
+            connect: createConnector(this.#timeouts.connectTimeoutMs, socket => this.#sockets.set(client, socket)),
             pipelining: 1,
             keepAliveTimeout: this.#timeouts.keepAliveMs,
             keepAliveMaxTimeout: this.#timeouts.keepAliveMs,
@@ -86,13 +92,19 @@
     }
 }
 
-/** Adds an exact connect timeout, because undici checks its own only every half second. */
-function createConnector(timeoutMs: number): buildConnector.connector {
+/**
+ * Adds an exact connect timeout, because undici checks its own only every half second.
+ * @param onOpen Called with the socket of each connection once it is open.
+ */
+function createConnector(timeoutMs: number, onOpen: (socket: Socket) => void): buildConnector.connector {
     const connect = buildConnector({ timeout: timeoutMs * 4 });
     return (options, callback) => {
         let timer: NodeJS.Timeout | undefined = undefined;
         const socket: unknown = connect(options, (...outcome) => {
             clearTimeout(timer);
+            if (outcome[1] !== null) {
+                onOpen(outcome[1]);
+            }
             callback(...outcome);
         });
         timer = setTimeout(() => {
--- a/src/gateway/upstreamFaults.spec.ts
+++ b/src/gateway/upstreamFaults.spec.ts
@@ -176,6 +176,42 @@
                 expect(body).toContain("\"ran\":\"unknown\"");
             },
         );
+
+        it("believes a refusal that names its request before a long body is read (guards against sound refusals that are not believed)", async () => {
+            const server = await new Promise<string>(resolve => {
+                let isFirst = true;
+                const early = createServer(socket => {
+                    socket.on("error", () => undefined);
+                    let received = "";
+                    socket.on("data", bytes => {
+                        received += bytes.toString("latin1");
+                        if (!isFirst && received.endsWith("end")) {
+                            socket.write(whole(/x-request-id: ([^\r]*)/i.exec(received)?.[1] ?? ""));
+                        }
+                    });
+                    if (isFirst) {
+                        socket.once("data", bytes => {
+                            isFirst = false;
+                            const id = /x-request-id: ([^\r]*)/i.exec(bytes.toString())?.[1] ?? "";
+                            // The rest of the body is not read, so that it is not written whole.
+                            socket.pause();
+                            socket.write(whole(id, "full", "429 Too Many Requests"));
+                        });
+                    }
+                });
+                closers.push(() => early.close());
+                early.listen(
+                    0,
+                    "127.0.0.1",
+                    () => resolve(`http://127.0.0.1:${(early.address() as AddressInfo).port}`),
+                );
+            });
+            await fixture.restartGateway({ "sales-service": server }, { ...settings, maxBodyBytes: 32_000_000 });
+            const first = await callService("POST", { "idempotency-key": "k1" }, "x".repeat(16_000_000));
+            expect(first.body).toContain("\"ran\":\"no\"");
+            const second = await callService("POST", { "idempotency-key": "k2" }, "end");
+            expect(second).toEqual({ status: 200, body: "ok", isComplete: true });
+        });
     });
 
     describe("given a stream that broke off", () => {
