Gateway: relay a body without length or chunks as complete after an orderly end

Callers saw: every such response of a plain service ended as broken, also one whose upstream had closed its connection in an orderly way.

Cause: undici reports a reset as the end of such a body, so that ServiceResponseReader called all of them incomplete; a chat response in this form was called complete after a reset if its JSON was.

Change: UndiciUpstreamClient itself tells the two apart, with a write to the connection at its end, which fails after a reset, as the edge's UpstreamConnection does. Its sockets stay writable after the upstream's end for this. The reader needs to know nothing about framing any more.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -121,7 +121,7 @@
             return;
         }
         if (this.#request.responseKind === "service") {
-            this.reader = new ServiceResponseReader(isFramed(this.#request.call.method, statusCode, headers));
+            this.reader = new ServiceResponseReader();
         }
         const accepted = this.#request.responseKind === "service" ? statusCode < 400 : statusCode === 200;
         if (!accepted) {
@@ -235,9 +235,3 @@
         this.#kernel.post({ type: "dispatchEnded", requestId, upstream, result, durationMs, outputTokens });
     }
 }
-
-/** @returns Whether the end of the response can be distinguished from a connection that broke off. */
-function isFramed(method: string, statusCode: number, headers: IncomingHttpHeaders): boolean {
-    return method === "HEAD" || statusCode === 204 || statusCode === 304 || headers["content-length"] !== undefined ||
-        headers["transfer-encoding"] !== undefined;
-}
--- a/src/gateway/responseReader.ts
+++ b/src/gateway/responseReader.ts
@@ -191,21 +191,13 @@
     }
 }
 
-/** Forwards the response of a plain service unchanged. Only its framing shows whether it is complete. */
+/** Forwards the response of a plain service unchanged. Whether it is complete is known from its connection alone. */
 export class ServiceResponseReader extends ResponseReader {
-    readonly #isFramed: boolean;
-
-    /** @param isFramed Whether the head states the length of the body or uses chunks. */
-    constructor(isFramed: boolean) {
-        super();
-        this.#isFramed = isFramed;
-    }
-
     override push(chunk: Buffer): ReadResult {
         return { bytesToForward: chunk, status: "open" };
     }
 
     override finish(): ReadResult {
-        return this.#isFramed ? { bytesToForward: undefined, status: "whole" } : InvalidResult;
+        return { bytesToForward: undefined, status: "whole" };
     }
 }
--- a/src/gateway/undiciUpstreamClient.ts
+++ b/src/gateway/undiciUpstreamClient.ts
@@ -19,6 +19,9 @@
 /** Maximum number of idle connections kept for one upstream. */
 const MaxIdleConnections = 64;
 
+/** Written to detect a reset: an empty line, which servers ignore before a request. */
+const ResetProbe = "\r\n";
+
 /** Occurs within a head only if the head was cut off and another response follows it on the connection. */
 const StatusLine = /HTTP\/1\.[01] [1-5][0-9][0-9]/;
 
@@ -54,6 +57,11 @@
         }
     }
 
+    /** @returns The socket of an open connection. */
+    socketOf(client: Client): Socket | undefined {
+        return this.#sockets.get(client);
+    }
+
     /** Destroys a connection that must not be used again. */
     destroy(client: Client): void {
         this.#remove(client);
@@ -93,11 +101,12 @@
 }
 
 /**
- * Adds an exact connect timeout, because undici checks its own only every half second.
+ * Adds an exact connect timeout, because undici checks its own only every half second. The sockets stay writable after
+ * the upstream has ended them, so that a reset can be detected.
  * @param onOpen Called with the socket of each connection once it is open.
  */
 function createConnector(timeoutMs: number, onOpen: (socket: Socket) => void): buildConnector.connector {
-    const connect = buildConnector({ timeout: timeoutMs * 4 });
+    const connect = buildConnector({ timeout: timeoutMs * 4, allowHalfOpen: true });
     return (options, callback) => {
         let timer: NodeJS.Timeout | undefined = undefined;
         const socket: unknown = connect(options, (...outcome) => {
@@ -126,6 +135,9 @@
     #lastActivityMs = performance.now();
     #starting = false;
     #bodyStarted = false;
+    #method = "GET";
+    /** Whether the body ends with the connection. */
+    #isCloseDelimited = false;
     #paused = false;
     #ended = false;
     #cancelled = false;
@@ -152,6 +164,7 @@
 
     start(options: Dispatcher.DispatchOptions): void {
         this.#starting = true;
+        this.#method = options.method;
         this.#client.dispatch(options, this);
         this.#starting = false;
     }
@@ -217,6 +230,7 @@
             this.#fail("the head contains the status line of another response");
             return;
         }
+        this.#isCloseDelimited = isCloseDelimited(this.#method, status, headers);
         this.#listener.onHead(status, headers);
     }
 
@@ -232,6 +246,37 @@
         if (this.#ended) {
             return;
         }
+        if (this.#isCloseDelimited) {
+            this.#checkOrderlyEnd();
+            return;
+        }
+        this.#complete();
+    }
+
+    /**
+     * Completes a body that ends with its connection, unless the connection was reset. undici reports a reset as the end
+     * of such a body, and a reset that arrives together with data is read as an orderly end; only a write shows it.
+     */
+    #checkOrderlyEnd(): void {
+        const socket = this.#pool.socketOf(this.#client);
+        if (socket === undefined || socket.destroyed) {
+            this.#fail("the connection broke off before the end of the response");
+            return;
+        }
+        socket.write(ResetProbe, error => {
+            if (this.#ended) {
+                return;
+            }
+            if (error === null || error === undefined) {
+                this.#complete();
+            }
+            else {
+                this.#fail(`connection reset: ${error.message}`);
+            }
+        });
+    }
+
+    #complete(): void {
         this.#finish();
         this.#listener.onEnd({ status: "ended" });
         if (!this.#cancelled) {
@@ -264,6 +309,12 @@
     }
 }
 
+/** @returns Whether the end of the connection is the only end of the body. */
+function isCloseDelimited(method: string, statusCode: number, headers: IncomingHttpHeaders): boolean {
+    return method !== "HEAD" && statusCode !== 204 && statusCode !== 304 && headers["content-length"] === undefined &&
+        headers["transfer-encoding"] === undefined;
+}
+
 /** {@link UpstreamClient} based on undici. Checks the timeouts of all calls with one timer. */
 export class UndiciUpstreamClient extends UpstreamClient {
     readonly #timeouts: UpstreamTimeouts;
--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -18,6 +18,7 @@
 
 /** How a call ended at the level of the connection; the response itself is not checked. */
 export type UpstreamCallOutcome =
+    /** The body ended as its framing announced; one without framing ended with an orderly close. */
     | { readonly status: "ended"; }
     | {
         readonly status: "failed";
--- a/src/gateway/upstreamFaults.spec.ts
+++ b/src/gateway/upstreamFaults.spec.ts
@@ -305,6 +305,16 @@
     describe("given a body without length or chunks", () => {
         const versions = ["HTTP/1.1", "HTTP/1.0"];
 
+        it.each(versions)(
+            "is whole after an orderly end: %s (guards against complete responses that look broken)",
+            async version => {
+                await startService(({ id }, socket) =>
+                    socket.end(`${version} 200 OK\r\nX-Request-Id: ${id}\r\n\r\nwhole body`)
+                );
+                expect(await callService()).toEqual({ status: 200, body: "whole body", isComplete: true });
+            },
+        );
+
         it.each(versions.flatMap(version => ["with its last bytes", "later"].map(moment => ({ version, moment }))))(
             "is not whole after a reset: $version, $moment (guards against half a response that looks complete)",
             async ({ version, moment }) => {
