--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -205,10 +205,11 @@
     }
 
     /** Records the end of an attempt, then completes the request, sends it again, waits for another or reports a failure. */
-    onEnd(outcome: AttemptOutcome, attempt: Attempt): void {
+    onEnd(attemptOutcome: AttemptOutcome, attempt: Attempt): void {
         if (this.#hasEnded) {
             return;
         }
+        const outcome = this.#checkStreamEnd(attemptOutcome);
         this.#openAttempts.remove(attempt);
         if (outcome.status === "interrupted") {
             this.#relay.interrupt();
@@ -239,6 +240,13 @@
         });
     }
 
+    /** @returns The outcome; that of an attempt that broke off if its stream ended within an event, however it was framed. */
+    #checkStreamEnd(outcome: AttemptOutcome): AttemptOutcome {
+        return outcome.status === "answered" && this.#relay.isOpen && this.#relay.isInsideEvent ?
+            { status: "interrupted", reason: "brokenOff", detail: "the stream ended within an event" } :
+            outcome;
+    }
+
     /** Sends the request again after this turn of the event loop, which may also report that the caller has disconnected. */
     #scheduleResend(): void {
         setImmediate(() => {
--- a/src/gateway/undiciUpstreamClient.ts
+++ b/src/gateway/undiciUpstreamClient.ts
@@ -1,5 +1,6 @@
 /** Upstream client based on undici: one connection pool per upstream, one request at a time on each connection. */
 import type { IncomingHttpHeaders } from "node:http";
+import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
 import {
     UpstreamCall,
@@ -18,12 +19,19 @@
 /** Maximum number of idle connections kept for one upstream. */
 const MaxIdleConnections = 64;
 
+/** Written to detect a reset: an empty line, which servers ignore before a request. */
+const ResetProbe = "\r\n";
+
+/** Occurs within a head only if the head was cut off and another response follows it on the connection. */
+const StatusLine = /HTTP\/1\.[01] [1-5][0-9][0-9]/;
+
 /** Connections to one upstream. A connection becomes idle and is reused only after a complete response. */
 class ConnectionPool {
     readonly #origin: string;
     readonly #timeouts: UpstreamTimeouts;
     readonly #idleClients: Client[] = [];
     readonly #clients = new Set<Client>();
+    readonly #sockets = new WeakMap<Client, Socket>();
 
     constructor(origin: string, timeouts: UpstreamTimeouts) {
         this.#origin = origin;
@@ -35,9 +43,13 @@
         return this.#idleClients.pop() ?? this.#open();
     }
 
-    /** Returns a connection to the pool after a complete response. */
+    /**
+     * Returns a connection to the pool after a complete response. It is destroyed if a part of the request is not
+     * written, as the upstream may never read it.
+     */
     release(client: Client): void {
-        if (this.#idleClients.length < MaxIdleConnections && !client.destroyed && this.#clients.has(client)) {
+        const isIdle = this.#sockets.get(client)?.writableLength === 0;
+        if (isIdle && this.#idleClients.length < MaxIdleConnections && !client.destroyed && this.#clients.has(client)) {
             this.#idleClients.push(client);
         }
         else {
@@ -45,6 +57,11 @@
         }
     }
 
+    /** @returns The socket of an open connection. */
+    socketOf(client: Client): Socket | undefined {
+        return this.#sockets.get(client);
+    }
+
     /** Destroys a connection that must not be used again. */
     destroy(client: Client): void {
         this.#remove(client);
@@ -61,7 +78,7 @@
 
     #open(): Client {
         const client = new Client(this.#origin, {
-            connect: createConnector(this.#timeouts.connectTimeoutMs),
+            connect: createConnector(this.#timeouts.connectTimeoutMs, socket => this.#sockets.set(client, socket)),
             pipelining: 1,
             keepAliveTimeout: this.#timeouts.keepAliveMs,
             keepAliveMaxTimeout: this.#timeouts.keepAliveMs,
@@ -83,13 +100,20 @@
     }
 }
 
-/** Adds an exact connect timeout, because undici checks its own only every half second. */
-function createConnector(timeoutMs: number): buildConnector.connector {
-    const connect = buildConnector({ timeout: timeoutMs * 4 });
+/**
+ * Adds an exact connect timeout, because undici checks its own only every half second. The sockets stay writable after
+ * the upstream has ended them, so that a reset can be detected.
+ * @param onOpen Called with the socket of each connection once it is open.
+ */
+function createConnector(timeoutMs: number, onOpen: (socket: Socket) => void): buildConnector.connector {
+    const connect = buildConnector({ timeout: timeoutMs * 4, allowHalfOpen: true });
     return (options, callback) => {
         let timer: NodeJS.Timeout | undefined = undefined;
         const socket: unknown = connect(options, (...outcome) => {
             clearTimeout(timer);
+            if (outcome[1] !== null) {
+                onOpen(outcome[1]);
+            }
             callback(...outcome);
         });
         timer = setTimeout(() => {
@@ -111,6 +135,9 @@
     #lastActivityMs = performance.now();
     #starting = false;
     #bodyStarted = false;
+    #method = "GET";
+    /** Whether the body ends with the connection. */
+    #isCloseDelimited = false;
     #paused = false;
     #ended = false;
     #cancelled = false;
@@ -137,6 +164,7 @@
 
     start(options: Dispatcher.DispatchOptions): void {
         this.#starting = true;
+        this.#method = options.method;
         this.#client.dispatch(options, this);
         this.#starting = false;
     }
@@ -189,10 +217,21 @@
         this.#lastActivityMs = performance.now();
     }
 
-    onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
-        if (!this.#ended && status >= 200) {
-            this.#listener.onHead(status, headers);
+    onResponseStart(
+        _controller: Dispatcher.DispatchController,
+        status: number,
+        headers: IncomingHttpHeaders,
+        reasonPhrase = "",
+    ): void {
+        if (this.#ended || status < 200) {
+            return;
         }
+        if ([reasonPhrase, ...Object.values(headers).flat()].some(text => StatusLine.test(text ?? ""))) {
+            this.#fail("the head contains the status line of another response");
+            return;
+        }
+        this.#isCloseDelimited = isCloseDelimited(this.#method, status, headers);
+        this.#listener.onHead(status, headers);
     }
 
     onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -207,6 +246,37 @@
         if (this.#ended) {
             return;
         }
+        if (this.#isCloseDelimited) {
+            this.#checkOrderlyEnd();
+            return;
+        }
+        this.#complete();
+    }
+
+    /**
+     * Completes a body that ends with its connection, unless the connection was reset. undici reports a reset as the end
+     * of such a body, and a reset that arrives together with data is read as an orderly end; only a write shows it.
+     */
+    #checkOrderlyEnd(): void {
+        const socket = this.#pool.socketOf(this.#client);
+        if (socket === undefined || socket.destroyed) {
+            this.#fail("the connection broke off before the end of the response");
+            return;
+        }
+        socket.write(ResetProbe, error => {
+            if (this.#ended) {
+                return;
+            }
+            if (error === null || error === undefined) {
+                this.#complete();
+            }
+            else {
+                this.#fail(`connection reset: ${error.message}`);
+            }
+        });
+    }
+
+    #complete(): void {
         this.#finish();
         this.#listener.onEnd({ status: "ended" });
         if (!this.#cancelled) {
@@ -227,12 +297,24 @@
         this.#listener.onEnd({ status: "failed", sent: this.sent, timedOut: false, reason: error.message });
     }
 
+    #fail(reason: string): void {
+        const { sent } = this;
+        this.cancel();
+        this.#listener.onEnd({ status: "failed", sent, timedOut: false, reason });
+    }
+
     #finish(): void {
         this.#ended = true;
         this.#onFinished(this);
     }
 }
 
+/** @returns Whether the end of the connection is the only end of the body. */
+function isCloseDelimited(method: string, statusCode: number, headers: IncomingHttpHeaders): boolean {
+    return method !== "HEAD" && statusCode !== 204 && statusCode !== 304 && headers["content-length"] === undefined &&
+        headers["transfer-encoding"] === undefined;
+}
+
 /** {@link UpstreamClient} based on undici. Checks the timeouts of all calls with one timer. */
 export class UndiciUpstreamClient extends UpstreamClient {
     readonly #timeouts: UpstreamTimeouts;
