--- a/src/edge/upstream/upstreamDirectory.ts
+++ b/src/edge/upstream/upstreamDirectory.ts
@@ -38,6 +38,19 @@
         return [...this.#byId.values(), ...this.#retired];
     }
 
+    /** @returns Whether this incarnation of an upstream is listed. */
+    isListed(upstream: Upstream): boolean {
+        return this.#byId.get(upstream.entry.id) === upstream;
+    }
+
+    /** @returns Whether another incarnation is listed under the id or at the address of this one. */
+    isReplaced(upstream: Upstream): boolean {
+        const { id, address } = upstream.entry;
+        return [...this.#byId.values()].some(listed =>
+            listed !== upstream && (listed.entry.id === id || listed.entry.address === address)
+        );
+    }
+
     /**
      * Replaces the whole list.
      * @param lapseGraceMs Time for which missing upstreams are still used, in milliseconds; 0 when a missing entry is
