Exchange evidence of crashes between hosts

Each of five crashes may be seen by another host, so no host can decide by itself which prompt part crashes upstreams.

--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -34,6 +34,12 @@
     tokensLent: "edge.tokens.lent",
     relayFailures: "edge.relay.failures",
     storeCallsThroughHosts: "edge.store.calls.throughHosts",
+    partsQuarantined: "edge.quarantine.parts",
+    quarantineRefusals: "edge.quarantine.refusals",
+    repeatsWithheld: "edge.quarantine.repeatsWithheld",
+    upstreamProbes: "edge.quarantine.probes",
+    evidenceSent: "edge.quarantine.evidence.sent",
+    evidenceReceived: "edge.quarantine.evidence.received",
 } as const;
 
 /** Counters and histograms of one process, with an HTTP listener that serves them. */
--- a/src/edge/peers/peerChannel.ts
+++ b/src/edge/peers/peerChannel.ts
@@ -10,6 +10,7 @@
     LoanReportSchema,
     LoanRequestSchema,
 } from "../budget/loanMessages.js";
+import { EvidenceSchema } from "../quarantine/evidenceMessages.js";
 import { FleetSumSchema, ZoneSumSchema } from "./loadSums.js";
 import { LoadReportSchema } from "./peerLoadTracker.js";
 
@@ -26,6 +27,7 @@
     HandoverSchema,
     ZoneSumSchema,
     FleetSumSchema,
+    EvidenceSchema,
 ]);
 export type PeerMessage = z.infer<typeof PeerMessageSchema>;
 
