Refuse requests with a prompt part that crashes upstreams

Requests with a quarantined part are now refused before they reserve tokens and before each send, as PartQuarantined (3004): 503, not run, with Retry-After. A request whose upstream broke off waits up to 100 ms for the probe and is not sent again when another crash counts against its parts.

platform/promptQuarantine.spec.ts plays it on sockets.

--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -22,6 +22,7 @@
 import { MemberList } from "./peers/memberList.js";
 import { UdpPeerChannel } from "./peers/peerChannel.js";
 import type { HeaderCodec, ObjectCodec } from "./protocolCodec.js";
+import { PromptQuarantine } from "./quarantine/promptQuarantine.js";
 import { PeerRoutedStore } from "./relay/peerRoutedStore.js";
 import { RelayClient } from "./relay/relayClient.js";
 import { RelayedStore } from "./relay/relayedStore.js";
@@ -102,6 +103,7 @@
     readonly #relayServer: RelayServer;
     readonly #peerChannel: UdpPeerChannel;
     readonly #loadReporter: LoadReporter;
+    readonly #quarantine: PromptQuarantine;
     readonly #callerServer: CallerServer;
     readonly #readinessServer: Server;
     readonly #incarnation: string;
@@ -156,15 +158,16 @@
             () => this.#members.recordUnknownSender(),
         );
         this.#budgets = this.#createBudgets();
-        this.#loadReporter = new LoadReporter({
+        const peerDependencies = {
             clock: this.#clock,
-            random: this.#random,
             directory: this.#directory,
             channel: this.#peerChannel,
             ownHost: { hostId: settings.hostId, zone: settings.zone, peerAddress: settings.peerAddress },
             incarnation: this.#incarnation,
             otherHosts: () => this.#members.otherHosts,
-        });
+        };
+        this.#loadReporter = new LoadReporter({ ...peerDependencies, random: this.#random });
+        this.#quarantine = new PromptQuarantine({ ...peerDependencies, counters: this.#metrics.counters });
         this.#callerServer = this.#createCallerServer();
         this.#readinessServer = createServer((_request, response) => {
             response.writeHead(this.isReady ? 200 : 503, { "Content-Length": 0 });
@@ -285,6 +288,7 @@
             configuration: this.#configuration.routeTable?.configuration.version,
             open: this.#callerServer.openRequestCount,
             budgets: this.#budgets.dumpState(),
+            quarantine: this.#quarantine.dumpState(),
             upstreams: this.#directory.all.map(upstream => ({ ...upstream.entry, open: upstream.openRequestCount })),
         };
     }
@@ -307,6 +311,7 @@
         this.#directory.tick();
         this.#members.tick();
         this.#callerServer.tick();
+        this.#quarantine.tick();
         const { isConnected } = this.#configuration;
         if (isConnected && !this.#wasStoreConnected) {
             this.#budgets.onStoreReconnected();
@@ -390,6 +395,7 @@
                 this.#random.next(),
             ),
             metrics: this.#metrics,
+            quarantine: this.#quarantine,
             zone,
             maxHeaderBytes,
             linkBytesPerS: linkMbps === undefined ? undefined : linkMbps * BytesPerMbit,
--- a/src/edge/flow/flowTypes.ts
+++ b/src/edge/flow/flowTypes.ts
@@ -6,6 +6,7 @@
 import type { EdgeMetrics } from "../metrics.js";
 import type { PeerLoad } from "../peers/peerLoadTracker.js";
 import type { HeaderCodec, RawHeaders } from "../protocolCodec.js";
+import type { PromptQuarantine } from "../quarantine/promptQuarantine.js";
 import type { RouteTable } from "../routing/routeTable.js";
 import type { Upstream } from "../upstream/upstream.js";
 import type { UpstreamDirectory } from "../upstream/upstreamDirectory.js";
@@ -31,6 +32,7 @@
     readonly budgets: BudgetManager;
     readonly retryBudgets: RetryBudgets;
     readonly metrics: EdgeMetrics;
+    readonly quarantine: PromptQuarantine;
     /** Availability zone of the host. */
     readonly zone: string;
     /** @returns Load that other hosts put on an upstream. */
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -3,6 +3,7 @@
 import { log } from "../../base/log.js";
 import { type ResponseTimeout, startResponseTimeout } from "../../base/responseTimeout.js";
 import { EdgeCounterNames } from "../metrics.js";
+import { RequestQuarantine } from "../quarantine/requestQuarantine.js";
 import { chooseService } from "../routing/routeTable.js";
 import type { ResponseHead } from "../transport/responseParser.js";
 import type { SerialisedRequest } from "../transport/upstreamConnection.js";
@@ -59,6 +60,7 @@
     readonly #relay: StreamRelay;
     readonly #history: AttemptHistory;
     readonly #budget: RequestBudget;
+    readonly #quarantine: RequestQuarantine;
     #attempt: Attempt | undefined;
     #deadlineTimer: ResponseTimeout | undefined;
     /** Whether an attempt was cancelled after its request was written. */
@@ -91,6 +93,7 @@
             request.team,
             request.metadata.tokenCounts,
         );
+        this.#quarantine = new RequestQuarantine(dependencies.quarantine, request.metadata, this.#service);
     }
 
     /**
@@ -103,6 +106,9 @@
             this.#fail({ code: "Overloaded", ran: "no" }, "the deadline passed before the request was started");
             return;
         }
+        if (this.#refuseQuarantined()) {
+            return;
+        }
         this.#deadlineTimer = startResponseTimeout(() => this.#onTimeout(), remainingMs);
         this.#dependencies.retryBudgets.recordRequest(this.#service, this.#nowMs);
         // A request that waited in the socket's buffer is read before a disconnect of its caller, which the next poll reports.
@@ -191,10 +197,22 @@
             return;
         }
         log.info("attempt failed", { request: this.#request.requestId, ...this.#describe(), ...outcome });
+        this.#quarantine.examineFailure(
+            outcome,
+            this.#relay.eventCount,
+            mayRepeat => this.#continueAfter(outcome, mayRepeat),
+        );
+    }
+
+    /** Sends the request again after a failed attempt, or ends it. */
+    #continueAfter(outcome: AttemptOutcome, mayRepeat: boolean): void {
+        if (this.#hasEnded) {
+            return;
+        }
         if (this.#hasCallerDisconnected) {
             this.#conclude("callerGone");
         }
-        else if (this.#canResend(outcome)) {
+        else if (mayRepeat && this.#canResend(outcome)) {
             this.#scheduleResend();
         }
         else {
@@ -240,7 +258,19 @@
         return false;
     }
 
+    /** @returns Whether a part of the prompt is quarantined, so that the request has ended. */
+    #refuseQuarantined(): boolean {
+        const refusal = this.#quarantine.findRefusal(this.#history.ran, this.#retryAfterMs());
+        if (refusal !== undefined) {
+            this.#fail(refusal.failure, refusal.cause);
+        }
+        return refusal !== undefined;
+    }
+
     #sendNext(): void {
+        if (this.#refuseQuarantined()) {
+            return;
+        }
         const upstream = this.#chooseUpstream();
         if (upstream === undefined) {
             const retryAfterMs = Math.max(this.#retryAfterMs(), this.#minBackoffMs);
@@ -248,6 +278,7 @@
             return;
         }
         this.#history.recordSend(upstream.entry.id);
+        this.#quarantine.recordSend(upstream, this.#relay.eventCount);
         this.#dependencies.metrics.counters.add(EdgeCounterNames.sends);
         if (this.#history.sendCount > 1) {
             this.#dependencies.metrics.counters.add(EdgeCounterNames.repeatedSends);
@@ -329,6 +360,7 @@
     }
 
     #onAnswered(head: ResponseHead, body: Buffer): void {
+        this.#quarantine.recordResponse(head, this.#relay.eventCount);
         if (this.#relay.isOpen) {
             this.#relay.finish();
             this.#conclude("complete");
--- /dev/null
+++ b/src/edge/quarantine/requestQuarantine.ts
@@ -0,0 +1,78 @@
+/** The quarantine of prompt parts as one request uses it. */
+import type { ExecutionState } from "../../base/resultCodes.js";
+import type { RequestMetadata } from "../edgeTypes.js";
+import type { AttemptOutcome } from "../flow/attempt.js";
+import type { EdgeFailure } from "../flow/callerResponse.js";
+import type { ResponseHead } from "../transport/responseParser.js";
+import type { Upstream } from "../upstream/upstream.js";
+import type { PromptQuarantine } from "./promptQuarantine.js";
+
+/** Checks one request before it is sent, and reports how its attempts end. */
+export class RequestQuarantine {
+    readonly #quarantine: PromptQuarantine;
+    readonly #metadata: RequestMetadata;
+    #upstream: Upstream | undefined;
+    #eventsBeforeAttempt = 0;
+
+    /** @param service Service to which the request goes. */
+    constructor(quarantine: PromptQuarantine, metadata: RequestMetadata, service: string) {
+        this.#quarantine = quarantine;
+        this.#metadata = metadata;
+        quarantine.recordRequest(service, metadata);
+    }
+
+    /**
+     * @param ran Whether the request has run; if it may have, the refusal does not state that it has not.
+     * @param maxRetryAfterMs Maximum Retry-After, in milliseconds.
+     * @returns Refusal of a request with a quarantined part, with its cause for the log; `undefined` when it may be sent.
+     */
+    findRefusal(ran: ExecutionState, maxRetryAfterMs: number): { failure: EdgeFailure; cause: string; } | undefined {
+        const verdict = this.#quarantine.findQuarantined(this.#metadata);
+        if (verdict === undefined) {
+            return undefined;
+        }
+        const retryAfterMs = Math.min(verdict.retryAfterMs, maxRetryAfterMs);
+        return {
+            failure: ran === "no" ? { code: "PartQuarantined", ran, retryAfterMs } : { code: "UpstreamFailed", ran },
+            cause: `prompt part ${verdict.partId} is quarantined`,
+        };
+    }
+
+    /** Records the beginning of an attempt. @param eventCount Number of events relayed before it. */
+    recordSend(upstream: Upstream, eventCount: number): void {
+        this.#upstream = upstream;
+        this.#eventsBeforeAttempt = eventCount;
+    }
+
+    /** Records a complete response. @param eventCount Number of events relayed so far. */
+    recordResponse({ statusCode, isCloseDelimited }: ResponseHead, eventCount: number): void {
+        if (statusCode < 400) {
+            this.#quarantine.recordCompletion({
+                metadata: this.#metadata,
+                isCloseDelimited,
+                eventCount: eventCount - this.#eventsBeforeAttempt,
+            });
+        }
+    }
+
+    /**
+     * Examines the failure of an attempt, if its upstream may have crashed.
+     * @param eventCount Number of events relayed so far.
+     * @param onExamined Called, perhaps at once, with whether the prompt allows that the request is sent again.
+     */
+    examineFailure(outcome: AttemptOutcome, eventCount: number, onExamined: (mayRepeat: boolean) => void): void {
+        const isBrokenOff = outcome.status === "interrupted" && outcome.reason === "brokenOff";
+        const examination = isBrokenOff && this.#upstream !== undefined ?
+            this.#quarantine.examineBreak({
+                upstream: this.#upstream,
+                metadata: this.#metadata,
+                eventCount: eventCount - this.#eventsBeforeAttempt,
+            }) :
+            undefined;
+        if (examination === undefined) {
+            onExamined(true);
+            return;
+        }
+        void examination.then(onExamined);
+    }
+}
