Repeat clearances only when no other host has stated them

A clearance heard from another host took the place of this host's own for some seconds, also when it was older than a crash that this host had cleared since. A repetition is now left out only when another host has stated lately that the part was cleared after all crashes heard of.

--- a/src/edge/quarantine/evidenceExchange.ts
+++ b/src/edge/quarantine/evidenceExchange.ts
@@ -29,7 +29,7 @@
 /** Age from which a repetition by another host no longer takes the place of one by this host, in milliseconds. */
 const MaxHeardAgeMs = RepeatIntervalMs + 200;
 
-/** Minimum time between two clearances of a part that a host receives or sends, in milliseconds. */
+/** Minimum time between two clearances of a part that a host sends, apart from repetitions, in milliseconds. */
 const MinClearanceIntervalMs = 500;
 
 /** Maximum number of parts whose clearances are remembered, and of messages by which repeated ones are recognised. */
@@ -66,9 +66,9 @@
     readonly #heard = new HeardEvidence();
     /** Crashes of each part of the own evidence as last sent. */
     readonly #sentCrashes = new Map<string, string>();
-    /** Monotonic times of clearances that are not sent yet, and of those last sent or received, by part, in milliseconds. */
+    /** Monotonic times of clearances that are not sent yet, by part, and times at which the last ones were sent, in milliseconds. */
     readonly #pendingClearances = new Map<string, number>();
-    readonly #knownClearances = new Map<string, number>();
+    readonly #clearancesSentAtMs = new Map<string, number>();
     readonly #recordedMessages = new Set<string>();
     readonly #forwardedMessages = new Set<string>();
     #cachedRole: { readonly others: readonly ReportingHost[]; readonly role: GatheringRole | undefined; } | undefined;
@@ -92,7 +92,7 @@
         this.#hasChanged = true;
     }
 
-    /** Sends clearances of parts with the next {@link tick}, unless one of the same part was sent or received just before. */
+    /** Sends clearances of parts with the next {@link tick}, later if one of the same part was sent just before. */
     recordClearances(partIds: readonly string[]): void {
         const nowMs = this.#dependencies.clock.monotonicMs();
         partIds.forEach(partId => setBounded(this.#pendingClearances, partId, nowMs, MaxClearances));
@@ -122,7 +122,7 @@
         const repeated = evidence.filter(part =>
             part.crashes.length > 0 ?
                 !this.#heard.isStatedByOthers(part, nowMs - MaxHeardAgeMs) :
-                nowMs - (this.#knownClearances.get(part.partId) ?? Number.NEGATIVE_INFINITY) > MaxHeardAgeMs
+                !this.#heard.isClearedByOthers(part.partId, nowMs - MaxHeardAgeMs)
         );
         if (repeated.length > 0) {
             this.#send(repeated, ++this.#repeatNumber);
@@ -147,11 +147,11 @@
 
     #takeClearances(nowMs: number): PartEvidence[] {
         const due = [...this.#pendingClearances].filter(([partId]) =>
-            nowMs - (this.#knownClearances.get(partId) ?? Number.NEGATIVE_INFINITY) >= MinClearanceIntervalMs
+            nowMs - (this.#clearancesSentAtMs.get(partId) ?? Number.NEGATIVE_INFINITY) >= MinClearanceIntervalMs
         );
         return due.map(([partId, clearedAtMs]) => {
             this.#pendingClearances.delete(partId);
-            setBounded(this.#knownClearances, partId, nowMs, MaxClearances);
+            setBounded(this.#clearancesSentAtMs, partId, nowMs, MaxClearances);
             return { partId, crashes: [], clearedAgeMs: nowMs - clearedAtMs };
         });
     }
@@ -203,9 +203,6 @@
         counters.add(EdgeCounterNames.evidenceReceived);
         for (const part of readEvidence(message)) {
             this.#heard.record(part, message.h, nowMs);
-            if (part.clearedAgeMs !== undefined) {
-                setBounded(this.#knownClearances, part.partId, nowMs, MaxClearances);
-            }
             tracker.recordEvidence(part, message.h, nowMs);
         }
         // This host may repeat it later, when it has decided on it or has completed a response with the part.
