Let results of probes expire, and wait for them by sockets

A result that an upstream has ended was used for as long as its entry lasted; one wrong result would have made each later broken answer a crash. It is now used for 100 ms like the others. The wait before a repeated send uses startResponseTimeout, so that after a pause of the process the probe's socket is read before the wait ends.

--- a/src/edge/quarantine/promptQuarantine.ts
+++ b/src/edge/quarantine/promptQuarantine.ts
@@ -3,7 +3,7 @@
 import type { Counters } from "../../base/counters.js";
 import { rendezvousOrder } from "../../base/hashing.js";
 import { log } from "../../base/log.js";
-import { sleep } from "../../base/sleep.js";
+import { startResponseTimeout } from "../../base/responseTimeout.js";
 import type { PromptPart, RequestMetadata } from "../edgeTypes.js";
 import { EdgeCounterNames } from "../metrics.js";
 import type { ReportingHost } from "../peers/loadGatherers.js";
@@ -134,8 +134,7 @@
         if (partIds.length === 0 || eventCount > MaxEventsOfCause) {
             return undefined;
         }
-        const examination = this.#detector.examine(upstream, partIds);
-        return Promise.race([examination, sleep(MaxRepeatDelayMs)]).then(() => {
+        return waitAtMost(this.#detector.examine(upstream, partIds), MaxRepeatDelayMs).then(() => {
             const { id: upstreamId, startedAtMs } = upstream.entry;
             const mayRepeat = this.#tracker.mayRepeat(partIds, this.#nowMs, { upstreamId, startedAtMs });
             if (!mayRepeat) {
@@ -184,6 +183,14 @@
     }
 }
 
+/** Waits for a promise, at most for a time in milliseconds. */
+function waitAtMost(promise: Promise<void>, maxMs: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+        const timeout = startResponseTimeout(resolve, maxMs);
+        promise.then(resolve, reject).finally(() => timeout.cancel());
+    });
+}
+
 /** @returns Ids of the parts that requests may have in common, each once: all but the last one. */
 function sharedPartIds(promptParts: readonly PromptPart[]): readonly string[] {
     return [...new Set(promptParts.slice(0, -1).map(({ id }) => id))];
--- a/src/edge/upstream/upstreamProber.ts
+++ b/src/edge/upstream/upstreamProber.ts
@@ -19,15 +19,14 @@
  */
 const ProbeDelayMs = 5;
 
-/** Time for which a result other than `ended` is used again, in milliseconds; an upstream that has ended does not come back. */
+/** Time for which a result is used again, in milliseconds; all connections to an upstream that ends break off together. */
 const ResultValidMs = 100;
 
 /** A probe that runs or has ended. */
 interface Probe {
     readonly startedAtMs: number;
     readonly result: Promise<ProbeResult>;
-    /** `undefined` while the probe runs. */
-    knownResult: ProbeResult | undefined;
+    isRunning: boolean;
 }
 
 /** Probes upstreams; requests for which the same upstream broke off at the same time share one probe. */
@@ -45,23 +44,19 @@
     /** @returns What a probe of the upstream's address shows, within {@link ProbeTimeoutMs}. */
     probe(upstream: Upstream): Promise<ProbeResult> {
         const known = this.#probes.get(upstream);
-        if (known !== undefined && this.#isValid(known)) {
+        const nowMs = this.#clock.monotonicMs();
+        if (known !== undefined && (known.isRunning || nowMs - known.startedAtMs <= ResultValidMs)) {
             return known.result;
         }
         const probe: Probe = {
-            startedAtMs: this.#clock.monotonicMs(),
-            result: this.#run(upstream).then(result => probe.knownResult = result),
-            knownResult: undefined,
+            startedAtMs: nowMs,
+            result: this.#run(upstream).finally(() => probe.isRunning = false),
+            isRunning: true,
         };
         this.#probes.set(upstream, probe);
         return probe.result;
     }
 
-    #isValid({ startedAtMs, knownResult }: Probe): boolean {
-        return knownResult === undefined || knownResult === "ended" ||
-            this.#clock.monotonicMs() - startedAtMs <= ResultValidMs;
-    }
-
     async #run({ entry }: Upstream): Promise<ProbeResult> {
         await sleep(ProbeDelayMs);
         this.#onProbe();
