--- a/src/edge/quarantine/quarantineTracker.ts
+++ b/src/edge/quarantine/quarantineTracker.ts
@@ -4,6 +4,7 @@
  * that were completed.
  */
 import { CompletionTimes } from "./completionTimes.js";
+import { CrashLog } from "./crashLog.js";
 import { PartFrequency } from "./partFrequency.js";
 import {
     MaxIdLength,
@@ -15,7 +16,7 @@
     type QuarantineVerdict,
     type UpstreamCrash,
 } from "./quarantineTypes.js";
-import { SuspectedPart } from "./suspectedPart.js";
+import { crashKey, SuspectedPart } from "./suspectedPart.js";
 
 /** Maximum number of parts with evidence: those of a few crashes of fully loaded upstreams. */
 const MaxParts = 512;
@@ -48,6 +49,7 @@
     readonly #options: QuarantineTrackerOptions;
     readonly #frequency = new PartFrequency();
     readonly #completions = new CompletionTimes();
+    readonly #crashLog = new CrashLog();
     /** Parts by id; the one that was accused last is the last one. */
     readonly #parts = new Map<string, SuspectedPart>();
     #expiredAtMs = Number.NEGATIVE_INFINITY;
@@ -77,6 +79,7 @@
     recordCrash(crash: UpstreamCrash, sharedPartIds: readonly string[], hostId: string, nowMs: number): void {
         this.#expire(nowMs);
         sharedPartIds.forEach((partId, depth) => this.#addCrash(crash, partId, depth, hostId, nowMs));
+        this.#judge(sharedPartIds, nowMs);
     }
 
     /** Records what another host has sent of its {@link ownEvidence}. */
@@ -172,12 +175,14 @@
     }
 
     /**
-     * @returns What this host has seen itself, newest last. For a part in quarantine, it is all that this host decided on, so that
+     * @returns What this host has seen itself, the parts in quarantine last. For a part in quarantine, it is all that this host decided on, so that
      * a quarantine survives the restart of the hosts that saw the crashes.
      */
     ownEvidence(nowMs: number): readonly PartEvidence[] {
         this.#expire(nowMs);
-        const evidence: PartEvidence[] = [];
+        this.#judge(this.#parts.keys(), nowMs);
+        const suspected: PartEvidence[] = [];
+        const decided: PartEvidence[] = [];
         for (const part of this.#parts.values()) {
             const { partId, depth } = part;
             const isDecided = part.reported !== undefined;
@@ -187,10 +192,10 @@
                 (nowMs - completedAtMs <= ClearanceSendMs || nowMs <= part.clearanceSentUntilMs);
             if (crashes.length > 0 || isClearanceSent) {
                 const clearance = isClearanceSent ? { clearedAgeMs: nowMs - completedAtMs } : {};
-                evidence.push({ partId, crashes, depth, ...clearance });
+                (isDecided ? decided : suspected).push({ partId, crashes, depth, ...clearance });
             }
         }
-        return evidence.slice(-MaxSentParts);
+        return [...suspected, ...decided].slice(-MaxSentParts);
     }
 
     /** @returns Suspected and quarantined parts with their evidence. */
@@ -227,15 +232,27 @@
             return;
         }
         const crashedAtMs = Math.min(crash.crashedAtMs, nowMs);
+        this.#crashLog.record(crashKey(crash), crashedAtMs);
         if (part.clearedAtMs !== undefined && crashedAtMs <= part.clearedAtMs) {
             part.clearanceSentUntilMs = nowMs + ClearanceSendMs;
         }
         part.depth = Math.max(part.depth, depth);
-        part.addCrash({ ...crash, crashedAtMs }, hostId);
+        if (!part.addCrash({ ...crash, crashedAtMs }, hostId)) {
+            return;
+        }
         if (part.quarantine !== undefined && part.quarantine.level > (part.reported?.level ?? 0)) {
             part.trialStartedAtMs = undefined;
         }
-        this.#isQuarantined(part, nowMs);
+    }
+
+    /** Reports the parts whose state has changed, once the crashes of all parts of a request are counted. */
+    #judge(partIds: Iterable<string>, nowMs: number): void {
+        for (const partId of partIds) {
+            const part = this.#parts.get(partId);
+            if (part !== undefined) {
+                this.#isQuarantined(part, nowMs);
+            }
+        }
     }
 
     /** @returns Whether crashes were counted against the part. */
@@ -256,7 +273,7 @@
         let part = this.#parts.get(partId);
         if (part === undefined) {
             this.#makeRoom(nowMs);
-            part = new SuspectedPart(partId);
+            part = new SuspectedPart(partId, this.#crashLog);
             const completedAtMs = this.#completions.lastCompletedAtMs(partId);
             if (completedAtMs !== undefined) {
                 part.clear(completedAtMs);
@@ -350,8 +367,7 @@
         }
         this.#expiredAtMs = nowMs;
         for (const part of this.#parts.values()) {
-            part.expire(nowMs);
-            if (part.reported !== undefined && part.quarantine === undefined) {
+            if (part.expire(nowMs) && part.reported !== undefined) {
                 this.#report("lapsed", part, nowMs);
                 part.reported = undefined;
             }
--- a/src/edge/quarantine/suspectedPart.ts
+++ b/src/edge/quarantine/suspectedPart.ts
@@ -1,4 +1,5 @@
 /** Evidence about one prompt part, and the quarantine that follows from it. */
+import { countEvents, type CrashLog, TimeToleranceMs } from "./crashLog.js";
 import { type CrashEvidence, MaxCrashesPerPart, type UpstreamCrash } from "./quarantineTypes.js";
 
 /**
@@ -11,19 +12,23 @@
 const MinCrashes = 5;
 const MinEventsOfManyCrashes = 2;
 
-/** Time within which crashes count as one event, in milliseconds, as a rack or a release ends several upstreams at once. */
-const EventMergeMs = 500;
-
 /** Time for which a crash is counted, in milliseconds: the fifth request of one in two hundred on a quiet fleet comes within it. */
 export const EvidenceLifetimeMs = 300_000;
 
 /** Duration of the first quarantine, doubled for each renewal up to the maximum, in milliseconds. */
-const MinQuarantineMs = 30_000;
+const MinQuarantineMs = 60_000;
 const MaxQuarantineMs = 480_000;
 
 /** Time after the end of a quarantine at which a part without a trial is forgotten, in milliseconds. */
 const EndedRetentionMs = 600_000;
 
+/**
+ * Events that end upstreams without the part, shortly before or after one with it, that make it part of an outage. An
+ * outage ends upstreams one after the other, and the repeat of a request meets the next crash.
+ */
+const MinOutageEvents = 2;
+const OutageNeighbourMs = 1_000;
+
 /** Maximum number of hosts kept for one crash. */
 const MaxHostsPerCrash = 4;
 
@@ -58,10 +63,16 @@
     clearanceSentUntilMs = Number.NEGATIVE_INFINITY;
     #crashes = new Map<string, CountedCrash>();
     #clearedAtMs: number | undefined;
+    #hostIds = new Set<string>();
     #quarantine: Quarantine | undefined;
+    #isChanged = false;
+    readonly #crashLog: CrashLog;
+    #crashLogVersion = 0;
 
-    constructor(partId: string) {
+    /** @param crashLog Crashes of all upstreams. */
+    constructor(partId: string, crashLog: CrashLog) {
         this.partId = partId;
+        this.#crashLog = crashLog;
     }
 
     /** @returns Time of the newest known completion, in milliseconds. */
@@ -76,12 +87,17 @@
 
     /** @returns Quarantine by the crashes alone; the tracker may exempt the part. */
     get quarantine(): Quarantine | undefined {
+        if (this.#isChanged || this.#crashLogVersion !== this.#crashLog.version) {
+            this.#isChanged = false;
+            this.#crashLogVersion = this.#crashLog.version;
+            this.#quarantine = this.#evaluate();
+        }
         return this.#quarantine;
     }
 
     /** @returns Hosts that state at least one of the crashes. */
     get hostIds(): ReadonlySet<string> {
-        return new Set([...this.#crashes.values()].flatMap(crash => crash.hostIds));
+        return this.#hostIds;
     }
 
     /** @returns Whether the crash is counted. */
@@ -89,10 +105,13 @@
         return this.#crashes.has(crashKey(crash));
     }
 
-    /** Counts a crash once, whatever the number of hosts and messages that state it. */
-    addCrash(crash: UpstreamCrash, hostId: string): void {
+    /**
+     * Counts a crash once, whatever the number of hosts and messages that state it.
+     * @returns Whether anything has changed.
+     */
+    addCrash(crash: UpstreamCrash, hostId: string): boolean {
         if (this.#clearedAtMs !== undefined && crash.crashedAtMs <= this.#clearedAtMs) {
-            return;
+            return false;
         }
         const key = crashKey(crash);
         const known = this.#crashes.get(key);
@@ -101,13 +120,18 @@
             this.#dropOldest();
         }
         else {
+            const isNewHost = !known.hostIds.includes(hostId) && known.hostIds.length < MaxHostsPerCrash;
+            if (!isNewHost && crash.crashedAtMs > known.crashedAtMs - TimeToleranceMs) {
+                return false;
+            }
             // A message takes time, so the earliest statement is the most exact one.
             known.crashedAtMs = Math.min(known.crashedAtMs, crash.crashedAtMs);
-            if (!known.hostIds.includes(hostId) && known.hostIds.length < MaxHostsPerCrash) {
+            if (isNewHost) {
                 known.hostIds.push(hostId);
             }
         }
         this.#update();
+        return true;
     }
 
     /**
@@ -121,14 +145,21 @@
         return this.#crashes.size < countBefore;
     }
 
-    /** Drops what has expired. A part in quarantine keeps its crashes, which determine the length of the next one. */
-    expire(nowMs: number): void {
-        if (this.#quarantine === undefined) {
+    /**
+     * Drops what has expired. A part in quarantine keeps its crashes, which determine the length of the next one.
+     * @returns Whether a quarantine lapsed.
+     */
+    expire(nowMs: number): boolean {
+        const { quarantine } = this;
+        if (quarantine === undefined) {
             this.#dropUntil(nowMs - EvidenceLifetimeMs);
+            return false;
         }
-        else if (nowMs > this.#quarantine.untilMs + EndedRetentionMs) {
+        const hasLapsed = nowMs > quarantine.untilMs + EndedRetentionMs;
+        if (hasLapsed) {
             this.#dropUntil(nowMs);
         }
+        return hasLapsed;
     }
 
     /** @returns Whether nothing is left to remember. */
@@ -181,37 +212,44 @@
     }
 
     #update(): void {
+        this.#isChanged = true;
+        this.#hostIds = new Set([...this.#crashes.values()].flatMap(crash => crash.hostIds));
+    }
+
+    #evaluate(): Quarantine | undefined {
         let quarantine: Quarantine | undefined;
         let counted: number[] = [];
+        if (this.#crashes.size < MinEvents) {
+            return undefined;
+        }
         for (const { crashedAtMs } of this.#sorted()) {
-            if (quarantine === undefined) {
-                counted = [...counted.filter(atMs => crashedAtMs - atMs <= EvidenceLifetimeMs), crashedAtMs];
-                quarantine = isSufficient(counted) ? startQuarantine(1, crashedAtMs) : undefined;
-            }
-            else {
+            if (quarantine !== undefined) {
                 // A request that was sent before the quarantine may crash its upstream during it.
                 const isRenewed = crashedAtMs >= quarantine.untilMs;
                 quarantine = startQuarantine(quarantine.level + (isRenewed ? 1 : 0), crashedAtMs);
             }
+            else if (!this.#isInOutage(crashedAtMs)) {
+                counted = [...counted.filter(atMs => crashedAtMs - atMs <= EvidenceLifetimeMs), crashedAtMs];
+                quarantine = isSufficient(counted) ? startQuarantine(1, crashedAtMs) : undefined;
+            }
         }
-        this.#quarantine = quarantine;
+        return quarantine;
+    }
+
+    #isInOutage(crashedAtMs: number): boolean {
+        const events = this.#crashLog.countOtherEvents(crashedAtMs, OutageNeighbourMs, key => this.#crashes.has(key));
+        return events >= MinOutageEvents;
     }
 }
 
-function crashKey({ upstreamId, startedAtMs }: Pick<UpstreamCrash, "upstreamId" | "startedAtMs">): string {
+/** @returns Key of the incarnation of an upstream. */
+export function crashKey({ upstreamId, startedAtMs }: Pick<UpstreamCrash, "upstreamId" | "startedAtMs">): string {
     return `${upstreamId}@${startedAtMs}`;
 }
 
 /** @param timesMs Times of crashes in ascending order. */
 function isSufficient(timesMs: readonly number[]): boolean {
-    let events = 0;
-    let eventAtMs = Number.NEGATIVE_INFINITY;
-    for (const timeMs of timesMs) {
-        if (timeMs - eventAtMs > EventMergeMs) {
-            events++;
-            eventAtMs = timeMs;
-        }
-    }
+    const events = countEvents(timesMs);
     return events >= MinEvents || (timesMs.length >= MinCrashes && events >= MinEventsOfManyCrashes);
 }
 
