--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -3,12 +3,12 @@
 import { log } from "../../base/log.js";
 import { type ResponseTimeout, startResponseTimeout } from "../../base/responseTimeout.js";
 import { EdgeCounterNames } from "../metrics.js";
+import { RequestQuarantine } from "../quarantine/requestQuarantine.js";
 import { chooseService } from "../routing/routeTable.js";
 import type { ResponseHead } from "../transport/responseParser.js";
-import type { SerialisedRequest } from "../transport/upstreamConnection.js";
-import type { Upstream } from "../upstream/upstream.js";
 import { Attempt, type AttemptListener, type AttemptOutcome, type AttemptSilence } from "./attempt.js";
 import { AttemptHistory } from "./attemptHistory.js";
+import { createAttemptInput } from "./attemptInput.js";
 import { describeDisconnect, DisconnectCounters } from "./callerDisconnect.js";
 import type { CallerResponse, EdgeFailure } from "./callerResponse.js";
 import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
@@ -16,25 +16,10 @@
 import { RequestBudget } from "./requestBudget.js";
 import { ResendPolicy } from "./resendPolicy.js";
 import { ResponseTiming } from "./responseTiming.js";
-import { serialiseRequest } from "./serialiseRequest.js";
 import { ParallelSilenceHandler, SequentialSilenceHandler, type SilenceDelegate } from "./silenceHandler.js";
 import { StreamRelay } from "./streamRelay.js";
 import { UpstreamSelector } from "./upstreamSelector.js";
 
-/**
- * Maximum idle time of a pooled connection that is reused, in milliseconds. It is shorter for requests that may not be
- * repeated, as an idle connection may be closed by the upstream while the request is sent.
- */
-const NonIdempotentMaxIdleMs = 1_500;
-const IdempotentMaxIdleMs = 4_000;
-
-/**
- * Time without a byte after which an attempt is silent, as a multiple of the route's latency objective, and its lower bound
- * in milliseconds.
- */
-const SilenceObjectives = 3;
-const MinSilenceMs = 250;
-
 /**
  * Retry-After as a fraction of the caller's remaining time, and its maximum in milliseconds. Callers wait up to a
  * third of that time.
@@ -66,6 +51,7 @@
     readonly #sequentialSilence: SequentialSilenceHandler;
     readonly #openAttempts = new OpenAttempts();
     readonly #timing: ResponseTiming;
+    readonly #quarantine: RequestQuarantine;
     #deadlineTimer: ResponseTimeout | undefined;
     /** Whether an attempt was cancelled after its request was written. */
     #wasAttemptCancelled = false;
@@ -109,6 +95,7 @@
         };
         this.#parallelSilence = new ParallelSilenceHandler(silenceDelegate);
         this.#sequentialSilence = new SequentialSilenceHandler(silenceDelegate);
+        this.#quarantine = new RequestQuarantine(dependencies.quarantine, request.metadata, this.#service);
     }
 
     /**
@@ -121,6 +108,9 @@
             this.#fail({ code: "Overloaded", ran: "no" }, "the deadline passed before the request was started");
             return;
         }
+        if (this.#isQuarantined()) {
+            return;
+        }
         this.#deadlineTimer = startResponseTimeout(() => this.#onTimeout(), remainingMs);
         this.#dependencies.retryBudgets.recordRequest(this.#service, this.#nowMs);
         // A request that waited in the socket's buffer is read before a disconnect of its caller, which the next poll reports.
@@ -220,10 +210,23 @@
             return;
         }
         this.#logFailedAttempt(outcome);
+        this.#quarantine.examineFailure(
+            outcome,
+            attempt.input.upstream,
+            this.#relay.eventCount,
+            mayRepeat => this.#continueAfter(outcome, mayRepeat),
+        );
+    }
+
+    /** Sends the request again after a failed attempt, waits for another one or ends it. */
+    #continueAfter(outcome: AttemptOutcome, mayRepeat: boolean): void {
+        if (this.#hasEnded) {
+            return;
+        }
         if (this.#hasCallerDisconnected) {
             this.#conclude("callerGone");
         }
-        else if (this.#resendPolicy.canResend(outcome)) {
+        else if (mayRepeat && this.#resendPolicy.canResend(outcome)) {
             this.#scheduleResend();
         }
         else if (this.#openAttempts.count === 0) {
@@ -285,7 +288,19 @@
         return false;
     }
 
+    /** @returns Whether a part of the prompt is quarantined. The request ends then, unless an attempt is still open. */
+    #isQuarantined(): boolean {
+        const refusal = this.#quarantine.findRefusal(this.#history.ran, this.#retryAfterMs());
+        if (refusal !== undefined && this.#openAttempts.count === 0) {
+            this.#fail(refusal.failure, refusal.cause);
+        }
+        return refusal !== undefined;
+    }
+
     #sendNext(): void {
+        if (this.#isQuarantined()) {
+            return;
+        }
         const upstream = this.#upstreams.choose();
         if (upstream === undefined && this.#openAttempts.count > 0) {
             log.info("request not sent again: no upstream", { request: this.#request.requestId, ...this.#describe() });
@@ -297,6 +312,7 @@
             return;
         }
         this.#history.recordSend(upstream.entry.id);
+        this.#quarantine.recordSend(this.#relay.eventCount);
         this.#dependencies.metrics.counters.add(EdgeCounterNames.sends);
         if (this.#history.sendCount > 1) {
             this.#dependencies.metrics.counters.add(EdgeCounterNames.repeatedSends);
@@ -304,41 +320,18 @@
         if (this.#openAttempts.count > 0) {
             this.#dependencies.metrics.counters.add(EdgeCounterNames.parallelSends);
         }
-        const { route, requestId } = this.#request;
-        const { objectiveMs } = route;
-        const request = this.#serialise(upstream);
-        this.#openAttempts.add(
-            new Attempt(
-                {
-                    upstream,
-                    request,
-                    requestId,
-                    prefillTokens: this.#request.metadata.tokenCounts?.promptTokens ?? 0,
-                    maxIdleMs: this.#history.isRepeatable ? IdempotentMaxIdleMs : NonIdempotentMaxIdleMs,
-                    silentAfterMs: Math.max(MinSilenceMs, objectiveMs * SilenceObjectives),
-                    isSilenceReported: this.#history.isRepeatable,
-                },
-                this.#dependencies.codec,
-                this.#dependencies.clock,
-                this,
-            ),
-        );
-        this.#dependencies.onSent(this.#request.metadata.tokenCounts?.promptTokens ?? 0);
-    }
-
-    #serialise(upstream: Upstream): SerialisedRequest {
-        const { method, target, headers, body, team, route } = this.#request;
-        const encoded = this.#dependencies.codec.encodeUpstreamHeaders(headers, {
-            upstreamId: upstream.entry.id,
-            team: team?.name,
-            remainingMs: Math.max(1, Math.floor(this.#remainingMs)),
-            enginePriority: route.isGeneration ? team?.priority ?? route.priority : undefined,
+        const input = createAttemptInput(this.#dependencies.codec, this.#request, {
+            upstream,
+            isRepeatable: this.#history.isRepeatable,
+            remainingMs: this.#remainingMs,
             resumeAfterEventId: this.#relay.hasRelayedEvents ? this.#relay.lastEventId : undefined,
         });
-        return serialiseRequest(method, target, encoded, body);
+        this.#openAttempts.add(new Attempt(input, this.#dependencies.codec, this.#dependencies.clock, this));
+        this.#dependencies.onSent(input.prefillTokens);
     }
 
     #onAnswered(head: ResponseHead, body: Buffer, attempt: Attempt): void {
+        this.#quarantine.recordResponse(head, this.#relay.eventCount);
         if (this.#relay.isOpen) {
             this.#relay.finish();
             this.#conclude("complete");
