Log a reachability check that fails by itself

An exception in the check, such as an address that cannot be used, would have been an unhandled rejection, which ends the process. It is logged, and the stream waits as if the upstream could be reached. Found by reading, no caller saw it. The test in silenceHandler.spec.ts keeps the case; 87 tests of src/edge/flow, src/edge/upstream and pausedUpstream pass.

--- a/src/edge/flow/silenceHandler.spec.ts
+++ b/src/edge/flow/silenceHandler.spec.ts
@@ -72,6 +72,13 @@
             expect(stream.interruptSilent).toHaveBeenCalledTimes(1);
         });
 
+        it("keeps its stream when the check fails by itself (guards against a process that ends for an unhandled rejection)", async () => {
+            const stream = new SilentStream();
+            stream.checkReachability.mockRejectedValueOnce(new Error("invalid address"));
+            await stream.report(300, true);
+            expect(stream.interruptSilent).not.toHaveBeenCalled();
+        });
+
         it("applies a limit that is longer than a pause (guards against cuts earlier than before)", async () => {
             const stream = new SilentStream();
             await stream.report(3_000, true);
--- a/src/edge/flow/silenceHandler.ts
+++ b/src/edge/flow/silenceHandler.ts
@@ -84,7 +84,9 @@
             this.#moveIfPossible(silence, attempt);
         }
         else if (silence.isFirstReport && this.delegate.resendPolicy.canSendInstead(false)) {
-            void this.#checkReachability(silence, attempt);
+            this.#checkReachability(silence, attempt).catch((error: unknown) => {
+                log.error("check of an upstream failed", { ...this.delegate.describe(), error: String(error) });
+            });
         }
     }
 
--- a/src/edge/upstream/upstream.ts
+++ b/src/edge/upstream/upstream.ts
@@ -139,7 +139,10 @@
         const failure = this.pool.probe(ProbeTimeoutMs, () => !this.#isLeaving);
         const probe: Probe = { startedAtMs: nowMs, failure, isRunning: true };
         this.#latestProbe = probe;
-        void failure.then(() => probe.isRunning = false);
+        const onEnd = () => {
+            probe.isRunning = false;
+        };
+        failure.then(onEnd, onEnd);
         return probe;
     }
 
