Do not relay a refusing status of an upstream that does not state that it ran nothing

Callers saw: 429, 503 or 408, which promise that a request did not run, for an order that an upstream may have run: it had answered with this status but without Toucanjunction-Not-Executed, and no other response states that.

Cause: RequestFlow relayed such an answer as it was.

Change: it counts as a failure: a request that may be repeated is sent elsewhere within its limits, any other ends with the edge's own 502. The upstream's signature is not passed on with another status.

--- a/src/edge/flow/callerResponse.ts
+++ b/src/edge/flow/callerResponse.ts
@@ -129,8 +129,12 @@
 /** @returns HTTP status of the failure; 502 in place of a status which states that the request did not run, if it may have. */
 function statusOf({ code, ran }: EdgeFailure): number {
     const status = ResultCodes[code].httpStatus;
-    const statesNotRun = status === 503 || status === 429 || status === 408 || status === 421;
-    return statesNotRun && ran !== "no" ? 502 : status;
+    return promisesNotRun(status) && ran !== "no" ? 502 : status;
+}
+
+/** @returns Whether callers take the status for a promise that the request has not run and never will. */
+export function promisesNotRun(status: number): boolean {
+    return status === 503 || status === 429 || status === 408 || status === 421;
 }
 
 /** @returns Lower-case names of the headers that are not relayed, with those that the `Connection` header lists. */
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -11,7 +11,7 @@
 import { Attempt, type AttemptListener, type AttemptOutcome } from "./attempt.js";
 import { AttemptHistory } from "./attemptHistory.js";
 import { describeDisconnect, DisconnectCounters } from "./callerDisconnect.js";
-import type { CallerResponse, EdgeFailure } from "./callerResponse.js";
+import { type CallerResponse, type EdgeFailure, promisesNotRun } from "./callerResponse.js";
 import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
 import { RequestBudget } from "./requestBudget.js";
 import { serialiseRequest } from "./serialiseRequest.js";
@@ -351,10 +351,16 @@
             this.#giveUp(failed);
             return;
         }
-        if (head.statusCode >= 500 && this.#canResend(failed)) {
+        // The upstream would have stated that it did not run the request, so that the caller must not be told so.
+        const isUnfoundedRefusal = promisesNotRun(head.statusCode);
+        if ((head.statusCode >= 500 || isUnfoundedRefusal) && this.#canResend(failed)) {
             this.#scheduleResend();
             return;
         }
+        if (isUnfoundedRefusal) {
+            this.#giveUp(failed);
+            return;
+        }
         this.#response.start(head);
         this.#response.end(body);
         this.#conclude(head.statusCode < 400 ? "complete" : "upstreamFailure");
