--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -10,7 +10,7 @@
 import { AttemptHistory } from "./attemptHistory.js";
 import { createAttemptInput } from "./attemptInput.js";
 import { describeDisconnect, DisconnectCounters } from "./callerDisconnect.js";
-import type { CallerResponse, EdgeFailure } from "./callerResponse.js";
+import { type CallerResponse, type EdgeFailure, promisesNotRun } from "./callerResponse.js";
 import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
 import { OpenAttempts } from "./openAttempts.js";
 import { RequestBudget } from "./requestBudget.js";
@@ -346,12 +346,20 @@
             this.#giveUp(failed);
             return;
         }
-        if (head.statusCode >= 500 && this.#resendPolicy.canResend(failed)) {
-            this.#scheduleResend();
-            return;
+        // The upstream would have stated that it did not run the request, so that the caller must not be told so.
+        const isUnfoundedRefusal = promisesNotRun(head.statusCode);
+        if (head.statusCode >= 500 || isUnfoundedRefusal) {
+            if (this.#resendPolicy.canResend(failed)) {
+                this.#scheduleResend();
+                return;
+            }
+            if (this.#openAttempts.count > 0) {
+                this.#logFailedAttempt(failed);
+                return;
+            }
         }
-        if (head.statusCode >= 500 && this.#openAttempts.count > 0) {
-            this.#logFailedAttempt(failed);
+        if (isUnfoundedRefusal) {
+            this.#giveUp(failed);
             return;
         }
         this.#cancelOthers(attempt);
