Count five crashes also in an outage, and prefer parts without a completed answer

Crashes near those of an outage are now left out only where three events decide; five crashes decide in any case.

The property test passes with its 10 cases. With 400 (QUARANTINE_PLAYS=40) it fails at case 84: 3 hosts, 4 late requests instead of 3. All crashes came at one host, which then restarted and lost its evidence; the two others may not decide on the word of one host.

--- a/src/edge/quarantine/quarantineTracker.spec.ts
+++ b/src/edge/quarantine/quarantineTracker.spec.ts
@@ -191,6 +191,12 @@
             ]);
         });
 
+        it("prefers a part without any completed answer (guards against a sound part that is seldom asked for)", () => {
+            tracker.recordCompletion(["b"], 0);
+            [20_000, 21_000, 22_000].forEach(atMs => crash(["d", "b"], atMs));
+            expect([isRefused("b", 22_000), isRefused("d", 22_000)]).toEqual([false, true]);
+        });
+
         it("quarantines the one with more crashes, and takes back its choice (guards against a part that came with the deadly one)", () => {
             [0, 1_000, 2_000].forEach(atMs => crash(["d", "b"], atMs));
             expect(isRefused("b", 2_000)).toBe(true);
--- a/src/edge/quarantine/quarantineTracker.ts
+++ b/src/edge/quarantine/quarantineTracker.ts
@@ -337,26 +337,35 @@
     }
 
     /**
-     * @returns Whether another part accounts for all crashes of this one and for more, or for the same ones and is rarer. A part
-     * that is later in the prompt is the rarer one where this host has not seen them.
+     * @returns Whether another part accounts for all crashes of this one and for more, or for the same ones while it was never part
+     * of a completed answer or is rarer. A part that is later in the prompt is the rarer one where this host has not seen them.
      */
     #isExplainedByOther(part: SuspectedPart, nowMs: number): boolean {
-        const count = this.#frequency.count(part.partId);
         for (const other of this.#parts.values()) {
-            if (other === part || other.quarantine === undefined || !other.includesCrashesOf(part)) {
-                continue;
-            }
-            const otherCount = this.#frequency.count(other.partId);
-            const isPreferred = other.crashCount > part.crashCount ||
-                otherCount < count ||
-                (otherCount === count && other.depth > part.depth);
-            if (isPreferred && this.#soundness(other, nowMs) === undefined) {
+            if (
+                other !== part && other.crashCount >= part.crashCount && other.quarantine !== undefined &&
+                other.includesCrashesOf(part) && this.#isPreferred(other, part) &&
+                this.#soundness(other, nowMs) === undefined
+            ) {
                 return true;
             }
         }
         return false;
     }
 
+    /** @param other Part that has all crashes of this one. */
+    #isPreferred(other: SuspectedPart, part: SuspectedPart): boolean {
+        if (other.crashCount > part.crashCount) {
+            return true;
+        }
+        const hasCompleted = part.clearedAtMs !== undefined;
+        if (hasCompleted !== (other.clearedAtMs !== undefined)) {
+            return hasCompleted;
+        }
+        const difference = this.#frequency.count(other.partId) - this.#frequency.count(part.partId);
+        return difference < 0 || (difference === 0 && other.depth > part.depth);
+    }
+
     #isOnTrial({ trialStartedAtMs }: SuspectedPart, nowMs: number): boolean {
         return trialStartedAtMs !== undefined && nowMs - trialStartedAtMs < TrialTimeoutMs;
     }
--- a/src/edge/quarantine/suspectedPart.ts
+++ b/src/edge/quarantine/suspectedPart.ts
@@ -8,7 +8,7 @@
  */
 const MinEvents = 3;
 
-/** Crashes that start a quarantine when several of them fall into one event: the number that operators accept. */
+/** Crashes that start a quarantine though several fall into one event or an outage: the number that operators accept. */
 const MinCrashes = 5;
 const MinEventsOfManyCrashes = 2;
 
@@ -228,9 +228,11 @@
                 const isRenewed = crashedAtMs >= quarantine.untilMs;
                 quarantine = startQuarantine(quarantine.level + (isRenewed ? 1 : 0), crashedAtMs);
             }
-            else if (!this.#isInOutage(crashedAtMs)) {
+            else {
                 counted = [...counted.filter(atMs => crashedAtMs - atMs <= EvidenceLifetimeMs), crashedAtMs];
-                quarantine = isSufficient(counted) ? startQuarantine(1, crashedAtMs) : undefined;
+                const isSufficient = isManyCrashes(counted) ||
+                    countEvents(counted.filter(atMs => !this.#isInOutage(atMs))) >= MinEvents;
+                quarantine = isSufficient ? startQuarantine(1, crashedAtMs) : undefined;
             }
         }
         return quarantine;
@@ -248,9 +250,8 @@
 }
 
 /** @param timesMs Times of crashes in ascending order. */
-function isSufficient(timesMs: readonly number[]): boolean {
-    const events = countEvents(timesMs);
-    return events >= MinEvents || (timesMs.length >= MinCrashes && events >= MinEventsOfManyCrashes);
+function isManyCrashes(timesMs: readonly number[]): boolean {
+    return timesMs.length >= MinCrashes && countEvents(timesMs) >= MinEventsOfManyCrashes;
 }
 
 function startQuarantine(level: number, nowMs: number): Quarantine {
