Read the body of a refused request before the connection closes

What callers saw: during a planned stop, or while the link is busy, a reset in place of the refusal of a request whose body was still being sent.

Cause: a refusal with `Connection: close` ended the connection at once. The kernel resets a connection that is closed with unread bytes, and the caller loses the response.

The refusal is written at once, and the response ends, and with it the connection, when the body has been read, or after 2 s at most. An error in such a body gets no second response.

platform/connectionStop.spec.ts and platform/connectionLimits.spec.ts, before (src of the parent commit): × gets the refusal: expected [] to deeply equal [ 404 ] × sends no second response to a request that is refused: expected [ 404, 400 ] to deeply equal [ 404 ] After: both pass, with platform/edgeOnPlatform.spec.ts and src/edge/flow (84 tests).

--- a/src/edge/flow/callerConnections.ts
+++ b/src/edge/flow/callerConnections.ts
@@ -248,7 +248,9 @@
             return;
         }
         this.recordClose(socket, refusal.code === HeadTimeoutCode ? "headTimeout" : "unreadable");
-        socket.end(`HTTP/1.1 ${refusalStatusOf(refusal)}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+        // A response that has begun cannot be followed by another one to the same request.
+        const hasBegun = [...state.open].some(({ response }) => response.headersSent);
+        socket.end(hasBegun ? "" : refusalText(refusal));
     }
 
     /** A request that arrived in time may still be in the socket's buffer, above all when the event loop was behind. */
@@ -321,10 +323,12 @@
     return socket.bytesRead > state.requestEndBytes;
 }
 
-/** @returns Status code and reason of the response to bytes that are no request. */
-function refusalStatusOf({ code }: NodeJS.ErrnoException): string {
-    if (code === "HPE_HEADER_OVERFLOW") {
-        return "431 Request Header Fields Too Large";
-    }
-    return code === HeadTimeoutCode ? "408 Request Timeout" : "400 Bad Request";
+/** @returns The response to bytes that are no request. */
+function refusalText({ code }: NodeJS.ErrnoException): string {
+    const status = code === "HPE_HEADER_OVERFLOW" ?
+        "431 Request Header Fields Too Large" :
+        code === HeadTimeoutCode ?
+        "408 Request Timeout" :
+        "400 Bad Request";
+    return `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
 }
--- a/src/edge/flow/callerResponse.ts
+++ b/src/edge/flow/callerResponse.ts
@@ -101,8 +101,12 @@
         this.#response.destroy();
     }
 
-    /** Sends an error that the edge itself reports; aborts the response if it has started already. */
-    sendError(failure: EdgeFailure): void {
+    /**
+     * Sends an error that the edge itself reports; aborts the response if it has started already.
+     * @param beforeEnd Calls back when the response may end, and with it the connection; by default at once. All bytes of the response
+     * are written before that.
+     */
+    sendError(failure: EdgeFailure, beforeEnd: (end: () => void) => void = end => end()): void {
         if (this.#isEnded) {
             return;
         }
@@ -120,7 +124,9 @@
             headers.push("Retry-After", (failure.retryAfterMs / 1_000).toFixed(3));
         }
         this.#writeHead(statusOf(failure), "", headers);
-        this.end(body);
+        this.#isEnded = true;
+        this.write(body);
+        beforeEnd(() => this.#response.end());
     }
 
     #writeHead(statusCode: number, reason: string, headers: string[]): void {
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -14,7 +14,7 @@
 import { HeaderTimeout } from "./headerTimeout.js";
 import { LinkLoad } from "./linkLoad.js";
 import { OutgoingLinkBacklog } from "./outgoingLinkBacklog.js";
-import { collectBody, hasBody } from "./requestBody.js";
+import { collectBody, discardBody, hasBody } from "./requestBody.js";
 import { RequestFlow } from "./requestFlow.js";
 
 /** The configuration in force, as the server needs it. */
@@ -217,8 +217,7 @@
                 configuration: this.#dependencies.configuration().routeTable?.configuration.version,
                 ...routed,
             });
-            request.resume();
-            callerResponse.sendError(routed);
+            callerResponse.sendError(routed, end => discardBody(request, end));
             return;
         }
         this.#readAndRun(
@@ -323,7 +322,7 @@
         });
         collectBody(message, table.configuration.limits.maxBodyBytes, body => {
             if (body === undefined) {
-                callerResponse.sendError({ code: "BodyTooLarge", ran: "no" });
+                callerResponse.sendError({ code: "BodyTooLarge", ran: "no" }, end => discardBody(message, end));
                 return;
             }
             run(body);
--- a/src/edge/flow/requestBody.ts
+++ b/src/edge/flow/requestBody.ts
@@ -29,3 +29,28 @@
         }
     });
 }
+
+/** Maximum time for which the body of a refused request is read, in milliseconds. */
+const DiscardTimeMs = 2_000;
+
+/**
+ * Reads and discards the rest of a refused request's body.
+ * @param done Called once, when the body has been read, its connection is closed, or {@link DiscardTimeMs} have passed. A connection that
+ * is closed before that is reset, and the caller may lose the refusal.
+ */
+export function discardBody(message: IncomingMessage, done: () => void): void {
+    message.resume();
+    if (!hasBody(message) || message.complete) {
+        done();
+        return;
+    }
+    const finish = (): void => {
+        clearTimeout(timer);
+        message.off("end", finish);
+        message.off("close", finish);
+        done();
+    };
+    const timer = setTimeout(finish, DiscardTimeMs);
+    message.once("end", finish);
+    message.once("close", finish);
+}
