Read the body of a request that the gateway refuses before its connection closes

What callers saw: a reset in place of a refusal (401, 404, 413, 503) when the body of the request was still being sent.

Cause: the gateway refuses such a request with `Connection: close`. Node closes the connection at the end of the response, so the discarding of the body that was started after it had no effect, and the kernel reset the connection.

The refusal is written at once; the response ends, and with it the connection, when the body has been read, or after 2 s at most.

--- a/src/gateway/bodyReader.ts
+++ b/src/gateway/bodyReader.ts
@@ -45,14 +45,23 @@
 
 /**
  * Reads and discards the remainder of the body of a refused request. Closing the connection at once would reset it, and
- * the caller could lose the response. The connection of an endless body is destroyed after {@link DiscardTimeMs}.
+ * the caller could lose the response.
+ * @param done Called once when the body has been read, its connection is closed, or {@link DiscardTimeMs} have passed.
  */
-export function discardRemainingBody(incoming: IncomingMessage): void {
+export function discardRemainingBody(incoming: IncomingMessage, done: () => void): void {
     if (incoming.complete) {
+        done();
         return;
     }
-    incoming.resume();
-    const timer = setTimeout(() => incoming.destroy(), DiscardTimeMs);
+    const finish = (): void => {
+        clearTimeout(timer);
+        incoming.off("end", finish);
+        incoming.off("close", finish);
+        done();
+    };
+    const timer = setTimeout(finish, DiscardTimeMs);
     timer.unref();
-    incoming.once("end", () => clearTimeout(timer));
+    incoming.once("end", finish);
+    incoming.once("close", finish);
+    incoming.resume();
 }
--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -119,8 +119,16 @@
     return String(Math.max(1, Math.ceil(retryAfterMs / 1_000)));
 }
 
-/** Writes a complete error response. The head must not have been written. */
-export function writeErrorResponse(outgoing: ServerResponse, requestId: string, failure: ErrorResponse): void {
+/**
+ * Writes a complete error response. The head must not have been written.
+ * @param beforeEnd Calls back when the response may end, and with it a connection that is closed; by default at once.
+ */
+export function writeErrorResponse(
+    outgoing: ServerResponse,
+    requestId: string,
+    failure: ErrorResponse,
+    beforeEnd: (end: () => void) => void = end => end(),
+): void {
     const body = buildErrorBody(failure);
     outgoing.writeHead(ResultCodes[failure.code].httpStatus, {
         "content-type": "application/json",
@@ -128,5 +136,6 @@
         "x-request-id": requestId,
         ...(failure.retryAfterMs === undefined ? {} : { "retry-after": retryAfterSeconds(failure.retryAfterMs) }),
     });
-    outgoing.end(body);
+    outgoing.write(body);
+    beforeEnd(() => outgoing.end());
 }
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -212,8 +212,7 @@
             code,
             detail,
             retryAfterMs: isTransient ? RetryElsewhereMs : undefined,
-        });
-        discardRemainingBody(incoming);
+        }, end => discardRemainingBody(incoming, end));
     }
 }
 
