--- a/src/edge/flow/callerConnections.ts
+++ b/src/edge/flow/callerConnections.ts
@@ -249,7 +249,9 @@
             return;
         }
         this.recordClose(socket, refusal.code === HeadTimeoutCode ? "headTimeout" : "unreadable");
-        socket.end(refusalOf(refusal));
+        // A response that has begun cannot be followed by another one to the same request.
+        const hasBegun = [...state.open].some(({ response }) => response.headersSent);
+        socket.end(hasBegun ? "" : refusalOf(refusal));
     }
 
     /** A request that arrived in time may still be in the socket's buffer, above all when the event loop was behind. */
