--- a/src/edge/peers/peerChannel.spec.ts
+++ b/src/edge/peers/peerChannel.spec.ts
@@ -1,9 +1,10 @@
 import { createSocket } from "node:dgram";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { loopbackAddresses } from "../../standins/loopbackAddresses.js";
 import { type PeerMessage, UdpPeerChannel } from "./peerChannel.js";
 
-/** Port of the channel; each test has an address of its own. */
 const Port = 17_214;
+const [Address = ""] = loopbackAddresses(1);
 
 describe("UdpPeerChannel", () => {
     const received: PeerMessage[] = [];
@@ -13,7 +14,7 @@
         received.length = 0;
         channel = new UdpPeerChannel(() => true, () => undefined);
         channel.onMessage(message => received.push(message));
-        channel.start("127.83.0.9", Port);
+        channel.start(Address, Port);
     });
 
     afterEach(() => channel.stop());
@@ -21,7 +22,7 @@
     describe("given messages of another release", () => {
         it("drops unknown kinds and ignores unknown fields (guards against releases that cannot run side by side)", async () => {
             const socket = createSocket("udp4");
-            const send = (text: string) => socket.send(text, Port, "127.83.0.9");
+            const send = (text: string) => socket.send(text, Port, Address);
             await vi.waitFor(() => {
                 send(JSON.stringify({ k: "later", h: "front-2", x: [1] }));
                 send("no JSON");
