Probe an upstream 10 ms after a connection broke off

The kernel closes the listener and the connections of a process that ends in no order that a caller can rely on.

--- a/src/edge/quarantine/evidenceExchange.ts
+++ b/src/edge/quarantine/evidenceExchange.ts
@@ -234,7 +234,8 @@
     #sendTo(addresses: readonly string[], message: EvidenceMessage, stage: number): void {
         const { channel, counters } = this.#dependencies;
         counters.add(EdgeCounterNames.evidenceSent, addresses.length);
-        addresses.forEach(address => channel.send(address, { ...message, s: stage }));
+        const staged = { ...message, s: stage };
+        addresses.forEach(address => channel.send(address, staged));
     }
 
     get #role(): GatheringRole | undefined {
--- a/src/edge/upstream/upstreamProber.ts
+++ b/src/edge/upstream/upstreamProber.ts
@@ -17,7 +17,7 @@
  * Wait before a probe, in milliseconds: a process that ends closes its connections and its listener together, but in no
  * certain order.
  */
-const ProbeDelayMs = 5;
+const ProbeDelayMs = 10;
 
 /** Time for which a result is used again, in milliseconds; all connections to an upstream that ends break off together. */
 const ResultValidMs = 100;
