Rely on the word of one host for upstreams that are known to have ended

What callers would see: engines go on crashing when all requests with a crashing part reach one host first and that host restarts. Each other host lets one more request through, since the word of one host alone may not quarantine a part.

Change: the evidence of one host counts if this host knows from its own list of upstreams that three of the named upstreams have ended. The model lets a host know that 3.5 s after the end, as the store's entries lapse.

--- a/src/edge/quarantine/promptQuarantine.ts
+++ b/src/edge/quarantine/promptQuarantine.ts
@@ -81,6 +81,7 @@
         this.#tracker = new QuarantineTracker({
             ownHostId: ownHost.hostId,
             isTrialHost: partId => this.#isTrialHost(partId),
+            hasUpstreamEnded: ({ upstreamId, startedAtMs }) => directory.hasEnded(upstreamId, startedAtMs),
             onDecision: decision => this.#onDecision(decision),
         });
         this.#exchange = new EvidenceExchange({ ...dependencies, tracker: this.#tracker });
--- a/src/edge/quarantine/quarantineTestFleet.ts
+++ b/src/edge/quarantine/quarantineTestFleet.ts
@@ -23,6 +23,9 @@
 const MinConfirmMs = 50;
 const ConfirmSpreadMs = 250;
 
+/** Time until the list of upstreams shows that one has ended, in milliseconds. */
+const ListingDelayMs = 3_500;
+
 /** Time for which an answer is about to begin after its first event, in milliseconds. */
 const BeginningMs = 150;
 
@@ -116,6 +119,8 @@
     readonly #hosts: ModelHost[] = [];
     readonly #upstreams: ModelUpstream[] = [];
     #nowMs = 0;
+    /** Time at which the list of upstreams no longer holds an incarnation, in milliseconds. */
+    readonly #endKnownAtMs = new Map<string, number>();
     #incarnations = 0;
     #fifthCrashAtMs = Number.POSITIVE_INFINITY;
     readonly figures: QuarantineFigures = {
@@ -180,6 +185,8 @@
         return new QuarantineTracker({
             ownHostId: `host-${index}`,
             isTrialHost: () => index === Math.floor(this.#plan.hosts / 2),
+            hasUpstreamEnded: ended =>
+                this.#nowMs >= (this.#endKnownAtMs.get(incarnationKey(ended)) ?? Number.POSITIVE_INFINITY),
             onDecision: ({ kind, partId, crashes }) => {
                 if (kind !== "quarantined") {
                     return;
@@ -335,6 +342,7 @@
         this.figures.crashes++;
         upstream.isUp = false;
         const { id, startedAtMs } = upstream;
+        this.#endKnownAtMs.set(incarnationKey({ upstreamId: id, startedAtMs }), this.#nowMs + ListingDelayMs);
         const attempts = [...upstream.attempts];
         upstream.attempts.clear();
         for (const attempt of attempts) {
@@ -417,3 +425,7 @@
         return items[this.#random.integer(items.length)]!;
     }
 }
+
+function incarnationKey({ upstreamId, startedAtMs }: Pick<UpstreamCrash, "upstreamId" | "startedAtMs">): string {
+    return `${upstreamId} ${startedAtMs}`;
+}
--- a/src/edge/quarantine/quarantineTracker.spec.ts
+++ b/src/edge/quarantine/quarantineTracker.spec.ts
@@ -9,17 +9,21 @@
     let tracker: QuarantineTracker;
     let crashes: number;
 
+    const knownEnds = new Set<string>();
+
     beforeEach(() => {
         decisions = [];
         isTrialHost = false;
         tracker = startTracker("own");
         crashes = 0;
+        knownEnds.clear();
     });
 
     function startTracker(ownHostId: string): QuarantineTracker {
         return new QuarantineTracker({
             ownHostId,
             isTrialHost: () => isTrialHost,
+            hasUpstreamEnded: ({ upstreamId }) => knownEnds.has(upstreamId),
             onDecision: decision => decisions.push(decision),
         });
     }
@@ -92,6 +96,15 @@
             expect(isRefused("d", 4_000)).toBe(true);
         });
 
+        it("relies on one host's word for upstreams that it knows to have ended (guards against traffic that reaches one host)", () => {
+            [0, 1_000, 2_000].forEach(atMs => crash(["d"], atMs, "a"));
+            expect(isRefused("d", 3_000)).toBe(false);
+            tracker.explain(3_000)[0]!.crashes.slice(1).forEach(({ upstreamId }) => knownEnds.add(upstreamId));
+            expect(isRefused("d", 3_000)).toBe(false);
+            tracker.explain(3_000)[0]!.crashes.forEach(({ upstreamId }) => knownEnds.add(upstreamId));
+            expect(isRefused("d", 3_000)).toBe(true);
+        });
+
         it("comes to the same result in any order and with repeats (guards against hosts that disagree)", () => {
             const evidence: { hostId: string; part: PartEvidence; }[] = [10_000, 9_000, 7_000, 3_000].map((
                 ageMs,
--- a/src/edge/quarantine/quarantineTracker.ts
+++ b/src/edge/quarantine/quarantineTracker.ts
@@ -30,6 +30,9 @@
  */
 const CompletionProtectionMs = 8_000;
 
+/** Ends of upstreams that this host must know of itself before it relies on the word of one other host. */
+const MinConfirmedEnds = 3;
+
 /** Time for which this host's completion of a suspected part is sent, in milliseconds. */
 const ClearanceSendMs = 15_000;
 
@@ -321,13 +324,22 @@
         if (soundness !== undefined) {
             return soundness;
         }
-        const { hostIds } = part;
-        if (hostIds.size < 2 && !hostIds.has(this.#options.ownHostId)) {
+        if (!this.#isCorroborated(part, nowMs)) {
             return "oneHost";
         }
         return this.#isExplainedByOther(part, nowMs) ? "otherPart" : undefined;
     }
 
+    /**
+     * @returns Whether more than the word of one other host speaks against the part. If all requests with it reach one host, the others
+     * can still see that the upstreams which that host names have ended.
+     */
+    #isCorroborated(part: SuspectedPart, nowMs: number): boolean {
+        const { hostIds } = part;
+        return hostIds.size >= 2 || hostIds.has(this.#options.ownHostId) ||
+            part.evidence(nowMs).filter(crash => this.#options.hasUpstreamEnded(crash)).length >= MinConfirmedEnds;
+    }
+
     /** @returns Why the part cannot be what crashes upstreams, whatever the number of crashes. */
     #soundness(part: SuspectedPart, nowMs: number): "completedRecently" | "common" | undefined {
         if (part.clearedAtMs !== undefined && nowMs - part.clearedAtMs < CompletionProtectionMs) {
--- a/src/edge/quarantine/quarantineTypes.ts
+++ b/src/edge/quarantine/quarantineTypes.ts
@@ -90,6 +90,8 @@
     readonly ownHostId: string;
     /** @returns Whether this host may try the part after its quarantine; all hosts should name the same one. */
     isTrialHost(partId: string): boolean;
+    /** @returns Whether this host knows, without the evidence of other hosts, that the upstream has ended. */
+    hasUpstreamEnded(upstream: Pick<UpstreamCrash, "upstreamId" | "startedAtMs">): boolean;
     /** Called for each change of a part's state. */
     onDecision(decision: QuarantineDecision): void;
 }
--- a/src/edge/upstream/upstreamDirectory.ts
+++ b/src/edge/upstream/upstreamDirectory.ts
@@ -43,6 +43,14 @@
         return this.#byId.get(upstream.entry.id) === upstream;
     }
 
+    /**
+     * @param startedAtMs Start of the incarnation; see {@link UpstreamEntry.startedAtMs}.
+     * @returns Whether the list is known and does not hold this incarnation of an upstream.
+     */
+    hasEnded(id: string, startedAtMs: number): boolean {
+        return !this.isEmpty && this.#byId.get(id)?.entry.startedAtMs !== startedAtMs;
+    }
+
     /** @returns Whether another incarnation is listed under the id or at the address of this one. */
     isReplaced(upstream: Upstream): boolean {
         const { id, address } = upstream.entry;
