--- a/src/edge/quarantine/promptQuarantine.ts
+++ b/src/edge/quarantine/promptQuarantine.ts
@@ -160,7 +160,7 @@
         return this.#dependencies.clock.monotonicMs();
     }
 
-    #onDecision({ kind, crashes, hostIds, remainingMs, ...decision }: QuarantineDecision): void {
+    #onDecision({ kind, partId, level, crashes, hostIds, remainingMs }: QuarantineDecision): void {
         if (kind === "trial") {
             this.#isTrialGranted = true;
         }
@@ -168,7 +168,8 @@
             this.#dependencies.counters.add(EdgeCounterNames.partsQuarantined);
         }
         log.info(DecisionMessages[kind], {
-            ...decision,
+            partId,
+            quarantineLevel: level,
             remainingMs: Math.round(remainingMs),
             crashes: crashes.map(({ upstreamId, ageMs }) => `${upstreamId}@-${Math.round(ageMs)}ms`).join(","),
             hosts: hostIds.join(","),
