Treat a stream that ends with its connection before an event as broken off

What callers saw: a 200 with an empty stream that looked whole, or the end of a continued stream before its last event.

Cause: an orderly end of the connection completed every body without a length. For a stream without an event, nothing tells that end from the end of the process.

Change: such a stream counts as broken off: it is continued elsewhere where its route allows that, and ends with 502 or a broken connection otherwise. Its upstream is examined as after any other break.

--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -243,10 +243,10 @@
         });
     }
 
-    /** @returns The outcome; that of an attempt that broke off if its stream ended within an event, however it was framed. */
+    /** @returns The outcome; that of an attempt that broke off if the end of the response breaks its stream off. */
     #checkStreamEnd(outcome: AttemptOutcome): AttemptOutcome {
-        return outcome.status === "answered" && this.#relay.isOpen && this.#relay.isInsideEvent ?
-            { status: "interrupted", reason: "brokenOff", detail: "the stream ended within an event" } :
+        return outcome.status === "answered" && this.#relay.isBrokenOffByEnd(outcome.head) ?
+            { status: "interrupted", reason: "brokenOff", detail: "the stream ended before or within an event" } :
             outcome;
     }
 
--- a/src/edge/flow/streamRelay.ts
+++ b/src/edge/flow/streamRelay.ts
@@ -21,6 +21,8 @@
     /** Whether the upstream has yet to show, by the id of an event, that it continues the stream. */
     #isContinuationUnproven = false;
     #eventCount = 0;
+    /** Number of events relayed before the stream of the present upstream. */
+    #eventsBeforeUpstream = 0;
     #lastEventId: string | undefined;
 
     /**
@@ -39,9 +41,13 @@
         return this.#isOpen;
     }
 
-    /** @returns Whether the upstream's bytes so far end within an event, so that their end would break the stream off. */
-    get isInsideEvent(): boolean {
-        return this.#splitter.isInsideEvent;
+    /**
+     * @returns Whether the stream that is being relayed is broken off if its response ends now: within an event or, where nothing but the
+     * end of the connection ends it, before the first one. Such an end does not differ from that of the upstream's process.
+     */
+    isBrokenOffByEnd({ isCloseDelimited }: ResponseHead): boolean {
+        const hasEvent = this.#eventCount > this.#eventsBeforeUpstream;
+        return this.#isOpen && (this.#splitter.isInsideEvent || (isCloseDelimited && !hasEvent));
     }
 
     /** @returns Whether any events were relayed. */
@@ -69,6 +75,7 @@
         this.#isContinuationUnproven = this.hasRelayedEvents;
         this.#splitter = new EventSplitter();
         this.#isOpen = true;
+        this.#eventsBeforeUpstream = this.#eventCount;
         return true;
     }
 
