Protect completed prompt parts for as long as no answer completes

What callers would see: after an outage of all upstreams of more than 8 s, requests with a sound first part are refused at all hosts for a minute, since their parts had been open at each crash and nothing could clear them (found by a reviewer, with a script on the tracker).

Cause: a completed answer protected its parts for 8 s of real time, which also ran during an outage.

Change: only time in which answers complete counts. On a host that has completed none, real time counts as before.

Evidence: quarantineTracker.spec.ts, "quarantines nothing while no answer completes", fails without the change (refused after 8 s); the test of the 8 s now records other answers, with the same bound.

--- a/src/edge/quarantine/quarantineModel.spec.ts
+++ b/src/edge/quarantine/quarantineModel.spec.ts
@@ -19,7 +19,7 @@
     messageLoss: 0.1,
     hostRestartIntervalMs: 15_000,
 };
-const Outage: FaultPlan = { outageMs: [9_000], outageDurationMs: 5_000, messageLoss: 0.1 };
+const Outage: FaultPlan = { outageMs: [9_000], outageDurationMs: 12_000, messageLoss: 0.1 };
 
 /** Large fleets send many messages, so they are played for a shorter time; longer plays are run by hand. */
 const Fleets = [
--- a/src/edge/quarantine/quarantineTestPlan.ts
+++ b/src/edge/quarantine/quarantineTestPlan.ts
@@ -76,7 +76,7 @@
 
 export const DeadlyPartId = "deadly";
 
-const FirstParts = 4;
+const FirstParts = 20;
 const SecondParts = 157;
 
 /** Draws prompts whose parts have very different shares of the requests. */
--- a/src/edge/quarantine/quarantineTracker.spec.ts
+++ b/src/edge/quarantine/quarantineTracker.spec.ts
@@ -163,13 +163,21 @@
             expect(isRefused("d", 20_000)).toBe(false);
         });
 
-        it("quarantines nothing for some seconds (guards against an outage of all upstreams)", () => {
-            tracker.recordCompletion(["first"], 0);
+        it("quarantines nothing for some seconds in which others complete (guards against a part that is sound no more)", () => {
+            for (let atMs = 0; atMs <= 8_001; atMs += 500) {
+                tracker.recordCompletion([atMs === 0 ? "first" : "other"], atMs);
+            }
             [1_000, 2_000, 3_000, 4_000, 5_000].forEach(atMs => crash(["first"], atMs));
             expect(isRefused("first", 5_000)).toBe(false);
             expect(isRefused("first", 8_001)).toBe(true);
         });
 
+        it("quarantines nothing while no answer completes (guards against an outage of all upstreams)", () => {
+            tracker.recordCompletion(["first"], 0);
+            [1_000, 2_000, 3_000, 4_000, 5_000].forEach(atMs => crash(["first"], atMs));
+            expect(isRefused("first", 60_000)).toBe(false);
+        });
+
         it("sends a past completion of a part that others suspect (guards against hosts that know no completion)", () => {
             tracker.recordCompletion(["first"], 1_000);
             crash(["first"], 2_000, "a");
--- a/src/edge/quarantine/quarantineTracker.ts
+++ b/src/edge/quarantine/quarantineTracker.ts
@@ -25,11 +25,14 @@
 const MaxSentParts = 128;
 
 /**
- * Time after a completed answer in which its parts are not quarantined, in milliseconds. In an outage of all upstreams no answer
- * clears the parts that most requests share; they were completed shortly before, which a part that crashes upstreams never is.
+ * Time with completed answers, after one with a part, in which the part is not quarantined, in milliseconds. Time without any completed
+ * answer does not count: in an outage of all upstreams no answer clears the parts that most requests share.
  */
 const CompletionProtectionMs = 8_000;
 
+/** Most of a pause between two completed answers that counts as time with completed answers, in milliseconds. */
+const MaxCompletionPauseMs = 1_000;
+
 /** Ends of upstreams that this host must know of itself before it relies on the word of one other host. */
 const MinConfirmedEnds = 3;
 
@@ -52,6 +55,10 @@
     readonly #options: QuarantineTrackerOptions;
     readonly #frequency = new PartFrequency();
     readonly #completions = new CompletionTimes();
+    /** Time with completed answers, in milliseconds, and its value at the last completion of each part. */
+    #serviceTimeMs = 0;
+    readonly #completionServiceTimes = new CompletionTimes();
+    #lastCompletedAtMs: number | undefined;
     readonly #crashLog = new CrashLog();
     /** Parts by id; the one that was accused last is the last one. */
     readonly #parts = new Map<string, SuspectedPart>();
@@ -104,11 +111,16 @@
      */
     recordCompletion(sharedPartIds: readonly string[], nowMs: number): readonly string[] {
         let clearedIds: string[] | undefined;
+        if (sharedPartIds.length > 0) {
+            this.#serviceTimeMs = this.#serviceTimeAt(nowMs);
+            this.#lastCompletedAtMs = nowMs;
+        }
         for (const partId of sharedPartIds) {
             if (partId.length > MaxIdLength) {
                 continue;
             }
             this.#completions.record(partId, nowMs);
+            this.#completionServiceTimes.record(partId, this.#serviceTimeMs);
             const part = this.#parts.get(partId);
             if (part !== undefined && this.#clear(part, nowMs, nowMs)) {
                 part.clearanceSentUntilMs = nowMs + ClearanceSendMs;
@@ -260,6 +272,9 @@
 
     /** @returns Whether crashes were counted against the part. */
     #clear(part: SuspectedPart, clearedAtMs: number, nowMs: number): boolean {
+        if (clearedAtMs > (part.clearedAtMs ?? Number.NEGATIVE_INFINITY)) {
+            part.clearedServiceTimeMs = this.#serviceTimeAt(nowMs) - (nowMs - clearedAtMs);
+        }
         const hadCrashes = part.clear(clearedAtMs);
         if (part.reported !== undefined && part.quarantine === undefined) {
             this.#report("cleared", part, nowMs);
@@ -280,6 +295,7 @@
             const completedAtMs = this.#completions.lastCompletedAtMs(partId);
             if (completedAtMs !== undefined) {
                 part.clear(completedAtMs);
+                part.clearedServiceTimeMs = this.#completionServiceTimes.lastCompletedAtMs(partId);
             }
         }
         else {
@@ -340,9 +356,20 @@
             part.evidence(nowMs).filter(crash => this.#options.hasUpstreamEnded(crash)).length >= MinConfirmedEnds;
     }
 
+    /** @returns Time with completed answers since the part was cleared, in milliseconds. */
+    #serviceTimeSince({ clearedAtMs, clearedServiceTimeMs }: SuspectedPart, nowMs: number): number {
+        return clearedServiceTimeMs === undefined || this.#lastCompletedAtMs === undefined ?
+            nowMs - (clearedAtMs ?? Number.NEGATIVE_INFINITY) :
+            this.#serviceTimeAt(nowMs) - clearedServiceTimeMs;
+    }
+
+    #serviceTimeAt(nowMs: number): number {
+        return this.#serviceTimeMs + Math.min(MaxCompletionPauseMs, nowMs - (this.#lastCompletedAtMs ?? nowMs));
+    }
+
     /** @returns Why the part cannot be what crashes upstreams, whatever the number of crashes. */
     #soundness(part: SuspectedPart, nowMs: number): "completedRecently" | "common" | undefined {
-        if (part.clearedAtMs !== undefined && nowMs - part.clearedAtMs < CompletionProtectionMs) {
+        if (part.clearedAtMs !== undefined && this.#serviceTimeSince(part, nowMs) < CompletionProtectionMs) {
             return "completedRecently";
         }
         return this.#frequency.isCommon(part.partId) ? "common" : undefined;
--- a/src/edge/quarantine/suspectedPart.ts
+++ b/src/edge/quarantine/suspectedPart.ts
@@ -57,6 +57,8 @@
     depth = 0;
     /** Quarantine that was last reported, before exemptions are lifted or applied again. */
     reported: Quarantine | undefined;
+    /** Time with completed answers at the newest known completion, in milliseconds; counted by the tracker. */
+    clearedServiceTimeMs: number | undefined;
     /** Start of the running trial. */
     trialStartedAtMs: number | undefined;
     /** Time until which this host's last completion is sent again. */
