Take an upstream for ended only if it was listed before

The list now remembers up to 512 incarnations that it held and lost.

Measured: upstreamDirectory.spec.ts has the four cases; the last one, an unknown upstream, counted as ended before.

--- a/src/edge/upstream/upstreamDirectory.spec.ts
+++ b/src/edge/upstream/upstreamDirectory.spec.ts
@@ -77,4 +77,15 @@
             expect(usable("other")).toEqual(["u1"]);
         });
     });
+
+    describe("given a question about an incarnation", () => {
+        it("knows the end of those that were listed only (guards against a host whose word is taken for unknown upstreams)", () => {
+            directory.put(entry({ startedAtMs: 2 }));
+            directory.put(entry({ id: "u2" }));
+            directory.remove("u2", 0);
+            const incarnations = [["u1", 1], ["u1", 2], ["u2", 1], ["u3", 1]] as const;
+            const ended = incarnations.map(([id, startedAtMs]) => directory.hasEnded(id, startedAtMs));
+            expect(ended).toEqual([true, false, true, false]);
+        });
+    });
 });
--- a/src/edge/upstream/upstreamDirectory.ts
+++ b/src/edge/upstream/upstreamDirectory.ts
@@ -1,4 +1,5 @@
 /** The upstreams that the platform lists, by service. */
+import { setBounded } from "../../base/boundedMap.js";
 import type { Clock } from "../../base/clock.js";
 import { log } from "../../base/log.js";
 import type { UpstreamEntry } from "../edgeTypes.js";
@@ -11,6 +12,9 @@
     readonly untilMs: number;
 }
 
+/** Maximum number of ended incarnations that are remembered; more than end within the time for which evidence of crashes counts. */
+const MaxEndedStarts = 512;
+
 /** Keeps one {@link Upstream} for each incarnation of each listed upstream. */
 export class UpstreamDirectory {
     readonly #clock: Clock;
@@ -18,6 +22,8 @@
     readonly #lapsed = new Map<string, LapsedUpstream>();
     /** Upstreams that get no new requests but still have open ones. */
     readonly #retired = new Set<Upstream>();
+    /** Incarnations that were listed and are no more, the latest ones last. */
+    readonly #endedStarts = new Map<string, true>();
 
     constructor(clock: Clock) {
         this.#clock = clock;
@@ -45,10 +51,10 @@
 
     /**
      * @param startedAtMs Start of the incarnation; see {@link UpstreamEntry.startedAtMs}.
-     * @returns Whether the list is known and does not hold this incarnation of an upstream.
+     * @returns Whether this incarnation of an upstream was listed and is no more.
      */
     hasEnded(id: string, startedAtMs: number): boolean {
-        return !this.isEmpty && this.#byId.get(id)?.entry.startedAtMs !== startedAtMs;
+        return this.#endedStarts.has(incarnationKey(id, startedAtMs));
     }
 
     /** @returns Whether another incarnation is listed under the id or at the address of this one. */
@@ -136,6 +142,8 @@
     }
 
     #retire(upstream: Upstream): void {
+        const { id, startedAtMs } = upstream.entry;
+        setBounded(this.#endedStarts, incarnationKey(id, startedAtMs), true, MaxEndedStarts, () => false);
         upstream.markLeaving();
         this.#retired.add(upstream);
     }
@@ -145,3 +153,7 @@
     return known.address === entry.address && known.service === entry.service &&
         known.startedAtMs === entry.startedAtMs;
 }
+
+function incarnationKey(id: string, startedAtMs: number): string {
+    return `${id} ${startedAtMs}`;
+}
