Do not move a silent stream whose prompt parts are suspected

A reviewer read that a stream which pauses for two seconds was cancelled first and asked for a quarantine afterwards: a request with a quarantined part lost its answer, and a retry was spent. The resend policy now asks the quarantine before an attempt is ended or a second one is sent. An exception after the examination of a crash is logged; it would have ended the process.

--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -79,6 +79,7 @@
             request.team,
             request.metadata.tokenCounts,
         );
+        this.#quarantine = new RequestQuarantine(dependencies.quarantine, request.metadata, this.#service);
         this.#upstreams = new UpstreamSelector(dependencies, request, this.#service, this.#history);
         this.#resendPolicy = new ResendPolicy(dependencies, request, {
             service: this.#service,
@@ -86,6 +87,7 @@
             openAttempts: this.#openAttempts,
             relay: this.#relay,
             upstreams: this.#upstreams,
+            quarantine: this.#quarantine,
         });
         const silenceDelegate: SilenceDelegate = {
             counters: dependencies.metrics.counters,
@@ -95,7 +97,6 @@
         };
         this.#parallelSilence = new ParallelSilenceHandler(silenceDelegate);
         this.#sequentialSilence = new SequentialSilenceHandler(silenceDelegate);
-        this.#quarantine = new RequestQuarantine(dependencies.quarantine, request.metadata, this.#service);
     }
 
     /**
--- a/src/edge/flow/resendPolicy.ts
+++ b/src/edge/flow/resendPolicy.ts
@@ -1,4 +1,5 @@
 /** Decides whether a request is sent once more. */
+import type { RequestQuarantine } from "../quarantine/requestQuarantine.js";
 import type { AttemptOutcome } from "./attempt.js";
 import type { AttemptHistory } from "./attemptHistory.js";
 import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
@@ -16,6 +17,7 @@
     readonly openAttempts: OpenAttempts;
     readonly relay: StreamRelay;
     readonly upstreams: UpstreamSelector;
+    readonly quarantine: RequestQuarantine;
 }
 
 /** Decides by the route, the attempts so far, the remaining time, the upstreams and the retry budget. */
@@ -49,9 +51,9 @@
 
     /** @returns Whether the request may be sent once more beside its open attempts, all of which are silent. */
     canSendBeside(): boolean {
-        const { history, openAttempts, upstreams } = this.#state;
+        const { history, openAttempts, upstreams, quarantine } = this.#state;
         return history.canSendBeside(openAttempts.count) && openAttempts.areAllSilent &&
-            this.#remainingMs >= MinUsefulMs && upstreams.hasUntried;
+            this.#remainingMs >= MinUsefulMs && upstreams.hasUntried && quarantine.mayRepeat;
     }
 
     /**
@@ -60,9 +62,10 @@
      * its first bytes in time.
      */
     canSendInstead(needsHealthy: boolean): boolean {
-        const { history, upstreams } = this.#state;
+        const { history, upstreams, quarantine } = this.#state;
         const minRemainingMs = Math.max(MinUsefulMs, this.#request.route.objectiveMs);
         return history.canRetryNextRun && this.#canContinue && this.#remainingMs >= minRemainingMs &&
+            quarantine.mayRepeat &&
             (needsHealthy ? upstreams.hasHealthyUntried : upstreams.hasUntried);
     }
 
--- a/src/edge/quarantine/promptQuarantine.ts
+++ b/src/edge/quarantine/promptQuarantine.ts
@@ -117,6 +117,11 @@
         return verdict;
     }
 
+    /** @returns Whether no part of the request is suspected or quarantined, beyond a single crash. */
+    mayRepeat({ promptParts }: RequestMetadata): boolean {
+        return this.#tracker.mayRepeat(sharedPartIds(promptParts), this.#nowMs);
+    }
+
     /** Records a successful response. One that ends with its connection and has few events may be that of a crash. */
     recordCompletion({ metadata, isCloseDelimited, eventCount }: CompleteResponse): void {
         if (!isCloseDelimited || eventCount > MaxEventsOfCause) {
--- a/src/edge/quarantine/requestQuarantine.ts
+++ b/src/edge/quarantine/requestQuarantine.ts
@@ -1,4 +1,5 @@
 /** The quarantine of prompt parts as one request uses it. */
+import { log } from "../../base/log.js";
 import type { ExecutionState } from "../../base/resultCodes.js";
 import type { RequestMetadata } from "../edgeTypes.js";
 import type { AttemptOutcome } from "../flow/attempt.js";
@@ -37,6 +38,11 @@
         };
     }
 
+    /** @returns Whether the request may be sent to another upstream although its attempt has not failed. */
+    get mayRepeat(): boolean {
+        return this.#quarantine.mayRepeat(this.#metadata);
+    }
+
     /** Records the beginning of an attempt. @param eventCount Number of events relayed before it. */
     recordSend(eventCount: number): void {
         this.#eventsBeforeAttempt = eventCount;
@@ -76,6 +82,8 @@
             onExamined(true);
             return;
         }
-        void examination.then(onExamined);
+        examination.then(onExamined).catch((error: unknown) =>
+            log.error("request not continued after a failed attempt", { error: String(error) })
+        );
     }
 }
