--- /dev/null
+++ b/src/edge/flow/resendPolicy.spec.ts
@@ -0,0 +1,34 @@
+import { describe, expect, it } from "vitest";
+import { ManualClock } from "../../base/clock.js";
+import { AttemptHistory } from "./attemptHistory.js";
+import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
+import { OpenAttempts } from "./openAttempts.js";
+import { ResendPolicy, type ResendState } from "./resendPolicy.js";
+
+describe("ResendPolicy", () => {
+    /** @returns The policy of an idempotent request to which other healthy upstreams are open. */
+    function createPolicy(mayRepeat: boolean): ResendPolicy {
+        const route = { kind: "idempotent", isResumable: false, maxAttempts: 3, objectiveMs: 100 };
+        const request = { route, deadlineAtMs: 5_000 } as unknown as EdgeRequest;
+        const state = {
+            service: "s",
+            history: new AttemptHistory(request.route),
+            openAttempts: new OpenAttempts(),
+            relay: { hasRelayedEvents: false, lastEventId: undefined },
+            upstreams: { hasUntried: true, hasHealthyUntried: true },
+            quarantine: { mayRepeat },
+        } as unknown as ResendState;
+        return new ResendPolicy({ clock: new ManualClock() } as unknown as FlowDependencies, request, state);
+    }
+
+    describe("given a silent attempt", () => {
+        it.each([true, false])(
+            "sends the request elsewhere only if its prompt parts are not suspected: %s (guards against sound answers that end without a successor)",
+            mayRepeat => {
+                const policy = createPolicy(mayRepeat);
+                expect([policy.canSendInstead(true), policy.canSendInstead(false), policy.canSendBeside()])
+                    .toEqual([mayRepeat, mayRepeat, mayRepeat]);
+            },
+        );
+    });
+});
