Read the limit that an upstream states, and log when it begins, changes and ends

Requests are sent as before.

A response without a limit ends it only if its request was written after the limit was last stated.

--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -23,6 +23,7 @@
 import { UdpPeerChannel } from "./peers/peerChannel.js";
 import type { HeaderCodec, ObjectCodec } from "./protocolCodec.js";
 import { PromptQuarantine } from "./quarantine/promptQuarantine.js";
+import { LimitTracker } from "./rateLimit/limitTracker.js";
 import { PeerRoutedStore } from "./relay/peerRoutedStore.js";
 import { RelayClient } from "./relay/relayClient.js";
 import { RelayedStore } from "./relay/relayedStore.js";
@@ -399,6 +400,7 @@
             ),
             metrics: this.#metrics,
             quarantine: this.#quarantine,
+            limits: new LimitTracker(this.#clock),
             zone,
             maxHeaderBytes,
             linkBytesPerS: linkMbps === undefined ? undefined : linkMbps * BytesPerMbit,
--- a/src/edge/edgeTypes.ts
+++ b/src/edge/edgeTypes.ts
@@ -136,6 +136,12 @@
     readonly resumeAfterEventId: string | undefined;
 }
 
+/** What a response states about the rate of requests that its upstream takes from all hosts together. */
+export type StatedLimit =
+    | { readonly kind: "none"; }
+    | { readonly kind: "rate"; readonly requestsPerS: number; }
+    | { readonly kind: "unreadable"; readonly text: string; };
+
 /** Data that the edge reads from the headers of an upstream's response. */
 export interface ResponseMetadata {
     readonly requestId: string | undefined;
@@ -149,4 +155,5 @@
     readonly isLeaving: boolean;
     /** Time for which the upstream asks this host to send no requests, in milliseconds; `undefined` when it states none. */
     readonly retryAfterMs: number | undefined;
+    readonly statedLimit: StatedLimit;
 }
--- a/src/edge/flow/attempt.ts
+++ b/src/edge/flow/attempt.ts
@@ -4,6 +4,7 @@
 import { type ResponseTimeout, startResponseTimeout } from "../../base/responseTimeout.js";
 import type { ResponseMetadata } from "../edgeTypes.js";
 import type { HeaderCodec } from "../protocolCodec.js";
+import type { LimitTracker } from "../rateLimit/limitTracker.js";
 import type { ResponseHead } from "../transport/responseParser.js";
 import type { ExchangeFailure, SerialisedRequest, UpstreamConnection } from "../transport/upstreamConnection.js";
 import type { OpenDispatch, Upstream } from "../upstream/upstream.js";
@@ -64,6 +65,13 @@
     readonly isSilenceReported: boolean;
 }
 
+/** Collaborators of {@link Attempt}. */
+export interface AttemptDependencies {
+    readonly codec: HeaderCodec;
+    readonly clock: Clock;
+    readonly limits: LimitTracker;
+}
+
 /** Maximum size of a response body that is collected before it is relayed, in bytes. */
 const MaxCollectedBytes = 262_144;
 
@@ -75,6 +83,7 @@
     readonly input: AttemptInput;
     readonly #codec: HeaderCodec;
     readonly #clock: Clock;
+    readonly #limits: LimitTracker;
     readonly #listener: AttemptListener;
     readonly #dispatch: OpenDispatch;
     readonly #connection: UpstreamConnection;
@@ -91,10 +100,11 @@
     #isSilent = false;
     #silenceTimer: ResponseTimeout | undefined;
 
-    constructor(input: AttemptInput, codec: HeaderCodec, clock: Clock, listener: AttemptListener) {
+    constructor(input: AttemptInput, { codec, clock, limits }: AttemptDependencies, listener: AttemptListener) {
         this.input = input;
         this.#codec = codec;
         this.#clock = clock;
+        this.#limits = limits;
         this.#listener = listener;
         this.#lastByteAtMs = clock.monotonicMs();
         this.#dispatch = input.upstream.beginDispatch(input.prefillTokens, input.silentAfterMs);
@@ -199,11 +209,17 @@
      * Applies what the upstream states about itself: that it is leaving, or wants a pause. A response from a different
      * upstream at the same address is ignored, as it says nothing about this one.
      */
-    #applyUpstreamState({ isLeaving, isWrongUpstream, retryAfterMs }: ResponseMetadata): void {
+    #applyUpstreamState(metadata: ResponseMetadata): void {
+        const { isLeaving, isWrongUpstream, retryAfterMs, statedLimit, hasSignature } = metadata;
         const { upstream, requestId } = this.input;
         if (isWrongUpstream) {
             return;
         }
+        // A refusal without a limit does not show that an upstream has none.
+        if (statedLimit.kind !== "none" || hasSignature) {
+            const writtenAtMs = this.#writtenAtMs ?? Number.NEGATIVE_INFINITY;
+            this.#limits.recordResponse(upstream.entry, statedLimit, writtenAtMs);
+        }
         if (isLeaving && !upstream.isLeaving) {
             upstream.markLeaving();
             log.info("upstream leaves", { upstream: upstream.entry.id, statedTo: requestId });
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -327,7 +327,7 @@
             remainingMs: this.#remainingMs,
             resumeAfterEventId: this.#relay.hasRelayedEvents ? this.#relay.lastEventId : undefined,
         });
-        this.#openAttempts.add(new Attempt(input, this.#dependencies.codec, this.#dependencies.clock, this));
+        this.#openAttempts.add(new Attempt(input, this.#dependencies, this));
         this.#dependencies.onSent(input.prefillTokens);
     }
 
