--- a/src/base/hashing.ts
+++ b/src/base/hashing.ts
@@ -54,6 +54,21 @@
         this.#hashes = Uint32Array.from(names, hash32);
     }
 
+    /** @returns The best candidate for a key; `undefined` when there are no candidates. */
+    best(key: string): string | undefined {
+        const keyHash = hash32(key);
+        let bestIndex = -1;
+        let bestWeight = -1;
+        this.#hashes.forEach((hash, index) => {
+            const weight = mixHashes(hash, keyHash);
+            if (weight > bestWeight) {
+                bestIndex = index;
+                bestWeight = weight;
+            }
+        });
+        return this.#names[bestIndex];
+    }
+
     /**
      * Tells whether a key is placed on a candidate.
      * @param key Key to place.
--- a/src/edge/quarantine/evidenceExchange.ts
+++ b/src/edge/quarantine/evidenceExchange.ts
@@ -1,21 +1,14 @@
-/**
- * Exchange of evidence of crashes between hosts. In a large fleet the gatherers of load reports pass it on: those of the own zone
- * to the hosts of their zone and to the gatherers of other zones, and these to the hosts of theirs.
- */
+/** Exchange of evidence of crashes between hosts. */
 import type { Clock } from "../../base/clock.js";
 import type { Counters } from "../../base/counters.js";
 import { hash32 } from "../../base/hashing.js";
 import { log } from "../../base/log.js";
 import { EdgeCounterNames } from "../metrics.js";
-import { determineGatheringRole, type GatheringRole, type ReportingHost } from "../peers/loadGatherers.js";
+import { BroadcastEnvelopeBytes } from "../peers/broadcastMessages.js";
+import { FleetBroadcast } from "../peers/fleetBroadcast.js";
+import type { ReportingHost } from "../peers/loadGatherers.js";
 import { MaxDatagramBytes, type PeerChannel } from "../peers/peerChannel.js";
-import {
-    divideEvidence,
-    type EvidenceMessage,
-    type EvidencePayload,
-    EvidenceStage,
-    readEvidence,
-} from "./evidenceMessages.js";
+import { divideEvidence, type EvidenceMessage, readEvidence } from "./evidenceMessages.js";
 import { HeardEvidence } from "./heardEvidence.js";
 import type { QuarantineTracker } from "./quarantineTracker.js";
 import type { PartEvidence } from "./quarantineTypes.js";
@@ -32,16 +25,12 @@
 /** Minimum time between two clearances of a part that a host sends, apart from repetitions, in milliseconds. */
 const MinClearanceIntervalMs = 500;
 
-/** Maximum number of parts whose clearances are remembered, and of messages by which repeated ones are recognised. */
+/** Maximum number of parts whose clearances are remembered. */
 const MaxClearances = 1_000;
-const MaxKnownMessages = 5_000;
 
 /** Number of values of {@link hash32}. */
 const HashRange = 2 ** 32;
 
-/** Part of a datagram that is reserved for the fields around the payload, in bytes. */
-const EnvelopeBytes = 200;
-
 /** The methods of a {@link QuarantineTracker} that the exchange uses. */
 export type EvidenceTracker = Pick<QuarantineTracker, "ownEvidence" | "recordEvidence">;
 
@@ -69,21 +58,20 @@
     /** Monotonic times of clearances that are not sent yet, by part, and times at which the last ones were sent, in milliseconds. */
     readonly #pendingClearances = new Map<string, number>();
     readonly #clearancesSentAtMs = new Map<string, number>();
-    readonly #recordedMessages = new Set<string>();
-    readonly #forwardedMessages = new Set<string>();
-    #cachedRole: { readonly others: readonly ReportingHost[]; readonly role: GatheringRole | undefined; } | undefined;
+    readonly #broadcast: FleetBroadcast<EvidenceMessage>;
     #hasChanged = false;
     #nextRepeatMs = Number.POSITIVE_INFINITY;
-    #messageNumber = 0;
     #repeatNumber = 0;
 
     constructor(dependencies: EvidenceExchangeDependencies) {
         this.#dependencies = dependencies;
         this.#phase = hash32(dependencies.ownHost.hostId) / HashRange;
-        dependencies.channel.onMessage((message, sender) => {
-            if (message.k === "q" && message.h !== dependencies.ownHost.hostId) {
-                this.#receive(message, sender);
-            }
+        this.#broadcast = new FleetBroadcast<EvidenceMessage>({
+            ...dependencies,
+            kind: "q",
+            otherHosts: () => dependencies.otherHosts(),
+            onMessage: message => this.#record(message),
+            onSent: count => dependencies.counters.add(EdgeCounterNames.evidenceSent, count),
         });
     }
 
@@ -157,44 +145,11 @@
     }
 
     #send(evidence: readonly PartEvidence[], repeatNumber: number | undefined): void {
-        const { payloads, tooLargePartIds } = divideEvidence(evidence, MaxDatagramBytes - EnvelopeBytes);
+        const { payloads, tooLargePartIds } = divideEvidence(evidence, MaxDatagramBytes - BroadcastEnvelopeBytes);
         if (tooLargePartIds.length > 0) {
             log.warn("evidence of a prompt part is too large to be sent", { parts: tooLargePartIds.join(",") });
         }
-        payloads.forEach(payload => this.#sendPayload(payload, repeatNumber));
-    }
-
-    #sendPayload(payload: EvidencePayload, repeatNumber: number | undefined): void {
-        const { ownHost, incarnation } = this.#dependencies;
-        const message: EvidenceMessage = {
-            k: "q",
-            h: ownHost.hostId,
-            i: incarnation,
-            n: ++this.#messageNumber,
-            s: EvidenceStage.final,
-            ...repeatNumber === undefined ? {} : { r: repeatNumber },
-            ...payload,
-        };
-        const role = this.#role;
-        if (role === undefined) {
-            const others = this.#dependencies.otherHosts() ?? [];
-            this.#sendTo(others.map(({ peerAddress }) => peerAddress), message, EvidenceStage.final);
-            return;
-        }
-        this.#sendTo(role.zoneGatherers, message, EvidenceStage.toGatherers);
-        if (role.rank !== undefined) {
-            this.#forward(message, EvidenceStage.toGatherers, ownHost.peerAddress);
-        }
-    }
-
-    #receive(message: EvidenceMessage, sender: string): void {
-        const key = `${message.h}/${message.i}/${message.n}`;
-        if (message.s < EvidenceStage.final && addBounded(this.#forwardedMessages, key, MaxKnownMessages)) {
-            this.#forward(message, message.s, sender);
-        }
-        if (addBounded(this.#recordedMessages, key, MaxKnownMessages)) {
-            this.#record(message);
-        }
+        payloads.forEach(payload => this.#broadcast.send(payload, repeatNumber));
     }
 
     #record(message: EvidenceMessage): void {
@@ -209,46 +164,6 @@
         const delayMs = FirstRepeatMs + (RepeatIntervalMs - FirstRepeatMs) * this.#phase;
         this.#nextRepeatMs = Math.min(this.#nextRepeatMs, nowMs + delayMs);
     }
-
-    /**
-     * Passes a message on. Both gatherers of a zone pass on a change, each to the gatherer of its own rank in other zones, so that
-     * one of them may fail; repetitions they pass on in turn.
-     */
-    #forward(message: EvidenceMessage, stage: number, sender: string): void {
-        const role = this.#role;
-        const rank = role?.rank ?? 0;
-        const isAlone = role?.zoneGatherers.length === 0;
-        if (role === undefined || (message.r !== undefined && message.r % 2 !== rank && !isAlone)) {
-            return;
-        }
-        if (stage === EvidenceStage.toGatherers) {
-            const gatherers = [...role.gatherersElsewhere.values()].flatMap(([first, second]) =>
-                (rank === 0 ? first : second ?? first) ?? []
-            );
-            this.#sendTo(gatherers, message, EvidenceStage.betweenZones);
-        }
-        const zoneHosts = [...role.assignedAddresses, ...role.unassignedAddresses];
-        this.#sendTo(zoneHosts.filter(address => address !== sender), message, EvidenceStage.final);
-    }
-
-    #sendTo(addresses: readonly string[], message: EvidenceMessage, stage: number): void {
-        const { channel, counters } = this.#dependencies;
-        counters.add(EdgeCounterNames.evidenceSent, addresses.length);
-        const staged = { ...message, s: stage };
-        addresses.forEach(address => channel.send(address, staged));
-    }
-
-    get #role(): GatheringRole | undefined {
-        const { ownHost } = this.#dependencies;
-        const others = this.#dependencies.otherHosts();
-        if (others === undefined) {
-            return undefined;
-        }
-        if (this.#cachedRole?.others !== others) {
-            this.#cachedRole = { others, role: determineGatheringRole([...others, ownHost], ownHost) };
-        }
-        return this.#cachedRole.role;
-    }
 }
 
 /** @returns Evidence with the clearances of the same parts, and those of other parts. */
@@ -269,16 +184,3 @@
         map.delete(oldest!);
     }
 }
-
-/** Adds a key and drops the oldest one beyond a number. @returns Whether the key is new. */
-function addBounded(keys: Set<string>, key: string, maxSize: number): boolean {
-    if (keys.has(key)) {
-        return false;
-    }
-    keys.add(key);
-    if (keys.size > maxSize) {
-        const [oldest] = keys;
-        keys.delete(oldest!);
-    }
-    return true;
-}
--- a/src/edge/quarantine/evidenceMessages.ts
+++ b/src/edge/quarantine/evidenceMessages.ts
@@ -1,30 +1,14 @@
 /** Messages with evidence of crashes. Names are short, as traffic between zones is billed by the byte. */
 import { z } from "zod";
+import { BroadcastFields } from "../peers/broadcastMessages.js";
 import { MaxCrashesPerPart, type PartEvidence } from "./quarantineTypes.js";
 
-/** Stages on the way of a message through a large fleet; a message is passed on with a higher one. */
-export const EvidenceStage = {
-    /** From a host to the gatherers of its zone. */
-    toGatherers: 0,
-    /** From a gatherer to those of other zones. */
-    betweenZones: 1,
-    /** To hosts that do not pass it on. */
-    final: 2,
-} as const;
-
 const CountSchema = z.number().int().nonnegative();
 
 /** Evidence of one host. Ages take the place of times, as clocks of hosts cannot be compared. */
 export const EvidenceSchema = z.object({
     k: z.literal("q"),
-    /** Host and incarnation that the evidence comes from, and number of the message within the incarnation. */
-    h: z.string(),
-    i: z.string(),
-    n: CountSchema,
-    /** Stage; see {@link EvidenceStage}. */
-    s: CountSchema,
-    /** Number of the repetition; absent in messages about a change. */
-    r: CountSchema.optional(),
+    ...BroadcastFields,
     /** Crashes: id and start time of the upstream, and age in milliseconds. */
     u: z.array(z.tuple([z.string(), z.number(), CountSchema])),
     /** Id of each prompt part, number of parts before it in the prompt, and indexes of its crashes. */
