Keep the limits that upstreams state, all hosts together

Nothing read `Server-Limit`. Class of the fault: a statement of one peer that binds the whole fleet, and a fleet that decides by itself.

The requests that an upstream takes are divided into slots in time. Each slot belongs to one host by rendezvous hashing over the listed hosts, so that the sum is bounded without messages, also while hosts start, freeze, fail or are cut off. A host without a slot sends to other upstreams. Where all upstreams of a service have limits, it asks the owners of slots that are free; else it refuses at once with 503, code 3005, and a Retry-After that spreads the returns by the rate of the limits. Less urgent requests wait for the more urgent ones only there. Statements go to all hosts by the broadcast that evidence of crashes uses. The header does not reach callers, and callers cannot set it.

Weighed: a home host for each upstream that grants leases counts exactly, but two of them can grant at once while hosts disagree about the list, and a takeover needs state. Equal shares for each host leave a limit of 0.5 a second unused at 195 hosts, or allow 195 requests at once.

--- a/src/base/boundedMap.ts
+++ b/src/base/boundedMap.ts
@@ -5,9 +5,9 @@
  * the map grows beyond the bound only while all entries are in use.
  * @param isInUse Returns whether an entry must be kept.
  */
-export function setBounded<T>(
-    map: Map<string, T>,
-    key: string,
+export function setBounded<Key, T>(
+    map: Map<Key, T>,
+    key: Key,
     value: T,
     maxSize: number,
     isInUse: (value: T) => boolean,
--- a/src/base/resultCodes.ts
+++ b/src/base/resultCodes.ts
@@ -35,6 +35,7 @@
     QueueFull: define(3002, "QueueFull", 429, "no", "the queue for this class of work is full"),
     NoUpstream: define(3003, "NoUpstream", 503, "no", "no usable upstream matches"),
     PartQuarantined: define(3004, "PartQuarantined", 503, "no", "a part of the prompt has crashed upstreams"),
+    UpstreamLimited: define(3005, "UpstreamLimited", 503, "no", "the upstreams take no more requests at the moment"),
     KeyRequired: define(4001, "KeyRequired", 400, "no", "this work may not be repeated and needs an Idempotency-Key"),
     KeyReused: define(4002, "KeyReused", 422, "no", "the Idempotency-Key belongs to a different request"),
     RequestRunning: define(4003, "RequestRunning", 409, "unknown", "a request with this Idempotency-Key is running"),
--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -23,7 +23,7 @@
 import { UdpPeerChannel } from "./peers/peerChannel.js";
 import type { HeaderCodec, ObjectCodec } from "./protocolCodec.js";
 import { PromptQuarantine } from "./quarantine/promptQuarantine.js";
-import { LimitTracker } from "./rateLimit/limitTracker.js";
+import { RateLimits } from "./rateLimit/rateLimits.js";
 import { PeerRoutedStore } from "./relay/peerRoutedStore.js";
 import { RelayClient } from "./relay/relayClient.js";
 import { RelayedStore } from "./relay/relayedStore.js";
@@ -108,6 +108,7 @@
     readonly #peerChannel: UdpPeerChannel;
     readonly #loadReporter: LoadReporter;
     readonly #quarantine: PromptQuarantine;
+    readonly #limits: RateLimits;
     readonly #callerServer: CallerServer;
     readonly #readinessServer: Server;
     readonly #incarnation: string;
@@ -172,6 +173,7 @@
         };
         this.#loadReporter = new LoadReporter({ ...peerDependencies, random: this.#random });
         this.#quarantine = new PromptQuarantine({ ...peerDependencies, counters: this.#metrics.counters });
+        this.#limits = new RateLimits({ ...peerDependencies, counters: this.#metrics.counters });
         this.#callerServer = this.#createCallerServer();
         this.#readinessServer = createServer((_request, response) => {
             response.writeHead(this.isReady ? 200 : 503, { "Content-Length": 0 });
@@ -293,6 +295,7 @@
             open: this.#callerServer.openRequestCount,
             budgets: this.#budgets.dumpState(),
             quarantine: this.#quarantine.dumpState(),
+            limits: this.#limits.dumpState(),
             upstreams: this.#directory.all.map(upstream => ({ ...upstream.entry, open: upstream.openRequestCount })),
         };
     }
@@ -316,6 +319,7 @@
         this.#members.tick();
         this.#callerServer.tick();
         this.#quarantine.tick();
+        this.#limits.tick();
         const { isConnected } = this.#configuration;
         if (isConnected && !this.#wasStoreConnected) {
             this.#budgets.onStoreReconnected();
@@ -400,7 +404,7 @@
             ),
             metrics: this.#metrics,
             quarantine: this.#quarantine,
-            limits: new LimitTracker(this.#clock),
+            limits: this.#limits,
             zone,
             maxHeaderBytes,
             linkBytesPerS: linkMbps === undefined ? undefined : linkMbps * BytesPerMbit,
--- a/src/edge/flow/attempt.ts
+++ b/src/edge/flow/attempt.ts
@@ -4,7 +4,7 @@
 import { type ResponseTimeout, startResponseTimeout } from "../../base/responseTimeout.js";
 import type { ResponseMetadata } from "../edgeTypes.js";
 import type { HeaderCodec } from "../protocolCodec.js";
-import type { LimitTracker } from "../rateLimit/limitTracker.js";
+import type { RateLimits } from "../rateLimit/rateLimits.js";
 import type { ResponseHead } from "../transport/responseParser.js";
 import type { ExchangeFailure, SerialisedRequest, UpstreamConnection } from "../transport/upstreamConnection.js";
 import type { OpenDispatch, Upstream } from "../upstream/upstream.js";
@@ -69,7 +69,7 @@
 export interface AttemptDependencies {
     readonly codec: HeaderCodec;
     readonly clock: Clock;
-    readonly limits: LimitTracker;
+    readonly limits: RateLimits;
 }
 
 /** Maximum size of a response body that is collected before it is relayed, in bytes. */
@@ -83,7 +83,7 @@
     readonly input: AttemptInput;
     readonly #codec: HeaderCodec;
     readonly #clock: Clock;
-    readonly #limits: LimitTracker;
+    readonly #limits: RateLimits;
     readonly #listener: AttemptListener;
     readonly #dispatch: OpenDispatch;
     readonly #connection: UpstreamConnection;
--- a/src/edge/flow/callerResponse.ts
+++ b/src/edge/flow/callerResponse.ts
@@ -1,6 +1,7 @@
 /** The response to one caller: relayed from an upstream, or an error that the edge itself reports. */
 import type { ServerResponse } from "node:http";
 import { errorBody, type ExecutionState, type ResultCodeName, ResultCodes } from "../../base/resultCodes.js";
+import type { HeaderCodec } from "../protocolCodec.js";
 import type { ResponseHead } from "../transport/responseParser.js";
 
 /** Hop-by-hop headers, which are not relayed. */
@@ -27,7 +28,7 @@
 /** Writes the response; closes the connection when a response cannot be completed. */
 export class CallerResponse {
     readonly #response: ServerResponse;
-    readonly #requestIdHeader: string;
+    readonly #codec: HeaderCodec;
     readonly #requestId: string | undefined;
     readonly #onWritten: (bytes: number) => void;
     readonly #onAborted: () => void;
@@ -39,7 +40,7 @@
      */
     constructor(
         response: ServerResponse,
-        requestIdHeader: string,
+        codec: HeaderCodec,
         requestId: string | undefined,
         onWritten: (bytes: number) => void,
         onAborted: () => void,
@@ -47,7 +48,7 @@
         this.#response = response;
         this.#onWritten = onWritten;
         this.#onAborted = onAborted;
-        this.#requestIdHeader = requestIdHeader;
+        this.#codec = codec;
         this.#requestId = requestId;
     }
 
@@ -61,12 +62,13 @@
         return this.#isEnded;
     }
 
-    /** Writes the head of an upstream's response, without its hop-by-hop headers. */
+    /** Writes the head of an upstream's response, without its hop-by-hop headers and those that are meant for the edge alone. */
     start(head: ResponseHead): void {
         const dropped = droppedHeaders(head);
         const headers: string[] = [];
         for (const [name, value] of head.headers) {
-            if (!dropped.has(name.toLowerCase())) {
+            const key = name.toLowerCase();
+            if (!dropped.has(key) && !this.#codec.isForEdgeOnly(key)) {
                 headers.push(name, value);
             }
         }
@@ -118,7 +120,7 @@
         const body = Buffer.from(JSON.stringify(errorBody(code, failure.ran)));
         const headers = ["Content-Type", "application/json", "Content-Length", String(body.length)];
         if (this.#requestId !== undefined) {
-            headers.push(this.#requestIdHeader, this.#requestId);
+            headers.push(this.#codec.requestIdHeader, this.#requestId);
         }
         if (failure.retryAfterMs !== undefined) {
             headers.push("Retry-After", (failure.retryAfterMs / 1_000).toFixed(3));
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -202,7 +202,7 @@
         const metadata = this.#dependencies.codec.readRequestHeaders(request.rawHeaders);
         const callerResponse = new CallerResponse(
             response,
-            this.#dependencies.codec.requestIdHeader,
+            this.#dependencies.codec,
             metadata.requestId,
             bytes => this.#linkBacklog.recordWritten(bytes),
             () => {
--- a/src/edge/flow/flowTypes.ts
+++ b/src/edge/flow/flowTypes.ts
@@ -7,7 +7,7 @@
 import type { PeerLoad } from "../peers/peerLoadTracker.js";
 import type { HeaderCodec, RawHeaders } from "../protocolCodec.js";
 import type { PromptQuarantine } from "../quarantine/promptQuarantine.js";
-import type { LimitTracker } from "../rateLimit/limitTracker.js";
+import type { RateLimits } from "../rateLimit/rateLimits.js";
 import type { RouteTable } from "../routing/routeTable.js";
 import type { Upstream } from "../upstream/upstream.js";
 import type { UpstreamDirectory } from "../upstream/upstreamDirectory.js";
@@ -34,7 +34,7 @@
     readonly retryBudgets: RetryBudgets;
     readonly metrics: EdgeMetrics;
     readonly quarantine: PromptQuarantine;
-    readonly limits: LimitTracker;
+    readonly limits: RateLimits;
     /** Availability zone of the host. */
     readonly zone: string;
     /** @returns Load that other hosts put on an upstream. */
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -6,6 +6,7 @@
 import { RequestQuarantine } from "../quarantine/requestQuarantine.js";
 import { chooseService } from "../routing/routeTable.js";
 import type { ResponseHead } from "../transport/responseParser.js";
+import type { Upstream } from "../upstream/upstream.js";
 import { Attempt, type AttemptListener, type AttemptOutcome, type AttemptSilence } from "./attempt.js";
 import { AttemptHistory } from "./attemptHistory.js";
 import { createAttemptInput } from "./attemptInput.js";
@@ -14,6 +15,8 @@
 import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
 import { OpenAttempts } from "./openAttempts.js";
 import { RequestBudget } from "./requestBudget.js";
+import { describeRequest } from "./requestDescription.js";
+import { OutcomeCounters, type RequestOutcome } from "./requestOutcome.js";
 import { ResendPolicy } from "./resendPolicy.js";
 import { ResponseTiming } from "./responseTiming.js";
 import { ParallelSilenceHandler, SequentialSilenceHandler, type SilenceDelegate } from "./silenceHandler.js";
@@ -27,15 +30,6 @@
 const RetryAfterFraction = 1 / 4;
 const MaxRetryAfterMs = 1_000;
 
-/** Counter of each outcome of a request; the keys are logged. */
-const OutcomeCounters = {
-    complete: EdgeCounterNames.requestsComplete,
-    upstreamFailure: EdgeCounterNames.requestsUpstreamFailure,
-    callerGone: EdgeCounterNames.requestsCallerDisconnected,
-    failed: EdgeCounterNames.requestsFailed,
-} as const;
-type RequestOutcome = keyof typeof OutcomeCounters;
-
 /** Serves one request: from the reservation of its tokens to the end of its response. */
 export class RequestFlow implements AttemptListener {
     readonly #dependencies: FlowDependencies;
@@ -308,8 +302,19 @@
             return;
         }
         if (upstream === undefined) {
-            const retryAfterMs = Math.max(this.#retryAfterMs(), this.#upstreams.minBackoffMs);
-            this.#fail({ code: "NoUpstream", ran: this.#history.ran, retryAfterMs }, "no upstream");
+            this.#upstreams.requestLimited(limited => this.#sendTo(limited));
+            return;
+        }
+        this.#sendTo(upstream);
+    }
+
+    /** Sends the request to an upstream, or ends it if there is none. */
+    #sendTo(upstream: Upstream | undefined): void {
+        if (this.#hasEnded) {
+            return;
+        }
+        if (upstream === undefined) {
+            this.#fail(this.#upstreams.failure(this.#history.ran, this.#retryAfterMs()), "no upstream");
             return;
         }
         this.#history.recordSend(upstream.entry.id);
@@ -456,18 +461,11 @@
 
     /** @returns Fields that log entries about the request share. */
     #describe(): Record<string, unknown> {
-        const { route, team, table } = this.#request;
-        return {
-            route: route.name,
-            team: team?.name,
-            configuration: table.configuration.version,
-            upstreams: [...this.#history.triedUpstreamIds].join(","),
-            sends: this.#history.sendCount,
-            ran: this.#history.ran,
-            events: this.#relay.eventCount,
-            firstByteMs: this.#timing.firstByteMs,
-            longestPauseMs: this.#timing.longestPauseMs,
-            elapsedMs: Math.round(this.#nowMs - this.#request.arrivedAtMs),
-        };
+        return describeRequest(this.#request, {
+            history: this.#history,
+            timing: this.#timing,
+            eventCount: this.#relay.eventCount,
+            nowMs: this.#nowMs,
+        });
     }
 }
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -50,6 +50,11 @@
     crashProbes: "edge.quarantine.probes",
     evidenceSent: "edge.quarantine.evidence.sent",
     evidenceReceived: "edge.quarantine.evidence.received",
+    limitRefusals: "edge.limits.refusals",
+    limitStatementsSent: "edge.limits.statements.sent",
+    slotRequests: "edge.limits.slots.requested",
+    slotsBorrowed: "edge.limits.slots.borrowed",
+    slotsLent: "edge.limits.slots.lent",
 } as const;
 
 /** Counters and histograms of one process, with an HTTP listener that serves them. */
--- a/src/edge/peers/peerChannel.ts
+++ b/src/edge/peers/peerChannel.ts
@@ -11,6 +11,7 @@
     LoanRequestSchema,
 } from "../budget/loanMessages.js";
 import { EvidenceSchema } from "../quarantine/evidenceMessages.js";
+import { LimitStatementsSchema, SlotReplySchema, SlotRequestSchema } from "../rateLimit/slotMessages.js";
 import { FleetSumSchema, ZoneSumSchema } from "./loadSums.js";
 import { LoadReportSchema } from "./peerLoadTracker.js";
 
@@ -28,6 +29,9 @@
     ZoneSumSchema,
     FleetSumSchema,
     EvidenceSchema,
+    LimitStatementsSchema,
+    SlotRequestSchema,
+    SlotReplySchema,
 ]);
 export type PeerMessage = z.infer<typeof PeerMessageSchema>;
 
--- a/src/edge/protocolCodec.ts
+++ b/src/edge/protocolCodec.ts
@@ -25,6 +25,12 @@
     /** @returns The metadata in the head of an upstream's response. */
     abstract readResponseHead(head: ResponseHead): ResponseMetadata;
 
+    /**
+     * @param name Name of a header of a response, in lower case.
+     * @returns Whether the header is meant for the edge, so that callers do not get it.
+     */
+    abstract isForEdgeOnly(name: string): boolean;
+
     /** @returns Name of the header that holds the request's id. */
     abstract get requestIdHeader(): string;
 }
--- a/src/edge/rateLimit/limitTracker.ts
+++ b/src/edge/rateLimit/limitTracker.ts
@@ -104,6 +104,16 @@
         return hasChanged;
     }
 
+    /** @returns The latest statement about an upstream. */
+    statementAbout(upstream: UpstreamIdentity): LimitStatement | undefined {
+        return this.#statements.get(identityKey(upstream));
+    }
+
+    /** @returns Whether a statement about the upstream with a key is known; see {@link identityKey}. */
+    isKnown(key: string): boolean {
+        return this.#statements.has(key);
+    }
+
     /** @returns The latest statements about upstreams that have a limit. */
     get activeStatements(): readonly LimitStatement[] {
         return [...this.#statements.values()].filter(({ upstream }) => this.limitOf(upstream) !== undefined);
--- a/src/edge/upstream/upstreamChoice.spec.ts
+++ b/src/edge/upstream/upstreamChoice.spec.ts
@@ -23,6 +23,7 @@
         nowMs: clock.monotonicMs(),
         hostCount: 8,
         peerLoad: () => ({ openRequestCount: 0, waitingPrefillTokens: 0 }),
+        isWithinLimit: () => true,
         ...changes,
     });
 
--- a/src/edge/upstream/upstreamChoice.ts
+++ b/src/edge/upstream/upstreamChoice.ts
@@ -22,6 +22,8 @@
     readonly hostCount: number;
     /** @returns Load that other hosts put on an upstream. */
     peerLoad(upstream: Upstream): PeerLoad;
+    /** @returns Whether the limit that an upstream states, if any, allows a request of this host now. */
+    isWithinLimit(upstream: Upstream): boolean;
 }
 
 /** Minimum number of shared prompt tokens for which an upstream that has them cached is preferred. */
@@ -67,13 +69,14 @@
 
 /**
  * Chooses the upstream for one request. Upstreams that failed recently or are silent are used only if there is no other.
- * Upstreams that asked for a pause are not used.
+ * Upstreams that asked for a pause, or have reached the limit that they state, are not used.
  * @param random Decides between upstreams with equal load.
  * @returns The upstream, or `undefined` when no candidate is left.
  */
 export function chooseUpstream(input: ChoiceInput, random: Random): Upstream | undefined {
     const untried = input.candidates.filter(upstream =>
-        !input.excludedUpstreamIds.has(upstream.entry.id) && upstream.remainingBackoffMs(input.nowMs) === 0
+        !input.excludedUpstreamIds.has(upstream.entry.id) && upstream.remainingBackoffMs(input.nowMs) === 0 &&
+        input.isWithinLimit(upstream)
     );
     const healthy = untried.filter(upstream => isHealthy(upstream, input.nowMs));
     const available = healthy.length > 0 ? healthy : untried;
--- a/src/standins/loadTestFleet.ts
+++ b/src/standins/loadTestFleet.ts
@@ -178,6 +178,7 @@
             isGeneration: true,
             nowMs,
             hostCount: this.hosts.length,
+            isWithinLimit: () => true,
             peerLoad: candidate => host.reporter.peerLoadAt(candidate.entry.id),
         }, this.#random)!;
         const dispatch = upstream.beginDispatch(PromptTokens, 10_000);
