--- a/src/standins/platform/objectStore.ts
+++ b/src/standins/platform/objectStore.ts
@@ -18,6 +18,12 @@
     readonly change: WatchedChange;
 }
 
+/** State of an {@link ObjectStore} at one time, from which it can be restored. */
+export interface ObjectStoreCopy {
+    readonly objects: ReadonlyMap<string, StoredObject>;
+    readonly revision: number;
+}
+
 /** The objects of the platform stand-in. It injects no faults; the classes that use it add them. */
 export class ObjectStore {
     readonly #objects = new Map<string, StoredObject>();
@@ -33,6 +39,21 @@
         return this.#revision;
     }
 
+    /** @returns The current state. */
+    copy(): ObjectStoreCopy {
+        return { objects: new Map(this.#objects), revision: this.#revision };
+    }
+
+    /** Goes back to an earlier state. Revisions and versions since then are given out again, and the history is gone. */
+    restore({ objects, revision }: ObjectStoreCopy): void {
+        this.#objects.clear();
+        objects.forEach((object, key) => this.#objects.set(key, object));
+        this.#deletedVersions.clear();
+        this.#history.length = 0;
+        this.#sortedKeys = undefined;
+        this.#revision = revision;
+    }
+
     /** @returns The object, or `absent` if there is none. */
     get(key: string): ReadOutcome {
         const object = this.#objects.get(key);
