Keep the histories of a store apart that comes back from a copy

Class of the fault: a number that names a place in one history is used in another.

The client of the platform's store puts the era of each response in front of versions and revisions, so that those of a new history are greater and none occurs twice. What hosts take from each other (change logs, calls through other hosts) carries the era with it; the paths of both have a new number, as a host of the release before would answer a revision of a new history with no changes. A watch or a write with a number of an earlier history is not sent, and watches in progress end when a new history is seen.

In the first listing of a new history, an upstream that has ended here does not come back, and one that is missing has two seconds to be written again. A version of the configuration that is written again with another content is taken; an older one is not. Hosts write their entries again.

--- a/src/edge/configurationTracker.ts
+++ b/src/edge/configurationTracker.ts
@@ -19,6 +19,8 @@
     readonly #feed: StoreFeed;
     readonly #onChange: (table: RouteTable) => void;
     #table: RouteTable | undefined;
+    /** The stored object of the configuration in force. */
+    #object: StoredObject | undefined;
 
     /** @param onChange Called after a newer version has come into force. */
     constructor(store: PlatformStore, codec: ObjectCodec, clock: Clock, onChange: (table: RouteTable) => void) {
@@ -47,6 +49,11 @@
         return this.#feed.isConnected;
     }
 
+    /** @returns History of the store that the configuration comes from; see {@link StoreFeed.history}. */
+    get storeHistory(): number | undefined {
+        return this.#feed.history;
+    }
+
     /** Starts to follow the store. */
     start(): void {
         this.#feed.start();
@@ -65,6 +72,13 @@
         }
     }
 
+    /** A version that was lost with the store's last writes may be written again with another content. */
+    #isLater(object: StoredObject, version: number, current: number): boolean {
+        return version > current ||
+            (version === current && object.revision > (this.#object?.revision ?? 0) &&
+                JSON.stringify(object.value) !== JSON.stringify(this.#object?.value));
+    }
+
     #applyObject(object: StoredObject): void {
         const configuration = this.#codec.readConfiguration(object.value);
         const current = this.#table?.configuration.version;
@@ -72,9 +86,10 @@
             log.error("configuration not readable", { problem: configuration, revision: object.revision, current });
             return;
         }
-        if (current !== undefined && configuration.version <= current) {
+        if (current !== undefined && !this.#isLater(object, configuration.version, current)) {
             return;
         }
+        this.#object = object;
         this.#table = new RouteTable(configuration);
         log.info("configuration in force", {
             version: configuration.version,
--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -119,6 +119,7 @@
     #isLeaving = false;
     #stopped: Promise<void> | undefined;
     #wasStoreConnected = true;
+    #storeHistory: number | undefined;
 
     constructor(settings: EdgeSettings, dependencies: EdgeDependencies) {
         this.#settings = settings;
@@ -325,6 +326,11 @@
             this.#budgets.onStoreReconnected();
         }
         this.#wasStoreConnected = isConnected;
+        const { storeHistory } = this.#configuration;
+        if (this.#storeHistory !== undefined && storeHistory !== this.#storeHistory) {
+            this.#members.onStoreRestored();
+        }
+        this.#storeHistory = storeHistory;
         this.#ownStore.probeIntervalMs = this.#canRelyOnWatcher ? RelayedProbeIntervalMs : ProbeIntervalMs;
         if (this.#configuration.routeTable !== undefined) {
             this.#budgets.tick();
--- a/src/edge/peers/memberList.spec.ts
+++ b/src/edge/peers/memberList.spec.ts
@@ -125,6 +125,20 @@
         });
     });
 
+    describe("given a store that has come back from a copy", () => {
+        it("writes its entry again (guards against a host that starts later and does not know the others)", async () => {
+            const first = createList("a");
+            const copy = store.objects.copy();
+            await run([first], 3_000);
+            store.objects.restore(copy);
+            first.onStoreRestored();
+            await run([first], 500);
+            const later = createList("b");
+            await run([first, later], 8_000);
+            expect(idsOf(later)).toEqual(["a"]);
+        });
+    });
+
     describe("while the store is unreachable", () => {
         it("has no list and retries", async () => {
             store.isDown = true;
--- a/src/edge/peers/memberList.ts
+++ b/src/edge/peers/memberList.ts
@@ -73,6 +73,13 @@
         return this.#addresses.has(peerAddress);
     }
 
+    /** Must be called when the store has come back from a copy, which may lack this host's entry and others. */
+    onStoreRestored(): void {
+        this.#ownVersion = undefined;
+        this.#hasUnknownSender = true;
+        this.#lastListingMs = Number.NEGATIVE_INFINITY;
+    }
+
     /** Records a message from an address of no known host: a new host may have started, so the hosts are listed again. */
     recordUnknownSender(): void {
         this.#hasUnknownSender = true;
--- a/src/edge/relay/changeLog.ts
+++ b/src/edge/relay/changeLog.ts
@@ -1,5 +1,6 @@
 /** The latest changes below one prefix as a watcher received them, for the hosts that ask it. */
 import type { WatchedChange, WatchOutcome } from "../../platform/platformStore.js";
+import { historyOf } from "../../platform/storeHistory.js";
 
 /** Maximum number of batches that are kept; hosts ask every second, so far fewer are needed. */
 const MaxBatches = 200;
@@ -26,7 +27,7 @@
         readonly revision: number;
         readonly ageMs: number;
     }
-    /** The requested revision precedes the log, so the store must be asked. */
+    /** The requested revision precedes the log or belongs to another history, so the store must be asked. */
     | { readonly kind: "olderThanLog"; }
     /** The store has not responded to the watcher for too long. */
     | { readonly kind: "stale"; };
@@ -72,7 +73,7 @@
         if (this.#firstRevision === undefined || this.timeUntilStaleMs(nowMs) < 0) {
             return { kind: "stale" };
         }
-        if (afterRevision < this.#firstRevision) {
+        if (afterRevision < this.#firstRevision || historyOf(afterRevision) !== historyOf(this.#revision)) {
             return { kind: "olderThanLog" };
         }
         return {
--- a/src/edge/relay/relay.spec.ts
+++ b/src/edge/relay/relay.spec.ts
@@ -13,6 +13,7 @@
     type WatchOutcome,
     type WriteOutcome,
 } from "../../platform/platformStore.js";
+import { versionInHistory } from "../../platform/storeHistory.js";
 import { RelayClient } from "./relayClient.js";
 import { RelayedStore } from "./relayedStore.js";
 import { RelayServer } from "./relayServer.js";
@@ -141,6 +142,12 @@
             expect(await follower.watch("k/", 14, 50)).toMatchObject({ changes: [], revision: 14 });
         });
 
+        it("reads changes after a restore of the store from the store (guards against revisions of two histories that are compared)", async () => {
+            const restored = versionInHistory(1, 9);
+            await follower.watch("k/", restored, 50);
+            expect(store.watchCalls).toEqual([{ after: restored, waitMs: 1 }]);
+        });
+
         it("reads a large change from the store, and asks the watcher again afterwards", async () => {
             await sendChangeToWatcher(12, "x".repeat(40_000));
             await follower.watch("k/", 10, 3_000);
--- a/src/edge/relay/relayServer.ts
+++ b/src/edge/relay/relayServer.ts
@@ -12,8 +12,8 @@
 import { StoreProxyPath } from "./storeProxyMessages.js";
 import type { StoreProxyServer } from "./storeProxyServer.js";
 
-/** Path of the endpoint for changes. */
-export const RelayPath = "/changes";
+/** Path of the endpoint for changes. Earlier releases, whose revisions have no history, serve another one. */
+export const RelayPath = "/v2/changes";
 
 /** Status of a response to a head with an invalid header name. */
 const MalformedStatus = 400;
--- a/src/edge/relay/storeProxyMessages.ts
+++ b/src/edge/relay/storeProxyMessages.ts
@@ -2,8 +2,8 @@
 import { z } from "zod";
 import { StoredObjectSchema } from "../../platform/platformStore.js";
 
-/** Path of the endpoint. */
-export const StoreProxyPath = "/store";
+/** Path of the endpoint. Earlier releases, whose versions have no history, serve another one. */
+export const StoreProxyPath = "/v2/store";
 
 /** Status of a response by a host that cannot reach the store either; it has not sent the call. */
 export const StoreUnreachableStatus = 503;
--- a/src/edge/storeFeed.ts
+++ b/src/edge/storeFeed.ts
@@ -3,6 +3,7 @@
 import { log } from "../base/log.js";
 import { sleep } from "../base/sleep.js";
 import type { PlatformStore, StoredObject, WatchedChange } from "../platform/platformStore.js";
+import { historyOf } from "../platform/storeHistory.js";
 
 /** Maximum wait of one watch call, in milliseconds. It bounds the time after which a silent connection is detected. */
 const WatchWaitMs = 3_000;
@@ -24,8 +25,11 @@
 
 /** Receives the objects below a prefix and their changes. */
 export interface StoreFeedListener {
-    /** Called with all objects after the start, and after each gap in the history of changes. */
-    onSnapshot(objects: readonly StoredObject[]): void;
+    /**
+     * Called with all objects after the start, and after each gap in the history of changes.
+     * @param isNewHistory Whether the store has come back from a copy since the last call.
+     */
+    onSnapshot(objects: readonly StoredObject[], isNewHistory: boolean): void;
     /** Called with each batch of changes since the last call. */
     onChanges(changes: readonly WatchedChange[]): void;
 }
@@ -44,6 +48,7 @@
     #lastFailureMs = Number.NEGATIVE_INFINITY;
     #isFailing = false;
     #lastLogMs = Number.NEGATIVE_INFINITY;
+    #history: number | undefined;
 
     constructor(store: PlatformStore, prefix: string, clock: Clock, listener: StoreFeedListener) {
         this.#store = store;
@@ -67,6 +72,11 @@
         return !this.#isFailing;
     }
 
+    /** @returns History of the store that the feed follows; `undefined` before the first listing. */
+    get history(): number | undefined {
+        return this.#history;
+    }
+
     /** Starts to follow the store. */
     start(): void {
         void this.#run();
@@ -102,6 +112,10 @@
                 this.#recordFailure(page.reason);
                 return undefined;
             }
+            if (revision !== undefined && historyOf(page.revision ?? revision) !== historyOf(revision)) {
+                this.#recordFailure("the store has come back from a copy during the listing");
+                return undefined;
+            }
             objects.push(...page.objects);
             // The first page has the oldest revision; watching from it repeats changes that occurred during the listing.
             revision ??= page.revision ?? 0;
@@ -109,7 +123,13 @@
             afterKey = page.objects.at(-1)?.key ?? "";
         }
         this.#recordSuccess();
-        this.#listener.onSnapshot(objects);
+        const history = historyOf(revision ?? 0);
+        const isNewHistory = this.#history !== undefined && this.#history !== history;
+        if (isNewHistory) {
+            log.info("store listed after it came back from a copy", { prefix: this.#prefix, objects: objects.length });
+        }
+        this.#history = history;
+        this.#listener.onSnapshot(objects, isNewHistory);
         return revision;
     }
 
--- a/src/edge/upstream/upstreamFeed.ts
+++ b/src/edge/upstream/upstreamFeed.ts
@@ -16,14 +16,20 @@
     readonly #clock: Clock;
     readonly #directory: UpstreamDirectory;
     readonly #feed: StoreFeed;
+    /** Monotonic time at which the entries of a store that came back from a copy were listed, in milliseconds. */
+    #restoredAtMs = Number.NEGATIVE_INFINITY;
 
     constructor(store: PlatformStore, codec: ObjectCodec, clock: Clock, directory: UpstreamDirectory) {
         this.#codec = codec;
         this.#clock = clock;
         this.#directory = directory;
         this.#feed = new StoreFeed(store, codec.upstreamPrefix, clock, {
-            onSnapshot: objects => {
-                directory.replaceAll(objects.flatMap(object => this.#readEntry(object) ?? []), this.#lapseGraceMs());
+            onSnapshot: (objects, isNewHistory) => {
+                this.#restoredAtMs = isNewHistory ? clock.monotonicMs() : this.#restoredAtMs;
+                const entries = objects.flatMap(object => this.#readEntry(object) ?? []);
+                // An upstream that was removed after the copy was made may be listed in it.
+                const isCurrent = (entry: UpstreamEntry) => !directory.hasEnded(entry.id, entry.startedAtMs);
+                directory.replaceAll(isNewHistory ? entries.filter(isCurrent) : entries, this.#lapseGraceMs());
             },
             onChanges: changes => {
                 for (const { key, object } of changes) {
@@ -64,11 +70,11 @@
 
     /**
      * @returns Remaining grace period for missing entries, in milliseconds: an entry that is missing shortly after an
-     * outage may have lapsed because the store could not renew it.
+     * outage may have lapsed because the store could not renew it, or may be written again as a copy lacks it.
      */
     #lapseGraceMs(): number {
-        const sinceFailureMs = this.#clock.monotonicMs() - this.#feed.lastFailureMs;
-        return Math.max(0, OutageGraceMs - sinceFailureMs);
+        const sinceOutageMs = this.#clock.monotonicMs() - Math.max(this.#feed.lastFailureMs, this.#restoredAtMs);
+        return Math.max(0, OutageGraceMs - sinceOutageMs);
     }
 
     #idOf(key: string): string {
--- a/src/platform/platformStore.ts
+++ b/src/platform/platformStore.ts
@@ -83,7 +83,10 @@
     | { readonly status: "unchanged"; readonly revision: number; }
     | { readonly status: "unavailable"; readonly reason: string; };
 
-/** The platform's object API. Values are plain JSON. */
+/**
+ * The platform's object API. Values are plain JSON. When the store has come back from a copy, versions and revisions belong to a new
+ * history and are greater than before; see `storeHistory.ts`. Those of earlier histories are out of date for writes and watches.
+ */
 export abstract class PlatformStore {
     /** Reads a key. */
     abstract get(key: string): Promise<ReadOutcome>;
