--- a/src/edge/budget/budgetManager.ts
+++ b/src/edge/budget/budgetManager.ts
@@ -154,6 +154,14 @@
         this.#ledgers.onStoreReconnected();
     }
 
+    /**
+     * Must be called when the store has come back from a copy, which may lack the last writes of this host.
+     * @param history The store's new history; see `storeHistory.ts`.
+     */
+    onStoreRestored(history: number): void {
+        this.#ledgers.onStoreRestored(history);
+    }
+
     /** Passes lending on to other hosts, so that open loans can be settled before the process ends. */
     startLeaving(): void {
         this.#handover.startLeaving();
--- a/src/edge/budget/ledgerManager.ts
+++ b/src/edge/budget/ledgerManager.ts
@@ -1,6 +1,7 @@
 /** Manages the ledgers in which this host has shares: those of the teams whose home it is, and those of its predecessor. */
 import type { Clock } from "../../base/clock.js";
 import type { Counters } from "../../base/counters.js";
+import { log } from "../../base/log.js";
 import type { PlatformStore } from "../../platform/platformStore.js";
 import type { ProcessStart } from "./ledger.js";
 import { LedgerSync } from "./ledgerSync.js";
@@ -133,6 +134,15 @@
         this.#recordSync.onStoreReconnected();
     }
 
+    /**
+     * Must be called when the store has come back from a copy.
+     * @param history The store's new history.
+     */
+    onStoreRestored(history: number): void {
+        log.info("budgets are stated again", { history, ledgers: this.#ledgersByTeam.size });
+        this.onStoreReconnected();
+    }
+
     /** Returns all unused tokens to the ledgers; resolves after one attempt to write each. */
     async close(): Promise<void> {
         this.#isClosing = true;
--- a/src/standins/budgetTestFleet.ts
+++ b/src/standins/budgetTestFleet.ts
@@ -10,6 +10,7 @@
     type WatchOutcome,
     type WriteOutcome,
 } from "../platform/platformStore.js";
+import { versionInHistory } from "../platform/storeHistory.js";
 
 /** Fault of the store; see {@link FaultyStore}. */
 export type StoreFault = "none" | "down" | "lost" | "late";
@@ -23,9 +24,23 @@
     fault: StoreFault = "none";
     /** Number of reads and writes so far. */
     calls = 0;
-    readonly #objects = new Map<string, { value: unknown; version: number; }>();
+    /** History of the store; see `storeHistory.ts`. */
+    history = 0;
+    readonly #objects = new Map<string, { value: unknown; number: number; }>();
     readonly #lateWrites: (() => void)[] = [];
 
+    /** @returns The current objects. */
+    copy(): ReadonlyMap<string, { value: unknown; number: number; }> {
+        return new Map(this.#objects);
+    }
+
+    /** Comes back from a copy, which begins a new history. */
+    restore(copy: ReadonlyMap<string, { value: unknown; number: number; }>): void {
+        this.#objects.clear();
+        copy.forEach((object, key) => this.#objects.set(key, object));
+        this.history++;
+    }
+
     /** Applies the writes that the `late` fault has held. */
     applyLateWrites(): void {
         for (const write of this.#lateWrites.splice(0)) {
@@ -73,14 +88,18 @@
         if (expectedVersion !== (current?.version ?? 0)) {
             return { status: "conflict", current };
         }
-        const version = expectedVersion + 1;
-        this.#objects.set(key, { value, version });
-        return { status: "applied", version };
+        const number = (this.#objects.get(key)?.number ?? 0) + 1;
+        this.#objects.set(key, { value, number });
+        return { status: "applied", version: versionInHistory(this.history, number) };
     }
 
     #find(key: string) {
         const object = this.#objects.get(key);
-        return object === undefined ? undefined : { key, revision: object.version, ...object };
+        if (object === undefined) {
+            return undefined;
+        }
+        const version = versionInHistory(this.history, object.number);
+        return { key, revision: version, version, value: object.value };
     }
 }
 
@@ -157,6 +176,12 @@
     hostIds = ["a", "b"];
     #startCount = 0;
 
+    /** Comes back from a copy of the store, as the running hosts notice by and by. */
+    restoreStore(copy: ReturnType<FaultyStore["copy"]>, managers: readonly BudgetManager[]): void {
+        this.store.restore(copy);
+        managers.forEach(manager => manager.onStoreRestored(this.store.history));
+    }
+
     /** Starts a host, or restarts it as a new process. */
     startHost(hostId: string): BudgetManager {
         const others = this.hostIds
