State budgets again after a restore of the store before anything is granted

A grant that the copy lacked was given a second time: its holder took the copy's smaller grant for its own, and others took what looked free. Class of the fault: an acknowledged write that rules what a host may do is taken for lasting.

A host keeps the grant of before the restore and states it again at once, with the history in its ledger entry. Until all hosts of the ledger have done so, and for 3 s at least, nothing unallocated is granted; a host that is silent for 30 s counts with what it may have been granted since the copy. A share counts with the larger of granted and spent. Tokens that closed incarnations had spent, as any host saw them before, are counted again. The share of an ended process in a copy is closed with what its record would have released meanwhile. A host's record whose owner in the copy is an earlier process is written on.

--- a/src/edge/budget/ledger.ts
+++ b/src/edge/budget/ledger.ts
@@ -1,5 +1,6 @@
 /** The stored ledgers of prepaid tokens, one object per team: what each host may spend of the team's budget. */
 import { z } from "zod";
+import { maxGrantedTokens } from "./ledgerHistory.js";
 import { allowedTokens } from "./spendingBound.js";
 import {
     RecordedBoundSchema,
@@ -34,6 +35,8 @@
 export const LedgerHostSchema = WriteTimestampSchema.extend({
     /** `IP:port` at which the host receives messages of other hosts. */
     peerAddress: z.string(),
+    /** History of the store in which the host has written; entries of earlier releases lack it. */
+    history: z.number().int().nonnegative().optional(),
 });
 export type LedgerHost = z.infer<typeof LedgerHostSchema>;
 
@@ -51,7 +54,8 @@
 
 /** @returns Tokens that are neither spent, at risk nor held by a host; negative after the prepaid amount was lowered. */
 export function unallocatedTokens(team: TeamLedger, prepaidTokens: number): number {
-    const granted = Object.values(team.shares).reduce((sum, share) => sum + share.grantedTokens, 0);
+    const granted = Object.values(team.shares)
+        .reduce((sum, share) => sum + Math.max(share.grantedTokens, share.settledTokens), 0);
     return prepaidTokens - team.closedTokens - team.atRiskTokens - granted;
 }
 
@@ -103,6 +107,7 @@
  * unallocated at once.
  * @param start Start of the process that closes the shares.
  * @param record The host's own record, which the caller has taken over. The newer of it and the ledger's entry is used.
+ * @param history Current history of the store. A share of an earlier one may have been larger than its copy shows.
  * @returns The ledger with the shares closed; the same object when there is nothing to close.
  */
 export function closePredecessorShares(
@@ -111,6 +116,7 @@
     incarnation: string,
     start: ProcessStart,
     record: SpendingRecord | undefined,
+    history = 0,
 ): Ledger {
     const host = ledger.hosts[hostId];
     if (host === undefined || host.incarnation === incarnation) {
@@ -126,7 +132,9 @@
         const bound = recorded ?? share;
         const ageMs = maxRecordAgeMs(recorded === undefined ? host : newer!, start);
         const settledTokens = Math.max(share.settledTokens, bound.settledTokens);
-        const maxSpentTokens = Math.max(settledTokens, allowedTokens(bound, share.grantedTokens, ageMs));
+        const isOfCopy = (host.history ?? 0) < history;
+        const maxTokens = isOfCopy ? maxGrantedTokens(share) : share.grantedTokens;
+        const maxSpentTokens = Math.max(settledTokens, allowedTokens(bound, maxTokens, ageMs));
         return [name, {
             closedTokens: team.closedTokens + settledTokens,
             atRiskTokens: team.atRiskTokens + maxSpentTokens - settledTokens,
--- a/src/edge/budget/ledgerManager.ts
+++ b/src/edge/budget/ledgerManager.ts
@@ -4,6 +4,7 @@
 import { log } from "../../base/log.js";
 import type { PlatformStore } from "../../platform/platformStore.js";
 import type { ProcessStart } from "./ledger.js";
+import type { BegunHistory } from "./ledgerHistory.js";
 import { LedgerSync } from "./ledgerSync.js";
 import { RecordSync } from "./recordSync.js";
 import { TeamAccounts } from "./teamAccounts.js";
@@ -44,6 +45,7 @@
     readonly #recordSync: RecordSync;
     readonly #ledgersByTeam = new Map<string, LedgerSync>();
     #isClosing = false;
+    #begunHistory: BegunHistory | undefined;
 
     constructor(dependencies: LedgerManagerDependencies, accounts: TeamAccounts) {
         this.#dependencies = dependencies;
@@ -100,7 +102,13 @@
         this.#ledgersByTeam.set(
             team,
             new LedgerSync(
-                { ...this.#dependencies, key: `${ledgerPrefix}${team}`, team, homeHostIds: () => homeHostIds(team) },
+                {
+                    ...this.#dependencies,
+                    key: `${ledgerPrefix}${team}`,
+                    team,
+                    begunHistory: this.#begunHistory,
+                    homeHostIds: () => homeHostIds(team),
+                },
                 ownAccounts,
                 this.#sequencer,
                 this.#recordSync,
@@ -139,8 +147,12 @@
      * @param history The store's new history.
      */
     onStoreRestored(history: number): void {
+        this.#begunHistory = { history, begunAtMs: this.#dependencies.clock.monotonicMs() };
         log.info("budgets are stated again", { history, ledgers: this.#ledgersByTeam.size });
-        this.onStoreReconnected();
+        for (const ledger of this.#ledgersByTeam.values()) {
+            ledger.onStoreRestored(history);
+        }
+        this.#recordSync.onStoreRestored();
     }
 
     /** Returns all unused tokens to the ledgers; resolves after one attempt to write each. */
--- a/src/edge/budget/ledgerSync.ts
+++ b/src/edge/budget/ledgerSync.ts
@@ -5,6 +5,7 @@
 import type { Counters } from "../../base/counters.js";
 import { log } from "../../base/log.js";
 import type { PlatformStore, WriteOutcome } from "../../platform/platformStore.js";
+import { historyOf } from "../../platform/storeHistory.js";
 import { EdgeCounterNames } from "../metrics.js";
 import {
     closePredecessorShares,
@@ -16,6 +17,7 @@
     type ProcessStart,
     type TeamLedger,
 } from "./ledger.js";
+import { type BegunHistory, LedgerHistory } from "./ledgerHistory.js";
 import { logClosedShares, logWrittenShares } from "./ledgerLog.js";
 import { type RecordSync, StalledAfterMs } from "./recordSync.js";
 import { planGrant } from "./sharePlan.js";
@@ -66,6 +68,8 @@
     /** When this process started. */
     readonly processStart: ProcessStart;
     readonly team: string;
+    /** See {@link LedgerHistory}. */
+    readonly begunHistory: BegunHistory | undefined;
     /** @returns Hosts that should hold the team's tokens. */
     homeHostIds(): readonly string[];
     /** @returns Prepaid tokens of a team by the configuration in force; `undefined` for no limit. */
@@ -93,6 +97,11 @@
     #unresolvedVersion: number | undefined;
     /** Sequence numbers of writes of which it is not known whether they take effect. */
     #unresolvedSequences: number[] = [];
+    readonly #history: LedgerHistory;
+    /** Sequence number of the latest write that the store has acknowledged. */
+    #acknowledgedSequence = 0;
+    /** Whether the store may lack this host's share, as it has come back from a copy. */
+    #isRestatementDue = false;
     #hasInheritedDemand = false;
     #isEstablished = false;
     #isClosing = false;
@@ -114,6 +123,7 @@
         recordSync: RecordSync,
     ) {
         this.#dependencies = dependencies;
+        this.#history = new LedgerHistory(dependencies.begunHistory);
         this.#accounts = accounts;
         this.#sequencer = sequencer;
         this.#recordSync = recordSync;
@@ -148,7 +158,8 @@
             return;
         }
         if (
-            !this.#isEstablished || this.#isClosing || this.#isLargerGrantDue() || this.#isReportDue() ||
+            !this.#isEstablished || this.#isClosing || this.#isRestorationDue || this.#isLargerGrantDue() ||
+            this.#isReportDue() ||
             this.#isPlanDue()
         ) {
             this.#runningSync = this.#sync();
@@ -165,6 +176,24 @@
         this.#nextWriteMs = this.#accounts.nowMs;
     }
 
+    /**
+     * Must be called when the store has come back from a copy: this host then states its share again.
+     * @param history The store's new history.
+     */
+    onStoreRestored(history: number): void {
+        if (this.#history.begin(history, this.#accounts.nowMs)) {
+            this.#keepGrants();
+        }
+        this.#nextWriteMs = this.#accounts.nowMs;
+    }
+
+    /** Keeps the grants of before a restore: the copy may have larger or smaller ones. */
+    #keepGrants(): void {
+        this.#known = undefined;
+        this.#isRestatementDue = this.#isEstablished;
+        this.#accounts.all.forEach(account => account.acknowledgeGrant(account.grantedTokens));
+    }
+
     /** Returns all unused tokens to the ledger; makes one attempt, after a sync that is running. */
     async close(): Promise<void> {
         this.#isClosing = true;
@@ -172,6 +201,13 @@
         await this.#sync();
     }
 
+    /** @returns Whether the store lacks what this host knows, as it has come back from a copy. */
+    get #isRestorationDue(): boolean {
+        const { hostId } = this.#dependencies;
+        return this.#isRestatementDue || (this.#known !== undefined &&
+            this.#history.isClosedTokensDue(this.#known.ledger, hostId, this.#accounts.nowMs));
+    }
+
     /** @returns Whether this host holds unused tokens, or is a home of the team. */
     get #isHolder(): boolean {
         return this.#accounts.all.some(({ grantedTokens, usedTokens }) => grantedTokens > usedTokens) ||
@@ -190,9 +226,7 @@
             return true;
         }
         const { ledger } = this.#known;
-        return this.#accounts.all.some(account =>
-            this.#planGrant(ledger.teams[account.name] ?? EmptyTeamLedger, account) > account.grantedTokens
-        );
+        return this.#accounts.all.some(account => this.#planGrant(ledger, account) > account.grantedTokens);
     }
 
     #isReportDue(): boolean {
@@ -209,10 +243,7 @@
         }
         this.#nextPlanMs = nowMs + PlanCheckIntervalMs;
         const { ledger } = this.#known;
-        return this.#accounts.all.some(account => {
-            const team = ledger.teams[account.name] ?? EmptyTeamLedger;
-            return this.#planGrant(team, account) !== account.grantedTokens;
-        });
+        return this.#accounts.all.some(account => this.#planGrant(ledger, account) !== account.grantedTokens);
     }
 
     async #sync(): Promise<void> {
@@ -251,6 +282,7 @@
         if (outcome.status === "applied") {
             this.#dependencies.counters.add(EdgeCounterNames.budgetLedgerWrites);
             this.#isEstablished = true;
+            this.#isRestatementDue = false;
             this.#lastReportedMs = this.#accounts.nowMs;
             this.#reportedUsedTokens = this.#accounts.usedTokens;
             this.#applyLedger({ ledger: next, version: outcome.version });
@@ -306,6 +338,10 @@
 
     /** Applies a ledger to the account. With a newer version, writes that expected an older one can no longer take effect. */
     #applyLedger(known: KnownLedger): void {
+        if (this.#history.observe(historyOf(known.version), this.#accounts.nowMs)) {
+            this.#keepGrants();
+        }
+        this.#history.recordClosedTokens(known.ledger);
         this.#known = known;
         this.#lastReadMs = this.#accounts.nowMs;
         const isNewer = this.#unresolvedVersion !== known.version;
@@ -318,7 +354,10 @@
         }
         for (const account of this.#accounts.all) {
             const share = known.ledger.teams[account.name]?.shares[this.#dependencies.hostId];
-            if (host !== undefined && createdAtMs !== undefined && share !== undefined) {
+            // An older write than the acknowledged one comes from a copy of the store.
+            const isLatest = host !== undefined && host.sequence >= this.#acknowledgedSequence;
+            if (isLatest && createdAtMs !== undefined && share !== undefined) {
+                this.#acknowledgedSequence = host.sequence;
                 account.acknowledgeGrant(share.grantedTokens);
                 account.acknowledgeBound({ ...share, sequence: host.sequence, createdAtMs });
             }
@@ -342,14 +381,16 @@
     /** Plans this host's share. Spending stays within it from now on, as the write may take effect at any time. */
     #plan(stored: Ledger): Ledger {
         const { hostId, incarnation, processStart } = this.#dependencies;
-        const ledger = closePredecessorShares(
+        const closed = closePredecessorShares(
             stored,
             hostId,
             incarnation,
             processStart,
             this.#recordSync.predecessorRecord,
+            this.#history.current,
         );
-        if (stored !== ledger) {
+        const ledger = this.#history.restoreClosedTokens(closed, hostId, this.#accounts.nowMs);
+        if (stored !== closed) {
             const record = this.#recordSync.predecessorRecord;
             logClosedShares({ hostId, processStart, record, stored, closed: ledger, version: this.#known?.version });
             this.#inheritDemand(stored);
@@ -359,18 +400,19 @@
         const teams: Record<string, TeamLedger> = { ...ledger.teams };
         for (const account of this.#accounts.all) {
             const team = ledger.teams[account.name] ?? EmptyTeamLedger;
-            const share = this.#planShare(team, account);
+            const share = this.#planShare(ledger, account);
             account.addProposal({ ...share, sequence: timestamp.sequence, createdAtMs }, share.grantedTokens);
             teams[account.name] = { ...team, shares: { ...team.shares, [hostId]: share } };
         }
         this.#unresolvedSequences.push(timestamp.sequence);
-        const host = { ...timestamp, peerAddress: this.#dependencies.peerAddress };
+        const history = this.#history.current;
+        const host = { ...timestamp, peerAddress: this.#dependencies.peerAddress, ...history > 0 ? { history } : {} };
         return { hosts: { ...ledger.hosts, [hostId]: host }, teams };
     }
 
-    #planShare(team: TeamLedger, account: TeamAccount): HostShare {
+    #planShare(ledger: Ledger, account: TeamAccount): HostShare {
         const nowMs = this.#accounts.nowMs;
-        const granted = this.#isClosing ? account.usedTokens : this.#planGrant(team, account);
+        const granted = this.#isClosing ? account.usedTokens : this.#planGrant(ledger, account);
         return {
             grantedTokens: granted,
             ...account.planBound(granted, nowMs),
@@ -378,10 +420,13 @@
         };
     }
 
-    #planGrant(ledger: TeamLedger, account: TeamAccount): number {
+    #planGrant(ledger: Ledger, account: TeamAccount): number {
+        const { hostId } = this.#dependencies;
+        const team = ledger.teams[account.name] ?? EmptyTeamLedger;
         return planGrant({
-            ledger,
-            hostId: this.#dependencies.hostId,
+            ledger: this.#history.withUnstatedShares(ledger, team, hostId),
+            hostId,
+            canGrow: this.#history.canGrant(ledger, hostId, this.#accounts.nowMs),
             homeHostIds: this.#dependencies.homeHostIds(),
             prepaidTokens: this.#dependencies.prepaidTokens(account.name) ?? 0,
             grantedTokens: account.grantedTokens,
--- a/src/edge/budget/recordSync.ts
+++ b/src/edge/budget/recordSync.ts
@@ -5,6 +5,7 @@
 import type { Counters } from "../../base/counters.js";
 import { log } from "../../base/log.js";
 import { AbsentVersion, type PlatformStore, type WriteOutcome } from "../../platform/platformStore.js";
+import { historyOf } from "../../platform/storeHistory.js";
 import { EdgeCounterNames } from "../metrics.js";
 import { type HostBudgetState, HostBudgetStateSchema, type SpendingRecord } from "./spendingRecord.js";
 import type { TeamAccounts } from "./teamAccounts.js";
@@ -51,6 +52,8 @@
     #inheritedLedgers: readonly string[] = [];
     #listedLedgers: ReadonlySet<string> = new Set();
     #isReplaced = false;
+    /** History of the store in which this process has last written the object. */
+    #ownedHistory = 0;
     #isSyncing = false;
     #isFailing = false;
     #syncStartedMs = 0;
@@ -108,6 +111,13 @@
         this.#lastWrittenMs = Number.NEGATIVE_INFINITY;
     }
 
+    /** Must be called when the store has come back from a copy, which may hold an earlier object of this host. */
+    onStoreRestored(): void {
+        this.#version = undefined;
+        this.#listedLedgers = new Set();
+        this.onStoreReconnected();
+    }
+
     get #hasUnlistedLedgers(): boolean {
         return this.#dependencies.requiredLedgers().some(team => !this.#listedLedgers.has(team));
     }
@@ -157,6 +167,7 @@
         );
         if (outcome.status === "applied") {
             this.#version = outcome.version;
+            this.#ownedHistory = historyOf(outcome.version);
             this.#stored = object;
             this.#hasTakenOver = true;
             this.#listedLedgers = new Set(ledgers);
@@ -230,6 +241,7 @@
         if (outcome.status === "applied") {
             this.#dependencies.counters.add(EdgeCounterNames.budgetRecords);
             this.#version = outcome.version;
+            this.#ownedHistory = historyOf(outcome.version);
             this.#stored = object;
             this.#lastWrittenMs = this.#accounts.nowMs;
             this.#lastWrittenUsedTokens = usedTokens;
@@ -265,9 +277,13 @@
         return true;
     }
 
-    /** Checks whether another process owns the stored object; if so, this one stops writing for good. */
+    /**
+     * Checks whether another process owns the stored object; if so, this one stops writing for good. The owner in a copy from which the
+     * store has come back is an earlier process.
+     */
     #checkReplaced(owner: string | undefined): boolean {
-        this.#isReplaced = owner !== this.#dependencies.incarnation;
+        const isOfCopy = historyOf(this.#version ?? 0) > this.#ownedHistory;
+        this.#isReplaced = owner !== this.#dependencies.incarnation && !isOfCopy;
         if (this.#isReplaced) {
             log.error("another process writes this host's record", { owner });
         }
--- a/src/edge/budget/sharePlan.spec.ts
+++ b/src/edge/budget/sharePlan.spec.ts
@@ -20,6 +20,7 @@
         usedTokens: 0,
         neededTokens: 0,
         demandTokensPerS: 0,
+        canGrow: true,
         ...own,
     };
 }
--- a/src/edge/budget/sharePlan.ts
+++ b/src/edge/budget/sharePlan.ts
@@ -30,6 +30,8 @@
     readonly usedTokens: number;
     /** Tokens for which requests wait at this host. */
     readonly neededTokens: number;
+    /** Whether unallocated tokens may be granted. */
+    readonly canGrow: boolean;
     /** Demand at this host in tokens per second, including that of hosts that borrow from it. */
     readonly demandTokensPerS: number;
 }
@@ -41,7 +43,7 @@
  * @returns The total grant in tokens, cumulative for the incarnation.
  */
 export function planGrant(input: SharePlanInput): number {
-    const unallocated = Math.max(0, unallocatedTokens(input.ledger, input.prepaidTokens));
+    const unallocated = input.canGrow ? Math.max(0, unallocatedTokens(input.ledger, input.prepaidTokens)) : 0;
     const unused = input.grantedTokens - input.usedTokens;
     const target = Math.floor(HeldFraction * unspentTokens(input, unallocated, unused) * shareOfDemand(input));
     const desired = Math.max(target, input.neededTokens);
@@ -51,7 +53,7 @@
     if (unused > desired * (1 + ToleranceFraction)) {
         return input.usedTokens + Math.ceil(desired);
     }
-    return input.grantedTokens;
+    return Math.max(input.grantedTokens, input.usedTokens);
 }
 
 function unspentTokens({ ledger, hostId }: SharePlanInput, unallocated: number, unused: number): number {
--- a/src/edge/budget/spendingBound.ts
+++ b/src/edge/budget/spendingBound.ts
@@ -20,6 +20,9 @@
 /** Age of a record from which the burst may be spent, in milliseconds; nearly every successor has started by then. */
 const BurstAfterMs = 2_700;
 
+/** Maximum age of the copy from which the store comes back, in milliseconds: the time whose grants and spending it lacks. */
+export const SpendingAfterCopyMs = 20_000;
+
 /**
  * Computes how many tokens may have been spent when a record has a certain age. A running process stays within it, and its
  * successor on the same machine derives from it the maximum that the process can have spent. If the full grant were at
--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -329,6 +329,7 @@
         const { storeHistory } = this.#configuration;
         if (this.#storeHistory !== undefined && storeHistory !== this.#storeHistory) {
             this.#members.onStoreRestored();
+            this.#budgets.onStoreRestored(storeHistory ?? 0);
         }
         this.#storeHistory = storeHistory;
         this.#ownStore.probeIntervalMs = this.#canRelyOnWatcher ? RelayedProbeIntervalMs : ProbeIntervalMs;
