--- a/src/base/address.ts
+++ b/src/base/address.ts
@@ -14,3 +14,12 @@
     const separator = address.lastIndexOf(":");
     return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
 }
+
+/** Maximum port number. */
+const MaxPort = 65_535;
+
+/** @returns Whether an address has a host and a port to which a connection can be opened. */
+export function hasUsablePort(address: string): boolean {
+    const { host, port } = splitAddress(address);
+    return host !== "" && Number.isInteger(port) && port >= 1 && port <= MaxPort;
+}
--- a/src/edge/peers/memberList.ts
+++ b/src/edge/peers/memberList.ts
@@ -3,6 +3,7 @@
  * it gets a message from an unknown sender, and periodically.
  */
 import { z } from "zod";
+import { hasUsablePort } from "../../base/address.js";
 import type { Clock } from "../../base/clock.js";
 import { log } from "../../base/log.js";
 import { AbsentVersion, type PlatformStore } from "../../platform/platformStore.js";
@@ -12,7 +13,7 @@
     hostId: z.string(),
     zone: z.string(),
     /** `IP:port` for messages of other hosts. */
-    peerAddress: z.string(),
+    peerAddress: z.string().refine(hasUsablePort, "must be IP:port"),
     /** Wall-clock time at which the host's process created its entry, by the host's own clock, in milliseconds. */
     registeredAtMs: z.number(),
 });
