Refuse in a planned stop what cannot be repeated and may not end in time

After the time in which new connections may still come, a request that may not be repeated is refused at once (503, not run) if its deadline lies beyond the time by which requests must end. What still runs then gets an answer before its connection closes: 503 only if it has certainly not run, else 504; a stream that has begun is broken off. The last writes to the store now run beside open requests, which gain 400 ms.

--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -54,8 +54,14 @@
 /** Interval at which a shutdown checks for open requests, in milliseconds. */
 const ShutdownPollMs = 20;
 
-/** Time at the end of the grace period that is reserved for the last write and the exit, in milliseconds. */
-const ExitReserveMs = 700;
+/** Time at the end of the grace period in which the last writes are made, beside the requests that are still open, in milliseconds. */
+const FinalWriteReserveMs = 700;
+
+/** Time at the end of the grace period that is reserved for the last responses and the exit, in milliseconds. */
+const ExitReserveMs = 300;
+
+/** Time in which the responses to interrupted requests leave the process, in milliseconds. */
+const LastResponsesMs = 50;
 
 /**
  * Time in which the first request of a connection that was accepted during the shutdown may arrive, and the rest of a request that has
@@ -236,10 +242,13 @@
         const elapsedMs = () => this.#clock.monotonicMs() - startedMs;
         this.#budgets.startLeaving();
         log.info("edge stops", { host: this.#settings.hostId, open: this.#callerServer.openRequestCount });
-        const drainLimitMs = this.#settings.graceMs - ExitReserveMs;
+        const drainLimitMs = this.#settings.graceMs - FinalWriteReserveMs;
+        const requestsEndMs = this.#settings.graceMs - ExitReserveMs;
         while (elapsedMs() < Math.min(this.#settings.drainNoticeMs, drainLimitMs)) {
             await sleep(ShutdownPollMs);
         }
+        // Until now, callers may not know that the host stops, and most requests end long before their deadline.
+        this.#callerServer.limitRequests(startedMs + requestsEndMs);
         await this.#callerServer.stopAccepting();
         const expectedUntilMs = elapsedMs() + ExpectedRequestGraceMs;
         const isRequestExpected = (): boolean =>
@@ -254,9 +263,13 @@
             Promise.all([this.#budgets.close(), this.#members.unregister()]),
             sleep(FinalWriteTimeoutMs),
         ]);
-        while (this.#callerServer.openRequestCount > 0 && elapsedMs() < drainLimitMs) {
+        while (this.#callerServer.openRequestCount > 0 && elapsedMs() < requestsEndMs) {
             await sleep(ShutdownPollMs);
         }
+        if (this.#callerServer.openRequestCount > 0) {
+            this.#callerServer.interruptRequests();
+            await sleep(LastResponsesMs);
+        }
         clearInterval(this.#tickTimer);
         this.#configuration.stop();
         this.#upstreamFeed.stop();
--- a/src/edge/flow/attemptHistory.ts
+++ b/src/edge/flow/attemptHistory.ts
@@ -6,6 +6,11 @@
 /** Maximum number of repeated sends of one request after sends that were not executed; they do not count as runs. */
 const MaxExtraSends = 2;
 
+/** @returns Whether requests of the route may run more than once. */
+export function isRepeatable({ kind, isResumable }: Route): boolean {
+    return kind === "idempotent" || (kind === "streaming" && isResumable);
+}
+
 /** Counts the sends and the possible runs of one request. */
 export class AttemptHistory {
     /** Upstreams to which the request was sent. */
@@ -32,8 +37,7 @@
 
     /** @returns Whether the request may run more than once. */
     get isRepeatable(): boolean {
-        const { kind, isResumable } = this.#route;
-        return kind === "idempotent" || (kind === "streaming" && isResumable);
+        return isRepeatable(this.#route);
     }
 
     /** @returns Whether the request may run again if its next run fails. */
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -7,6 +7,7 @@
 import type { CallerLimits, EdgeTeam, RequestMetadata, Route } from "../edgeTypes.js";
 import { EdgeCounterNames } from "../metrics.js";
 import type { RouteTable } from "../routing/routeTable.js";
+import { isRepeatable } from "./attemptHistory.js";
 import { CallerConnections, type CloseReason } from "./callerConnections.js";
 import { CallerDisconnectMonitor } from "./callerDisconnectMonitor.js";
 import { CallerResponse, type EdgeFailure } from "./callerResponse.js";
@@ -76,6 +77,9 @@
     #wasLinkBusy = false;
     #openRequestCount = 0;
     #isRefusing = false;
+    /** Monotonic time by which requests must end, in milliseconds; `undefined` while there is none. */
+    #requestsEndAtMs: number | undefined;
+    readonly #openFlows = new Map<ServerResponse, RequestFlow>();
 
     constructor(dependencies: CallerServerDependencies) {
         this.#dependencies = dependencies;
@@ -177,6 +181,18 @@
         this.#connections.endUnused();
     }
 
+    /**
+     * Refuses requests that may not end by a monotonic time in milliseconds and may not be repeated then; open ones are not affected.
+     */
+    limitRequests(requestsEndAtMs: number): void {
+        this.#requestsEndAtMs = requestsEndAtMs;
+    }
+
+    /** Ends all open requests with a failure that tells whether they may have run. */
+    interruptRequests(): void {
+        this.#openFlows.forEach(flow => flow.interrupt("ShuttingDown", "the process stops"));
+    }
+
     /** Refuses requests that still arrive on open connections, as there is no time left to complete them. */
     refuseRequests(): void {
         this.#isRefusing = true;
@@ -197,7 +213,10 @@
             return;
         }
         this.#openRequestCount++;
-        response.once("close", () => this.#openRequestCount--);
+        response.once("close", () => {
+            this.#openRequestCount--;
+            this.#openFlows.delete(response);
+        });
         response.on("error", error => log.debug("caller connection failed", { error: error.message }));
         const metadata = this.#dependencies.codec.readRequestHeaders(request.rawHeaders);
         const callerResponse = new CallerResponse(
@@ -225,7 +244,7 @@
         }
         this.#readAndRun(
             request,
-            new CallerDisconnectMonitor(request, response),
+            response,
             callerResponse,
             metadata,
             routed,
@@ -277,18 +296,27 @@
         if (length > table.configuration.limits.maxBodyBytes) {
             return { code: "BodyTooLarge", ran: "no" };
         }
+        if (!isRepeatable(route) && !this.#canEndInTime(metadata, route)) {
+            return { code: "ShuttingDown", ran: "no", retryAfterMs: 0 };
+        }
         return { table, route, team };
     }
 
+    #canEndInTime(metadata: RequestMetadata, route: Route): boolean {
+        const endsAtMs = this.#dependencies.clock.monotonicMs() + timeLimitOf(metadata, route);
+        return this.#requestsEndAtMs === undefined || endsAtMs <= this.#requestsEndAtMs;
+    }
+
     #readAndRun(
         message: IncomingMessage,
-        disconnectMonitor: CallerDisconnectMonitor,
+        response: ServerResponse,
         callerResponse: CallerResponse,
         metadata: RequestMetadata,
         { table, route, team }: RoutedRequest,
         arrivedAtMs: number,
     ): void {
-        const timeLimitMs = Math.min(metadata.deadlineMs ?? DefaultDeadlineMs, route.timeoutMs);
+        const disconnectMonitor = new CallerDisconnectMonitor(message, response);
+        const timeLimitMs = timeLimitOf(metadata, route);
         const run = (body: Buffer | undefined) => {
             const request: EdgeRequest = {
                 requestId: metadata.requestId!,
@@ -304,6 +332,7 @@
                 deadlineAtMs: arrivedAtMs + timeLimitMs,
             };
             const flow = new RequestFlow(this.#flowDependencies, request, callerResponse);
+            this.#openFlows.set(response, flow);
             disconnectMonitor.onDisconnect(() => flow.onCallerDisconnect());
             flow.run().catch((error: unknown) => {
                 log.error("request flow failed", { request: metadata.requestId, error: String(error) });
@@ -348,6 +377,11 @@
     return isFresh ? { code, ran: "no" } : { code: "NotReady", ran: "no", retryAfterMs: NotReadyRetryMs };
 }
 
+/** @returns Maximum time that a request is kept waiting, in milliseconds. */
+function timeLimitOf(metadata: RequestMetadata, route: Route): number {
+    return Math.min(metadata.deadlineMs ?? DefaultDeadlineMs, route.timeoutMs);
+}
+
 function pathOf(target: string): string {
     const query = target.indexOf("?");
     return query < 0 ? target : target.slice(0, query);
--- a/src/edge/flow/requestDescription.ts
+++ b/src/edge/flow/requestDescription.ts
@@ -3,20 +3,17 @@
 import type { EdgeRequest } from "./flowTypes.js";
 import type { ResponseTiming } from "./responseTiming.js";
 
-/** State of a request that log entries show. */
-export interface RequestState {
-    readonly history: AttemptHistory;
-    readonly timing: ResponseTiming;
-    /** Number of events relayed so far. */
-    readonly eventCount: number;
-    /** Monotonic time, in milliseconds. */
-    readonly nowMs: number;
-}
-
-/** @returns The fields by name. */
+/**
+ * @param eventCount Number of events relayed so far.
+ * @param nowMs Monotonic time, in milliseconds.
+ * @returns The fields by name.
+ */
 export function describeRequest(
     { route, team, table, arrivedAtMs }: EdgeRequest,
-    { history, timing, eventCount, nowMs }: RequestState,
+    history: AttemptHistory,
+    timing: ResponseTiming,
+    eventCount: number,
+    nowMs: number,
 ): Record<string, unknown> {
     return {
         route: route.name,
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -2,6 +2,7 @@
 import { waitForEventLoopPoll } from "../../base/eventLoopPoll.js";
 import { log } from "../../base/log.js";
 import { type ResponseTimeout, startResponseTimeout } from "../../base/responseTimeout.js";
+import type { ResultCodeName } from "../../base/resultCodes.js";
 import { EdgeCounterNames } from "../metrics.js";
 import { RequestQuarantine } from "../quarantine/requestQuarantine.js";
 import { chooseService } from "../routing/routeTable.js";
@@ -106,7 +107,10 @@
         if (this.#isQuarantined()) {
             return;
         }
-        this.#deadlineTimer = startResponseTimeout(() => this.#onTimeout(), remainingMs);
+        this.#deadlineTimer = startResponseTimeout(
+            () => this.interrupt("Overloaded", "the deadline has passed"),
+            remainingMs,
+        );
         this.#dependencies.retryBudgets.recordRequest(this.#service, this.#nowMs);
         // A request that waited in the socket's buffer is read before a disconnect of its caller, which the next poll reports.
         await waitForEventLoopPoll();
@@ -385,10 +389,16 @@
         this.#fail({ code: "UpstreamFailed", ran: this.#history.ran }, "the upstream failed");
     }
 
-    #onTimeout(): void {
-        this.#cancelAttempts();
-        const { ran } = this.#history;
-        this.#fail({ code: ran === "no" ? "Overloaded" : "UpstreamTimeout", ran }, "the deadline has passed");
+    /**
+     * Ends the request with a failure, as there is no time left for it.
+     * @param codeIfNotRun Code of the failure if the request has certainly not run.
+     */
+    interrupt(codeIfNotRun: ResultCodeName, cause: string): void {
+        if (!this.#hasEnded) {
+            this.#cancelAttempts();
+            const { ran } = this.#history;
+            this.#fail({ code: ran === "no" ? codeIfNotRun : "UpstreamTimeout", ran }, cause);
+        }
     }
 
     /** Cancels the open attempts. Output that they generated after the last event received is unknown. */
@@ -461,11 +471,6 @@
 
     /** @returns Fields that log entries about the request share. */
     #describe(): Record<string, unknown> {
-        return describeRequest(this.#request, {
-            history: this.#history,
-            timing: this.#timing,
-            eventCount: this.#relay.eventCount,
-            nowMs: this.#nowMs,
-        });
+        return describeRequest(this.#request, this.#history, this.#timing, this.#relay.eventCount, this.#nowMs);
     }
 }
