--- a/src/edge/budget/ledgerHistory.ts
+++ b/src/edge/budget/ledgerHistory.ts
@@ -3,7 +3,7 @@
  * so that nothing may be granted until the hosts have stated their shares again.
  */
 import type { HostShare, Ledger, TeamLedger } from "./ledger.js";
-import { SpendingAfterCopyMs } from "./spendingBound.js";
+import { MaxCopyAgeMs } from "./spendingBound.js";
 
 /** Time in which hosts state their shares again, also those whose share the copy lacks, in milliseconds. */
 const RestatementMs = 2_000;
@@ -139,7 +139,7 @@
 
 /** @returns Tokens that a host may hold whose share is that of a copy, if it goes on spending at the rate of its record. */
 export function maxGrantedTokens({ grantedTokens, burstTokens, releaseTokensPerS }: HostShare): number {
-    return grantedTokens + burstTokens + Math.ceil(releaseTokensPerS * SpendingAfterCopyMs / MsPerS);
+    return grantedTokens + burstTokens + Math.ceil(releaseTokensPerS * MaxCopyAgeMs / MsPerS);
 }
 
 function closedTokensOf({ closedTokens, atRiskTokens }: TeamLedger): number {
--- a/src/edge/budget/spendingBound.ts
+++ b/src/edge/budget/spendingBound.ts
@@ -21,7 +21,7 @@
 const BurstAfterMs = 2_700;
 
 /** Maximum age of the copy from which the store comes back, in milliseconds: the time whose grants and spending it lacks. */
-export const SpendingAfterCopyMs = 20_000;
+export const MaxCopyAgeMs = 20_000;
 
 /**
  * Computes how many tokens may have been spent when a record has a certain age. A running process stays within it, and its
--- a/src/edge/flow/upstreamSelector.ts
+++ b/src/edge/flow/upstreamSelector.ts
@@ -108,7 +108,9 @@
 
     /** @returns Untried upstreams that state limits. */
     get #limited(): Upstream[] {
-        return this.#untried.filter(({ entry }) => this.#dependencies.limits.isLimited(entry));
+        return this.#dependencies.limits.isEmpty ?
+            [] :
+            this.#untried.filter(({ entry }) => this.#dependencies.limits.isLimited(entry));
     }
 
     get #untried(): Upstream[] {
@@ -127,7 +129,7 @@
      */
     get #rank(): number {
         const { limits } = this.#dependencies;
-        if (!this.#untried.every(({ entry }) => limits.isLimited(entry))) {
+        if (limits.isEmpty || !this.#untried.every(({ entry }) => limits.isLimited(entry))) {
             return 0;
         }
         const { route, team, table } = this.#request;
--- a/src/edge/rateLimit/limitTracker.ts
+++ b/src/edge/rateLimit/limitTracker.ts
@@ -49,8 +49,16 @@
         this.#clock = clock;
     }
 
+    /** @returns Whether no upstream has stated a limit yet. */
+    get isEmpty(): boolean {
+        return this.#statements.size === 0;
+    }
+
     /** @returns Requests per second that the upstream takes from all hosts; `undefined` when it has no limit. */
     limitOf(upstream: UpstreamIdentity): number | undefined {
+        if (this.isEmpty) {
+            return undefined;
+        }
         const statement = this.#statements.get(identityKey(upstream));
         if (statement?.requestsPerS === undefined) {
             return undefined;
@@ -70,6 +78,9 @@
             this.#logUnreadable(upstream, stated.text);
             return false;
         }
+        if (stated.kind === "none" && this.isEmpty) {
+            return false;
+        }
         const requestsPerS = stated.kind === "rate" ? stated.requestsPerS : undefined;
         const atMs = requestsPerS === undefined ? writtenAtMs : this.#clock.monotonicMs();
         return this.record({ upstream, requestsPerS, atMs }, "response");
--- a/src/edge/rateLimit/rateLimits.ts
+++ b/src/edge/rateLimit/rateLimits.ts
@@ -76,6 +76,11 @@
         }
     }
 
+    /** @returns Whether no upstream has stated a limit yet, so that requests need not be checked. */
+    get isEmpty(): boolean {
+        return this.#tracker.isEmpty;
+    }
+
     /** @returns Whether the upstream has a limit. */
     isLimited(upstream: UpstreamIdentity): boolean {
         return this.#tracker.limitOf(upstream) !== undefined;
