--- a/src/edge/budget/ledgerHistory.ts
+++ b/src/edge/budget/ledgerHistory.ts
@@ -90,9 +90,10 @@
         if (!this.isClosedTokensDue(ledger, ownHostId, nowMs)) {
             return ledger;
         }
-        const teams = Object.entries(ledger.teams).map(([name, team]): [string, TeamLedger] => {
-            return [name, { ...team, atRiskTokens: team.atRiskTokens + this.#missingClosedTokens(name, team) }];
-        });
+        const teams = Object.entries(ledger.teams).map(([name, team]): [string, TeamLedger] => [
+            name,
+            { ...team, atRiskTokens: team.atRiskTokens + this.#missingClosedTokens(name, team) },
+        ]);
         return { ...ledger, teams: Object.fromEntries(teams) };
     }
 
@@ -132,8 +133,10 @@
         return { ...team, shares: Object.fromEntries(shares) };
     }
 
+    /** A host of an earlier release writes no history; its entry counts unless a restore was seen. */
     #hasStated(ledger: Ledger, hostId: string): boolean {
-        return (ledger.hosts[hostId]?.history ?? 0) >= this.current;
+        const history = ledger.hosts[hostId]?.history;
+        return history === undefined ? this.#begunAtMs === Number.NEGATIVE_INFINITY : history >= this.current;
     }
 }
 
