--- a/src/edge/budget/ledgerSync.ts
+++ b/src/edge/budget/ledgerSync.ts
@@ -4,7 +4,7 @@
  */
 import type { Counters } from "../../base/counters.js";
 import { log } from "../../base/log.js";
-import type { PlatformStore, WriteOutcome } from "../../platform/platformStore.js";
+import { AbsentVersion, type PlatformStore, type WriteOutcome } from "../../platform/platformStore.js";
 import { historyOf } from "../../platform/storeHistory.js";
 import { EdgeCounterNames } from "../metrics.js";
 import {
@@ -320,7 +320,7 @@
             return false;
         }
         if (outcome.status === "absent") {
-            this.#applyLedger({ ledger: EmptyLedger, version: 0 });
+            this.#applyLedger({ ledger: EmptyLedger, version: AbsentVersion });
             return true;
         }
         return this.#parseAndApply(outcome.object.value, outcome.object.version);
@@ -338,7 +338,8 @@
 
     /** Applies a ledger to the account. With a newer version, writes that expected an older one can no longer take effect. */
     #applyLedger(known: KnownLedger): void {
-        if (this.#history.observe(historyOf(known.version), this.#accounts.nowMs)) {
+        const isStored = known.version !== AbsentVersion;
+        if (isStored && this.#history.observe(historyOf(known.version), this.#accounts.nowMs)) {
             this.#keepGrants();
         }
         this.#history.recordClosedTokens(known.ledger);
--- a/src/edge/budget/storeRestore.spec.ts
+++ b/src/edge/budget/storeRestore.spec.ts
@@ -82,6 +82,16 @@
         play = new SpendingFleet(["a", "b"]);
     });
 
+    describe("given a store that has come back before the hosts start", () => {
+        it("grants at once where no ledger is stored yet (guards against a start that is taken for a restore)", async () => {
+            const fleet = new BudgetTestFleet();
+            fleet.store.history = 3;
+            const manager = fleet.startHost("a");
+            await fleet.advance([manager], 500);
+            expect(await manager.reserve("r", "t", RequestTokens, 0)).not.toSatisfy(isRefusal);
+        });
+    });
+
     describe("given a grant that the copy lacks", () => {
         it("does not give the same tokens to another host (guards against tokens that are granted twice)", async () => {
             await play.spend(1_000);
