review: case 3, silent store connections leave machines on an old version

The open connections to the store go silent for good while new ones work. Machines that are in touch again still send requests of a route to the service that the operator has taken it from (rule CONFIG).

--- a/review/lib/edge.mjs
+++ b/review/lib/edge.mjs
@@ -112,6 +112,13 @@
         this.#child.kill("SIGKILL");
     }
 
+    /** Sends a signal to the process; one that ends it counts as expected. */
+    signal(name) {
+        this.#record(`${name} to ${this.name}`);
+        this.#isEndExpected = name === "SIGTERM";
+        this.#child.kill(name);
+    }
+
     /** Ends the process for good. */
     stop() {
         this.#isStopping = true;
