--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -148,6 +148,13 @@
  */
 export async function runCase(caseUrl, play) {
     const deployment = new Deployment(caseUrl);
+    const giveUp = reason => {
+        console.error(String(reason));
+        void deployment.stop().finally(() => process.exit(NotRun));
+    };
+    process.on("SIGTERM", () => giveUp("the case took too long"));
+    process.on("SIGINT", () => giveUp("interrupted"));
+    process.on("uncaughtException", error => giveUp(error.stack));
     let exitCode = NotRun;
     try {
         await deployment.store.start();
