Reject responses whose heads cannot be passed on

The parser is the one place that all responses pass. It now rejects heads that writeHead does not accept, a change of protocol, and a 204 that announces a body. Such a response counts as a failure of its upstream at once, and work that may be repeated goes to another one.

--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -2,7 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer } from "node:net";
 import { waitForEventLoopPoll } from "../../base/eventLoopPoll.js";
-import { findInvalidHeaderName } from "../../base/headerNames.js";
+import { findInvalidHeaderName } from "../../base/headerSyntax.js";
 import { log } from "../../base/log.js";
 import type { CallerLimits, EdgeTeam, RequestMetadata, Route } from "../edgeTypes.js";
 import { EdgeCounterNames } from "../metrics.js";
--- a/src/edge/relay/relayServer.ts
+++ b/src/edge/relay/relayServer.ts
@@ -5,7 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { z } from "zod";
 import type { Clock } from "../../base/clock.js";
-import { findInvalidHeaderName } from "../../base/headerNames.js";
+import { findInvalidHeaderName } from "../../base/headerSyntax.js";
 import { log } from "../../base/log.js";
 import { StoredObjectSchema, type WatchedChange } from "../../platform/platformStore.js";
 import type { ChangeLog } from "./changeLog.js";
--- a/src/edge/transport/responseParser.ts
+++ b/src/edge/transport/responseParser.ts
@@ -1,7 +1,10 @@
 /** Strict incremental parser of HTTP/1.1 responses. */
-import { isHeaderName } from "../../base/headerNames.js";
+import { isHeaderName, isHeaderText } from "../../base/headerSyntax.js";
 
-/** Head of a response. Header names keep the case in which the upstream sent them. */
+/**
+ * Head of a response. Header names keep the case in which the upstream sent them. Status, reason phrase and headers can be written to a
+ * caller as they are; the parser rejects any others.
+ */
 export interface ResponseHead {
     readonly statusCode: number;
     readonly reasonPhrase: string;
@@ -34,11 +37,18 @@
 /** Maximum number of interim responses before the final one; no server in use sends more than two. */
 const MaxInterimResponses = 8;
 
+/** Status by which an upstream changes to another protocol, which no request here asks for. */
+const SwitchingProtocolsStatus = 101;
+/** Statuses whose responses have no body, whatever their headers state (RFC 9112, section 6.3). */
+const NoContentStatus = 204;
+const NotModifiedStatus = 304;
+
 const HeadEnd = Buffer.from("\r\n\r\n");
 const LineEnd = Buffer.from("\r\n");
 const StatusLine = /^HTTP\/1\.([01]) ([1-5][0-9][0-9])(?: ([^\r\n]*))?$/;
 /** Occurs within a head only if the head was cut off and another response follows it on the connection. */
 const JoinedStatusLine = /.HTTP\/1\.[01] [1-5][0-9][0-9]/s;
+const SurroundingSpace = /^[ \t]+|[ \t]+$/g;
 const ChunkSize = /^([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?$/;
 const NoBytes = Buffer.alloc(0);
 
@@ -258,6 +268,10 @@
     if (JoinedStatusLine.test(text)) {
         throw new ResponseSyntaxError("the head contains the status line of another response");
     }
+    const reasonPhrase = status[3] ?? "";
+    if (!isHeaderText(reasonPhrase)) {
+        throw new ResponseSyntaxError("the reason phrase has a control character");
+    }
     const headers = lines.map(parseHeader);
     const byName = new Map<string, string>();
     for (const [name, value] of headers) {
@@ -267,7 +281,7 @@
         }
         byName.set(key, byName.get(key) ?? value);
     }
-    return buildHead(Number(status[2]), status[3] ?? "", status[1] === "1", headers, byName, expectsBody);
+    return buildHead(Number(status[2]), reasonPhrase, status[1] === "1", headers, byName, expectsBody);
 }
 
 function buildHead(
@@ -278,6 +292,9 @@
     headersByName: ReadonlyMap<string, string>,
     expectsBody: boolean,
 ): ResponseHead {
+    if (statusCode === SwitchingProtocolsStatus) {
+        throw new ResponseSyntaxError("the response changes to another protocol");
+    }
     const encoding = headersByName.get("transfer-encoding");
     const length = headersByName.get("content-length");
     if (encoding !== undefined && (encoding.toLowerCase() !== "chunked" || length !== undefined)) {
@@ -286,7 +303,11 @@
     if (length !== undefined && !/^[0-9]{1,15}$/.test(length)) {
         throw new ResponseSyntaxError("the content length is not a number");
     }
-    const hasBody = expectsBody && statusCode >= 200 && statusCode !== 204 && statusCode !== 304;
+    if (statusCode === NoContentStatus && (encoding !== undefined || Number(length ?? 0) > 0)) {
+        throw new ResponseSyntaxError("a response without content announces a body");
+    }
+    const hasBody = expectsBody && statusCode >= 200 && statusCode !== NoContentStatus &&
+        statusCode !== NotModifiedStatus;
     const isChunked = hasBody && encoding !== undefined;
     const isCloseDelimited = hasBody && !isChunked && length === undefined;
     const connection = headersByName.get("connection")?.toLowerCase() ?? "";
@@ -306,8 +327,9 @@
 function parseHeader(line: string): readonly [string, string] {
     const colon = line.indexOf(":");
     const name = line.slice(0, colon);
-    if (colon < 1 || !isHeaderName(name)) {
+    const value = line.slice(colon + 1).replace(SurroundingSpace, "");
+    if (colon < 1 || !isHeaderName(name) || !isHeaderText(value)) {
         throw new ResponseSyntaxError("a header line is not valid");
     }
-    return [name, line.slice(colon + 1).trim()];
+    return [name, value];
 }
--- a/src/gateway/headerValidation.ts
+++ b/src/gateway/headerValidation.ts
@@ -1,6 +1,6 @@
 /** Validates request heads, as a guard against request smuggling and ambiguous identities. */
 import type { IncomingMessage } from "node:http";
-import { findInvalidHeaderName } from "../base/headerNames.js";
+import { findInvalidHeaderName } from "../base/headerSyntax.js";
 import { ResourceNameSchema } from "../features/config/configTypes.js";
 
 /** Headers that may appear at most once, because two readers could pick different values. */
