End only the request in whose callbacks an error is raised

Callers saw all requests of a process end with one of them: sockets, timers and promises call back outside any try block, so that an error of the program for one request ended the process. Where something caught it, the request stayed open until its deadline: its state had changed before.

CallbackGuard runs all callbacks of an attempt, of a request's flow and of the server until the flow begins. After an error the request gets a 500 with what is known of whether it ran, or its connection is closed; its tokens are settled, its attempts end, the one with the error counts as a failure of its upstream, and one log line names the request and the error. There is no handler for the whole process, which would hide errors of shared state.

--- a/src/edge/flow/attempt.ts
+++ b/src/edge/flow/attempt.ts
@@ -1,4 +1,5 @@
 /** One send of a request to one upstream. */
+import { CallbackGuard } from "../../base/callbackGuard.js";
 import type { Clock } from "../../base/clock.js";
 import { log } from "../../base/log.js";
 import { type ResponseTimeout, startResponseTimeout } from "../../base/responseTimeout.js";
@@ -48,6 +49,8 @@
     onSilence(silence: AttemptSilence, attempt: Attempt): void;
     /** Called once when the attempt has ended by itself or by {@link Attempt.interruptSilent}. */
     onEnd(outcome: AttemptOutcome, attempt: Attempt): void;
+    /** Called with an error of the program in a callback of the attempt or of this listener. The attempt has ended and counts as failed. */
+    onError(error: unknown, attempt: Attempt): void;
 }
 
 /** Request, target and time limits of an attempt. */
@@ -85,6 +88,7 @@
     readonly #clock: Clock;
     readonly #limits: RateLimits;
     readonly #listener: AttemptListener;
+    readonly #guard = new CallbackGuard(error => this.#onError(error));
     readonly #dispatch: OpenDispatch;
     readonly #connection: UpstreamConnection;
     readonly #collected: Buffer[] = [];
@@ -107,18 +111,18 @@
         this.#limits = limits;
         this.#listener = listener;
         this.#lastByteAtMs = clock.monotonicMs();
-        this.#dispatch = input.upstream.beginDispatch(input.prefillTokens, input.silentAfterMs);
         this.#connection = input.upstream.pool.acquire(input.maxIdleMs);
+        this.#dispatch = input.upstream.beginDispatch(input.prefillTokens, input.silentAfterMs);
         if (input.isSilenceReported) {
             this.#armSilenceTimer(input.silentAfterMs);
         }
         this.#connection.send(input.request, {
-            isResponseToRequest: head => this.#isResponseToRequest(head),
-            onWritten: () => this.#onWritten(),
-            onHead: head => this.#onHead(head),
-            onBody: bytes => this.#onBody(bytes),
-            onComplete: () => this.#onComplete(),
-            onFailure: (failure, detail) => this.#onFailure(failure, detail),
+            isResponseToRequest: head => this.#guard.run(() => this.#isResponseToRequest(head)) === true,
+            onWritten: this.#guard.wrap(() => this.#onWritten()),
+            onHead: this.#guard.wrap(head => this.#onHead(head)),
+            onBody: this.#guard.wrap(bytes => this.#onBody(bytes)),
+            onComplete: this.#guard.wrap(() => this.#onComplete()),
+            onFailure: this.#guard.wrap((failure, detail) => this.#onFailure(failure, detail)),
         });
     }
 
@@ -152,7 +156,7 @@
 
     /** Ends a silent attempt by closing the connection, and reports the end. */
     interruptSilent(detail: string): void {
-        this.#interrupt("silent", detail);
+        this.#guard.run(() => this.#interrupt("silent", detail));
     }
 
     /** Stops reading the response until {@link resume}, because the caller reads more slowly than the upstream sends. */
@@ -289,6 +293,17 @@
         this.#listener.onEnd({ status: "interrupted", reason, detail }, this);
     }
 
+    #onError(error: unknown): void {
+        if (this.#hasEnded) {
+            this.input.upstream.health.record("failed", this.#clock.monotonicMs());
+        }
+        else {
+            this.#finish("failed");
+            this.#connection.destroy();
+        }
+        this.#listener.onError(error, this);
+    }
+
     get #isNotExecuted(): boolean {
         return this.#metadata?.isNotExecuted === true || this.#metadata?.isWrongUpstream === true;
     }
@@ -301,7 +316,7 @@
 
     /** Checks the time of the last byte when the timer fires, so that the timer need not be reset for every byte. */
     #armSilenceTimer(delayMs: number): void {
-        this.#silenceTimer = startResponseTimeout(() => this.#checkSilence(), Math.max(1, delayMs));
+        this.#silenceTimer = startResponseTimeout(this.#guard.wrap(() => this.#checkSilence()), Math.max(1, delayMs));
     }
 
     #checkSilence(): void {
--- a/src/edge/flow/callerResponse.ts
+++ b/src/edge/flow/callerResponse.ts
@@ -1,5 +1,5 @@
 /** The response to one caller: relayed from an upstream, or an error that the edge itself reports. */
-import type { ServerResponse } from "node:http";
+import { type ServerResponse, STATUS_CODES } from "node:http";
 import { errorBody, type ExecutionState, type ResultCodeName, ResultCodes } from "../../base/resultCodes.js";
 import type { HeaderCodec } from "../protocolCodec.js";
 import type { ResponseHead } from "../transport/responseParser.js";
@@ -103,6 +103,13 @@
         this.#response.destroy();
     }
 
+    /** Closes the connection unless the response is finished or aborted. */
+    abortUnfinished(): void {
+        if (!this.#isEnded) {
+            this.abort();
+        }
+    }
+
     /**
      * Sends an error that the edge itself reports; aborts the response if it has started already.
      * @param beforeEnd Calls back when the response may end, and with it the connection; by default at once. All bytes of the response
@@ -125,7 +132,9 @@
         if (failure.retryAfterMs !== undefined) {
             headers.push("Retry-After", (failure.retryAfterMs / 1_000).toFixed(3));
         }
-        this.#writeHead(statusOf(failure), "", headers);
+        const status = statusOf(failure);
+        // The reason phrase is stated, as the response keeps that of a head that could not be written.
+        this.#writeHead(status, STATUS_CODES[status] ?? "", headers);
         this.#isEnded = true;
         this.write(body);
         beforeEnd(() => this.#response.end());
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -1,6 +1,7 @@
 /** The HTTP server for callers: reads requests, routes them and starts their flows. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer } from "node:net";
+import { CallbackGuard, describeError } from "../../base/callbackGuard.js";
 import { waitForEventLoopPoll } from "../../base/eventLoopPoll.js";
 import { findInvalidHeaderName } from "../../base/headerSyntax.js";
 import { log } from "../../base/log.js";
@@ -100,7 +101,10 @@
             requestTimeout: 0,
             connectionsCheckingInterval: HeadCheckIntervalMs,
             noDelay: true,
-        }, (request, response) => this.#onRequest(request, response));
+        }, (request, response) => {
+            const guard = new CallbackGuard(error => this.#onRequestError(error, request, response));
+            guard.run(() => this.#onRequest(request, response, guard));
+        });
         this.#byteCounter = new ConnectionByteCounter(this.#server);
         this.#connections = new CallerConnections(
             this.#server,
@@ -204,7 +208,8 @@
         this.#server.closeAllConnections();
     }
 
-    #onRequest(request: IncomingMessage, response: ServerResponse): void {
+    /** @param guard Runs the callbacks of the request until its flow begins. */
+    #onRequest(request: IncomingMessage, response: ServerResponse, guard: CallbackGuard): void {
         const arrivedAtMs = this.#dependencies.clock.monotonicMs();
         const isHeadValid = findInvalidHeaderName(request.rawHeaders) === undefined;
         const closeReason = isHeadValid ? this.#closeReason(arrivedAtMs) : "unreadable";
@@ -239,7 +244,7 @@
                 configuration: this.#dependencies.configuration().routeTable?.configuration.version,
                 ...routed,
             });
-            callerResponse.sendError(routed, end => discardBody(request, end));
+            callerResponse.sendError(routed, end => discardBody(request, guard.wrap(end)));
             return;
         }
         this.#readAndRun(
@@ -249,9 +254,29 @@
             metadata,
             routed,
             arrivedAtMs,
+            guard,
         );
     }
 
+    /** Ends a request after an error of the program that occurred before its flow began; it has not run. */
+    #onRequestError(error: unknown, request: IncomingMessage, response: ServerResponse): void {
+        const { codec, metrics } = this.#dependencies;
+        log.error("request not handled", {
+            request: request.headers[codec.requestIdHeader.toLowerCase()],
+            error: describeError(error),
+        });
+        const ignore = (): void => undefined;
+        const callerResponse = new CallerResponse(response, codec, undefined, ignore, ignore);
+        try {
+            callerResponse.sendError({ code: "InternalError", ran: "no" });
+        }
+        catch (secondError) {
+            log.error("request not answered", { error: describeError(secondError) });
+        }
+        callerResponse.abortUnfinished();
+        metrics.counters.add(EdgeCounterNames.requestsFailed);
+    }
+
     /** Handles a request that arrived while its connection was being closed. It is not run, as no response could be sent. */
     #ignore(request: IncomingMessage): void {
         const { requestId } = this.#dependencies.codec.readRequestHeaders(request.rawHeaders);
@@ -314,6 +339,7 @@
         metadata: RequestMetadata,
         { table, route, team }: RoutedRequest,
         arrivedAtMs: number,
+        guard: CallbackGuard,
     ): void {
         const disconnectMonitor = new CallerDisconnectMonitor(message, response);
         const timeLimitMs = timeLimitOf(metadata, route);
@@ -334,10 +360,7 @@
             const flow = new RequestFlow(this.#flowDependencies, request, callerResponse);
             this.#openFlows.set(response, flow);
             disconnectMonitor.onDisconnect(() => flow.onCallerDisconnect());
-            flow.run().catch((error: unknown) => {
-                log.error("request flow failed", { request: metadata.requestId, error: String(error) });
-                callerResponse.abort();
-            });
+            void flow.run();
         };
         if (!hasBody(message)) {
             run(undefined);
@@ -352,13 +375,15 @@
                 ...this.#flowDependencies.hostLoad(),
             });
         });
-        collectBody(message, table.configuration.limits.maxBodyBytes, body => {
+        const onBody = (body: Buffer | undefined): void => {
             if (body === undefined) {
-                callerResponse.sendError({ code: "BodyTooLarge", ran: "no" }, end => discardBody(message, end));
+                const discardRest = (end: () => void): void => discardBody(message, guard.wrap(end));
+                callerResponse.sendError({ code: "BodyTooLarge", ran: "no" }, discardRest);
                 return;
             }
             run(body);
-        });
+        };
+        collectBody(message, table.configuration.limits.maxBodyBytes, guard.wrap(onBody));
     }
 }
 
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -1,4 +1,5 @@
 /** Carries one routed request to its end: reserves tokens, sends it, relays the response and settles its cost. */
+import { CallbackGuard, describeError } from "../../base/callbackGuard.js";
 import { waitForEventLoopPoll } from "../../base/eventLoopPoll.js";
 import { log } from "../../base/log.js";
 import { type ResponseTimeout, startResponseTimeout } from "../../base/responseTimeout.js";
@@ -20,8 +21,8 @@
 import { OutcomeCounters, type RequestOutcome } from "./requestOutcome.js";
 import { ResendPolicy } from "./resendPolicy.js";
 import { ResponseTiming } from "./responseTiming.js";
-import { ParallelSilenceHandler, SequentialSilenceHandler, type SilenceDelegate } from "./silenceHandler.js";
-import { StreamRelay } from "./streamRelay.js";
+import { SilenceHandlers } from "./silenceHandler.js";
+import { checkStreamEnd, isStream, StreamRelay } from "./streamRelay.js";
 import { UpstreamSelector } from "./upstreamSelector.js";
 
 /**
@@ -42,14 +43,12 @@
     readonly #budget: RequestBudget;
     readonly #upstreams: UpstreamSelector;
     readonly #resendPolicy: ResendPolicy;
-    readonly #parallelSilence: ParallelSilenceHandler;
-    readonly #sequentialSilence: SequentialSilenceHandler;
-    readonly #openAttempts = new OpenAttempts();
+    readonly #silenceHandlers: SilenceHandlers;
+    readonly #openAttempts: OpenAttempts;
     readonly #timing: ResponseTiming;
     readonly #quarantine: RequestQuarantine;
+    readonly #guard = new CallbackGuard(error => this.onError(error));
     #deadlineTimer: ResponseTimeout | undefined;
-    /** Whether an attempt was cancelled after its request was written. */
-    #wasAttemptCancelled = false;
     /** Whether the caller disconnected while a request that may not be repeated continues. */
     #hasCallerDisconnected = false;
     #hasEnded = false;
@@ -67,6 +66,7 @@
             request.metadata.tokenCounts?.maxOutputTokens,
         );
         this.#history = new AttemptHistory(request.route);
+        this.#openAttempts = new OpenAttempts(request.requestId, this.#history);
         this.#timing = new ResponseTiming(request.arrivedAtMs);
         this.#budget = new RequestBudget(
             dependencies.budgets,
@@ -84,14 +84,12 @@
             upstreams: this.#upstreams,
             quarantine: this.#quarantine,
         });
-        const silenceDelegate: SilenceDelegate = {
+        this.#silenceHandlers = new SilenceHandlers({
             counters: dependencies.metrics.counters,
             resendPolicy: this.#resendPolicy,
             describe: () => ({ request: request.requestId, ...this.#describe() }),
-            sendNext: () => this.#sendNext(),
-        };
-        this.#parallelSilence = new ParallelSilenceHandler(silenceDelegate);
-        this.#sequentialSilence = new SequentialSilenceHandler(silenceDelegate);
+            sendNext: this.#guard.wrap(() => this.#sendNext()),
+        });
     }
 
     /**
@@ -99,6 +97,15 @@
      * by events.
      */
     async run(): Promise<void> {
+        try {
+            await this.#run();
+        }
+        catch (error) {
+            this.onError(error);
+        }
+    }
+
+    async #run(): Promise<void> {
         const remainingMs = this.#remainingMs;
         if (remainingMs <= 0) {
             this.#fail({ code: "Overloaded", ran: "no" }, "the deadline passed before the request was started");
@@ -117,10 +124,9 @@
         if (this.#hasEnded) {
             return;
         }
-        if (!await this.#reserve() || this.#hasEnded) {
-            return;
+        if (await this.#reserve() && !this.#hasEnded) {
+            this.#sendNext();
         }
-        this.#sendNext();
     }
 
     /**
@@ -128,6 +134,10 @@
      * cancelled, unless it may not be repeated and is written already.
      */
     onCallerDisconnect(): void {
+        this.#guard.run(() => this.#endForDisconnect());
+    }
+
+    #endForDisconnect(): void {
         if (this.#hasEnded) {
             return;
         }
@@ -145,7 +155,7 @@
             });
             return;
         }
-        this.#cancelAttempts();
+        this.#openAttempts.cancelAll(this.#relay.hasRelayedEvents);
         this.#conclude("callerGone", details);
     }
 
@@ -161,11 +171,10 @@
     onHead(head: ResponseHead, attempt: Attempt): boolean {
         this.#timing.recordHead(attempt.headAtMs);
         this.#dependencies.metrics.recordTimeToFirstByte(this.#nowMs - this.#request.arrivedAtMs);
-        const isStream = head.headersByName.get("content-type")?.startsWith("text/event-stream") === true;
-        if (!isStream || head.statusCode >= 300) {
+        if (!isStream(head)) {
             return false;
         }
-        this.#cancelOthers(attempt);
+        this.#openAttempts.cancelOthers(attempt);
         return this.#relay.begin(head);
     }
 
@@ -180,17 +189,14 @@
             return true;
         }
         if (outcome === "callerIsSlow") {
-            this.#response.onceDrained(() => attempt.resume());
+            this.#response.onceDrained(this.#guard.wrap(() => attempt.resume()));
         }
         return outcome === "written";
     }
 
     /** Handles the silence of an attempt. */
     onSilence(silence: AttemptSilence, attempt: Attempt): void {
-        const { kind, isGeneration } = this.#request.route;
-        // Two runs of a generation would take the slots of two engines, and only one stream can be relayed.
-        const mayRunInParallel = kind === "idempotent" && !isGeneration && !this.#relay.isOpen;
-        (mayRunInParallel ? this.#parallelSilence : this.#sequentialSilence).onSilence(silence, attempt);
+        this.#silenceHandlers.select(this.#request.route, this.#relay.isOpen).onSilence(silence, attempt);
     }
 
     /** Records the end of an attempt, then completes the request, sends it again, waits for another or reports a failure. */
@@ -198,7 +204,7 @@
         if (this.#hasEnded) {
             return;
         }
-        const outcome = this.#checkStreamEnd(attemptOutcome);
+        const outcome = checkStreamEnd(attemptOutcome, this.#relay);
         this.#openAttempts.remove(attempt);
         if (outcome.status === "interrupted") {
             this.#relay.interrupt();
@@ -213,7 +219,7 @@
             outcome,
             attempt.input.upstream,
             this.#relay.eventCount,
-            mayRepeat => this.#continueAfter(outcome, mayRepeat),
+            this.#guard.wrap(mayRepeat => this.#continueAfter(outcome, mayRepeat)),
         );
     }
 
@@ -242,20 +248,13 @@
         });
     }
 
-    /** @returns The outcome; that of an attempt that broke off if the end of the response breaks its stream off. */
-    #checkStreamEnd(outcome: AttemptOutcome): AttemptOutcome {
-        return outcome.status === "answered" && this.#relay.isBrokenOffByEnd(outcome.head) ?
-            { status: "interrupted", reason: "brokenOff", detail: "the stream ended before or within an event" } :
-            outcome;
-    }
-
     /** Sends the request again after this turn of the event loop, which may also report that the caller has disconnected. */
     #scheduleResend(): void {
-        setImmediate(() => {
+        setImmediate(this.#guard.wrap(() => {
             if (!this.#hasEnded) {
                 this.#sendNext();
             }
-        });
+        }));
     }
 
     get #nowMs(): number {
@@ -306,7 +305,7 @@
             return;
         }
         if (upstream === undefined) {
-            this.#upstreams.requestLimited(limited => this.#sendTo(limited));
+            this.#upstreams.requestLimited(this.#guard.wrap(limited => this.#sendTo(limited)));
             return;
         }
         this.#sendTo(upstream);
@@ -372,7 +371,7 @@
             this.#giveUp(failed);
             return;
         }
-        this.#cancelOthers(attempt);
+        this.#openAttempts.cancelOthers(attempt);
         this.#timing.recordHead(attempt.headAtMs);
         this.#response.start(head);
         this.#response.end(body);
@@ -394,35 +393,32 @@
      * @param codeIfNotRun Code of the failure if the request has certainly not run.
      */
     interrupt(codeIfNotRun: ResultCodeName, cause: string): void {
-        if (!this.#hasEnded) {
-            this.#cancelAttempts();
-            const { ran } = this.#history;
-            this.#fail({ code: ran === "no" ? codeIfNotRun : "UpstreamTimeout", ran }, cause);
-        }
-    }
-
-    /** Cancels the open attempts. Output that they generated after the last event received is unknown. */
-    #cancelAttempts(): void {
-        for (const attempt of this.#openAttempts.cancelAll()) {
-            if (attempt.writtenAtMs !== undefined) {
-                this.#wasAttemptCancelled = true;
-                this.#history.recordCancellation(this.#relay.hasRelayedEvents);
+        this.#guard.run(() => {
+            if (!this.#hasEnded) {
+                this.#openAttempts.cancelAll(this.#relay.hasRelayedEvents);
+                const { ran } = this.#history;
+                this.#fail({ code: ran === "no" ? codeIfNotRun : "UpstreamTimeout", ran }, cause);
             }
-        }
+        });
     }
 
-    /** Cancels the other attempts, as the response of one is relayed. */
-    #cancelOthers(attempt: Attempt): void {
-        for (const { input, isSilent, writtenAtMs } of this.#openAttempts.cancelAll(attempt)) {
-            if (writtenAtMs !== undefined) {
-                this.#history.recordCancelledRun();
-            }
-            log.info("attempt cancelled: another one was answered", {
-                request: this.#request.requestId,
-                upstream: input.upstream.entry.id,
-                isSilent,
-                answeredBy: attempt.input.upstream.entry.id,
-            });
+    /**
+     * Ends the request after an error of the program, which must not affect the requests of other callers. What the error left undone is
+     * unknown, so that a request that was sent counts as one that may have run.
+     */
+    onError(error: unknown): void {
+        const { requestId } = this.#request;
+        log.error("request failed by an internal error", { request: requestId, error: describeError(error) });
+        try {
+            this.#openAttempts.cancelAll(this.#relay.hasRelayedEvents);
+            const ran = this.#history.sendCount === 0 ? "no" : this.#history.ran === "yes" ? "yes" : "unknown";
+            this.#fail({ code: "InternalError", ran }, "internal error");
+        }
+        catch (secondError) {
+            log.error("request not concluded", { request: requestId, error: describeError(secondError) });
+        }
+        finally {
+            this.#response.abortUnfinished();
         }
     }
 
@@ -434,8 +430,12 @@
         if (this.#hasEnded) {
             return;
         }
-        this.#response.sendError(failure);
-        this.#conclude("failed", { ...failure, cause });
+        try {
+            this.#response.sendError(failure);
+        }
+        finally {
+            this.#conclude("failed", { ...failure, cause });
+        }
     }
 
     /** Ends the request: settles its tokens, counts its outcome and logs it. */
@@ -465,7 +465,7 @@
             tokensPerEvent: this.#request.table.findService(this.#service)?.engine?.tokensPerEvent,
             eventCount: this.#relay.eventCount,
             isComplete,
-            isCancelled: this.#wasAttemptCancelled,
+            isCancelled: this.#openAttempts.wasRunCancelled,
         });
     }
 
--- a/src/edge/flow/resendPolicy.spec.ts
+++ b/src/edge/flow/resendPolicy.spec.ts
@@ -10,10 +10,11 @@
     function createPolicy(mayRepeat: boolean): ResendPolicy {
         const route = { kind: "idempotent", isResumable: false, maxAttempts: 3, objectiveMs: 100 };
         const request = { route, deadlineAtMs: 5_000 } as unknown as EdgeRequest;
+        const history = new AttemptHistory(request.route);
         const state = {
             service: "s",
-            history: new AttemptHistory(request.route),
-            openAttempts: new OpenAttempts(),
+            history,
+            openAttempts: new OpenAttempts("r", history),
             relay: { hasRelayedEvents: false, lastEventId: undefined },
             upstreams: { hasUntried: true, hasHealthyUntried: true },
             quarantine: { mayRepeat },
--- a/src/edge/flow/silenceHandler.ts
+++ b/src/edge/flow/silenceHandler.ts
@@ -1,6 +1,7 @@
 /** Decides what happens to a request whose upstream sends no bytes for a time. */
 import type { Counters } from "../../base/counters.js";
 import { log } from "../../base/log.js";
+import type { Route } from "../edgeTypes.js";
 import { EdgeCounterNames } from "../metrics.js";
 import type { Reachability } from "../upstream/upstream.js";
 import type { Attempt, AttemptSilence } from "./attempt.js";
@@ -123,3 +124,23 @@
         }
     }
 }
+
+/** The handlers of one request, whose streams and other responses are handled differently. */
+export class SilenceHandlers {
+    readonly #parallel: ParallelSilenceHandler;
+    readonly #sequential: SequentialSilenceHandler;
+
+    constructor(delegate: SilenceDelegate) {
+        this.#parallel = new ParallelSilenceHandler(delegate);
+        this.#sequential = new SequentialSilenceHandler(delegate);
+    }
+
+    /**
+     * Two runs of a generation would take the slots of two engines, and only one stream can be relayed.
+     * @param isRelaying Whether a stream is being relayed.
+     */
+    select({ kind, isGeneration }: Route, isRelaying: boolean): SilenceHandler {
+        const mayRunInParallel = kind === "idempotent" && !isGeneration && !isRelaying;
+        return mayRunInParallel ? this.#parallel : this.#sequential;
+    }
+}
--- a/src/edge/flow/streamRelay.ts
+++ b/src/edge/flow/streamRelay.ts
@@ -1,6 +1,7 @@
 /** Relays the events of one stream, which may come from several upstreams in succession. */
 import { EventSplitter, type StreamEvent } from "../transport/eventSplitter.js";
 import type { ResponseHead } from "../transport/responseParser.js";
+import type { AttemptOutcome } from "./attempt.js";
 import type { CallerResponse } from "./callerResponse.js";
 
 /** Result of relaying a piece of the stream; after the last two the stream is closed. */
@@ -142,6 +143,18 @@
     }
 }
 
+/** @returns Whether a response is a successful stream of events. */
+export function isStream({ statusCode, headersByName }: ResponseHead): boolean {
+    return statusCode < 300 && headersByName.get("content-type")?.startsWith("text/event-stream") === true;
+}
+
+/** @returns The outcome; that of an attempt that broke off if the end of the response breaks its stream off. */
+export function checkStreamEnd(outcome: AttemptOutcome, relay: StreamRelay): AttemptOutcome {
+    return outcome.status === "answered" && relay.isBrokenOffByEnd(outcome.head) ?
+        { status: "interrupted", reason: "brokenOff", detail: "the stream ended before or within an event" } :
+        outcome;
+}
+
 /** @returns The head without `Content-Length`, as the events of another upstream may follow. */
 function withoutLength(head: ResponseHead): ResponseHead {
     return { ...head, headers: head.headers.filter(([name]) => name.toLowerCase() !== "content-length") };
--- a/src/edge/quarantine/requestQuarantine.ts
+++ b/src/edge/quarantine/requestQuarantine.ts
@@ -62,7 +62,7 @@
     /**
      * Examines the failure of an attempt, if its upstream may have crashed.
      * @param eventCount Number of events relayed so far.
-     * @param onExamined Called, perhaps at once, with whether the prompt allows that the request is sent again.
+     * @param onExamined Called, perhaps at once, with whether the prompt allows that the request is sent again; must not throw.
      */
     examineFailure(
         outcome: AttemptOutcome,
@@ -82,8 +82,9 @@
             onExamined(true);
             return;
         }
-        examination.then(onExamined).catch((error: unknown) =>
-            log.error("request not continued after a failed attempt", { error: String(error) })
-        );
+        examination.then(onExamined, (error: unknown) => {
+            log.error("broken connection of an upstream not examined", { error: String(error) });
+            onExamined(false);
+        });
     }
 }
