--- a/src/edge/peers/peerChannel.ts
+++ b/src/edge/peers/peerChannel.ts
@@ -2,6 +2,7 @@
 import { createSocket, type Socket } from "node:dgram";
 import { z } from "zod";
 import { splitAddress } from "../../base/address.js";
+import { describeError } from "../../base/callbackGuard.js";
 import { log } from "../../base/log.js";
 import {
     HandoverSchema,
@@ -18,6 +19,9 @@
 /** Maximum size of a datagram, in bytes; it fits into one packet on common links. */
 export const MaxDatagramBytes = 1_400;
 
+/** Minimum time between two log lines about messages whose handling failed, in milliseconds: hosts send several messages a second. */
+const MinErrorLogIntervalMs = 1_000;
+
 /** A message between hosts; `k` is the kind. */
 export const PeerMessageSchema = z.discriminatedUnion("k", [
     LoadReportSchema,
@@ -57,6 +61,8 @@
     readonly #listeners: PeerMessageListener[] = [];
     #socket: Socket | undefined;
     #hasLoggedTooLarge = false;
+    #errorCount = 0;
+    #errorLoggedAtMs = Number.NEGATIVE_INFINITY;
 
     /**
      * @param isKnownHost Returns whether an address belongs to another host; messages of other senders are dropped.
@@ -111,7 +117,23 @@
         }
         const message = parseMessage(bytes);
         if (message !== undefined) {
-            this.#listeners.forEach(listener => listener(message, sender));
+            this.#listeners.forEach(listener => this.#notify(listener, message, sender));
+        }
+    }
+
+    /** An error in the handling of one message must not end the process. */
+    #notify(listener: PeerMessageListener, message: PeerMessage, sender: string): void {
+        try {
+            listener(message, sender);
+        }
+        catch (error) {
+            this.#errorCount++;
+            const nowMs = performance.now();
+            if (nowMs - this.#errorLoggedAtMs >= MinErrorLogIntervalMs) {
+                this.#errorLoggedAtMs = nowMs;
+                const count = this.#errorCount;
+                log.error("peer message not handled", { kind: message.k, sender, count, error: describeError(error) });
+            }
         }
     }
 }
--- a/src/edge/relay/relay.spec.ts
+++ b/src/edge/relay/relay.spec.ts
@@ -1,5 +1,5 @@
 import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, connect } from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { ManualClock } from "../../base/clock.js";
 import { Counters } from "../../base/counters.js";
@@ -51,6 +51,16 @@
     }
 }
 
+/** Sends text on a new connection and collects the received bytes until the connection closes. */
+function sendRaw(port: number, text: string): Promise<string> {
+    return new Promise(resolve => {
+        let received = "";
+        const socket = connect(port, "127.0.0.1", () => socket.write(text));
+        socket.on("data", bytes => received += bytes.toString());
+        socket.on("close", () => resolve(received));
+    });
+}
+
 describe("RelayedStore", () => {
     const clock = new ManualClock();
     let client: RelayClient;
@@ -167,6 +177,21 @@
         });
     });
 
+    describe("given a request whose target is not valid", () => {
+        it.each(["//", "http://["])(
+            "refuses %s and goes on (guards against one request that ends the process)",
+            async target => {
+                const [{ peerAddress = "" } = {}] = watchSource.kind === "askWatchers" ? watchSource.hosts : [];
+                const port = Number(peerAddress.split(":")[1]);
+                const text = `GET ${target} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n`;
+                expect(await sendRaw(port, text)).toContain("HTTP/1.1 400 ");
+                watcherStore.nextOutcome = { status: "changed", changes: [change(11)], revision: 11 };
+                await watcher.watch("k/", 10, 3_000);
+                expect(await follower.watch("k/", 10, 3_000)).toMatchObject({ status: "changed" });
+            },
+        );
+    });
+
     describe("given a watcher that cannot be used", () => {
         const watchThenGetStoreCalls = async () => {
             await follower.watch("k/", 10, 3_000);
--- a/src/edge/relay/relayServer.ts
+++ b/src/edge/relay/relayServer.ts
@@ -4,6 +4,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { z } from "zod";
+import { CallbackGuard, describeError } from "../../base/callbackGuard.js";
 import type { Clock } from "../../base/clock.js";
 import { findInvalidHeaderName } from "../../base/headerSyntax.js";
 import { log } from "../../base/log.js";
@@ -15,7 +16,10 @@
 /** Path of the endpoint for changes. Earlier releases, whose revisions have no history, serve another one. */
 export const RelayPath = "/v2/changes";
 
-/** Status of a response to a head with an invalid header name. */
+/** Base of the targets of requests. */
+const RelayBase = "http://relay";
+
+/** Status of a response to a request with an invalid header name or target. */
 const MalformedStatus = 400;
 
 /** Status of a response by a healthy watcher whose caller must read the changes from the store. */
@@ -60,7 +64,12 @@
 
     constructor(dependencies: RelayServerDependencies) {
         this.#dependencies = dependencies;
-        this.#server = createServer((request, response) => this.#serve(request, response));
+        this.#server = createServer((request, response) => {
+            new CallbackGuard(error => {
+                log.error("request of another host not handled", { error: describeError(error) });
+                response.destroy();
+            }).run(() => this.#serve(request, response));
+        });
     }
 
     /**
@@ -87,7 +96,12 @@
             sendJson(response, MalformedStatus, {});
             return;
         }
-        const url = new URL(request.url ?? "/", "http://relay");
+        const target = request.url ?? "/";
+        if (!URL.canParse(target, RelayBase)) {
+            sendJson(response, MalformedStatus, {});
+            return;
+        }
+        const url = new URL(target, RelayBase);
         if (url.pathname === StoreProxyPath) {
             void this.#dependencies.storeProxy.serve(request, response);
             return;
