Record evidence against prompt parts in the store

Parts with more than one crash are now kept in one object of the store, and a host reads it before it judges a request with shared prompt parts; it is not ready before. A single crash costs no call. Of a part that is not quarantined, only as many crashes are kept as do not suffice for a quarantine, since the outage that may explain them is not recorded.

--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -179,7 +179,12 @@
             otherHosts: () => this.#members.otherHosts,
         };
         this.#loadReporter = new LoadReporter({ ...peerDependencies, random: this.#random });
-        this.#quarantine = new PromptQuarantine({ ...peerDependencies, counters: this.#metrics.counters });
+        this.#quarantine = new PromptQuarantine({
+            ...peerDependencies,
+            counters: this.#metrics.counters,
+            store: this.#store,
+            recordKey: dependencies.objectCodec.evidenceKey,
+        });
         this.#limits = new RateLimits({ ...peerDependencies, counters: this.#metrics.counters });
         this.#callerServer = this.#createCallerServer();
         this.#readinessServer = createServer((_request, response) => {
@@ -191,7 +196,7 @@
     /** @returns Whether a request accepted now could be served, and the link has capacity for more callers. */
     get isReady(): boolean {
         return !this.#isLeaving && !this.#callerServer.isLinkBusy && this.#configuration.routeTable !== undefined &&
-            !this.#directory.isEmpty;
+            !this.#directory.isEmpty && this.#quarantine.isInformed;
     }
 
     /**
@@ -203,6 +208,7 @@
         const readiness = splitAddress(this.#settings.listen.readiness);
         this.#configuration.start();
         this.#upstreamFeed.start();
+        this.#quarantine.start();
         const callerPort = await this.#callerServer.start(caller.host, caller.port);
         await new Promise<void>((resolve, reject) => {
             this.#readinessServer.once("error", reject);
@@ -342,6 +348,7 @@
         const { storeHistory } = this.#configuration;
         if (this.#storeHistory !== undefined && storeHistory !== this.#storeHistory) {
             this.#members.onStoreRestored();
+            this.#quarantine.onStoreRestored();
             this.#budgets.onStoreRestored(storeHistory ?? 0);
         }
         this.#storeHistory = storeHistory;
--- a/src/edge/protocolCodec.ts
+++ b/src/edge/protocolCodec.ts
@@ -46,6 +46,9 @@
     /** Common prefix of the keys under which the edge stores budgets. */
     abstract get budgetPrefix(): string;
 
+    /** Key of the object in which the edge records evidence of prompt parts that crash upstreams. */
+    abstract get evidenceKey(): string;
+
     /** Common prefix of the keys under which each host of the edge stores its address. */
     abstract get hostPrefix(): string;
 
--- a/src/edge/quarantine/promptQuarantine.spec.ts
+++ b/src/edge/quarantine/promptQuarantine.spec.ts
@@ -1,6 +1,7 @@
-import { beforeEach, describe, expect, it } from "vitest";
+import { beforeEach, describe, expect, it, vi } from "vitest";
 import { ManualClock } from "../../base/clock.js";
 import { Counters } from "../../base/counters.js";
+import { FaultyStore } from "../../standins/budgetTestFleet.js";
 import { RecordingPeerChannel } from "../../standins/recordingPeerChannel.js";
 import type { RequestMetadata } from "../edgeTypes.js";
 import type { ReportingHost } from "../peers/loadGatherers.js";
@@ -41,21 +42,28 @@
     let quarantine: PromptQuarantine;
     let otherHosts: ReportingHost[];
 
-    beforeEach(() => {
+    beforeEach(async () => {
         otherHosts = [{ hostId: "front-2", zone: "a", peerAddress: "10.0.0.2:1" }];
         clock = new ManualClock();
         clock.advance(60_000);
         channel = new RecordingPeerChannel();
-        quarantine = new PromptQuarantine({
+        quarantine = createQuarantine();
+        quarantine.start();
+        await vi.waitFor(() => expect(quarantine.isInformed).toBe(true));
+    });
+
+    const createQuarantine = (): PromptQuarantine =>
+        new PromptQuarantine({
             clock,
             counters: new Counters(),
             channel,
             directory: new UpstreamDirectory(clock),
+            store: new FaultyStore(),
+            recordKey: "quarantine/evidence",
             ownHost: { hostId: "front-1", zone: "a", peerAddress: "10.0.0.1:1" },
             incarnation: "1",
             otherHosts: () => otherHosts,
         });
-    });
 
     /** Lets two other hosts state crashes that lead to a quarantine. */
     const quarantineDeadPart = () => {
@@ -66,6 +74,16 @@
     /** @returns Time of the quarantine that is left, in milliseconds. */
     const remainingMs = (): number => quarantine.findQuarantined(metadataOf(DeadPart))?.retryAfterMs ?? 0;
 
+    describe("given recorded evidence that is not read yet", () => {
+        it("refuses requests with shared parts as not run (guards against requests sent without the evidence)", () => {
+            const starting = createQuarantine();
+            starting.start();
+            const refusal = new RequestQuarantine(starting, metadataOf(DeadPart), "s").findRefusal("no", 1_000);
+            expect(refusal?.failure).toEqual({ code: "NotReady", ran: "no", retryAfterMs: 200 });
+            expect(new RequestQuarantine(starting, metadataOf(), "s").findRefusal("no", 1_000)).toBeUndefined();
+        });
+    });
+
     describe("given evidence of two other hosts", () => {
         it("refuses requests with the part, but not those that end with it (guards against a verdict on one host only)", () => {
             quarantineDeadPart();
--- a/src/edge/quarantine/promptQuarantine.ts
+++ b/src/edge/quarantine/promptQuarantine.ts
@@ -4,6 +4,7 @@
 import { rendezvousOrder } from "../../base/hashing.js";
 import { log } from "../../base/log.js";
 import { startResponseTimeout } from "../../base/responseTimeout.js";
+import type { PlatformStore } from "../../platform/platformStore.js";
 import type { PromptPart, RequestMetadata } from "../edgeTypes.js";
 import { EdgeCounterNames } from "../metrics.js";
 import type { ReportingHost } from "../peers/loadGatherers.js";
@@ -13,6 +14,7 @@
 import { UpstreamProber } from "../upstream/upstreamProber.js";
 import { CrashDetector } from "./crashDetector.js";
 import { EvidenceExchange } from "./evidenceExchange.js";
+import { EvidenceRecordSync } from "./evidenceRecordSync.js";
 import { QuarantineTracker } from "./quarantineTracker.js";
 import type { QuarantineDecision, QuarantineDecisionKind, QuarantineVerdict } from "./quarantineTypes.js";
 
@@ -58,6 +60,9 @@
     readonly counters: Counters;
     readonly channel: PeerChannel;
     readonly directory: UpstreamDirectory;
+    readonly store: PlatformStore;
+    /** Key of the stored record of evidence. */
+    readonly recordKey: string;
     readonly ownHost: ReportingHost;
     /** Id of this start of the process. */
     readonly incarnation: string;
@@ -71,6 +76,7 @@
     readonly #tracker: QuarantineTracker;
     readonly #detector: CrashDetector;
     readonly #exchange: EvidenceExchange;
+    readonly #recordSync: EvidenceRecordSync;
     /** Requests that were let through as a trial, which are checked again before they are sent. */
     readonly #trials = new WeakSet<RequestMetadata>();
     #isTrialGranted = false;
@@ -81,10 +87,18 @@
         this.#tracker = new QuarantineTracker({
             ownHostId: ownHost.hostId,
             isTrialHost: partId => this.#isTrialHost(partId),
-            hasUpstreamEnded: ({ upstreamId, startedAtMs }) => directory.hasEnded(upstreamId, startedAtMs),
+            hasUpstreamEnded: ({ upstreamId, startedAtMs }) =>
+                directory.hasEnded(upstreamId, startedAtMs) || directory.isSucceeded(upstreamId, startedAtMs),
             onDecision: decision => this.#onDecision(decision),
         });
         this.#exchange = new EvidenceExchange({ ...dependencies, tracker: this.#tracker });
+        this.#recordSync = new EvidenceRecordSync({
+            clock,
+            store: dependencies.store,
+            key: dependencies.recordKey,
+            tracker: this.#tracker,
+            isResponsible: partId => this.#isTrialHost(partId),
+        });
         this.#detector = new CrashDetector({
             clock,
             directory,
@@ -96,6 +110,26 @@
         });
     }
 
+    /** Starts to read the evidence that earlier processes have recorded. */
+    start(): void {
+        this.#recordSync.start();
+    }
+
+    /** @returns Whether requests may be judged, as the recorded evidence is known. */
+    get isInformed(): boolean {
+        return this.#recordSync.isInformed;
+    }
+
+    /** @returns Whether the request must not be sent yet: parts of its prompt cannot be judged. */
+    isUndecided({ promptParts }: RequestMetadata): boolean {
+        return !this.isInformed && sharedPartIds(promptParts).length > 0;
+    }
+
+    /** Must be called when the store has come back from a copy. */
+    onStoreRestored(): void {
+        this.#recordSync.onStoreRestored();
+    }
+
     /** Records the arrival of a request. */
     recordRequest(service: string, { promptParts }: RequestMetadata): void {
         this.#tracker.recordRequest(service, sharedPartIds(promptParts), this.#nowMs);
@@ -154,6 +188,7 @@
     tick(): void {
         this.#detector.tick();
         this.#exchange.tick();
+        this.#recordSync.tick();
     }
 
     /** @returns What is known about suspected and quarantined parts, for the state dump. */
--- a/src/edge/quarantine/quarantineTracker.ts
+++ b/src/edge/quarantine/quarantineTracker.ts
@@ -7,6 +7,7 @@
 import { CrashLog } from "./crashLog.js";
 import { PartFrequency } from "./partFrequency.js";
 import {
+    type EvidenceToRecord,
     MaxIdLength,
     type PartEvidence,
     type PartExplanation,
@@ -36,6 +37,9 @@
 /** Ends of upstreams that this host must know of itself before it relies on the word of one other host. */
 const MinConfirmedEnds = 3;
 
+/** Crashes from which a part is suspected beyond chance: its requests are not sent again, and a restart must not forget it. */
+const MinSuspectedCrashes = 2;
+
 /** Time for which this host's completion of a suspected part is sent, in milliseconds. */
 const ClearanceSendMs = 15_000;
 
@@ -105,6 +109,15 @@
         }
     }
 
+    /** Records evidence that hosts have stored, perhaps long ago; what has expired since is dropped. */
+    recordStoredEvidence(evidence: PartEvidence, hostIds: readonly string[], nowMs: number): void {
+        hostIds.forEach(hostId => this.recordEvidence(evidence, hostId, nowMs));
+        const part = this.#parts.get(evidence.partId);
+        if (part !== undefined) {
+            this.#expirePart(part, nowMs);
+        }
+    }
+
     /**
      * Records that an answer is complete, or so far under way that its parts cannot crash the upstream.
      * @returns Parts that this clears of crashes; other hosts should learn of them.
@@ -213,6 +226,32 @@
         return [...suspected, ...decided].slice(-MaxSentParts);
     }
 
+    /**
+     * @returns Evidence against the parts that are suspected beyond a single crash. The outages and completed answers that may exempt a
+     * part are not recorded, so of a part that is not quarantined only as many crashes are returned as do not suffice for a quarantine.
+     */
+    evidenceToRecord(nowMs: number): readonly EvidenceToRecord[] {
+        this.#expire(nowMs);
+        const evidence: EvidenceToRecord[] = [];
+        for (const part of this.#parts.values()) {
+            if (part.crashCount < MinSuspectedCrashes || this.#soundness(part, nowMs) !== undefined) {
+                continue;
+            }
+            const { partId, depth, hostIds } = part;
+            const newestFirst = part.evidence(nowMs).sort((left, right) => left.ageMs - right.ageMs);
+            const crashes = newestFirst.slice(0, part.quarantine === undefined ? MinSuspectedCrashes : undefined);
+            const own = new Set(part.evidence(nowMs, this.#options.ownHostId).map(crashKey));
+            const witnessedCrashes = crashes.filter(crash => own.has(crashKey(crash)));
+            evidence.push({ partId, depth, hostIds: [...hostIds], crashes, witnessedCrashes });
+        }
+        return evidence;
+    }
+
+    /** @returns Whether a crash is counted against a part. */
+    isCounted(partId: string, crash: Pick<UpstreamCrash, "upstreamId" | "startedAtMs">): boolean {
+        return this.#parts.get(partId)?.hasCrash(crash) === true;
+    }
+
     /** @returns Suspected and quarantined parts with their evidence. */
     explain(nowMs: number): readonly PartExplanation[] {
         this.#expire(nowMs);
@@ -415,13 +454,17 @@
         }
         this.#expiredAtMs = nowMs;
         for (const part of this.#parts.values()) {
-            if (part.expire(nowMs) && part.reported !== undefined) {
-                this.#report("lapsed", part, nowMs);
-                part.reported = undefined;
-            }
-            if (part.isForgotten(nowMs)) {
-                this.#parts.delete(part.partId);
-            }
+            this.#expirePart(part, nowMs);
+        }
+    }
+
+    #expirePart(part: SuspectedPart, nowMs: number): void {
+        if (part.expire(nowMs) && part.reported !== undefined) {
+            this.#report("lapsed", part, nowMs);
+            part.reported = undefined;
+        }
+        if (part.isForgotten(nowMs)) {
+            this.#parts.delete(part.partId);
         }
     }
 
--- a/src/edge/quarantine/quarantineTypes.ts
+++ b/src/edge/quarantine/quarantineTypes.ts
@@ -85,6 +85,17 @@
 /** Reason why a part with enough crashes is not quarantined. */
 export type QuarantineExemption = "oneHost" | "common" | "completedRecently" | "otherPart";
 
+/** Evidence against one part that must outlast the processes of all hosts. */
+export interface EvidenceToRecord {
+    readonly partId: string;
+    /** Number of parts before this one in the prompt. */
+    readonly depth: number;
+    readonly hostIds: readonly string[];
+    readonly crashes: readonly CrashEvidence[];
+    /** Crashes that this host saw itself. */
+    readonly witnessedCrashes: readonly CrashEvidence[];
+}
+
 /** Collaborators and identity of a tracker. */
 export interface QuarantineTrackerOptions {
     readonly ownHostId: string;
--- a/src/edge/quarantine/requestQuarantine.ts
+++ b/src/edge/quarantine/requestQuarantine.ts
@@ -8,6 +8,9 @@
 import type { Upstream } from "../upstream/upstream.js";
 import type { PromptQuarantine } from "./promptQuarantine.js";
 
+/** Retry-After of a request that comes before the recorded evidence is read, in milliseconds: about the time that the read takes. */
+const UndecidedRetryMs = 200;
+
 /** Checks one request before it is sent, and reports how its attempts end. */
 export class RequestQuarantine {
     readonly #quarantine: PromptQuarantine;
@@ -27,6 +30,12 @@
      * @returns Refusal of a request with a quarantined part, with its cause for the log; `undefined` when it may be sent.
      */
     findRefusal(ran: ExecutionState, maxRetryAfterMs: number): { failure: EdgeFailure; cause: string; } | undefined {
+        if (ran === "no" && this.#quarantine.isUndecided(this.#metadata)) {
+            return {
+                failure: { code: "NotReady", ran, retryAfterMs: Math.min(UndecidedRetryMs, maxRetryAfterMs) },
+                cause: "the recorded evidence of crashes is not read yet",
+            };
+        }
         const verdict = this.#quarantine.findQuarantined(this.#metadata);
         if (verdict === undefined) {
             return undefined;
--- a/src/edge/quarantine/suspectedPart.ts
+++ b/src/edge/quarantine/suspectedPart.ts
@@ -246,7 +246,7 @@
     }
 }
 
-/** @returns Key of the incarnation of an upstream. */
+/** @returns Key of the incarnation of an upstream that a crash ended. */
 export function crashKey({ upstreamId, startedAtMs }: Pick<UpstreamCrash, "upstreamId" | "startedAtMs">): string {
     return `${upstreamId}@${startedAtMs}`;
 }
--- a/src/edge/storeCallLog.ts
+++ b/src/edge/storeCallLog.ts
@@ -24,6 +24,7 @@
         this.#kinds = [
             [`${codec.budgetPrefix}ledger-`, "ledger"],
             [`${codec.budgetPrefix}host-`, "record"],
+            [codec.evidenceKey, "evidence"],
             [codec.hostPrefix, "hosts"],
             [codec.upstreamPrefix, "upstreams"],
         ];
--- a/src/edge/upstream/upstreamDirectory.ts
+++ b/src/edge/upstream/upstreamDirectory.ts
@@ -57,6 +57,12 @@
         return this.#endedStarts.has(incarnationKey(id, startedAtMs));
     }
 
+    /** @returns Whether a later incarnation of an upstream is listed, so that the given one has ended. */
+    isSucceeded(id: string, startedAtMs: number): boolean {
+        const listed = this.#byId.get(id);
+        return listed !== undefined && listed.entry.startedAtMs > startedAtMs;
+    }
+
     /** @returns Whether another incarnation is listed under the id or at the address of this one. */
     isReplaced(upstream: Upstream): boolean {
         const { id, address } = upstream.entry;
