Split streams into events in linear time

A faulty upstream, or a sound one after a pause of reading, took all time of a process: the splitter searched the rest of a piece for the other kind of line end at each event, and an event that came in small pieces was copied and searched again with each. Requests of all callers waited meanwhile.

Each byte is now examined once, incomplete events are kept in a buffer that grows by doubling, and all events of a piece are written to the caller in one write. A too long event is a state of the splitter in place of an exception, so that the events before it still reach the caller.

--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -182,10 +182,9 @@
     onBody(bytes: Buffer, attempt: Attempt): boolean {
         this.#timing.recordBody(this.#nowMs);
         const outcome = this.#relay.push(bytes);
-        if (outcome === "outOfOrder" || outcome === "tooLong") {
+        if (outcome !== "written" && outcome !== "callerIsSlow") {
             attempt.cancel();
-            const detail = outcome === "tooLong" ? "more events than output tokens" : "events are out of order";
-            this.onEnd({ status: "interrupted", reason: "malformed", detail }, attempt);
+            this.onEnd({ status: "interrupted", reason: "malformed", detail: outcome }, attempt);
             return true;
         }
         if (outcome === "callerIsSlow") {
--- a/src/edge/flow/streamRelay.ts
+++ b/src/edge/flow/streamRelay.ts
@@ -4,8 +4,11 @@
 import type { AttemptOutcome } from "./attempt.js";
 import type { CallerResponse } from "./callerResponse.js";
 
-/** Result of relaying a piece of the stream; after the last two the stream is closed. */
-export type StreamWriteOutcome = "written" | "callerIsSlow" | "outOfOrder" | "tooLong";
+/** Why a stream cannot be relayed any further. */
+export type StreamFault = "outOfOrder" | "tooManyEvents" | "eventTooLong";
+
+/** Result of relaying a piece of the stream; after a fault the stream is closed. */
+export type StreamWriteOutcome = "written" | "callerIsSlow" | StreamFault;
 
 /** Events allowed beyond one for each output token, as the start and the end of a stream may have events of their own. */
 const ExtraEvents = 16;
@@ -80,29 +83,27 @@
         return true;
     }
 
-    /**
-     * Relays the events that are complete now.
-     * @throws ResponseSyntaxError when an event is too long.
-     */
+    /** Relays the events that are complete now, also those before a fault. */
     push(bytes: Buffer): StreamWriteOutcome {
-        let outcome: StreamWriteOutcome = "written";
+        const accepted: Buffer[] = [];
+        let fault: StreamFault | undefined;
         for (const event of this.#splitter.push(bytes)) {
-            if (!this.#isNext(event)) {
-                this.#isOpen = false;
-                return "outOfOrder";
+            fault = this.#findFault(event);
+            if (fault !== undefined) {
+                break;
             }
-            if (this.#eventCount >= this.#maxEvents) {
-                this.#isOpen = false;
-                return "tooLong";
-            }
-            this.#start();
+            accepted.push(event.bytes);
             this.#eventCount++;
             this.#lastEventId = event.id ?? this.#lastEventId;
-            if (!this.#response.write(event.bytes)) {
-                outcome = "callerIsSlow";
-            }
         }
-        return outcome;
+        fault ??= this.#splitter.isEventTooLong ? "eventTooLong" : undefined;
+        // One write for all events of a piece: one for each of many small events would take most of the time.
+        const isSlow = accepted.length > 0 && !this.#write(accepted);
+        if (fault !== undefined) {
+            this.#isOpen = false;
+            return fault;
+        }
+        return isSlow ? "callerIsSlow" : "written";
     }
 
     /** Completes the response after the upstream's stream; comments and blank lines after its last event are relayed as they are. */
@@ -119,6 +120,20 @@
         this.#isOpen = false;
     }
 
+    #findFault(event: StreamEvent): StreamFault | undefined {
+        if (!this.#isNext(event)) {
+            return "outOfOrder";
+        }
+        return this.#eventCount >= this.#maxEvents ? "tooManyEvents" : undefined;
+    }
+
+    /** @returns Whether the caller keeps up. */
+    #write(events: readonly Buffer[]): boolean {
+        this.#start();
+        const [first] = events;
+        return this.#response.write(events.length === 1 ? first! : Buffer.concat(events));
+    }
+
     #start(): void {
         if (!this.#response.isStarted && this.#head !== undefined) {
             this.#response.start(withoutLength(this.#head));
--- a/src/edge/transport/eventSplitter.ts
+++ b/src/edge/transport/eventSplitter.ts
@@ -1,7 +1,5 @@
 /** Splits a stream of server-sent events into complete events. */
 
-import { ResponseSyntaxError } from "./responseParser.js";
-
 /** One complete event. */
 export interface StreamEvent {
     /** The event as received, with the blank line that ends it. */
@@ -13,56 +11,85 @@
 /** Maximum size of an event, in bytes: far more than the output tokens of one event need. */
 const MaxEventBytes = 65_536;
 
+/** Initial capacity for an incomplete event, in bytes; doubled when it does not suffice. */
+const InitialCapacityBytes = 512;
+
+const LineFeed = 0x0a;
+const CarriageReturn = 0x0d;
 const NoBytes = Buffer.alloc(0);
 const AnyLineEnd = /\r\n|\n|\r/;
 const IdField = /(?:^|\r?\n|\r)id:[ ]?([^\r\n]*)/;
 
-/** Collects bytes until an event is complete, so that an interrupted event never reaches the caller. */
+/**
+ * Collects bytes until an event is complete, so that an interrupted event never reaches the caller. Each byte is examined once, however
+ * the events are cut into pieces, as the upstream decides on both.
+ */
 export class EventSplitter {
-    #partial: Buffer = NoBytes;
+    /** Bytes of the incomplete event, followed by spare capacity. */
+    #buffer: Buffer = NoBytes;
+    #partialBytes = 0;
 
     /**
      * Adds received bytes.
      * @param bytes Bytes as received.
      * @returns The events that are complete now.
-     * @throws ResponseSyntaxError when an incomplete event exceeds the maximum size.
      */
     push(bytes: Buffer): StreamEvent[] {
-        const data = this.#partial.length === 0 ? bytes : Buffer.concat([this.#partial, bytes]);
         const events: StreamEvent[] = [];
         let start = 0;
-        for (let end = findEventEnd(data, start); end >= 0; end = findEventEnd(data, start)) {
-            const event = data.subarray(start, end);
-            events.push({ bytes: event, id: IdField.exec(event.toString("latin1"))?.[1] });
-            start = end;
-        }
-        this.#partial = start === data.length ? NoBytes : data.subarray(start);
-        if (this.#partial.length > MaxEventBytes) {
-            throw new ResponseSyntaxError("an event of the stream is too long");
+        for (let index = bytes.indexOf(LineFeed); index >= 0; index = bytes.indexOf(LineFeed, index + 1)) {
+            if (this.#endsEvent(bytes, start, index)) {
+                events.push(this.#takeEvent(bytes.subarray(start, index + 1)));
+                start = index + 1;
+            }
         }
+        this.#append(bytes.subarray(start));
         return events;
     }
 
     /** @returns Bytes after the last complete event. */
     get partial(): Buffer {
-        return this.#partial;
+        return this.#buffer.subarray(0, this.#partialBytes);
+    }
+
+    /** @returns Whether the incomplete event exceeds the maximum size. */
+    get isEventTooLong(): boolean {
+        return this.#partialBytes > MaxEventBytes;
+    }
+
+    /** @returns Whether the line feed at an index ends a blank line, and with it the event that began at `start` or before. */
+    #endsEvent(bytes: Buffer, start: number, index: number): boolean {
+        const before = (count: number): number | undefined => {
+            const position = index - count;
+            return position >= start ? bytes[position] : this.partial.at(position - start);
+        };
+        return before(1) === LineFeed ||
+            (before(1) === CarriageReturn && before(2) === LineFeed && before(3) === CarriageReturn);
+    }
+
+    /** @returns The event that ends with the given bytes. */
+    #takeEvent(last: Buffer): StreamEvent {
+        const bytes = this.#partialBytes === 0 ? last : Buffer.concat([this.partial, last]);
+        this.#partialBytes = 0;
+        return { bytes, id: IdField.exec(bytes.toString("latin1"))?.[1] };
+    }
+
+    #append(bytes: Buffer): void {
+        const neededBytes = this.#partialBytes + bytes.length;
+        if (neededBytes > this.#buffer.length) {
+            const grown = Buffer.allocUnsafe(Math.max(InitialCapacityBytes, neededBytes, this.#buffer.length * 2));
+            this.partial.copy(grown);
+            this.#buffer = grown;
+        }
+        bytes.copy(this.#buffer, this.#partialBytes);
+        this.#partialBytes = neededBytes;
     }
 
     /** @returns Whether the bytes after the last blank line belong to an event; comments and blank lines do not. */
     get isInsideEvent(): boolean {
-        const lines = this.#partial.toString("latin1").split(AnyLineEnd);
+        const lines = this.partial.toString("latin1").split(AnyLineEnd);
         const fieldIndex = lines.findLastIndex(line => line !== "" && !line.startsWith(":"));
         // The last element follows the last line end, so that an empty one is no blank line.
         return fieldIndex >= 0 && !lines.slice(fieldIndex, -1).includes("");
     }
 }
-
-/** @returns Index after the blank line that ends an event, or -1. */
-function findEventEnd(data: Buffer, start: number): number {
-    const lfEnd = data.indexOf("\n\n", start, "latin1");
-    const crlfEnd = data.indexOf("\r\n\r\n", start, "latin1");
-    if (crlfEnd >= 0 && (lfEnd < 0 || crlfEnd < lfEnd)) {
-        return crlfEnd + 4;
-    }
-    return lfEnd < 0 ? -1 : lfEnd + 2;
-}
