Deliver the events before a stream is found to be endless

Where an upstream went on with complete events beyond what was asked for, callers saw a closed connection without a status line, although events were there to send, and the upstream was chosen again each time: the attempt was cancelled, which is no failure to its health, and the connection was destroyed before its first bytes were written.

Such an attempt now ends as malformed, like other bytes that are no valid response, and a response that cannot be completed closes its connection after what was written of it, for at most one second.

--- a/src/edge/flow/attempt.ts
+++ b/src/edge/flow/attempt.ts
@@ -159,6 +159,11 @@
         this.#guard.run(() => this.#interrupt("silent", detail));
     }
 
+    /** Ends the attempt, whose response turned out not to be valid, and reports the end. */
+    interruptMalformed(detail: string): void {
+        this.#interrupt("malformed", detail);
+    }
+
     /** Stops reading the response until {@link resume}, because the caller reads more slowly than the upstream sends. */
     pause(): void {
         if (!this.#hasEnded) {
--- a/src/edge/flow/callerResponse.ts
+++ b/src/edge/flow/callerResponse.ts
@@ -16,6 +16,9 @@
     "upgrade",
 ]);
 
+/** Maximum time in which a caller reads what was written of a response that cannot be completed, in milliseconds. */
+const AbortFlushMs = 1_000;
+
 /** A refusal or failure as it is reported to the caller. */
 export interface EdgeFailure {
     readonly code: ResultCodeName;
@@ -96,11 +99,21 @@
         this.#response.end(bytes);
     }
 
-    /** Closes the connection, so that the caller cannot take the response for complete. */
+    /**
+     * Closes the connection, so that the caller cannot take the response for complete. What has been written of it still reaches a caller
+     * that reads.
+     */
     abort(): void {
         this.#isEnded = true;
         this.#onAborted();
-        this.#response.destroy();
+        const { socket } = this.#response;
+        if (socket === null || !this.isStarted) {
+            this.#response.destroy();
+            return;
+        }
+        const timer = setTimeout(() => this.#response.destroy(), AbortFlushMs);
+        socket.once("close", () => clearTimeout(timer));
+        socket.destroySoon();
     }
 
     /** Closes the connection unless the response is finished or aborted. */
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -182,15 +182,14 @@
     onBody(bytes: Buffer, attempt: Attempt): boolean {
         this.#timing.recordBody(this.#nowMs);
         const outcome = this.#relay.push(bytes);
-        if (outcome !== "written" && outcome !== "callerIsSlow") {
-            attempt.cancel();
-            this.onEnd({ status: "interrupted", reason: "malformed", detail: outcome }, attempt);
-            return true;
-        }
         if (outcome === "callerIsSlow") {
             this.#response.onceDrained(this.#guard.wrap(() => attempt.resume()));
+            return false;
+        }
+        if (outcome !== "written") {
+            attempt.interruptMalformed(`the stream is not valid: ${outcome}`);
         }
-        return outcome === "written";
+        return true;
     }
 
     /** Handles the silence of an attempt. */
