Read chat streams of the gateway in linear time

The same cause as in the edge: with many events that end with CRLF in one piece, the reader searched the rest of the piece at each, and an event in small pieces (up to 16 MiB) was copied and searched again with each. Callers of other upstreams waited meanwhile.

The reader now uses the event splitter of the edge, which moves to src/base and takes the maximum size of an event as a parameter.

--- a/src/edge/transport/eventSplitter.spec.ts
+++ b/src/base/eventSplitter.spec.ts
@@ -5,8 +5,9 @@
 /** Time in which a piece must be split, in milliseconds: the shortest latency objective of a route, as the process does nothing else. */
 const MaxPieceMs = 100;
 
-/** Size of a read from a socket, in bytes. */
+/** Size of a read from a socket, and maximum size of an event, in bytes. */
 const ReadBytes = 65_536;
+const MaxEventBytes = 65_536;
 
 /** @returns Time that the call takes, in milliseconds. */
 function durationMs(call: () => void): number {
@@ -18,7 +19,7 @@
 describe("EventSplitter", () => {
     describe("given an event that does not end", () => {
         it("states that it is too long (guards against a stream that exhausts the memory)", () => {
-            const splitter = new EventSplitter();
+            const splitter = new EventSplitter(MaxEventBytes);
             splitter.push(Buffer.alloc(60_000, "x"));
             expect(splitter.isEventTooLong).toBe(false);
             splitter.push(Buffer.alloc(60_000, "x"));
@@ -28,7 +29,7 @@
 
     describe("given a stream that arrives in pieces", () => {
         it("returns complete events only (guards against truncated events that reach the caller)", () => {
-            const splitter = new EventSplitter();
+            const splitter = new EventSplitter(MaxEventBytes);
             expect(splitter.push(Buffer.from("id: 1\ndata: a\n"))).toEqual([]);
             const events = splitter.push(Buffer.from("\nid: 2\ndata: b\n\nid: 3"));
             expect(events.map(event => event.id)).toEqual(["1", "2"]);
@@ -36,13 +37,13 @@
         });
 
         it("accepts carriage returns and events without an id", () => {
-            const events = new EventSplitter().push(Buffer.from("data: a\r\n\r\nid:7\r\ndata: b\r\n\r\n"));
+            const events = new EventSplitter(MaxEventBytes).push(Buffer.from("data: a\r\n\r\nid:7\r\ndata: b\r\n\r\n"));
             expect(events.map(event => event.id)).toEqual([undefined, "7"]);
         });
 
         it("keeps every byte", () => {
             const text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
-            const splitter = new EventSplitter();
+            const splitter = new EventSplitter(MaxEventBytes);
             const bytes = [...text].flatMap(part => splitter.push(Buffer.from(part)).map(event => event.bytes));
             expect(Buffer.concat(bytes).toString()).toBe(text);
         });
@@ -54,7 +55,7 @@
             });
             fc.assert(
                 fc.property(streams, pieces => {
-                    const splitter = new EventSplitter();
+                    const splitter = new EventSplitter(MaxEventBytes);
                     const events = pieces.flatMap(piece =>
                         splitter.push(Buffer.from(piece)).map(({ bytes }) => bytes.toString())
                     );
@@ -78,12 +79,12 @@
             "splits many small events in one piece at once: %s",
             (_name, event) => {
                 const piece = Buffer.from(event.repeat(Math.ceil(ReadBytes / event.length)));
-                expect(durationMs(() => new EventSplitter().push(piece))).toBeLessThan(MaxPieceMs);
+                expect(durationMs(() => new EventSplitter(MaxEventBytes).push(piece))).toBeLessThan(MaxPieceMs);
             },
         );
 
         it("splits one event in many small pieces at once", () => {
-            const splitter = new EventSplitter();
+            const splitter = new EventSplitter(MaxEventBytes);
             const pieces = Array.from({ length: ReadBytes / 8 }, () => Buffer.from("data: x\n"));
             expect(durationMs(() => pieces.forEach(piece => splitter.push(piece)))).toBeLessThan(MaxPieceMs);
         });
--- a/src/edge/transport/eventSplitter.ts
+++ b/src/base/eventSplitter.ts
@@ -8,9 +8,6 @@
     readonly id: string | undefined;
 }
 
-/** Maximum size of an event, in bytes: far more than the output tokens of one event need. */
-const MaxEventBytes = 65_536;
-
 /** Initial capacity for an incomplete event, in bytes; doubled when it does not suffice. */
 const InitialCapacityBytes = 512;
 
@@ -25,10 +22,16 @@
  * the events are cut into pieces, as the upstream decides on both.
  */
 export class EventSplitter {
+    readonly #maxEventBytes: number;
     /** Bytes of the incomplete event, followed by spare capacity. */
     #buffer: Buffer = NoBytes;
     #partialBytes = 0;
 
+    /** @param maxEventBytes Maximum size of an incomplete event, in bytes. */
+    constructor(maxEventBytes: number) {
+        this.#maxEventBytes = maxEventBytes;
+    }
+
     /**
      * Adds received bytes.
      * @param bytes Bytes as received.
@@ -54,7 +57,7 @@
 
     /** @returns Whether the incomplete event exceeds the maximum size. */
     get isEventTooLong(): boolean {
-        return this.#partialBytes > MaxEventBytes;
+        return this.#partialBytes > this.#maxEventBytes;
     }
 
     /** @returns Whether the line feed at an index ends a blank line, and with it the event that began at `start` or before. */
--- a/src/edge/flow/streamRelay.ts
+++ b/src/edge/flow/streamRelay.ts
@@ -1,5 +1,5 @@
 /** Relays the events of one stream, which may come from several upstreams in succession. */
-import { EventSplitter, type StreamEvent } from "../transport/eventSplitter.js";
+import { EventSplitter, type StreamEvent } from "../../base/eventSplitter.js";
 import type { ResponseHead } from "../transport/responseParser.js";
 import type { AttemptOutcome } from "./attempt.js";
 import type { CallerResponse } from "./callerResponse.js";
@@ -13,13 +13,16 @@
 /** Events allowed beyond one for each output token, as the start and the end of a stream may have events of their own. */
 const ExtraEvents = 16;
 
+/** Maximum size of an event, in bytes: far more than the output tokens of one event need. */
+const MaxEventBytes = 65_536;
+
 const DataField = /(?:^|[\r\n])data[:\r\n]/;
 
 /** Writes complete events to the caller, in order. */
 export class StreamRelay {
     readonly #response: CallerResponse;
     readonly #maxEvents: number;
-    #splitter = new EventSplitter();
+    #splitter = new EventSplitter(MaxEventBytes);
     #head: ResponseHead | undefined;
     #isOpen = false;
     /** Whether the upstream has yet to show, by the id of an event, that it continues the stream. */
@@ -77,7 +80,7 @@
     begin(head: ResponseHead): true {
         this.#head = this.#response.isStarted ? this.#head : head;
         this.#isContinuationUnproven = this.hasRelayedEvents;
-        this.#splitter = new EventSplitter();
+        this.#splitter = new EventSplitter(MaxEventBytes);
         this.#isOpen = true;
         this.#eventsBeforeUpstream = this.#eventCount;
         return true;
--- a/src/gateway/responseReader.ts
+++ b/src/gateway/responseReader.ts
@@ -1,5 +1,7 @@
 /** Checks whether a response is complete while it is relayed, and reads the usage that it reports. */
 
+import { EventSplitter } from "../base/eventSplitter.js";
+
 /** Token usage that an upstream reports. */
 export interface ReportedUsage {
     readonly promptTokens: number;
@@ -74,41 +76,27 @@
  * `[DONE]` follows a finish reason.
  */
 export class ChatStreamReader extends ResponseReader {
-    #incompleteEvent: Buffer | undefined;
+    readonly #splitter = new EventSplitter(MaxBufferedResponseBytes);
     #hasFinishReason = false;
     #chunkId: unknown = undefined;
 
     override push(chunk: Buffer): ReadResult {
-        const data = this.#incompleteEvent === undefined ? chunk : Buffer.concat([this.#incompleteEvent, chunk]);
-        const end = findEndOfLastEvent(data);
-        this.#incompleteEvent = end === data.length ? undefined : data.subarray(end);
-        if (end === 0) {
-            return data.length > MaxBufferedResponseBytes ? InvalidResult : OpenResult;
-        }
-        return this.#readEvents(data.subarray(0, end));
-    }
-
-    override finish(): ReadResult {
-        return InvalidResult;
-    }
-
-    #readEvents(data: Buffer): ReadResult {
-        // Latin-1 has one character per byte, so that positions in the text are positions in the data.
-        const text = data.toString("latin1");
-        let start = 0;
-        while (start < text.length) {
-            const end = findEndOfEvent(text, start);
-            const payload = extractPayload(text.slice(start, end));
+        const events = this.#splitter.push(chunk).map(({ bytes }) => bytes);
+        for (const [index, event] of events.entries()) {
+            const payload = extractPayload(event.toString("latin1"));
             if (payload === DoneMarker && this.#hasFinishReason) {
-                return { bytesToForward: data.subarray(0, end), status: "whole" };
+                return { bytesToForward: join(events.slice(0, index + 1)), status: "whole" };
             }
             const status = payload === undefined ? "open" : this.#readChunk(payload);
             if (status !== "open") {
-                return { bytesToForward: start === 0 ? undefined : data.subarray(0, start), status };
+                return { bytesToForward: join(events.slice(0, index)), status };
             }
-            start = end;
         }
-        return { bytesToForward: data, status: "open" };
+        return { bytesToForward: join(events), status: this.#splitter.isEventTooLong ? "invalid" : "open" };
+    }
+
+    override finish(): ReadResult {
+        return InvalidResult;
     }
 
     #readChunk(payload: string): "open" | "invalid" | "mismatch" {
@@ -137,22 +125,9 @@
     }
 }
 
-/** @returns Length of the complete events at the start of the data, in bytes; 0 if there is none. */
-function findEndOfLastEvent(data: Buffer): number {
-    const lfIndex = data.lastIndexOf("\n\n");
-    const crlfIndex = data.lastIndexOf("\r\n\r\n");
-    return Math.max(lfIndex < 0 ? 0 : lfIndex + 2, crlfIndex < 0 ? 0 : crlfIndex + 4);
-}
-
-/** @returns Position after the empty line that ends the event. */
-function findEndOfEvent(text: string, start: number): number {
-    const lfIndex = text.indexOf("\n\n", start);
-    if (lfIndex >= 0 && !text.slice(start, lfIndex).includes("\r")) {
-        return lfIndex + 2;
-    }
-    const crlfIndex = text.indexOf("\r\n\r\n", start);
-    const ends = [lfIndex < 0 ? text.length : lfIndex + 2, crlfIndex < 0 ? text.length : crlfIndex + 4];
-    return Math.min(...ends);
+/** @returns The events in one piece; `undefined` if there are none. */
+function join(events: readonly Buffer[]): Buffer | undefined {
+    return events.length === 0 ? undefined : Buffer.concat(events);
 }
 
 /** @returns The data of an event; `undefined` if it has none, for example a comment. */
