Bound the memory of request bodies over all requests

Found while looking for bytes from outside without a bound: the body of each request was bounded, their sum was not.

Bodies now take at most a quarter of the memory that the settings state. What does not fit is refused with 429 as not run, at once where a length is announced.

--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -74,6 +74,7 @@
 
 const NsPerMs = 1_000_000n;
 const BytesPerMbit = 125_000;
+const BytesPerMb = 1_000_000;
 
 /**
  * Intervals at which an unreachable store is probed, in milliseconds; each call is charged for. A host that learns of the store's
@@ -417,7 +418,7 @@
     }
 
     #createCallerServer(): CallerServer {
-        const { retryRatio, retryWindowMs, retrySlackCount, maxHeaderBytes, zone, linkMbps } = this.#settings;
+        const { retryRatio, retryWindowMs, retrySlackCount, maxHeaderBytes, zone, linkMbps, memoryMb } = this.#settings;
         return new CallerServer({
             clock: this.#clock,
             random: this.#random,
@@ -434,6 +435,7 @@
             limits: this.#limits,
             zone,
             maxHeaderBytes,
+            memoryBytes: memoryMb === undefined ? undefined : memoryMb * BytesPerMb,
             linkBytesPerS: linkMbps === undefined ? undefined : linkMbps * BytesPerMbit,
             peerLoad: upstream => this.#loadReporter.peerLoadAt(upstream.entry.id),
             onSent: promptTokens => this.#loadReporter.recordSend(promptTokens),
--- a/src/edge/edgeSettings.ts
+++ b/src/edge/edgeSettings.ts
@@ -15,6 +15,7 @@
         metrics: AddressSchema.optional().describe("address of counters and histograms"),
     }),
     linkMbps: z.number().positive().optional().describe("capacity of the host's link in each direction, in Mbit/s"),
+    memoryMb: z.number().positive().optional().describe("memory that the process may use, in MB"),
     storeAddress: AddressSchema.describe("address of the platform's store"),
     graceMs: z.number().positive().default(8_000).describe("time between the termination signal and the kill"),
     drainNoticeMs: z.number().nonnegative().default(3_000)
--- a/src/edge/flow/attempt.ts
+++ b/src/edge/flow/attempt.ts
@@ -298,6 +298,7 @@
         this.#listener.onEnd({ status: "interrupted", reason, detail }, this);
     }
 
+    /** An attempt that had ended before the error has been counted by its outcome, so that the failure is added to it. */
     #onError(error: unknown): void {
         if (this.#hasEnded) {
             this.input.upstream.health.record("failed", this.#clock.monotonicMs());
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -9,6 +9,7 @@
 import { EdgeCounterNames } from "../metrics.js";
 import type { RouteTable } from "../routing/routeTable.js";
 import { isRepeatable } from "./attemptHistory.js";
+import { BodyMemory } from "./bodyMemory.js";
 import { CallerConnections, type CloseReason } from "./callerConnections.js";
 import { CallerDisconnectMonitor } from "./callerDisconnectMonitor.js";
 import { CallerResponse, type EdgeFailure } from "./callerResponse.js";
@@ -17,7 +18,7 @@
 import { HeaderTimeout } from "./headerTimeout.js";
 import { LinkLoad } from "./linkLoad.js";
 import { OutgoingLinkBacklog } from "./outgoingLinkBacklog.js";
-import { collectBody, discardBody, hasBody } from "./requestBody.js";
+import { type BodyRefusal, collectBody, discardBody, hasBody } from "./requestBody.js";
 import { RequestFlow } from "./requestFlow.js";
 
 /** The configuration in force, as the server needs it. */
@@ -34,6 +35,8 @@
     readonly maxHeaderBytes: number;
     /** @returns The configuration in force. */
     configuration(): ConfigurationView;
+    /** Memory that the process may use, in bytes; `undefined` when unknown. */
+    readonly memoryBytes: number | undefined;
     /** Capacity of the host's link in each direction, in bytes per second; `undefined` when unknown. */
     readonly linkBytesPerS: number | undefined;
     /** @returns Whether the process is shutting down. */
@@ -55,6 +58,12 @@
 /** Retry-After while the link is full, in milliseconds: a retry goes to another host. */
 const LinkFullRetryMs = 50;
 
+/** Fraction of the memory that the bodies of requests may take together: most of it is needed for connections and the heap. */
+const BodyMemoryFraction = 0.25;
+
+/** Retry-After while there is no memory for a body, in milliseconds: a retry goes to another host. */
+const NoMemoryRetryMs = 100;
+
 /** Interval at which the load of the link is measured, in milliseconds. */
 const LinkCheckIntervalMs = 100;
 
@@ -74,6 +83,7 @@
     readonly #headerTimeout = new HeaderTimeout(InitialHeaderMs);
     readonly #linkLoad: LinkLoad;
     readonly #linkBacklog: OutgoingLinkBacklog;
+    readonly #bodyMemory: BodyMemory;
     #linkCheckedAtMs = 0;
     #wasLinkBusy = false;
     #openRequestCount = 0;
@@ -112,6 +122,7 @@
             dependencies.metrics.counters,
         );
         this.#linkLoad = new LinkLoad(dependencies.linkBytesPerS);
+        this.#bodyMemory = new BodyMemory((dependencies.memoryBytes ?? Number.POSITIVE_INFINITY) * BodyMemoryFraction);
     }
 
     /** @returns Number of requests without a complete response. */
@@ -321,6 +332,9 @@
         if (length > table.configuration.limits.maxBodyBytes) {
             return { code: "BodyTooLarge", ran: "no" };
         }
+        if (length > this.#bodyMemory.availableBytes) {
+            return NoMemory;
+        }
         if (!isRepeatable(route) && !this.#canEndInTime(metadata, route)) {
             return { code: "ShuttingDown", ran: "no", retryAfterMs: 0 };
         }
@@ -375,21 +389,27 @@
                 ...this.#flowDependencies.hostLoad(),
             });
         });
-        const onBody = (body: Buffer | undefined): void => {
-            if (body === undefined) {
-                const discardRest = (end: () => void): void => discardBody(message, guard.wrap(end));
-                callerResponse.sendError({ code: "BodyTooLarge", ran: "no" }, discardRest);
+        const onBody = (body: Buffer | BodyRefusal): void => {
+            if (typeof body !== "string") {
+                run(body);
                 return;
             }
-            run(body);
+            const failure: EdgeFailure = body === "noMemory" ? NoMemory : { code: "BodyTooLarge", ran: "no" };
+            log.info("request refused", { request: metadata.requestId, route: route.name, reason: body, ...failure });
+            callerResponse.sendError(failure, end => discardBody(message, guard.wrap(end)));
         };
-        collectBody(message, table.configuration.limits.maxBodyBytes, guard.wrap(onBody));
+        const share = this.#bodyMemory.open();
+        response.once("close", () => share.release());
+        collectBody(message, table.configuration.limits.maxBodyBytes, share, guard.wrap(onBody));
     }
 }
 
 /** Refusal of a request whose head has an invalid header name, which an upstream might read as another header. */
 const MalformedHead: EdgeFailure = { code: "MalformedHeader", ran: "no" };
 
+/** Refusal of a request for whose body there is no memory. */
+const NoMemory: EdgeFailure = { code: "Overloaded", ran: "no", retryAfterMs: NoMemoryRetryMs };
+
 /** Route and team of a request, with the configuration that they come from. */
 interface RoutedRequest {
     readonly table: RouteTable;
--- a/src/edge/flow/requestBody.ts
+++ b/src/edge/flow/requestBody.ts
@@ -1,30 +1,45 @@
 /** Bodies of callers' requests. */
 import type { IncomingMessage } from "node:http";
+import type { BodyShare } from "./bodyMemory.js";
 
 /** @returns Whether the head of a request announces a body. */
 export function hasBody(message: IncomingMessage): boolean {
     return message.headers["transfer-encoding"] !== undefined || Number(message.headers["content-length"] ?? 0) > 0;
 }
 
-/** Collects a body; reports `undefined` when it exceeds the limit, and nothing when the caller disconnects first. */
+/** Why a body is not collected: it exceeds its own limit, or there is no memory for it beside those of other requests. */
+export type BodyRefusal = "tooLarge" | "noMemory";
+
+/**
+ * Collects a body.
+ * @param share Memory that the body takes; released when it is not collected, otherwise by the owner of the request.
+ * @param done Called once with the body or the reason why it is not collected; never when the caller disconnects first.
+ */
 export function collectBody(
     message: IncomingMessage,
     maxBytes: number,
-    done: (body: Buffer | undefined) => void,
+    share: BodyShare,
+    done: (body: Buffer | BodyRefusal) => void,
 ): void {
     const chunks: Buffer[] = [];
     let size = 0;
+    let refusal: BodyRefusal | undefined;
     message.on("data", (chunk: Buffer) => {
+        if (refusal !== undefined) {
+            return;
+        }
         size += chunk.length;
-        if (size <= maxBytes) {
+        refusal = size > maxBytes ? "tooLarge" : share.tryAdd(chunk.length) ? undefined : "noMemory";
+        if (refusal === undefined) {
             chunks.push(chunk);
+            return;
         }
-        else if (size - chunk.length <= maxBytes) {
-            done(undefined);
-        }
+        chunks.length = 0;
+        share.release();
+        done(refusal);
     });
     message.on("end", () => {
-        if (size <= maxBytes) {
+        if (refusal === undefined) {
             done(Buffer.concat(chunks));
         }
     });
