State evidence again that was being written when the store was restored

A write that the store applied just before it came back from a copy counted as recorded, so that the copy would have lacked it for good. The record is read again then. The new test of evidenceRecordSync.spec.ts fails without the change.

--- a/src/edge/quarantine/evidenceRecordSync.spec.ts
+++ b/src/edge/quarantine/evidenceRecordSync.spec.ts
@@ -268,6 +268,21 @@
             expect(fleet.recordedPartIds).toEqual([DeadPart]);
         });
 
+        it("states what was being written again (guards against a write that the copy lacks)", async () => {
+            const copy = fleet.store.copy();
+            fleet.responsible = -1;
+            await fleet.crashes(1, DeadPart);
+            fleet.crash(0, DeadPart);
+            const [witness] = fleet.hosts;
+            witness!.clock.advance(CrashPauseMs);
+            witness!.sync.tick();
+            expect(fleet.recordedPartIds).toEqual([DeadPart]);
+            fleet.store.restore(copy);
+            fleet.hosts.forEach(({ sync }) => sync.onStoreRestored());
+            await fleet.advance(1_500);
+            expect(fleet.recordedPartIds).toEqual([DeadPart]);
+        });
+
         it("removes what the copy holds of a sound part (guards against a record that was removed since)", async () => {
             await fleet.crashes(QuarantineCrashes, DeadPart);
             const copy = fleet.store.copy();
--- a/src/edge/quarantine/evidenceRecordSync.ts
+++ b/src/edge/quarantine/evidenceRecordSync.ts
@@ -95,6 +95,7 @@
         }
         this.#nextCheckMs = nowMs + CheckIntervalMs;
         if (this.#isSyncDue) {
+            this.#version = undefined;
             void this.#sync();
             return;
         }
@@ -116,8 +117,10 @@
 
     /** Must be called when the store has come back from a copy, which may lack the record or hold an earlier one. */
     onStoreRestored(): void {
+        // A write in progress may have reached the store before it was replaced.
+        this.#isSyncDue ||= this.#isSyncing ||
+            this.#known.some(({ partId }) => this.#dependencies.isResponsible(partId));
         this.#version = undefined;
-        this.#isSyncDue ||= this.#known.some(({ partId }) => this.#dependencies.isResponsible(partId));
         this.#known = [];
     }
 
