Reset the connection of a broken response that only its end delimits

A caller that speaks HTTP/1.0 gets streams without a length or chunks. Found while looking at how responses are aborted after the report on endless streams; the two new tests of platform/incompleteResponses.spec.ts fail without the change.

--- a/src/edge/flow/callerResponse.ts
+++ b/src/edge/flow/callerResponse.ts
@@ -36,6 +36,7 @@
     readonly #onWritten: (bytes: number) => void;
     readonly #onAborted: () => void;
     #isEnded = false;
+    #hasLength = false;
 
     /**
      * @param onWritten Called with the size of each body, or piece of one, that is written, in bytes.
@@ -111,6 +112,11 @@
             this.#response.destroy();
             return;
         }
+        if (!this.#hasLength && !this.#response.chunkedEncoding) {
+            // Without a length or chunks, which callers that speak HTTP/1.0 do not get, only a reset differs from a complete end.
+            socket.resetAndDestroy();
+            return;
+        }
         const timer = setTimeout(() => this.#response.destroy(), AbortFlushMs);
         socket.once("close", () => clearTimeout(timer));
         socket.destroySoon();
@@ -154,6 +160,7 @@
     }
 
     #writeHead(statusCode: number, reason: string, headers: string[]): void {
+        this.#hasLength = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === "content-length");
         if (reason === "") {
             this.#response.writeHead(statusCode, headers);
         }
