--- a/src/edge/storeFeed.ts
+++ b/src/edge/storeFeed.ts
@@ -5,8 +5,11 @@
 import type { PlatformStore, StoredObject, WatchedChange } from "../platform/platformStore.js";
 import { historyOf } from "../platform/storeHistory.js";
 
-/** Maximum wait of one watch call, in milliseconds. It bounds the time after which a silent connection is detected. */
-const WatchWaitMs = 3_000;
+/**
+ * Maximum wait of one watch call, in milliseconds. It bounds the time after which a silent connection is detected: with the timeout of a
+ * call, less than the 3 s after which a host has to know the changes that it missed.
+ */
+const WatchWaitMs = 1_500;
 
 /** Wait of the first watch after a failure, in milliseconds: that call only checks for missed changes. */
 const ConfirmationWaitMs = 1;
