--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -17,8 +17,8 @@
 import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
 import { OpenAttempts } from "./openAttempts.js";
 import { RequestBudget } from "./requestBudget.js";
-import { describeRequest } from "./requestDescription.js";
-import { OutcomeCounters, type RequestOutcome } from "./requestOutcome.js";
+import type { RequestOutcome } from "./requestOutcome.js";
+import { RequestReporter } from "./requestReporter.js";
 import { ResendPolicy } from "./resendPolicy.js";
 import { ResponseTiming } from "./responseTiming.js";
 import { SilenceHandlers } from "./silenceHandler.js";
@@ -41,6 +41,7 @@
     readonly #relay: StreamRelay;
     readonly #history: AttemptHistory;
     readonly #budget: RequestBudget;
+    readonly #reporter: RequestReporter;
     readonly #upstreams: UpstreamSelector;
     readonly #resendPolicy: ResendPolicy;
     readonly #silenceHandlers: SilenceHandlers;
@@ -74,6 +75,14 @@
             request.team,
             request.metadata.tokenCounts,
         );
+        this.#reporter = new RequestReporter(dependencies, request, {
+            service: this.#service,
+            history: this.#history,
+            openAttempts: this.#openAttempts,
+            relay: this.#relay,
+            timing: this.#timing,
+            budget: this.#budget,
+        });
         this.#quarantine = new RequestQuarantine(dependencies.quarantine, request.metadata, this.#service);
         this.#upstreams = new UpstreamSelector(dependencies, request, this.#service, this.#history);
         this.#resendPolicy = new ResendPolicy(dependencies, request, {
@@ -87,7 +96,7 @@
         this.#silenceHandlers = new SilenceHandlers({
             counters: dependencies.metrics.counters,
             resendPolicy: this.#resendPolicy,
-            describe: () => ({ request: request.requestId, ...this.#describe() }),
+            describe: () => this.#reporter.describe(),
             sendNext: this.#guard.wrap(() => this.#sendNext()),
         });
     }
@@ -148,11 +157,7 @@
         const details = { ...disconnect, ...this.#dependencies.hostLoad() };
         if (disconnect.writtenAgeMs !== undefined && this.#request.route.kind === "nonIdempotent") {
             this.#hasCallerDisconnected = true;
-            log.info("caller left, its request goes on", {
-                request: this.#request.requestId,
-                ...this.#describe(),
-                ...details,
-            });
+            log.info("caller left, its request goes on", { ...this.#reporter.describe(), ...details });
             return;
         }
         this.#openAttempts.cancelAll(this.#relay.hasRelayedEvents);
@@ -212,7 +217,7 @@
             this.#onAnswered(outcome.head, outcome.body, attempt);
             return;
         }
-        this.#logFailedAttempt(outcome);
+        this.#reporter.logFailedAttempt(outcome);
         this.#quarantine.examineFailure(
             outcome,
             attempt.input.upstream,
@@ -237,15 +242,6 @@
         }
     }
 
-    #logFailedAttempt(outcome: AttemptOutcome): void {
-        log.info("attempt failed", {
-            request: this.#request.requestId,
-            ...this.#describe(),
-            ...outcome,
-            openAttempts: this.#openAttempts.count,
-        });
-    }
-
     /** Sends the request again after this turn of the event loop, which may also report that the caller has disconnected. */
     #scheduleResend(): void {
         setImmediate(this.#guard.wrap(() => {
@@ -268,7 +264,7 @@
         const refusal = await this.#budget.reserve(this.#remainingMs, this.#endController.signal);
         if (refusal === undefined) {
             if (this.#hasEnded) {
-                this.#settle(false);
+                this.#reporter.settle(false);
             }
             return true;
         }
@@ -299,7 +295,7 @@
         }
         const upstream = this.#upstreams.choose();
         if (upstream === undefined && this.#openAttempts.count > 0) {
-            log.info("request not sent again: no upstream", { request: this.#request.requestId, ...this.#describe() });
+            log.info("request not sent again: no upstream", this.#reporter.describe());
             return;
         }
         if (upstream === undefined) {
@@ -361,7 +357,7 @@
                 return;
             }
             if (this.#openAttempts.count > 0) {
-                this.#logFailedAttempt(failed);
+                this.#reporter.logFailedAttempt(failed);
                 return;
             }
         }
@@ -437,38 +433,10 @@
     }
 
     /** Ends the request: settles its tokens, counts its outcome and logs it. */
-    #conclude(outcome: RequestOutcome, details: Record<string, unknown> = {}): void {
+    #conclude(outcome: RequestOutcome, details: object = {}): void {
         this.#hasEnded = true;
         this.#endController.abort();
         this.#deadlineTimer?.cancel();
-        const chargedTokens = this.#settle(outcome === "complete");
-        this.#dependencies.metrics.counters.add(OutcomeCounters[outcome]);
-        this.#dependencies.metrics.counters.add(EdgeCounterNames.tokensCharged, chargedTokens);
-        log.info(outcome === "failed" ? "request failed" : "request ended", {
-            request: this.#request.requestId,
-            ...this.#describe(),
-            outcome,
-            chargedTokens,
-            ...details,
-        });
-    }
-
-    /**
-     * Settles the reserved tokens.
-     * @param isComplete Whether the caller got a complete successful response.
-     * @returns Tokens charged.
-     */
-    #settle(isComplete: boolean): number {
-        return this.#budget.settle({
-            tokensPerEvent: this.#request.table.findService(this.#service)?.engine?.tokensPerEvent,
-            eventCount: this.#relay.eventCount,
-            isComplete,
-            isCancelled: this.#openAttempts.wasRunCancelled,
-        });
-    }
-
-    /** @returns Fields that log entries about the request share. */
-    #describe(): Record<string, unknown> {
-        return describeRequest(this.#request, this.#history, this.#timing, this.#relay.eventCount, this.#nowMs);
+        this.#reporter.recordEnd(outcome, details);
     }
 }
