Log and count the requests that a stop refuses or cuts

Observability only; which requests are refused or cut is unchanged.

A request that was cut at the end of a stop had a log line that did not say when it had arrived relative to the signal, or how long it was expected to take, and no counter told how many there were. So the cases around SIGTERM could not be told from failures of upstreams.

The lines `request refused` and `request failed` of such requests now have arrivedAfterStopMs, neededMs and remainingMs. Two counters, edge_requests_stop_refused and edge_requests_stop_cut, count them, and `edge stopped` states both numbers. `edge stops` states the grace period and the notice that the host goes by.

--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -17,6 +17,7 @@
 import { EventLoopMonitor } from "./eventLoopMonitor.js";
 import { CallerServer } from "./flow/callerServer.js";
 import { RetryBudgets } from "./flow/retryBudgets.js";
+import { StopMonitor } from "./flow/stopMonitor.js";
 import { EdgeMetrics } from "./metrics.js";
 import { LoadReporter } from "./peers/loadReporter.js";
 import { MemberList } from "./peers/memberList.js";
@@ -116,6 +117,7 @@
     readonly #loadReporter: LoadReporter;
     readonly #quarantine: PromptQuarantine;
     readonly #limits: RateLimits;
+    readonly #stopMonitor = new StopMonitor(this.#metrics.counters);
     readonly #callerServer: CallerServer;
     readonly #readinessServer: Server;
     readonly #incarnation: string;
@@ -248,7 +250,9 @@
         const startedMs = this.#clock.monotonicMs();
         const elapsedMs = () => this.#clock.monotonicMs() - startedMs;
         this.#budgets.startLeaving();
-        log.info("edge stops", { host: this.#settings.hostId, open: this.#callerServer.openRequestCount });
+        this.#stopMonitor.start(startedMs);
+        const { hostId, graceMs, drainNoticeMs } = this.#settings;
+        log.info("edge stops", { host: hostId, open: this.#callerServer.openRequestCount, graceMs, drainNoticeMs });
         const drainLimitMs = this.#settings.graceMs - FinalWriteReserveMs;
         const requestsEndMs = this.#settings.graceMs - ExitReserveMs;
         while (elapsedMs() < Math.min(this.#settings.drainNoticeMs, drainLimitMs)) {
@@ -294,6 +298,8 @@
             host: this.#settings.hostId,
             open: this.#callerServer.openRequestCount,
             elapsedMs: elapsedMs(),
+            refused: this.#stopMonitor.refusedCount,
+            cut: this.#stopMonitor.cutCount,
         });
     }
 
@@ -433,6 +439,7 @@
             metrics: this.#metrics,
             quarantine: this.#quarantine,
             limits: this.#limits,
+            stopMonitor: this.#stopMonitor,
             zone,
             maxHeaderBytes,
             memoryBytes: memoryMb === undefined ? undefined : memoryMb * BytesPerMb,
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -20,6 +20,7 @@
 import { OutgoingLinkBacklog } from "./outgoingLinkBacklog.js";
 import { type BodyRefusal, collectBody, discardBody, hasBody } from "./requestBody.js";
 import { RequestFlow } from "./requestFlow.js";
+import type { StopLogFields } from "./stopMonitor.js";
 
 /** The configuration in force, as the server needs it. */
 export interface ConfigurationView {
@@ -205,7 +206,7 @@
 
     /** Ends all open requests with a failure that tells whether they may have run. */
     interruptRequests(): void {
-        this.#openFlows.forEach(flow => flow.interrupt("ShuttingDown", "the process stops"));
+        this.#openFlows.forEach(flow => flow.interruptForStop(this.#requestsEndAtMs));
     }
 
     /** Refuses requests that still arrive on open connections, as there is no time left to complete them. */
@@ -245,7 +246,7 @@
                 log.info("response aborted", { request: metadata.requestId, hasBegun: response.headersSent });
             },
         );
-        const routed = isHeadValid ? this.#route(request, metadata) : MalformedHead;
+        const routed = isHeadValid ? this.#route(request, metadata, arrivedAtMs) : MalformedHead;
         if ("code" in routed) {
             this.#dependencies.metrics.counters.add(EdgeCounterNames.requestsRefused);
             log.info("request refused", {
@@ -306,10 +307,10 @@
         return this.#linkLoad.shouldCloseConnections(nowMs) ? "link" : undefined;
     }
 
-    #route(request: IncomingMessage, metadata: RequestMetadata): RoutedRequest | EdgeFailure {
+    #route(request: IncomingMessage, metadata: RequestMetadata, arrivedAtMs: number): RoutedRequest | EdgeFailure {
         const { routeTable: table, isFresh } = this.#dependencies.configuration();
         if (this.#isRefusing) {
-            return { code: "NotReady", ran: "no", retryAfterMs: 0 };
+            return this.#refuseForStop("NotReady", arrivedAtMs);
         }
         if (table === undefined) {
             return { code: "NotReady", ran: "no", retryAfterMs: NotReadyRetryMs };
@@ -336,11 +337,22 @@
             return NoMemory;
         }
         if (!isRepeatable(route) && !this.#canEndInTime(metadata, route)) {
-            return { code: "ShuttingDown", ran: "no", retryAfterMs: 0 };
+            return this.#refuseForStop("ShuttingDown", arrivedAtMs, timeLimitOf(metadata, route));
         }
         return { table, route, team };
     }
 
+    /** @param neededMs Time that the request was expected to need, in milliseconds; `undefined` when unknown. */
+    #refuseForStop(
+        code: "NotReady" | "ShuttingDown",
+        arrivedAtMs: number,
+        neededMs?: number,
+    ): EdgeFailure & StopLogFields {
+        const remainingMs = this.#requestsEndAtMs === undefined ? undefined : this.#requestsEndAtMs - arrivedAtMs;
+        const stopFields = this.#dependencies.stopMonitor.recordRefused({ arrivedAtMs, neededMs, remainingMs });
+        return { code, ran: "no", retryAfterMs: 0, ...stopFields };
+    }
+
     #canEndInTime(metadata: RequestMetadata, route: Route): boolean {
         const endsAtMs = this.#dependencies.clock.monotonicMs() + timeLimitOf(metadata, route);
         return this.#requestsEndAtMs === undefined || endsAtMs <= this.#requestsEndAtMs;
--- a/src/edge/flow/flowTypes.ts
+++ b/src/edge/flow/flowTypes.ts
@@ -13,6 +13,7 @@
 import type { UpstreamDirectory } from "../upstream/upstreamDirectory.js";
 import type { OutgoingLinkBacklog } from "./outgoingLinkBacklog.js";
 import type { RetryBudgets } from "./retryBudgets.js";
+import type { StopMonitor } from "./stopMonitor.js";
 
 /** Load of the host; its fields are written to log entries. */
 export interface HostLoad {
@@ -35,6 +36,7 @@
     readonly metrics: EdgeMetrics;
     readonly quarantine: PromptQuarantine;
     readonly limits: RateLimits;
+    readonly stopMonitor: StopMonitor;
     /** Availability zone of the host. */
     readonly zone: string;
     /** @returns Load that other hosts put on an upstream. */
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -22,6 +22,7 @@
 import { ResendPolicy } from "./resendPolicy.js";
 import { ResponseTiming } from "./responseTiming.js";
 import { SilenceHandlers } from "./silenceHandler.js";
+import type { StopLogFields } from "./stopMonitor.js";
 import { checkStreamEnd, isStream, StreamRelay } from "./streamRelay.js";
 import { UpstreamSelector } from "./upstreamSelector.js";
 
@@ -389,13 +390,41 @@
     interrupt(codeIfNotRun: ResultCodeName, cause: string): void {
         this.#guard.run(() => {
             if (!this.#hasEnded) {
-                this.#openAttempts.cancelAll(this.#relay.hasRelayedEvents);
-                const { ran } = this.#history;
-                this.#fail({ code: ran === "no" ? codeIfNotRun : "UpstreamTimeout", ran }, cause);
+                this.#interrupt(codeIfNotRun, cause);
             }
         });
     }
 
+    /**
+     * Ends the request, as the process stops.
+     * @param requestsEndAtMs Monotonic time by which requests had to end, in milliseconds.
+     */
+    interruptForStop(requestsEndAtMs: number | undefined): void {
+        this.#guard.run(() => {
+            if (!this.#hasEnded) {
+                this.#interrupt("ShuttingDown", "the process stops", this.#recordStop(requestsEndAtMs));
+            }
+        });
+    }
+
+    /** @returns Fields for the log line about the end of the request by a stop. */
+    #recordStop(requestsEndAtMs: number | undefined): StopLogFields {
+        const { arrivedAtMs, deadlineAtMs } = this.#request;
+        const { stopMonitor } = this.#dependencies;
+        const affected = {
+            arrivedAtMs,
+            neededMs: deadlineAtMs - arrivedAtMs,
+            remainingMs: requestsEndAtMs === undefined ? undefined : requestsEndAtMs - arrivedAtMs,
+        };
+        return this.#history.sendCount === 0 ? stopMonitor.recordRefused(affected) : stopMonitor.recordCut(affected);
+    }
+
+    #interrupt(codeIfNotRun: ResultCodeName, cause: string, details: object = {}): void {
+        this.#openAttempts.cancelAll(this.#relay.hasRelayedEvents);
+        const { ran } = this.#history;
+        this.#fail({ code: ran === "no" ? codeIfNotRun : "UpstreamTimeout", ran }, cause, details);
+    }
+
     /**
      * Ends the request after an error of the program, which must not affect the requests of other callers. What the error left undone is
      * unknown, so that a request that was sent counts as one that may have run.
@@ -420,7 +449,7 @@
         return Math.max(0, Math.min(MaxRetryAfterMs, this.#remainingMs * RetryAfterFraction));
     }
 
-    #fail(failure: EdgeFailure, cause: string): void {
+    #fail(failure: EdgeFailure, cause: string, details: object = {}): void {
         if (this.#hasEnded) {
             return;
         }
@@ -428,7 +457,7 @@
             this.#response.sendError(failure);
         }
         finally {
-            this.#conclude("failed", { ...failure, cause });
+            this.#conclude("failed", { ...failure, cause, ...details });
         }
     }
 
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -23,6 +23,8 @@
     callersDisconnectedResponding: "edge.callers.left.answering",
     requestsFailed: "edge.requests.failed",
     requestsRefused: "edge.requests.refused",
+    requestsRefusedByStop: "edge.requests.stop.refused",
+    requestsCutByStop: "edge.requests.stop.cut",
     requestsAfterClose: "edge.requests.afterClose",
     responsesAborted: "edge.responses.aborted",
     connectionsClosedIdle: "edge.connections.closed.idle",
