--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -17,11 +17,12 @@
 import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
 import { OpenAttempts } from "./openAttempts.js";
 import { RequestBudget } from "./requestBudget.js";
-import { describeRequest } from "./requestDescription.js";
-import { OutcomeCounters, type RequestOutcome } from "./requestOutcome.js";
+import type { RequestOutcome } from "./requestOutcome.js";
+import { RequestReporter } from "./requestReporter.js";
 import { ResendPolicy } from "./resendPolicy.js";
 import { ResponseTiming } from "./responseTiming.js";
 import { SilenceHandlers } from "./silenceHandler.js";
+import type { StopLogFields } from "./stopMonitor.js";
 import { checkStreamEnd, isStream, StreamRelay } from "./streamRelay.js";
 import { UpstreamSelector } from "./upstreamSelector.js";
 
@@ -41,6 +42,7 @@
     readonly #relay: StreamRelay;
     readonly #history: AttemptHistory;
     readonly #budget: RequestBudget;
+    readonly #reporter: RequestReporter;
     readonly #upstreams: UpstreamSelector;
     readonly #resendPolicy: ResendPolicy;
     readonly #silenceHandlers: SilenceHandlers;
@@ -74,6 +76,14 @@
             request.team,
             request.metadata.tokenCounts,
         );
+        this.#reporter = new RequestReporter(dependencies, request, {
+            service: this.#service,
+            history: this.#history,
+            openAttempts: this.#openAttempts,
+            relay: this.#relay,
+            timing: this.#timing,
+            budget: this.#budget,
+        });
         this.#quarantine = new RequestQuarantine(dependencies.quarantine, request.metadata, this.#service);
         this.#upstreams = new UpstreamSelector(dependencies, request, this.#service, this.#history);
         this.#resendPolicy = new ResendPolicy(dependencies, request, {
@@ -87,7 +97,7 @@
         this.#silenceHandlers = new SilenceHandlers({
             counters: dependencies.metrics.counters,
             resendPolicy: this.#resendPolicy,
-            describe: () => ({ request: request.requestId, ...this.#describe() }),
+            describe: () => this.#reporter.describe(),
             sendNext: this.#guard.wrap(() => this.#sendNext()),
         });
     }
@@ -148,11 +158,7 @@
         const details = { ...disconnect, ...this.#dependencies.hostLoad() };
         if (disconnect.writtenAgeMs !== undefined && this.#request.route.kind === "nonIdempotent") {
             this.#hasCallerDisconnected = true;
-            log.info("caller left, its request goes on", {
-                request: this.#request.requestId,
-                ...this.#describe(),
-                ...details,
-            });
+            log.info("caller left, its request goes on", { ...this.#reporter.describe(), ...details });
             return;
         }
         this.#openAttempts.cancelAll(this.#relay.hasRelayedEvents);
@@ -212,7 +218,7 @@
             this.#onAnswered(outcome.head, outcome.body, attempt);
             return;
         }
-        this.#logFailedAttempt(outcome);
+        this.#reporter.logFailedAttempt(outcome);
         this.#quarantine.examineFailure(
             outcome,
             attempt.input.upstream,
@@ -237,15 +243,6 @@
         }
     }
 
-    #logFailedAttempt(outcome: AttemptOutcome): void {
-        log.info("attempt failed", {
-            request: this.#request.requestId,
-            ...this.#describe(),
-            ...outcome,
-            openAttempts: this.#openAttempts.count,
-        });
-    }
-
     /** Sends the request again after this turn of the event loop, which may also report that the caller has disconnected. */
     #scheduleResend(): void {
         setImmediate(this.#guard.wrap(() => {
@@ -268,7 +265,7 @@
         const refusal = await this.#budget.reserve(this.#remainingMs, this.#endController.signal);
         if (refusal === undefined) {
             if (this.#hasEnded) {
-                this.#settle(false);
+                this.#reporter.settle(false);
             }
             return true;
         }
@@ -299,7 +296,7 @@
         }
         const upstream = this.#upstreams.choose();
         if (upstream === undefined && this.#openAttempts.count > 0) {
-            log.info("request not sent again: no upstream", { request: this.#request.requestId, ...this.#describe() });
+            log.info("request not sent again: no upstream", this.#reporter.describe());
             return;
         }
         if (upstream === undefined) {
@@ -361,7 +358,7 @@
                 return;
             }
             if (this.#openAttempts.count > 0) {
-                this.#logFailedAttempt(failed);
+                this.#reporter.logFailedAttempt(failed);
                 return;
             }
         }
@@ -393,13 +390,41 @@
     interrupt(codeIfNotRun: ResultCodeName, cause: string): void {
         this.#guard.run(() => {
             if (!this.#hasEnded) {
-                this.#openAttempts.cancelAll(this.#relay.hasRelayedEvents);
-                const { ran } = this.#history;
-                this.#fail({ code: ran === "no" ? codeIfNotRun : "UpstreamTimeout", ran }, cause);
+                this.#interrupt(codeIfNotRun, cause);
             }
         });
     }
 
+    /**
+     * Ends the request, as the process stops.
+     * @param requestsEndAtMs Monotonic time by which requests had to end, in milliseconds.
+     */
+    interruptForStop(requestsEndAtMs: number | undefined): void {
+        this.#guard.run(() => {
+            if (!this.#hasEnded) {
+                this.#interrupt("ShuttingDown", "the process stops", this.#recordStop(requestsEndAtMs));
+            }
+        });
+    }
+
+    /** @returns Fields for the log line about the end of the request by a stop. */
+    #recordStop(requestsEndAtMs: number | undefined): StopLogFields {
+        const { arrivedAtMs, deadlineAtMs } = this.#request;
+        const { stopMonitor } = this.#dependencies;
+        const affected = {
+            arrivedAtMs,
+            neededMs: deadlineAtMs - arrivedAtMs,
+            remainingMs: requestsEndAtMs === undefined ? undefined : requestsEndAtMs - arrivedAtMs,
+        };
+        return this.#history.sendCount === 0 ? stopMonitor.recordRefused(affected) : stopMonitor.recordCut(affected);
+    }
+
+    #interrupt(codeIfNotRun: ResultCodeName, cause: string, details: object = {}): void {
+        this.#openAttempts.cancelAll(this.#relay.hasRelayedEvents);
+        const { ran } = this.#history;
+        this.#fail({ code: ran === "no" ? codeIfNotRun : "UpstreamTimeout", ran }, cause, details);
+    }
+
     /**
      * Ends the request after an error of the program, which must not affect the requests of other callers. What the error left undone is
      * unknown, so that a request that was sent counts as one that may have run.
@@ -424,7 +449,7 @@
         return Math.max(0, Math.min(MaxRetryAfterMs, this.#remainingMs * RetryAfterFraction));
     }
 
-    #fail(failure: EdgeFailure, cause: string): void {
+    #fail(failure: EdgeFailure, cause: string, details: object = {}): void {
         if (this.#hasEnded) {
             return;
         }
@@ -432,43 +457,15 @@
             this.#response.sendError(failure);
         }
         finally {
-            this.#conclude("failed", { ...failure, cause });
+            this.#conclude("failed", { ...failure, cause, ...details });
         }
     }
 
     /** Ends the request: settles its tokens, counts its outcome and logs it. */
-    #conclude(outcome: RequestOutcome, details: Record<string, unknown> = {}): void {
+    #conclude(outcome: RequestOutcome, details: object = {}): void {
         this.#hasEnded = true;
         this.#endController.abort();
         this.#deadlineTimer?.cancel();
-        const chargedTokens = this.#settle(outcome === "complete");
-        this.#dependencies.metrics.counters.add(OutcomeCounters[outcome]);
-        this.#dependencies.metrics.counters.add(EdgeCounterNames.tokensCharged, chargedTokens);
-        log.info(outcome === "failed" ? "request failed" : "request ended", {
-            request: this.#request.requestId,
-            ...this.#describe(),
-            outcome,
-            chargedTokens,
-            ...details,
-        });
-    }
-
-    /**
-     * Settles the reserved tokens.
-     * @param isComplete Whether the caller got a complete successful response.
-     * @returns Tokens charged.
-     */
-    #settle(isComplete: boolean): number {
-        return this.#budget.settle({
-            tokensPerEvent: this.#request.table.findService(this.#service)?.engine?.tokensPerEvent,
-            eventCount: this.#relay.eventCount,
-            isComplete,
-            isCancelled: this.#openAttempts.wasRunCancelled,
-        });
-    }
-
-    /** @returns Fields that log entries about the request share. */
-    #describe(): Record<string, unknown> {
-        return describeRequest(this.#request, this.#history, this.#timing, this.#relay.eventCount, this.#nowMs);
+        this.#reporter.recordEnd(outcome, details);
     }
 }
