Run no request of a caller whose response the connection cannot carry

Callers that send requests without waiting for the responses lost answers: of three sales on one connection of a draining gateway all were run and one was answered, and a sale behind a request that is refused with 401 before its body is read was run without an answer. Node.js drops the queued responses when an earlier one closes the connection, and emits no event for them, so that the lifecycle controller counted their requests as in flight for good and a drain did not end before its timeout.

CallerConnections tracks the requests of each connection. The close is announced only on the response to the newest request, a request read after that is not run (counter gateway.requestsAfterClose), and queued responses emit close with their connection.

--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -10,6 +10,7 @@
 import { listModels } from "../routing/planRoute.js";
 import { authenticateTeam } from "./authentication.js";
 import { discardRemainingBody, readBody } from "./bodyReader.js";
+import { CallerConnections } from "./callerConnections.js";
 import { CallerResponse, writeErrorResponse } from "./callerResponse.js";
 import type { CallerRequest, GatewayDependencies } from "./gatewayTypes.js";
 import { validateHeaders } from "./headerValidation.js";
@@ -36,6 +37,7 @@
  */
 export class CallerServer {
     readonly #dependencies: GatewayDependencies;
+    readonly #connections = new CallerConnections();
     readonly #server: Server;
     readonly #serviceHandler: RequestHandler;
 
@@ -80,6 +82,10 @@
         outgoing: ServerResponse,
         listener: (incoming: IncomingMessage, outgoing: ServerResponse) => Promise<void>,
     ): void {
+        if (!this.#connections.add(incoming, outgoing)) {
+            this.#dependencies.kernel.counters.add("gateway.requestsAfterClose");
+            return;
+        }
         const headerError = validateHeaders(incoming);
         if (headerError !== undefined) {
             this.#refuse(incoming, outgoing, this.#createRequestId(), "MalformedHeader", headerError);
@@ -144,7 +150,7 @@
             return;
         }
         if (this.#dependencies.kernel.board.lifecycle.phase === "draining") {
-            outgoing.setHeader("connection", "close");
+            this.#connections.closeAfter(incoming, outgoing);
         }
         await handle({ requestId, team, incoming, body: read.body }, outgoing);
     }
@@ -205,7 +211,7 @@
             return;
         }
         if (!incoming.complete) {
-            outgoing.setHeader("connection", "close");
+            this.#connections.closeAfter(incoming, outgoing);
         }
         const isTransient = code === "NotReady" || code === "ShuttingDown" || code === "ClaimUnavailable";
         writeErrorResponse(outgoing, requestId, {
