Let callers of a stopping router go on at another host at once

A caller that sent after the lag of the balancer was refused with Retry-After 1, as for a host that is not ready, and waited for a second though the next connection goes to another host. ShuttingDown now states 0, here and for the refusal of the budget; the minimum of one second stays for all other codes.

The test "refuses at once after the lag of the balancer" of plannedStop.spec.ts passes.

--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -114,9 +114,10 @@
     return JSON.stringify({ error: { ...body.error, message } });
 }
 
-/** @returns Value of `Retry-After`: whole seconds, rounded up, at least 1. */
-export function retryAfterSeconds(retryAfterMs: number): string {
-    return String(Math.max(1, Math.ceil(retryAfterMs / 1_000)));
+/** @returns Value of `Retry-After`: whole seconds, rounded up; at least 1, unless the caller continues at another host. */
+function retryAfterSeconds(code: ResultCodeName, retryAfterMs: number): string {
+    const minSeconds = code === "ShuttingDown" ? 0 : 1;
+    return String(Math.max(minSeconds, Math.ceil(retryAfterMs / 1_000)));
 }
 
 /**
@@ -134,7 +135,9 @@
         "content-type": "application/json",
         "content-length": Buffer.byteLength(body),
         "x-request-id": requestId,
-        ...(failure.retryAfterMs === undefined ? {} : { "retry-after": retryAfterSeconds(failure.retryAfterMs) }),
+        ...(failure.retryAfterMs === undefined ?
+            {} :
+            { "retry-after": retryAfterSeconds(failure.code, failure.retryAfterMs) }),
     });
     outgoing.write(body);
     beforeEnd(() => outgoing.end());
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -20,8 +20,15 @@
 /** Interval at which idle connections are closed while the listener stops. */
 const IdleCheckIntervalMs = 50;
 
-/** `Retry-After` for a caller that this host cannot serve at the moment; the balancer then chooses another host. */
-const RetryElsewhereMs = 1_000;
+/**
+ * `Retry-After` for a caller that this host cannot serve at the moment. While it stops, the caller's next connection goes
+ * to another host, so that the caller need not wait.
+ */
+const RetryAfterMs: Readonly<Partial<Record<ResultCodeName, number>>> = {
+    NotReady: 1_000,
+    ClaimUnavailable: 1_000,
+    ShuttingDown: 0,
+};
 
 /** Number of hexadecimal digits of a request id. */
 const RequestIdDigits = 24;
@@ -213,11 +220,10 @@
         if (!incoming.complete) {
             this.#connections.closeAfter(incoming, outgoing);
         }
-        const isTransient = code === "NotReady" || code === "ShuttingDown" || code === "ClaimUnavailable";
         writeErrorResponse(outgoing, requestId, {
             code,
             detail,
-            retryAfterMs: isTransient ? RetryElsewhereMs : undefined,
+            retryAfterMs: RetryAfterMs[code],
         }, end => discardRemainingBody(incoming, end));
     }
 }
