Begin nothing on a stopping router that cannot end before the stop

After SIGTERM callers on kept connections had streams and sales begun that outlasted shutdownTimeoutMs, and lost the answers; so did requests that waited for an upstream, bodies read late, resends after a failure, and hedges. The router judged only whether the lag of the balancer had passed, and only at the head of a request.

The lifecycle controller now sets requestsEndAtMs when a stop with a timeout is requested: a quarter of the timeout, at most closeTimeoutMs, stays for the claims and shares. StopLimit compares each request with it before the claim, before each send and before a hedge: work that may run once only by its longest duration, repeatable work by an upper estimate from the last 64 responses of its kind, capped by the longest duration. A refused request gets ShuttingDown, not run, and the connection closes; a wait for an upstream ends when the request could no longer end. A drain by an operator still has no end of requests until a signal sets one.

--- a/src/features/lifecycle/lifecycle.spec.ts
+++ b/src/features/lifecycle/lifecycle.spec.ts
@@ -91,6 +91,27 @@
             expect(board.lifecycle).toMatchObject({ accepting: false, phase: "draining" });
         });
 
+        it("has no end of requests (guards against a drain by an operator that cuts streams)", () => {
+            expect(board.lifecycle.requestsEndAtMs).toBeUndefined();
+        });
+
+        it("ends requests before the timeout of a signal (guards against shares that are not returned in time)", () => {
+            controller.handle({ type: "shutdownRequested", timeoutMs: 60_000 });
+            expect(board.lifecycle.requestsEndAtMs).toBe(clock.monotonicMs() + 50_000);
+            controller.handle({ type: "shutdownRequested", timeoutMs: 4_000 });
+            expect(board.lifecycle.requestsEndAtMs).toBe(clock.monotonicMs() + 3_000);
+            expect(effects).toHaveLength(2);
+            expect(effects[0]).toEqual({ type: "notify", notification: { type: "requestsLimited" } });
+        });
+
+        it("never moves the end of requests later (guards against accepted requests whose end has passed)", () => {
+            controller.handle({ type: "shutdownRequested", timeoutMs: 4_000 });
+            const endsAtMs = board.lifecycle.requestsEndAtMs;
+            tickAfter(500);
+            controller.handle({ type: "shutdownRequested", timeoutMs: 60_000 });
+            expect(board.lifecycle.requestsEndAtMs).toBe(endsAtMs);
+        });
+
         it("closes after the last request and reports completion once shares are returned (guards against cut streams)", () => {
             tickAfter(60_000);
             expect(board.lifecycle.phase).toBe("draining");
--- a/src/features/lifecycle/lifecycleBoard.ts
+++ b/src/features/lifecycle/lifecycleBoard.ts
@@ -10,6 +10,8 @@
     ready: boolean;
     /** Whether new requests are served; false once the balancer's lag has passed during a shutdown. */
     accepting: boolean;
+    /** Monotonic time by which every request must have ended; `undefined` unless the shutdown has a timeout. */
+    requestsEndAtMs: number | undefined;
     /** Reasons why this host is not ready, for operators; empty when ready. */
     reasons: string[];
     /** Number of requests that the gateway is handling. */
@@ -18,5 +20,12 @@
 
 /** @returns The section of a process that has just started. */
 export function createLifecycleBoard(): LifecycleBoard {
-    return { phase: "starting", ready: false, accepting: true, reasons: ["starting"], requestsInFlight: 0 };
+    return {
+        phase: "starting",
+        ready: false,
+        accepting: true,
+        requestsEndAtMs: undefined,
+        reasons: ["starting"],
+        requestsInFlight: 0,
+    };
 }
--- a/src/features/lifecycle/lifecycleController.ts
+++ b/src/features/lifecycle/lifecycleController.ts
@@ -7,6 +7,9 @@
 import type { LifecycleBoard } from "./lifecycleBoard.js";
 import type { LifecycleSettings } from "./lifecycleSettings.js";
 
+/** Part of the shutdown timeout that is kept for the last steps when it is too short for `closeTimeoutMs`. */
+const MaxReservedFraction = 0.25;
+
 /**
  * Writes the lifecycle section of the board. The phases are:
  * - `starting` until the host is ready for the first time
@@ -43,6 +46,7 @@
         }
         else if (event.type === "shutdownRequested") {
             this.#beginDrain();
+            this.#limitRequests(event.timeoutMs);
         }
         else if (event.type === "tick") {
             this.#advanceShutdown();
@@ -70,6 +74,18 @@
         log.info("draining", { requestsInFlight: board.requestsInFlight });
     }
 
+    /** Sets the end of requests so that the claims and shares can be returned afterwards; it never moves later. */
+    #limitRequests(timeoutMs: number | undefined): void {
+        if (timeoutMs === undefined) {
+            return;
+        }
+        const board = this.#board;
+        const reservedMs = Math.min(this.#settings.closeTimeoutMs, timeoutMs * MaxReservedFraction);
+        const endsAtMs = this.#nowMs + timeoutMs - reservedMs;
+        board.requestsEndAtMs = Math.min(board.requestsEndAtMs ?? endsAtMs, endsAtMs);
+        this.context.emit({ type: "notify", notification: { type: "requestsLimited" } });
+    }
+
     #advanceShutdown(): void {
         const board = this.#board;
         if (board.phase === "draining" && this.#nowMs - this.#drainingSinceMs >= this.#settings.balancerLagMs) {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -64,6 +64,10 @@
     readonly upstream: string;
     reader: ResponseReader;
     head: ResponseHead | undefined;
+    /** Time from the start to the first checked bytes of the response. */
+    firstBytesAfterMs: number | undefined;
+    /** Time from the start to the end. */
+    durationMs: number | undefined;
     readonly #request: AttemptRequest;
     readonly #kernel: Kernel;
     readonly #listener: AttemptListener;
@@ -71,7 +75,6 @@
     readonly #call: UpstreamCall;
     #refusal: "refused" | "leaving" | undefined;
     #refusalText = "";
-    #firstBytesSeen = false;
     #ended = false;
 
     constructor(kernel: Kernel, client: UpstreamClient, request: AttemptRequest, listener: AttemptListener) {
@@ -191,12 +194,15 @@
 
     /** Posts the time of the first token, except for a JSON chat response, which arrives only when it is complete. */
     #recordFirstBytes(): void {
-        if (!this.#firstBytesSeen && this.#request.responseKind !== "chatJson") {
+        if (this.firstBytesAfterMs !== undefined) {
+            return;
+        }
+        const latencyMs = performance.now() - this.#startedAtMs;
+        this.firstBytesAfterMs = latencyMs;
+        if (this.#request.responseKind !== "chatJson") {
             const { requestId, upstream } = this.#request;
-            const latencyMs = performance.now() - this.#startedAtMs;
             this.#kernel.post({ type: "firstTokenSeen", requestId, upstream, latencyMs });
         }
-        this.#firstBytesSeen = true;
     }
 
     #finishRefused(refusal: "refused" | "leaving"): void {
@@ -231,6 +237,7 @@
         this.#ended = true;
         const { requestId, upstream } = this.#request;
         const durationMs = performance.now() - this.#startedAtMs;
+        this.durationMs = durationMs;
         const { outputTokens } = this.reader;
         this.#kernel.post({ type: "dispatchEnded", requestId, upstream, result, durationMs, outputTokens });
     }
--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -1,6 +1,7 @@
 /** Writes the response to a caller's request to the raw Node.js response object. */
 import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
 import { errorBody, type ExecutionState, type ResultCodeName, ResultCodes } from "../base/resultCodes.js";
+import type { StoredResponse } from "../features/idempotency/idempotencyTypes.js";
 
 /** Maximum wait for the error event of an interrupted stream to be flushed before the connection is destroyed. */
 const InterruptFlushMs = 1_000;
@@ -21,10 +22,13 @@
 export class CallerResponse {
     readonly #outgoing: ServerResponse;
     readonly #requestId: string;
+    readonly #beforeHead: () => void;
 
-    constructor(outgoing: ServerResponse, requestId: string) {
+    /** @param beforeHead Called before a head is written; may set headers of the connection. */
+    constructor(outgoing: ServerResponse, requestId: string, beforeHead: () => void) {
         this.#outgoing = outgoing;
         this.#requestId = requestId;
+        this.#beforeHead = beforeHead;
     }
 
     /** @returns Whether the caller disconnected before the response was complete. */
@@ -49,6 +53,7 @@
     /** Writes the head and adds `X-Request-Id`. */
     writeHead(statusCode: number, headers: OutgoingHttpHeaders): void {
         if (!this.isCallerDisconnected) {
+            this.#beforeHead();
             this.#outgoing.writeHead(statusCode, { ...headers, "x-request-id": this.#requestId });
         }
     }
@@ -78,11 +83,24 @@
         }
     }
 
+    /** Sends the stored response to an earlier request with the same idempotency key. */
+    replay(stored: StoredResponse): void {
+        const body = Buffer.from(stored.body);
+        this.writeHead(stored.httpStatus, {
+            "content-type": stored.contentType,
+            "content-length": body.length,
+            "idempotent-replay": "true",
+        });
+        this.write(body);
+        this.end();
+    }
+
     /** Sends an error response, unless the head was already written or the caller has disconnected. */
     sendError(failure: ErrorResponse): void {
         if (this.isCallerDisconnected || this.isHeadWritten) {
             return;
         }
+        this.#beforeHead();
         writeErrorResponse(this.#outgoing, this.#requestId, failure);
     }
 
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -16,6 +16,7 @@
 import { validateHeaders } from "./headerValidation.js";
 import { RequestFlow } from "./requestFlow.js";
 import { parseChatRequest, parseServiceRequest, type RawCallerRequest } from "./requestParser.js";
+import { StopLimit } from "./stopLimit.js";
 
 /** Interval at which idle connections are closed while the listener stops. */
 const IdleCheckIntervalMs = 50;
@@ -45,11 +46,14 @@
 export class CallerServer {
     readonly #dependencies: GatewayDependencies;
     readonly #connections = new CallerConnections();
+    readonly #stopLimit: StopLimit;
+    readonly #openFlows = new Set<RequestFlow>();
     readonly #server: Server;
     readonly #serviceHandler: RequestHandler;
 
     constructor(dependencies: GatewayDependencies) {
         this.#dependencies = dependencies;
+        this.#stopLimit = new StopLimit(dependencies);
         this.#serviceHandler = this.#createFlowHandler(parseServiceRequest);
         const listener = getRequestListener(this.#createApp().fetch, { overrideGlobalObjects: false });
         this.#server = createServer(
@@ -79,6 +83,11 @@
         clearInterval(timer);
     }
 
+    /** Ends the waits of open requests for an upstream in time for the end of requests that the lifecycle board states. */
+    limitWaits(): void {
+        this.#openFlows.forEach(flow => flow.limitWait());
+    }
+
     /** Destroys all connections. */
     destroy(): void {
         this.#server.closeAllConnections();
@@ -156,9 +165,7 @@
             this.#refuse(incoming, outgoing, requestId, read.status === "tooLarge" ? "BodyTooLarge" : "MalformedBody");
             return;
         }
-        if (this.#dependencies.kernel.board.lifecycle.phase === "draining") {
-            this.#connections.closeAfter(incoming, outgoing);
-        }
+        this.#closeIfStopping(incoming, outgoing);
         await handle({ requestId, team, incoming, body: read.body }, outgoing);
     }
 
@@ -169,11 +176,27 @@
                 this.#refuse(rawRequest.incoming, outgoing, rawRequest.requestId, request.error);
                 return;
             }
-            await new RequestFlow(this.#dependencies, request.value, new CallerResponse(outgoing, rawRequest.requestId))
-                .run();
+            const { requestId, incoming } = rawRequest;
+            const response = new CallerResponse(
+                outgoing,
+                requestId,
+                () => this.#closeIfStopping(incoming, outgoing),
+            );
+            const flow = new RequestFlow(this.#dependencies, this.#stopLimit, request.value, response);
+            this.#openFlows.add(flow);
+            await flow.run();
+            this.#openFlows.delete(flow);
         };
     }
 
+    /** Closes the connection after the response while this host stops, so that the caller continues at another host. */
+    #closeIfStopping(incoming: IncomingMessage, outgoing: ServerResponse): void {
+        const { phase } = this.#dependencies.kernel.board.lifecycle;
+        if (phase !== "starting" && phase !== "serving") {
+            this.#connections.closeAfter(incoming, outgoing);
+        }
+    }
+
     /** @returns The caller's team, or the code with which the request is refused before its body is read. */
     #identify(incoming: IncomingMessage): string | { readonly refusal: ResultCodeName; } {
         const { config, lifecycle } = this.#dependencies.kernel.board;
--- a/src/gateway/dispatchTimeouts.ts
+++ b/src/gateway/dispatchTimeouts.ts
@@ -10,8 +10,26 @@
     responseKind: ResponseKind,
     plan: RoutePlan,
 ): Pick<UpstreamCallRequest, "firstByteTimeoutMs" | "progressTimeoutMs"> {
-    const factor = plan.workClass === "background" ? settings.backgroundTimeoutFactor : 1;
+    const factor = getTimeoutFactor(settings, plan);
+    const firstByteMs = responseKind === "chatStream" ?
+        settings.firstByteTimeoutMs * factor :
+        getCompleteResponseMs(settings, plan);
+    return { firstByteTimeoutMs: firstByteMs, progressTimeoutMs: settings.progressTimeoutMs * factor };
+}
+
+/**
+ * @returns Longest duration of a dispatch with a whole response, in milliseconds. A stream has no timeout as a whole; it
+ * counts like a response of as many tokens that is not streamed.
+ */
+export function getLongestResponseMs(settings: GatewaySettings, plan: RoutePlan): number {
+    return settings.connectTimeoutMs + getCompleteResponseMs(settings, plan);
+}
+
+function getCompleteResponseMs(settings: GatewaySettings, plan: RoutePlan): number {
     const completeResponseMs = settings.answerTimeoutMs + plan.maxOutputTokens * settings.answerTimeoutPerTokenMs;
-    const firstByteMs = responseKind === "chatStream" ? settings.firstByteTimeoutMs : completeResponseMs;
-    return { firstByteTimeoutMs: firstByteMs * factor, progressTimeoutMs: settings.progressTimeoutMs * factor };
+    return completeResponseMs * getTimeoutFactor(settings, plan);
+}
+
+function getTimeoutFactor(settings: GatewaySettings, plan: RoutePlan): number {
+    return plan.workClass === "background" ? settings.backgroundTimeoutFactor : 1;
 }
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -3,8 +3,9 @@
 import type { AdmissionRequest } from "../features/admission/admissionTypes.js";
 import { grantBudgetName } from "../features/budget/budgetTypes.js";
 import type { WorkClass } from "../features/config/configTypes.js";
-import { claimId, type StoredResponse } from "../features/idempotency/idempotencyTypes.js";
+import { claimId } from "../features/idempotency/idempotencyTypes.js";
 import type { RoutePlan } from "../routing/routePlan.js";
+import { createAdmissionRequest } from "./admissionRequest.js";
 import { Attempt, type AttemptListener } from "./attempt.js";
 import { AttemptGroup, type AttemptGroupDelegate, type AttemptGroupOutcome } from "./attemptGroup.js";
 import { createGrantBill, createRequestBill, type FinishedRequest } from "./billing.js";
@@ -15,6 +16,7 @@
 import { buildResponseHeaders, buildUpstreamHeaders } from "./relayHeaders.js";
 import { ReplayRecorder } from "./replayRecorder.js";
 import { createRefusalError, RequestError } from "./requestError.js";
+import type { StopLimit } from "./stopLimit.js";
 
 /**
  * Processes one request: plans its route, claims its idempotency key, reserves tokens, dispatches it to upstreams, relays
@@ -22,6 +24,7 @@
  */
 export class RequestFlow implements AttemptGroupDelegate {
     readonly #dependencies: GatewayDependencies;
+    readonly #stopLimit: StopLimit;
     readonly #request: CallerRequest;
     readonly #response: CallerResponse;
     readonly #startedAtMs: number;
@@ -37,12 +40,19 @@
     /** Work class that the engine gets with the next dispatch, when the admission chose another than the request's own. */
     #engineClass: WorkClass | undefined;
     #isWaitingForAdmission = false;
+    #waitTimer: NodeJS.Timeout | undefined;
     readonly #recorder: ReplayRecorder;
     #pausedAttempt: Attempt | undefined;
     #stallTimer: NodeJS.Timeout | undefined;
 
-    constructor(dependencies: GatewayDependencies, request: CallerRequest, response: CallerResponse) {
+    constructor(
+        dependencies: GatewayDependencies,
+        stopLimit: StopLimit,
+        request: CallerRequest,
+        response: CallerResponse,
+    ) {
         this.#dependencies = dependencies;
+        this.#stopLimit = stopLimit;
         this.#request = request;
         this.#response = response;
         this.#startedAtMs = dependencies.clock.monotonicMs();
@@ -57,6 +67,7 @@
         this.#response.onCallerDisconnect(() => this.#onCallerDisconnected());
         try {
             this.#plan = this.#createPlan();
+            this.#throwIfStopping();
             if (await this.#claim()) {
                 return;
             }
@@ -114,7 +125,8 @@
             throw createRefusalError(outcome.code, outcome.retryAfterMs);
         }
         if (outcome.status === "replay") {
-            this.#replay(outcome.answer);
+            this.#dependencies.kernel.counters.add("gateway.replayed");
+            this.#response.replay(outcome.answer);
             return true;
         }
         if (outcome.status === "deferred" && !repeatable) {
@@ -125,18 +137,6 @@
         return false;
     }
 
-    #replay(stored: StoredResponse): void {
-        this.#dependencies.kernel.counters.add("gateway.replayed");
-        const body = Buffer.from(stored.body);
-        this.#response.writeHead(stored.httpStatus, {
-            "content-type": stored.contentType,
-            "content-length": body.length,
-            "idempotent-replay": "true",
-        });
-        this.#response.write(body);
-        this.#response.end();
-    }
-
     /** Reserves a use of the priority grant. Without an available use, the request runs in its ordinary class. */
     async #reserveGrant(): Promise<void> {
         const { grant } = this.#plan;
@@ -154,7 +154,8 @@
 
     async #reserveTokens(): Promise<void> {
         const { budget, costTokens, deadlineMs } = this.#plan;
-        const waitMs = Math.min(deadlineMs, this.#dependencies.settings.budgetWaitMs);
+        const remainingMs = this.#stopLimit.getRemainingWaitMs(this.#request, this.#plan);
+        const waitMs = Math.max(0, Math.min(deadlineMs, this.#dependencies.settings.budgetWaitMs, remainingMs));
         const outcome = await this.#dependencies.controllerClient.reserveTokens(
             this.#request.requestId,
             budget,
@@ -216,13 +217,18 @@
         requestUpstream: () => ReturnType<GatewayDependencies["controllerClient"]["requestAdmission"]>,
     ): Promise<string> {
         this.#throwIfCallerDisconnected();
+        this.#throwIfStopping();
         this.#isWaitingForAdmission = true;
+        this.limitWait();
         const outcome = await requestUpstream();
+        clearTimeout(this.#waitTimer);
         this.#isWaitingForAdmission = false;
         if (outcome.status === "refused") {
+            this.#throwIfStopping();
             throw createRefusalError(outcome.code, outcome.retryAfterMs);
         }
         this.#throwIfCallerDisconnected();
+        this.#throwIfStopping();
         this.#engineClass = outcome.enginePriority;
         return outcome.upstream;
     }
@@ -235,6 +241,27 @@
         }
     }
 
+    /** Ends a wait for an upstream at the moment from which the request could no longer end before this host stops. */
+    limitWait(): void {
+        const remainingMs = this.#isWaitingForAdmission ?
+            this.#stopLimit.getRemainingWaitMs(this.#request, this.#plan) :
+            Number.POSITIVE_INFINITY;
+        clearTimeout(this.#waitTimer);
+        if (remainingMs !== Number.POSITIVE_INFINITY) {
+            // A timer may end a little early; the check after the wait must see that the time has passed.
+            const cancel = (): void => this.#dependencies.controllerClient.cancelAdmission(this.#request.requestId);
+            this.#waitTimer = setTimeout(cancel, Math.max(0, remainingMs) + 2);
+        }
+    }
+
+    /** Prevents a send that could not end before this host stops, and frees an upstream that was already chosen. */
+    #throwIfStopping(): void {
+        if (!this.#stopLimit.canBegin(this.#request, this.#plan)) {
+            this.#dependencies.controllerClient.cancelAdmission(this.#request.requestId);
+            throw createRefusalError("ShuttingDown", 0);
+        }
+    }
+
     /** Work that may not be repeated is sent again only if no byte of it can have left this host. */
     #canRetry(outcome: AttemptGroupOutcome): boolean {
         const result = outcome.result?.dispatchResult;
@@ -284,6 +311,7 @@
             this.#response.end();
             // The upstream connection is read to its end even if the caller has not received the response yet.
             this.#resumeAttempt();
+            this.#stopLimit.record(this.#request, this.#plan, attempt);
             this.#settle("complete", attempt);
             this.#dependencies.kernel.counters.add("gateway.complete");
             return;
@@ -343,24 +371,9 @@
     }
 
     #createAdmissionRequest(excluded: readonly string[]): AdmissionRequest {
-        const plan = this.#plan;
         const elapsedMs = this.#dependencies.clock.monotonicMs() - this.#startedAtMs;
-        return {
-            requestId: this.#request.requestId,
-            team: this.#request.team,
-            workClass: this.#grantReserved ? "urgent" : plan.workClass,
-            long: plan.long,
-            repeatable: plan.repeatable,
-            candidates: plan.candidates,
-            fallbacks: plan.fallbacks,
-            weights: plan.weights,
-            maxInFlightPerUpstream: plan.maxInFlightPerUpstream,
-            prefixKey: plan.prefixKey,
-            promptTokens: plan.promptTokens,
-            maxOutputTokens: plan.maxOutputTokens,
-            maxQueueWaitMs: Math.max(0, plan.deadlineMs - elapsedMs),
-            excludedUpstreams: [...excluded],
-        };
+        const workClass = this.#grantReserved ? "urgent" : this.#plan.workClass;
+        return createAdmissionRequest(this.#request, this.#plan, workClass, excluded, elapsedMs);
     }
 
     startAttempt(upstream: string, listener: AttemptListener): Attempt {
@@ -385,6 +398,9 @@
     }
 
     async admitHedge(excluded: readonly string[]): Promise<string | undefined> {
+        if (!this.#stopLimit.canBegin(this.#request, this.#plan)) {
+            return undefined;
+        }
         const outcome = await this.#dependencies.controllerClient.requestAnotherUpstream(
             this.#createAdmissionRequest(excluded),
             "hedge",
--- a/src/kernel/effects.ts
+++ b/src/kernel/effects.ts
@@ -2,13 +2,19 @@
 import type { AdmissionDecided } from "../features/admission/admissionTypes.js";
 import type { ReservationDecided } from "../features/budget/budgetTypes.js";
 import type { ClaimDecided, TicketIssued } from "../features/idempotency/idempotencyTypes.js";
-import type { ShutdownCompleted } from "../features/lifecycle/lifecycleTypes.js";
+import type { RequestsLimited, ShutdownCompleted } from "../features/lifecycle/lifecycleTypes.js";
 import type { PeerReply, PeerRequest } from "../peer/peerMessages.js";
 import type { CallIdentity } from "./effectResults.js";
 import type { RouterEvent } from "./events.js";
 
 /** Notifications from controllers to the gateway. */
-export type Notification = ReservationDecided | ClaimDecided | TicketIssued | AdmissionDecided | ShutdownCompleted;
+export type Notification =
+    | ReservationDecided
+    | ClaimDecided
+    | TicketIssued
+    | AdmissionDecided
+    | RequestsLimited
+    | ShutdownCompleted;
 
 /** Work that a controller requests. Results of store and peer calls are posted as events. */
 export type Effect =
--- a/src/router/routerProcess.ts
+++ b/src/router/routerProcess.ts
@@ -143,8 +143,9 @@
      * budget shares. After `shutdownTimeoutMs`, what is still open is destroyed.
      */
     async stop(): Promise<void> {
-        this.drain();
-        await withTimeout(this.drained, this.#settings.shutdownTimeoutMs);
+        const timeoutMs = this.#settings.shutdownTimeoutMs;
+        this.#kernel?.post({ type: "shutdownRequested", timeoutMs });
+        await withTimeout(this.drained, timeoutMs);
         await withTimeout(this.#callerServer?.stop() ?? Promise.resolve(), ListenerStopMs);
         await this.kill();
         log.info("router stopped", { hostId: this.#settings.hostId });
@@ -237,6 +238,9 @@
         if (notification.type === "shutdownCompleted") {
             this.#resolveDrained();
         }
+        else if (notification.type === "requestsLimited") {
+            this.#callerServer?.limitWaits();
+        }
         controllerClient.handleNotification(notification);
     }
 
