--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -10,17 +10,26 @@
 import { listModels } from "../routing/planRoute.js";
 import { authenticateTeam } from "./authentication.js";
 import { discardRemainingBody, readBody } from "./bodyReader.js";
+import { CallerConnections } from "./callerConnections.js";
 import { CallerResponse, writeErrorResponse } from "./callerResponse.js";
 import type { CallerRequest, GatewayDependencies } from "./gatewayTypes.js";
 import { validateHeaders } from "./headerValidation.js";
 import { RequestFlow } from "./requestFlow.js";
 import { parseChatRequest, parseServiceRequest, type RawCallerRequest } from "./requestParser.js";
+import { StopLimit } from "./stopLimit.js";
 
 /** Interval at which idle connections are closed while the listener stops. */
 const IdleCheckIntervalMs = 50;
 
-/** `Retry-After` for a caller that this host cannot serve at the moment; the balancer then chooses another host. */
-const RetryElsewhereMs = 1_000;
+/**
+ * `Retry-After` for a caller that this host cannot serve at the moment. While it stops, the caller's next connection goes
+ * to another host, so that the caller need not wait.
+ */
+const RetryAfterMs: Readonly<Partial<Record<ResultCodeName, number>>> = {
+    NotReady: 1_000,
+    ClaimUnavailable: 1_000,
+    ShuttingDown: 0,
+};
 
 /** Number of hexadecimal digits of a request id. */
 const RequestIdDigits = 24;
@@ -36,11 +45,15 @@
  */
 export class CallerServer {
     readonly #dependencies: GatewayDependencies;
+    readonly #connections = new CallerConnections();
+    readonly #stopLimit: StopLimit;
+    readonly #openFlows = new Set<RequestFlow>();
     readonly #server: Server;
     readonly #serviceHandler: RequestHandler;
 
     constructor(dependencies: GatewayDependencies) {
         this.#dependencies = dependencies;
+        this.#stopLimit = new StopLimit(dependencies);
         this.#serviceHandler = this.#createFlowHandler(parseServiceRequest);
         const listener = getRequestListener(this.#createApp().fetch, { overrideGlobalObjects: false });
         this.#server = createServer(
@@ -70,6 +83,11 @@
         clearInterval(timer);
     }
 
+    /** Ends the waits of open requests for an upstream in time for the end of requests that the lifecycle board states. */
+    limitWaits(): void {
+        this.#openFlows.forEach(flow => flow.limitWait());
+    }
+
     /** Destroys all connections. */
     destroy(): void {
         this.#server.closeAllConnections();
@@ -80,6 +98,10 @@
         outgoing: ServerResponse,
         listener: (incoming: IncomingMessage, outgoing: ServerResponse) => Promise<void>,
     ): void {
+        if (!this.#connections.add(incoming, outgoing)) {
+            this.#dependencies.kernel.counters.add("gateway.requestsAfterClose");
+            return;
+        }
         const headerError = validateHeaders(incoming);
         if (headerError !== undefined) {
             this.#refuse(incoming, outgoing, this.#createRequestId(), "MalformedHeader", headerError);
@@ -143,9 +165,7 @@
             this.#refuse(incoming, outgoing, requestId, read.status === "tooLarge" ? "BodyTooLarge" : "MalformedBody");
             return;
         }
-        if (this.#dependencies.kernel.board.lifecycle.phase === "draining") {
-            outgoing.setHeader("connection", "close");
-        }
+        this.#closeIfStopping(incoming, outgoing);
         await handle({ requestId, team, incoming, body: read.body }, outgoing);
     }
 
@@ -156,11 +176,27 @@
                 this.#refuse(rawRequest.incoming, outgoing, rawRequest.requestId, request.error);
                 return;
             }
-            await new RequestFlow(this.#dependencies, request.value, new CallerResponse(outgoing, rawRequest.requestId))
-                .run();
+            const { requestId, incoming } = rawRequest;
+            const response = new CallerResponse(
+                outgoing,
+                requestId,
+                () => this.#closeIfStopping(incoming, outgoing),
+            );
+            const flow = new RequestFlow(this.#dependencies, this.#stopLimit, request.value, response);
+            this.#openFlows.add(flow);
+            await flow.run();
+            this.#openFlows.delete(flow);
         };
     }
 
+    /** Closes the connection after the response while this host stops, so that the caller continues at another host. */
+    #closeIfStopping(incoming: IncomingMessage, outgoing: ServerResponse): void {
+        const { phase } = this.#dependencies.kernel.board.lifecycle;
+        if (phase !== "starting" && phase !== "serving") {
+            this.#connections.closeAfter(incoming, outgoing);
+        }
+    }
+
     /** @returns The caller's team, or the code with which the request is refused before its body is read. */
     #identify(incoming: IncomingMessage): string | { readonly refusal: ResultCodeName; } {
         const { config, lifecycle } = this.#dependencies.kernel.board;
@@ -205,13 +241,12 @@
             return;
         }
         if (!incoming.complete) {
-            outgoing.setHeader("connection", "close");
+            this.#connections.closeAfter(incoming, outgoing);
         }
-        const isTransient = code === "NotReady" || code === "ShuttingDown" || code === "ClaimUnavailable";
         writeErrorResponse(outgoing, requestId, {
             code,
             detail,
-            retryAfterMs: isTransient ? RetryElsewhereMs : undefined,
+            retryAfterMs: RetryAfterMs[code],
         }, end => discardRemainingBody(incoming, end));
     }
 }
