--- a/src/edge/quarantine/quarantineTestPlan.ts
+++ b/src/edge/quarantine/quarantineTestPlan.ts
@@ -1,5 +1,6 @@
 /** Plans of plays of the quarantine model: the fleet, its traffic and its faults. */
 import type { Random } from "../../base/random.js";
+import { lognormal } from "../../standins/distributions.js";
 
 /** Requests with a part that crashes upstreams. */
 export interface DeadlyTraffic {
@@ -117,17 +118,6 @@
     }
 }
 
-/** @returns A lognormally distributed number. */
-export function lognormal(random: Random, median: number, sigma: number): number {
-    const normal = Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
-    return median * Math.exp(sigma * normal);
-}
-
-/** @returns An exponentially distributed time until the next of some independent events. */
-export function exponential(random: Random, mean: number): number {
-    return -mean * Math.log(1 - random.next());
-}
-
 function cumulativeShares(random: Random, count: number, sigma: number): readonly number[] {
     const weights = Array.from({ length: count }, () => lognormal(random, 1, sigma));
     const total = weights.reduce((sum, weight) => sum + weight, 0);
