Begin requests during a stop only if they can end before it

Callers got the head and a part of a stream from a host that stops, and then a closed connection. The streams were of resumable routes, sent from the first moments of the stop until 0.7 s before the end of the grace period, on connections kept from before the signal or accepted just before the listener closed.

Cause: a host that stops began work that could not end before its own end. CallerServer refused a late request by its time limit only if the request may not be repeated, and only after the notice of 3 s; sends after a body, a wait for tokens, a failed or a silent upstream were not checked at all, and a change of the grace period was not seen.

Change: StopAdmission judges every request from the handling of the signal on: before its body is read, before each send, before a silent attempt is ended, and every 20 ms while it waits for its body, tokens or an upstream. A request that may run once must fit by its time limit; one that may be repeated by an upper estimate from the durations that this host has seen of the service and the events that its output tokens make. What cannot end is refused with 503, not run, Retry-After 0. A request that has been sent and must not be sent again gets 502 unless it is known not to have run. A request whose body is read until the end of the stop is answered too. The service is chosen when a request is routed, so that all checks judge the same work. StopSequence, taken out of EdgeProcess, applies a grace period that becomes shorter during the stop; a longer one is not relied on.

An idempotent request to a service without recent samples is judged by twice the time after which a second upstream gets it (StopRequest.defaultEstimateMs). By its time limit, three existing tests of lookups late in a stop got 503.

Why it works: a stream can only be cut at the end of the stop if an upstream had it then. All sends pass RequestFlow#sendTo, which asks StopAdmission, so that after the signal none is sent whose estimate exceeds what remains. What stays possible are streams sent before the signal, and those that take longer than the estimate; both are counted and logged with their arrival relative to the signal.

--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -6,7 +6,6 @@
 import { Counters } from "../base/counters.js";
 import { log } from "../base/log.js";
 import { type Random, SystemRandom } from "../base/random.js";
-import { sleep } from "../base/sleep.js";
 import { CallCountingStore } from "../platform/callCountingStore.js";
 import { CircuitBreakerStore } from "../platform/circuitBreakerStore.js";
 import type { PlatformStore } from "../platform/platformStore.js";
@@ -32,6 +31,9 @@
 import { StoreProxyClient } from "./relay/storeProxyClient.js";
 import { StoreProxyServer } from "./relay/storeProxyServer.js";
 import { orderStoreHelpers, selectWatchSource, type WatchSource } from "./relay/watchSource.js";
+import { RequestDurations } from "./stop/requestDurations.js";
+import { StopAdmission } from "./stop/stopAdmission.js";
+import { StopSequence } from "./stopSequence.js";
 import { StoreCallLog } from "./storeCallLog.js";
 import { UpstreamDirectory } from "./upstream/upstreamDirectory.js";
 import { UpstreamFeed } from "./upstream/upstreamFeed.js";
@@ -52,27 +54,6 @@
 /** Interval of periodic work, in milliseconds. */
 const TickIntervalMs = 20;
 
-/** Interval at which a shutdown checks for open requests, in milliseconds. */
-const ShutdownPollMs = 20;
-
-/** Time at the end of the grace period in which the last writes are made, beside the requests that are still open, in milliseconds. */
-const FinalWriteReserveMs = 700;
-
-/** Time at the end of the grace period that is reserved for the last responses and the exit, in milliseconds. */
-const ExitReserveMs = 300;
-
-/** Time in which the responses to interrupted requests leave the process, in milliseconds. */
-const LastResponsesMs = 50;
-
-/**
- * Time in which the first request of a connection that was accepted during the shutdown may arrive, and the rest of a request that has
- * arrived in part, in milliseconds.
- */
-const ExpectedRequestGraceMs = 500;
-
-/** Maximum duration of the last writes to the store, which close the budgets and unregister the host, in milliseconds. */
-const FinalWriteTimeoutMs = 400;
-
 const NsPerMs = 1_000_000n;
 const BytesPerMbit = 125_000;
 const BytesPerMb = 1_000_000;
@@ -117,6 +98,8 @@
     readonly #loadReporter: LoadReporter;
     readonly #quarantine: PromptQuarantine;
     readonly #limits: RateLimits;
+    readonly #durations = new RequestDurations(this.#clock);
+    readonly #stopAdmission = new StopAdmission(this.#clock, this.#durations);
     readonly #stopMonitor = new StopMonitor(this.#metrics.counters);
     readonly #callerServer: CallerServer;
     readonly #readinessServer: Server;
@@ -125,7 +108,7 @@
     #tickTimer: NodeJS.Timeout | undefined;
     #cachedWatchSource: { readonly others: readonly PeerHost[]; readonly source: WatchSource<PeerHost>; } | undefined;
     #cachedStoreHelpers: { readonly others: readonly PeerHost[]; readonly addresses: readonly string[]; } | undefined;
-    #isLeaving = false;
+    #stopSequence: StopSequence | undefined;
     #stopped: Promise<void> | undefined;
     #wasStoreConnected = true;
     #storeHistory: number | undefined;
@@ -198,7 +181,8 @@
 
     /** @returns Whether a request accepted now could be served, and the link has capacity for more callers. */
     get isReady(): boolean {
-        return !this.#isLeaving && !this.#callerServer.isLinkBusy && this.#configuration.routeTable !== undefined &&
+        return this.#stopSequence === undefined && !this.#callerServer.isLinkBusy &&
+            this.#configuration.routeTable !== undefined &&
             !this.#directory.isEmpty && this.#quarantine.isInformed;
     }
 
@@ -246,41 +230,18 @@
     }
 
     async #stop(): Promise<void> {
-        this.#isLeaving = true;
-        const startedMs = this.#clock.monotonicMs();
-        const elapsedMs = () => this.#clock.monotonicMs() - startedMs;
-        this.#budgets.startLeaving();
-        this.#stopMonitor.start(startedMs);
         const { hostId, graceMs, drainNoticeMs } = this.#settings;
+        const sequence = new StopSequence({
+            clock: this.#clock,
+            callerServer: this.#callerServer,
+            stopAdmission: this.#stopAdmission,
+            writeLast: () => Promise.all([this.#budgets.close(), this.#members.unregister()]),
+        }, { graceMs, drainNoticeMs });
+        this.#stopSequence = sequence;
+        this.#stopMonitor.start(sequence.startedAtMs);
+        this.#budgets.startLeaving();
         log.info("edge stops", { host: hostId, open: this.#callerServer.openRequestCount, graceMs, drainNoticeMs });
-        const drainLimitMs = this.#settings.graceMs - FinalWriteReserveMs;
-        const requestsEndMs = this.#settings.graceMs - ExitReserveMs;
-        while (elapsedMs() < Math.min(this.#settings.drainNoticeMs, drainLimitMs)) {
-            await sleep(ShutdownPollMs);
-        }
-        // Until now, callers may not know that the host stops, and most requests end long before their deadline.
-        this.#callerServer.limitRequests(startedMs + requestsEndMs);
-        await this.#callerServer.stopAccepting();
-        const expectedUntilMs = elapsedMs() + ExpectedRequestGraceMs;
-        const isRequestExpected = (): boolean =>
-            this.#callerServer.openRequestCount > 0 ||
-            (this.#callerServer.expectedRequestCount > 0 && elapsedMs() < expectedUntilMs);
-        while (isRequestExpected() && elapsedMs() < drainLimitMs) {
-            await sleep(ShutdownPollMs);
-        }
-        this.#callerServer.endUnusedConnections();
-        this.#callerServer.refuseRequests();
-        await Promise.race([
-            Promise.all([this.#budgets.close(), this.#members.unregister()]),
-            sleep(FinalWriteTimeoutMs),
-        ]);
-        while (this.#callerServer.openRequestCount > 0 && elapsedMs() < requestsEndMs) {
-            await sleep(ShutdownPollMs);
-        }
-        if (this.#callerServer.openRequestCount > 0) {
-            this.#callerServer.interruptRequests();
-            await sleep(LastResponsesMs);
-        }
+        await sequence.run();
         clearInterval(this.#tickTimer);
         this.#configuration.stop();
         this.#upstreamFeed.stop();
@@ -297,18 +258,22 @@
         log.info("edge stopped", {
             host: this.#settings.hostId,
             open: this.#callerServer.openRequestCount,
-            elapsedMs: elapsedMs(),
+            elapsedMs: sequence.elapsedMs,
             refused: this.#stopMonitor.refusedCount,
             cut: this.#stopMonitor.cutCount,
         });
     }
 
-    /** Applies the settings that may change while the process runs: the durations of a shutdown. Others need a restart. */
+    /**
+     * Applies the settings that may change while the process runs: the durations of a shutdown. Others need a restart. A shutdown that
+     * has begun can only become shorter.
+     */
     applySettings(settings: EdgeSettings): void {
         const { graceMs, drainNoticeMs } = settings;
         const needsRestart = JSON.stringify({ ...settings, graceMs, drainNoticeMs }) !==
             JSON.stringify({ ...this.#settings, graceMs, drainNoticeMs });
         this.#settings = { ...this.#settings, graceMs, drainNoticeMs };
+        this.#stopSequence?.shorten(graceMs);
         log.info("settings reloaded", { host: this.#settings.hostId, graceMs, drainNoticeMs, needsRestart });
     }
 
@@ -439,6 +404,8 @@
             metrics: this.#metrics,
             quarantine: this.#quarantine,
             limits: this.#limits,
+            durations: this.#durations,
+            stopAdmission: this.#stopAdmission,
             stopMonitor: this.#stopMonitor,
             zone,
             maxHeaderBytes,
@@ -448,7 +415,7 @@
             onSent: promptTokens => this.#loadReporter.recordSend(promptTokens),
             hostCount: () => this.#hostCount,
             configuration: () => this.#configuration,
-            isLeaving: () => this.#isLeaving,
+            isLeaving: () => this.#stopSequence !== undefined,
             loopDelayMs: () => this.#eventLoopMonitor.latestDelayMs,
         });
     }
--- a/src/edge/flow/attemptInput.ts
+++ b/src/edge/flow/attemptInput.ts
@@ -1,4 +1,5 @@
 /** Builds the input of an attempt from the request of a caller. */
+import type { Route } from "../edgeTypes.js";
 import type { HeaderCodec } from "../protocolCodec.js";
 import type { Upstream } from "../upstream/upstream.js";
 import type { AttemptInput } from "./attempt.js";
@@ -50,7 +51,12 @@
         requestId,
         prefillTokens: metadata.tokenCounts?.promptTokens ?? 0,
         maxIdleMs: isRepeatable ? IdempotentMaxIdleMs : NonIdempotentMaxIdleMs,
-        silentAfterMs: Math.max(MinSilenceMs, route.objectiveMs * SilenceObjectives),
+        silentAfterMs: silentAfterMs(route),
         isSilenceReported: isRepeatable,
     };
 }
+
+/** @returns Time without a byte after which an attempt to serve a request of the route is silent, in milliseconds. */
+export function silentAfterMs({ objectiveMs }: Route): number {
+    return Math.max(MinSilenceMs, objectiveMs * SilenceObjectives);
+}
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -7,20 +7,22 @@
 import { log } from "../../base/log.js";
 import type { CallerLimits, EdgeTeam, RequestMetadata, Route } from "../edgeTypes.js";
 import { EdgeCounterNames } from "../metrics.js";
-import type { RouteTable } from "../routing/routeTable.js";
-import { isRepeatable } from "./attemptHistory.js";
+import { chooseService, type RouteTable } from "../routing/routeTable.js";
 import { BodyMemory } from "./bodyMemory.js";
 import { CallerConnections, type CloseReason } from "./callerConnections.js";
 import { CallerDisconnectMonitor } from "./callerDisconnectMonitor.js";
 import { CallerResponse, type EdgeFailure } from "./callerResponse.js";
 import { ConnectionByteCounter } from "./connectionByteCounter.js";
-import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
+import type { FlowDependencies } from "./flowTypes.js";
 import { HeaderTimeout } from "./headerTimeout.js";
+import { IncomingBody, NoMemory } from "./incomingBody.js";
 import { LinkLoad } from "./linkLoad.js";
+import type { OpenRequest } from "./openRequest.js";
 import { OutgoingLinkBacklog } from "./outgoingLinkBacklog.js";
-import { type BodyRefusal, collectBody, discardBody, hasBody } from "./requestBody.js";
+import { discardBody, hasBody } from "./requestBody.js";
 import { RequestFlow } from "./requestFlow.js";
-import type { StopLogFields } from "./stopMonitor.js";
+import { findStopRefusal } from "./stopCheck.js";
+import type { AffectedRequest, StopLogFields } from "./stopMonitor.js";
 
 /** The configuration in force, as the server needs it. */
 export interface ConfigurationView {
@@ -62,9 +64,6 @@
 /** Fraction of the memory that the bodies of requests may take together: most of it is needed for connections and the heap. */
 const BodyMemoryFraction = 0.25;
 
-/** Retry-After while there is no memory for a body, in milliseconds: a retry goes to another host. */
-const NoMemoryRetryMs = 100;
-
 /** Interval at which the load of the link is measured, in milliseconds. */
 const LinkCheckIntervalMs = 100;
 
@@ -89,9 +88,7 @@
     #wasLinkBusy = false;
     #openRequestCount = 0;
     #isRefusing = false;
-    /** Monotonic time by which requests must end, in milliseconds; `undefined` while there is none. */
-    #requestsEndAtMs: number | undefined;
-    readonly #openFlows = new Map<ServerResponse, RequestFlow>();
+    readonly #openRequests = new Map<ServerResponse, OpenRequest>();
 
     constructor(dependencies: CallerServerDependencies) {
         this.#dependencies = dependencies;
@@ -136,9 +133,16 @@
         return this.#linkLoad.isBusy;
     }
 
-    /** Closes idle connections and measures the load of the link; called every few tens of milliseconds. */
+    /**
+     * Closes idle connections, refuses waiting requests that can no longer end before the process stops, and measures the load of the
+     * link; called every few tens of milliseconds.
+     */
     tick(): void {
         this.#connections.tick();
+        if (this.#dependencies.isLeaving()) {
+            // A wait for tokens or for a body may last until the request can no longer end.
+            this.#openRequests.forEach(request => request.refuseIfLate());
+        }
         const nowMs = this.#dependencies.clock.monotonicMs();
         if (nowMs - this.#linkCheckedAtMs < LinkCheckIntervalMs) {
             return;
@@ -197,16 +201,9 @@
         this.#connections.endUnused();
     }
 
-    /**
-     * Refuses requests that may not end by a monotonic time in milliseconds and may not be repeated then; open ones are not affected.
-     */
-    limitRequests(requestsEndAtMs: number): void {
-        this.#requestsEndAtMs = requestsEndAtMs;
-    }
-
     /** Ends all open requests with a failure that tells whether they may have run. */
     interruptRequests(): void {
-        this.#openFlows.forEach(flow => flow.interruptForStop(this.#requestsEndAtMs));
+        this.#openRequests.forEach(request => request.interruptForStop());
     }
 
     /** Refuses requests that still arrive on open connections, as there is no time left to complete them. */
@@ -232,7 +229,7 @@
         this.#openRequestCount++;
         response.once("close", () => {
             this.#openRequestCount--;
-            this.#openFlows.delete(response);
+            this.#openRequests.delete(response);
         });
         response.on("error", error => log.debug("caller connection failed", { error: error.message }));
         const metadata = this.#dependencies.codec.readRequestHeaders(request.rawHeaders);
@@ -310,7 +307,7 @@
     #route(request: IncomingMessage, metadata: RequestMetadata, arrivedAtMs: number): RoutedRequest | EdgeFailure {
         const { routeTable: table, isFresh } = this.#dependencies.configuration();
         if (this.#isRefusing) {
-            return this.#refuseForStop("NotReady", arrivedAtMs);
+            return this.#refuseForStop("NotReady", { arrivedAtMs, neededMs: undefined, remainingMs: undefined });
         }
         if (table === undefined) {
             return { code: "NotReady", ran: "no", retryAfterMs: NotReadyRetryMs };
@@ -336,26 +333,15 @@
         if (length > this.#bodyMemory.availableBytes) {
             return NoMemory;
         }
-        if (!isRepeatable(route) && !this.#canEndInTime(metadata, route)) {
-            return this.#refuseForStop("ShuttingDown", arrivedAtMs, timeLimitOf(metadata, route));
-        }
-        return { table, route, team };
+        const service = chooseService(route, this.#dependencies.random.next());
+        const routed = { table, route, team, service, deadlineAtMs: arrivedAtMs + timeLimitOf(metadata, route) };
+        // Before the body is read, so that the caller can go on elsewhere at once.
+        const refusal = findStopRefusal(this.#dependencies, { ...routed, metadata });
+        return refusal === undefined ? routed : this.#refuseForStop("ShuttingDown", { arrivedAtMs, ...refusal });
     }
 
-    /** @param neededMs Time that the request was expected to need, in milliseconds; `undefined` when unknown. */
-    #refuseForStop(
-        code: "NotReady" | "ShuttingDown",
-        arrivedAtMs: number,
-        neededMs?: number,
-    ): EdgeFailure & StopLogFields {
-        const remainingMs = this.#requestsEndAtMs === undefined ? undefined : this.#requestsEndAtMs - arrivedAtMs;
-        const stopFields = this.#dependencies.stopMonitor.recordRefused({ arrivedAtMs, neededMs, remainingMs });
-        return { code, ran: "no", retryAfterMs: 0, ...stopFields };
-    }
-
-    #canEndInTime(metadata: RequestMetadata, route: Route): boolean {
-        const endsAtMs = this.#dependencies.clock.monotonicMs() + timeLimitOf(metadata, route);
-        return this.#requestsEndAtMs === undefined || endsAtMs <= this.#requestsEndAtMs;
+    #refuseForStop(code: "NotReady" | "ShuttingDown", request: AffectedRequest): EdgeFailure & StopLogFields {
+        return { code, ran: "no", retryAfterMs: 0, ...this.#dependencies.stopMonitor.recordRefused(request) };
     }
 
     #readAndRun(
@@ -363,28 +349,23 @@
         response: ServerResponse,
         callerResponse: CallerResponse,
         metadata: RequestMetadata,
-        { table, route, team }: RoutedRequest,
+        routed: RoutedRequest,
         arrivedAtMs: number,
         guard: CallbackGuard,
     ): void {
         const disconnectMonitor = new CallerDisconnectMonitor(message, response);
-        const timeLimitMs = timeLimitOf(metadata, route);
+        const request = {
+            requestId: metadata.requestId!,
+            method: message.method ?? "GET",
+            target: message.url ?? "/",
+            headers: message.rawHeaders,
+            metadata,
+            ...routed,
+            arrivedAtMs,
+        };
         const run = (body: Buffer | undefined) => {
-            const request: EdgeRequest = {
-                requestId: metadata.requestId!,
-                method: message.method ?? "GET",
-                target: message.url ?? "/",
-                headers: message.rawHeaders,
-                body,
-                metadata,
-                route,
-                team,
-                table,
-                arrivedAtMs,
-                deadlineAtMs: arrivedAtMs + timeLimitMs,
-            };
-            const flow = new RequestFlow(this.#flowDependencies, request, callerResponse);
-            this.#openFlows.set(response, flow);
+            const flow = new RequestFlow(this.#flowDependencies, { ...request, body }, callerResponse);
+            this.#openRequests.set(response, flow);
             disconnectMonitor.onDisconnect(() => flow.onCallerDisconnect());
             void flow.run();
         };
@@ -392,41 +373,25 @@
             run(undefined);
             return;
         }
-        message.once("aborted", () => {
-            this.#dependencies.metrics.counters.add(EdgeCounterNames.callersDisconnectedReading);
-            log.info("caller disconnected while its request was read", {
-                request: metadata.requestId,
-                route: route.name,
-                elapsedMs: Math.round(this.#dependencies.clock.monotonicMs() - arrivedAtMs),
-                ...this.#flowDependencies.hostLoad(),
-            });
-        });
-        const onBody = (body: Buffer | BodyRefusal): void => {
-            if (typeof body !== "string") {
-                run(body);
-                return;
-            }
-            const failure: EdgeFailure = body === "noMemory" ? NoMemory : { code: "BodyTooLarge", ran: "no" };
-            log.info("request refused", { request: metadata.requestId, route: route.name, reason: body, ...failure });
-            callerResponse.sendError(failure, end => discardBody(message, guard.wrap(end)));
-        };
+        const body = new IncomingBody(this.#flowDependencies, request, { message, response: callerResponse, guard });
+        this.#openRequests.set(response, body);
         const share = this.#bodyMemory.open();
         response.once("close", () => share.release());
-        collectBody(message, table.configuration.limits.maxBodyBytes, share, guard.wrap(onBody));
+        body.read(share, run);
     }
 }
 
 /** Refusal of a request whose head has an invalid header name, which an upstream might read as another header. */
 const MalformedHead: EdgeFailure = { code: "MalformedHeader", ran: "no" };
 
-/** Refusal of a request for whose body there is no memory. */
-const NoMemory: EdgeFailure = { code: "Overloaded", ran: "no", retryAfterMs: NoMemoryRetryMs };
-
-/** Route and team of a request, with the configuration that they come from. */
+/** Route, service and team of a request, with the configuration that they come from. */
 interface RoutedRequest {
     readonly table: RouteTable;
     readonly route: Route;
     readonly team: EdgeTeam | undefined;
+    readonly service: string;
+    /** Monotonic time by which the response must be complete, in milliseconds. */
+    readonly deadlineAtMs: number;
 }
 
 /** A host whose configuration may be outdated cannot tell whether a path or key is unknown, so it reports `NotReady`. */
--- a/src/edge/flow/flowTypes.ts
+++ b/src/edge/flow/flowTypes.ts
@@ -9,6 +9,8 @@
 import type { PromptQuarantine } from "../quarantine/promptQuarantine.js";
 import type { RateLimits } from "../rateLimit/rateLimits.js";
 import type { RouteTable } from "../routing/routeTable.js";
+import type { RequestDurations } from "../stop/requestDurations.js";
+import type { StopAdmission } from "../stop/stopAdmission.js";
 import type { Upstream } from "../upstream/upstream.js";
 import type { UpstreamDirectory } from "../upstream/upstreamDirectory.js";
 import type { OutgoingLinkBacklog } from "./outgoingLinkBacklog.js";
@@ -36,6 +38,9 @@
     readonly metrics: EdgeMetrics;
     readonly quarantine: PromptQuarantine;
     readonly limits: RateLimits;
+    /** What this host has lately seen of each service's response times. */
+    readonly durations: RequestDurations;
+    readonly stopAdmission: StopAdmission;
     readonly stopMonitor: StopMonitor;
     /** Availability zone of the host. */
     readonly zone: string;
@@ -61,6 +66,8 @@
     readonly body: Buffer | undefined;
     readonly metadata: RequestMetadata;
     readonly route: Route;
+    /** The service of the route that gets the request. */
+    readonly service: string;
     /** `undefined` for a caller without a known API key, where the route needs none. */
     readonly team: EdgeTeam | undefined;
     readonly table: RouteTable;
--- a/src/edge/flow/requestBudget.ts
+++ b/src/edge/flow/requestBudget.ts
@@ -6,6 +6,7 @@
 import type { BudgetRefusal } from "../budget/budgetRefusal.js";
 import type { Reservation } from "../budget/teamAccount.js";
 import type { EdgeTeam, TokenCounts } from "../edgeTypes.js";
+import type { EdgeFailure } from "./callerResponse.js";
 import { costOfRequest, type Delivery } from "./requestCost.js";
 
 /** Reserves and settles the tokens of one request. */
@@ -77,3 +78,8 @@
         return costTokens;
     }
 }
+
+/** @returns Failure of a request whose tokens are not available. */
+export function failureOf({ reason, retryAfterMs }: BudgetRefusal): EdgeFailure {
+    return { code: reason === "exhausted" ? "BudgetExhausted" : "BudgetUnavailable", ran: "no", retryAfterMs };
+}
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -6,23 +6,22 @@
 import type { ResultCodeName } from "../../base/resultCodes.js";
 import { EdgeCounterNames } from "../metrics.js";
 import { RequestQuarantine } from "../quarantine/requestQuarantine.js";
-import { chooseService } from "../routing/routeTable.js";
 import type { ResponseHead } from "../transport/responseParser.js";
 import type { Upstream } from "../upstream/upstream.js";
 import { Attempt, type AttemptListener, type AttemptOutcome, type AttemptSilence } from "./attempt.js";
 import { AttemptHistory } from "./attemptHistory.js";
 import { createAttemptInput } from "./attemptInput.js";
-import { describeDisconnect, DisconnectCounters } from "./callerDisconnect.js";
 import { type CallerResponse, type EdgeFailure, promisesNotRun } from "./callerResponse.js";
 import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
 import { OpenAttempts } from "./openAttempts.js";
-import { RequestBudget } from "./requestBudget.js";
+import type { OpenRequest } from "./openRequest.js";
+import { failureOf, RequestBudget } from "./requestBudget.js";
 import type { RequestOutcome } from "./requestOutcome.js";
 import { RequestReporter } from "./requestReporter.js";
+import { RequestStop } from "./requestStop.js";
 import { ResendPolicy } from "./resendPolicy.js";
 import { ResponseTiming } from "./responseTiming.js";
 import { SilenceHandlers } from "./silenceHandler.js";
-import type { StopLogFields } from "./stopMonitor.js";
 import { checkStreamEnd, isStream, StreamRelay } from "./streamRelay.js";
 import { UpstreamSelector } from "./upstreamSelector.js";
 
@@ -34,11 +33,10 @@
 const MaxRetryAfterMs = 1_000;
 
 /** Serves one request: from the reservation of its tokens to the end of its response. */
-export class RequestFlow implements AttemptListener {
+export class RequestFlow implements AttemptListener, OpenRequest {
     readonly #dependencies: FlowDependencies;
     readonly #request: EdgeRequest;
     readonly #response: CallerResponse;
-    readonly #service: string;
     readonly #relay: StreamRelay;
     readonly #history: AttemptHistory;
     readonly #budget: RequestBudget;
@@ -49,6 +47,7 @@
     readonly #openAttempts: OpenAttempts;
     readonly #timing: ResponseTiming;
     readonly #quarantine: RequestQuarantine;
+    readonly #stop: RequestStop;
     readonly #guard = new CallbackGuard(error => this.onError(error));
     #deadlineTimer: ResponseTimeout | undefined;
     /** Whether the caller disconnected while a request that may not be repeated continues. */
@@ -61,7 +60,6 @@
         this.#dependencies = dependencies;
         this.#request = request;
         this.#response = response;
-        this.#service = chooseService(request.route, dependencies.random.next());
         this.#relay = new StreamRelay(
             response,
             request.metadata.lastEventId,
@@ -77,22 +75,23 @@
             request.metadata.tokenCounts,
         );
         this.#reporter = new RequestReporter(dependencies, request, {
-            service: this.#service,
             history: this.#history,
             openAttempts: this.#openAttempts,
             relay: this.#relay,
             timing: this.#timing,
             budget: this.#budget,
         });
-        this.#quarantine = new RequestQuarantine(dependencies.quarantine, request.metadata, this.#service);
-        this.#upstreams = new UpstreamSelector(dependencies, request, this.#service, this.#history);
+        this.#quarantine = new RequestQuarantine(dependencies.quarantine, request.metadata, request.service);
+        this.#upstreams = new UpstreamSelector(dependencies, request, request.service, this.#history);
+        this.#stop = new RequestStop(dependencies, request, this.#relay);
         this.#resendPolicy = new ResendPolicy(dependencies, request, {
-            service: this.#service,
+            service: request.service,
             history: this.#history,
             openAttempts: this.#openAttempts,
             relay: this.#relay,
             upstreams: this.#upstreams,
             quarantine: this.#quarantine,
+            stop: this.#stop,
         });
         this.#silenceHandlers = new SilenceHandlers({
             counters: dependencies.metrics.counters,
@@ -121,14 +120,14 @@
             this.#fail({ code: "Overloaded", ran: "no" }, "the deadline passed before the request was started");
             return;
         }
-        if (this.#isQuarantined()) {
+        if (this.#isRefusedForStop() || this.#isQuarantined()) {
             return;
         }
         this.#deadlineTimer = startResponseTimeout(
             () => this.interrupt("Overloaded", "the deadline has passed"),
             remainingMs,
         );
-        this.#dependencies.retryBudgets.recordRequest(this.#service, this.#nowMs);
+        this.#dependencies.retryBudgets.recordRequest(this.#request.service, this.#nowMs);
         // A request that waited in the socket's buffer is read before a disconnect of its caller, which the next poll reports.
         await waitForEventLoopPoll();
         if (this.#hasEnded) {
@@ -151,12 +150,8 @@
         if (this.#hasEnded) {
             return;
         }
-        const { furthest } = this.#openAttempts;
-        const hasResponseStarted = this.#relay.hasRelayedEvents || furthest?.headAtMs !== undefined;
-        const disconnect = describeDisconnect(furthest, hasResponseStarted, this.#nowMs);
-        this.#dependencies.metrics.counters.add(DisconnectCounters[disconnect.stage]);
-        const details = { ...disconnect, ...this.#dependencies.hostLoad() };
-        if (disconnect.writtenAgeMs !== undefined && this.#request.route.kind === "nonIdempotent") {
+        const details = this.#reporter.recordDisconnect();
+        if (details.writtenAgeMs !== undefined && this.#request.route.kind === "nonIdempotent") {
             this.#hasCallerDisconnected = true;
             log.info("caller left, its request goes on", { ...this.#reporter.describe(), ...details });
             return;
@@ -273,11 +268,10 @@
             return false;
         }
         this.#dependencies.metrics.counters.add(EdgeCounterNames.budgetRefusals);
-        this.#fail({
-            code: refusal.reason === "exhausted" ? "BudgetExhausted" : "BudgetUnavailable",
-            ran: "no",
-            retryAfterMs: refusal.retryAfterMs,
-        }, `budget of ${this.#request.team?.name}: ${this.#budget.worstCaseTokens} tokens not available`);
+        this.#fail(
+            failureOf(refusal),
+            `budget of ${this.#request.team?.name}: ${this.#budget.worstCaseTokens} tokens not available`,
+        );
         return false;
     }
 
@@ -308,7 +302,7 @@
 
     /** Sends the request to an upstream, or ends it if there is none. */
     #sendTo(upstream: Upstream | undefined): void {
-        if (this.#hasEnded) {
+        if (this.#hasEnded || this.#isRefusedForStop()) {
             return;
         }
         if (upstream === undefined) {
@@ -374,6 +368,9 @@
     }
 
     #giveUp(outcome: AttemptOutcome): void {
+        if (this.#history.ran === "no" && this.#isRefusedForStop()) {
+            return;
+        }
         if (outcome.status === "notExecuted" || outcome.status === "unreachable") {
             const { ran } = this.#history;
             const code = ran === "no" ? "NoUpstream" : "UpstreamFailed";
@@ -395,28 +392,32 @@
         });
     }
 
-    /**
-     * Ends the request, as the process stops.
-     * @param requestsEndAtMs Monotonic time by which requests had to end, in milliseconds.
-     */
-    interruptForStop(requestsEndAtMs: number | undefined): void {
+    /** {@inheritDoc OpenRequest.interruptForStop} */
+    interruptForStop(): void {
         this.#guard.run(() => {
             if (!this.#hasEnded) {
-                this.#interrupt("ShuttingDown", "the process stops", this.#recordStop(requestsEndAtMs));
+                this.#interrupt("ShuttingDown", "the process stops", this.#stop.recordInterruption(this.#history));
             }
         });
     }
 
-    /** @returns Fields for the log line about the end of the request by a stop. */
-    #recordStop(requestsEndAtMs: number | undefined): StopLogFields {
-        const { arrivedAtMs, deadlineAtMs } = this.#request;
-        const { stopMonitor } = this.#dependencies;
-        const affected = {
-            arrivedAtMs,
-            neededMs: deadlineAtMs - arrivedAtMs,
-            remainingMs: requestsEndAtMs === undefined ? undefined : requestsEndAtMs - arrivedAtMs,
-        };
-        return this.#history.sendCount === 0 ? stopMonitor.recordRefused(affected) : stopMonitor.recordCut(affected);
+    /** {@inheritDoc OpenRequest.refuseIfLate} */
+    refuseIfLate(): void {
+        this.#guard.run(() => {
+            if (!this.#hasEnded && !this.#hasCallerDisconnected && this.#openAttempts.count === 0) {
+                this.#isRefusedForStop();
+            }
+        });
+    }
+
+    /** @returns Whether the request cannot end before the process stops. It ends then, unless an attempt is still open. */
+    #isRefusedForStop(): boolean {
+        const refusal = this.#stop.findRefusal();
+        if (refusal !== undefined && this.#openAttempts.count === 0) {
+            const { failure, details } = this.#stop.describeRefusal(refusal, this.#history.ran);
+            this.#fail(failure, "the request cannot end before the process stops", details);
+        }
+        return refusal !== undefined;
     }
 
     #interrupt(codeIfNotRun: ResultCodeName, cause: string, details: object = {}): void {
--- a/src/edge/flow/requestReporter.ts
+++ b/src/edge/flow/requestReporter.ts
@@ -3,7 +3,8 @@
 import { EdgeCounterNames } from "../metrics.js";
 import type { AttemptOutcome } from "./attempt.js";
 import type { AttemptHistory } from "./attemptHistory.js";
-import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
+import { type CallerDisconnect, describeDisconnect, DisconnectCounters } from "./callerDisconnect.js";
+import type { EdgeRequest, FlowDependencies, HostLoad } from "./flowTypes.js";
 import type { OpenAttempts } from "./openAttempts.js";
 import type { RequestBudget } from "./requestBudget.js";
 import { describeRequest } from "./requestDescription.js";
@@ -13,7 +14,6 @@
 
 /** State of the request that is reported. */
 export interface ReportedState {
-    readonly service: string;
     readonly history: AttemptHistory;
     readonly openAttempts: OpenAttempts;
     readonly relay: StreamRelay;
@@ -58,12 +58,26 @@
     }
 
     /**
-     * Settles the tokens of the request, counts its outcome and logs it.
+     * Counts the disconnect of the caller.
+     * @returns Fields for the log line.
+     */
+    recordDisconnect(): CallerDisconnect & HostLoad {
+        const { metrics, clock, hostLoad } = this.#dependencies;
+        const { furthest } = this.#state.openAttempts;
+        const hasResponseStarted = this.#state.relay.hasRelayedEvents || furthest?.headAtMs !== undefined;
+        const disconnect = describeDisconnect(furthest, hasResponseStarted, clock.monotonicMs());
+        metrics.counters.add(DisconnectCounters[disconnect.stage]);
+        return { ...disconnect, ...hostLoad() };
+    }
+
+    /**
+     * Settles the tokens of the request, records its duration, counts its outcome and logs it.
      * @param details Further fields for the log line.
      */
     recordEnd(outcome: RequestOutcome, details: object): void {
         const { counters } = this.#dependencies.metrics;
         const chargedTokens = this.settle(outcome === "complete");
+        this.#recordDuration(outcome);
         counters.add(OutcomeCounters[outcome]);
         counters.add(EdgeCounterNames.tokensCharged, chargedTokens);
         log.info(outcome === "failed" ? "request failed" : "request ended", {
@@ -74,15 +88,30 @@
         });
     }
 
+    /** Streams count up to their last event also when they are cut, so that estimates know of those that take long. */
+    #recordDuration(outcome: RequestOutcome): void {
+        const { clock, durations } = this.#dependencies;
+        const { relay, timing } = this.#state;
+        const { service } = this.#request;
+        const { firstBodyMs, lastBodyMs } = timing;
+        const { eventCount } = relay;
+        if (firstBodyMs !== undefined && lastBodyMs !== undefined) {
+            durations.recordStream(service, { firstEventMs: firstBodyMs, eventCount, elapsedMs: lastBodyMs });
+        }
+        else if (outcome === "complete") {
+            durations.recordResponse(service, clock.monotonicMs() - this.#request.arrivedAtMs);
+        }
+    }
+
     /**
      * Settles the reserved tokens.
      * @param isComplete Whether the caller got a complete successful response.
      * @returns Tokens charged.
      */
     settle(isComplete: boolean): number {
-        const { service, relay, openAttempts, budget } = this.#state;
+        const { relay, openAttempts, budget } = this.#state;
         return budget.settle({
-            tokensPerEvent: this.#request.table.findService(service)?.engine?.tokensPerEvent,
+            tokensPerEvent: this.#request.table.findService(this.#request.service)?.engine?.tokensPerEvent,
             eventCount: relay.eventCount,
             isComplete,
             isCancelled: openAttempts.wasRunCancelled,
--- a/src/edge/flow/resendPolicy.ts
+++ b/src/edge/flow/resendPolicy.ts
@@ -4,6 +4,7 @@
 import type { AttemptHistory } from "./attemptHistory.js";
 import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
 import type { OpenAttempts } from "./openAttempts.js";
+import type { RequestStop } from "./requestStop.js";
 import type { StreamRelay } from "./streamRelay.js";
 import type { UpstreamSelector } from "./upstreamSelector.js";
 
@@ -18,9 +19,10 @@
     readonly relay: StreamRelay;
     readonly upstreams: UpstreamSelector;
     readonly quarantine: RequestQuarantine;
+    readonly stop: RequestStop;
 }
 
-/** Decides by the route, the attempts so far, the remaining time, the upstreams and the retry budget. */
+/** Decides by the route, the attempts so far, the remaining time, a stop of the process, the upstreams and the retry budget. */
 export class ResendPolicy {
     readonly #dependencies: FlowDependencies;
     readonly #request: EdgeRequest;
@@ -40,7 +42,7 @@
         const { history, openAttempts } = this.#state;
         const isAllowed = openAttempts.count > 0 ?
             this.canSendBeside() :
-            history.canRetry(outcome, this.#canContinue) && this.#remainingMs >= MinUsefulMs;
+            history.canRetry(outcome, this.#canContinue) && this.#remainingMs >= MinUsefulMs && this.#canEnd;
         if (!isAllowed) {
             return false;
         }
@@ -53,7 +55,7 @@
     canSendBeside(): boolean {
         const { history, openAttempts, upstreams, quarantine } = this.#state;
         return history.canSendBeside(openAttempts.count) && openAttempts.areAllSilent &&
-            this.#remainingMs >= MinUsefulMs && upstreams.hasUntried && quarantine.mayRepeat;
+            this.#remainingMs >= MinUsefulMs && upstreams.hasUntried && quarantine.mayRepeat && this.#canEnd;
     }
 
     /**
@@ -65,7 +67,7 @@
         const { history, upstreams, quarantine } = this.#state;
         const minRemainingMs = Math.max(MinUsefulMs, this.#request.route.objectiveMs);
         return history.canRetryNextRun && this.#canContinue && this.#remainingMs >= minRemainingMs &&
-            quarantine.mayRepeat &&
+            quarantine.mayRepeat && this.#canEnd &&
             (needsHealthy ? upstreams.hasHealthyUntried : upstreams.hasUntried);
     }
 
@@ -80,6 +82,11 @@
         return !relay.hasRelayedEvents || relay.lastEventId !== undefined;
     }
 
+    /** @returns Whether the request, sent once more, can end before the process stops. */
+    get #canEnd(): boolean {
+        return this.#state.stop.findRefusal() === undefined;
+    }
+
     get #remainingMs(): number {
         return this.#request.deadlineAtMs - this.#dependencies.clock.monotonicMs();
     }
--- a/src/edge/flow/responseTiming.ts
+++ b/src/edge/flow/responseTiming.ts
@@ -2,6 +2,7 @@
 export class ResponseTiming {
     readonly #arrivedAtMs: number;
     #firstByteMs: number | undefined;
+    #firstBodyAtMs: number | undefined;
     #lastBodyAtMs: number | undefined;
     #longestPauseMs = 0;
 
@@ -15,6 +16,16 @@
         return this.#firstByteMs;
     }
 
+    /** @returns Time from the arrival of the request to the first bytes of its stream, in milliseconds. */
+    get firstBodyMs(): number | undefined {
+        return this.#firstBodyAtMs === undefined ? undefined : this.#firstBodyAtMs - this.#arrivedAtMs;
+    }
+
+    /** @returns Time from the arrival of the request to the latest bytes of its stream, in milliseconds. */
+    get lastBodyMs(): number | undefined {
+        return this.#lastBodyAtMs === undefined ? undefined : this.#lastBodyAtMs - this.#arrivedAtMs;
+    }
+
     /** @returns Longest pause between bytes of a stream, in whole milliseconds. */
     get longestPauseMs(): number {
         return Math.round(this.#longestPauseMs);
@@ -30,6 +41,7 @@
     /** Records the arrival of bytes of a stream. */
     recordBody(nowMs: number): void {
         this.#longestPauseMs = Math.max(this.#longestPauseMs, nowMs - (this.#lastBodyAtMs ?? nowMs));
+        this.#firstBodyAtMs ??= nowMs;
         this.#lastBodyAtMs = nowMs;
     }
 }
--- /dev/null
+++ b/src/edge/flow/stopCheck.spec.ts
@@ -0,0 +1,77 @@
+import { describe, expect, it } from "vitest";
+import { ManualClock } from "../../base/clock.js";
+import { RequestDurations } from "../stop/requestDurations.js";
+import { StopAdmission } from "../stop/stopAdmission.js";
+import { findStopRefusal, type TimedRequest } from "./stopCheck.js";
+
+/** Time until the end of the requests of the process, in milliseconds. */
+const RemainingMs = 7_000;
+
+const TokensPerEvent = 4;
+
+describe("findStopRefusal", () => {
+    /** @returns Collaborators of a host that stops and has seen streams of the service with 10 ms per event. */
+    function createDependencies() {
+        const clock = new ManualClock();
+        const durations = new RequestDurations(clock);
+        for (let count = 0; count < 20; count++) {
+            durations.recordStream("lm", { firstEventMs: 100, eventCount: 11, elapsedMs: 200 });
+        }
+        const stopAdmission = new StopAdmission(clock, durations);
+        stopAdmission.limit(clock.monotonicMs() + RemainingMs);
+        return { clock, durations, stopAdmission };
+    }
+
+    function createRequest(route: object, outputTokens: number | undefined, timeLimitMs = 15_000): TimedRequest {
+        return {
+            route: { kind: "streaming", isResumable: true, isGeneration: true, objectiveMs: 100, ...route },
+            service: "lm",
+            metadata: {
+                tokenCounts: outputTokens === undefined ?
+                    undefined :
+                    { promptTokens: 10, maxOutputTokens: outputTokens },
+            },
+            table: { findService: () => ({ engine: { tokensPerEvent: TokensPerEvent } }) },
+            deadlineAtMs: timeLimitMs,
+        } as unknown as TimedRequest;
+    }
+
+    describe("given a stream that may continue at another host", () => {
+        it("judges it by the events that its output tokens make (guards against refusals of short streams)", () => {
+            const dependencies = createDependencies();
+            expect(findStopRefusal(dependencies, createRequest({}, 100 * TokensPerEvent))).toBeUndefined();
+            expect(findStopRefusal(dependencies, createRequest({}, 600 * TokensPerEvent))).toBeDefined();
+        });
+
+        it("judges it by the events that are left (guards against streams that are broken off although they can end)", () => {
+            const request = createRequest({}, 600 * TokensPerEvent);
+            expect(findStopRefusal(createDependencies(), request, 500)).toBeUndefined();
+        });
+
+        it("judges it by its time limit if it states no output tokens (guards against streams without end)", () => {
+            expect(findStopRefusal(createDependencies(), createRequest({}, undefined))).toMatchObject({
+                neededMs: 15_000,
+                remainingMs: RemainingMs,
+            });
+            expect(findStopRefusal(createDependencies(), createRequest({}, undefined, 6_000))).toBeUndefined();
+        });
+    });
+
+    describe("given a request that may run only once", () => {
+        it("judges it by its time limit (guards against orders that are cut)", () => {
+            const order = createRequest({ kind: "nonIdempotent", isResumable: false, isGeneration: false }, undefined);
+            expect(findStopRefusal(createDependencies(), order)).toMatchObject({ neededMs: 15_000 });
+        });
+    });
+
+    describe("given an idempotent request to a service without recent samples", () => {
+        it("judges it by the time in which two upstreams can be tried (guards against needless refusals late in a stop)", () => {
+            const dependencies = createDependencies();
+            const lookup = createRequest({ kind: "idempotent", isResumable: false, isGeneration: false }, undefined);
+            dependencies.clock.advance(RemainingMs - 700);
+            expect(findStopRefusal(dependencies, lookup)).toBeUndefined();
+            dependencies.clock.advance(200);
+            expect(findStopRefusal(dependencies, lookup)).toMatchObject({ neededMs: 600 });
+        });
+    });
+});
--- a/src/edge/flow/stopMonitor.ts
+++ b/src/edge/flow/stopMonitor.ts
@@ -46,21 +46,22 @@
         this.#startedAtMs = startedAtMs;
     }
 
-    /** @returns Fields for the log line about a request that is refused because of the stop. */
+    /** @returns Fields for the log line about a request that is refused because of the stop and has not run. */
     recordRefused(request: AffectedRequest): StopLogFields {
         this.#refusedCount++;
         this.#counters.add(EdgeCounterNames.requestsRefusedByStop);
-        return this.#describe(request);
+        return this.describe(request);
     }
 
     /** @returns Fields for the log line about a request that is cut at the end of the stop. */
     recordCut(request: AffectedRequest): StopLogFields {
         this.#cutCount++;
         this.#counters.add(EdgeCounterNames.requestsCutByStop);
-        return this.#describe(request);
+        return this.describe(request);
     }
 
-    #describe({ arrivedAtMs, neededMs, remainingMs }: AffectedRequest): StopLogFields {
+    /** @returns Fields for the log line about a request. */
+    describe({ arrivedAtMs, neededMs, remainingMs }: AffectedRequest): StopLogFields {
         return {
             arrivedAfterStopMs: roundMs(this.#startedAtMs === undefined ? undefined : arrivedAtMs - this.#startedAtMs),
             neededMs: roundMs(neededMs),
--- /dev/null
+++ b/src/edge/stopSequence.ts
@@ -0,0 +1,118 @@
+/** The steps of a planned stop, from the signal to the end of the last request. */
+import type { Clock } from "../base/clock.js";
+import { log } from "../base/log.js";
+import { sleep } from "../base/sleep.js";
+import type { EdgeSettings } from "./edgeSettings.js";
+import type { CallerServer } from "./flow/callerServer.js";
+import type { StopAdmission } from "./stop/stopAdmission.js";
+
+/** Interval at which open requests are checked for, in milliseconds. */
+const PollIntervalMs = 20;
+
+/** Time at the end of the grace period in which the last writes are made, beside the requests that are still open, in milliseconds. */
+const FinalWriteReserveMs = 700;
+
+/** Time at the end of the grace period that is reserved for the last responses and the exit, in milliseconds. */
+const ExitReserveMs = 300;
+
+/** Time in which the responses to interrupted requests leave the process, in milliseconds. */
+const LastResponsesMs = 50;
+
+/**
+ * Time in which the first request of a connection that was accepted during the stop may arrive, and the rest of a request that has
+ * arrived in part, in milliseconds.
+ */
+const ExpectedRequestGraceMs = 500;
+
+/** Maximum duration of the last writes to the store, in milliseconds. */
+const FinalWriteTimeoutMs = 400;
+
+/** Collaborators of {@link StopSequence}. */
+export interface StopSequenceDependencies {
+    readonly clock: Clock;
+    readonly callerServer: CallerServer;
+    readonly stopAdmission: StopAdmission;
+    /** Makes the last writes to the store, which close the budgets and unregister the host. */
+    writeLast(): Promise<unknown>;
+}
+
+/** Stops the listener for callers and ends all requests within the grace period, which begins with the construction. */
+export class StopSequence {
+    readonly #dependencies: StopSequenceDependencies;
+    readonly #startedAtMs: number;
+    readonly #drainNoticeMs: number;
+    #graceMs: number;
+
+    constructor(
+        dependencies: StopSequenceDependencies,
+        { graceMs, drainNoticeMs }: Pick<EdgeSettings, "graceMs" | "drainNoticeMs">,
+    ) {
+        this.#dependencies = dependencies;
+        this.#startedAtMs = dependencies.clock.monotonicMs();
+        this.#drainNoticeMs = drainNoticeMs;
+        this.#graceMs = graceMs;
+        this.#limitRequests();
+    }
+
+    /** @returns Monotonic time at which the stop began, in milliseconds. */
+    get startedAtMs(): number {
+        return this.#startedAtMs;
+    }
+
+    /** @returns Time since the stop began, in milliseconds. */
+    get elapsedMs(): number {
+        return this.#dependencies.clock.monotonicMs() - this.#startedAtMs;
+    }
+
+    /**
+     * Applies a grace period that was changed during the stop, if it is shorter. Whoever ends the process may go by the period that was
+     * in force at the signal, so that a longer one is not relied on.
+     */
+    shorten(graceMs: number): void {
+        if (graceMs < this.#graceMs) {
+            log.info("stop shortened", { graceMs, elapsedMs: Math.round(this.elapsedMs) });
+            this.#graceMs = graceMs;
+            this.#limitRequests();
+        }
+    }
+
+    /** Resolves when all requests have ended, or the grace period is nearly over and the last ones have been interrupted. */
+    async run(): Promise<void> {
+        const { callerServer, writeLast } = this.#dependencies;
+        while (this.elapsedMs < Math.min(this.#drainNoticeMs, this.#drainLimitMs)) {
+            await sleep(PollIntervalMs);
+        }
+        await callerServer.stopAccepting();
+        const expectedUntilMs = this.elapsedMs + ExpectedRequestGraceMs;
+        const isRequestExpected = (): boolean =>
+            callerServer.openRequestCount > 0 ||
+            (callerServer.expectedRequestCount > 0 && this.elapsedMs < expectedUntilMs);
+        while (isRequestExpected() && this.elapsedMs < this.#drainLimitMs) {
+            await sleep(PollIntervalMs);
+        }
+        callerServer.endUnusedConnections();
+        callerServer.refuseRequests();
+        await Promise.race([writeLast(), sleep(FinalWriteTimeoutMs)]);
+        while (callerServer.openRequestCount > 0 && this.elapsedMs < this.#requestsEndMs) {
+            await sleep(PollIntervalMs);
+        }
+        if (callerServer.openRequestCount > 0) {
+            callerServer.interruptRequests();
+            await sleep(LastResponsesMs);
+        }
+    }
+
+    #limitRequests(): void {
+        this.#dependencies.stopAdmission.limit(this.#startedAtMs + this.#requestsEndMs);
+    }
+
+    /** Time after which open requests are no longer waited for before the last writes. */
+    get #drainLimitMs(): number {
+        return this.#graceMs - FinalWriteReserveMs;
+    }
+
+    /** Time after which open requests are interrupted. */
+    get #requestsEndMs(): number {
+        return this.#graceMs - ExitReserveMs;
+    }
+}
