Answer what a stopping router cuts, and end within shutdownTimeoutMs

A request that was still open at shutdownTimeoutMs ran for up to 5 s more and was then cut by a reset of its connection: no error event in a stream, no response to a sale or to a half read body. A process that is killed at shutdownTimeoutMs, as docs/operations.md says, had no time for its closing record.

At requestsEndAtMs the lifecycle controller now ends the requests: those that were not sent are refused as not run, the others are cancelled at the upstream and settled, and their callers get ShuttingDown with the execution state, as an error event if the stream has begun. Each is counted (gateway.cutByStop) and logged with the time between the signal and its arrival. The last steps begin at the latest halfway between requestsEndAtMs and the timeout, whatever callers read, and the wait for the listener ends with the timeout.

--- a/src/features/lifecycle/lifecycle.spec.ts
+++ b/src/features/lifecycle/lifecycle.spec.ts
@@ -112,6 +112,19 @@
             expect(board.lifecycle.requestsEndAtMs).toBe(endsAtMs);
         });
 
+        it("ends what is open, then closes without waiting for callers (guards against a kill before the last steps)", () => {
+            controller.handle({ type: "shutdownRequested", timeoutMs: 4_000 });
+            effects.length = 0;
+            tickAfter(2_950);
+            expect(effects).toEqual([]);
+            tickAfter(50);
+            tickAfter(50);
+            expect(effects).toEqual([{ type: "notify", notification: { type: "requestsEnded" } }]);
+            expect(board.lifecycle).toMatchObject({ phase: "draining", accepting: false, requestsInFlight: 1 });
+            tickAfter(450);
+            expect(board.lifecycle.phase).toBe("closing");
+        });
+
         it("closes after the last request and reports completion once shares are returned (guards against cut streams)", () => {
             tickAfter(60_000);
             expect(board.lifecycle.phase).toBe("draining");
--- a/src/features/lifecycle/lifecycleBoard.ts
+++ b/src/features/lifecycle/lifecycleBoard.ts
@@ -10,6 +10,8 @@
     ready: boolean;
     /** Whether new requests are served; false once the balancer's lag has passed during a shutdown. */
     accepting: boolean;
+    /** Monotonic time at which the shutdown was requested; `undefined` before. */
+    shutdownRequestedAtMs: number | undefined;
     /** Monotonic time by which every request must have ended; `undefined` unless the shutdown has a timeout. */
     requestsEndAtMs: number | undefined;
     /** Reasons why this host is not ready, for operators; empty when ready. */
@@ -24,6 +26,7 @@
         phase: "starting",
         ready: false,
         accepting: true,
+        shutdownRequestedAtMs: undefined,
         requestsEndAtMs: undefined,
         reasons: ["starting"],
         requestsInFlight: 0,
--- a/src/features/lifecycle/lifecycleController.ts
+++ b/src/features/lifecycle/lifecycleController.ts
@@ -14,7 +14,8 @@
  * Writes the lifecycle section of the board. The phases are:
  * - `starting` until the host is ready for the first time
  * - `serving` until a shutdown is requested
- * - `draining` until the lag of the balancer has passed, no request is in flight and all claims are settled
+ * - `draining` until the lag of the balancer has passed, no request is in flight and all claims are settled, or half of the
+ *   time that a shutdown with a timeout reserves for the last steps has passed
  * - `closing` until the closing record is stored and the budget shares are returned, or a timeout has passed
  * - `closed`, after which the process may exit
  */
@@ -29,6 +30,9 @@
     readonly #settings: LifecycleSettings;
     #drainingSinceMs = 0;
     #closingSinceMs = 0;
+    /** Monotonic time at which the last steps begin even if callers have not received their responses. */
+    #closesByMs = Number.POSITIVE_INFINITY;
+    #hasEndedRequests = false;
 
     constructor(context: ControllerContext, settings: LifecycleSettings) {
         super(context);
@@ -71,6 +75,7 @@
         board.ready = false;
         board.reasons = ["shutting down"];
         this.#drainingSinceMs = this.#nowMs;
+        board.shutdownRequestedAtMs = this.#nowMs;
         log.info("draining", { requestsInFlight: board.requestsInFlight });
     }
 
@@ -83,14 +88,18 @@
         const reservedMs = Math.min(this.#settings.closeTimeoutMs, timeoutMs * MaxReservedFraction);
         const endsAtMs = this.#nowMs + timeoutMs - reservedMs;
         board.requestsEndAtMs = Math.min(board.requestsEndAtMs ?? endsAtMs, endsAtMs);
+        this.#closesByMs = Math.min(this.#closesByMs, endsAtMs + reservedMs / 2);
         this.context.emit({ type: "notify", notification: { type: "requestsLimited" } });
     }
 
     #advanceShutdown(): void {
         const board = this.#board;
-        if (board.phase === "draining" && this.#nowMs - this.#drainingSinceMs >= this.#settings.balancerLagMs) {
-            board.accepting = false;
-            if (board.requestsInFlight === 0 && this.#areClaimsSettled()) {
+        if (board.phase === "draining") {
+            this.#endRequestsInTime();
+            const hasLagPassed = this.#nowMs - this.#drainingSinceMs >= this.#settings.balancerLagMs;
+            board.accepting &&= !hasLagPassed && !this.#hasEndedRequests;
+            const canClose = !board.accepting && board.requestsInFlight === 0 && this.#areClaimsSettled();
+            if (canClose || this.#nowMs >= this.#closesByMs) {
                 board.phase = "closing";
                 this.#closingSinceMs = this.#nowMs;
             }
@@ -100,6 +109,14 @@
         }
     }
 
+    #endRequestsInTime(): void {
+        const { requestsEndAtMs } = this.#board;
+        if (!this.#hasEndedRequests && requestsEndAtMs !== undefined && this.#nowMs >= requestsEndAtMs) {
+            this.#hasEndedRequests = true;
+            this.context.emit({ type: "notify", notification: { type: "requestsEnded" } });
+        }
+    }
+
     /**
      * @returns Whether all claims of idempotency keys are settled, or the wait for them is over. A claim that turns out to
      * belong to another request cancels a bill, and this must happen before the closing record is written.
--- a/src/features/lifecycle/lifecycleTypes.ts
+++ b/src/features/lifecycle/lifecycleTypes.ts
@@ -18,6 +18,11 @@
     readonly type: "requestsLimited";
 }
 
+/** Notifies the gateway that the end of requests has come: what is still open must be answered and settled now. */
+export interface RequestsEnded {
+    readonly type: "requestsEnded";
+}
+
 /** Notifies the process that the shutdown is complete and it may exit. */
 export interface ShutdownCompleted {
     readonly type: "shutdownCompleted";
--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -104,6 +104,16 @@
         writeErrorResponse(this.#outgoing, this.#requestId, failure);
     }
 
+    /** Sends an error response, or ends a response that has begun like {@link CallerResponse.interrupt}. */
+    fail(failure: ErrorResponse, stream: boolean): void {
+        if (this.isHeadWritten) {
+            this.interrupt(failure, stream);
+        }
+        else {
+            this.sendError(failure);
+        }
+    }
+
     /** Ends a response that cannot be completed: sends an error event on a stream, then destroys the connection. */
     interrupt(failure: ErrorResponse, stream: boolean): void {
         if (this.isCallerDisconnected) {
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -48,6 +48,8 @@
     readonly #connections = new CallerConnections();
     readonly #stopLimit: StopLimit;
     readonly #openFlows = new Set<RequestFlow>();
+    /** Callbacks that refuse the requests whose bodies are being read. */
+    readonly #bodyReads = new Set<() => void>();
     readonly #server: Server;
     readonly #serviceHandler: RequestHandler;
 
@@ -88,6 +90,12 @@
         this.#openFlows.forEach(flow => flow.limitWait());
     }
 
+    /** Ends all open requests: refuses those that were not sent, and cuts off the others with an error. */
+    interruptRequests(): void {
+        this.#bodyReads.forEach(refuse => refuse());
+        this.#openFlows.forEach(flow => flow.interrupt());
+    }
+
     /** Destroys all connections. */
     destroy(): void {
         this.#server.closeAllConnections();
@@ -160,7 +168,13 @@
             this.#refuse(incoming, outgoing, requestId, team.refusal);
             return;
         }
+        const refuse = (): void => this.#refuse(incoming, outgoing, requestId, "ShuttingDown");
+        this.#bodyReads.add(refuse);
         const read = await readBody(incoming, settings.maxBodyBytes, settings.bodyTimeoutMs);
+        this.#bodyReads.delete(refuse);
+        if (outgoing.headersSent) {
+            return;
+        }
         if (read.status !== "read") {
             this.#refuse(incoming, outgoing, requestId, read.status === "tooLarge" ? "BodyTooLarge" : "MalformedBody");
             return;
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -1,4 +1,5 @@
 /** Processes one request: plan, claim, reserve, admit, dispatch, relay, settle. */
+import { log } from "../base/log.js";
 import type { ExecutionState } from "../base/resultCodes.js";
 import type { AdmissionRequest } from "../features/admission/admissionTypes.js";
 import { grantBudgetName } from "../features/budget/budgetTypes.js";
@@ -8,7 +9,7 @@
 import { createAdmissionRequest } from "./admissionRequest.js";
 import { Attempt, type AttemptListener } from "./attempt.js";
 import { AttemptGroup, type AttemptGroupDelegate, type AttemptGroupOutcome } from "./attemptGroup.js";
-import { createGrantBill, createRequestBill, type FinishedRequest } from "./billing.js";
+import type { FinishedRequest } from "./billing.js";
 import type { CallerResponse, ErrorResponse } from "./callerResponse.js";
 import { getDispatchTimeouts } from "./dispatchTimeouts.js";
 import type { CallerRequest, GatewayDependencies } from "./gatewayTypes.js";
@@ -16,6 +17,7 @@
 import { buildResponseHeaders, buildUpstreamHeaders } from "./relayHeaders.js";
 import { ReplayRecorder } from "./replayRecorder.js";
 import { createRefusalError, RequestError } from "./requestError.js";
+import { type RequestHoldings, settleRequest } from "./settlement.js";
 import type { StopLimit } from "./stopLimit.js";
 
 /**
@@ -41,6 +43,7 @@
     #engineClass: WorkClass | undefined;
     #isWaitingForAdmission = false;
     #waitTimer: NodeJS.Timeout | undefined;
+    #isInterrupted = false;
     readonly #recorder: ReplayRecorder;
     #pausedAttempt: Attempt | undefined;
     #stallTimer: NodeJS.Timeout | undefined;
@@ -254,6 +257,25 @@
         }
     }
 
+    /** Ends a request that was sent, because this host stops: its bill is settled and the caller gets an error. */
+    interrupt(): void {
+        if (this.#group !== undefined && !this.#isWaitingForAdmission) {
+            this.#isInterrupted = true;
+            this.#group.cancel();
+        }
+    }
+
+    #reportInterruption(): void {
+        const { kernel } = this.#dependencies;
+        const { shutdownRequestedAtMs = 0 } = kernel.board.lifecycle;
+        kernel.counters.add("gateway.cutByStop");
+        log.warn("request cut off: this host stops", {
+            requestId: this.#request.requestId,
+            arrivedAfterSignalMs: Math.round(this.#startedAtMs - shutdownRequestedAtMs),
+        });
+        this.#response.fail({ code: "ShuttingDown", ran: this.#executionState }, this.#isStream);
+    }
+
     /** Prevents a send that could not end before this host stops, and frees an upstream that was already chosen. */
     #throwIfStopping(): void {
         if (!this.#stopLimit.canBegin(this.#request, this.#plan)) {
@@ -318,17 +340,17 @@
         }
         this.#settle("cut", attempt);
         this.#dependencies.kernel.counters.add(`gateway.${outcome.status}`);
+        if (this.#isInterrupted) {
+            this.#reportInterruption();
+            return;
+        }
         if (outcome.status === "cut") {
             const code = outcome.result?.code === "AnswerMismatch" ? "AnswerMismatch" : "StreamCut";
-            this.#response.interrupt({ code, ran: "yes" }, this.#request.responseKind === "chatStream");
+            this.#response.interrupt({ code, ran: "yes" }, this.#isStream);
         }
     }
 
-    /** Bills what was delivered and completes the claim; releases reservations and claim if the request did not run. */
     #settle(outcome: "complete" | "cut", attempt: Attempt | undefined): void {
-        const { controllerClient } = this.#dependencies;
-        const { requestId } = this.#request;
-        const notRun = this.#executionState === "no";
         const finishedRequest: FinishedRequest = {
             request: this.#request,
             plan: this.#plan,
@@ -337,35 +359,22 @@
             ran: this.#executionState,
             attempt,
         };
-        if (this.#tokensReserved && notRun) {
-            controllerClient.releaseReservation(requestId);
-        }
-        else if (this.#tokensReserved) {
-            controllerClient.settleReservation(requestId, createRequestBill(finishedRequest));
-        }
-        if (this.#grantReserved && notRun) {
-            controllerClient.releaseReservation(this.#grantReservationId);
-        }
-        else if (this.#grantReserved) {
-            controllerClient.settleReservation(this.#grantReservationId, createGrantBill(finishedRequest));
-        }
-        if (this.#claimHeld && this.#claimId !== undefined && notRun) {
-            controllerClient.releaseClaim(this.#claimId, requestId);
-        }
-        else if (this.#claimHeld && this.#claimId !== undefined) {
-            const complete = outcome === "complete";
-            controllerClient.completeClaim(
-                this.#claimId,
-                requestId,
-                complete ? this.#recorder.toStoredResponse(attempt?.head) : undefined,
-                !complete,
-            );
-        }
+        const holdings: RequestHoldings = {
+            areTokensReserved: this.#tokensReserved,
+            grantReservationId: this.#grantReserved ? this.#grantReservationId : undefined,
+            isClaimHeld: this.#claimHeld,
+        };
+        const storedResponse = outcome === "complete" ? this.#recorder.toStoredResponse(attempt?.head) : undefined;
+        settleRequest(this.#dependencies.controllerClient, finishedRequest, holdings, storedResponse);
         this.#tokensReserved = false;
         this.#grantReserved = false;
         this.#claimHeld = false;
     }
 
+    get #isStream(): boolean {
+        return this.#request.responseKind === "chatStream";
+    }
+
     get #grantReservationId(): string {
         return `${this.#request.requestId}/grant`;
     }
--- a/src/kernel/effects.ts
+++ b/src/kernel/effects.ts
@@ -2,7 +2,7 @@
 import type { AdmissionDecided } from "../features/admission/admissionTypes.js";
 import type { ReservationDecided } from "../features/budget/budgetTypes.js";
 import type { ClaimDecided, TicketIssued } from "../features/idempotency/idempotencyTypes.js";
-import type { RequestsLimited, ShutdownCompleted } from "../features/lifecycle/lifecycleTypes.js";
+import type { RequestsEnded, RequestsLimited, ShutdownCompleted } from "../features/lifecycle/lifecycleTypes.js";
 import type { PeerReply, PeerRequest } from "../peer/peerMessages.js";
 import type { CallIdentity } from "./effectResults.js";
 import type { RouterEvent } from "./events.js";
@@ -14,6 +14,7 @@
     | TicketIssued
     | AdmissionDecided
     | RequestsLimited
+    | RequestsEnded
     | ShutdownCompleted;
 
 /** Work that a controller requests. Results of store and peer calls are posted as events. */
--- a/src/router/routerProcess.ts
+++ b/src/router/routerProcess.ts
@@ -139,14 +139,16 @@
     }
 
     /**
-     * Shuts down gracefully: serves until the balancer has stopped sending requests, finishes every stream and returns the
-     * budget shares. After `shutdownTimeoutMs`, what is still open is destroyed.
+     * Shuts down gracefully within `shutdownTimeoutMs`: serves until the balancer has stopped sending requests, finishes the
+     * streams and returns the budget shares. Streams that take too long are cut early enough to return the shares.
      */
     async stop(): Promise<void> {
         const timeoutMs = this.#settings.shutdownTimeoutMs;
+        const endsAtMs = this.#clock.monotonicMs() + timeoutMs;
         this.#kernel?.post({ type: "shutdownRequested", timeoutMs });
         await withTimeout(this.drained, timeoutMs);
-        await withTimeout(this.#callerServer?.stop() ?? Promise.resolve(), ListenerStopMs);
+        const listenerStopMs = Math.max(0, Math.min(ListenerStopMs, endsAtMs - this.#clock.monotonicMs()));
+        await withTimeout(this.#callerServer?.stop() ?? Promise.resolve(), listenerStopMs);
         await this.kill();
         log.info("router stopped", { hostId: this.#settings.hostId });
     }
@@ -241,6 +243,9 @@
         else if (notification.type === "requestsLimited") {
             this.#callerServer?.limitWaits();
         }
+        else if (notification.type === "requestsEnded") {
+            this.#callerServer?.interruptRequests();
+        }
         controllerClient.handleNotification(notification);
     }
 
--- a/src/router/routerSettings.ts
+++ b/src/router/routerSettings.ts
@@ -33,7 +33,7 @@
     }).prefault({}),
     gateway: GatewaySettingsSchema.prefault({}),
     features: FeatureSettingsSchema.prefault({}),
-    /** Maximum duration of a graceful shutdown; connections that are still open then are destroyed. */
+    /** Maximum duration of a graceful shutdown; requests end a quarter of it earlier, at most `closeTimeoutMs`. */
     shutdownTimeoutMs: z.number().int().positive().default(600_000),
     /** StatsD server for metrics. */
     metrics: z.strictObject({ host: z.string(), port: PortSchema }).optional(),
