Write the last log lines of a stop to a reader that is behind

The process exited 50 ms after a stop, whatever was still unwritten, so that the lines about requests that were cut at its end were lost when the reader of the log was slow.

The new test of lineWriter.spec.ts has no counterpart before, as nothing waited for a write.

--- a/src/base/lineWriter.spec.ts
+++ b/src/base/lineWriter.spec.ts
@@ -54,4 +54,34 @@
             expect(written.join("")).toBe("abcdefgh\n");
         });
     });
+
+    describe("given a process that ends", () => {
+        /** Completes a write when it is called. */
+        let finish: () => void = () => undefined;
+        const written: string[] = [];
+        const slow: WriteBytes = (bytes, done) => {
+            finish = () => {
+                written.push(bytes.toString());
+                done(null, bytes.length);
+            };
+        };
+
+        it("waits until a slow reader has all lines (guards against the last lines of a stop that are lost)", async () => {
+            const writer = new LineWriter(slow);
+            writer.add("first");
+            writer.flush();
+            writer.add("last");
+            const drained = writer.drain(1_000);
+            finish();
+            finish();
+            expect(await drained).toBe(true);
+            expect(written.join("")).toBe("first\nlast\n");
+        });
+
+        it("gives up after a time (guards against a stop that a stalled reader makes too long)", async () => {
+            const writer = new LineWriter(slow);
+            writer.add("first");
+            expect(await writer.drain(10)).toBe(false);
+        });
+    });
 });
--- a/src/base/lineWriter.ts
+++ b/src/base/lineWriter.ts
@@ -1,5 +1,6 @@
 /** Writes lines to a file descriptor without blocking, with a bounded buffer. */
 import { write } from "node:fs";
+import { sleep } from "./sleep.js";
 
 /** Default maximum of buffered bytes. While a reader stalls for seconds, lines are dropped and the process is not delayed. */
 const MaxBufferedBytes = 1_048_576;
@@ -25,6 +26,8 @@
     #droppedLines = 0;
     #isWriting = false;
     #timer: NodeJS.Timeout | undefined;
+    /** Called when no line is buffered or being written any more. */
+    #onEmpty: () => void = () => undefined;
 
     /**
      * @param write Starts a write.
@@ -66,6 +69,19 @@
         this.#writeAll(bytes, { bytes: bytes.length, lines: lineCount });
     }
 
+    /**
+     * Writes the buffered lines, for the end of the process.
+     * @param maxMs Maximum time to wait for the reader, in milliseconds.
+     * @returns Resolves with whether all lines are written.
+     */
+    async drain(maxMs: number): Promise<boolean> {
+        this.flush();
+        if (this.#isWriting) {
+            await Promise.race([new Promise<void>(resolve => this.#onEmpty = resolve), sleep(maxMs)]);
+        }
+        return !this.#isWriting && this.#lines.length === 0;
+    }
+
     #writeAll(bytes: Buffer, batch: { readonly bytes: number; readonly lines: number; }): void {
         this.#isWriting = true;
         this.#write(bytes, (error, writtenBytes) => {
@@ -83,6 +99,9 @@
                 this.#droppedLines += batch.lines;
             }
             this.flush();
+            if (!this.#isWriting) {
+                this.#onEmpty();
+            }
         });
     }
 }
