Accept the whole listen queue before a stop closes the listener

Callers that connect around the close of the listener were reset unread when the event loop was behind: 97 of 100 in stopPlays.spec.ts, 1,023 of 1,100 in a play on real processes that stood still for 300 ms.

Cause: each poll of the event loop accepts one connection, and the stop waited for one poll. Class: what has arrived at the host is judged by what the process has read.

Change: the stop polls until no further connection is accepted, for 1 s at the most.

--- a/src/edge/flow/callerConnections.ts
+++ b/src/edge/flow/callerConnections.ts
@@ -78,12 +78,14 @@
     readonly #states = new Map<Socket, ConnectionState>();
     #idleCheckedAtMs = 0;
     #isStopping = false;
+    #acceptedCount = 0;
 
     constructor(server: Server, clock: Clock, counters: Counters) {
         this.#server = server;
         this.#clock = clock;
         this.#counters = counters;
         server.on("connection", (socket: Socket) => {
+            this.#acceptedCount++;
             this.#states.set(socket, {
                 remote: `${socket.remoteAddress}:${socket.remotePort}`,
                 open: new Set(),
@@ -118,6 +120,11 @@
         ).length;
     }
 
+    /** @returns Number of connections accepted so far. */
+    get acceptedCount(): number {
+        return this.#acceptedCount;
+    }
+
     /** Closes the connections whose idle time is over; called every few tens of milliseconds. */
     tick(): void {
         const nowMs = this.#clock.monotonicMs();
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -65,6 +65,9 @@
 /** Retry-After while there is no memory for a body, in milliseconds: a retry goes to another host. */
 const NoMemoryRetryMs = 100;
 
+/** Maximum time in which a stop accepts the connections of a full listen queue, in milliseconds. */
+const MaxAcceptMs = 1_000;
+
 /** Interval at which the load of the link is measured, in milliseconds. */
 const LinkCheckIntervalMs = 100;
 
@@ -181,7 +184,14 @@
      * that are already in the listen queue are accepted, and requests that have arrived are read, before that.
      */
     async stopAccepting(): Promise<void> {
-        await waitForEventLoopPoll();
+        // Each poll of the event loop accepts one connection, and closing the listener resets those that are still in its queue.
+        const untilMs = this.#dependencies.clock.monotonicMs() + MaxAcceptMs;
+        let acceptedCount: number;
+        do {
+            ({ acceptedCount } = this.#connections);
+            await waitForEventLoopPoll();
+        }
+        while (this.#connections.acceptedCount > acceptedCount && this.#dependencies.clock.monotonicMs() < untilMs);
         // `close` of an HTTP server also destroys connections whose first request has not been read.
         NetServer.prototype.close.call(this.#server);
         this.#connections.startStopping();
