--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -64,6 +64,9 @@
 /** Fraction of the memory that the bodies of requests may take together: most of it is needed for connections and the heap. */
 const BodyMemoryFraction = 0.25;
 
+/** Maximum time in which a stop accepts the connections of a full listen queue, in milliseconds. */
+const MaxAcceptMs = 1_000;
+
 /** Interval at which the load of the link is measured, in milliseconds. */
 const LinkCheckIntervalMs = 100;
 
@@ -181,11 +184,18 @@
     }
 
     /**
-     * Stops accepting connections and closes idle ones; the connection of an open request closes when the request ends. Connections
-     * that are already in the listen queue are accepted, and requests that have arrived are read, before that.
+     * Stops accepting connections and closes idle ones; the connection of an open request closes some time after the request has ended.
+     * Connections that are already in the listen queue are accepted, and requests that have arrived are read, before that.
      */
     async stopAccepting(): Promise<void> {
-        await waitForEventLoopPoll();
+        // Each poll of the event loop accepts one connection, and closing the listener resets those that are still in its queue.
+        const untilMs = this.#dependencies.clock.monotonicMs() + MaxAcceptMs;
+        let acceptedCount: number;
+        do {
+            ({ acceptedCount } = this.#connections);
+            await waitForEventLoopPoll();
+        }
+        while (this.#connections.acceptedCount > acceptedCount && this.#dependencies.clock.monotonicMs() < untilMs);
         // `close` of an HTTP server also destroys connections whose first request has not been read.
         NetServer.prototype.close.call(this.#server);
         this.#connections.startStopping();
@@ -196,6 +206,11 @@
         return this.#connections.expectedRequestCount;
     }
 
+    /** @returns Whether connections are kept open on which the next request may arrive at any moment, after {@link stopAccepting}. */
+    get isNextRequestExpected(): boolean {
+        return this.#connections.isNextRequestExpected;
+    }
+
     /** Ends all connections on which no request is open or begun. */
     endUnusedConnections(): void {
         this.#connections.endUnused();
--- a/src/edge/stopSequence.ts
+++ b/src/edge/stopSequence.ts
@@ -85,7 +85,7 @@
         await callerServer.stopAccepting();
         const expectedUntilMs = this.elapsedMs + ExpectedRequestGraceMs;
         const isRequestExpected = (): boolean =>
-            callerServer.openRequestCount > 0 ||
+            callerServer.openRequestCount > 0 || callerServer.isNextRequestExpected ||
             (callerServer.expectedRequestCount > 0 && this.elapsedMs < expectedUntilMs);
         while (isRequestExpected() && this.elapsedMs < this.#drainLimitMs) {
             await sleep(PollIntervalMs);
