Count the grace period of a stop from the signal

Cause: the stop counted the grace period from the moment at which it handled the signal. Class: a period that two sides count from different moments.

Change: the period counts from the earliest moment at which the signal may have been sent: the last time at which the event loop was known to run, or the delay of its latest tick. The line 'edge stops' states it. The notice for the balancer still counts from the handling, as the host is ready until then.

--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -231,16 +231,28 @@
 
     async #stop(): Promise<void> {
         const { hostId, graceMs, drainNoticeMs } = this.#settings;
-        const sequence = new StopSequence({
-            clock: this.#clock,
-            callerServer: this.#callerServer,
-            stopAdmission: this.#stopAdmission,
-            writeLast: () => Promise.all([this.#budgets.close(), this.#members.unregister()]),
-        }, { graceMs, drainNoticeMs });
+        const handledAtMs = this.#clock.monotonicMs();
+        const maxWaitMs = this.#eventLoopMonitor.maxWaitMs(handledAtMs);
+        const sequence = new StopSequence(
+            {
+                clock: this.#clock,
+                callerServer: this.#callerServer,
+                stopAdmission: this.#stopAdmission,
+                writeLast: () => Promise.all([this.#budgets.close(), this.#members.unregister()]),
+            },
+            { graceMs, drainNoticeMs },
+            handledAtMs - maxWaitMs,
+        );
         this.#stopSequence = sequence;
         this.#stopMonitor.start(sequence.startedAtMs);
         this.#budgets.startLeaving();
-        log.info("edge stops", { host: hostId, open: this.#callerServer.openRequestCount, graceMs, drainNoticeMs });
+        log.info("edge stops", {
+            host: hostId,
+            open: this.#callerServer.openRequestCount,
+            graceMs,
+            drainNoticeMs,
+            maxSignalDelayMs: Math.round(maxWaitMs),
+        });
         await sequence.run();
         clearInterval(this.#tickTimer);
         this.#configuration.stop();
--- a/src/edge/eventLoopMonitor.spec.ts
+++ b/src/edge/eventLoopMonitor.spec.ts
@@ -15,6 +15,18 @@
         });
     });
 
+    describe("given an event that is handled after a delay", () => {
+        it("knows how long it may have waited (guards against periods that begin at a signal and are counted from its handling)", () => {
+            const monitor = new EventLoopMonitor(20, () => undefined);
+            monitor.recordTick(0);
+            monitor.recordTick(20);
+            expect(monitor.maxWaitMs(25)).toBe(5);
+            expect(monitor.maxWaitMs(720)).toBe(700);
+            monitor.recordTick(740);
+            expect(monitor.maxWaitMs(741)).toBe(700);
+        });
+    });
+
     describe("given an event loop that stays behind", () => {
         it("logs the largest delay once a second (guards against log volume that grows with the load)", () => {
             const lines = vi.spyOn(log, "info").mockImplementation(() => undefined);
--- a/src/edge/eventLoopMonitor.ts
+++ b/src/edge/eventLoopMonitor.ts
@@ -32,6 +32,14 @@
         return this.#latestDelayMs;
     }
 
+    /**
+     * @param nowMs Monotonic time, in milliseconds.
+     * @returns Maximum time for which an event that is handled now may have waited, in milliseconds.
+     */
+    maxWaitMs(nowMs: number): number {
+        return Math.max(this.#latestDelayMs, this.#lastTickMs === undefined ? 0 : nowMs - this.#lastTickMs);
+    }
+
     /**
      * Records that the timer has fired.
      * @param nowMs Monotonic time, in milliseconds.
--- a/src/edge/stopSequence.ts
+++ b/src/edge/stopSequence.ts
@@ -36,19 +36,24 @@
     writeLast(): Promise<unknown>;
 }
 
-/** Stops the listener for callers and ends all requests within the grace period, which begins with the construction. */
+/** Stops the listener for callers and ends all requests within the grace period, which begins with the signal. */
 export class StopSequence {
     readonly #dependencies: StopSequenceDependencies;
     readonly #startedAtMs: number;
+    /** Monotonic time from which the host is not ready, in milliseconds. */
+    readonly #handledAtMs: number;
     readonly #drainNoticeMs: number;
     #graceMs: number;
 
+    /** @param startedAtMs Earliest monotonic time at which the signal may have been sent, in milliseconds. */
     constructor(
         dependencies: StopSequenceDependencies,
         { graceMs, drainNoticeMs }: Pick<EdgeSettings, "graceMs" | "drainNoticeMs">,
+        startedAtMs: number,
     ) {
         this.#dependencies = dependencies;
-        this.#startedAtMs = dependencies.clock.monotonicMs();
+        this.#startedAtMs = startedAtMs;
+        this.#handledAtMs = dependencies.clock.monotonicMs();
         this.#drainNoticeMs = drainNoticeMs;
         this.#graceMs = graceMs;
         this.#limitRequests();
@@ -78,8 +83,9 @@
 
     /** Resolves when all requests have ended, or the grace period is nearly over and the last ones have been interrupted. */
     async run(): Promise<void> {
-        const { callerServer, writeLast } = this.#dependencies;
-        while (this.elapsedMs < Math.min(this.#drainNoticeMs, this.#drainLimitMs)) {
+        const { clock, callerServer, writeLast } = this.#dependencies;
+        const hasNotice = (): boolean => clock.monotonicMs() - this.#handledAtMs < this.#drainNoticeMs;
+        while (hasNotice() && this.elapsedMs < this.#drainLimitMs) {
             await sleep(PollIntervalMs);
         }
         await callerServer.stopAccepting();
