Widen the margin for slower upstreams in the estimate of stopping hosts

Upstreams that become half as fast during a restart made estimates too low, so that requests which a stopping host had begun were cut. A cut answer costs its caller seconds, a refused request some milliseconds.

Raise the factor from 1.25 to 1.5.

--- a/src/edge/stop/requestDurations.ts
+++ b/src/edge/stop/requestDurations.ts
@@ -34,10 +34,10 @@
 }
 
 /**
- * An upstream may fall silent for up to 2 s before its stream is moved, so an estimate that allows for less is too low even with
- * sound upstreams.
+ * The margins are wide, as a request that is cut costs its caller seconds and one that is refused a few milliseconds: an upstream
+ * may fall silent for 2 s before its stream is moved, and upstreams may become slower than they were in the last minute.
  */
-export const DefaultMargins: DurationMargins = { quantile: 0.95, slownessFactor: 1.25, pauseMs: 2_000 };
+export const DefaultMargins: DurationMargins = { quantile: 0.95, slownessFactor: 1.5, pauseMs: 2_000 };
 
 /** Quantiles of the durations of one service; `undefined` without enough recent samples. */
 interface DurationQuantiles {
