Let the first attempt go on when a hedge breaks off at once

A caller whose first upstream was only late lost the answer when the hedge sent its first bytes and broke off: the first attempt was cancelled at these bytes, for streams and for plain services.

AttemptGroup holds back the first bytes of a hedge for 100 ms, or 64 KB, while the first attempt runs. A hedge that breaks off meanwhile is dropped, one that completes wins at once, and so does the first attempt with its first bytes. A hedged stream so begins up to 100 ms later.

Two cases of pausedUpstream.spec.ts with a hedge that breaks off fail before and pass now; four more guard against lost bytes of a hedge whose response arrives in parts.

--- a/src/gateway/attemptGroup.ts
+++ b/src/gateway/attemptGroup.ts
@@ -12,6 +12,12 @@
     readonly definitelyNotRun: boolean;
 }
 
+/** Maximum time for which the first bytes of a hedge are held back; an upstream that breaks off mostly does so at once. */
+const HedgeHoldMs = 100;
+
+/** Maximum size of what is held back. */
+const MaxHeldBytes = 65_536;
+
 /** Callbacks through which a group starts attempts and delivers the response. */
 export interface AttemptGroupDelegate {
     /** Starts an attempt at the given upstream. */
@@ -26,7 +32,8 @@
 
 /**
  * Runs attempts until one has won and ended, or all have failed. The first attempt that delivers bytes wins; the others
- * are cancelled.
+ * are cancelled. The first bytes of a hedge are held back for a short time, so that a hedge that breaks off does not end
+ * a first attempt that is only late.
  */
 export class AttemptGroup implements AttemptListener {
     readonly #delegate: AttemptGroupDelegate;
@@ -35,6 +42,9 @@
     #winner: Attempt | undefined;
     #hedgeTimer: NodeJS.Timeout | undefined;
     #hedgePending = false;
+    /** First bytes of a hedge, while the first attempt still runs. */
+    #heldHedge: { readonly attempt: Attempt; readonly chunks: Buffer[]; } | undefined;
+    #holdTimer: NodeJS.Timeout | undefined;
     #definitelyNotRun = true;
     #lastFailure: { attempt: Attempt; result: AttemptResult; } | undefined;
     #resolve: ((outcome: AttemptGroupOutcome) => void) | undefined;
@@ -79,6 +89,13 @@
     }
 
     onResponseBytes(attempt: Attempt, bytes: Buffer | undefined): void {
+        if (this.#winner === undefined) {
+            if (bytes !== undefined && this.#hold(attempt, bytes)) {
+                return;
+            }
+            // The end of a response comes without bytes, also while its first bytes are held back.
+            this.#releaseHedge(attempt);
+        }
         if (this.#winner === undefined) {
             this.#selectWinner(attempt);
         }
@@ -87,8 +104,43 @@
         }
     }
 
+    /** @returns Whether the bytes are held back. */
+    #hold(attempt: Attempt, bytes: Buffer): boolean {
+        const isHedge = attempt.upstream !== this.#triedUpstreams[0];
+        if (!isHedge || this.#runningAttempts.size < 2) {
+            return false;
+        }
+        if (this.#heldHedge === undefined) {
+            this.#heldHedge = { attempt, chunks: [] };
+            this.#holdTimer = setTimeout(() => this.#releaseHedge(), HedgeHoldMs);
+        }
+        const { chunks } = this.#heldHedge;
+        // Copied, because undici passes views of a buffer that it reuses.
+        chunks.push(Buffer.from(bytes));
+        if (chunks.reduce((sum, chunk) => sum + chunk.length, 0) > MaxHeldBytes) {
+            this.#releaseHedge();
+        }
+        return true;
+    }
+
+    /** Delivers the held bytes of a hedge, which wins; of `attempt` only if it is given. */
+    #releaseHedge(attempt?: Attempt): void {
+        const held = this.#heldHedge;
+        if (held !== undefined && (attempt === undefined || attempt === held.attempt)) {
+            this.#selectWinner(held.attempt);
+            held.chunks.forEach(chunk => this.#delegate.onResponseBytes(held.attempt, chunk));
+        }
+    }
+
     onEnd(attempt: Attempt, result: AttemptResult): void {
         this.#runningAttempts.delete(attempt);
+        if (attempt === this.#heldHedge?.attempt && result.code !== undefined) {
+            this.#dropHeldHedge();
+        }
+        else {
+            // The hedge is complete, or the first attempt has failed.
+            this.#releaseHedge();
+        }
         this.#definitelyNotRun &&= result.definitelyNotRun;
         if (attempt === this.#winner) {
             const status = result.code === undefined ? "whole" : "cut";
@@ -104,9 +156,15 @@
         this.#runningAttempts.add(this.#delegate.startAttempt(upstream, this));
     }
 
+    #dropHeldHedge(): void {
+        clearTimeout(this.#holdTimer);
+        this.#heldHedge = undefined;
+    }
+
     #selectWinner(attempt: Attempt): void {
         this.#winner = attempt;
         clearTimeout(this.#hedgeTimer);
+        this.#dropHeldHedge();
         for (const other of this.#runningAttempts) {
             if (other !== attempt) {
                 other.cancel();
@@ -146,6 +204,7 @@
 
     #finish(outcome: AttemptGroupOutcome): void {
         clearTimeout(this.#hedgeTimer);
+        this.#dropHeldHedge();
         const resolve = this.#resolve;
         this.#resolve = undefined;
         resolve?.(outcome);
--- a/src/gateway/pausedUpstream.spec.ts
+++ b/src/gateway/pausedUpstream.spec.ts
@@ -19,13 +19,22 @@
     response.end();
 };
 const reset: Handler = request => request.socket.resetAndDestroy();
-const otherUpstreams = [["refuses", refuse], ["fails with 500", fail], ["resets the connection", reset]] as const;
-
 const chunk = (content: string) =>
     `data: ${JSON.stringify({ id: "c", choices: [{ index: 0, delta: { content }, finish_reason: null }] })}\n\n`;
 const lastChunk = "data: {\"id\":\"c\",\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n";
 const wholeStream = chunk("a") + chunk("b") + lastChunk + "data: [DONE]\n\n";
 
+const breakOff: Handler = (request, response) => {
+    response.writeHead(200, headersFor(request));
+    response.write(chunk("z"), () => request.socket.destroy());
+};
+const otherUpstreams = [
+    ["refuses", refuse],
+    ["fails with 500", fail],
+    ["resets the connection", reset],
+    ["breaks off after its first bytes", breakOff],
+] as const;
+
 /** Sends a stream, or the response of a plain service, with a pause before its first byte or within it. */
 const pauseAfter = (sentBytes: number, text: string): Handler => (request, response) => {
     request.resume();
@@ -124,5 +133,18 @@
                 expect(ends.at(-1)).toMatchObject({ result: "complete" });
             },
         );
+
+        it.each(calls.flatMap(call => [20, 300].map(gapMs => ({ ...call, gapMs }))))(
+            "delivers the other's whole answer: $call, $gapMs ms after its first bytes (guards against bytes of a hedge that are lost)",
+            async ({ name, send, text, gapMs }) => {
+                await start(name, pauseAfter(0, text.replace("a", "late")), (request, response) => {
+                    response.writeHead(200, headersFor(request));
+                    response.write(text.slice(0, text.length / 2));
+                    setTimeout(() => response.end(text.slice(text.length / 2)), gapMs);
+                });
+                expect(await send()).toEqual({ status: 200, text });
+                expect(requestCount).toBe(2);
+            },
+        );
     });
 });
