--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -6,19 +6,19 @@
 import type { ResultCodeName } from "../../base/resultCodes.js";
 import { EdgeCounterNames } from "../metrics.js";
 import { RequestQuarantine } from "../quarantine/requestQuarantine.js";
-import { chooseService } from "../routing/routeTable.js";
 import type { ResponseHead } from "../transport/responseParser.js";
 import type { Upstream } from "../upstream/upstream.js";
 import { Attempt, type AttemptListener, type AttemptOutcome, type AttemptSilence } from "./attempt.js";
 import { AttemptHistory } from "./attemptHistory.js";
 import { createAttemptInput } from "./attemptInput.js";
-import { describeDisconnect, DisconnectCounters } from "./callerDisconnect.js";
 import { type CallerResponse, type EdgeFailure, promisesNotRun } from "./callerResponse.js";
 import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
 import { OpenAttempts } from "./openAttempts.js";
-import { RequestBudget } from "./requestBudget.js";
-import { describeRequest } from "./requestDescription.js";
-import { OutcomeCounters, type RequestOutcome } from "./requestOutcome.js";
+import type { OpenRequest } from "./openRequest.js";
+import { failureOf, RequestBudget } from "./requestBudget.js";
+import type { RequestOutcome } from "./requestOutcome.js";
+import { RequestReporter } from "./requestReporter.js";
+import { RequestStop } from "./requestStop.js";
 import { ResendPolicy } from "./resendPolicy.js";
 import { ResponseTiming } from "./responseTiming.js";
 import { SilenceHandlers } from "./silenceHandler.js";
@@ -33,20 +33,21 @@
 const MaxRetryAfterMs = 1_000;
 
 /** Serves one request: from the reservation of its tokens to the end of its response. */
-export class RequestFlow implements AttemptListener {
+export class RequestFlow implements AttemptListener, OpenRequest {
     readonly #dependencies: FlowDependencies;
     readonly #request: EdgeRequest;
     readonly #response: CallerResponse;
-    readonly #service: string;
     readonly #relay: StreamRelay;
     readonly #history: AttemptHistory;
     readonly #budget: RequestBudget;
+    readonly #reporter: RequestReporter;
     readonly #upstreams: UpstreamSelector;
     readonly #resendPolicy: ResendPolicy;
     readonly #silenceHandlers: SilenceHandlers;
     readonly #openAttempts: OpenAttempts;
     readonly #timing: ResponseTiming;
     readonly #quarantine: RequestQuarantine;
+    readonly #stop: RequestStop;
     readonly #guard = new CallbackGuard(error => this.onError(error));
     #deadlineTimer: ResponseTimeout | undefined;
     /** Whether the caller disconnected while a request that may not be repeated continues. */
@@ -59,7 +60,6 @@
         this.#dependencies = dependencies;
         this.#request = request;
         this.#response = response;
-        this.#service = chooseService(request.route, dependencies.random.next());
         this.#relay = new StreamRelay(
             response,
             request.metadata.lastEventId,
@@ -74,20 +74,29 @@
             request.team,
             request.metadata.tokenCounts,
         );
-        this.#quarantine = new RequestQuarantine(dependencies.quarantine, request.metadata, this.#service);
-        this.#upstreams = new UpstreamSelector(dependencies, request, this.#service, this.#history);
+        this.#reporter = new RequestReporter(dependencies, request, {
+            history: this.#history,
+            openAttempts: this.#openAttempts,
+            relay: this.#relay,
+            timing: this.#timing,
+            budget: this.#budget,
+        });
+        this.#quarantine = new RequestQuarantine(dependencies.quarantine, request.metadata, request.service);
+        this.#upstreams = new UpstreamSelector(dependencies, request, request.service, this.#history);
+        this.#stop = new RequestStop(dependencies, request, this.#relay);
         this.#resendPolicy = new ResendPolicy(dependencies, request, {
-            service: this.#service,
+            service: request.service,
             history: this.#history,
             openAttempts: this.#openAttempts,
             relay: this.#relay,
             upstreams: this.#upstreams,
             quarantine: this.#quarantine,
+            stop: this.#stop,
         });
         this.#silenceHandlers = new SilenceHandlers({
             counters: dependencies.metrics.counters,
             resendPolicy: this.#resendPolicy,
-            describe: () => ({ request: request.requestId, ...this.#describe() }),
+            describe: () => this.#reporter.describe(),
             sendNext: this.#guard.wrap(() => this.#sendNext()),
         });
     }
@@ -111,14 +120,14 @@
             this.#fail({ code: "Overloaded", ran: "no" }, "the deadline passed before the request was started");
             return;
         }
-        if (this.#isQuarantined()) {
+        if (this.#isRefusedForStop() || this.#isQuarantined()) {
             return;
         }
         this.#deadlineTimer = startResponseTimeout(
             () => this.interrupt("Overloaded", "the deadline has passed"),
             remainingMs,
         );
-        this.#dependencies.retryBudgets.recordRequest(this.#service, this.#nowMs);
+        this.#dependencies.retryBudgets.recordRequest(this.#request.service, this.#nowMs);
         // A request that waited in the socket's buffer is read before a disconnect of its caller, which the next poll reports.
         await waitForEventLoopPoll();
         if (this.#hasEnded) {
@@ -141,18 +150,10 @@
         if (this.#hasEnded) {
             return;
         }
-        const { furthest } = this.#openAttempts;
-        const hasResponseStarted = this.#relay.hasRelayedEvents || furthest?.headAtMs !== undefined;
-        const disconnect = describeDisconnect(furthest, hasResponseStarted, this.#nowMs);
-        this.#dependencies.metrics.counters.add(DisconnectCounters[disconnect.stage]);
-        const details = { ...disconnect, ...this.#dependencies.hostLoad() };
-        if (disconnect.writtenAgeMs !== undefined && this.#request.route.kind === "nonIdempotent") {
+        const details = this.#reporter.recordDisconnect();
+        if (details.writtenAgeMs !== undefined && this.#request.route.kind === "nonIdempotent") {
             this.#hasCallerDisconnected = true;
-            log.info("caller left, its request goes on", {
-                request: this.#request.requestId,
-                ...this.#describe(),
-                ...details,
-            });
+            log.info("caller left, its request goes on", { ...this.#reporter.describe(), ...details });
             return;
         }
         this.#openAttempts.cancelAll(this.#relay.hasRelayedEvents);
@@ -212,7 +213,7 @@
             this.#onAnswered(outcome.head, outcome.body, attempt);
             return;
         }
-        this.#logFailedAttempt(outcome);
+        this.#reporter.logFailedAttempt(outcome);
         this.#quarantine.examineFailure(
             outcome,
             attempt.input.upstream,
@@ -237,15 +238,6 @@
         }
     }
 
-    #logFailedAttempt(outcome: AttemptOutcome): void {
-        log.info("attempt failed", {
-            request: this.#request.requestId,
-            ...this.#describe(),
-            ...outcome,
-            openAttempts: this.#openAttempts.count,
-        });
-    }
-
     /** Sends the request again after this turn of the event loop, which may also report that the caller has disconnected. */
     #scheduleResend(): void {
         setImmediate(this.#guard.wrap(() => {
@@ -268,7 +260,7 @@
         const refusal = await this.#budget.reserve(this.#remainingMs, this.#endController.signal);
         if (refusal === undefined) {
             if (this.#hasEnded) {
-                this.#settle(false);
+                this.#reporter.settle(false);
             }
             return true;
         }
@@ -276,11 +268,10 @@
             return false;
         }
         this.#dependencies.metrics.counters.add(EdgeCounterNames.budgetRefusals);
-        this.#fail({
-            code: refusal.reason === "exhausted" ? "BudgetExhausted" : "BudgetUnavailable",
-            ran: "no",
-            retryAfterMs: refusal.retryAfterMs,
-        }, `budget of ${this.#request.team?.name}: ${this.#budget.worstCaseTokens} tokens not available`);
+        this.#fail(
+            failureOf(refusal),
+            `budget of ${this.#request.team?.name}: ${this.#budget.worstCaseTokens} tokens not available`,
+        );
         return false;
     }
 
@@ -299,7 +290,7 @@
         }
         const upstream = this.#upstreams.choose();
         if (upstream === undefined && this.#openAttempts.count > 0) {
-            log.info("request not sent again: no upstream", { request: this.#request.requestId, ...this.#describe() });
+            log.info("request not sent again: no upstream", this.#reporter.describe());
             return;
         }
         if (upstream === undefined) {
@@ -311,7 +302,7 @@
 
     /** Sends the request to an upstream, or ends it if there is none. */
     #sendTo(upstream: Upstream | undefined): void {
-        if (this.#hasEnded) {
+        if (this.#hasEnded || this.#isRefusedForStop()) {
             return;
         }
         if (upstream === undefined) {
@@ -361,7 +352,7 @@
                 return;
             }
             if (this.#openAttempts.count > 0) {
-                this.#logFailedAttempt(failed);
+                this.#reporter.logFailedAttempt(failed);
                 return;
             }
         }
@@ -377,6 +368,9 @@
     }
 
     #giveUp(outcome: AttemptOutcome): void {
+        if (this.#history.ran === "no" && this.#isRefusedForStop()) {
+            return;
+        }
         if (outcome.status === "notExecuted" || outcome.status === "unreachable") {
             const { ran } = this.#history;
             const code = ran === "no" ? "NoUpstream" : "UpstreamFailed";
@@ -393,13 +387,45 @@
     interrupt(codeIfNotRun: ResultCodeName, cause: string): void {
         this.#guard.run(() => {
             if (!this.#hasEnded) {
-                this.#openAttempts.cancelAll(this.#relay.hasRelayedEvents);
-                const { ran } = this.#history;
-                this.#fail({ code: ran === "no" ? codeIfNotRun : "UpstreamTimeout", ran }, cause);
+                this.#interrupt(codeIfNotRun, cause);
+            }
+        });
+    }
+
+    /** {@inheritDoc OpenRequest.interruptForStop} */
+    interruptForStop(): void {
+        this.#guard.run(() => {
+            if (!this.#hasEnded) {
+                this.#interrupt("ShuttingDown", "the process stops", this.#stop.recordInterruption(this.#history));
+            }
+        });
+    }
+
+    /** {@inheritDoc OpenRequest.refuseIfLate} */
+    refuseIfLate(): void {
+        this.#guard.run(() => {
+            if (!this.#hasEnded && !this.#hasCallerDisconnected && this.#openAttempts.count === 0) {
+                this.#isRefusedForStop();
             }
         });
     }
 
+    /** @returns Whether the request cannot end before the process stops. It ends then, unless an attempt is still open. */
+    #isRefusedForStop(): boolean {
+        const refusal = this.#stop.findRefusal();
+        if (refusal !== undefined && this.#openAttempts.count === 0) {
+            const { failure, details } = this.#stop.describeRefusal(refusal, this.#history.ran);
+            this.#fail(failure, "the request cannot end before the process stops", details);
+        }
+        return refusal !== undefined;
+    }
+
+    #interrupt(codeIfNotRun: ResultCodeName, cause: string, details: object = {}): void {
+        this.#openAttempts.cancelAll(this.#relay.hasRelayedEvents);
+        const { ran } = this.#history;
+        this.#fail({ code: ran === "no" ? codeIfNotRun : "UpstreamTimeout", ran }, cause, details);
+    }
+
     /**
      * Ends the request after an error of the program, which must not affect the requests of other callers. What the error left undone is
      * unknown, so that a request that was sent counts as one that may have run.
@@ -424,7 +450,7 @@
         return Math.max(0, Math.min(MaxRetryAfterMs, this.#remainingMs * RetryAfterFraction));
     }
 
-    #fail(failure: EdgeFailure, cause: string): void {
+    #fail(failure: EdgeFailure, cause: string, details: object = {}): void {
         if (this.#hasEnded) {
             return;
         }
@@ -432,43 +458,15 @@
             this.#response.sendError(failure);
         }
         finally {
-            this.#conclude("failed", { ...failure, cause });
+            this.#conclude("failed", { ...failure, cause, ...details });
         }
     }
 
     /** Ends the request: settles its tokens, counts its outcome and logs it. */
-    #conclude(outcome: RequestOutcome, details: Record<string, unknown> = {}): void {
+    #conclude(outcome: RequestOutcome, details: object = {}): void {
         this.#hasEnded = true;
         this.#endController.abort();
         this.#deadlineTimer?.cancel();
-        const chargedTokens = this.#settle(outcome === "complete");
-        this.#dependencies.metrics.counters.add(OutcomeCounters[outcome]);
-        this.#dependencies.metrics.counters.add(EdgeCounterNames.tokensCharged, chargedTokens);
-        log.info(outcome === "failed" ? "request failed" : "request ended", {
-            request: this.#request.requestId,
-            ...this.#describe(),
-            outcome,
-            chargedTokens,
-            ...details,
-        });
-    }
-
-    /**
-     * Settles the reserved tokens.
-     * @param isComplete Whether the caller got a complete successful response.
-     * @returns Tokens charged.
-     */
-    #settle(isComplete: boolean): number {
-        return this.#budget.settle({
-            tokensPerEvent: this.#request.table.findService(this.#service)?.engine?.tokensPerEvent,
-            eventCount: this.#relay.eventCount,
-            isComplete,
-            isCancelled: this.#openAttempts.wasRunCancelled,
-        });
-    }
-
-    /** @returns Fields that log entries about the request share. */
-    #describe(): Record<string, unknown> {
-        return describeRequest(this.#request, this.#history, this.#timing, this.#relay.eventCount, this.#nowMs);
+        this.#reporter.recordEnd(outcome, details);
     }
 }
