Name the stop when a wait for tokens ends because of it

On a stopping router a wait for tokens is cut short so that the request can still end. Its caller got the code of the budget, which tells it to wait or to top up; it now gets ShuttingDown and goes on at another host.

No test plays this case; all 407 tests of the gateway, the router, chaos, bench, load and the features lifecycle, admission and budget passed.

--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -166,6 +166,7 @@
             waitMs,
         );
         if (outcome.status === "refused") {
+            this.#throwIfStopping();
             throw createRefusalError(outcome.code, outcome.retryAfterMs);
         }
         this.#tokensReserved = true;
