--- a/src/edge/flow/incomingBody.ts
+++ b/src/edge/flow/incomingBody.ts
@@ -62,7 +62,7 @@
         collectBody(message, maxBodyBytes, share, guard.wrap(onEnd));
     }
 
-    /** {@inheritDoc OpenRequest.refuseIfLate} */
+    /** Refuses the request if it has yet to be sent and can no longer end before the process stops. */
     refuseIfLate(): void {
         const refusal = findStopRefusal(this.#dependencies, this.#request);
         if (refusal !== undefined) {
@@ -70,7 +70,7 @@
         }
     }
 
-    /** {@inheritDoc OpenRequest.interruptForStop} */
+    /** Ends the request, as the process stops now. */
     interruptForStop(): void {
         const { deadlineAtMs, arrivedAtMs } = this.#request;
         this.#refuseForStop(expectedDurationMs(this.#dependencies, this.#request, deadlineAtMs - arrivedAtMs), 0);
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -392,7 +392,7 @@
         });
     }
 
-    /** {@inheritDoc OpenRequest.interruptForStop} */
+    /** Ends the request, as the process stops now. */
     interruptForStop(): void {
         this.#guard.run(() => {
             if (!this.#hasEnded) {
@@ -401,7 +401,7 @@
         });
     }
 
-    /** {@inheritDoc OpenRequest.refuseIfLate} */
+    /** Refuses the request if it has yet to be sent and can no longer end before the process stops. */
     refuseIfLate(): void {
         this.#guard.run(() => {
             if (!this.#hasEnded && !this.#hasCallerDisconnected && this.#openAttempts.count === 0) {
