Reserve 500 ms at the end of a stop for the exit

On a busy machine processes that stopped ended 7.98 to 8.07 s after SIGTERM with a grace period of 8 s, at the time of the kill (plays on real processes, load of 10 to 54 on 8 cores).

Cause: requests ended 300 ms before the end, and the last responses, the log and the exit take up to 200 ms by themselves. Now they end 500 ms before it.

--- a/src/edge/stopSequence.ts
+++ b/src/edge/stopSequence.ts
@@ -10,10 +10,13 @@
 const PollIntervalMs = 20;
 
 /** Time at the end of the grace period in which the last writes are made, beside the requests that are still open, in milliseconds. */
-const FinalWriteReserveMs = 700;
+const FinalWriteReserveMs = 900;
 
-/** Time at the end of the grace period that is reserved for the last responses and the exit, in milliseconds. */
-const ExitReserveMs = 300;
+/**
+ * Time at the end of the grace period that is reserved for the last responses and the exit, in milliseconds. The exit takes up to 200 ms,
+ * and more on a busy host; a kill before it would lose the responses.
+ */
+const ExitReserveMs = 500;
 
 /** Time in which the responses to interrupted requests leave the process, in milliseconds. */
 const LastResponsesMs = 50;
