--- a/src/edge/flow/stopCheck.spec.ts
+++ b/src/edge/flow/stopCheck.spec.ts
@@ -74,4 +74,16 @@
             expect(findStopRefusal(dependencies, lookup)).toMatchObject({ neededMs: 600 });
         });
     });
+
+    describe("given a plain generation", () => {
+        it("judges it by its output tokens (guards against long responses that are taken for short ones)", () => {
+            const dependencies = createDependencies();
+            for (let count = 0; count < 50; count++) {
+                dependencies.durations.recordResponse("lm", 400);
+            }
+            const route = { kind: "idempotent", isResumable: false };
+            // All responses seen had 40 output tokens, 10 ms each.
+            expect(findStopRefusal(dependencies, createRequest(route, 1_000))).toBeDefined();
+        });
+    });
 });
--- a/src/edge/stop/requestDurations.spec.ts
+++ b/src/edge/stop/requestDurations.spec.ts
@@ -122,4 +122,14 @@
             expect(durations.estimateMs({ service: "s299", maxEvents: undefined })).toBeDefined();
         });
     });
+
+    describe("given streams whose events arrive at once", () => {
+        it("makes no estimate that is not a number (guards against refusals that state no time)", () => {
+            const durations = new RequestDurations(new ManualClock());
+            for (let index = 0; index < 20; index++) {
+                durations.recordStream("s", { firstEventMs: 100, eventCount: 11, elapsedMs: 100 });
+            }
+            expect(durations.estimateMs({ service: "s", maxEvents: Number.POSITIVE_INFINITY })).not.toBeNaN();
+        });
+    });
 });
