Judge by what is known of the route what a stop may begin, and end in time

- The listen queue was accepted for up to 1 s whatever was left: 4,264 to 4,269 ms of 4,000.
It is accepted until the last writes are due, and these run beside the end of requests.
- Durations were kept by service, so that a quick route hid a slow one: a request of 3.5 s was begun and cut with 504.
They are kept by route and service.
- An idempotent request without samples was judged by a guess.
It is judged by its time limit, as docs/policy.md says; with samples by the response time and the silence after which another upstream gets it as well, in place of the pause of a stream.
- A plain generation was judged by the responses of others, whatever its output.
It is judged by its time limit, as only a stream shows the pace.
- The estimate of a stream without a limit could be not a number.

The test of the guess in stopCheck.spec.ts is replaced by one of either rule.

--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -186,8 +186,9 @@
     /**
      * Stops accepting connections and closes idle ones; the connection of an open request closes some time after the request has ended.
      * Connections that are already in the listen queue are accepted, and requests that have arrived are read, before that.
+     * @param isInTime Whether the stop still has time for that.
      */
-    async stopAccepting(): Promise<void> {
+    async stopAccepting(isInTime: () => boolean): Promise<void> {
         // Each poll of the event loop accepts one connection, and closing the listener resets those that are still in its queue.
         const untilMs = this.#dependencies.clock.monotonicMs() + MaxAcceptMs;
         let acceptedCount: number;
@@ -195,7 +196,10 @@
             ({ acceptedCount } = this.#connections);
             await waitForEventLoopPoll();
         }
-        while (this.#connections.acceptedCount > acceptedCount && this.#dependencies.clock.monotonicMs() < untilMs);
+        while (
+            this.#connections.acceptedCount > acceptedCount && isInTime() &&
+            this.#dependencies.clock.monotonicMs() < untilMs
+        );
         // `close` of an HTTP server also destroys connections whose first request has not been read.
         NetServer.prototype.close.call(this.#server);
         this.#connections.startStopping();
--- a/src/edge/flow/requestReporter.ts
+++ b/src/edge/flow/requestReporter.ts
@@ -10,6 +10,7 @@
 import { describeRequest } from "./requestDescription.js";
 import { OutcomeCounters, type RequestOutcome } from "./requestOutcome.js";
 import type { ResponseTiming } from "./responseTiming.js";
+import { kindOfRequest } from "./stopCheck.js";
 import type { StreamRelay } from "./streamRelay.js";
 
 /** State of the request that is reported. */
@@ -92,14 +93,14 @@
     #recordDuration(outcome: RequestOutcome): void {
         const { clock, durations } = this.#dependencies;
         const { relay, timing } = this.#state;
-        const { service } = this.#request;
+        const kind = kindOfRequest(this.#request.route, this.#request.service);
         const { firstBodyMs, lastBodyMs } = timing;
         const { eventCount } = relay;
         if (firstBodyMs !== undefined && lastBodyMs !== undefined) {
-            durations.recordStream(service, { firstEventMs: firstBodyMs, eventCount, elapsedMs: lastBodyMs });
+            durations.recordStream(kind, { firstEventMs: firstBodyMs, eventCount, elapsedMs: lastBodyMs });
         }
         else if (outcome === "complete") {
-            durations.recordResponse(service, clock.monotonicMs() - this.#request.arrivedAtMs);
+            durations.recordResponse(kind, clock.monotonicMs() - this.#request.arrivedAtMs);
         }
     }
 
--- a/src/edge/flow/stopCheck.spec.ts
+++ b/src/edge/flow/stopCheck.spec.ts
@@ -2,7 +2,7 @@
 import { ManualClock } from "../../base/clock.js";
 import { RequestDurations } from "../stop/requestDurations.js";
 import { StopAdmission } from "../stop/stopAdmission.js";
-import { findStopRefusal, type TimedRequest } from "./stopCheck.js";
+import { findStopRefusal, kindOfRequest, type TimedRequest } from "./stopCheck.js";
 
 /** Time until the end of the requests of the process, in milliseconds. */
 const RemainingMs = 7_000;
@@ -15,7 +15,11 @@
         const clock = new ManualClock();
         const durations = new RequestDurations(clock);
         for (let count = 0; count < 20; count++) {
-            durations.recordStream("lm", { firstEventMs: 100, eventCount: 11, elapsedMs: 200 });
+            durations.recordStream(kindOfRequest({ name: "r" }, "lm"), {
+                firstEventMs: 100,
+                eventCount: 11,
+                elapsedMs: 200,
+            });
         }
         const stopAdmission = new StopAdmission(clock, durations);
         stopAdmission.limit(clock.monotonicMs() + RemainingMs);
@@ -24,7 +28,7 @@
 
     function createRequest(route: object, outputTokens: number | undefined, timeLimitMs = 15_000): TimedRequest {
         return {
-            route: { kind: "streaming", isResumable: true, isGeneration: true, objectiveMs: 100, ...route },
+            route: { name: "r", kind: "streaming", isResumable: true, isGeneration: true, objectiveMs: 100, ...route },
             service: "lm",
             metadata: {
                 tokenCounts: outputTokens === undefined ?
@@ -64,14 +68,22 @@
         });
     });
 
-    describe("given an idempotent request to a service without recent samples", () => {
-        it("judges it by the time in which two upstreams can be tried (guards against needless refusals late in a stop)", () => {
+    describe("given an idempotent request", () => {
+        const lookup = createRequest({ kind: "idempotent", isResumable: false, isGeneration: false }, undefined);
+
+        it("allows for the time in which two upstreams can be tried (guards against needless refusals late in a stop)", () => {
             const dependencies = createDependencies();
-            const lookup = createRequest({ kind: "idempotent", isResumable: false, isGeneration: false }, undefined);
-            dependencies.clock.advance(RemainingMs - 700);
+            for (let count = 0; count < 20; count++) {
+                dependencies.durations.recordResponse(kindOfRequest({ name: "r" }, "lm"), 40);
+            }
+            dependencies.clock.advance(RemainingMs - 400);
             expect(findStopRefusal(dependencies, lookup)).toBeUndefined();
-            dependencies.clock.advance(200);
-            expect(findStopRefusal(dependencies, lookup)).toMatchObject({ neededMs: 600 });
+            dependencies.clock.advance(100);
+            expect(findStopRefusal(dependencies, lookup)).toMatchObject({ neededMs: 360 });
+        });
+
+        it("judges it by its time limit without recent samples (guards against guesses that end in a cut)", () => {
+            expect(findStopRefusal(createDependencies(), lookup)).toMatchObject({ neededMs: 15_000 });
         });
     });
 
@@ -79,7 +91,7 @@
         it("judges it by its output tokens (guards against long responses that are taken for short ones)", () => {
             const dependencies = createDependencies();
             for (let count = 0; count < 50; count++) {
-                dependencies.durations.recordResponse("lm", 400);
+                dependencies.durations.recordResponse(kindOfRequest({ name: "r" }, "lm"), 400);
             }
             const route = { kind: "idempotent", isResumable: false };
             // All responses seen had 40 output tokens, 10 ms each.
--- a/src/edge/flow/stopCheck.ts
+++ b/src/edge/flow/stopCheck.ts
@@ -1,4 +1,5 @@
 /** Checks whether requests can end before the process stops. */
+import type { Route } from "../edgeTypes.js";
 import type { StopRefusal, StopRequest } from "../stop/stopAdmission.js";
 import { isRepeatable } from "./attemptHistory.js";
 import { silentAfterMs } from "./attemptInput.js";
@@ -42,15 +43,22 @@
 ): StopRequest {
     const { tokenCounts } = metadata;
     const tokensPerEvent = table.findService(service)?.engine?.tokensPerEvent ?? 1;
-    const eventLimit = tokenCounts === undefined ?
+    const isPlain = route.kind !== "streaming" && !route.isGeneration;
+    // How long a generation takes depends on its output, whose pace only a stream shows.
+    const eventLimit = tokenCounts === undefined || route.kind !== "streaming" ?
         Number.POSITIVE_INFINITY :
         Math.ceil(tokenCounts.maxOutputTokens / tokensPerEvent);
     return {
-        service,
-        maxEvents: route.kind === "streaming" ? Math.max(1, eventLimit - relayedEventCount) : undefined,
+        kind: kindOfRequest(route, service),
+        maxEvents: isPlain ? undefined : Math.max(1, eventLimit - relayedEventCount),
         isRepeatable: isRepeatable(route),
         timeLimitMs,
-        // A second upstream gets an idempotent request when the first one has been silent for this time, and then has as long.
-        defaultEstimateMs: route.kind === "idempotent" && !route.isGeneration ? 2 * silentAfterMs(route) : undefined,
+        // Another upstream gets an idempotent request as well when the first one has been silent for this time.
+        maxPauseMs: isPlain ? silentAfterMs(route) : undefined,
     };
 }
+
+/** @returns Kind under which the durations of requests are recorded; see {@link ExpectedWork}. */
+export function kindOfRequest({ name }: Pick<Route, "name">, service: string): string {
+    return `${service} ${name}`;
+}
--- a/src/edge/stop/requestDurations.spec.ts
+++ b/src/edge/stop/requestDurations.spec.ts
@@ -16,9 +16,9 @@
         it("scales their pace to the events of the request (guards against an estimate that ignores its length)", () => {
             const durations = new RequestDurations(new ManualClock(), NoMargins);
             recordStreams(durations, 20);
-            expect(durations.estimateMs({ service: "s", maxEvents: 1 })).toBe(100);
-            expect(durations.estimateMs({ service: "s", maxEvents: 221 })).toBe(100 + 220 * 30);
-            expect(durations.estimateMs({ service: "s", maxEvents: Infinity })).toBe(Infinity);
+            expect(durations.estimateMs({ kind: "s", maxEvents: 1 })).toBe(100);
+            expect(durations.estimateMs({ kind: "s", maxEvents: 221 })).toBe(100 + 220 * 30);
+            expect(durations.estimateMs({ kind: "s", maxEvents: Infinity })).toBe(Infinity);
         });
 
         it("adds the margins (guards against streams that are cut by one pause or a slower upstream)", () => {
@@ -28,7 +28,7 @@
                 pauseMs: 2_000,
             });
             recordStreams(durations, 20);
-            expect(durations.estimateMs({ service: "s", maxEvents: 11 })).toBe((100 + 300) * 1.5 + 2_000);
+            expect(durations.estimateMs({ kind: "s", maxEvents: 11 })).toBe((100 + 300) * 1.5 + 2_000);
         });
 
         it("covers the slower upstreams of a service (guards against an estimate from the mean)", () => {
@@ -37,7 +37,7 @@
             for (let index = 0; index < 2; index++) {
                 durations.recordStream("s", { firstEventMs: 400, eventCount: 101, elapsedMs: 400 + 60 * 100 });
             }
-            expect(durations.estimateMs({ service: "s", maxEvents: 101 })).toBe(400 + 60 * 100);
+            expect(durations.estimateMs({ kind: "s", maxEvents: 101 })).toBe(400 + 60 * 100);
         });
 
         it("weights the pace by events (guards against a pause in a short stream that counts for long ones)", () => {
@@ -46,14 +46,14 @@
             for (let index = 0; index < 2; index++) {
                 durations.recordStream("s", { firstEventMs: 100, eventCount: 2, elapsedMs: 1_600 });
             }
-            expect(durations.estimateMs({ service: "s", maxEvents: 101 })).toBe(100 + 30 * 100);
+            expect(durations.estimateMs({ kind: "s", maxEvents: 101 })).toBe(100 + 30 * 100);
         });
 
         it("has no pace from streams of one event or none (guards against an estimate that is not a number)", () => {
             const durations = new RequestDurations(new ManualClock());
             recordStreams(durations, 20, 1);
             durations.recordStream("s", { firstEventMs: 0, eventCount: 0, elapsedMs: 50 });
-            expect(durations.estimateMs({ service: "s", maxEvents: 10 })).toBeUndefined();
+            expect(durations.estimateMs({ kind: "s", maxEvents: 10 })).toBeUndefined();
         });
     });
 
@@ -63,9 +63,9 @@
             for (let index = 0; index < 20; index++) {
                 durations.recordResponse("s", 40 + index);
             }
-            expect(durations.estimateMs({ service: "s", maxEvents: undefined })).toBe(59);
-            expect(durations.estimateMs({ service: "s", maxEvents: 10 })).toBeUndefined();
-            expect(durations.estimateMs({ service: "t", maxEvents: undefined })).toBeUndefined();
+            expect(durations.estimateMs({ kind: "s", maxEvents: undefined })).toBe(59);
+            expect(durations.estimateMs({ kind: "s", maxEvents: 10 })).toBeUndefined();
+            expect(durations.estimateMs({ kind: "t", maxEvents: undefined })).toBeUndefined();
         });
     });
 
@@ -73,16 +73,16 @@
         it("makes no estimate (guards against one request that stands for all)", () => {
             const durations = new RequestDurations(new ManualClock());
             recordStreams(durations, 7);
-            expect(durations.estimateMs({ service: "s", maxEvents: 10 })).toBeUndefined();
+            expect(durations.estimateMs({ kind: "s", maxEvents: 10 })).toBeUndefined();
         });
 
         it("forgets old samples (guards against the pace of an hour ago)", () => {
             const clock = new ManualClock();
             const durations = new RequestDurations(clock);
             recordStreams(durations, 20);
-            expect(durations.estimateMs({ service: "s", maxEvents: 10 })).toBeDefined();
+            expect(durations.estimateMs({ kind: "s", maxEvents: 10 })).toBeDefined();
             clock.advance(60_000);
-            expect(durations.estimateMs({ service: "s", maxEvents: 10 })).toBeUndefined();
+            expect(durations.estimateMs({ kind: "s", maxEvents: 10 })).toBeUndefined();
         });
     });
 
@@ -96,7 +96,7 @@
                     durations.recordResponse("s", second === 0 ? 500 : 50);
                 }
             }
-            expect(durations.estimateMs({ service: "s", maxEvents: undefined })).toBe(500);
+            expect(durations.estimateMs({ kind: "s", maxEvents: undefined })).toBe(500);
         });
 
         it("follows a slower pace within seconds (guards against many old samples that hide it)", () => {
@@ -106,7 +106,7 @@
                 clock.advance(10);
                 durations.recordResponse("s", elapsedMs < 60_000 ? 50 : 100);
             }
-            expect(durations.estimateMs({ service: "s", maxEvents: undefined })).toBe(100);
+            expect(durations.estimateMs({ kind: "s", maxEvents: undefined })).toBe(100);
         });
     });
 
@@ -118,8 +118,8 @@
                     durations.recordResponse(`s${service}`, 10);
                 }
             }
-            expect(durations.estimateMs({ service: "s0", maxEvents: undefined })).toBeUndefined();
-            expect(durations.estimateMs({ service: "s299", maxEvents: undefined })).toBeDefined();
+            expect(durations.estimateMs({ kind: "s0", maxEvents: undefined })).toBeUndefined();
+            expect(durations.estimateMs({ kind: "s299", maxEvents: undefined })).toBeDefined();
         });
     });
 
@@ -129,7 +129,7 @@
             for (let index = 0; index < 20; index++) {
                 durations.recordStream("s", { firstEventMs: 100, eventCount: 11, elapsedMs: 100 });
             }
-            expect(durations.estimateMs({ service: "s", maxEvents: Number.POSITIVE_INFINITY })).not.toBeNaN();
+            expect(durations.estimateMs({ kind: "s", maxEvents: Number.POSITIVE_INFINITY })).not.toBeNaN();
         });
     });
 });
--- a/src/edge/stop/requestDurations.ts
+++ b/src/edge/stop/requestDurations.ts
@@ -1,19 +1,22 @@
-/** Estimates how long requests to a service take, from the response times that this host has seen lately. */
+/** Estimates how long requests take, from the response times that this host has seen lately. */
 import { setBounded } from "../../base/boundedMap.js";
 import type { Clock } from "../../base/clock.js";
 import { RecentSamples } from "./recentSamples.js";
 
-/** Maximum number of services whose response times are kept; the least recently added one is dropped. */
-const MaxServices = 256;
+/** Maximum number of kinds of request whose response times are kept; the least recently added one is dropped. */
+const MaxKinds = 256;
 
-/** Time for which the quantiles of a service are reused, in milliseconds: a host that stops asks for every request. */
+/** Time for which the quantiles of a kind are reused, in milliseconds: a host that stops asks for every request. */
 const QuantileReuseMs = 100;
 
-/** The work that a request asks of a service. */
+/** The work that a request asks for. */
 export interface ExpectedWork {
-    readonly service: string;
+    /** Requests of one kind take similar times: those of one route to one service. */
+    readonly kind: string;
     /** Maximum number of events of a stream, infinite if it is not known; `undefined` for a plain response. */
     readonly maxEvents: number | undefined;
+    /** Time for which an upstream may be silent until another one is tried as well, in milliseconds; `undefined` for the margin. */
+    readonly maxPauseMs?: number | undefined;
 }
 
 /** Times of a stream that has ended, since the arrival of its request. */
@@ -39,7 +42,7 @@
  */
 export const DefaultMargins: DurationMargins = { quantile: 0.95, slownessFactor: 1.5, pauseMs: 2_000 };
 
-/** Quantiles of the durations of one service; `undefined` without enough recent samples. */
+/** Quantiles of the durations of one kind; `undefined` without enough recent samples. */
 interface DurationQuantiles {
     readonly atMs: number;
     readonly responseMs: number | undefined;
@@ -47,8 +50,8 @@
     readonly eventMs: number | undefined;
 }
 
-/** Durations of the requests to one service. */
-class ServiceDurations {
+/** Durations of the requests of one kind. */
+class KindDurations {
     readonly responses = new RecentSamples();
     readonly firstEvents = new RecentSamples();
     /** Times per event after the first one. */
@@ -70,13 +73,13 @@
 }
 
 /**
- * Response times of this host's recent requests by service. They count from the arrival of a request, so they include waits for
+ * Response times of this host's recent requests by kind. They count from the arrival of a request, so they include waits for
  * its body, for tokens and for a caller that reads slowly; these make an estimate longer, never too short.
  */
 export class RequestDurations {
     readonly #clock: Clock;
     readonly #margins: DurationMargins;
-    readonly #services = new Map<string, ServiceDurations>();
+    readonly #kinds = new Map<string, KindDurations>();
 
     /** @param margins How far estimates lie above the durations seen. */
     constructor(clock: Clock, margins: DurationMargins = DefaultMargins) {
@@ -85,17 +88,17 @@
     }
 
     /** Records a plain response that was completed `elapsedMs` after the arrival of its request. */
-    recordResponse(service: string, elapsedMs: number): void {
-        this.#serviceDurations(service).responses.record(elapsedMs, 1, this.#clock.monotonicMs());
+    recordResponse(kind: string, elapsedMs: number): void {
+        this.#kindDurations(kind).responses.record(elapsedMs, 1, this.#clock.monotonicMs());
     }
 
     /** Records a stream that has ended, whether it was complete or not. */
-    recordStream(service: string, { firstEventMs, eventCount, elapsedMs }: StreamTimes): void {
+    recordStream(kind: string, { firstEventMs, eventCount, elapsedMs }: StreamTimes): void {
         if (eventCount < 1) {
             return;
         }
         const nowMs = this.#clock.monotonicMs();
-        const durations = this.#serviceDurations(service);
+        const durations = this.#kindDurations(kind);
         durations.firstEvents.record(firstEventMs, 1, nowMs);
         if (eventCount > 1) {
             // Weighted by events, so that a pause in a stream of few events does not count as the pace of long ones.
@@ -108,9 +111,10 @@
      * @returns Upper estimate of the time from the arrival of a request to the end of its response, in milliseconds; `undefined`
      * without enough recent samples.
      */
-    estimateMs({ service, maxEvents }: ExpectedWork): number | undefined {
-        const { quantile, slownessFactor, pauseMs } = this.#margins;
-        const quantiles = this.#services.get(service)?.quantiles(quantile, this.#clock.monotonicMs());
+    estimateMs({ kind, maxEvents, maxPauseMs }: ExpectedWork): number | undefined {
+        const { quantile, slownessFactor } = this.#margins;
+        const pauseMs = maxPauseMs ?? this.#margins.pauseMs;
+        const quantiles = this.#kinds.get(kind)?.quantiles(quantile, this.#clock.monotonicMs());
         if (quantiles === undefined) {
             return undefined;
         }
@@ -121,14 +125,17 @@
         if (firstEventMs === undefined || eventMs === undefined) {
             return undefined;
         }
+        if (maxEvents === Number.POSITIVE_INFINITY) {
+            return maxEvents;
+        }
         return (firstEventMs + Math.max(0, maxEvents - 1) * eventMs) * slownessFactor + pauseMs;
     }
 
-    #serviceDurations(service: string): ServiceDurations {
-        let durations = this.#services.get(service);
+    #kindDurations(kind: string): KindDurations {
+        let durations = this.#kinds.get(kind);
         if (durations === undefined) {
-            durations = new ServiceDurations();
-            setBounded(this.#services, service, durations, MaxServices, () => false);
+            durations = new KindDurations();
+            setBounded(this.#kinds, kind, durations, MaxKinds, () => false);
         }
         return durations;
     }
--- a/src/edge/stop/stopAdmission.spec.ts
+++ b/src/edge/stop/stopAdmission.spec.ts
@@ -3,7 +3,7 @@
 import { RequestDurations } from "./requestDurations.js";
 import { StopAdmission } from "./stopAdmission.js";
 
-const Stream = { service: "s", maxEvents: 101, isRepeatable: true, timeLimitMs: 15_000 };
+const Stream = { kind: "s", maxEvents: 101, isRepeatable: true, timeLimitMs: 15_000 };
 
 describe("StopAdmission", () => {
     let clock: ManualClock;
--- a/src/edge/stop/stopAdmission.ts
+++ b/src/edge/stop/stopAdmission.ts
@@ -8,8 +8,6 @@
     readonly isRepeatable: boolean;
     /** Time until the deadline or the route's time-out, in milliseconds. */
     readonly timeLimitMs: number;
-    /** Upper estimate for a service without recent samples; `undefined` for the time limit. */
-    readonly defaultEstimateMs?: number | undefined;
 }
 
 /** Why a host that stops does not begin a request. */
@@ -60,9 +58,7 @@
         if (timeLimitMs <= remainingMs) {
             return undefined;
         }
-        const estimateMs = request.isRepeatable ?
-            this.#durations.estimateMs(request) ?? request.defaultEstimateMs :
-            undefined;
+        const estimateMs = request.isRepeatable ? this.#durations.estimateMs(request) : undefined;
         const neededMs = Math.min(timeLimitMs, estimateMs ?? timeLimitMs);
         return neededMs <= remainingMs ? undefined : { neededMs, remainingMs, isEstimated: neededMs < timeLimitMs };
     }
--- a/src/edge/stopSequence.ts
+++ b/src/edge/stopSequence.ts
@@ -91,7 +91,7 @@
         while (hasNotice() && this.elapsedMs < this.#drainLimitMs) {
             await sleep(PollIntervalMs);
         }
-        await callerServer.stopAccepting();
+        await callerServer.stopAccepting(() => this.elapsedMs < this.#drainLimitMs);
         const expectedUntilMs = this.elapsedMs + ExpectedRequestGraceMs;
         const isRequestExpected = (): boolean =>
             callerServer.openRequestCount > 0 || callerServer.isNextRequestExpected ||
@@ -101,7 +101,7 @@
         }
         callerServer.endUnusedConnections();
         callerServer.refuseRequests();
-        await Promise.race([writeLast(), sleep(FinalWriteTimeoutMs)]);
+        const lastWrites = Promise.race([writeLast(), sleep(FinalWriteTimeoutMs)]);
         while (callerServer.openRequestCount > 0 && this.elapsedMs < this.#requestsEndMs) {
             await sleep(PollIntervalMs);
         }
@@ -109,6 +109,7 @@
             callerServer.interruptRequests();
             await sleep(LastResponsesMs);
         }
+        await lastWrites;
     }
 
     #limitRequests(): void {
--- a/src/standins/stopModel.ts
+++ b/src/standins/stopModel.ts
@@ -287,14 +287,14 @@
 
 /** Records a request that has ended after the given time, complete or not. */
 function record(durations: RequestDurations, request: ModelRequest, elapsedMs: number): void {
-    const { service, maxEvents, firstMs, durationMs } = request;
+    const { kind, maxEvents, firstMs, durationMs } = request;
     if (maxEvents === undefined) {
         if (elapsedMs === durationMs) {
-            durations.recordResponse(service, elapsedMs);
+            durations.recordResponse(kind, elapsedMs);
         }
         return;
     }
     const eventShare = (elapsedMs - firstMs) / Math.max(1, durationMs - firstMs);
     const eventCount = elapsedMs < firstMs ? 0 : 1 + Math.floor((maxEvents - 1) * eventShare);
-    durations.recordStream(service, { firstEventMs: firstMs, eventCount, elapsedMs });
+    durations.recordStream(kind, { firstEventMs: firstMs, eventCount, elapsedMs });
 }
--- a/src/standins/stopModelPlan.ts
+++ b/src/standins/stopModelPlan.ts
@@ -167,7 +167,7 @@
         const timeLimitMs = isRepeatable ? TimeLimitMs.plain : TimeLimitMs.order;
         const firstMs = this.#firstMs();
         return {
-            service: isRepeatable ? "report" : "order",
+            kind: isRepeatable ? "report" : "order",
             maxEvents: undefined,
             isRepeatable,
             timeLimitMs,
@@ -176,12 +176,12 @@
         };
     }
 
-    #stream(service: string, maxEvents: number, timeLimitMs: number): ModelRequest {
+    #stream(kind: string, maxEvents: number, timeLimitMs: number): ModelRequest {
         const variation = this.#between(1 - PaceVariation, 1 + PaceVariation);
         const paceMs = this.#paceMs[this.#random.integer(this.#paceMs.length)]! * variation * this.factor;
         const firstMs = this.#firstMs();
         const durationMs = Math.min(timeLimitMs, firstMs + (maxEvents - 1) * paceMs + this.#pauseMs());
-        return { service, maxEvents, isRepeatable: true, timeLimitMs, firstMs, durationMs };
+        return { kind, maxEvents, isRepeatable: true, timeLimitMs, firstMs, durationMs };
     }
 
     #firstMs(): number {
