Answer 502 when a router that stops cuts work that it has sent

The caller of a sale or a JSON chat that was open at the end of the stop got 503 ShuttingDown with ran "unknown" in the body. Callers go by the status, take a 503 for "not run" and send the work again.

CallerResponse now reports UpstreamFailed in place of any error with a status that promises "not run" if the request may have run. This covers the other ways to such an answer too, such as a resend that reaches no upstream after a first send that failed. An error event in a stream that has begun is unchanged. The rule for the status moves from the edge to src/base/resultCodes.ts, which both use.

--- a/src/base/resultCodes.ts
+++ b/src/base/resultCodes.ts
@@ -68,6 +68,11 @@
 /** Name of a result code. */
 export type ResultCodeName = keyof typeof ResultCodes;
 
+/** @returns Whether callers take the status for a promise that the request has not run and never will. */
+export function promisesNotRun(status: number): boolean {
+    return status === 503 || status === 429 || status === 408 || status === 421;
+}
+
 /** Body of an error response. */
 export interface ErrorBody {
     readonly error: {
--- a/src/edge/flow/callerResponse.ts
+++ b/src/edge/flow/callerResponse.ts
@@ -1,6 +1,12 @@
 /** The response to one caller: relayed from an upstream, or an error that the edge itself reports. */
 import { type ServerResponse, STATUS_CODES } from "node:http";
-import { errorBody, type ExecutionState, type ResultCodeName, ResultCodes } from "../../base/resultCodes.js";
+import {
+    errorBody,
+    type ExecutionState,
+    promisesNotRun,
+    type ResultCodeName,
+    ResultCodes,
+} from "../../base/resultCodes.js";
 import type { HeaderCodec } from "../protocolCodec.js";
 import type { ResponseHead } from "../transport/responseParser.js";
 
@@ -176,11 +182,6 @@
     return promisesNotRun(status) && ran !== "no" ? 502 : status;
 }
 
-/** @returns Whether callers take the status for a promise that the request has not run and never will. */
-export function promisesNotRun(status: number): boolean {
-    return status === 503 || status === 429 || status === 408 || status === 421;
-}
-
 /** @returns Lower-case names of the headers that are not relayed, with those that the `Connection` header lists. */
 function droppedHeaders(head: ResponseHead): ReadonlySet<string> {
     const listedNames = head.headersByName.get("connection")?.toLowerCase().split(",").map(name => name.trim()) ?? [];
--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -1,6 +1,12 @@
 /** Writes the response to a caller's request to the raw Node.js response object. */
 import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
-import { errorBody, type ExecutionState, type ResultCodeName, ResultCodes } from "../base/resultCodes.js";
+import {
+    errorBody,
+    type ExecutionState,
+    promisesNotRun,
+    type ResultCodeName,
+    ResultCodes,
+} from "../base/resultCodes.js";
 import type { StoredResponse } from "../features/idempotency/idempotencyTypes.js";
 
 /** Maximum wait for the error event of an interrupted stream to be flushed before the connection is destroyed. */
@@ -101,7 +107,7 @@
             return;
         }
         this.#beforeHead();
-        writeErrorResponse(this.#outgoing, this.#requestId, failure);
+        writeErrorResponse(this.#outgoing, this.#requestId, withoutFalsePromise(failure));
     }
 
     /** Sends an error response, or ends a response that has begun like {@link CallerResponse.interrupt}. */
@@ -132,6 +138,16 @@
     }
 }
 
+/**
+ * @returns The failure; `UpstreamFailed` in place of one whose status states that the request has not run, if it may have:
+ * callers go by the status and send such a request again.
+ */
+function withoutFalsePromise(failure: ErrorResponse): ErrorResponse {
+    const { httpStatus, message, ran: defaultState } = ResultCodes[failure.code];
+    const ran = failure.ran ?? defaultState;
+    return promisesNotRun(httpStatus) && ran !== "no" ? { code: "UpstreamFailed", ran, detail: message } : failure;
+}
+
 function buildErrorBody(failure: ErrorResponse): string {
     const code = ResultCodes[failure.code];
     const body = errorBody(code, failure.ran ?? code.ran);
