Estimate durations in the gateway from the last minute, for a bounded number of kinds

The estimates of a router that stops came from the last 64 responses of a kind, however old, so an idle router judged requests by the load of hours ago. The map of kinds grew with every model and service that was ever asked for.

DurationEstimator now keeps RecentSamples, as the edge does, for at most 256 kinds, and drops the kind that was recorded least recently.

--- a/src/edge/stop/recentSamples.ts
+++ b/src/base/recentSamples.ts
@@ -12,8 +12,8 @@
 /** Samples that may be kept at once after a time with few of them. */
 const MaxBurstSamples = 32;
 
-/** Minimum number of samples for a quantile: the maximum of fewer says little about the next request. */
-const MinSamples = 8;
+/** Default minimum number of samples for a quantile: the maximum of fewer says little about the next request. */
+const DefaultMinSamples = 8;
 
 interface Sample {
     readonly valueMs: number;
@@ -28,6 +28,12 @@
     #nextIndex = 0;
     #burstSamples = MaxBurstSamples;
     #lastRecordedAtMs = 0;
+    readonly #minSamples: number;
+
+    /** @param minSamples Minimum number of recent samples for a quantile. */
+    constructor(minSamples = DefaultMinSamples) {
+        this.#minSamples = minSamples;
+    }
 
     /**
      * Records a duration, unless enough have been recorded lately.
@@ -51,7 +57,7 @@
      */
     quantileMs(fraction: number, nowMs: number): number | undefined {
         const recent = this.#samples.filter(({ atMs }) => nowMs - atMs < MaxAgeMs);
-        if (recent.length < MinSamples) {
+        if (recent.length < this.#minSamples) {
             return undefined;
         }
         recent.sort((left, right) => left.valueMs - right.valueMs);
--- a/src/edge/stop/requestDurations.ts
+++ b/src/edge/stop/requestDurations.ts
@@ -1,7 +1,7 @@
 /** Estimates how long requests to a service take, from the response times that this host has seen lately. */
 import { setBounded } from "../../base/boundedMap.js";
 import type { Clock } from "../../base/clock.js";
-import { RecentSamples } from "./recentSamples.js";
+import { RecentSamples } from "../../base/recentSamples.js";
 
 /** Maximum number of services whose response times are kept; the least recently added one is dropped. */
 const MaxServices = 256;
--- a/src/gateway/stopLimit.ts
+++ b/src/gateway/stopLimit.ts
@@ -11,10 +11,11 @@
  */
 export class StopLimit {
     readonly #dependencies: Pick<GatewayDependencies, "clock" | "kernel" | "settings">;
-    readonly #estimator = new DurationEstimator();
+    readonly #estimator: DurationEstimator;
 
     constructor(dependencies: Pick<GatewayDependencies, "clock" | "kernel" | "settings">) {
         this.#dependencies = dependencies;
+        this.#estimator = new DurationEstimator(dependencies.clock);
     }
 
     /** Records how long a whole response took. */
