Let the hedge of a planned stop's test come after the signal

The test set the upper limit of the delay alone, and the learnt delay could be 20 ms, so that a stall between the request and the signal let the hedge begin before the signal: it failed once beside other work, and with a stall of 60 ms put in. The test sets the minimum as well.

--- a/src/router/plannedStop.spec.ts
+++ b/src/router/plannedStop.spec.ts
@@ -146,6 +146,7 @@
             const { router, engines } = await start({
                 engines: [{}, {}],
                 gateway: { hedgeAfterMs: 1_500 },
+                hedgeMinDelayMs: 1_500,
             });
             const caller = fixture.createCaller();
             await fixture.observeStreams(caller);
--- a/src/standins/router/plannedStopFixture.ts
+++ b/src/standins/router/plannedStopFixture.ts
@@ -25,6 +25,8 @@
     /** Settings of each engine. */
     readonly engines?: readonly Partial<UpstreamStandInSettings>[];
     readonly sales?: Partial<UpstreamStandInSettings>;
+    /** Minimum time after which a hedge is sent, in milliseconds. */
+    readonly hedgeMinDelayMs?: number;
     /** Limit of the rule for chat requests. */
     readonly maxInFlightPerUpstream?: number;
 }
@@ -62,7 +64,10 @@
             operator: { port: 0 },
             platform: { url: platformUrl },
             gateway: this.#options.gateway,
-            features: { lifecycle: { balancerLagMs: 1_000 } },
+            features: {
+                lifecycle: { balancerLagMs: 1_000 },
+                upstream: { hedgeMinDelayMs: this.#options.hedgeMinDelayMs },
+            },
             shutdownTimeoutMs: this.#options.shutdownTimeoutMs ?? 3_000,
         }));
         await this.router.start();
