--- a/src/edge/stop/requestDurations.ts
+++ b/src/edge/stop/requestDurations.ts
@@ -1,7 +1,7 @@
 /** Estimates how long requests take, from the response times that this host has seen lately. */
 import { setBounded } from "../../base/boundedMap.js";
 import type { Clock } from "../../base/clock.js";
-import { RecentSamples } from "./recentSamples.js";
+import { RecentSamples } from "../../base/recentSamples.js";
 
 /** Maximum number of kinds of request whose response times are kept; the least recently added one is dropped. */
 const MaxKinds = 256;
