--- a/src/edge/flow/stopMonitor.ts
+++ b/src/edge/flow/stopMonitor.ts
@@ -14,7 +14,7 @@
 
 /** Fields that the log line about an affected request has in addition; times in whole milliseconds. */
 export interface StopLogFields {
-    /** Time from the handling of the signal to the arrival of the request; negative for an earlier request. */
+    /** Time from the earliest moment of the signal to the arrival of the request; negative for an earlier request. */
     readonly arrivedAfterStopMs: number | undefined;
     readonly neededMs: number | undefined;
     readonly remainingMs: number | undefined;
@@ -41,7 +41,7 @@
         return this.#cutCount;
     }
 
-    /** @param startedAtMs Monotonic time at which the signal was handled, in milliseconds. */
+    /** @param startedAtMs Earliest monotonic time at which the signal may have been sent, in milliseconds. */
     start(startedAtMs: number): void {
         this.#startedAtMs = startedAtMs;
     }
