Shorten the reserves at the end of a short grace period

Cause: 500 ms for the exit and 900 ms for the last writes were reserved whatever the grace period was, so that 2 s were cut after 1.51 s, before the last sixth of the period. Change: both reserves are scaled down together so that that of the exit takes at most 0.14 of the period (from 3,571 ms down). The last writes are given up when the last responses have left. 8 s keeps 500 and 900 ms.

--- a/src/edge/stopSequence.ts
+++ b/src/edge/stopSequence.ts
@@ -18,6 +18,12 @@
  */
 const ExitReserveMs = 500;
 
+/**
+ * Maximum fraction of the grace period that is reserved for the last responses and the exit. Responses may be cut off only in the last
+ * sixth of the period; the rest of the sixth allows for a signal that arrived up to one tick of the event loop after the assumed start.
+ */
+const MaxExitReserveFraction = 0.14;
+
 /** Time in which the responses to interrupted requests leave the process, in milliseconds. */
 const LastResponsesMs = 50;
 
@@ -101,13 +107,14 @@
         }
         callerServer.endUnusedConnections();
         callerServer.refuseRequests();
-        const lastWrites = Promise.race([writeLast(), sleep(FinalWriteTimeoutMs)]);
+        const writeTimeoutMs = Math.min(FinalWriteTimeoutMs, Math.max(0, this.#responsesEndMs - this.elapsedMs));
+        const lastWrites = Promise.race([writeLast(), sleep(writeTimeoutMs)]);
         while (callerServer.openRequestCount > 0 && this.elapsedMs < this.#requestsEndMs) {
             await sleep(PollIntervalMs);
         }
         if (callerServer.openRequestCount > 0) {
             callerServer.interruptRequests();
-            await sleep(LastResponsesMs);
+            await sleep(LastResponsesMs * this.#reserveFactor);
         }
         await lastWrites;
     }
@@ -116,13 +123,23 @@
         this.#dependencies.stopAdmission.limit(this.#startedAtMs + this.#requestsEndMs);
     }
 
+    /** Factor by which a short grace period shortens the times that are reserved at its end; 1 for longer periods. */
+    get #reserveFactor(): number {
+        return Math.min(1, this.#graceMs * MaxExitReserveFraction / ExitReserveMs);
+    }
+
     /** Time after which open requests are no longer waited for before the last writes. */
     get #drainLimitMs(): number {
-        return this.#graceMs - FinalWriteReserveMs;
+        return this.#graceMs - FinalWriteReserveMs * this.#reserveFactor;
     }
 
     /** Time after which open requests are interrupted. */
     get #requestsEndMs(): number {
-        return this.#graceMs - ExitReserveMs;
+        return this.#graceMs - ExitReserveMs * this.#reserveFactor;
+    }
+
+    /** Time after which nothing is waited for any longer. */
+    get #responsesEndMs(): number {
+        return this.#requestsEndMs + LastResponsesMs * this.#reserveFactor;
     }
 }
