Tell truncated responses without a length from complete ones

Cause: a response without a length counted as complete at the orderly end of its connection, although the upstream had not read the request and reset the connection shortly after the end. Change: on both paths such a response is complete only if the request was passed to the kernel before the end and, if the request has a body, a write 100 ms after the end shows no reset. undici destroys the socket at the end, so that the gateway keeps it open for that time. Responses with a length or chunks, and requests without a body, are treated as before.

--- a/src/edge/transport/upstreamConnection.spec.ts
+++ b/src/edge/transport/upstreamConnection.spec.ts
@@ -1,5 +1,7 @@
 import { createServer, type Server, type Socket } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
+import { ResetObservationMs } from "../../base/resetDetection.js";
+import { sleep } from "../../base/sleep.js";
 import type { ResponseHead } from "./responseParser.js";
 import { UpstreamConnection } from "./upstreamConnection.js";
 
@@ -22,11 +24,11 @@
     return `127.0.0.1:${typeof address === "object" ? address?.port : 0}`;
 }
 
-function exchange(connection: UpstreamConnection, id: string): Promise<Outcome> {
+function exchange(connection: UpstreamConnection, id: string, requestBody?: Buffer): Promise<Outcome> {
     return new Promise(resolve => {
         let body = "";
         let head: ResponseHead | undefined;
-        connection.send({ method: "GET", head: `GET / HTTP/1.1\r\nX-Id: ${id}\r\n\r\n`, body: undefined }, {
+        connection.send({ method: "GET", head: `GET / HTTP/1.1\r\nX-Id: ${id}\r\n\r\n`, body: requestBody }, {
             isResponseToRequest: received => received.headersByName.get("x-id") === id,
             onWritten: () => undefined,
             onHead: received => head = received,
@@ -62,6 +64,44 @@
         });
     });
 
+    describe("given an orderly end", () => {
+        const withoutLength = "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nok";
+        const withLength = "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok";
+        const body = Buffer.from("x");
+
+        /** @returns The shortest time of several exchanges, in milliseconds. */
+        const measure = async (response: string, requestBody?: Buffer): Promise<number> => {
+            const address = await listen(socket => socket.end(response));
+            const durationsMs: number[] = [];
+            for (let round = 0; round < 5; round++) {
+                const startedMs = performance.now();
+                expect(await exchange(open(address), "a", requestBody)).toMatchObject({ kind: "complete", body: "ok" });
+                durationsMs.push(performance.now() - startedMs);
+            }
+            return Math.min(...durationsMs);
+        };
+
+        it("observes the connection if the request has a body and the response no length (guards against resets that are not seen)", async () => {
+            expect(await measure(withoutLength, body)).toBeGreaterThanOrEqual(ResetObservationMs - 5);
+        });
+
+        it.each([["no body and no length", withoutLength, undefined], ["a body and a length", withLength, body]])(
+            "does not wait: %s (guards against a delay of every response)",
+            async (_name, response, requestBody) => {
+                expect(await measure(response, requestBody)).toBeLessThan(ResetObservationMs);
+            },
+        );
+
+        it("reports nothing after it is destroyed during the observation (guards against a response to a caller that left)", async () => {
+            const address = await listen(socket => socket.end(withoutLength));
+            const connection = open(address);
+            const outcome = exchange(connection, "a", body);
+            await sleep(ResetObservationMs / 2);
+            connection.destroy();
+            expect(await Promise.race([outcome, sleep(2 * ResetObservationMs)])).toBeUndefined();
+        });
+    });
+
     describe("given a response to another request", () => {
         it("skips it and accepts its own (guards against swapped responses)", async () => {
             const late = "HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 3\r\n\r\nold";
--- a/src/edge/transport/upstreamConnection.ts
+++ b/src/edge/transport/upstreamConnection.ts
@@ -1,7 +1,8 @@
 /** A connection to an upstream, which carries one request at a time. */
 import { connect, type Socket } from "node:net";
 import { splitAddress } from "../../base/address.js";
-import { startResponseTimeout } from "../../base/responseTimeout.js";
+import { detectReset, ResetObservationMs } from "../../base/resetDetection.js";
+import { type ResponseTimeout, startResponseTimeout } from "../../base/responseTimeout.js";
 import { type ResponseHead, ResponseParser } from "./responseParser.js";
 
 /** Why an exchange ended without a complete response. */
@@ -39,9 +40,6 @@
 /** Size of skipped responses after which the connection is closed, in bytes; larger than any response to a plain request. */
 const MaxSkippedBytes = 262_144;
 
-/** Written to detect a reset: an empty line, which servers ignore before a request. */
-const ResetProbe = "\r\n";
-
 /** A connection over which requests are sent one after another. It is never used again after a failure or {@link destroy}. */
 export class UpstreamConnection {
     readonly #socket: Socket;
@@ -58,6 +56,8 @@
     #isConnected = false;
     #isClosed = false;
     #isWritten = false;
+    #hasBody = false;
+    #resetObservation: ResponseTimeout | undefined;
     /** Monotonic time until which the connection may be reused, in milliseconds. */
     reusableUntilMs = 0;
     /** Monotonic time of the end of the last exchange, in milliseconds. */
@@ -119,6 +119,7 @@
         this.#head = undefined;
         this.#isSkipping = false;
         this.#isWritten = false;
+        this.#hasBody = request.body !== undefined && request.body.length > 0;
         this.#parser.expectResponse(request.method);
         this.#writePendingRequest();
     }
@@ -222,17 +223,29 @@
     }
 
     /**
-     * Handles the end of the upstream's bytes. A reset that arrives together with data is reported as an orderly end
-     * (libuv treats a hang-up after a partial read as the end of the file). Only a write can distinguish them: it fails
-     * on a connection that was reset.
+     * Handles the end of the upstream's bytes, which completes a response without a length only if the request was written out before it.
+     * The kernel may hold bytes of a body that the upstream never reads, so that the connection of a request with a body is observed for
+     * a reset before the response counts as complete.
      */
     #onPeerEnd(): void {
         if (this.#listener === undefined || !this.#parser.isReadingUntilClose) {
             this.#fail(this.#failureKind(), "connection ended early");
             return;
         }
-        this.#socket.write(ResetProbe, error => {
-            if (error === null || error === undefined) {
+        if (this.#socket.writableLength > 0) {
+            this.#fail("brokenOff", "the response ended before the request was written");
+            return;
+        }
+        if (this.#hasBody) {
+            this.#resetObservation = startResponseTimeout(() => this.#finishUnlessReset(), ResetObservationMs);
+            return;
+        }
+        this.#finishUnlessReset();
+    }
+
+    #finishUnlessReset(): void {
+        detectReset(this.#socket, error => {
+            if (error === undefined) {
                 this.#parser.finish();
                 this.#close();
             }
@@ -261,6 +274,7 @@
             return;
         }
         this.#isClosed = true;
+        this.#resetObservation?.cancel();
         this.#socket.destroy();
         this.#onClosed(this);
     }
--- a/src/gateway/undiciUpstreamClient.spec.ts
+++ b/src/gateway/undiciUpstreamClient.spec.ts
@@ -1,6 +1,9 @@
 import { once } from "node:events";
+import { type AddressInfo, createServer } from "node:net";
 import { Worker } from "node:worker_threads";
-import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { ResetObservationMs } from "../base/resetDetection.js";
+import { sleep } from "../base/sleep.js";
 import { UndiciUpstreamClient } from "./undiciUpstreamClient.js";
 import type { UpstreamCallOutcome } from "./upstreamClient.js";
 
@@ -64,6 +67,37 @@
         });
     });
 
+    describe("when it is closed while a connection is observed for a reset", () => {
+        it("closes the connection (guards against a stop that waits for the connection without end)", async () => {
+            let isClosed = false;
+            const server = createServer({ allowHalfOpen: true }, socket => {
+                socket.once("data", () => socket.end("HTTP/1.1 200 OK\r\n\r\npart"));
+                socket.on("error", () => undefined);
+                socket.once("close", () => isClosed = true);
+            });
+            server.listen(0, "127.0.0.1");
+            await once(server, "listening");
+            const { port } = server.address() as AddressInfo;
+            let hasData = false;
+            let endCount = 0;
+            client.call({
+                url: `http://127.0.0.1:${port}`,
+                method: "POST",
+                path: "/",
+                headers: {},
+                body: Buffer.from("x"),
+                firstByteTimeoutMs: ProgressTimeoutMs,
+                progressTimeoutMs: ProgressTimeoutMs,
+            }, { onHead: () => undefined, onData: () => hasData = true, onEnd: () => endCount++ });
+            await vi.waitFor(() => expect(hasData).toBe(true), { interval: 5 });
+            await sleep(ResetObservationMs / 2);
+            await client.close();
+            await vi.waitFor(() => expect(isClosed).toBe(true));
+            server.close();
+            expect(endCount).toBe(0);
+        });
+    });
+
     describe("when the upstream stops in the middle of a response", () => {
         it("ends the call after the timeout, also after a stall (guards against calls that never end)", async () => {
             const startedMs = performance.now();
--- a/src/gateway/undiciUpstreamClient.ts
+++ b/src/gateway/undiciUpstreamClient.ts
@@ -2,6 +2,8 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
+import { detectReset } from "../base/resetDetection.js";
+import { ResetObservation } from "./resetObservation.js";
 import {
     UpstreamCall,
     type UpstreamCallListener,
@@ -19,9 +21,6 @@
 /** Maximum number of idle connections kept for one upstream. */
 const MaxIdleConnections = 64;
 
-/** Written to detect a reset: an empty line, which servers ignore before a request. */
-const ResetProbe = "\r\n";
-
 /** Occurs within a head only if the head was cut off and another response follows it on the connection. */
 const StatusLine = /HTTP\/1\.[01] [1-5][0-9][0-9]/;
 
@@ -138,6 +137,8 @@
     #method = "GET";
     /** Whether the body ends with the connection. */
     #isCloseDelimited = false;
+    #hasRequestBody = false;
+    #resetObservation: ResetObservation | undefined;
     #paused = false;
     #ended = false;
     #cancelled = false;
@@ -165,6 +166,7 @@
     start(options: Dispatcher.DispatchOptions): void {
         this.#starting = true;
         this.#method = options.method;
+        this.#hasRequestBody = options.body instanceof Uint8Array && options.body.length > 0;
         this.#client.dispatch(options, this);
         this.#starting = false;
     }
@@ -174,6 +176,7 @@
             return;
         }
         this.#cancelled = true;
+        this.#resetObservation?.cancel();
         this.#finish();
         this.#controller?.abort(new Error("cancelled"));
         this.#pool.destroy(this.#client);
@@ -254,8 +257,9 @@
     }
 
     /**
-     * Completes a body that ends with its connection, unless the connection was reset. undici reports a reset as the end
-     * of such a body, and a reset that arrives together with data is read as an orderly end; only a write shows it.
+     * Completes a body that ends with its connection if the request was written out before the end, unless the connection was reset; undici
+     * reports a reset as the end of such a body. The kernel may hold bytes of a request that the upstream never reads, so that the
+     * connection of a request with a body is observed for a time.
      */
     #checkOrderlyEnd(): void {
         const socket = this.#pool.socketOf(this.#client);
@@ -263,23 +267,39 @@
             this.#fail("the connection broke off before the end of the response");
             return;
         }
-        socket.write(ResetProbe, error => {
+        if (socket.writableLength > 0) {
+            this.#fail("the response ended before the request was written");
+            return;
+        }
+        const onResult = (error: Error | undefined): void => {
             if (this.#ended) {
                 return;
             }
-            if (error === null || error === undefined) {
+            if (error === undefined) {
                 this.#complete();
             }
             else {
                 this.#fail(`connection reset: ${error.message}`);
             }
-        });
+        };
+        if (this.#hasRequestBody) {
+            this.#resetObservation = new ResetObservation(socket, onResult);
+        }
+        else {
+            detectReset(socket, onResult);
+        }
     }
 
     #complete(): void {
         this.#finish();
         this.#listener.onEnd({ status: "ended" });
-        if (!this.#cancelled) {
+        if (this.#cancelled) {
+            return;
+        }
+        if (this.#isCloseDelimited) {
+            this.#pool.destroy(this.#client);
+        }
+        else {
             this.#pool.release(this.#client);
         }
     }
