Send nothing to evacuated availability zones

Cause: an evacuation must be in force within evacuate-ms on every host, also on those without the store, suspended ones and starting ones. Change: the objects evacuations/ZONE are followed by a store feed, broadcast to the other hosts and repeated while in force. UpstreamDirectory leaves out the upstreams of evacuated zones; a new connection and a lent slot are checked again before the request is written. After a suspension requests are refused as not ready until the store or another host has confirmed the set. Objects that wait for their finalizers count as removed. Without bounds.evacuate-ms there is no watch, message or call.

--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -13,6 +13,7 @@
 import type { ProcessStart } from "./budget/ledger.js";
 import { ConfigurationTracker } from "./configurationTracker.js";
 import type { EdgeSettings } from "./edgeSettings.js";
+import { EvacuationManager } from "./evacuation/evacuationManager.js";
 import { EventLoopMonitor } from "./eventLoopMonitor.js";
 import { CallerServer } from "./flow/callerServer.js";
 import { RetryBudgets } from "./flow/retryBudgets.js";
@@ -98,6 +99,8 @@
     readonly #loadReporter: LoadReporter;
     readonly #quarantine: PromptQuarantine;
     readonly #limits: RateLimits;
+    /** `undefined` if the settings switch evacuations off. */
+    readonly #evacuations: EvacuationManager | undefined;
     readonly #durations = new RequestDurations(this.#clock);
     readonly #stopAdmission = new StopAdmission(this.#clock, this.#durations);
     readonly #stopMonitor = new StopMonitor(this.#metrics.counters);
@@ -134,7 +137,7 @@
             helpers: () => this.#storeHelpers,
         });
         this.#processStart = { wallMs: this.#clock.wallMs(), steadyMs: steadyMs() };
-        this.#directory = new UpstreamDirectory(this.#clock);
+        this.#directory = new UpstreamDirectory(this.#clock, () => this.#evacuations?.zoneFilter);
         const relayedStore = this.#createRelayedStore();
         this.#relayServer = new RelayServer({
             clock: this.#clock,
@@ -172,6 +175,16 @@
             recordKey: dependencies.objectCodec.evidenceKey,
         });
         this.#limits = new RateLimits({ ...peerDependencies, counters: this.#metrics.counters });
+        this.#evacuations = settings.evacuateMs === undefined ? undefined : new EvacuationManager({
+            ...peerDependencies,
+            random: this.#random,
+            counters: this.#metrics.counters,
+            store: relayedStore,
+            codec: dependencies.objectCodec,
+            evacuateMs: settings.evacuateMs,
+            zones: settings.zones,
+            listedZones: () => this.#directory.zones,
+        });
         this.#callerServer = this.#createCallerServer();
         this.#readinessServer = createServer((_request, response) => {
             response.writeHead(this.isReady ? 200 : 503, { "Content-Length": 0 });
@@ -183,7 +196,7 @@
     get isReady(): boolean {
         return this.#stopSequence === undefined && !this.#callerServer.isLinkBusy &&
             this.#configuration.routeTable !== undefined &&
-            !this.#directory.isEmpty && this.#quarantine.isInformed;
+            !this.#directory.isEmpty && this.#quarantine.isInformed && this.#evacuations?.isInformed !== false;
     }
 
     /**
@@ -195,6 +208,7 @@
         const readiness = splitAddress(this.#settings.listen.readiness);
         this.#configuration.start();
         this.#upstreamFeed.start();
+        this.#evacuations?.start();
         this.#quarantine.start();
         const callerPort = await this.#callerServer.start(caller.host, caller.port);
         await new Promise<void>((resolve, reject) => {
@@ -257,6 +271,7 @@
         clearInterval(this.#tickTimer);
         this.#configuration.stop();
         this.#upstreamFeed.stop();
+        this.#evacuations?.stop();
         this.#loadReporter.stop();
         this.#peerChannel.stop();
         this.#relayServer.stop();
@@ -300,6 +315,7 @@
             budgets: this.#budgets.dumpState(),
             quarantine: this.#quarantine.dumpState(),
             limits: this.#limits.dumpState(),
+            evacuations: this.#evacuations?.dumpState(),
             upstreams: this.#directory.all.map(upstream => ({ ...upstream.entry, open: upstream.openRequestCount })),
         };
     }
@@ -324,6 +340,7 @@
         this.#callerServer.tick();
         this.#quarantine.tick();
         this.#limits.tick();
+        this.#evacuations?.tick();
         const { isConnected } = this.#configuration;
         if (isConnected && !this.#wasStoreConnected) {
             this.#budgets.onStoreReconnected();
@@ -427,6 +444,7 @@
             onSent: promptTokens => this.#loadReporter.recordSend(promptTokens),
             hostCount: () => this.#hostCount,
             configuration: () => this.#configuration,
+            areEvacuationsKnown: () => this.#evacuations?.isReliable ?? true,
             isLeaving: () => this.#stopSequence !== undefined,
             loopDelayMs: () => this.#eventLoopMonitor.latestDelayMs,
         });
--- a/src/edge/edgeSettings.ts
+++ b/src/edge/edgeSettings.ts
@@ -8,6 +8,10 @@
     hostId: z.string().min(1).describe("identity of the host; a restarted process keeps it"),
     zone: z.string().default("").describe("availability zone of the host"),
     zoneCount: z.number().int().positive().default(1).describe("availability zones of the deployment"),
+    zones: z.array(z.string()).default([]).describe("names of the availability zones of the deployment"),
+    evacuateMs: z.number().positive().optional().describe(
+        "time within which the evacuation of an availability zone is in force on every host; without it there are no evacuations",
+    ),
     peerAddress: AddressSchema.describe("address for load reports of other hosts, over UDP"),
     listen: z.strictObject({
         caller: AddressSchema.describe("address for callers"),
--- /dev/null
+++ b/src/edge/evacuation/evacuationFeed.ts
@@ -0,0 +1,112 @@
+/** Follows the evacuations in the platform's store. */
+import type { Clock } from "../../base/clock.js";
+import { log } from "../../base/log.js";
+import type { PlatformStore, StoredObject } from "../../platform/platformStore.js";
+import type { ObjectCodec } from "../protocolCodec.js";
+import { StoreFeed } from "../storeFeed.js";
+
+/** Maximum number of objects on one page of a listing. */
+const PageSize = 500;
+
+/** The evacuated zones as of a version of the store. */
+export interface StoredEvacuations {
+    readonly zones: ReadonlySet<string>;
+    readonly version: number;
+}
+
+/** Reports the complete set with each response of the store. An object that cannot be read costs one warning and is ignored. */
+export class EvacuationFeed {
+    readonly #store: PlatformStore;
+    readonly #codec: ObjectCodec;
+    readonly #feed: StoreFeed;
+    readonly #zones = new Set<string>();
+    /** Keys of objects whose problem was logged. */
+    readonly #unreadableKeys = new Set<string>();
+
+    /**
+     * @param onConfirmed Called with the set and the time since the store's response, in milliseconds, also when it has not changed.
+     */
+    constructor(
+        store: PlatformStore,
+        codec: ObjectCodec,
+        clock: Clock,
+        onConfirmed: (evacuations: StoredEvacuations, ageMs: number) => void,
+    ) {
+        this.#store = store;
+        this.#codec = codec;
+        this.#feed = new StoreFeed(store, codec.evacuationPrefix, clock, {
+            onSnapshot: objects => {
+                this.#zones.clear();
+                const keys = new Set(objects.map(({ key }) => key));
+                [...this.#unreadableKeys].filter(key => !keys.has(key)).forEach(key =>
+                    this.#unreadableKeys.delete(key)
+                );
+                this.#readZones(objects).forEach(zone => this.#zones.add(zone));
+            },
+            onChanges: changes => changes.forEach(({ key, object }) => this.#applyChange(key, object)),
+            onConfirmed: (version, ageMs) => onConfirmed({ zones: new Set(this.#zones), version }, ageMs),
+        });
+    }
+
+    /** Starts to watch the store. */
+    start(): void {
+        this.#feed.start();
+    }
+
+    /** Stops watching. */
+    stop(): void {
+        this.#feed.stop();
+    }
+
+    /** @returns The set by a listing that begins now; `undefined` if the store cannot be reached. */
+    async list(): Promise<StoredEvacuations | undefined> {
+        const objects: StoredObject[] = [];
+        let version: number | undefined;
+        let afterKey = "";
+        for (let more = true; more;) {
+            const page = await this.#store.list(this.#codec.evacuationPrefix, afterKey, PageSize);
+            if (page.status === "unavailable" || page.revision === undefined) {
+                return undefined;
+            }
+            version ??= page.revision;
+            objects.push(...page.objects);
+            more = page.more && page.objects.length > 0;
+            afterKey = page.objects.at(-1)?.key ?? "";
+        }
+        return { zones: new Set(this.#readZones(objects)), version: version ?? 0 };
+    }
+
+    #applyChange(key: string, object: StoredObject | undefined): void {
+        if (object === undefined) {
+            this.#unreadableKeys.delete(key);
+        }
+        this.#zones.delete(this.#nameOf(key));
+        if (object !== undefined) {
+            this.#readZones([object]).forEach(zone => this.#zones.add(zone));
+        }
+    }
+
+    /** @returns The zones that the objects name, without those whose object is being removed. */
+    #readZones(objects: readonly StoredObject[]): string[] {
+        return objects.filter(({ isDeleting }) => isDeleting !== true).flatMap(({ key, value }) => {
+            const outcome = this.#codec.readEvacuation(this.#nameOf(key), value);
+            if ("problem" in outcome) {
+                this.#warnOnce(key, outcome.problem);
+                return [];
+            }
+            this.#unreadableKeys.delete(key);
+            return [outcome.zone];
+        });
+    }
+
+    #warnOnce(key: string, problem: string): void {
+        if (!this.#unreadableKeys.has(key)) {
+            this.#unreadableKeys.add(key);
+            log.warn("evacuation ignored: the object cannot be read", { key, problem });
+        }
+    }
+
+    #nameOf(key: string): string {
+        return key.slice(this.#codec.evacuationPrefix.length);
+    }
+}
--- a/src/edge/flow/attempt.ts
+++ b/src/edge/flow/attempt.ts
@@ -9,6 +9,7 @@
 import type { ResponseHead } from "../transport/responseParser.js";
 import type { ExchangeFailure, SerialisedRequest, UpstreamConnection } from "../transport/upstreamConnection.js";
 import type { OpenDispatch, Upstream } from "../upstream/upstream.js";
+import type { UpstreamDirectory } from "../upstream/upstreamDirectory.js";
 import type { DispatchOutcome } from "../upstream/upstreamHealth.js";
 
 /** How an attempt ended, for the flow that started it. */
@@ -73,6 +74,7 @@
     readonly codec: HeaderCodec;
     readonly clock: Clock;
     readonly limits: RateLimits;
+    readonly directory: Pick<UpstreamDirectory, "isZoneUsable">;
 }
 
 /** Maximum size of a response body that is collected before it is relayed, in bytes. */
@@ -104,7 +106,11 @@
     #isSilent = false;
     #silenceTimer: ResponseTimeout | undefined;
 
-    constructor(input: AttemptInput, { codec, clock, limits }: AttemptDependencies, listener: AttemptListener) {
+    constructor(
+        input: AttemptInput,
+        { codec, clock, limits, directory }: AttemptDependencies,
+        listener: AttemptListener,
+    ) {
         this.input = input;
         this.#codec = codec;
         this.#clock = clock;
@@ -118,6 +124,7 @@
         }
         this.#connection.send(input.request, {
             isResponseToRequest: head => this.#guard.run(() => this.#isResponseToRequest(head)) === true,
+            mayWrite: () => this.#guard.run(() => directory.isZoneUsable(input.upstream)) === true,
             onWritten: this.#guard.wrap(() => this.#onWritten()),
             onHead: this.#guard.wrap(head => this.#onHead(head)),
             onBody: this.#guard.wrap(bytes => this.#onBody(bytes)),
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -42,6 +42,8 @@
     readonly memoryBytes: number | undefined;
     /** Capacity of the host's link in each direction, in bytes per second; `undefined` when unknown. */
     readonly linkBytesPerS: number | undefined;
+    /** @returns Whether it is known which availability zones may get requests. */
+    areEvacuationsKnown(): boolean;
     /** @returns Whether the process is shutting down. */
     isLeaving(): boolean;
     /** @returns Most recent delay of the event loop, in milliseconds. */
@@ -331,6 +333,10 @@
         if (table === undefined) {
             return { code: "NotReady", ran: "no", retryAfterMs: NotReadyRetryMs };
         }
+        if (!this.#dependencies.areEvacuationsKnown()) {
+            this.#dependencies.metrics.counters.add(EdgeCounterNames.evacuationRefusals);
+            return { code: "NotReady", ran: "no", retryAfterMs: NotReadyRetryMs };
+        }
         if (this.#linkLoad.isFull) {
             return { code: "Overloaded", ran: "no", retryAfterMs: LinkFullRetryMs };
         }
--- a/src/edge/flow/upstreamSelector.ts
+++ b/src/edge/flow/upstreamSelector.ts
@@ -56,7 +56,9 @@
         const healthy = limited.filter(upstream => isHealthy(upstream, this.#nowMs));
         const entries = (healthy.length > 0 ? healthy : limited).map(({ entry }) => entry);
         this.#dependencies.limits.requestSlot(entries, this.#rank, granted => {
-            onEnd(limited.find(({ entry, isLeaving }) => entry === granted && !isLeaving));
+            const found = limited.find(({ entry, isLeaving }) => entry === granted && !isLeaving);
+            // The zone may have been evacuated while the other hosts were asked.
+            onEnd(found !== undefined && this.#dependencies.directory.isZoneUsable(found) ? found : undefined);
         });
     }
 
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -57,6 +57,12 @@
     slotRequests: "edge.limits.slots.requested",
     slotsBorrowed: "edge.limits.slots.borrowed",
     slotsLent: "edge.limits.slots.lent",
+    evacuationsStarted: "edge.evacuations.started",
+    evacuationsEnded: "edge.evacuations.ended",
+    evacuationsIgnored: "edge.evacuations.ignored",
+    evacuationsSent: "edge.evacuations.sent",
+    evacuationSuspensions: "edge.evacuations.suspensions",
+    evacuationRefusals: "edge.evacuations.refusals",
 } as const;
 
 /** Counters and histograms of one process, with an HTTP listener that serves them. */
--- a/src/edge/peers/peerChannel.ts
+++ b/src/edge/peers/peerChannel.ts
@@ -11,6 +11,7 @@
     LoanReportSchema,
     LoanRequestSchema,
 } from "../budget/loanMessages.js";
+import { EvacuationQuerySchema, EvacuationReplySchema, EvacuationsSchema } from "../evacuation/evacuationMessages.js";
 import { EvidenceSchema } from "../quarantine/evidenceMessages.js";
 import { LimitStatementsSchema, SlotReplySchema, SlotRequestSchema } from "../rateLimit/slotMessages.js";
 import { FleetSumSchema, ZoneSumSchema } from "./loadSums.js";
@@ -33,6 +34,9 @@
     ZoneSumSchema,
     FleetSumSchema,
     EvidenceSchema,
+    EvacuationsSchema,
+    EvacuationQuerySchema,
+    EvacuationReplySchema,
     LimitStatementsSchema,
     SlotRequestSchema,
     SlotReplySchema,
--- a/src/edge/protocolCodec.ts
+++ b/src/edge/protocolCodec.ts
@@ -43,6 +43,9 @@
     /** Common prefix of the keys of upstreams. */
     abstract get upstreamPrefix(): string;
 
+    /** Common prefix of the keys of evacuations of availability zones. */
+    abstract get evacuationPrefix(): string;
+
     /** Common prefix of the keys under which the edge stores budgets. */
     abstract get budgetPrefix(): string;
 
@@ -64,4 +67,11 @@
      * @returns The upstream, or a description of the problem when the entry is invalid.
      */
     abstract readUpstream(name: string, value: unknown): UpstreamEntry | string;
+
+    /**
+     * @param name The object's key without the prefix.
+     * @param value Stored value.
+     * @returns The evacuated availability zone, or a description of the problem when the object is invalid.
+     */
+    abstract readEvacuation(name: string, value: unknown): { readonly zone: string; } | { readonly problem: string; };
 }
--- a/src/edge/storeCallLog.ts
+++ b/src/edge/storeCallLog.ts
@@ -27,6 +27,7 @@
             [codec.evidenceKey, "evidence"],
             [codec.hostPrefix, "hosts"],
             [codec.upstreamPrefix, "upstreams"],
+            [codec.evacuationPrefix, "evacuations"],
         ];
     }
 
--- a/src/edge/storeFeed.spec.ts
+++ b/src/edge/storeFeed.spec.ts
@@ -73,6 +73,24 @@
         });
     });
 
+    describe("given a listener of confirmations", () => {
+        it("tells it the revision after the changes, also without a change (guards against a revision that runs ahead)", async () => {
+            store.watchOutcomes = [
+                { status: "changed", changes: [{ key: "k/a", object: object(8) }], revision: 9 },
+                { status: "unavailable", reason: "down" },
+                { status: "changed", changes: [], revision: 12, ageMs: 300 },
+            ];
+            feed = new StoreFeed(store, "k/", new ManualClock(), {
+                onSnapshot: () => events.push("snapshot"),
+                onChanges: () => events.push("changes"),
+                onConfirmed: (revision, ageMs) => events.push([revision, ageMs]),
+            });
+            feed.start();
+            await vi.advanceTimersByTimeAsync(1_000);
+            expect(events).toEqual(["snapshot", [7, 0], "changes", [9, 0], [12, 300]]);
+        });
+    });
+
     describe("given a revision whose history the store has discarded", () => {
         it("lists again (guards against an upstream that was removed in the gap)", async () => {
             store.watchOutcomes = [{ status: "tooOld", revision: 20 }];
--- a/src/edge/storeFeed.ts
+++ b/src/edge/storeFeed.ts
@@ -35,6 +35,12 @@
     onSnapshot(objects: readonly StoredObject[], isNewHistory: boolean): void;
     /** Called with each batch of changes since the last call. */
     onChanges(changes: readonly WatchedChange[]): void;
+    /**
+     * Called after each response of the store, also one without a change.
+     * @param revision Revision of the store as of which all objects and changes have been passed on.
+     * @param ageMs Time since the store's response, in milliseconds, where another host relayed it.
+     */
+    onConfirmed?(revision: number, ageMs: number): void;
 }
 
 /**
@@ -133,6 +139,7 @@
         }
         this.#history = history;
         this.#listener.onSnapshot(objects, isNewHistory);
+        this.#listener.onConfirmed?.(revision ?? 0, 0);
         return revision;
     }
 
@@ -151,6 +158,7 @@
         if (outcome.changes.length > 0) {
             this.#listener.onChanges(outcome.changes);
         }
+        this.#listener.onConfirmed?.(outcome.revision, outcome.ageMs ?? 0);
         return outcome.revision;
     }
 
--- a/src/edge/transport/upstreamConnection.spec.ts
+++ b/src/edge/transport/upstreamConnection.spec.ts
@@ -22,12 +22,13 @@
     return `127.0.0.1:${typeof address === "object" ? address?.port : 0}`;
 }
 
-function exchange(connection: UpstreamConnection, id: string): Promise<Outcome> {
+function exchange(connection: UpstreamConnection, id: string, mayWrite = () => true): Promise<Outcome> {
     return new Promise(resolve => {
         let body = "";
         let head: ResponseHead | undefined;
         connection.send({ method: "GET", head: `GET / HTTP/1.1\r\nX-Id: ${id}\r\n\r\n`, body: undefined }, {
             isResponseToRequest: received => received.headersByName.get("x-id") === id,
+            mayWrite,
             onWritten: () => undefined,
             onHead: received => head = received,
             onBody: bytes => body += bytes.toString(),
@@ -62,6 +63,16 @@
         });
     });
 
+    describe("given a request that may no longer be sent once the connection is open", () => {
+        it("writes nothing (guards against a host that was suspended while it connected)", async () => {
+            const received: string[] = [];
+            const address = await listen((_socket, text) => received.push(text));
+            expect((await exchange(open(address), "a", () => false)).kind).toBe("notConnected");
+            await new Promise(resolve => setTimeout(resolve, 100));
+            expect(received).toEqual([]);
+        });
+    });
+
     describe("given a response to another request", () => {
         it("skips it and accepts its own (guards against swapped responses)", async () => {
             const late = "HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 3\r\n\r\nold";
--- a/src/edge/transport/upstreamConnection.ts
+++ b/src/edge/transport/upstreamConnection.ts
@@ -17,6 +17,8 @@
 export interface ExchangeListener {
     /** @returns Whether the response belongs to the request; if not, it is skipped. */
     isResponseToRequest(head: ResponseHead): boolean;
+    /** @returns Whether the request may still be written now that the connection has been opened; without it, it may. */
+    mayWrite?(): boolean;
     /** The request was passed to the kernel, or waits in the socket's buffer. */
     onWritten(): void;
     onHead(head: ResponseHead): void;
@@ -82,7 +84,7 @@
             this.#isConnected = true;
             this.#reportOpen(undefined);
             // The request is written after the other events of this turn, as one of them may cancel it.
-            setImmediate(() => this.#writePendingRequest());
+            setImmediate(() => this.#writeAfterOpening());
         });
         this.#socket.on("data", (bytes: Buffer) => this.#onData(bytes));
         this.#socket.on("end", () => this.#onPeerEnd());
@@ -147,6 +149,14 @@
         this.#close();
     }
 
+    #writeAfterOpening(): void {
+        if (this.#pendingRequest !== undefined && this.#listener?.mayWrite?.() === false) {
+            this.#fail("notConnected", "the request may no longer be sent to the upstream");
+            return;
+        }
+        this.#writePendingRequest();
+    }
+
     #writePendingRequest(): void {
         const request = this.#pendingRequest;
         if (!this.#isConnected || request === undefined || this.#isClosed) {
--- a/src/edge/upstream/upstreamDirectory.spec.ts
+++ b/src/edge/upstream/upstreamDirectory.spec.ts
@@ -25,6 +25,26 @@
         directory.put(entry());
     });
 
+    describe("given availability zones that may get no requests", () => {
+        it("leaves out their upstreams, also after they were found (guards against sends to an evacuated zone)", () => {
+            let filter: ((zone: string) => boolean) | undefined;
+            directory = new UpstreamDirectory(clock, () => filter);
+            directory.put(entry());
+            directory.put(entry({ id: "u2", address: "10.0.0.2:80", zone: "b" }));
+            const [first, second] = directory.findUsable("s");
+            filter = zone => zone !== "a";
+            expect(usable()).toEqual(["u2"]);
+            expect([directory.isZoneUsable(first!), directory.isZoneUsable(second!)]).toEqual([false, true]);
+            filter = undefined;
+            expect(usable()).toEqual(["u1", "u2"]);
+        });
+
+        it("lists the zones of upstreams, and none before the first upstream", () => {
+            expect(directory.zones).toEqual(new Set(["a"]));
+            expect(new UpstreamDirectory(clock).zones).toBeUndefined();
+        });
+    });
+
     describe("given an upstream that is leaving", () => {
         it("gets no new requests from then on (guards against work for a draining upstream)", () => {
             directory.put(entry({ isLeaving: true }));
--- a/src/edge/upstream/upstreamDirectory.ts
+++ b/src/edge/upstream/upstreamDirectory.ts
@@ -18,6 +18,7 @@
 /** Keeps one {@link Upstream} for each incarnation of each listed upstream. */
 export class UpstreamDirectory {
     readonly #clock: Clock;
+    readonly #zoneFilter: () => ((zone: string) => boolean) | undefined;
     readonly #byId = new Map<string, Upstream>();
     readonly #lapsed = new Map<string, LapsedUpstream>();
     /** Upstreams that get no new requests but still have open ones. */
@@ -25,8 +26,10 @@
     /** Incarnations that were listed and are no more, the latest ones last. */
     readonly #endedStarts = new Map<string, true>();
 
-    constructor(clock: Clock) {
+    /** @param zoneFilter Returns which availability zones may get requests now; `undefined` when all may. */
+    constructor(clock: Clock, zoneFilter: () => ((zone: string) => boolean) | undefined = () => undefined) {
         this.#clock = clock;
+        this.#zoneFilter = zoneFilter;
     }
 
     /** @returns Whether no upstream is listed. */
@@ -36,7 +39,20 @@
 
     /** @returns Upstreams of a service that may get new requests. */
     findUsable(service: string): Upstream[] {
-        return [...this.#byId.values()].filter(({ entry, isLeaving }) => entry.service === service && !isLeaving);
+        const isZoneUsable = this.#zoneFilter();
+        return [...this.#byId.values()].filter(({ entry, isLeaving }) =>
+            entry.service === service && !isLeaving && (isZoneUsable === undefined || isZoneUsable(entry.zone))
+        );
+    }
+
+    /** @returns Whether requests may be sent to the availability zone of an upstream now. */
+    isZoneUsable(upstream: Upstream): boolean {
+        return this.#zoneFilter()?.(upstream.entry.zone) ?? true;
+    }
+
+    /** @returns Availability zones of the listed upstreams; `undefined` while none is listed. */
+    get zones(): ReadonlySet<string> | undefined {
+        return this.isEmpty ? undefined : new Set([...this.#byId.values()].map(({ entry }) => entry.zone));
     }
 
     /** @returns All upstreams that are listed or still have open requests. */
--- a/src/platform/platformStore.ts
+++ b/src/platform/platformStore.ts
@@ -14,6 +14,8 @@
     /** Store-wide revision of the last change of this key. */
     revision: z.number().int().nonnegative(),
     value: z.unknown(),
+    /** Whether the object is being removed and only waits for those who have to act on it first. */
+    isDeleting: z.boolean().optional(),
 });
 /** A stored object; see {@link StoredObjectSchema}. */
 export type StoredObject = z.infer<typeof StoredObjectSchema>;
