Show operators when an evacuation holds on every host

Cause: operators need to know when nothing more is sent to a zone before they turn it off. Change: two hosts for each zone ask the others what is in force there and write the object's status. PlatformStore gets putStatus, which only the platform's store implements; a refused status does not open the circuit breaker. The command edgectl evacuations and the state dump show the status.

--- a/src/edge/evacuation/evacuationFeed.ts
+++ b/src/edge/evacuation/evacuationFeed.ts
@@ -14,12 +14,20 @@
     readonly version: number;
 }
 
+/** An object that requests an evacuation. */
+export interface StoredEvacuation {
+    readonly zone: string;
+    /** Version of the object. */
+    readonly version: number;
+    readonly status: unknown;
+}
+
 /** Reports the complete set with each response of the store. An object that cannot be read costs one warning and is ignored. */
 export class EvacuationFeed {
     readonly #store: PlatformStore;
     readonly #codec: ObjectCodec;
     readonly #feed: StoreFeed;
-    readonly #zones = new Set<string>();
+    readonly #zones = new Map<string, StoredEvacuation>();
     /** Keys of objects whose problem was logged. */
     readonly #unreadableKeys = new Set<string>();
 
@@ -41,10 +49,10 @@
                 [...this.#unreadableKeys].filter(key => !keys.has(key)).forEach(key =>
                     this.#unreadableKeys.delete(key)
                 );
-                this.#readZones(objects).forEach(zone => this.#zones.add(zone));
+                this.#readZones(objects).forEach(stored => this.#zones.set(stored.zone, stored));
             },
             onChanges: changes => changes.forEach(({ key, object }) => this.#applyChange(key, object)),
-            onConfirmed: (version, ageMs) => onConfirmed({ zones: new Set(this.#zones), version }, ageMs),
+            onConfirmed: (version, ageMs) => onConfirmed({ zones: new Set(this.#zones.keys()), version }, ageMs),
         });
     }
 
@@ -58,6 +66,11 @@
         this.#feed.stop();
     }
 
+    /** @returns The object for a zone as the store reported it last. */
+    find(zone: string): StoredEvacuation | undefined {
+        return this.#zones.get(zone);
+    }
+
     /** @returns The set by a listing that begins now; `undefined` if the store cannot be reached. */
     async list(): Promise<StoredEvacuations | undefined> {
         const objects: StoredObject[] = [];
@@ -73,7 +86,7 @@
             more = page.more && page.objects.length > 0;
             afterKey = page.objects.at(-1)?.key ?? "";
         }
-        return { zones: new Set(this.#readZones(objects)), version: version ?? 0 };
+        return { zones: new Set(this.#readZones(objects).map(({ zone }) => zone)), version: version ?? 0 };
     }
 
     #applyChange(key: string, object: StoredObject | undefined): void {
@@ -82,20 +95,20 @@
         }
         this.#zones.delete(this.#nameOf(key));
         if (object !== undefined) {
-            this.#readZones([object]).forEach(zone => this.#zones.add(zone));
+            this.#readZones([object]).forEach(stored => this.#zones.set(stored.zone, stored));
         }
     }
 
-    /** @returns The zones that the objects name, without those whose object is being removed. */
-    #readZones(objects: readonly StoredObject[]): string[] {
-        return objects.filter(({ isDeleting }) => isDeleting !== true).flatMap(({ key, value }) => {
+    /** @returns The evacuations that the objects request, without those whose object is being removed. */
+    #readZones(objects: readonly StoredObject[]): StoredEvacuation[] {
+        return objects.filter(({ isDeleting }) => isDeleting !== true).flatMap(({ key, value, version, status }) => {
             const outcome = this.#codec.readEvacuation(this.#nameOf(key), value);
             if ("problem" in outcome) {
                 this.#warnOnce(key, outcome.problem);
                 return [];
             }
             this.#unreadableKeys.delete(key);
-            return [outcome.zone];
+            return [{ zone: outcome.zone, version, status }];
         });
     }
 
--- a/src/edge/evacuation/evacuationManager.spec.ts
+++ b/src/edge/evacuation/evacuationManager.spec.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { rendezvousOrder } from "../../base/hashing.js";
 import { log } from "../../base/log.js";
 import { EvacuationTestFleet, type Freeze, maySend } from "../../standins/evacuationTestFleet.js";
 
@@ -265,6 +266,118 @@
         });
     });
 
+    describe("given the confirmations of the hosts", () => {
+        const collectorsOf = (zone: string) => {
+            const ids = rendezvousOrder(zone, fleet.hosts.map(({ identity }) => identity.hostId));
+            return ids.slice(0, 2).map(id => fleet.hosts.find(({ identity }) => identity.hostId === id)!);
+        };
+        const otherThanCollectors = (zone: string) => fleet.hosts.find(host => !collectorsOf(zone).includes(host))!;
+
+        it.each([1, 8, 20])(
+            "writes that the evacuation holds, once, in a fleet of %i (guards against operators who wait in vain)",
+            async hostCount => {
+                await startFleet(hostCount);
+                fleet.evacuate("z1");
+                await fleet.play(3_000);
+                expect(fleet.statusOf("z1")).toEqual({ holds: true, hosts: hostCount, unconfirmed: [] });
+                expect(fleet.statusWrites.length).toBe(1);
+            },
+        );
+
+        it("writes it again for a later evacuation of the zone (guards against a status of the earlier one)", async () => {
+            await startFleet(8);
+            fleet.evacuate("z1");
+            await fleet.play(2_000);
+            fleet.takeBack("z1");
+            await fleet.play(2_000);
+            const host = otherThanCollectors("z1");
+            host.isCutOffFromStore = true;
+            host.isCutOffFromHosts = true;
+            fleet.evacuate("z1");
+            await fleet.play(2_000);
+            expect(fleet.statusOf("z1")).toEqual({ holds: false, hosts: 8, unconfirmed: [host.identity.hostId] });
+        });
+
+        it("counts a host that only receives messages (guards against a host without the store that is never confirmed)", async () => {
+            await startFleet(8);
+            otherThanCollectors("z1").isCutOffFromStore = true;
+            await fleet.play(2_000);
+            fleet.isLost = message => message.k === "ze";
+            fleet.evacuate("z1");
+            await fleet.play(2_000);
+            expect(fleet.statusOf("z1")).toEqual({ holds: true, hosts: 8, unconfirmed: [] });
+        });
+
+        it("holds without a silent host after the time, and names it until it confirms", async () => {
+            await startFleet(8);
+            const host = otherThanCollectors("z1");
+            host.freeze = "process";
+            fleet.evacuate("z1");
+            await fleet.play(EvacuateMs - 500);
+            const { hostId } = host.identity;
+            expect(fleet.statusOf("z1")).toEqual({ holds: false, hosts: 8, unconfirmed: [hostId] });
+            await fleet.play(1_500);
+            expect(fleet.statusOf("z1")).toEqual({ holds: true, hosts: 8, unconfirmed: [hostId] });
+            fleet.wake(host);
+            await fleet.play(2_000);
+            expect(fleet.statusOf("z1")).toEqual({ holds: true, hosts: 8, unconfirmed: [] });
+        });
+
+        it.each([0, 1])(
+            "writes it although collector %i is dead (guards against a status that one host can hide)",
+            async rank => {
+                await startFleet(8);
+                const dead = collectorsOf("z1")[rank]!;
+                fleet.stop(dead);
+                fleet.evacuate("z1");
+                await fleet.play(EvacuateMs + 3_000);
+                const unconfirmed = [dead.identity.hostId];
+                expect(fleet.statusOf("z1")).toEqual({ holds: true, hosts: 8, unconfirmed });
+            },
+        );
+
+        it("writes nothing if both are dead, and the evacuation is in force all the same", async () => {
+            await startFleet(8);
+            const dead = collectorsOf("z1");
+            dead.forEach(host => fleet.stop(host));
+            fleet.evacuate("z1");
+            await fleet.play(10_000);
+            expect(fleet.statusOf("z1")).toBeUndefined();
+            expect(none(fleet.hosts.filter(host => !dead.includes(host)).map(host => maySend(host, "z1")))).toBe(true);
+        });
+
+        it("settles if the collectors disagree about a host (guards against writes that are charged without an end)", async () => {
+            await startFleet(8);
+            const [first] = collectorsOf("z1");
+            const host = otherThanCollectors("z1");
+            fleet.isLost = ({ k }, address) =>
+                (k === "zs" || k === "zc") && address === (k === "zs" ? host : first!).identity.peerAddress &&
+                fleet.sender === (k === "zs" ? first! : host);
+            fleet.evacuate("z1");
+            await fleet.play(EvacuateMs + 3_000);
+            const count = fleet.statusWrites.length;
+            expect(fleet.statusOf("z1")).toMatchObject({ holds: true, hosts: 8 });
+            await fleet.play(10_000);
+            expect([count, fleet.statusWrites.length]).toEqual([count, count]);
+            expect(count).toBeLessThanOrEqual(3);
+        });
+
+        it("does not hold by the status that a copy of the store brings back (guards against an outdated statement)", async () => {
+            await startFleet(8);
+            fleet.evacuate("z1");
+            await fleet.play(2_000);
+            const copy = fleet.store.copy();
+            fleet.takeBack("z1");
+            await fleet.play(2_000);
+            const host = otherThanCollectors("z1");
+            host.isCutOffFromStore = true;
+            host.isCutOffFromHosts = true;
+            fleet.restore(copy);
+            await fleet.play(3_500);
+            expect(fleet.statusOf("z1")).toEqual({ holds: false, hosts: 8, unconfirmed: [host.identity.hostId] });
+        });
+    });
+
     describe("given objects that have no effect", () => {
         it.each([
             ["of an unknown zone", "nowhere", {}],
--- a/src/edge/evacuation/evacuationManager.ts
+++ b/src/edge/evacuation/evacuationManager.ts
@@ -9,6 +9,7 @@
 import { EdgeCounterNames } from "../metrics.js";
 import type { FleetBroadcastDependencies } from "../peers/fleetBroadcast.js";
 import type { ObjectCodec } from "../protocolCodec.js";
+import { EvacuationCollector } from "./evacuationCollector.js";
 import { EvacuationExchange, type ReceivedSet, type StatedEvacuations } from "./evacuationExchange.js";
 import { EvacuationFeed, type StoredEvacuations } from "./evacuationFeed.js";
 import type { EvacuationsMessage } from "./evacuationMessages.js";
@@ -59,6 +60,7 @@
     readonly #suspensions = new SuspensionDetector();
     readonly #feed: EvacuationFeed;
     readonly #exchange: EvacuationExchange;
+    readonly #collector: EvacuationCollector;
     readonly #zonesInForce = new Set<string>();
     readonly #unknownZones = new Set<string>();
     /** Monotonic time of the latest confirmation of the set by the store, also by way of other hosts, in milliseconds. */
@@ -81,6 +83,16 @@
             onSet: set => this.#receiveSet(set),
             onReply: set => this.#receiveReply(set),
         });
+        this.#collector = new EvacuationCollector({
+            ...dependencies,
+            evacuations: this.#evacuations,
+            otherHosts: () => dependencies.otherHosts(),
+            ownSet: () => this.#ownSet,
+            storedEvacuation: zone => this.#feed.find(zone),
+            onSet: set => {
+                this.#receiveSet(set);
+            },
+        });
     }
 
     /** Starts to follow the store. */
@@ -122,6 +134,7 @@
         }
         this.#exchange.tick(this.#evacuations.isActive(nowMs, RepeatAfterEndMs));
         this.#logDecisions();
+        this.#collector.tick(this.#zonesInForce);
     }
 
     /** @returns The evacuations as this host knows them, for the state dump. */
@@ -130,6 +143,7 @@
         return {
             inForce: [...this.#zonesInForce],
             unknownZones: [...this.#unknownZones],
+            status: Object.fromEntries([...this.#zonesInForce].map(zone => [zone, this.#feed.find(zone)?.status])),
             version: this.#evacuations.version,
             confirmedAgeMs: Number.isFinite(confirmedAgeMs) ? confirmedAgeMs : undefined,
             reliable: this.isReliable,
--- a/src/edge/evacuation/evacuationMessages.ts
+++ b/src/edge/evacuation/evacuationMessages.ts
@@ -21,6 +21,18 @@
 export const EvacuationsSchema = z.object({ k: z.literal("ze"), ...BroadcastFields, ...SetFields });
 export type EvacuationsMessage = z.infer<typeof EvacuationsSchema>;
 
+/** The set of a collector, for a host that has not confirmed it; the host answers with what is in force there. */
+export const EvacuationStatementSchema = z.object({ k: z.literal("zs"), ...SetFields });
+
+/** The set that is in force on one host, for a collector. */
+export const EvacuationConfirmationSchema = z.object({
+    k: z.literal("zc"),
+    /** Id of the host. */
+    h: z.string(),
+    v: CountSchema,
+    z: z.array(z.string()),
+});
+
 /** Asks another host for its set. */
 export const EvacuationQuerySchema = z.object({
     k: z.literal("zq"),
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -60,6 +60,7 @@
     evacuationsStarted: "edge.evacuations.started",
     evacuationsEnded: "edge.evacuations.ended",
     evacuationsIgnored: "edge.evacuations.ignored",
+    evacuationsConfirmed: "edge.evacuations.confirmed",
     evacuationsSent: "edge.evacuations.sent",
     evacuationSuspensions: "edge.evacuations.suspensions",
     evacuationRefusals: "edge.evacuations.refusals",
--- a/src/edge/peers/peerChannel.ts
+++ b/src/edge/peers/peerChannel.ts
@@ -11,7 +11,13 @@
     LoanReportSchema,
     LoanRequestSchema,
 } from "../budget/loanMessages.js";
-import { EvacuationQuerySchema, EvacuationReplySchema, EvacuationsSchema } from "../evacuation/evacuationMessages.js";
+import {
+    EvacuationConfirmationSchema,
+    EvacuationQuerySchema,
+    EvacuationReplySchema,
+    EvacuationsSchema,
+    EvacuationStatementSchema,
+} from "../evacuation/evacuationMessages.js";
 import { EvidenceSchema } from "../quarantine/evidenceMessages.js";
 import { LimitStatementsSchema, SlotReplySchema, SlotRequestSchema } from "../rateLimit/slotMessages.js";
 import { FleetSumSchema, ZoneSumSchema } from "./loadSums.js";
@@ -37,6 +43,8 @@
     EvacuationsSchema,
     EvacuationQuerySchema,
     EvacuationReplySchema,
+    EvacuationStatementSchema,
+    EvacuationConfirmationSchema,
     LimitStatementsSchema,
     SlotRequestSchema,
     SlotReplySchema,
--- a/src/edge/readout/fleetStateReader.ts
+++ b/src/edge/readout/fleetStateReader.ts
@@ -10,6 +10,7 @@
 } from "../../control/commandResult.js";
 import { listAll } from "../../control/storeAccess.js";
 import type { PlatformStore } from "../../platform/platformStore.js";
+import type { EvacuationStatus } from "../../scheduling/evacuationConfirmations.js";
 import { LedgerSchema, type TeamLedger, unallocatedTokens } from "../budget/ledger.js";
 import type { EdgeConfiguration } from "../edgeTypes.js";
 import { MemberSchema } from "../peers/memberList.js";
@@ -125,6 +126,36 @@
         });
     }
 
+    /** @returns Evacuations of availability zones with their status; objects that cannot be read are listed with their problem. */
+    async evacuations(): Promise<CommandResult> {
+        const listed = await listAll({ store: this.#store }, this.#objects.evacuationPrefix);
+        return listed.map(objects => {
+            const rows = objects.map(object => {
+                const zone = object.key.slice(this.#objects.evacuationPrefix.length);
+                const evacuation = this.#objects.readEvacuation(zone, object.value);
+                return {
+                    zone,
+                    ending: object.isDeleting === true,
+                    status: object.status as Partial<EvacuationStatus> | undefined,
+                    problem: "problem" in evacuation ? evacuation.problem : "",
+                };
+            });
+            return {
+                value: rows,
+                table: {
+                    columns: ["zone", "state", "hosts", "unconfirmed", "problem"],
+                    rows: rows.map(({ zone, ending, status, problem }) => [
+                        zone,
+                        ending ? "ending" : status?.holds === true ? "holds" : "not confirmed",
+                        status?.hosts ?? "",
+                        (Array.isArray(status?.unconfirmed) ? status.unconfirmed : []).join(" "),
+                        problem,
+                    ]),
+                },
+            };
+        });
+    }
+
     async #readConfiguration(): Promise<Result<EdgeConfiguration, CommandFailure>> {
         const outcome = await this.#store.get(this.#objects.configurationKey);
         if (outcome.status === "unavailable") {
--- a/src/edge/relay/peerRoutedStore.ts
+++ b/src/edge/relay/peerRoutedStore.ts
@@ -67,6 +67,11 @@
         );
     }
 
+    /** Not sent by way of another host: other hosts write the same status. */
+    override putStatus(key: string, status: unknown, expectedVersion: number): Promise<WriteOutcome> {
+        return this.#dependencies.store.putStatus(key, status, expectedVersion);
+    }
+
     override delete(key: string, expectedVersion: number): Promise<WriteOutcome> {
         return this.#route(
             store => store.delete(key, expectedVersion),
--- a/src/edge/relay/relayedStore.ts
+++ b/src/edge/relay/relayedStore.ts
@@ -73,6 +73,10 @@
         return this.#dependencies.store.put(key, value, expectedVersion);
     }
 
+    override putStatus(key: string, status: unknown, expectedVersion: number): Promise<WriteOutcome> {
+        return this.#dependencies.store.putStatus(key, status, expectedVersion);
+    }
+
     override delete(key: string, expectedVersion: number): Promise<WriteOutcome> {
         return this.#dependencies.store.delete(key, expectedVersion);
     }
--- a/src/platform/callCountingStore.ts
+++ b/src/platform/callCountingStore.ts
@@ -32,6 +32,11 @@
         return this.#store.put(key, value, expectedVersion);
     }
 
+    override putStatus(key: string, status: unknown, expectedVersion: number): Promise<WriteOutcome> {
+        this.#onCall("write", key);
+        return this.#store.putStatus(key, status, expectedVersion);
+    }
+
     override delete(key: string, expectedVersion: number): Promise<WriteOutcome> {
         this.#onCall("write", key);
         return this.#store.delete(key, expectedVersion);
--- a/src/platform/circuitBreakerStore.ts
+++ b/src/platform/circuitBreakerStore.ts
@@ -62,6 +62,13 @@
         });
     }
 
+    /** A refusal of a status says nothing about whether the store can be reached, so that it is not counted. */
+    override putStatus(key: string, status: unknown, expectedVersion: number): Promise<WriteOutcome> {
+        return this.isCircuitOpen ?
+            Promise.resolve({ status: "refused", reason: CircuitOpenReason }) :
+            this.#store.putStatus(key, status, expectedVersion);
+    }
+
     override delete(key: string, expectedVersion: number): Promise<WriteOutcome> {
         return this.#callOrRefuse(() => this.#store.delete(key, expectedVersion), {
             status: "refused",
--- a/src/platform/platformStore.ts
+++ b/src/platform/platformStore.ts
@@ -16,6 +16,8 @@
     value: z.unknown(),
     /** Whether the object is being removed and only waits for those who have to act on it first. */
     isDeleting: z.boolean().optional(),
+    /** What the system states about the object, where the store keeps that beside the value and it is of use here. */
+    status: z.unknown().optional(),
 });
 /** A stored object; see {@link StoredObjectSchema}. */
 export type StoredObject = z.infer<typeof StoredObjectSchema>;
@@ -99,6 +101,15 @@
      */
     abstract put(key: string, value: unknown, expectedVersion: number): Promise<WriteOutcome>;
 
+    /**
+     * Writes what the system states about an object, beside the value that operators wrote. Refused by stores that keep no status.
+     * @param expectedVersion Version of the object to which the status is added.
+     */
+    putStatus(key: string, status: unknown, expectedVersion: number): Promise<WriteOutcome> {
+        void [key, status, expectedVersion];
+        return Promise.resolve({ status: "refused", reason: "the store keeps no status" });
+    }
+
     /** Deletes a key if its version is the expected one. */
     abstract delete(key: string, expectedVersion: number): Promise<WriteOutcome>;
 
--- a/src/standins/evacuationTestFleet.ts
+++ b/src/standins/evacuationTestFleet.ts
@@ -11,10 +11,12 @@
     type ListOutcome,
     PlatformStore,
     type ReadOutcome,
+    type StoredObject,
     type WatchOutcome,
     type WriteOutcome,
 } from "../platform/platformStore.js";
 import { historyOf, numberInHistory, versionInHistory } from "../platform/storeHistory.js";
+import type { EvacuationStatus } from "../scheduling/evacuationConfirmations.js";
 import { evacuationTestCodec } from "./evacuationTestCodec.js";
 import { ObjectStore, type ObjectStoreCopy } from "./platform/objectStore.js";
 
@@ -79,10 +81,22 @@
     override list(prefix: string): Promise<ListOutcome> {
         return this.#call<ListOutcome>(() => {
             const listed = this.#fleet.store.list(prefix, "", 500);
-            return { ...listed, revision: this.#fleet.revision } as ListOutcome;
+            return listed.status === "listed" ?
+                { ...listed, objects: listed.objects.map(withStatus), revision: this.#fleet.revision } :
+                listed;
         });
     }
 
+    override async putStatus(key: string, status: unknown, expectedVersion: number): Promise<WriteOutcome> {
+        const outcome = await this.#call(() => {
+            const found = this.#fleet.store.get(key);
+            const value = found.status === "found" ? found.object.value as object : {};
+            this.#fleet.statusWrites.push({ hostId: this.#host().identity.hostId, status: status as EvacuationStatus });
+            return this.#fleet.store.put(key, { ...value, status }, expectedVersion);
+        });
+        return outcome.status === "unavailable" ? { status: "refused", reason: outcome.reason } : outcome;
+    }
+
     override async watch(prefix: string, afterRevision: number, waitMs: number): Promise<WatchOutcome> {
         const untilMs = Date.now() + waitMs;
         for (;;) {
@@ -110,7 +124,9 @@
             return { status: "tooOld", revision: afterRevision };
         }
         const outcome = this.#fleet.store.changesAfter(prefix, numberInHistory(afterRevision));
-        return outcome.status === "changed" ? { ...outcome, revision: this.#fleet.revision } : outcome;
+        const changes = (outcome.status === "changed" ? outcome.changes : [])
+            .map(({ key, object }) => ({ key, object: object === undefined ? undefined : withStatus(object) }));
+        return outcome.status === "changed" ? { ...outcome, changes, revision: this.#fleet.revision } : outcome;
     }
 
     async #call<Outcome>(answer: () => Outcome): Promise<Outcome | { status: "unavailable"; reason: string; }> {
@@ -147,10 +163,14 @@
     store = new ObjectStore();
     history = 1;
     isStoreDown = false;
+    /** Host whose message {@link isLost} is asked about. */
+    sender: EvacuationTestHost | undefined;
     /** Returns whether a message is lost. */
     isLost: (message: PeerMessage, address: string) => boolean = () => false;
     readonly hosts: EvacuationTestHost[];
     readonly sentMessages: PeerMessage[] = [];
+    /** Writes of the status, also those that the store refused, with the host that wrote. */
+    readonly statusWrites: { readonly hostId: string; readonly status: EvacuationStatus; }[] = [];
     readonly #random = new SeededRandom(46);
     readonly #evacuateMs: number;
     #startCount = 0;
@@ -248,6 +268,12 @@
         this.store.delete(`evac/${zone}`, found.status === "found" ? found.object.version : 0);
     }
 
+    /** @returns Status of the evacuation of a zone in the store. */
+    statusOf(zone: string): EvacuationStatus | undefined {
+        const found = this.store.get(`evac/${zone}`);
+        return found.status === "found" ? withStatus(found.object).status as EvacuationStatus | undefined : undefined;
+    }
+
     /** The store comes back from a copy, in a new history. */
     restore(copy: ObjectStoreCopy): void {
         this.store.restore(copy);
@@ -261,6 +287,7 @@
 
     #send(from: EvacuationTestHost, address: string, message: PeerMessage): void {
         this.sentMessages.push(message);
+        this.sender = from;
         const to = this.hosts.find(({ identity }) => identity.peerAddress === address);
         if (
             to === undefined || to.isDown || from.isCutOffFromHosts || to.isCutOffFromHosts ||
@@ -283,6 +310,12 @@
     }
 }
 
+/** The stand-in keeps the status in the value. */
+function withStatus(object: StoredObject): StoredObject {
+    const { status } = (object.value ?? {}) as { status?: unknown; };
+    return status === undefined ? object : { ...object, status };
+}
+
 /** @returns Whether a host sends to a zone. */
 export function maySend({ manager }: EvacuationTestHost, zone: string): boolean {
     return manager.zoneFilter?.(zone) ?? true;
