--- a/src/edge/peers/peerChannel.ts
+++ b/src/edge/peers/peerChannel.ts
@@ -11,6 +11,13 @@
     LoanReportSchema,
     LoanRequestSchema,
 } from "../budget/loanMessages.js";
+import {
+    EvacuationConfirmationSchema,
+    EvacuationQuerySchema,
+    EvacuationReplySchema,
+    EvacuationsSchema,
+    EvacuationStatementSchema,
+} from "../evacuation/evacuationMessages.js";
 import { EvidenceSchema } from "../quarantine/evidenceMessages.js";
 import { LimitStatementsSchema, SlotReplySchema, SlotRequestSchema } from "../rateLimit/slotMessages.js";
 import { FleetSumSchema, ZoneSumSchema } from "./loadSums.js";
@@ -33,6 +40,11 @@
     ZoneSumSchema,
     FleetSumSchema,
     EvidenceSchema,
+    EvacuationsSchema,
+    EvacuationQuerySchema,
+    EvacuationReplySchema,
+    EvacuationStatementSchema,
+    EvacuationConfirmationSchema,
     LimitStatementsSchema,
     SlotRequestSchema,
     SlotReplySchema,
