Place generations by their cost in time where engines have few slots

Cause: short prompts concentrate on the quarter of the engines that gets no long prompts, as the penalty of 40 requests exceeds the 12 or 24 slots of an engine.

Change: promptPlacement computes a cost in milliseconds for each candidate. Counters state the reason of each placement.

Not measured yet.

--- a/src/edge/flow/upstreamSelector.ts
+++ b/src/edge/flow/upstreamSelector.ts
@@ -7,6 +7,12 @@
 import type { EdgeFailure } from "./callerResponse.js";
 import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
 
+const PlacementCounterNames = {
+    affinity: EdgeCounterNames.placementsAffinity,
+    leastCost: EdgeCounterNames.placementsLeastCost,
+    otherZone: EdgeCounterNames.placementsOtherZone,
+} as const;
+
 /** Chooses among the upstreams to which a request has not been sent yet. */
 export class UpstreamSelector {
     readonly #dependencies: FlowDependencies;
@@ -27,7 +33,7 @@
      */
     choose(): Upstream | undefined {
         const { route, metadata } = this.#request;
-        const { limits } = this.#dependencies;
+        const { limits, metrics } = this.#dependencies;
         const rank = this.#rank;
         const upstream = this.#unconfirmed ?? chooseUpstream({
             candidates: this.#usable,
@@ -40,6 +46,10 @@
             peerLoad: candidate => this.#dependencies.peerLoad(candidate),
             hostCount: this.#dependencies.hostCount(),
             isWithinLimit: ({ entry }) => limits.maySend(entry, rank),
+            engineSlots: this.#request.table.findService(this.#service)?.engine?.slots,
+            objectiveMs: route.objectiveMs,
+            pauseObjectiveMs: route.pauseObjectiveMs,
+            onPlaced: reason => metrics.counters.add(PlacementCounterNames[reason]),
         }, this.#dependencies.random);
         if (upstream !== undefined) {
             limits.recordSend(upstream.entry, rank);
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -57,6 +57,9 @@
     slotRequests: "edge.limits.slots.requested",
     slotsBorrowed: "edge.limits.slots.borrowed",
     slotsLent: "edge.limits.slots.lent",
+    placementsAffinity: "edge.placements.affinity",
+    placementsLeastCost: "edge.placements.leastCost",
+    placementsOtherZone: "edge.placements.otherZone",
 } as const;
 
 /** Counters and histograms of one process, with an HTTP listener that serves them. */
--- /dev/null
+++ b/src/edge/upstream/leastCostStrategy.ts
@@ -0,0 +1,65 @@
+/** Chooses the upstream by the time that a prompt costs its caller and the streams beside it. */
+import { rendezvousOrder } from "../../base/hashing.js";
+import type { Random } from "../../base/random.js";
+import {
+    choosePlacement,
+    type PlacementCandidate,
+    placementReason,
+    type PlacementRequest,
+} from "../../scheduling/promptPlacement.js";
+import { affinityKey, type ChoiceInput, ChoiceStrategy, selectCompared } from "./choiceStrategy.js";
+import type { Upstream } from "./upstream.js";
+
+/** Objectives of a request for which the route states none, in milliseconds. */
+const DefaultObjectiveMs = 1_000;
+const DefaultPauseObjectiveMs = 400;
+
+/** Number of upstreams on which the shared parts of a prompt are cached. */
+const PreferredCount = 2;
+
+interface Candidate extends PlacementCandidate {
+    readonly upstream: Upstream;
+}
+
+/** Applies the costs of `promptPlacement` to the load that this host knows. */
+export class LeastCostStrategy extends ChoiceStrategy {
+    override choose(available: readonly Upstream[], input: ChoiceInput, random: Random): Upstream {
+        const key = affinityKey(input.promptParts);
+        const preferred = key === undefined ? [] : selectPreferred(key, available);
+        const compared = new Set([...selectCompared(available, input.hostCount, random), ...preferred]);
+        const request: PlacementRequest = {
+            promptTokens: input.promptTokens,
+            sharedTokens: key === undefined ? 0 : sharedTokensOf(input),
+            objectiveMs: input.objectiveMs ?? DefaultObjectiveMs,
+            pauseObjectiveMs: input.pauseObjectiveMs ?? DefaultPauseObjectiveMs,
+        };
+        const candidates = [...compared].map(upstream => toCandidate(upstream, input, preferred.includes(upstream)));
+        const chosen = choosePlacement(candidates, request, () => random.next())!;
+        input.onPlaced?.(placementReason(chosen, request));
+        return chosen.upstream;
+    }
+}
+
+/** @returns The upstreams that get the prompts with a key, the same at all hosts. */
+function selectPreferred(key: string, available: readonly Upstream[]): readonly Upstream[] {
+    const byId = new Map(available.map(upstream => [upstream.entry.id, upstream]));
+    return rendezvousOrder(key, [...byId.keys()]).slice(0, PreferredCount).map(id => byId.get(id)!);
+}
+
+function sharedTokensOf({ promptParts }: ChoiceInput): number {
+    return promptParts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
+}
+
+function toCandidate(upstream: Upstream, input: ChoiceInput, isPreferredByPrompt: boolean): Candidate {
+    const others = input.peerLoad(upstream);
+    return {
+        upstream,
+        ownOpenRequestCount: upstream.openRequestCount,
+        peerOpenRequestCount: others.openRequestCount,
+        waitingPrefillTokens: upstream.waitingPrefillTokens + others.waitingPrefillTokens,
+        slots: input.engineSlots ?? upstream.entry.slots,
+        isInHostZone: upstream.entry.zone === input.zone,
+        isPreferredByPrompt,
+        relativeTime: 1,
+    };
+}
