Prefer upstreams of the host's zone for cached prompts, and count only unread tokens

Cause: with two preferred upstreams in the whole fleet, the cost of another zone made most hosts ignore them, so that fewer prompts found their shared parts cached. Engines with cached parts looked busier than they were, as the whole prompt counted as waiting. A cost of 33 ms for each open request sent the requests of many hosts to the one upstream that was idle at the last report.

Change: the preferred upstreams are taken from the host's zone if it has at least four. A request placed by cost counts as waiting only with the tokens that are probably not cached. An open request costs 60 ms divided by the slots. Harm to streams is counted from a fifth of their pause objective on.

--- a/src/edge/flow/attemptInput.ts
+++ b/src/edge/flow/attemptInput.ts
@@ -23,6 +23,8 @@
 /** State of the request when it is sent. */
 export interface SendState {
     readonly upstream: Upstream;
+    /** Prompt tokens that the upstream has to read; 0 when unknown. */
+    readonly prefillTokens: number;
     /** Whether the request may run more than once. */
     readonly isRepeatable: boolean;
     /** Time until the deadline, in milliseconds. */
@@ -35,9 +37,9 @@
 export function createAttemptInput(
     codec: HeaderCodec,
     request: EdgeRequest,
-    { upstream, isRepeatable, remainingMs, resumeAfterEventId }: SendState,
+    { upstream, prefillTokens, isRepeatable, remainingMs, resumeAfterEventId }: SendState,
 ): AttemptInput {
-    const { method, target, headers, body, team, route, requestId, metadata } = request;
+    const { method, target, headers, body, team, route, requestId } = request;
     const encoded = codec.encodeUpstreamHeaders(headers, {
         upstreamId: upstream.entry.id,
         team: team?.name,
@@ -49,7 +51,7 @@
         upstream,
         request: serialiseRequest(method, target, encoded, body),
         requestId,
-        prefillTokens: metadata.tokenCounts?.promptTokens ?? 0,
+        prefillTokens,
         maxIdleMs: isRepeatable ? IdempotentMaxIdleMs : NonIdempotentMaxIdleMs,
         silentAfterMs: silentAfterMs(route),
         isSilenceReported: isRepeatable,
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -320,6 +320,7 @@
         }
         const input = createAttemptInput(this.#dependencies.codec, this.#request, {
             upstream,
+            prefillTokens: this.#upstreams.prefillTokensAt(upstream),
             isRepeatable: this.#history.isRepeatable,
             remainingMs: this.#remainingMs,
             resumeAfterEventId: this.#relay.hasRelayedEvents ? this.#relay.lastEventId : undefined,
--- a/src/edge/flow/upstreamSelector.ts
+++ b/src/edge/flow/upstreamSelector.ts
@@ -1,5 +1,6 @@
 /** Chooses the upstreams to which one request is sent. */
 import type { ExecutionState } from "../../base/resultCodes.js";
+import type { Placement } from "../../scheduling/promptPlacement.js";
 import { EdgeCounterNames } from "../metrics.js";
 import type { Upstream } from "../upstream/upstream.js";
 import { chooseUpstream, isHealthy } from "../upstream/upstreamChoice.js";
@@ -20,6 +21,8 @@
     readonly #service: string;
     readonly #history: AttemptHistory;
 
+    #latestChoice: { readonly upstream: Upstream | undefined; readonly prefillTokens: number | undefined; } | undefined;
+
     constructor(dependencies: FlowDependencies, request: EdgeRequest, service: string, history: AttemptHistory) {
         this.#dependencies = dependencies;
         this.#request = request;
@@ -35,6 +38,7 @@
         const { route, metadata } = this.#request;
         const { limits, metrics } = this.#dependencies;
         const rank = this.#rank;
+        let placement: Placement | undefined;
         const upstream = this.#unconfirmed ?? chooseUpstream({
             candidates: this.#usable,
             promptParts: metadata.promptParts,
@@ -49,14 +53,26 @@
             engineSlots: this.#request.table.findService(this.#service)?.engine?.slots,
             objectiveMs: route.objectiveMs,
             pauseObjectiveMs: route.pauseObjectiveMs,
-            onPlaced: reason => metrics.counters.add(PlacementCounterNames[reason]),
+            onPlaced: chosen => {
+                placement = chosen;
+            },
         }, this.#dependencies.random);
+        if (placement !== undefined) {
+            metrics.counters.add(PlacementCounterNames[placement.reason]);
+        }
+        this.#latestChoice = { upstream, prefillTokens: placement?.prefillTokens };
         if (upstream !== undefined) {
             limits.recordSend(upstream.entry, rank);
         }
         return upstream;
     }
 
+    /** @returns Prompt tokens that an upstream probably has to read for the request; without those known to be cached. */
+    prefillTokensAt(upstream: Upstream): number {
+        const expected = this.#latestChoice?.upstream === upstream ? this.#latestChoice.prefillTokens : undefined;
+        return expected ?? this.#request.metadata.tokenCounts?.promptTokens ?? 0;
+    }
+
     /**
      * Asks other hosts for a share of the limits that upstreams state, when {@link choose} has found none.
      * @param onEnd Called once, perhaps at once, with an upstream that may get the request; with `undefined` when there is none.
--- a/src/edge/upstream/choiceStrategy.ts
+++ b/src/edge/upstream/choiceStrategy.ts
@@ -1,6 +1,6 @@
 /** Rules by which an upstream is chosen among those that may get a request, and what they share. */
 import type { Random } from "../../base/random.js";
-import type { PlacementReason } from "../../scheduling/promptPlacement.js";
+import type { Placement } from "../../scheduling/promptPlacement.js";
 import type { PromptPart } from "../edgeTypes.js";
 import type { PeerLoad } from "../peers/peerLoadTracker.js";
 import type { Upstream } from "./upstream.js";
@@ -30,8 +30,8 @@
     readonly objectiveMs?: number | undefined;
     /** Maximum pause between two events of a stream, in milliseconds. */
     readonly pauseObjectiveMs?: number | undefined;
-    /** Called with the reason of the choice, where the rule states one. */
-    onPlaced?(reason: PlacementReason): void;
+    /** Called with the reason of a choice by cost. */
+    onPlaced?(placement: Placement): void;
 }
 
 /** A rule for the choice among upstreams that may get a request. */
--- a/src/edge/upstream/leastCostStrategy.ts
+++ b/src/edge/upstream/leastCostStrategy.ts
@@ -3,6 +3,7 @@
 import type { Random } from "../../base/random.js";
 import {
     choosePlacement,
+    expectedPrefillTokens,
     type PlacementCandidate,
     placementReason,
     type PlacementRequest,
@@ -14,8 +15,11 @@
 const DefaultObjectiveMs = 1_000;
 const DefaultPauseObjectiveMs = 400;
 
-/** Number of upstreams on which the shared parts of a prompt are cached. */
-const PreferredCount = 2;
+/** Probabilities that the shared parts of a prompt are cached at the upstreams that are preferred for it, the first choice first. */
+const CachedProbabilities = [0.9, 0.6] as const;
+
+/** Upstreams of the host's zone from which the preferred ones are taken from this zone only. */
+const MinZoneUpstreams = 4;
 
 interface Candidate extends PlacementCandidate {
     readonly upstream: Upstream;
@@ -25,7 +29,7 @@
 export class LeastCostStrategy extends ChoiceStrategy {
     override choose(available: readonly Upstream[], input: ChoiceInput, random: Random): Upstream {
         const key = affinityKey(input.promptParts);
-        const preferred = key === undefined ? [] : selectPreferred(key, available);
+        const preferred = key === undefined ? [] : selectPreferred(key, available, input.zone);
         const compared = new Set([...selectCompared(available, input.hostCount, random), ...preferred]);
         const request: PlacementRequest = {
             promptTokens: input.promptTokens,
@@ -33,24 +37,35 @@
             objectiveMs: input.objectiveMs ?? DefaultObjectiveMs,
             pauseObjectiveMs: input.pauseObjectiveMs ?? DefaultPauseObjectiveMs,
         };
-        const candidates = [...compared].map(upstream => toCandidate(upstream, input, preferred.includes(upstream)));
+        const candidates = [...compared].map(upstream =>
+            toCandidate(upstream, input, CachedProbabilities[preferred.indexOf(upstream)] ?? 0)
+        );
         const chosen = choosePlacement(candidates, request, () => random.next())!;
-        input.onPlaced?.(placementReason(chosen, request));
+        input.onPlaced?.({
+            reason: placementReason(chosen, request),
+            prefillTokens: expectedPrefillTokens(chosen, request),
+        });
         return chosen.upstream;
     }
 }
 
-/** @returns The upstreams that get the prompts with a key, the same at all hosts. */
-function selectPreferred(key: string, available: readonly Upstream[]): readonly Upstream[] {
-    const byId = new Map(available.map(upstream => [upstream.entry.id, upstream]));
-    return rendezvousOrder(key, [...byId.keys()]).slice(0, PreferredCount).map(id => byId.get(id)!);
+/**
+ * @returns The upstreams that get the prompts with a key, the same at all hosts of a zone. Each zone has its own ones, as the bytes of a prompt
+ * cost more between zones than reading it once more in each zone.
+ */
+function selectPreferred(key: string, available: readonly Upstream[], zone: string): readonly Upstream[] {
+    const inZone = available.filter(({ entry }) => entry.zone === zone);
+    const byId = new Map(
+        (inZone.length >= MinZoneUpstreams ? inZone : available).map(upstream => [upstream.entry.id, upstream]),
+    );
+    return rendezvousOrder(key, [...byId.keys()]).slice(0, CachedProbabilities.length).map(id => byId.get(id)!);
 }
 
 function sharedTokensOf({ promptParts }: ChoiceInput): number {
     return promptParts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
 }
 
-function toCandidate(upstream: Upstream, input: ChoiceInput, isPreferredByPrompt: boolean): Candidate {
+function toCandidate(upstream: Upstream, input: ChoiceInput, cachedProbability: number): Candidate {
     const others = input.peerLoad(upstream);
     return {
         upstream,
@@ -59,7 +74,7 @@
         waitingPrefillTokens: upstream.waitingPrefillTokens + others.waitingPrefillTokens,
         slots: input.engineSlots ?? upstream.entry.slots,
         isInHostZone: upstream.entry.zone === input.zone,
-        isPreferredByPrompt,
+        cachedProbability,
         relativeTime: 1,
     };
 }
--- a/src/scheduling/promptPlacement.ts
+++ b/src/scheduling/promptPlacement.ts
@@ -13,8 +13,8 @@
     /** Requests that the engine runs at the same time. */
     readonly slots: number;
     readonly isInHostZone: boolean;
-    /** Whether the shared parts of the prompt are probably cached there. */
-    readonly isPreferredByPrompt: boolean;
+    /** Probability that the shared parts of the prompt are cached there; 0 unless the upstream is preferred for the prompt. */
+    readonly cachedProbability: number;
     /** Time that the upstream needs for its work, relative to the median of its service. */
     readonly relativeTime: number;
 }
@@ -33,23 +33,30 @@
 /** Why an upstream was chosen. */
 export type PlacementReason = "affinity" | "leastCost" | "otherZone";
 
+/** A choice that was made by cost. */
+export interface Placement {
+    readonly reason: PlacementReason;
+    /** Prompt tokens that the upstream probably has to read, without the cached ones. */
+    readonly prefillTokens: number;
+}
+
 /** Prompt tokens that an engine of median speed reads per millisecond; engines read 50 to 90. */
 const PrefillTokensPerMs = 60;
 
 /** Mean time for which a request holds a slot, in milliseconds: some hundred output tokens at 5 to 10 ms each. */
 const SlotHoldMs = 2_500;
 
-/** Cost of the last free slot of an upstream, in milliseconds; the first ones cost proportionally less. More requests lengthen the steps of the engine. */
-const OccupancyCostMs = 400;
-
-/** Probability that a preferred upstream has the shared parts cached. */
-const CachedProbability = 0.9;
+/**
+ * Cost of the last free slot of an upstream, in milliseconds; the first ones cost proportionally less. A cost per slot of more than
+ * {@link EqualCostMs} would send the requests of many hosts to the one upstream that was idle at the last report.
+ */
+const OccupancyCostMs = 60;
 
 /**
  * Fraction of the pause objective that waiting prompts may use up without being counted as harm. The rest covers the time of the
  * event itself and prompts that other hosts have sent since their last report.
  */
-const PauseAllowance = 0.5;
+const PauseAllowance = 0.2;
 
 /** Fraction of the objective for the first output from which each further millisecond counts {@link LateWeight} times more. */
 const FirstOutputAllowance = 0.5;
@@ -64,13 +71,17 @@
  */
 const EqualCostMs = 30;
 
+/** @returns Prompt tokens that the upstream probably has to read, without the cached ones. */
+export function expectedPrefillTokens({ cachedProbability }: PlacementCandidate, request: PlacementRequest): number {
+    return Math.max(0, Math.round(request.promptTokens - request.sharedTokens * cachedProbability));
+}
+
 /** @returns Cost of sending the request to an upstream, in milliseconds. */
 export function placementCostMs(candidate: PlacementCandidate, request: PlacementRequest): number {
     const { slots, relativeTime, waitingPrefillTokens } = candidate;
     const openRequestCount = candidate.ownOpenRequestCount + candidate.peerOpenRequestCount;
     const msPerToken = relativeTime / PrefillTokensPerMs;
-    const cachedTokens = candidate.isPreferredByPrompt ? request.sharedTokens * CachedProbability : 0;
-    const ownReadMs = Math.max(0, request.promptTokens - cachedTokens) * msPerToken;
+    const ownReadMs = expectedPrefillTokens(candidate, request) * msPerToken;
     const waitingReadMs = waitingPrefillTokens * msPerToken;
     const queueMs = Math.max(0, openRequestCount + 1 - slots) * SlotHoldMs * relativeTime / slots;
     const firstOutputMs = waitingReadMs + queueMs + ownReadMs;
@@ -107,7 +118,7 @@
 
 /** @returns Why a candidate was chosen for a request. */
 export function placementReason(candidate: PlacementCandidate, request: PlacementRequest): PlacementReason {
-    if (candidate.isPreferredByPrompt && request.sharedTokens > 0) {
+    if (candidate.cachedProbability > 0 && request.sharedTokens > 0) {
         return "affinity";
     }
     return candidate.isInHostZone ? "leastCost" : "otherZone";
