--- a/src/edge/upstream/leastCostStrategy.ts
+++ b/src/edge/upstream/leastCostStrategy.ts
@@ -18,7 +18,7 @@
 /** Probabilities that the shared parts of a prompt are cached at the upstreams that are preferred for it, the first choice first. */
 const CachedProbabilities = [0.9, 0.6] as const;
 
-/** Upstreams of the host's zone from which the preferred ones are taken from this zone only. */
+/** Mean number of upstreams in a zone from which each zone has preferred ones of its own. */
 const MinZoneUpstreams = 4;
 
 interface Candidate extends PlacementCandidate {
@@ -29,8 +29,11 @@
 export class LeastCostStrategy extends ChoiceStrategy {
     override choose(available: readonly Upstream[], input: ChoiceInput, random: Random): Upstream {
         const key = affinityKey(input.promptParts);
-        const preferred = key === undefined ? [] : selectPreferred(key, available, input.zone);
-        const compared = new Set([...selectCompared(available, input.hostCount, random), ...preferred]);
+        const cachedProbabilities = key === undefined ? new Map<Upstream, number>() : selectPreferred(key, available);
+        const compared = new Set([
+            ...selectCompared(available, input.hostCount, random),
+            ...cachedProbabilities.keys(),
+        ]);
         const request: PlacementRequest = {
             promptTokens: input.promptTokens,
             sharedTokens: key === undefined ? 0 : sharedTokensOf(input),
@@ -38,7 +41,7 @@
             pauseObjectiveMs: input.pauseObjectiveMs ?? DefaultPauseObjectiveMs,
         };
         const candidates = [...compared].map(upstream =>
-            toCandidate(upstream, input, CachedProbabilities[preferred.indexOf(upstream)] ?? 0)
+            toCandidate(upstream, input, cachedProbabilities.get(upstream) ?? 0)
         );
         const chosen = choosePlacement(candidates, request, () => random.next())!;
         input.onPlaced?.({
@@ -50,15 +53,24 @@
 }
 
 /**
- * @returns The upstreams that get the prompts with a key, the same at all hosts of a zone. Each zone has its own ones, as the bytes of a prompt
- * cost more between zones than reading it once more in each zone.
+ * Each zone has preferred upstreams of its own, as the bytes of a prompt between zones cost more than reading it once more in each zone.
+ * @returns The upstreams that get the prompts with a key, the same at all hosts, and the probabilities that these are cached there.
  */
-function selectPreferred(key: string, available: readonly Upstream[], zone: string): readonly Upstream[] {
-    const inZone = available.filter(({ entry }) => entry.zone === zone);
-    const byId = new Map(
-        (inZone.length >= MinZoneUpstreams ? inZone : available).map(upstream => [upstream.entry.id, upstream]),
-    );
-    return rendezvousOrder(key, [...byId.keys()]).slice(0, CachedProbabilities.length).map(id => byId.get(id)!);
+function selectPreferred(key: string, available: readonly Upstream[]): ReadonlyMap<Upstream, number> {
+    const isDivided = available.length >= MinZoneUpstreams * new Set(available.map(({ entry }) => entry.zone)).size;
+    const byId = new Map(available.map(upstream => [upstream.entry.id, upstream]));
+    const preferred = new Map<Upstream, number>();
+    const counts = new Map<string, number>();
+    for (const id of rendezvousOrder(key, [...byId.keys()])) {
+        const upstream = byId.get(id)!;
+        const group = isDivided ? upstream.entry.zone : "";
+        const rank = counts.get(group) ?? 0;
+        counts.set(group, rank + 1);
+        if (rank < CachedProbabilities.length) {
+            preferred.set(upstream, CachedProbabilities[rank]!);
+        }
+    }
+    return preferred;
 }
 
 function sharedTokensOf({ promptParts }: ChoiceInput): number {
--- a/src/scheduling/promptPlacement.ts
+++ b/src/scheduling/promptPlacement.ts
@@ -63,7 +63,7 @@
 const LateWeight = 3;
 
 /** Cost of an upstream in another zone, in milliseconds; traffic between zones is charged. */
-const OtherZoneCostMs = 150;
+const OtherZoneCostMs = 300;
 
 /**
  * Costs that differ by less than this, in milliseconds, count as equal: load reports are up to 150 ms old, and hosts that all choose
