Learn how fast upstreams produce output, from a host's own streams

Cause: slow engines got the same share of requests as fast ones.

Change: each upstream keeps a running median of the time between the pieces of its streams. Placement by cost uses its ratio to the median of the service.

--- a/src/edge/upstream/choiceStrategy.ts
+++ b/src/edge/upstream/choiceStrategy.ts
@@ -30,6 +30,8 @@
     readonly objectiveMs?: number | undefined;
     /** Maximum pause between two events of a stream, in milliseconds. */
     readonly pauseObjectiveMs?: number | undefined;
+    /** @returns Time between output events of an upstream by the samples of other hosts, in milliseconds; `undefined` when unknown. */
+    peerEventTimeMs?(upstream: Upstream): number | undefined;
     /** Called with the reason of a choice by cost. */
     onPlaced?(placement: Placement): void;
 }
--- a/src/edge/upstream/leastCostStrategy.ts
+++ b/src/edge/upstream/leastCostStrategy.ts
@@ -8,6 +8,7 @@
     placementReason,
     type PlacementRequest,
 } from "../../scheduling/promptPlacement.js";
+import { relativeTimes } from "../../scheduling/upstreamSpeeds.js";
 import { affinityKey, type ChoiceInput, ChoiceStrategy, selectCompared } from "./choiceStrategy.js";
 import type { Upstream } from "./upstream.js";
 
@@ -40,8 +41,14 @@
             objectiveMs: input.objectiveMs ?? DefaultObjectiveMs,
             pauseObjectiveMs: input.pauseObjectiveMs ?? DefaultPauseObjectiveMs,
         };
+        const relativeTimeOf = relativeTimes(available.map(upstream => eventTimeMs(upstream, input)));
         const candidates = [...compared].map(upstream =>
-            toCandidate(upstream, input, cachedProbabilities.get(upstream) ?? 0)
+            toCandidate(
+                upstream,
+                input,
+                cachedProbabilities.get(upstream) ?? 0,
+                relativeTimeOf(eventTimeMs(upstream, input)),
+            )
         );
         const chosen = choosePlacement(candidates, request, () => random.next())!;
         input.onPlaced?.({
@@ -73,11 +80,21 @@
     return preferred;
 }
 
+/** @returns Time between output events of an upstream, by this host's samples, otherwise by those of other hosts. */
+function eventTimeMs(upstream: Upstream, input: ChoiceInput): number | undefined {
+    return upstream.eventTime.medianMs ?? input.peerEventTimeMs?.(upstream);
+}
+
 function sharedTokensOf({ promptParts }: ChoiceInput): number {
     return promptParts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
 }
 
-function toCandidate(upstream: Upstream, input: ChoiceInput, cachedProbability: number): Candidate {
+function toCandidate(
+    upstream: Upstream,
+    input: ChoiceInput,
+    cachedProbability: number,
+    relativeTime: number,
+): Candidate {
     const others = input.peerLoad(upstream);
     return {
         upstream,
@@ -87,6 +104,6 @@
         slots: input.engineSlots ?? upstream.entry.slots,
         isInHostZone: upstream.entry.zone === input.zone,
         cachedProbability,
-        relativeTime: 1,
+        relativeTime,
     };
 }
--- a/src/edge/upstream/upstream.ts
+++ b/src/edge/upstream/upstream.ts
@@ -1,5 +1,6 @@
 /** One upstream with this host's connections, open requests and measurements of it. */
 import type { Clock } from "../../base/clock.js";
+import { EventTimeEstimate } from "../../scheduling/upstreamSpeeds.js";
 import type { UpstreamEntry } from "../edgeTypes.js";
 import { ConnectionPool } from "../transport/connectionPool.js";
 import { type DispatchOutcome, UpstreamHealth } from "./upstreamHealth.js";
@@ -13,6 +14,8 @@
     /** Time without any response bytes after which the upstream counts as silent, in milliseconds. */
     readonly silentAfterMs: number;
     hasFirstByte: boolean;
+    /** Monotonic time of the latest bytes of the response, in milliseconds; `undefined` before the first ones. */
+    lastByteAtMs: number | undefined;
 }
 
 /** Result of {@link Upstream.checkReachability}. */
@@ -43,6 +46,8 @@
     readonly entry: UpstreamEntry;
     readonly pool: ConnectionPool;
     readonly health = new UpstreamHealth();
+    /** Time between the pieces of streams, by this host's requests. */
+    readonly eventTime = new EventTimeEstimate();
     readonly #clock: Clock;
     readonly #openDispatches = new Set<OpenDispatch>();
     #isLeaving: boolean;
@@ -97,15 +102,26 @@
      * @param silentAfterMs See {@link OpenDispatch.silentAfterMs}.
      */
     beginDispatch(prefillTokens: number, silentAfterMs: number): OpenDispatch {
-        const dispatch = { startedAtMs: this.#clock.monotonicMs(), prefillTokens, silentAfterMs, hasFirstByte: false };
+        const dispatch: OpenDispatch = {
+            startedAtMs: this.#clock.monotonicMs(),
+            prefillTokens,
+            silentAfterMs,
+            hasFirstByte: false,
+            lastByteAtMs: undefined,
+        };
         this.#openDispatches.add(dispatch);
         return dispatch;
     }
 
     /** Records that bytes of the response arrived. */
     recordResponseBytes(dispatch: OpenDispatch): void {
+        const nowMs = this.#clock.monotonicMs();
+        if (dispatch.lastByteAtMs !== undefined) {
+            this.eventTime.record(nowMs - dispatch.lastByteAtMs);
+        }
         dispatch.hasFirstByte = true;
-        this.#lastByteAtMs = this.#clock.monotonicMs();
+        dispatch.lastByteAtMs = nowMs;
+        this.#lastByteAtMs = nowMs;
         this.health.recordBytes();
     }
 
