--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -64,6 +64,9 @@
     evacuationsSent: "edge.evacuations.sent",
     evacuationSuspensions: "edge.evacuations.suspensions",
     evacuationRefusals: "edge.evacuations.refusals",
+    placementsAffinity: "edge.placements.affinity",
+    placementsLeastCost: "edge.placements.leastCost",
+    placementsOtherZone: "edge.placements.otherZone",
 } as const;
 
 /** Counters and histograms of one process, with an HTTP listener that serves them. */
