Leave a team's scarce tokens to its more urgent requests

Change: a request of lower rank leaves the expected demand of more urgent ones; waiting requests are served by rank; loan requests carry the rank.

--- a/src/edge/budget/budgetManager.ts
+++ b/src/edge/budget/budgetManager.ts
@@ -34,6 +34,8 @@
 
 /** How long a request waits for tokens, and what it may do in that time. */
 interface TokenWait {
+    /** Urgency of the request; 0 goes first. */
+    readonly rank: number;
     /** Maximum wait, in milliseconds. */
     readonly maxWaitMs: number;
     /** Whether other hosts may be asked for tokens. */
@@ -43,7 +45,7 @@
 }
 
 /** Limits of the wait for a loan request of another host; this host does not borrow tokens in order to lend them. */
-const LoanTokenWait: TokenWait = { maxWaitMs: MaxLoanWaitMs, canBorrow: false, abortSignal: undefined };
+const LoanTokenWait: Omit<TokenWait, "rank"> = { maxWaitMs: MaxLoanWaitMs, canBorrow: false, abortSignal: undefined };
 
 /** Reservation for a team without a limit, which needs no tokens. */
 const EmptyReservation: Reservation = { ownTokens: 0, borrowedTokens: 0 };
@@ -113,7 +115,7 @@
             channel,
             incarnation,
             accounts: this.#accounts,
-            reserveForLoan: (team, tokens, hasBeenRefused) => this.#reserveForLoan(team, tokens, hasBeenRefused),
+            reserveForLoan: (...args) => this.#reserveForLoan(...args),
             logFields: team => this.#collectLogFields(this.#accounts.getOrCreate(team)),
         });
     }
@@ -179,6 +181,7 @@
      * @param costTokens Worst-case cost in tokens.
      * @param waitMs Maximum wait for tokens, in milliseconds; values above {@link MaxWaitMs} are reduced to it.
      * @param abortSignal Ends the wait with a refusal that is not logged.
+     * @param rank Urgency of the request; 0 goes first while tokens are scarce.
      * @returns The reservation, which must be settled, or the reason why there is none.
      */
     async reserve(
@@ -187,17 +190,18 @@
         costTokens: number,
         waitMs: number,
         abortSignal?: AbortSignal,
+        rank = 0,
     ): Promise<Reservation | BudgetRefusal> {
         if (this.#dependencies.prepaidTokens(team) === undefined) {
             return EmptyReservation;
         }
         const account = this.#accounts.getOrCreate(team);
-        account.recordDemand(costTokens, this.#nowMs);
+        account.recordDemand(costTokens, this.#nowMs, rank);
         const startedMs = this.#nowMs;
-        const wait: TokenWait = { maxWaitMs: Math.min(waitMs, MaxWaitMs), canBorrow: true, abortSignal };
+        const wait: TokenWait = { rank, maxWaitMs: Math.min(waitMs, MaxWaitMs), canBorrow: true, abortSignal };
         const result = await this.#reserve(account, costTokens, wait);
         if (isRefusal(result) && abortSignal?.aborted !== true) {
-            this.#logRefusal(requestId, account, costTokens, startedMs, result);
+            this.#logRefusal(requestId, account, { costTokens, rank }, startedMs, result);
         }
         return result;
     }
@@ -261,14 +265,14 @@
         costTokens: number,
         wait: TokenWait,
     ): Reservation | BudgetRefusal | Promise<Reservation | BudgetRefusal> {
-        const reservation = account.tryReserve(costTokens, this.#nowMs);
+        const reservation = account.tryReserve(costTokens, this.#nowMs, wait.rank);
         if (reservation !== undefined) {
             return reservation;
         }
-        const refusal = this.#refusalFor(account, costTokens);
+        const refusal = this.#refusalFor(account, costTokens, wait.rank);
         const cannotBeServed = refusal.reason === "exhausted" ||
             (!wait.canBorrow && !this.#canDraw(account, costTokens) &&
-                !this.#isReleaseDue(account, costTokens, wait.maxWaitMs));
+                !this.#isReleaseDue(account, costTokens, wait));
         return cannotBeServed || wait.abortSignal?.aborted === true ?
             refusal :
             this.#waitForTokens(account, costTokens, wait);
@@ -279,6 +283,7 @@
         team: string,
         tokens: number,
         hasBeenRefused: boolean,
+        rank: number,
     ): LoanDecision | Promise<LoanDecision> {
         const { isLeaving } = this.#handover;
         if (this.#dependencies.prepaidTokens(team) === undefined || this.#handover.hasHandedOver(team)) {
@@ -290,27 +295,29 @@
         this.#ledgers.open(team);
         const account = this.#accounts.getOrCreate(team);
         if (!hasBeenRefused) {
-            account.recordDemand(tokens, this.#nowMs);
+            account.recordDemand(tokens, this.#nowMs, rank);
         }
         const finish = (result: Reservation | BudgetRefusal): LoanDecision => {
-            const loan = this.#toLoan(account, result);
+            const loan = this.#toLoan(account, result, rank);
             // What every lender refuses is one demand; counted by each, it would raise the release of all.
             if (hasBeenRefused && loan.ownTokens > 0) {
-                account.recordDemand(loan.ownTokens, this.#nowMs);
+                account.recordDemand(loan.ownTokens, this.#nowMs, rank);
             }
             return { ...loan, isLeaving: this.#handover.isLeaving };
         };
-        const result = this.#reserve(account, tokens, LoanTokenWait);
+        const result = this.#reserve(account, tokens, { ...LoanTokenWait, rank });
         return result instanceof Promise ? result.then(finish) : finish(result);
     }
 
-    #toLoan(account: TeamAccount, result: Reservation | BudgetRefusal): LoanDecision {
+    #toLoan(account: TeamAccount, result: Reservation | BudgetRefusal, rank: number): LoanDecision {
         if (!isRefusal(result)) {
             account.addBorrowedTokens(result.borrowedTokens);
             return { ownTokens: result.ownTokens };
         }
-        const availableTokens = account.waiting.length > 0 ? 0 : Math.max(0, account.availableTokens(this.#nowMs));
-        const partialReservation = account.tryReserve(availableTokens, this.#nowMs);
+        const availableTokens = account.waiting.length > 0 ?
+            0 :
+            Math.max(0, account.availableTokensFor(rank, this.#nowMs));
+        const partialReservation = account.tryReserve(availableTokens, this.#nowMs, rank);
         account.addBorrowedTokens(partialReservation?.borrowedTokens ?? 0);
         return { ownTokens: partialReservation?.ownTokens ?? 0, refusal: result };
     }
@@ -332,17 +339,18 @@
         return account.grantedTokens - account.usedTokens + unallocatedTokens(team, prepaid) >= neededTokens;
     }
 
-    /** Whether the release of the own record covers all waiting requests and this one within the given time. */
-    #isReleaseDue(account: TeamAccount, costTokens: number, withinMs: number): boolean {
-        const neededTokens = account.waitingTokens + costTokens;
-        return account.releaseWaitMs(neededTokens, this.#nowMs, withinMs) !== undefined;
+    /** Whether the release of the own record covers the waiting requests that are as urgent and this one within the time of its wait. */
+    #isReleaseDue(account: TeamAccount, costTokens: number, { rank, maxWaitMs }: TokenWait): boolean {
+        const neededTokens = account.waitingTokensUpTo(rank) + costTokens;
+        return account.releaseWaitMs(neededTokens, this.#nowMs, maxWaitMs, rank) !== undefined;
     }
 
     #waitForTokens(
         account: TeamAccount,
         costTokens: number,
-        { maxWaitMs, canBorrow, abortSignal }: TokenWait,
+        wait: TokenWait,
     ): Promise<Reservation | BudgetRefusal> {
+        const { rank, maxWaitMs, canBorrow, abortSignal } = wait;
         return new Promise(resolve => {
             let loanRefusal: BudgetRefusal | undefined;
             const finish = (reservation: Reservation | undefined) => {
@@ -353,19 +361,20 @@
                 if (index >= 0) {
                     account.waiting.splice(index, 1);
                 }
-                resolve(reservation ?? loanRefusal ?? this.#refusalFor(account, costTokens));
+                resolve(reservation ?? loanRefusal ?? this.#refusalFor(account, costTokens, rank));
             };
             const cancelWait = () => finish(undefined);
             const item = {
                 costTokens,
+                rank,
                 canDraw: () => this.#canDraw(account, account.waitingTokens),
                 resolve: finish,
             };
             const isWaiting = () => account.waiting.includes(item);
             const borrow = () =>
-                this.#borrower.borrow(account, costTokens, isWaiting, refusal => {
+                this.#borrower.borrow(account, costTokens, rank, isWaiting, refusal => {
                     loanRefusal = refusal;
-                    if (isWaiting() && !item.canDraw() && !this.#isReleaseDue(account, 0, maxWaitMs)) {
+                    if (isWaiting() && !item.canDraw() && !this.#isReleaseDue(account, 0, wait)) {
                         finish(undefined);
                     }
                 });
@@ -383,7 +392,7 @@
         });
     }
 
-    #refusalFor(account: TeamAccount, costTokens: number): BudgetRefusal {
+    #refusalFor(account: TeamAccount, costTokens: number, rank: number): BudgetRefusal {
         return determineRefusal({
             costTokens,
             prepaidTokens: this.#dependencies.prepaidTokens(account.name) ?? 0,
@@ -392,14 +401,19 @@
             settledTokens: account.settledTokens,
             isStoreUnavailable: this.#ledgers.isStoreUnavailable(account.name),
             releaseWaitMs: () =>
-                account.releaseWaitMs(account.waitingTokens + costTokens, this.#nowMs, ReleaseHorizonMs),
+                account.releaseWaitMs(
+                    account.waitingTokensUpTo(rank) + costTokens,
+                    this.#nowMs,
+                    ReleaseHorizonMs,
+                    rank,
+                ),
         });
     }
 
     #logRefusal(
         requestId: string,
         account: TeamAccount,
-        costTokens: number,
+        request: { readonly costTokens: number; readonly rank: number; },
         startedMs: number,
         refusal: BudgetRefusal,
     ): void {
@@ -410,7 +424,7 @@
             retryAfterMs: refusal.retryAfterMs,
             lender: refusal.lender,
             waitedMs: Math.round(this.#nowMs - startedMs),
-            costTokens,
+            ...request,
             ...this.#collectLogFields(account),
         });
     }
--- a/src/edge/budget/loanBorrower.spec.ts
+++ b/src/edge/budget/loanBorrower.spec.ts
@@ -36,7 +36,7 @@
     afterEach(() => vi.useRealTimers());
 
     const borrow = (tokens: number) =>
-        borrower.borrow(account, tokens, () => isNeeded, refusal => refusals.push(refusal));
+        borrower.borrow(account, tokens, 0, () => isNeeded, refusal => refusals.push(refusal));
 
     const sentRequests = () =>
         channel.sent.map(({ address, message }) => [address, message.k === "b" ? message.w : undefined]);
--- a/src/edge/budget/loanBorrower.ts
+++ b/src/edge/budget/loanBorrower.ts
@@ -57,6 +57,8 @@
 interface LoanSearch {
     readonly account: TeamAccount;
     missingTokens: number;
+    /** Urgency of the request; 0 goes first. */
+    readonly rank: number;
     /** Addresses of the hosts that are still to be asked, in order. */
     readonly remainingLenders: string[];
     /** Addresses of the hosts to ask in place of those that do not reply. */
@@ -117,6 +119,7 @@
 
     /**
      * Starts a search for tokens. Tokens that lenders give are added to the account, which serves its waiting requests.
+     * @param rank Urgency of the request that lacks the tokens; 0 goes first.
      * @param isNeeded Tells whether the tokens are still needed; otherwise the search ends.
      * @param onRefused Called when the lenders have too few tokens or do not reply; at once if they refused as many or fewer
      * tokens within the last {@link RefusalCacheMs}.
@@ -124,10 +127,11 @@
     borrow(
         account: TeamAccount,
         tokens: number,
+        rank: number,
         isNeeded: () => boolean,
         onRefused: (refusal: BudgetRefusal) => void,
     ): void {
-        const lastRefusal = this.#recentRefusals.get(account.name);
+        const lastRefusal = this.#recentRefusals.get(refusalKey(account, rank));
         if (
             lastRefusal !== undefined && this.#nowMs - lastRefusal.atMs < RefusalCacheMs && tokens >= lastRefusal.tokens
         ) {
@@ -140,6 +144,7 @@
         this.#requestFromNextLender({
             account,
             missingTokens: tokens,
+            rank,
             remainingLenders: [
                 ...homeHosts.filter(address => !isUnresponsive(address)),
                 ...fallbackHosts.slice(0, unresponsive.length),
@@ -181,7 +186,7 @@
         this.#pendingRequests.set(number, request);
         request.attempts++;
         request.timer = startResponseTimeout(() => this.#onReplyTimeout(number, request), ReplyTimeoutMs);
-        const { account, missingTokens } = request.search;
+        const { account, missingTokens, rank } = request.search;
         const { incarnation, channel } = this.#dependencies;
         const { length: refusalCount } = request.search.refusals;
         channel.send(request.lender, {
@@ -191,6 +196,7 @@
             t: account.name,
             w: missingTokens,
             a: refusalCount === 0 ? undefined : refusalCount,
+            p: rank === 0 ? undefined : rank,
         });
     }
 
@@ -264,12 +270,12 @@
         account.serveWaiting(this.#nowMs);
     }
 
-    #finishRefused({ account, missingTokens, refusals, onRefused }: LoanSearch): void {
+    #finishRefused({ account, missingTokens, rank, refusals, onRefused }: LoanSearch): void {
         if (refusals.length === 0) {
             this.#dependencies.onLendersUnreachable(account.name);
         }
         const refusal = selectRefusal(refusals);
-        this.#recentRefusals.set(account.name, { tokens: missingTokens, atMs: this.#nowMs, refusal });
+        this.#recentRefusals.set(refusalKey(account, rank), { tokens: missingTokens, atMs: this.#nowMs, refusal });
         onRefused(refusal);
     }
 
@@ -282,3 +288,8 @@
         }
     }
 }
+
+/** @returns Key of the latest refusal, which does not apply to more urgent requests of the team. */
+function refusalKey({ name }: TeamAccount, rank: number): string {
+    return `${rank}/${name}`;
+}
--- a/src/edge/budget/loanLender.ts
+++ b/src/edge/budget/loanLender.ts
@@ -35,11 +35,13 @@
     /**
      * Reserves own tokens for another host; returns a promise when the request must wait for tokens.
      * @param hasBeenRefused Whether another lender has refused the request before.
+     * @param rank Urgency of the request that the tokens are for; 0 goes first.
      */
     reserveForLoan(
         team: string,
         tokens: number,
         hasBeenRefused: boolean,
+        rank: number,
     ): LoanDecision | Promise<LoanDecision>;
     /** @returns Log fields with the token counts that decide about a team's requests, and the age of the ledger. */
     logFields(team: string): Record<string, unknown>;
@@ -79,7 +81,7 @@
             return;
         }
         setBounded(this.#replies, key, undefined, MaxCachedReplies, isPending);
-        let decision = this.#dependencies.reserveForLoan(request.t, request.w, (request.a ?? 0) > 0);
+        let decision = this.#dependencies.reserveForLoan(request.t, request.w, (request.a ?? 0) > 0, request.p ?? 0);
         if (decision instanceof Promise) {
             this.#sendPending(request, sender);
             decision = await decision;
@@ -133,6 +135,7 @@
                 borrower: sender,
                 tokens: ownTokens,
                 wanted: request.w,
+                rank: request.p ?? 0,
                 ...refusal,
                 ...this.#dependencies.logFields(request.t),
             });
--- a/src/edge/budget/loanMessages.ts
+++ b/src/edge/budget/loanMessages.ts
@@ -16,6 +16,8 @@
     w: z.number().int().positive(),
     /** Number of lenders that have refused this request before; they have counted it as demand. */
     a: z.number().int().nonnegative().optional(),
+    /** Urgency of the request that the tokens are for; absent for the most urgent. */
+    p: z.number().int().nonnegative().optional(),
 });
 export type LoanRequest = z.infer<typeof LoanRequestSchema>;
 
--- a/src/edge/budget/teamAccount.ts
+++ b/src/edge/budget/teamAccount.ts
@@ -1,6 +1,7 @@
 /** Counts one team's tokens at this host: granted, reserved, settled, lent and borrowed. */
 import { DemandAverage } from "../../features/budget/budgetMath.js";
-import { allowedTokens, type SpendingBound } from "./spendingBound.js";
+import { UrgentReserve } from "../../scheduling/urgentReserve.js";
+import { allowedTokens, ReleaseAfterMs, type SpendingBound } from "./spendingBound.js";
 import type { RecordedBound } from "./spendingRecord.js";
 
 /** Time constant of the demand average, in milliseconds; long enough for a team with a request every few seconds. */
@@ -40,6 +41,15 @@
  */
 const FirstRequestReleaseMs = 12_000;
 
+/**
+ * Minimum time for which a less urgent request leaves tokens to more urgent ones, in milliseconds; before the release begins, it is the
+ * time until then, as the store may not acknowledge another record.
+ */
+const MinReserveHorizonMs = 500;
+
+/** Maximum fraction of the limit's headroom that is kept for more urgent requests, so that a healthy store serves all of them. */
+const MaxReserveFraction = 0.5;
+
 /** Step of the search for the time until a release, in milliseconds. */
 const ReleaseStepMs = 50;
 
@@ -60,6 +70,8 @@
 /** A reservation that waits for tokens; its owner removes it from the account's list. */
 export interface WaitingReservation {
     readonly costTokens: number;
+    /** Urgency of the request; 0 goes first. */
+    readonly rank: number;
     /** @returns Whether a write to the store can still help. */
     canDraw(): boolean;
     /** Ends the wait, with the reservation if there is one. */
@@ -94,6 +106,7 @@
      */
     canBurst = true;
     readonly #demand: DemandAverage;
+    readonly #urgentReserve = new UrgentReserve();
     #openedMs: number;
     /** Grant in the ledger, and grants of writes that may or may not take effect, by sequence number. */
     #acknowledgedGrant = 0;
@@ -157,6 +170,23 @@
         return Math.min(...allowed) - this.usedTokens;
     }
 
+    /** @returns As {@link availableTokens}, without those that a request of a rank leaves to more urgent ones. */
+    availableTokensFor(rank: number, nowMs: number): number {
+        const available = this.availableTokens(nowMs);
+        if (rank === 0) {
+            return available;
+        }
+        const recordAgeMs = nowMs - this.#acknowledgedBound.createdAtMs;
+        const horizonMs = Math.max(MinReserveHorizonMs, ReleaseAfterMs - recordAgeMs);
+        const expectedTokens = this.#urgentReserve.tokensAbove(rank, horizonMs, nowMs);
+        return Math.floor(available - Math.min(expectedTokens, this.#headroomTokens(nowMs) * MaxReserveFraction));
+    }
+
+    /** @returns Total cost of the waiting reservations that go before or with a new one of a rank, in tokens. */
+    waitingTokensUpTo(rank: number): number {
+        return this.waiting.reduce((sum, item) => sum + (item.rank <= rank ? item.costTokens : 0), 0);
+    }
+
     /** @returns Whether a new record should be written now, so that the next requests need not wait for one. */
     needsNewRecord(nowMs: number): boolean {
         const headroomTokens = this.#headroomTokens(nowMs);
@@ -174,12 +204,13 @@
     /**
      * @param tokens Number of tokens needed.
      * @param withinMs How far to search ahead, in milliseconds.
+     * @param rank Urgency of the request that needs them; 0 goes first.
      * @returns Time until that many tokens are available without a new record, in milliseconds; `undefined` when it is longer
      * than `withinMs`.
      */
-    releaseWaitMs(tokens: number, nowMs: number, withinMs: number): number | undefined {
+    releaseWaitMs(tokens: number, nowMs: number, withinMs: number, rank = 0): number | undefined {
         for (let waitMs = 0; waitMs <= withinMs; waitMs += ReleaseStepMs) {
-            if (this.#borrowedTokens + Math.max(0, this.availableTokens(nowMs + waitMs)) >= tokens) {
+            if (this.#borrowedTokens + Math.max(0, this.availableTokensFor(rank, nowMs + waitMs)) >= tokens) {
                 return waitMs;
             }
         }
@@ -187,8 +218,9 @@
     }
 
     /** Records a request for tokens in the averages of demand and cost. */
-    recordDemand(costTokens: number, nowMs: number): void {
+    recordDemand(costTokens: number, nowMs: number, rank = 0): void {
         this.#demand.add(costTokens, nowMs);
+        this.#urgentReserve.recordDemand(rank, costTokens, nowMs);
         this.#meanCostTokens += MeanCostWeight * (costTokens - this.#meanCostTokens);
         const difference = costTokens - this.#largeCostTokens;
         this.#largeCostTokens += difference > 0 ? difference : difference * LargeCostDecay;
@@ -201,10 +233,10 @@
     }
 
     /** @returns The reservation, for which borrowed tokens are used first; `undefined` when too few are available. */
-    tryReserve(costTokens: number, nowMs: number): Reservation | undefined {
+    tryReserve(costTokens: number, nowMs: number, rank = 0): Reservation | undefined {
         const borrowedTokens = Math.min(costTokens, this.#borrowedTokens);
         const ownTokens = costTokens - borrowedTokens;
-        if (ownTokens > Math.max(0, this.availableTokens(nowMs))) {
+        if (ownTokens > Math.max(0, this.availableTokensFor(rank, nowMs))) {
             return undefined;
         }
         this.#reservedTokens += ownTokens;
@@ -249,10 +281,13 @@
         this.#lentSpentTokens += spentTokens;
     }
 
-    /** Serves waiting reservations from the available tokens in order; a smaller one may overtake a larger one. */
+    /**
+     * Serves waiting reservations from the available tokens, the most urgent first and then in order of arrival; a smaller one may
+     * overtake a larger one.
+     */
     serveWaiting(nowMs: number): void {
-        for (const item of [...this.waiting]) {
-            const reservation = this.tryReserve(item.costTokens, nowMs);
+        for (const item of this.waiting.toSorted((left, right) => left.rank - right.rank)) {
+            const reservation = this.tryReserve(item.costTokens, nowMs, item.rank);
             if (reservation !== undefined) {
                 item.resolve(reservation);
             }
--- a/src/edge/flow/requestBudget.ts
+++ b/src/edge/flow/requestBudget.ts
@@ -2,11 +2,13 @@
  * Prepaid tokens of one request: reserved at the worst-case cost before it is sent, settled at the cost of the
  * delivered output.
  */
+import { isSlotContended } from "../../scheduling/contention.js";
 import { type BudgetManager, isRefusal } from "../budget/budgetManager.js";
 import type { BudgetRefusal } from "../budget/budgetRefusal.js";
 import type { Reservation } from "../budget/teamAccount.js";
 import type { EdgeTeam, TokenCounts } from "../edgeTypes.js";
 import type { EdgeFailure } from "./callerResponse.js";
+import type { EdgeRequest } from "./flowTypes.js";
 import { costOfRequest, type Delivery } from "./requestCost.js";
 
 /** Reserves and settles the tokens of one request. */
@@ -15,19 +17,25 @@
     readonly #requestId: string;
     readonly #team: EdgeTeam | undefined;
     readonly #tokens: TokenCounts | undefined;
+    readonly #rank: number;
     #reservation: Reservation | undefined;
 
-    /** @param tokens Token counts that the caller states; `undefined` for requests that cost nothing. */
+    /**
+     * @param tokens Token counts that the caller states; `undefined` for requests that cost nothing.
+     * @param rank Urgency among the team's requests; 0 goes first while tokens are scarce.
+     */
     constructor(
         budgets: BudgetManager,
         requestId: string,
         team: EdgeTeam | undefined,
         tokens: TokenCounts | undefined,
+        rank: number,
     ) {
         this.#budgets = budgets;
         this.#requestId = requestId;
         this.#team = team;
         this.#tokens = tokens;
+        this.#rank = rank;
     }
 
     /** @returns Worst-case cost in tokens. */
@@ -51,6 +59,7 @@
             this.worstCaseTokens,
             remainingMs,
             signal,
+            this.#rank,
         );
         if (isRefusal(result)) {
             return result;
@@ -83,3 +92,11 @@
 export function failureOf({ reason, retryAfterMs }: BudgetRefusal): EdgeFailure {
     return { code: reason === "exhausted" ? "BudgetExhausted" : "BudgetUnavailable", ran: "no", retryAfterMs };
 }
+
+/**
+ * @param hostCount Number of hosts of the fleet.
+ * @returns Urgency of a request among those of its team while tokens are scarce; 0 for all where hosts do not compete for engines.
+ */
+export function tokenRankOf({ route, table, service }: EdgeRequest, hostCount: number): number {
+    return isSlotContended(table.findService(service)?.engine?.slots, hostCount) ? table.priorityRankOf(route) : 0;
+}
--- a/src/edge/flow/requestFlow.ts
+++ b/src/edge/flow/requestFlow.ts
@@ -15,7 +15,7 @@
 import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
 import { OpenAttempts } from "./openAttempts.js";
 import type { OpenRequest } from "./openRequest.js";
-import { failureOf, RequestBudget } from "./requestBudget.js";
+import { failureOf, RequestBudget, tokenRankOf } from "./requestBudget.js";
 import type { RequestOutcome } from "./requestOutcome.js";
 import { RequestReporter } from "./requestReporter.js";
 import { RequestStop } from "./requestStop.js";
@@ -73,6 +73,7 @@
             request.requestId,
             request.team,
             request.metadata.tokenCounts,
+            tokenRankOf(request, dependencies.hostCount()),
         );
         this.#reporter = new RequestReporter(dependencies, request, {
             history: this.#history,
--- a/src/edge/routing/routeTable.ts
+++ b/src/edge/routing/routeTable.ts
@@ -8,6 +8,8 @@
     readonly #servicesByName: ReadonlyMap<string, Service>;
     readonly #teamsByKey = new Map<string, EdgeTeam>();
     readonly #teamsByName = new Map<string, EdgeTeam>();
+    /** Priorities of the routes for generations, the most urgent first. */
+    readonly #generationPriorities: readonly number[];
 
     constructor(configuration: EdgeConfiguration) {
         this.configuration = configuration;
@@ -20,6 +22,8 @@
         for (const routes of this.#routesByHost.values()) {
             routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
         }
+        const priorities = configuration.routes.filter(({ isGeneration }) => isGeneration).map(route => route.priority);
+        this.#generationPriorities = [...new Set(priorities)].sort((a, b) => a - b);
         for (const team of configuration.teams ?? []) {
             this.#teamsByName.set(team.name, team);
             for (const key of team.apiKeys) {
@@ -54,6 +58,11 @@
         return this.#teamsByName.get(name);
     }
 
+    /** @returns Number of priorities of generations that go before that of a route. */
+    priorityRankOf({ priority }: Route): number {
+        return this.#generationPriorities.filter(other => other < priority).length;
+    }
+
     /** @returns The service with this name, if any. */
     findService(name: string): Service | undefined {
         return this.#servicesByName.get(name);
