Bound what callers make an edge process hold

Cause: bodies keep each received chunk, of which one byte retains a receive buffer of 64 KB; pipelined requests are read while responses stay unread, and their requests stay open for ever when the connection closes, as the server reports the close to one response only; no listener bounds its connections or the descriptors of its requests. Change: one CallerMemory per process for bodies (callers and other hosts), unread responses and pipelined requests; bodies are collected in one buffer. ListenerLimits on every edge listener bounds connections by descriptors and memory, and closes the oldest without a request first; it starts a bounded number of requests of a connection, and SocketReader passes received bytes to the parser in slices until that number waits. limits.max-fds is decoded. BodyMemory is replaced by the account.

--- a/src/base/growingBuffer.ts
+++ b/src/base/growingBuffer.ts
@@ -3,6 +3,10 @@
 /** Allocation of the first small chunk, in bytes; most bodies in small chunks fit without a second allocation. */
 const MinAllocationBytes = 1_024;
 
+/** Allocations double up to this size, in bytes; larger ones grow by less, so that less of the memory is unused. */
+const DoublingLimitBytes = 65_536;
+const LargeGrowthFactor = 1.5;
+
 /**
  * Collects bytes in one contiguous allocation. Every chunk is copied: a chunk is a view of a whole receive buffer, so that a kept chunk
  * of one byte would retain 64 KB.
@@ -34,7 +38,7 @@
 
     /**
      * The first allocation has the size of the first chunk, so that a body that arrives at once takes no more than its length; later ones
-     * double.
+     * have fixed sizes.
      * @returns Size of the allocation after a chunk has been appended, in bytes.
      */
     allocatedBytesAfter(chunkBytes: number): number {
@@ -42,8 +46,12 @@
         if (needed <= this.allocatedBytes) {
             return this.allocatedBytes;
         }
-        const preferred = Math.max(needed, this.allocatedBytes * 2, MinAllocationBytes);
-        return Math.max(needed, Math.min(preferred, this.#maxBytes));
+        let size = MinAllocationBytes;
+        while (size < needed) {
+            size = Math.floor(size * (size < DoublingLimitBytes ? 2 : LargeGrowthFactor));
+        }
+        const isFirst = this.allocatedBytes === 0;
+        return Math.max(needed, isFirst && needed > MinAllocationBytes ? needed : Math.min(size, this.#maxBytes));
     }
 
     /**
--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -17,6 +17,7 @@
 import { CallerServer } from "./flow/callerServer.js";
 import { RetryBudgets } from "./flow/retryBudgets.js";
 import { StopMonitor } from "./flow/stopMonitor.js";
+import { ProcessListeners } from "./listener/processListeners.js";
 import { EdgeMetrics } from "./metrics.js";
 import { LoadReporter } from "./peers/loadReporter.js";
 import { MemberList } from "./peers/memberList.js";
@@ -56,7 +57,6 @@
 
 const NsPerMs = 1_000_000n;
 const BytesPerMbit = 125_000;
-const BytesPerMb = 1_000_000;
 
 /**
  * Intervals at which an unreachable store is probed, in milliseconds; each call is charged for. A host that learns of the store's
@@ -94,6 +94,7 @@
     readonly #members: MemberList;
     readonly #relayClient = new RelayClient();
     readonly #relayServer: RelayServer;
+    readonly #listeners: ProcessListeners;
     readonly #peerChannel: UdpPeerChannel;
     readonly #loadReporter: LoadReporter;
     readonly #quarantine: PromptQuarantine;
@@ -136,10 +137,12 @@
         this.#processStart = { wallMs: this.#clock.wallMs(), steadyMs: steadyMs() };
         this.#directory = new UpstreamDirectory(this.#clock);
         const relayedStore = this.#createRelayedStore();
+        this.#listeners = new ProcessListeners(settings, this.#clock);
         this.#relayServer = new RelayServer({
             clock: this.#clock,
             changeLogFor: prefix => relayedStore.changeLogFor(prefix),
-            storeProxy: new StoreProxyServer(this.#ownStore),
+            storeProxy: new StoreProxyServer(this.#ownStore, this.#listeners.memory),
+            limit: this.#listeners.limitPeers,
         });
         this.#configuration = new ConfigurationTracker(relayedStore, dependencies.objectCodec, this.#clock, table => {
             this.#callerServer.applyLimits(table.configuration.limits);
@@ -177,6 +180,7 @@
             response.writeHead(this.isReady ? 200 : 503, { "Content-Length": 0 });
             response.end();
         });
+        this.#listeners.limitOperators(this.#readinessServer);
     }
 
     /** @returns Whether a request accepted now could be served, and the link has capacity for more callers. */
@@ -203,7 +207,7 @@
         });
         if (this.#settings.listen.metrics !== undefined) {
             const metrics = splitAddress(this.#settings.listen.metrics);
-            await this.#metrics.start(metrics.host, metrics.port);
+            await this.#metrics.start(metrics.host, metrics.port, this.#listeners.limitOperators);
         }
         const peer = splitAddress(this.#settings.peerAddress);
         await this.#relayServer.start(peer.host, peer.port);
@@ -322,6 +326,7 @@
         this.#directory.tick();
         this.#members.tick();
         this.#callerServer.tick();
+        this.#listeners.tick();
         this.#quarantine.tick();
         this.#limits.tick();
         const { isConnected } = this.#configuration;
@@ -401,7 +406,8 @@
     }
 
     #createCallerServer(): CallerServer {
-        const { retryRatio, retryWindowMs, retrySlackCount, maxHeaderBytes, zone, linkMbps, memoryMb } = this.#settings;
+        const { retryRatio, retryWindowMs, retrySlackCount, maxHeaderBytes, zone, linkMbps, callerLimits } =
+            this.#settings;
         return new CallerServer({
             clock: this.#clock,
             random: this.#random,
@@ -421,7 +427,9 @@
             stopMonitor: this.#stopMonitor,
             zone,
             maxHeaderBytes,
-            memoryBytes: memoryMb === undefined ? undefined : memoryMb * BytesPerMb,
+            callerMemory: this.#listeners.memory,
+            processLimits: this.#listeners.limits,
+            callerLimits,
             linkBytesPerS: linkMbps === undefined ? undefined : linkMbps * BytesPerMbit,
             peerLoad: upstream => this.#loadReporter.peerLoadAt(upstream.entry.id),
             onSent: promptTokens => this.#loadReporter.recordSend(promptTokens),
--- a/src/edge/edgeSettings.ts
+++ b/src/edge/edgeSettings.ts
@@ -16,6 +16,24 @@
     }),
     linkMbps: z.number().positive().optional().describe("capacity of the host's link in each direction, in Mbit/s"),
     memoryMb: z.number().positive().optional().describe("memory that the process may use, in MB"),
+    maxDescriptors: z.number().int().positive().optional().describe(
+        "descriptors that the process may open, with files",
+    ),
+    callerLimits: z.strictObject({
+        memoryFraction: z.number().positive().max(1).default(0.25).describe(
+            "part of the memory for bodies, unread responses and pipelined requests together",
+        ),
+        connectionMemoryFraction: z.number().positive().max(1).default(0.1).describe(
+            "part of the memory for the connections of each listener, which bounds their number",
+        ),
+        maxPipelinedRequests: z.number().int().min(1).default(32).describe(
+            "open requests of one connection from which it is not read",
+        ),
+        unreadTimeoutMs: z.number().positive().default(3_000).describe(
+            "time without progress of a body, or of unread responses, while memory or open requests are short",
+        ),
+        bodyTimeoutMs: z.number().positive().default(60_000).describe("time without progress of a body at any load"),
+    }).prefault({}),
     storeAddress: AddressSchema.describe("address of the platform's store"),
     graceMs: z.number().positive().default(8_000).describe("time between the termination signal and the kill"),
     drainNoticeMs: z.number().nonnegative().default(3_000)
--- a/src/edge/flow/callerConnections.ts
+++ b/src/edge/flow/callerConnections.ts
@@ -16,11 +16,15 @@
     unreadable: EdgeCounterNames.connectionsClosedUnreadable,
     stop: EdgeCounterNames.connectionsClosedStop,
     link: EdgeCounterNames.connectionsClosedLink,
+    connections: EdgeCounterNames.connectionsClosedLimit,
+    requests: EdgeCounterNames.connectionsClosedRequests,
+    memory: EdgeCounterNames.connectionsClosedMemory,
+    unread: EdgeCounterNames.connectionsClosedUnread,
 } as const;
 
 /**
  * Why the server closes a connection: no request came in time, a request head took too long, bytes are no request, the process stops,
- * or the host's link is full.
+ * the host's link is full, there are too many connections or requests, memory is short, or responses are not read.
  */
 export type CloseReason = keyof typeof CloseCounters;
 
@@ -201,6 +205,15 @@
         log.info("caller connection closed", { reason, ...this.#describe(state, nowMs) });
     }
 
+    /** Closes a connection after a response that has not begun. */
+    closeAfterResponse({ socket }: IncomingMessage, response: ServerResponse, reason: CloseReason): void {
+        const open = [...this.#states.get(socket)?.open ?? []].find(request => request.response === response);
+        if (open !== undefined && !response.headersSent) {
+            open.closeReason = reason;
+            response.shouldKeepAlive = false;
+        }
+    }
+
     /** Records a request that is not run, as the server has closed its connection or announced that it will. */
     recordRequestAfterClose(socket: Socket, requestId: string | undefined): void {
         this.#counters.add(EdgeCounterNames.requestsAfterClose);
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -5,10 +5,13 @@
 import { waitForEventLoopPoll } from "../../base/eventLoopPoll.js";
 import { findInvalidHeaderName } from "../../base/headerSyntax.js";
 import { log } from "../../base/log.js";
+import type { CallerMemory } from "../../scheduling/callerMemory.js";
+import type { EdgeSettings } from "../edgeSettings.js";
 import type { CallerLimits, EdgeTeam, RequestMetadata, Route } from "../edgeTypes.js";
+import { ListenerLimits } from "../listener/listenerLimits.js";
+import type { ProcessLimits } from "../listener/processLimits.js";
 import { EdgeCounterNames } from "../metrics.js";
 import { chooseService, type RouteTable } from "../routing/routeTable.js";
-import { BodyMemory } from "./bodyMemory.js";
 import { CallerConnections, type CloseReason } from "./callerConnections.js";
 import { CallerDisconnectMonitor } from "./callerDisconnectMonitor.js";
 import { CallerResponse, type EdgeFailure } from "./callerResponse.js";
@@ -19,7 +22,7 @@
 import { LinkLoad } from "./linkLoad.js";
 import type { OpenRequest } from "./openRequest.js";
 import { OutgoingLinkBacklog } from "./outgoingLinkBacklog.js";
-import { discardBody, hasBody } from "./requestBody.js";
+import { announcedLength, discardBody, hasBody } from "./requestBody.js";
 import { RequestFlow } from "./requestFlow.js";
 import { findStopRefusal } from "./stopCheck.js";
 import type { AffectedRequest, StopLogFields } from "./stopMonitor.js";
@@ -38,8 +41,10 @@
     readonly maxHeaderBytes: number;
     /** @returns The configuration in force. */
     configuration(): ConfigurationView;
-    /** Memory that the process may use, in bytes; `undefined` when unknown. */
-    readonly memoryBytes: number | undefined;
+    /** Account of what callers make the process hold. */
+    readonly callerMemory: CallerMemory;
+    readonly processLimits: ProcessLimits;
+    readonly callerLimits: EdgeSettings["callerLimits"];
     /** Capacity of the host's link in each direction, in bytes per second; `undefined` when unknown. */
     readonly linkBytesPerS: number | undefined;
     /** @returns Whether the process is shutting down. */
@@ -61,9 +66,6 @@
 /** Retry-After while the link is full, in milliseconds: a retry goes to another host. */
 const LinkFullRetryMs = 50;
 
-/** Fraction of the memory that the bodies of requests may take together: most of it is needed for connections and the heap. */
-const BodyMemoryFraction = 0.25;
-
 /** Maximum time in which a stop accepts the connections of a full listen queue, in milliseconds. */
 const MaxAcceptMs = 1_000;
 
@@ -86,7 +88,7 @@
     readonly #headerTimeout = new HeaderTimeout(InitialHeaderMs);
     readonly #linkLoad: LinkLoad;
     readonly #linkBacklog: OutgoingLinkBacklog;
-    readonly #bodyMemory: BodyMemory;
+    readonly #listenerLimits: ListenerLimits;
     #linkCheckedAtMs = 0;
     #wasLinkBusy = false;
     #openRequestCount = 0;
@@ -114,7 +116,11 @@
             noDelay: true,
         }, (request, response) => {
             const guard = new CallbackGuard(error => this.#onRequestError(error, request, response));
-            guard.run(() => this.#onRequest(request, response, guard));
+            this.#listenerLimits.admit(
+                request,
+                response,
+                () => guard.run(() => this.#onRequest(request, response, guard)),
+            );
         });
         this.#byteCounter = new ConnectionByteCounter(this.#server);
         this.#connections = new CallerConnections(
@@ -123,7 +129,15 @@
             dependencies.metrics.counters,
         );
         this.#linkLoad = new LinkLoad(dependencies.linkBytesPerS);
-        this.#bodyMemory = new BodyMemory((dependencies.memoryBytes ?? Number.POSITIVE_INFINITY) * BodyMemoryFraction);
+        this.#listenerLimits = new ListenerLimits(this.#server, {
+            clock: dependencies.clock,
+            memory: dependencies.callerMemory,
+            maxConnections: dependencies.processLimits.callerConnections,
+            maxPipelinedRequests: dependencies.callerLimits.maxPipelinedRequests,
+            maxOpenRequests: dependencies.processLimits.openRequests,
+            unreadTimeoutMs: dependencies.callerLimits.unreadTimeoutMs,
+            onClose: (socket, reason) => this.#connections.recordClose(socket, reason),
+        });
     }
 
     /** @returns Number of requests without a complete response. */
@@ -142,6 +156,9 @@
      */
     tick(): void {
         this.#connections.tick();
+        this.#listenerLimits.tick();
+        const { callerMemory, callerLimits } = this.#dependencies;
+        callerMemory.evictStalled(callerLimits.unreadTimeoutMs, callerLimits.bodyTimeoutMs);
         if (this.#dependencies.isLeaving()) {
             // A wait for tokens or for a body may last until the request can no longer end.
             this.#openRequests.forEach(request => request.refuseIfLate());
@@ -349,7 +366,7 @@
         if (length > table.configuration.limits.maxBodyBytes) {
             return { code: "BodyTooLarge", ran: "no" };
         }
-        if (length > this.#bodyMemory.availableBytes) {
+        if (!this.#listenerLimits.hasRoomFor(request.socket) || !this.#dependencies.callerMemory.canTake(length)) {
             return NoMemory;
         }
         const service = chooseService(route, this.#dependencies.random.next());
@@ -394,9 +411,13 @@
         }
         const body = new IncomingBody(this.#flowDependencies, request, { message, response: callerResponse, guard });
         this.#openRequests.set(response, body);
-        const share = this.#bodyMemory.open();
-        response.once("close", () => share.release());
-        body.read(share, run);
+        const { callerMemory } = this.#dependencies;
+        const holder = callerMemory.open(() => {
+            this.#connections.closeAfterResponse(message, response, "memory");
+            body.evict();
+        }, announcedLength(message) ?? routed.table.configuration.limits.maxBodyBytes);
+        response.once("close", () => callerMemory.close(holder));
+        body.read(callerMemory, holder, run);
     }
 }
 
--- a/src/edge/flow/incomingBody.ts
+++ b/src/edge/flow/incomingBody.ts
@@ -2,8 +2,8 @@
 import type { IncomingMessage } from "node:http";
 import type { CallbackGuard } from "../../base/callbackGuard.js";
 import { log } from "../../base/log.js";
+import type { CallerMemory, MemoryHolder } from "../../scheduling/callerMemory.js";
 import { EdgeCounterNames } from "../metrics.js";
-import type { BodyShare } from "./bodyMemory.js";
 import type { CallerResponse, EdgeFailure } from "./callerResponse.js";
 import type { EdgeRequest, FlowDependencies } from "./flowTypes.js";
 import type { OpenRequest } from "./openRequest.js";
@@ -42,10 +42,11 @@
 
     /**
      * Starts to read.
-     * @param share Memory that the body takes; released by its owner.
+     * @param memory Account of the memory that the body takes.
+     * @param holder Holder of that memory; closed by its owner.
      * @param onBody Called with the body; never when the request is refused or its caller disconnects first.
      */
-    read(share: BodyShare, onBody: (body: Buffer) => void): void {
+    read(memory: CallerMemory, holder: MemoryHolder, onBody: (body: Buffer) => void): void {
         const { message, guard } = this.#exchange;
         message.once("aborted", () => this.#onDisconnect());
         const { maxBodyBytes } = this.#request.table.configuration.limits;
@@ -59,7 +60,17 @@
             }
             this.#refuse(body === "noMemory" ? NoMemory : { code: "BodyTooLarge", ran: "no" }, { reason: body });
         };
-        collectBody(message, maxBodyBytes, share, guard.wrap(onEnd));
+        collectBody(message, maxBodyBytes, memory, holder, guard.wrap(onEnd));
+    }
+
+    /** Refuses the request, as its memory goes to requests that hold less or arrive faster. */
+    evict(): void {
+        this.#exchange.guard.run(() => {
+            if (!this.#exchange.response.isEnded) {
+                this.#dependencies.metrics.counters.add(EdgeCounterNames.bodiesEvicted);
+                this.#refuse(NoMemory, { reason: "evicted" });
+            }
+        });
     }
 
     /** Refuses the request if it has yet to be sent and can no longer end before the process stops. */
--- a/src/edge/flow/requestBody.ts
+++ b/src/edge/flow/requestBody.ts
@@ -1,46 +1,61 @@
 /** Bodies of callers' requests. */
 import type { IncomingMessage } from "node:http";
-import type { BodyShare } from "./bodyMemory.js";
+import { GrowingBuffer } from "../../base/growingBuffer.js";
+import type { CallerMemory, MemoryHolder } from "../../scheduling/callerMemory.js";
 
 /** @returns Whether the head of a request announces a body. */
 export function hasBody(message: IncomingMessage): boolean {
     return message.headers["transfer-encoding"] !== undefined || Number(message.headers["content-length"] ?? 0) > 0;
 }
 
+/** @returns Length that the head of a request announces for its body, in bytes; `undefined` for one in chunks. */
+export function announcedLength({ headers }: IncomingMessage): number | undefined {
+    const length = headers["content-length"];
+    return length === undefined || headers["transfer-encoding"] !== undefined ? undefined : Number(length);
+}
+
 /** Why a body is not collected: it exceeds its own limit, or there is no memory for it beside those of other requests. */
 export type BodyRefusal = "tooLarge" | "noMemory";
 
 /**
  * Collects a body.
- * @param share Memory that the body takes; released when it is not collected, otherwise by the owner of the request.
+ * @param memory Account of the memory that the body takes.
+ * @param holder Holder of that memory; released when the body is not collected, otherwise by the owner of the request.
  * @param done Called once with the body or the reason why it is not collected; never when the caller disconnects first.
  */
 export function collectBody(
     message: IncomingMessage,
     maxBytes: number,
-    share: BodyShare,
+    memory: CallerMemory,
+    holder: MemoryHolder,
     done: (body: Buffer | BodyRefusal) => void,
 ): void {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const buffer = new GrowingBuffer(Math.min(maxBytes, announcedLength(message) ?? maxBytes));
     let refusal: BodyRefusal | undefined;
     message.on("data", (chunk: Buffer) => {
-        if (refusal !== undefined) {
+        if (refusal !== undefined || holder.isClosed) {
+            buffer.clear();
             return;
         }
-        size += chunk.length;
-        refusal = size > maxBytes ? "tooLarge" : share.tryAdd(chunk.length) ? undefined : "noMemory";
+        const addedBytes = buffer.allocatedBytesAfter(chunk.length) - buffer.allocatedBytes;
+        refusal = !buffer.hasRoomFor(chunk.length) ?
+            "tooLarge" :
+            addedBytes === 0 || memory.tryTake(holder, addedBytes) ?
+            undefined :
+            "noMemory";
         if (refusal === undefined) {
-            chunks.push(chunk);
+            buffer.append(chunk);
+            memory.recordProgress(holder);
             return;
         }
-        chunks.length = 0;
-        share.release();
+        buffer.clear();
+        memory.close(holder);
         done(refusal);
     });
     message.on("end", () => {
-        if (refusal === undefined) {
-            done(Buffer.concat(chunks));
+        if (refusal === undefined && !holder.isClosed) {
+            memory.protect(holder);
+            done(buffer.take());
         }
     });
 }
--- /dev/null
+++ b/src/edge/listener/listenerLimits.spec.ts
@@ -0,0 +1,138 @@
+import { createServer, type Server, type ServerResponse } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { ManualClock } from "../../base/clock.js";
+import { CallerMemory } from "../../scheduling/callerMemory.js";
+import { type LimitCloseReason, ListenerLimits } from "./listenerLimits.js";
+
+const MaxPipelined = 4;
+const MaxConnections = 3;
+const MaxOpenRequests = 12;
+
+const head = (id: number | string): string => `GET /${id} HTTP/1.1\r\nHost: h\r\n\r\n`;
+
+describe("ListenerLimits", () => {
+    let server: Server;
+    let limits: ListenerLimits;
+    let clock: ManualClock;
+    let closes: LimitCloseReason[];
+    let started: { readonly url: string; readonly response: ServerResponse; }[];
+    let clients: Socket[];
+
+    /** Opens a connection and waits until the server has it. */
+    async function open(text = ""): Promise<Socket & { text?: string; }> {
+        const accepted = new Promise(resolve => server.once("connection", resolve));
+        const client: Socket & { text?: string; } = connect((server.address() as AddressInfo).port, "127.0.0.1");
+        client.text = "";
+        client.on("data", bytes => client.text += bytes.toString());
+        client.on("error", () => undefined);
+        clients.push(client);
+        client.write(text);
+        await accepted;
+        return client;
+    }
+
+    const respondToAll = (): void => started.splice(0).forEach(({ url, response }) => response.end(url));
+
+    beforeEach(async () => {
+        clock = new ManualClock();
+        closes = [];
+        started = [];
+        clients = [];
+        server = createServer((request, response) =>
+            limits.admit(request, response, () => {
+                request.resume();
+                started.push({ url: request.url!, response });
+            })
+        );
+        limits = new ListenerLimits(server, {
+            clock,
+            memory: new CallerMemory(100_000, clock),
+            maxConnections: MaxConnections,
+            maxPipelinedRequests: MaxPipelined,
+            maxOpenRequests: MaxOpenRequests,
+            unreadTimeoutMs: 3_000,
+            onClose: (_socket, reason) => closes.push(reason),
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    });
+
+    afterEach(() => {
+        clients.forEach(client => client.destroy());
+        server.close();
+        server.closeAllConnections();
+    });
+
+    describe("given many pipelined requests", () => {
+        it("has a few open at a time and answers all in order (guards against requests refused or lost while they wait)", async () => {
+            const client = await open(Array.from({ length: 300 }, (_, index) => head(index)).join(""));
+            let mostOpen = 0;
+            await vi.waitFor(() => {
+                mostOpen = Math.max(mostOpen, started.length);
+                respondToAll();
+                expect(client.text).toContain("/299");
+            }, { timeout: 5_000, interval: 1 });
+            expect(mostOpen).toBe(MaxPipelined);
+            const bodies = [...client.text!.matchAll(/\r\n\r\n\/(\d+)(?=HTTP|$)/g)].map(match => Number(match[1]));
+            expect(bodies).toEqual(Array.from({ length: 300 }, (_, index) => index));
+        });
+
+        it("reads the body of the last one (guards against a request that waits for its own bytes)", async () => {
+            const body = "b".repeat(200_000);
+            const post = `POST /post HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+            const client = await open(head(0) + head(1) + head(2) + post + head("last"));
+            await vi.waitFor(() => {
+                respondToAll();
+                expect(client.text).toContain("/last");
+            }, 5_000);
+        });
+
+        it("forgets those whose connection closes (guards against open requests that are counted for ever)", async () => {
+            const client = await open(head(0) + head(1) + head(2));
+            await vi.waitFor(() => expect(started.length).toBe(3));
+            const closed = started.map(({ response }) => new Promise(resolve => response.once("close", resolve)));
+            client.resetAndDestroy();
+            await Promise.all(closed);
+            expect(limits.connectionCount).toBe(0);
+        });
+    });
+
+    describe("given more connections than the limit", () => {
+        it("closes the oldest without a request (guards against ordinary callers refused because of silent ones)", async () => {
+            await open(head("first"));
+            await vi.waitFor(() => expect(started.length).toBe(1));
+            const silent = await open("GET /part");
+            await open();
+            const latest = await open(head("latest"));
+            await vi.waitFor(() => expect(silent.destroyed).toBe(true));
+            await vi.waitFor(() => expect(started.length).toBe(2));
+            respondToAll();
+            await vi.waitFor(() => expect(latest.text).toContain("/latest"));
+            expect(closes).toEqual(["connections"]);
+        });
+
+        it("closes the new one while each has an open request (guards against requests that are broken off)", async () => {
+            for (let index = 0; index < MaxConnections; index++) {
+                await open(head(index));
+            }
+            await vi.waitFor(() => expect(started.length).toBe(MaxConnections));
+            const latest = await open();
+            await vi.waitFor(() => expect(latest.destroyed).toBe(true));
+            respondToAll();
+            await vi.waitFor(() => expect(clients.slice(0, 3).every(client => client.destroyed)).toBe(false));
+        });
+    });
+
+    describe("given unread responses beyond the memory", () => {
+        it("closes their connection (guards against responses that take all memory)", async () => {
+            const client = await open();
+            client.pause();
+            client.write(head(0));
+            await vi.waitFor(() => expect(started.length).toBe(1));
+            started[0]!.response.write(Buffer.alloc(20_000_000));
+            clock.advance(200);
+            limits.tick();
+            expect(closes).toEqual(["memory"]);
+        });
+    });
+});
--- /dev/null
+++ b/src/edge/listener/listenerLimits.ts
@@ -0,0 +1,246 @@
+/** Bounds the connections and requests of one listener, and what they make the process hold. */
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Clock } from "../../base/clock.js";
+import type { CallerMemory, MemoryHolder } from "../../scheduling/callerMemory.js";
+import { ConnectionBytes } from "./processLimits.js";
+import { SocketReader } from "./socketReader.js";
+
+/** Interval at which the memory of the connections is measured, in milliseconds. */
+const MeasureIntervalMs = 100;
+
+/**
+ * Why a connection is closed: there are too many and it brought least, it has most of too many requests, it holds most while memory is
+ * short, or its responses are not read while open requests are short.
+ */
+export type LimitCloseReason = "connections" | "requests" | "memory" | "unread";
+
+/** Collaborators and limits of {@link ListenerLimits}. */
+export interface ListenerLimitsOptions {
+    readonly clock: Clock;
+    readonly memory: CallerMemory;
+    readonly maxConnections: number;
+    /** Open requests of one connection, from which the connection is not read. */
+    readonly maxPipelinedRequests: number;
+    /** Open requests of all connections; from half of it each connection has one at a time. */
+    readonly maxOpenRequests: number;
+    /** Time for which responses may stay unread while open requests are short, in milliseconds. */
+    readonly unreadTimeoutMs: number;
+    /** Called before a connection is closed. */
+    onClose(socket: Socket, reason: LimitCloseReason): void;
+}
+
+/** State of one connection. */
+interface Connection {
+    readonly socket: Socket;
+    readonly reader: SocketReader;
+    readonly open: Set<ServerResponse>;
+    /** Requests that have been read and wait for those before them, in their order. */
+    readonly waiting: { readonly response: ServerResponse; readonly start: () => void; }[];
+    latestRequest: IncomingMessage | undefined;
+    requestCount: number;
+    idleSinceMs: number;
+    /** Holds what exceeds the fixed cost of a connection; `undefined` while that is nothing. */
+    holder: MemoryHolder | undefined;
+    sentBytes: number;
+    progressAtMs: number;
+}
+
+/** Knows the open connections of a server and closes those that exceed the limits. */
+export class ListenerLimits {
+    readonly #options: ListenerLimitsOptions;
+    readonly #connections = new Map<Socket, Connection>();
+    #openCount = 0;
+    #measuredAtMs = 0;
+
+    /** @param server Server whose connections are bounded, from the next one on. */
+    constructor(server: Server, options: ListenerLimitsOptions) {
+        this.#options = options;
+        server.on("connection", (socket: Socket) => this.#onConnection(socket));
+    }
+
+    /**
+     * When too many requests are open, closes the connection with most of them, if it has several. Every connection of a caller could have
+     * one, so that those with several are the cause.
+     * @param socket Connection of a request that has just arrived.
+     * @returns Whether that request may run.
+     */
+    hasRoomFor(socket: Socket): boolean {
+        if (this.#openCount <= this.#options.maxOpenRequests) {
+            return true;
+        }
+        let victim: Connection | undefined;
+        for (const connection of this.#connections.values()) {
+            if (connection.open.size > Math.max(1, victim?.open.size ?? 0) && !connection.socket.destroyed) {
+                victim = connection;
+            }
+        }
+        if (victim !== undefined) {
+            this.#close(victim, "requests");
+        }
+        return victim !== undefined && victim.socket !== socket;
+    }
+
+    /** @returns Number of open connections. */
+    get connectionCount(): number {
+        return this.#connections.size;
+    }
+
+    /**
+     * Starts a request, at once or after those before it on the same connection.
+     * @param start Called once, unless the connection closes before that.
+     */
+    admit(request: IncomingMessage, response: ServerResponse, start: () => void): void {
+        const connection = this.#connections.get(request.socket);
+        if (connection === undefined) {
+            start();
+            return;
+        }
+        connection.latestRequest = request;
+        connection.requestCount++;
+        connection.waiting.push({ response, start });
+        this.#startWaiting(connection);
+    }
+
+    /** Measures the memory of the connections and closes those that hold it without progress; called every few tens of milliseconds. */
+    tick(): void {
+        const nowMs = this.#options.clock.monotonicMs();
+        if (nowMs - this.#measuredAtMs < MeasureIntervalMs) {
+            return;
+        }
+        this.#measuredAtMs = nowMs;
+        for (const connection of [...this.#connections.values()]) {
+            if (connection.open.size > 0 || connection.holder !== undefined || connection.reader.pendingBytes > 0) {
+                this.#measure(connection, nowMs);
+            }
+        }
+    }
+
+    #onConnection(socket: Socket): void {
+        const nowMs = this.#options.clock.monotonicMs();
+        const connection: Connection = {
+            socket,
+            reader: new SocketReader(socket, () => this.#mayRead(connection), () => connection.requestCount),
+            open: new Set(),
+            waiting: [],
+            latestRequest: undefined,
+            requestCount: 0,
+            idleSinceMs: nowMs,
+            holder: undefined,
+            sentBytes: 0,
+            progressAtMs: nowMs,
+        };
+        this.#connections.set(socket, connection);
+        socket.once("close", () => this.#onClosed(connection));
+        if (this.#connections.size > this.#options.maxConnections) {
+            this.#close(this.#findLeastUsed() ?? connection, "connections");
+        }
+    }
+
+    /** @returns The oldest connection without a request or, if each has had one, the one that is idle longest. */
+    #findLeastUsed(): Connection | undefined {
+        let idle: Connection | undefined;
+        for (const connection of this.#connections.values()) {
+            if (connection.latestRequest === undefined) {
+                return connection;
+            }
+            const isIdle = connection.open.size === 0 && connection.waiting.length === 0;
+            if (isIdle && connection.idleSinceMs < (idle?.idleSinceMs ?? Number.POSITIVE_INFINITY)) {
+                idle = connection;
+            }
+        }
+        return idle;
+    }
+
+    /** The bytes behind a request that is not complete belong to it. */
+    #mayRead({ open, waiting, latestRequest }: Connection): boolean {
+        return latestRequest?.complete === false || open.size + waiting.length < this.#options.maxPipelinedRequests;
+    }
+
+    #startWaiting(connection: Connection): void {
+        const { open, waiting, socket } = connection;
+        const { maxPipelinedRequests, maxOpenRequests } = this.#options;
+        while (
+            waiting.length > 0 && !socket.destroyed &&
+            (open.size === 0 || (open.size < maxPipelinedRequests && this.#openCount < maxOpenRequests / 2))
+        ) {
+            const { response, start } = waiting.shift()!;
+            open.add(response);
+            this.#openCount++;
+            response.once("close", () => this.#onResponseClosed(connection, response));
+            start();
+        }
+    }
+
+    #onResponseClosed(connection: Connection, response: ServerResponse): void {
+        if (!connection.open.delete(response)) {
+            return;
+        }
+        this.#openCount--;
+        connection.idleSinceMs = this.#options.clock.monotonicMs();
+        connection.progressAtMs = connection.idleSinceMs;
+        if (!connection.socket.destroyed) {
+            this.#startWaiting(connection);
+            connection.reader.check();
+        }
+    }
+
+    #measure(connection: Connection, nowMs: number): void {
+        const { memory, maxOpenRequests, unreadTimeoutMs } = this.#options;
+        const { socket, open, waiting, reader } = connection;
+        const sentBytes = socket.bytesWritten - socket.writableLength;
+        const hasProgress = sentBytes > connection.sentBytes;
+        connection.sentBytes = sentBytes;
+        connection.progressAtMs = hasProgress ? nowMs : connection.progressAtMs;
+        const unsentBytes = [...open].reduce((sum, response) => sum + response.writableLength, socket.writableLength);
+        const requestBytes = Math.max(0, open.size + waiting.length - 1) * ConnectionBytes;
+        const bytes = unsentBytes + requestBytes + reader.pendingBytes;
+        if (bytes === 0) {
+            this.#releaseHolder(connection);
+            return;
+        }
+        if (
+            unsentBytes > 0 && this.#openCount > maxOpenRequests / 2 &&
+            nowMs - connection.progressAtMs > unreadTimeoutMs
+        ) {
+            this.#close(connection, "unread");
+            return;
+        }
+        connection.holder ??= memory.open(() => this.#close(connection, "memory"));
+        const { holder } = connection;
+        if (hasProgress || unsentBytes === 0) {
+            memory.recordProgress(holder);
+        }
+        memory.release(holder);
+        if (!memory.tryTake(holder, bytes)) {
+            this.#close(connection, "memory");
+        }
+    }
+
+    #close(connection: Connection, reason: LimitCloseReason): void {
+        if (!connection.socket.destroyed) {
+            this.#options.onClose(connection.socket, reason);
+            connection.socket.destroy();
+        }
+    }
+
+    #onClosed(connection: Connection): void {
+        this.#connections.delete(connection.socket);
+        this.#releaseHolder(connection);
+        connection.waiting.length = 0;
+        // The server reports the close only to the response whose turn it is; the requests behind it would count as open for ever.
+        process.nextTick(() => {
+            for (const response of [...connection.open]) {
+                response.destroy();
+                response.emit("close");
+            }
+        });
+    }
+
+    #releaseHolder(connection: Connection): void {
+        if (connection.holder !== undefined) {
+            this.#options.memory.close(connection.holder);
+            connection.holder = undefined;
+        }
+    }
+}
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -32,6 +32,11 @@
     connectionsClosedUnreadable: "edge.connections.closed.unreadable",
     connectionsClosedStop: "edge.connections.closed.stop",
     connectionsClosedLink: "edge.connections.closed.link",
+    connectionsClosedLimit: "edge.connections.closed.limit",
+    connectionsClosedRequests: "edge.connections.closed.requests",
+    connectionsClosedMemory: "edge.connections.closed.memory",
+    connectionsClosedUnread: "edge.connections.closed.unread",
+    bodiesEvicted: "edge.bodies.evicted",
     sends: "edge.sends",
     repeatedSends: "edge.sends.repeated",
     parallelSends: "edge.sends.parallel",
@@ -93,13 +98,17 @@
         return `${[...counters, ...summaries].join("\n")}\n`;
     }
 
-    /** Serves the metrics over HTTP, on any path. Rejects when the listener cannot be opened. */
-    async start(host: string, port: number): Promise<void> {
+    /**
+     * Serves the metrics over HTTP, on any path. Rejects when the listener cannot be opened.
+     * @param onServer Called with the server before it listens.
+     */
+    async start(host: string, port: number, onServer: (server: Server) => void = () => undefined): Promise<void> {
         const server = createServer((_request, response) => {
             response.writeHead(200, { "Content-Type": ContentType });
             response.end(this.render());
         });
         this.#server = server;
+        onServer(server);
         await new Promise<void>((resolve, reject) => {
             server.once("error", reject);
             server.listen(port, host, resolve);
--- a/src/edge/relay/relayServer.ts
+++ b/src/edge/relay/relayServer.ts
@@ -9,6 +9,7 @@
 import { findInvalidHeaderName } from "../../base/headerSyntax.js";
 import { log } from "../../base/log.js";
 import { StoredObjectSchema, type WatchedChange } from "../../platform/platformStore.js";
+import type { ListenerLimits } from "../listener/listenerLimits.js";
 import type { ChangeLog } from "./changeLog.js";
 import { StoreProxyPath } from "./storeProxyMessages.js";
 import type { StoreProxyServer } from "./storeProxyServer.js";
@@ -55,6 +56,8 @@
     changeLogFor(prefix: string): ChangeLog | undefined;
     /** Makes calls to the store for hosts that cannot reach it. */
     readonly storeProxy: StoreProxyServer;
+    /** Bounds the connections of the listener; by default they are not bounded. */
+    readonly limit?: (server: Server) => ListenerLimits;
 }
 
 /** Serves the change logs of this host; a request may wait for the next change. */
@@ -65,11 +68,19 @@
     constructor(dependencies: RelayServerDependencies) {
         this.#dependencies = dependencies;
         this.#server = createServer((request, response) => {
-            new CallbackGuard(error => {
+            const guard = new CallbackGuard(error => {
                 log.error("request of another host not handled", { error: describeError(error) });
                 response.destroy();
-            }).run(() => this.#serve(request, response));
+            });
+            const serve = () => guard.run(() => this.#serve(request, response));
+            if (limits === undefined) {
+                serve();
+            }
+            else {
+                limits.admit(request, response, serve);
+            }
         });
+        const limits = dependencies.limit?.(this.#server);
     }
 
     /**
--- a/src/edge/relay/storeProxyServer.ts
+++ b/src/edge/relay/storeProxyServer.ts
@@ -1,8 +1,10 @@
 /** Makes calls to the store for hosts that cannot reach it themselves. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { GrowingBuffer } from "../../base/growingBuffer.js";
 import { log } from "../../base/log.js";
 import type { CircuitBreakerStore } from "../../platform/circuitBreakerStore.js";
 import { MaxValueBytes } from "../../platform/platformStore.js";
+import type { CallerMemory } from "../../scheduling/callerMemory.js";
 import {
     type StoreCall,
     type StoreCallOutcome,
@@ -16,16 +18,21 @@
 /** Serves the endpoint. Calls go to this host's own connection to the store only, so that no call is passed on in a circle. */
 export class StoreProxyServer {
     readonly #store: CircuitBreakerStore;
+    readonly #memory: CallerMemory | undefined;
 
-    /** @param store This host's own access to the store. */
-    constructor(store: CircuitBreakerStore) {
+    /**
+     * @param store This host's own access to the store.
+     * @param memory Account of the memory that requests take; `undefined` when it is not bounded.
+     */
+    constructor(store: CircuitBreakerStore, memory?: CallerMemory) {
         this.#store = store;
+        this.#memory = memory;
     }
 
     /** Reads the call, makes it and responds; refuses it at once while the store is unreachable from this host. */
     async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
         try {
-            const call = await readCall(request);
+            const call = await readCall(request, this.#memory);
             if (call === undefined) {
                 respond(response, 400, { problem: "not a call to the store" });
             }
@@ -58,24 +65,41 @@
     }
 }
 
-/** @returns The call in the body; `undefined` when the body is too large or not a call. Rejects when it breaks off. */
-async function readCall(request: IncomingMessage): Promise<StoreCall | undefined> {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-        bytes += chunk.length;
-        if (bytes > MaxRequestBytes) {
-            return undefined;
-        }
-        chunks.push(chunk);
-    }
+/**
+ * @returns The call in the body; `undefined` when the body is too large, is not a call, or there is no memory for it. Rejects when it
+ * breaks off.
+ */
+async function readCall(request: IncomingMessage, memory: CallerMemory | undefined): Promise<StoreCall | undefined> {
+    const buffer = new GrowingBuffer(MaxRequestBytes);
+    const holder = memory?.open(() => request.destroy());
     try {
-        return StoreCallSchema.safeParse(JSON.parse(Buffer.concat(chunks).toString("utf8"))).data;
+        for await (const chunk of request as AsyncIterable<Buffer>) {
+            const addedBytes = buffer.allocatedBytesAfter(chunk.length) - buffer.allocatedBytes;
+            if (
+                !buffer.hasRoomFor(chunk.length) ||
+                (holder !== undefined && addedBytes > 0 && memory?.tryTake(holder, addedBytes) === false)
+            ) {
+                return undefined;
+            }
+            buffer.append(chunk);
+            if (holder !== undefined) {
+                memory?.recordProgress(holder);
+            }
+        }
+        return StoreCallSchema.safeParse(JSON.parse(buffer.take().toString("utf8"))).data;
     }
     catch (error) {
+        if (!request.complete) {
+            throw error;
+        }
         log.debug("store call of another host not readable", { error: String(error) });
         return undefined;
     }
+    finally {
+        if (holder !== undefined) {
+            memory?.close(holder);
+        }
+    }
 }
 
 function respond(response: ServerResponse, status: number, body: object): void {
--- a/src/scheduling/callerMemory.spec.ts
+++ b/src/scheduling/callerMemory.spec.ts
@@ -82,6 +82,21 @@
         });
     });
 
+    describe("given bodies without an announced length", () => {
+        it("evicts one for a body whose length is known (guards against ordinary bodies refused beside unfinished ones)", () => {
+            for (let index = 0; index < 10; index++) {
+                const unknown = memory.open(() => evicted.push(`unknown-${index}`), MaxBytes);
+                memory.tryTake(unknown, MaxBytes / 10);
+            }
+            const known = memory.open(undefined, MaxBytes / 5);
+            expect(memory.canTake(MaxBytes / 5)).toBe(true);
+            expect(memory.tryTake(known, MaxBytes / 5)).toBe(true);
+            expect(evicted).toHaveLength(2);
+            const next = memory.open(undefined, MaxBytes);
+            expect(memory.tryTake(next, MaxBytes / 10)).toBe(false);
+        });
+    });
+
     describe("when more is needed than can be freed", () => {
         it("evicts nothing (guards against evictions that help nobody)", () => {
             const complete = openBody("complete", 900_000);
@@ -103,6 +118,14 @@
             expect(evicted).toEqual(["stalled"]);
         });
 
+        it("evicts them after a longer time at any load (guards against bodies that never end)", () => {
+            openBody("stalled", 1_000);
+            clock.advance(20_000);
+            openBody("later", 1_000);
+            memory.evictStalled(3_000, 20_000);
+            expect(evicted).toEqual(["stalled"]);
+        });
+
         it("leaves them otherwise (guards against slow callers closed without need)", () => {
             openBody("stalled", 500_000);
             clock.advance(60_000);
--- a/src/scheduling/callerMemory.ts
+++ b/src/scheduling/callerMemory.ts
@@ -26,6 +26,8 @@
 /** State of a holder. */
 interface HolderState extends MemoryHolder {
     heldBytes: number;
+    /** Bytes that the holder may hold at its end. */
+    readonly expectedBytes: number;
     readonly openedAtMs: number;
     progressAtMs: number;
     isClosed: boolean;
@@ -74,11 +76,13 @@
      * Adds a holder, which holds nothing yet.
      * @param evict Called once if the holder is evicted, after its bytes have been released: frees the memory and ends the request, which
      * has not run, or the connection. Must not throw. `undefined` for a holder that is never evicted.
+     * @param expectedBytes Bytes that the holder may hold at its end: the announced length of a body or, without one, the maximum.
      */
-    open(evict?: () => void): MemoryHolder {
+    open(evict?: () => void, expectedBytes = 0): MemoryHolder {
         const nowMs = this.#clock.monotonicMs();
         const holder: HolderState = {
             heldBytes: 0,
+            expectedBytes,
             openedAtMs: nowMs,
             progressAtMs: nowMs,
             isClosed: false,
@@ -157,12 +161,17 @@
         }
     }
 
-    /** Evicts the holders without progress since a time, while the account is under pressure; called periodically. */
-    evictStalled(maxStallMs: number): void {
-        if (!this.isUnderPressure) {
+    /**
+     * Evicts the holders without progress; called periodically.
+     * @param pressureStallMs Time without progress while the account is under pressure, in milliseconds.
+     * @param maxStallMs Time without progress at any load, in milliseconds; by default without limit.
+     */
+    evictStalled(pressureStallMs: number, maxStallMs = Number.POSITIVE_INFINITY): void {
+        const nowMs = this.#clock.monotonicMs();
+        const sinceMs = nowMs - (this.isUnderPressure ? Math.min(pressureStallMs, maxStallMs) : maxStallMs);
+        if (sinceMs < 0) {
             return;
         }
-        const sinceMs = this.#clock.monotonicMs() - maxStallMs;
         for (const state of [...this.#holders.values()]) {
             if (state.evict !== undefined && state.heldBytes > 0 && state.progressAtMs <= sinceMs) {
                 this.#evict(state);
@@ -187,13 +196,13 @@
         return bytes <= this.availableBytes;
     }
 
-    /** @returns Holders that cost enough more than the asker, the most expensive first. */
+    /** @returns Holders that cost enough more than the asker; first those that have held most for longest. */
     #findVictims(asker: HolderState | undefined, askerCost: number, nowMs: number): HolderState[] {
         return [...this.#holders.values()]
             .filter(state => state !== asker && state.evict !== undefined && state.heldBytes > 0)
-            .map(state => ({ state, cost: costOf(state, state.heldBytes, nowMs) }))
-            .filter(({ cost }) => cost >= askerCost * EvictionRatio)
-            .sort((first, second) => second.cost - first.cost)
+            .filter(state => costOf(state, state.heldBytes, nowMs) >= askerCost * EvictionRatio)
+            .map(state => ({ state, heldByteMs: state.heldBytes * weightMs(state, nowMs) }))
+            .sort((first, second) => second.heldByteMs - first.heldByteMs)
             .map(({ state }) => state);
     }
 
@@ -206,9 +215,17 @@
 }
 
 /**
- * @returns Cost of a holder: bytes held multiplied by its age, or by four times its time without progress if that is longer. The bytes
- * held of a body are those delivered, so that at equal size the one that delivered fewer bytes per second costs more.
+ * @returns Cost of a holder: bytes held, or expected if these are more, multiplied by its time. A body without an announced length counts
+ * with the maximum, as it may still take that.
  */
 function costOf(state: HolderState, heldBytes: number, nowMs: number): number {
-    return heldBytes * Math.max(MinAgeMs, nowMs - state.openedAtMs, 4 * (nowMs - state.progressAtMs));
+    return Math.max(heldBytes, state.expectedBytes) * weightMs(state, nowMs);
+}
+
+/**
+ * @returns Age of a holder, or four times its time without progress if that is longer, in milliseconds. The bytes held of a body are those
+ * delivered, so that at equal size the one that delivered fewer bytes per second costs more.
+ */
+function weightMs(state: HolderState, nowMs: number): number {
+    return Math.max(MinAgeMs, nowMs - state.openedAtMs, 4 * (nowMs - state.progressAtMs));
 }
