--- a/src/edge/flow/incomingBody.ts
+++ b/src/edge/flow/incomingBody.ts
@@ -29,6 +29,7 @@
     readonly #dependencies: FlowDependencies;
     readonly #request: Omit<EdgeRequest, "body">;
     readonly #exchange: IncomingExchange;
+    #discard: () => void = () => undefined;
 
     constructor(
         dependencies: FlowDependencies,
@@ -60,11 +61,12 @@
             }
             this.#refuse(body === "noMemory" ? NoMemory : { code: "BodyTooLarge", ran: "no" }, { reason: body });
         };
-        collectBody(message, maxBodyBytes, memory, holder, guard.wrap(onEnd));
+        this.#discard = collectBody(message, maxBodyBytes, memory, holder, guard.wrap(onEnd));
     }
 
     /** Refuses the request, as its memory goes to requests that hold less or arrive faster. */
     evict(): void {
+        this.#discard();
         this.#exchange.guard.run(() => {
             if (!this.#exchange.response.isEnded) {
                 this.#dependencies.metrics.counters.add(EdgeCounterNames.bodiesEvicted);
--- a/src/edge/flow/requestBody.ts
+++ b/src/edge/flow/requestBody.ts
@@ -22,6 +22,7 @@
  * @param memory Account of the memory that the body takes.
  * @param holder Holder of that memory; released when the body is not collected, otherwise by the owner of the request.
  * @param done Called once with the body or the reason why it is not collected; never when the caller disconnects first.
+ * @returns Discards what has been collected, when the holder has been evicted.
  */
 export function collectBody(
     message: IncomingMessage,
@@ -29,12 +30,11 @@
     memory: CallerMemory,
     holder: MemoryHolder,
     done: (body: Buffer | BodyRefusal) => void,
-): void {
+): () => void {
     const buffer = new GrowingBuffer(Math.min(maxBytes, announcedLength(message) ?? maxBytes));
     let refusal: BodyRefusal | undefined;
     message.on("data", (chunk: Buffer) => {
         if (refusal !== undefined || holder.isClosed) {
-            buffer.clear();
             return;
         }
         const addedBytes = buffer.allocatedBytesAfter(chunk.length) - buffer.allocatedBytes;
@@ -58,6 +58,7 @@
             done(buffer.take());
         }
     });
+    return () => buffer.clear();
 }
 
 /** Maximum time for which the body of a refused request is read, in milliseconds. */
--- a/src/edge/listener/listenerLimits.ts
+++ b/src/edge/listener/listenerLimits.ts
@@ -220,6 +220,7 @@
     #close(connection: Connection, reason: LimitCloseReason): void {
         if (!connection.socket.destroyed) {
             this.#options.onClose(connection.socket, reason);
+            this.#connections.delete(connection.socket);
             connection.socket.destroy();
         }
     }
