Keep the limits of cold upstreams with the slots of stated ones

Cause: the hosts together send a cold upstream their full load.

Change: RateLimits takes the lower one of the stated and the cold limit. Slots get a timing: those of cold upstreams may be used for 300 ms after the next one begins (stated: 1,000 ms) and are smaller. They are divided by the upstream's id, as a host with an old list sends to the same process. The broadcast of limits has an optional field for cold upstreams, keyed by the revision of the entry, so that old entries do not spread.

--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -13,6 +13,7 @@
 import type { ProcessStart } from "./budget/ledger.js";
 import { ConfigurationTracker } from "./configurationTracker.js";
 import type { EdgeSettings } from "./edgeSettings.js";
+import type { Service } from "./edgeTypes.js";
 import { EventLoopMonitor } from "./eventLoopMonitor.js";
 import { CallerServer } from "./flow/callerServer.js";
 import { RetryBudgets } from "./flow/retryBudgets.js";
@@ -23,6 +24,7 @@
 import { UdpPeerChannel } from "./peers/peerChannel.js";
 import type { HeaderCodec, ObjectCodec } from "./protocolCodec.js";
 import { PromptQuarantine } from "./quarantine/promptQuarantine.js";
+import { ColdLimits } from "./rateLimit/coldLimits.js";
 import { RateLimits } from "./rateLimit/rateLimits.js";
 import { PeerRoutedStore } from "./relay/peerRoutedStore.js";
 import { RelayClient } from "./relay/relayClient.js";
@@ -66,6 +68,7 @@
 const RelayedProbeIntervalMs = 1_500;
 
 const NoHosts: readonly PeerHost[] = [];
+const NoServices: readonly Service[] = [];
 
 /** Number of hosts to assume for each zone until the hosts are listed. */
 const ExpectedHostsPerZone = 2;
@@ -144,7 +147,14 @@
         this.#configuration = new ConfigurationTracker(relayedStore, dependencies.objectCodec, this.#clock, table => {
             this.#callerServer.applyLimits(table.configuration.limits);
         });
-        this.#upstreamFeed = new UpstreamFeed(relayedStore, dependencies.objectCodec, this.#clock, this.#directory);
+        const cold = new ColdLimits({
+            clock: this.#clock,
+            counters: this.#metrics.counters,
+            services: () => this.#configuration.routeTable?.configuration.services ?? NoServices,
+            storeConfirmedAtMs: () => this.#upstreamFeed.lastSuccessMs,
+        });
+        const { objectCodec } = dependencies;
+        this.#upstreamFeed = new UpstreamFeed(relayedStore, objectCodec, this.#clock, this.#directory, cold);
         this.#members = new MemberList({
             store: this.#store,
             clock: this.#clock,
@@ -171,7 +181,7 @@
             store: this.#store,
             recordKey: dependencies.objectCodec.evidenceKey,
         });
-        this.#limits = new RateLimits({ ...peerDependencies, counters: this.#metrics.counters });
+        this.#limits = new RateLimits({ ...peerDependencies, counters: this.#metrics.counters, cold });
         this.#callerServer = this.#createCallerServer();
         this.#readinessServer = createServer((_request, response) => {
             response.writeHead(this.isReady ? 200 : 503, { "Content-Length": 0 });
--- a/src/edge/edgeTypes.ts
+++ b/src/edge/edgeTypes.ts
@@ -51,6 +51,10 @@
     /** Connections that one upstream accepts from all hosts together. */
     maxConnections: z.number().int().positive(),
     engine: EngineSchema.optional(),
+    /** Time after its start for which an upstream is cold. */
+    coldStartMs: DurationMsSchema.optional(),
+    /** Requests per second that a cold upstream tolerates from all hosts together; without it, or with 0, cold upstreams have no limit. */
+    coldRequestsPerS: z.number().nonnegative().optional(),
 });
 export type Service = z.infer<typeof ServiceSchema>;
 
@@ -96,6 +100,8 @@
     isLeaving: z.boolean(),
     /** Start time of the upstream's process; distinguishes two starts under one id. */
     startedAtMs: z.number(),
+    /** Time for which the upstream was still cold when the entry was written; absent when it states none. */
+    coldLeftMs: DurationMsSchema.optional(),
 });
 export type UpstreamEntry = z.infer<typeof UpstreamEntrySchema>;
 
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -57,6 +57,9 @@
     slotRequests: "edge.limits.slots.requested",
     slotsBorrowed: "edge.limits.slots.borrowed",
     slotsLent: "edge.limits.slots.lent",
+    coldUpstreams: "edge.limits.cold.upstreams",
+    coldIsolations: "edge.limits.cold.isolations",
+    coldStatementsSent: "edge.limits.cold.statements.sent",
 } as const;
 
 /** Counters and histograms of one process, with an HTTP listener that serves them. */
--- a/src/edge/rateLimit/limitExchange.ts
+++ b/src/edge/rateLimit/limitExchange.ts
@@ -1,9 +1,14 @@
-/** Exchange of the limits that upstreams state, so that hosts to which an upstream has not responded yet keep them too. */
+/**
+ * Exchange of the limits that upstreams state, so that hosts to which an upstream has not responded yet keep them too, and of the
+ * remaining time of cold upstreams, for hosts without the store.
+ */
 import type { Clock } from "../../base/clock.js";
 import type { Counters } from "../../base/counters.js";
 import { hash32 } from "../../base/hashing.js";
 import { EdgeCounterNames } from "../metrics.js";
 import { FleetBroadcast, type FleetBroadcastDependencies } from "../peers/fleetBroadcast.js";
+import { ColdBroadcast } from "./coldBroadcast.js";
+import type { ColdLimits } from "./coldLimits.js";
 import { identityKey, type LimitStatement, type LimitTracker, type UpstreamIdentity } from "./limitTracker.js";
 import type { LimitStatementsMessage } from "./slotMessages.js";
 
@@ -48,6 +53,7 @@
     readonly clock: Clock;
     readonly counters: Counters;
     readonly tracker: LimitTracker;
+    readonly cold?: ColdLimits | undefined;
 }
 
 /** Sends what responses to this host state about limits, and records what other hosts send. */
@@ -59,6 +65,7 @@
     readonly #changed = new Map<string, UpstreamIdentity>();
     /** Ends of limits that are sent a second time, in case a datagram was lost. */
     readonly #endings = new Map<string, UpstreamIdentity>();
+    readonly #coldBroadcast: ColdBroadcast | undefined;
     readonly #messageTimes = new Map<string, MessageTimes>();
     #repeatNumber = 0;
     #nextRepetitionCheckMs = Number.NEGATIVE_INFINITY;
@@ -66,6 +73,8 @@
     constructor(dependencies: LimitExchangeDependencies) {
         this.#dependencies = dependencies;
         this.#phase = hash32(dependencies.ownHost.hostId) / HashRange;
+        const { cold, clock } = dependencies;
+        this.#coldBroadcast = cold === undefined ? undefined : new ColdBroadcast(cold, clock, this.#phase);
         this.#broadcast = new FleetBroadcast<LimitStatementsMessage>({
             ...dependencies,
             kind: "v",
@@ -92,6 +101,26 @@
             this.#nextRepetitionCheckMs = nowMs + RepetitionCheckMs;
             this.#repeat(nowMs);
         }
+        this.#sendCold();
+    }
+
+    #sendCold(): void {
+        const due = this.#coldBroadcast?.takeDue() ?? [];
+        for (let start = 0; start < due.length; start += MaxStatementsPerMessage) {
+            const part = due.slice(start, start + MaxStatementsPerMessage);
+            this.#dependencies.counters.add(EdgeCounterNames.coldStatementsSent, part.length);
+            // Sent like a change: each repetition has to arrive within a fraction of the cold time, also if a gatherer has failed.
+            this.#broadcast.send({
+                l: [],
+                e: [],
+                c: part.map(({ upstream: { id, startedAtMs }, coldLeftMs, revision }) => [
+                    id,
+                    startedAtMs,
+                    Math.ceil(coldLeftMs),
+                    revision,
+                ]),
+            }, undefined);
+        }
     }
 
     /** Repeats what a response has stated since the last message, unless another host does so first. */
@@ -134,7 +163,7 @@
         }
     }
 
-    #receive({ h: hostId, l: limits, e: ends }: LimitStatementsMessage): void {
+    #receive({ h: hostId, l: limits, e: ends, c: cold = [] }: LimitStatementsMessage): void {
         const { clock, tracker } = this.#dependencies;
         const nowMs = clock.monotonicMs();
         for (const [id, startedAtMs, requestsPerS, ageMs] of limits) {
@@ -146,6 +175,9 @@
             const atMs = nowMs - ageMs - TransitToleranceMs;
             tracker.record({ upstream: { id, startedAtMs }, requestsPerS: undefined, atMs }, hostId);
         }
+        for (const [id, startedAtMs, coldLeftMs, revision] of cold) {
+            this.#coldBroadcast?.receive({ upstream: { id, startedAtMs }, coldLeftMs, revision }, hostId);
+        }
     }
 
     /** Another host has sent a message about an upstream, so that this one need not send the same. */
--- a/src/edge/rateLimit/rateLimits.ts
+++ b/src/edge/rateLimit/rateLimits.ts
@@ -1,6 +1,6 @@
 /**
- * Limits on the rate of requests that upstreams state, as requests use them: which upstream may get one now, and when a refused
- * request may come back.
+ * Limits on the rate of requests to upstreams, as requests use them: which upstream may get one now, and when a refused request may
+ * come back. Upstreams state limits in their responses, and cold upstreams have one; the lower one is in force.
  */
 import type { Clock } from "../../base/clock.js";
 import type { Counters } from "../../base/counters.js";
@@ -9,12 +9,13 @@
 import { EdgeCounterNames } from "../metrics.js";
 import type { ReportingHost } from "../peers/loadGatherers.js";
 import type { PeerChannel } from "../peers/peerChannel.js";
+import type { ColdLimits } from "./coldLimits.js";
 import { LimitExchange } from "./limitExchange.js";
 import { identityKey, LimitTracker, type UpstreamIdentity } from "./limitTracker.js";
 import { ReturnSchedule } from "./returnSchedule.js";
 import { type ReceivedSlotRequest, SlotExchange } from "./slotExchange.js";
-import type { Slot } from "./slotSchedule.js";
-import { UpstreamSlots } from "./upstreamSlots.js";
+import { ColdSlotTiming, type Slot, StatedSlotTiming } from "./slotSchedule.js";
+import { type SlotLimit, UpstreamSlots } from "./upstreamSlots.js";
 
 /** Maximum number of hosts that are asked for a slot for one request, and time after which no further one is asked, in milliseconds. */
 const MaxAskedHosts = 4;
@@ -34,10 +35,18 @@
     readonly ownHost: ReportingHost;
     /** Id of this start of the process. */
     readonly incarnation: string;
+    /** Limits of cold upstreams; without it only stated limits are kept. */
+    readonly cold?: ColdLimits | undefined;
     /** @returns The other hosts, the same object until they change; `undefined` before they are known. */
     otherHosts(): readonly ReportingHost[] | undefined;
 }
 
+/** The limit in force of an upstream. */
+interface EffectiveLimit extends SlotLimit {
+    /** Key by which the slots are divided, the same at all hosts. */
+    readonly slotKey: string;
+}
+
 /** Slot of another host that may be free. */
 interface BorrowableSlot {
     readonly upstream: UpstreamIdentity;
@@ -59,7 +68,8 @@
 
     constructor(dependencies: RateLimitsDependencies) {
         this.#dependencies = dependencies;
-        const { clock } = dependencies;
+        const { clock, channel, cold } = dependencies;
+        channel.onMessage(() => cold?.recordMessage());
         this.#tracker = new LimitTracker(clock);
         this.#limitExchange = new LimitExchange({ ...dependencies, tracker: this.#tracker });
         this.#slotExchange = new SlotExchange({ ...dependencies, giveSlot: request => this.#giveSlot(request) });
@@ -76,14 +86,14 @@
         }
     }
 
-    /** @returns Whether no upstream has stated a limit yet, so that requests need not be checked. */
+    /** @returns Whether no upstream has stated a limit yet and none is cold, so that requests need not be checked. */
     get isEmpty(): boolean {
-        return this.#tracker.isEmpty;
+        return this.#tracker.isEmpty && this.#dependencies.cold?.isActive !== true;
     }
 
     /** @returns Whether the upstream has a limit. */
     isLimited(upstream: UpstreamIdentity): boolean {
-        return this.#tracker.limitOf(upstream) !== undefined;
+        return this.#limitOf(upstream) !== undefined;
     }
 
     /**
@@ -94,12 +104,13 @@
         return !this.isLimited(upstream) || this.#slotsOf(upstream)?.hasOwnSlot(rank) === true;
     }
 
-    /** @returns An upstream that may get a request now and whose limit was not confirmed lately, if any. */
+    /** @returns An upstream that may get a request now and whose stated limit was not confirmed lately, if any; not a cold one. */
     findUnconfirmed<T extends UpstreamIdentity>(upstreams: readonly T[], rank: number): T | undefined {
         const nowMs = this.#dependencies.clock.monotonicMs();
         return upstreams.find(upstream => {
             const atMs = this.#tracker.statementAbout(upstream)?.atMs ?? nowMs;
-            return nowMs - atMs >= UnconfirmedMs && this.isLimited(upstream) && this.maySend(upstream, rank);
+            return nowMs - atMs >= UnconfirmedMs && this.isLimited(upstream) && !this.#isCold(upstream) &&
+                this.maySend(upstream, rank);
         });
     }
 
@@ -152,13 +163,15 @@
      * later times, as the limits allow.
      */
     retryAfterMs(service: string, upstreams: readonly UpstreamIdentity[], rank: number, maxMs: number): number {
-        const requestsPerS = upstreams.reduce((sum, upstream) => sum + (this.#tracker.limitOf(upstream) ?? 0), 0);
+        const requestsPerS = upstreams.reduce((sum, upstream) => sum + (this.#limitOf(upstream)?.requestsPerS ?? 0), 0);
         const hostCount = (this.#dependencies.otherHosts()?.length ?? 0) + 1;
         return this.#returns.add(`${service}/${rank}`, requestsPerS / hostCount, maxMs);
     }
 
     /** Sends what is due and ends requests for slots that are overdue; called every few tens of milliseconds. */
     tick(): void {
+        this.#dependencies.cold?.tick();
+        this.#createColdSlots();
         this.#limitExchange.tick();
         this.#slotExchange.tick();
     }
@@ -166,11 +179,40 @@
     /** @returns The limits in force, for the state dump. */
     dumpState(): unknown {
         const nowMs = this.#dependencies.clock.monotonicMs();
-        return this.#tracker.activeStatements.map(({ upstream, requestsPerS, atMs }) => ({
+        const stated = this.#tracker.activeStatements.map(({ upstream, requestsPerS, atMs }) => ({
             upstream: upstream.id,
             requestsPerS,
             ageMs: Math.round(nowMs - atMs),
         }));
+        return [...stated, ...this.#dependencies.cold?.dumpState() ?? []];
+    }
+
+    /** @returns The lower one of the stated and the cold limit of an upstream. */
+    #limitOf(upstream: UpstreamIdentity): EffectiveLimit | undefined {
+        const statedPerS = this.#tracker.limitOf(upstream);
+        const coldPerS = this.#dependencies.cold?.limitOf(upstream);
+        if (coldPerS !== undefined) {
+            const requestsPerS = Math.min(coldPerS, statedPerS ?? coldPerS);
+            // Hosts that have not learned of a restart send to the same process, so that the slots do not depend on the start.
+            return { requestsPerS, timing: ColdSlotTiming, slotKey: `cold/${upstream.id}` };
+        }
+        return statedPerS === undefined ?
+            undefined :
+            { requestsPerS: statedPerS, timing: StatedSlotTiming, slotKey: identityKey(upstream) };
+    }
+
+    #isCold(upstream: UpstreamIdentity): boolean {
+        return this.#dependencies.cold?.limitOf(upstream) !== undefined;
+    }
+
+    /**
+     * Slots count from their creation. Those of cold upstreams are created before the first request, as the cold period of an upstream is
+     * short compared with the time between two requests of a host.
+     */
+    #createColdSlots(): void {
+        if (this.#dependencies.cold?.isActive === true) {
+            this.#dependencies.cold.limited.forEach(upstream => this.#slotsOf(upstream));
+        }
     }
 
     #giveSlot({ upstreamId, startedAtMs, rank }: ReceivedSlotRequest): boolean {
@@ -189,25 +231,29 @@
 
     /** @returns The slots of an upstream with a limit; `undefined` while the other hosts are not known. */
     #slotsOf(upstream: UpstreamIdentity): UpstreamSlots | undefined {
-        const requestsPerS = this.#tracker.limitOf(upstream);
+        const limit = this.#limitOf(upstream);
         const hosts = this.#hosts;
-        if (requestsPerS === undefined || hosts === undefined) {
+        if (limit === undefined || hosts === undefined) {
             return undefined;
         }
-        const key = identityKey(upstream);
-        let slots = this.#slotsByUpstream.get(key);
-        if (slots?.requestsPerS !== requestsPerS) {
+        const { slotKey } = limit;
+        let slots = this.#slotsByUpstream.get(slotKey);
+        if (slots?.requestsPerS !== limit.requestsPerS) {
             const { ownHost, clock } = this.#dependencies;
             this.#forgetUnlimited();
-            slots = new UpstreamSlots(key, requestsPerS, hosts, ownHost.hostId, clock);
-            this.#slotsByUpstream.set(key, slots);
+            slots = new UpstreamSlots(slotKey, limit, hosts, ownHost.hostId, clock);
+            this.#slotsByUpstream.set(slotKey, slots);
         }
         slots.updateHosts(hosts);
         return slots;
     }
 
     #forgetUnlimited(): void {
-        const limited = new Set(this.#tracker.activeStatements.map(({ upstream }) => identityKey(upstream)));
+        const upstreams = [
+            ...this.#tracker.activeStatements.map(({ upstream }) => upstream),
+            ...this.#dependencies.cold?.limited ?? [],
+        ];
+        const limited = new Set(upstreams.map(upstream => this.#limitOf(upstream)?.slotKey));
         for (const key of this.#slotsByUpstream.keys()) {
             if (!limited.has(key)) {
                 this.#slotsByUpstream.delete(key);
--- a/src/edge/rateLimit/slotMessages.ts
+++ b/src/edge/rateLimit/slotMessages.ts
@@ -12,6 +12,8 @@
     l: z.array(z.tuple([z.string(), z.number(), z.number().nonnegative(), CountSchema])),
     /** Upstreams without a limit: id, start time, and time since the request was written, in milliseconds. */
     e: z.array(z.tuple([z.string(), z.number(), CountSchema])),
+    /** Cold upstreams: id, start time, remaining cold time in milliseconds, and the store's number of the entry's change that tells it. */
+    c: z.array(z.tuple([z.string(), z.number(), CountSchema, z.number()])).optional(),
 });
 export type LimitStatementsMessage = z.infer<typeof LimitStatementsSchema>;
 
--- a/src/edge/rateLimit/slotSchedule.ts
+++ b/src/edge/rateLimit/slotSchedule.ts
@@ -6,14 +6,25 @@
  */
 import { hash32, type RendezvousSet } from "../../base/hashing.js";
 
-/** Maximum number of slots per second; with a higher limit a slot allows several requests. */
-const MaxSlotsPerS = 10;
+/** How the time of a limit is divided into slots. */
+export interface SlotTiming {
+    /** Maximum number of slots per second; with a higher limit a slot allows several requests. */
+    readonly maxSlotsPerS: number;
+    /**
+     * Time for which a slot may be used after the next one has begun, in milliseconds. Within any span of time, requests exceed the
+     * limit by what it allows in this time and by two slots.
+     */
+    readonly usableAfterMs: number;
+}
+
+/** Slots of limits that upstreams state. */
+export const StatedSlotTiming: SlotTiming = { maxSlotsPerS: 10, usableAfterMs: 1_000 };
 
 /**
- * Time for which a slot may be used after the next one has begun, in milliseconds. Within any span of time, requests exceed the limit
- * by what it allows in this time and by two slots.
+ * Slots of cold upstreams, which crash under a short excess: a second contains at most 1.3 times the limit and two slots. The
+ * slots are smaller than those of stated limits, so that these two are few requests.
  */
-const UsableAfterMs = 1_000;
+export const ColdSlotTiming: SlotTiming = { maxSlotsPerS: 25, usableAfterMs: 300 };
 
 /** Number of values of {@link hash32}. */
 const HashRange = 2 ** 32;
@@ -36,6 +47,7 @@
     readonly #hosts: RendezvousSet;
     readonly #requestCount: number;
     readonly #slotMs: number;
+    readonly #usableAfterMs: number;
     readonly #phaseMs: number;
     /** Slots that were usable lately, newest first. */
     #recent: readonly (Slot & { readonly index: number; })[] = [];
@@ -44,17 +56,18 @@
      * @param upstreamKey Key of the upstream's incarnation, the same at all hosts.
      * @param requestsPerS Requests per second from all hosts together, above 0.
      */
-    constructor(upstreamKey: string, requestsPerS: number, hosts: RendezvousSet) {
+    constructor(upstreamKey: string, requestsPerS: number, hosts: RendezvousSet, timing: SlotTiming) {
         this.#upstreamKey = upstreamKey;
         this.#hosts = hosts;
-        this.#requestCount = Math.max(1, Math.ceil(requestsPerS / MaxSlotsPerS));
+        this.#requestCount = Math.max(1, Math.ceil(requestsPerS / timing.maxSlotsPerS));
         this.#slotMs = MsPerS * this.#requestCount / requestsPerS;
+        this.#usableAfterMs = timing.usableAfterMs;
         this.#phaseMs = hash32(upstreamKey) / HashRange * this.#slotMs;
     }
 
     /** @returns Time for which each slot may be used, in milliseconds. */
     get usableMs(): number {
-        return this.#slotMs + UsableAfterMs;
+        return this.#slotMs + this.#usableAfterMs;
     }
 
     /**
--- a/src/edge/rateLimit/upstreamSlots.ts
+++ b/src/edge/rateLimit/upstreamSlots.ts
@@ -2,7 +2,7 @@
 import { setBounded } from "../../base/boundedMap.js";
 import type { Clock } from "../../base/clock.js";
 import type { RendezvousSet } from "../../base/hashing.js";
-import { type Slot, SlotSchedule } from "./slotSchedule.js";
+import { type Slot, SlotSchedule, type SlotTiming } from "./slotSchedule.js";
 
 /** Maximum number of slots whose use is remembered; far more than may be used at the same time. */
 const MaxRememberedSlots = 100;
@@ -14,9 +14,17 @@
 const RankDelayMs = 150;
 const MaxRankDelayFraction = 0.5;
 
+/** A limit, and how its time is divided into slots. */
+export interface SlotLimit {
+    /** Requests per second from all hosts together, above 0. */
+    readonly requestsPerS: number;
+    readonly timing: SlotTiming;
+}
+
 /** Slots by one limit; with another limit the slots are other ones. */
 export class UpstreamSlots {
     readonly requestsPerS: number;
+    readonly #timing: SlotTiming;
     readonly #clock: Clock;
     readonly #ownHostId: string;
     readonly #beginsAtMs: number;
@@ -27,21 +35,28 @@
     #schedule: SlotSchedule;
 
     /** @param upstreamKey Key of the upstream's incarnation, the same at all hosts. */
-    constructor(upstreamKey: string, requestsPerS: number, hosts: RendezvousSet, ownHostId: string, clock: Clock) {
+    constructor(
+        upstreamKey: string,
+        { requestsPerS, timing }: SlotLimit,
+        hosts: RendezvousSet,
+        ownHostId: string,
+        clock: Clock,
+    ) {
         this.#upstreamKey = upstreamKey;
         this.requestsPerS = requestsPerS;
+        this.#timing = timing;
         this.#hosts = hosts;
         this.#ownHostId = ownHostId;
         this.#clock = clock;
         this.#beginsAtMs = clock.monotonicMs();
-        this.#schedule = new SlotSchedule(upstreamKey, requestsPerS, hosts);
+        this.#schedule = new SlotSchedule(upstreamKey, requestsPerS, hosts, timing);
     }
 
     /** Divides later slots among other hosts, unless these are the same object as before. */
     updateHosts(hosts: RendezvousSet): void {
         if (hosts !== this.#hosts) {
             this.#hosts = hosts;
-            this.#schedule = new SlotSchedule(this.#upstreamKey, this.requestsPerS, hosts);
+            this.#schedule = new SlotSchedule(this.#upstreamKey, this.requestsPerS, hosts, this.#timing);
         }
     }
 
--- a/src/edge/upstream/upstreamFeed.ts
+++ b/src/edge/upstream/upstreamFeed.ts
@@ -4,6 +4,7 @@
 import type { PlatformStore, StoredObject } from "../../platform/platformStore.js";
 import type { UpstreamEntry } from "../edgeTypes.js";
 import type { ObjectCodec } from "../protocolCodec.js";
+import type { ColdLimits } from "../rateLimit/coldLimits.js";
 import { StoreFeed } from "../storeFeed.js";
 import type { UpstreamDirectory } from "./upstreamDirectory.js";
 
@@ -16,10 +17,19 @@
     readonly #clock: Clock;
     readonly #directory: UpstreamDirectory;
     readonly #feed: StoreFeed;
+    readonly #cold: ColdLimits | undefined;
     /** Monotonic time at which the entries of a store that came back from a copy were listed, in milliseconds. */
     #restoredAtMs = Number.NEGATIVE_INFINITY;
 
-    constructor(store: PlatformStore, codec: ObjectCodec, clock: Clock, directory: UpstreamDirectory) {
+    /** @param cold Gets the remaining cold time of each entry. */
+    constructor(
+        store: PlatformStore,
+        codec: ObjectCodec,
+        clock: Clock,
+        directory: UpstreamDirectory,
+        cold?: ColdLimits,
+    ) {
+        this.#cold = cold;
         this.#codec = codec;
         this.#clock = clock;
         this.#directory = directory;
@@ -27,6 +37,7 @@
             onSnapshot: (objects, isNewHistory) => {
                 this.#restoredAtMs = isNewHistory ? clock.monotonicMs() : this.#restoredAtMs;
                 const entries = objects.flatMap(object => this.#readEntry(object) ?? []);
+                cold?.endFirstList();
                 // An upstream that was removed after the copy was made may be listed in it.
                 const isCurrent = (entry: UpstreamEntry) => !directory.hasEnded(entry.id, entry.startedAtMs);
                 directory.replaceAll(isNewHistory ? entries.filter(isCurrent) : entries, this.#lapseGraceMs());
@@ -39,6 +50,11 @@
         });
     }
 
+    /** @returns Monotonic time of the store's last response, in milliseconds; `-Infinity` before the first. */
+    get lastSuccessMs(): number {
+        return this.#feed.lastSuccessMs;
+    }
+
     /** Starts to watch the store. */
     start(): void {
         this.#feed.start();
@@ -65,6 +81,7 @@
             log.warn("upstream entry ignored", { key: object.key, revision: object.revision, problem: entry });
             return undefined;
         }
+        this.#cold?.recordEntry(entry, object.revision);
         return entry;
     }
 
--- a/src/standins/rateLimitTestFleet.ts
+++ b/src/standins/rateLimitTestFleet.ts
@@ -2,8 +2,11 @@
 import { Clock } from "../base/clock.js";
 import { Counters } from "../base/counters.js";
 import { SeededRandom } from "../base/random.js";
+import type { UpstreamEntry } from "../edge/edgeTypes.js";
 import type { ReportingHost } from "../edge/peers/loadGatherers.js";
 import { PeerChannel, type PeerMessage, type PeerMessageListener } from "../edge/peers/peerChannel.js";
+import { ColdLimits } from "../edge/rateLimit/coldLimits.js";
+import type { UpstreamIdentity } from "../edge/rateLimit/limitTracker.js";
 import { RateLimits } from "../edge/rateLimit/rateLimits.js";
 
 /** Step of the simulation and delay of a message, in milliseconds. */
@@ -16,6 +19,15 @@
 /** Time from the start of a host until it knows the others, in milliseconds. */
 const ListingMs = 1_200;
 
+/** Maximum time until a host learns of a change in the store, and interval of the hosts' load reports, in milliseconds. */
+const FeedDelayMs = 200;
+const ReportMs = 500;
+
+const Service = "model";
+
+/** Any message; only its arrival counts. */
+const LoadReport: PeerMessage = { k: "sr", i: "", n: 0, g: false };
+
 const StartWallMs = 1_790_000_000_000;
 
 /** A fleet and the upstreams of one service. */
@@ -28,6 +40,9 @@
     readonly seed: number;
     /** Maximum difference between the wall clock of a host and the time, in milliseconds. */
     readonly clockErrorMs?: number;
+    /** Requests per second that a cold upstream tolerates, and time after its start for which it is cold, in milliseconds. */
+    readonly coldRequestsPerS?: number;
+    readonly coldStartMs?: number;
 }
 
 /** Clock of one host; its monotonic time stands still while the host is frozen. */
@@ -83,7 +98,12 @@
     readonly identity: ReportingHost;
     readonly clock: HostClock;
     limits: RateLimits;
+    cold: ColdLimits;
     channel: FleetChannel;
+    /** Start time of each listed upstream by this host's list; `undefined` for one that is not listed. */
+    readonly starts: (number | undefined)[];
+    /** Time at which the host lost its connection to the store, in milliseconds; `undefined` while it is connected. */
+    storeLostAtMs: number | undefined;
     /** Whether messages of and to the host are lost; it still reaches the upstreams. */
     isCutOff: boolean;
     isFrozen: boolean;
@@ -106,6 +126,9 @@
     readonly #identities: readonly ReportingHost[];
     readonly #arrivalsMs: number[][];
     readonly #openCounts: number[];
+    /** Entries in the store with their revisions; `undefined` for upstreams that are down. */
+    readonly #entries: (readonly [entry: UpstreamEntry, revision: number] | undefined)[];
+    #revision = 0;
     readonly #hostsByAddress: ReadonlyMap<string, RateLimitTestHost>;
     readonly #events = new Map<number, (() => void)[]>();
     #nowMs = 0;
@@ -118,6 +141,7 @@
         this.limitsPerS = Array<number | undefined>(upstreamCount).fill(undefined);
         this.#arrivalsMs = Array.from({ length: upstreamCount }, () => []);
         this.#openCounts = Array<number>(upstreamCount).fill(0);
+        this.#entries = this.limitsPerS.map((_, index) => [this.#createEntry(index, StartWallMs), ++this.#revision]);
         this.#identities = Array.from({ length: hostCount }, (_, index) => ({
             hostId: `front-${seed}-${index}`,
             zone: `z${index % zoneCount}`,
@@ -131,6 +155,7 @@
                 isCutOff: false,
                 isFrozen: false,
                 isDown: false,
+                storeLostAtMs: undefined,
                 delayed: [],
                 ...this.#start(identity, clock),
             };
@@ -152,6 +177,9 @@
             const due = this.#events.get(this.#nowMs) ?? [];
             this.#events.delete(this.#nowMs);
             due.forEach(run => run());
+            if (this.#nowMs % ReportMs === 0) {
+                this.#deliverReports();
+            }
             if (this.#nowMs % TickMs === 0) {
                 this.hosts.filter(({ isFrozen, isDown }) => !isFrozen && !isDown).forEach(({ limits }) =>
                     limits.tick()
@@ -181,6 +209,42 @@
         return this.hosts.filter(({ limits }) => limits.isLimited(identityOf(upstream))).length;
     }
 
+    /** @returns Number of hosts by whose list an upstream has a limit. */
+    countColdHosts(upstream: number): number {
+        return this.hosts.filter(({ limits, starts: { [upstream]: startedAtMs } }) =>
+            startedAtMs !== undefined && limits.isLimited({ id: idOf(upstream), startedAtMs })
+        ).length;
+    }
+
+    /** Ends the process of an upstream; its entry is removed. */
+    stopUpstream(index: number): void {
+        this.#entries[index] = undefined;
+        this.#publish(index);
+    }
+
+    /** Starts an upstream, whose entry states its remaining cold time, if any is given, in milliseconds. */
+    startUpstream(index: number, coldLeftMs: number | undefined): void {
+        this.#entries[index] = [this.#createEntry(index, StartWallMs + this.#nowMs, coldLeftMs), ++this.#revision];
+        this.#publish(index);
+    }
+
+    /** States the remaining cold time of a running upstream, in milliseconds. */
+    setColdLeft(index: number, coldLeftMs: number): void {
+        this.#entries[index] = [{ ...this.#entries[index]![0], coldLeftMs }, ++this.#revision];
+        this.#publish(index);
+    }
+
+    /** Cuts a host off from the store. */
+    loseStore(host: RateLimitTestHost): void {
+        host.storeLostAtMs = host.clock.monotonicMs();
+    }
+
+    /** Connects a host to the store again. */
+    regainStore(host: RateLimitTestHost): void {
+        host.storeLostAtMs = undefined;
+        this.#entries.forEach((_, index) => this.#deliverEntry(host, index));
+    }
+
     /** @returns Largest number of requests that an upstream got in any span of a length, from a time on. */
     worstCount(upstream: number, fromMs: number, spanMs: number): number {
         const times = this.#arrivalsMs[upstream]!.filter(time => time >= fromMs);
@@ -192,13 +256,68 @@
         return this.#arrivalsMs[upstream]!.filter(time => time >= fromMs).length;
     }
 
-    #start(identity: ReportingHost, clock: HostClock): Pick<RateLimitTestHost, "limits" | "channel"> {
+    #createEntry(index: number, startedAtMs: number, coldLeftMs?: number): UpstreamEntry {
+        const address = `10.1.0.${index}:80`;
+        return {
+            id: idOf(index),
+            service: Service,
+            address,
+            zone: "z0",
+            slots: 6,
+            isLeaving: false,
+            startedAtMs,
+            coldLeftMs,
+        };
+    }
+
+    #publish(index: number): void {
+        for (const host of this.hosts) {
+            const delayMs = StepMs * (1 + this.#random.integer(FeedDelayMs / StepMs));
+            this.#schedule(delayMs, host, () => {
+                if (host.storeLostAtMs === undefined) {
+                    this.#deliverEntry(host, index);
+                }
+            });
+        }
+    }
+
+    #deliverEntry(host: RateLimitTestHost, index: number): void {
+        const listed = this.#entries[index];
+        host.starts[index] = listed?.[0].startedAtMs;
+        if (listed !== undefined) {
+            host.cold.recordEntry(...listed);
+        }
+    }
+
+    #deliverReports(): void {
+        const connected = this.hosts.filter(({ isCutOff, isFrozen, isDown }) => !isCutOff && !isFrozen && !isDown);
+        for (const { channel } of connected.length > 1 ? connected : []) {
+            channel.listeners.forEach(listener => listener(LoadReport, ""));
+        }
+    }
+
+    #start(
+        identity: ReportingHost,
+        clock: HostClock,
+    ): Pick<RateLimitTestHost, "limits" | "cold" | "channel" | "starts"> {
+        const { coldRequestsPerS, coldStartMs } = this.#plan;
+        const services = [{ name: Service, maxConnections: 100, coldRequestsPerS, coldStartMs }];
+        const cold = new ColdLimits({
+            clock,
+            counters: new Counters(),
+            services: () => services,
+            storeConfirmedAtMs: () =>
+                this.#hostsByAddress.get(identity.peerAddress)?.storeLostAtMs ?? clock.monotonicMs(),
+        });
+        this.#entries.forEach(listed => listed !== undefined && cold.recordEntry(...listed));
+        cold.endFirstList();
         const channel = new FleetChannel((address, message) => this.#send(identity, address, message));
         const startedMs = clock.monotonicMs();
         let others: ReportingHost[] | undefined;
         const limits = new RateLimits({
             clock,
             counters: new Counters(),
+            cold,
             channel,
             ownHost: identity,
             incarnation: `mf3k2a9x${(this.#startCount++).toString(36)}`,
@@ -209,7 +328,7 @@
                 return others ??= this.#identities.filter(({ hostId }) => hostId !== identity.hostId);
             },
         });
-        return { channel, limits };
+        return { channel, limits, cold, starts: this.#entries.map(listed => listed?.[0].startedAtMs) };
     }
 
     /** Schedules an event of a host; it waits while the host is frozen, and is lost if its process has ended by then. */
@@ -244,15 +363,16 @@
             return;
         }
         this.requestCount++;
-        const upstreams = this.limitsPerS.map((_, index) => index);
-        const identities = upstreams.map(identityOf);
+        const identities = host.starts.flatMap((startedAtMs, index) =>
+            startedAtMs === undefined ? [] : [{ id: idOf(index), startedAtMs, index }]
+        );
         const unconfirmed = host.limits.findUnconfirmed(identities, 0);
-        const open = upstreams.filter(index => host.limits.maySend(identityOf(index), 0))
-            .map(index => ({ index, cost: this.#openCounts[index]! + this.#random.next() / 2 }))
+        const open = identities.filter(upstream => host.limits.maySend(upstream, 0))
+            .map(upstream => ({ upstream, cost: this.#openCounts[upstream.index]! + this.#random.next() / 2 }))
             .sort((left, right) => left.cost - right.cost);
-        const best = unconfirmed === undefined ? open[0]?.index : identities.indexOf(unconfirmed);
+        const best = unconfirmed ?? open[0]?.upstream;
         if (best !== undefined) {
-            host.limits.recordSend(identityOf(best), 0);
+            host.limits.recordSend(best, 0);
             this.#dispatch(host, best);
             return;
         }
@@ -261,11 +381,17 @@
                 this.refusedCount++;
                 return;
             }
-            this.#dispatch(host, identities.indexOf(granted));
+            this.#dispatch(host, granted);
         });
     }
 
-    #dispatch(host: RateLimitTestHost, upstream: number): void {
+    #dispatch(host: RateLimitTestHost, identity: UpstreamIdentity & { readonly index: number; }): void {
+        const { index: upstream } = identity;
+        if (this.#entries[upstream] === undefined) {
+            // The process has ended, which only a host without the store does not know.
+            this.refusedCount++;
+            return;
+        }
         this.#arrivalsMs[upstream]!.push(this.#nowMs);
         this.#openCounts[upstream]!++;
         const requestsPerS = this.limitsPerS[upstream];
@@ -276,12 +402,16 @@
             const stated = requestsPerS === undefined ?
                 { kind: "none" as const } :
                 { kind: "rate" as const, requestsPerS };
-            host.limits.recordResponse(identityOf(upstream), stated, writtenAtMs);
+            host.limits.recordResponse(identity, stated, writtenAtMs);
         });
     }
 }
 
-/** @returns Identity of an upstream, the same at all hosts. */
-function identityOf(index: number): { readonly id: string; readonly startedAtMs: number; } {
-    return { id: `i-${index}`, startedAtMs: StartWallMs };
+/** @returns Identity of the first start of an upstream, the same at all hosts. */
+function identityOf(index: number): UpstreamIdentity {
+    return { id: idOf(index), startedAtMs: StartWallMs };
+}
+
+function idOf(index: number): string {
+    return `i-${index}`;
 }
