--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -72,6 +72,9 @@
     placementsAffinity: "edge.placements.affinity",
     placementsLeastCost: "edge.placements.leastCost",
     placementsOtherZone: "edge.placements.otherZone",
+    coldUpstreams: "edge.limits.cold.upstreams",
+    coldIsolations: "edge.limits.cold.isolations",
+    coldStatementsSent: "edge.limits.cold.statements.sent",
 } as const;
 
 /** Counters and histograms of one process, with an HTTP listener that serves them. */
