Test bursts and hosts with an old list against the cold limit

Cause: trials with the slot timing of stated limits, and with slots that depend on the start of the upstream, passed all tests.

Change: a fleet whose demand pauses for 0.3 to 2 s and returns at 1,500 requests a second, and a host that lists the previous start.

Measured: 6 of 6 pass. With the timing of stated limits 3 of 5 pauses give up to 26 requests in a second (bound 21.5); with slots by start the other test fails.

--- a/src/edge/rateLimit/coldLimits.spec.ts
+++ b/src/edge/rateLimit/coldLimits.spec.ts
@@ -87,6 +87,23 @@
         });
     });
 
+    describe("given demand that comes in bursts", () => {
+        it.each([300, 700, 1_000, 1_500, 2_000])(
+            "keeps the bound after pauses of %d ms (guards against slots that are saved up)",
+            pauseMs => {
+                const fleet = createFleet({ upstreamCount: 2 });
+                const fromMs = restartAll(fleet, 20_000);
+                for (let burst = 0; burst < 6; burst++) {
+                    fleet.requestsPerS = 0;
+                    fleet.play(pauseMs);
+                    fleet.requestsPerS = 1_500;
+                    fleet.play(1_000);
+                }
+                expectWithinBound(fleet, fromMs);
+            },
+        );
+    });
+
     describe("given one cold upstream among others", () => {
         // In a large fleet the others take part of the requests that a host has while it may use a slot.
         it.each([
--- a/src/edge/rateLimit/coldState.spec.ts
+++ b/src/edge/rateLimit/coldState.spec.ts
@@ -151,6 +151,20 @@
         });
     });
 
+    describe("given a host that still lists the previous start", () => {
+        it("takes its requests from the same slots (guards against two rates for one process)", () => {
+            const next = { ...Entry, startedAtMs: 2 };
+            cold.recordEntry({ ...next, coldLeftMs: 30_000 }, 2);
+            for (let step = 0; step < 100; step++) {
+                play(100);
+                while (limits.maySend(Entry, 0)) {
+                    limits.recordSend(Entry, 0);
+                }
+                expect(limits.maySend(next, 0)).toBe(false);
+            }
+        });
+    });
+
     describe("given a message about a cold upstream", () => {
         it.each([[2, true], [1, false]])(
             "applies one of a later change of the entry only, change %d (guards against old messages)",
--- a/src/standins/rateLimitTestFleet.ts
+++ b/src/standins/rateLimitTestFleet.ts
@@ -117,6 +117,8 @@
     readonly hosts: RateLimitTestHost[];
     /** Limit of each upstream, in requests per second; `undefined` for none. */
     readonly limitsPerS: (number | undefined)[];
+    /** Requests per second that all callers send together; by the plan at first. */
+    requestsPerS: number;
     /** Requests that found no upstream, and all requests. */
     refusedCount = 0;
     requestCount = 0;
@@ -137,6 +139,7 @@
     constructor(plan: RateLimitTestPlan) {
         const { hostCount, zoneCount, upstreamCount, seed, clockErrorMs = 0 } = plan;
         this.#plan = plan;
+        this.requestsPerS = plan.requestsPerS;
         this.#random = new SeededRandom(seed);
         this.limitsPerS = Array<number | undefined>(upstreamCount).fill(undefined);
         this.#arrivalsMs = Array.from({ length: upstreamCount }, () => []);
@@ -185,7 +188,7 @@
                     limits.tick()
                 );
             }
-            for (let due = this.#plan.requestsPerS * StepMs / 1_000; due > 0; due--) {
+            for (let due = this.requestsPerS * StepMs / 1_000; due > 0; due--) {
                 if (this.#random.next() < due) {
                     this.#arrive();
                 }
