Test a router process whose callers do not respect the limits

Cause: bodies in chunks of one byte, pipelined requests whose responses are not read, unfinished bodies and silent connections make a router hold memory and descriptors without a bound.

Change: six tests with a real router process (heap 64 MB) and the settings gateway.callerMemoryBytes and gateway.maxConnections, which have no effect yet. The tests check that the process lives, that RSS and descriptors stay under a bound computed from the limits, and that an ordinary request is answered.

--- /dev/null
+++ b/src/gateway/callerLimits.isolated.ts
@@ -0,0 +1,223 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { connect, type Socket } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as delay } from "node:timers/promises";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { waitForReady } from "../bench/processes.js";
+import type { RouterSettingsInput } from "../router/routerSettings.js";
+import { PlatformServer } from "../standins/platform/platformServer.js";
+import {
+    createExampleResources,
+    ExampleApiKey,
+    ExamplePaidTokens,
+    seedStore,
+} from "../standins/router/exampleConfiguration.js";
+import { UpstreamServer } from "../standins/upstream/upstreamServer.js";
+
+const BytesPerMb = 1_000_000;
+
+/** Limits of the router under test. */
+const HeapMb = 64;
+const CallerMemoryMb = 24;
+const MaxConnections = 64;
+const MaxBodyBytes = 4_000_000;
+
+/** Memory of an idle router outside its heap: the program, its libraries and the buffers of its own connections. */
+const ProgramMb = 110;
+/** Descriptors that a router may use besides those of its callers' connections, as in the deployments. */
+const OtherDescriptors = 200;
+
+const MaxRssMb = HeapMb + CallerMemoryMb + ProgramMb;
+const MaxDescriptors = MaxConnections + OtherDescriptors;
+
+/** Duration of a sale, in milliseconds; longer than a test. */
+const SaleMs = 60_000;
+
+/** Time after which a crowd that no longer changes is taken to have been read as far as it will be, in milliseconds. */
+const QuietMs = 1_000;
+
+/** Processor time up to which a process counts as idle in a tenth of a second, in ticks of 10 ms. */
+const MaxIdleTicks = 3;
+
+const ChatHead = "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\n" +
+    `Authorization: Bearer ${ExampleApiKey}\r\nTransfer-Encoding: chunked\r\n\r\n`;
+
+describe("a router process whose callers do not respect the limits", () => {
+    let platform: PlatformServer;
+    let engine: UpstreamServer;
+    let sales: UpstreamServer;
+    let folder: string;
+    let router: ChildProcess;
+    let addresses: { readonly caller: string; readonly operator: string; };
+    let sockets: Socket[];
+    let isExited: boolean;
+    let maxRssMb: number;
+    let maxDescriptors: number;
+    let sampler: NodeJS.Timeout;
+
+    beforeEach(async () => {
+        [isExited, maxRssMb, maxDescriptors, sockets] = [false, 0, 0, []];
+        platform = new PlatformServer({ hostListLagMs: 100 });
+        engine = new UpstreamServer({ port: 0, tokenIntervalMs: 1 });
+        sales = new UpstreamServer({ port: 0, type: "service", serviceTimeMs: SaleMs });
+        folder = mkdtempSync(join(tmpdir(), "toucan-limits-"));
+        const platformUrl = await platform.start(0);
+        const urls = { engines: [await engine.start()], sales: await sales.start() };
+        seedStore(platform.objects, createExampleResources(urls), ExamplePaidTokens);
+        addresses = await startRouter({
+            hostId: "h1",
+            zone: "z1",
+            caller: { port: 0 },
+            operator: { port: 0 },
+            platform: { url: platformUrl },
+            gateway: {
+                maxBodyBytes: MaxBodyBytes,
+                callerMemoryBytes: CallerMemoryMb * BytesPerMb,
+                maxConnections: MaxConnections,
+            },
+        });
+        await waitForReady(`http://${addresses.caller}/readyz`, 20_000);
+        sampler = setInterval(takeSample, 20);
+    });
+
+    afterEach(async () => {
+        clearInterval(sampler);
+        sockets.forEach(socket => socket.destroy());
+        if (!isExited) {
+            const exit = new Promise(resolve => router.once("exit", resolve));
+            router.kill("SIGKILL");
+            await exit;
+        }
+        await Promise.all([engine.stop(), sales.stop(), platform.stop()]);
+        rmSync(folder, { recursive: true });
+    });
+
+    async function startRouter(settings: RouterSettingsInput): Promise<typeof addresses> {
+        const file = join(folder, "settings.json");
+        writeFileSync(file, JSON.stringify(settings));
+        const flags = [`--max-old-space-size=${HeapMb}`, "dist/programs/toucanRouter.js"];
+        router = spawn(process.execPath, [...flags, "--log-level", "error", "--settings", file], {
+            stdio: ["ignore", "pipe", "ignore"],
+        });
+        router.once("exit", () => isExited = true);
+        for await (const chunk of router.stdout!) {
+            return JSON.parse(String(chunk)) as typeof addresses;
+        }
+        throw new Error("the router ended without output");
+    }
+
+    /** Reads the memory and descriptors of the process; a process that has ended has none. */
+    function takeSample(): void {
+        try {
+            const status = readFileSync(`/proc/${router.pid}/status`, "utf8");
+            const rssKb = Number(/^VmRSS:\s+(\d+) kB/m.exec(status)?.[1] ?? 0);
+            maxRssMb = Math.max(maxRssMb, rssKb * 1_024 / BytesPerMb);
+            maxDescriptors = Math.max(maxDescriptors, readdirSync(`/proc/${router.pid}/fd`).length);
+        }
+        catch {
+            // The process has ended.
+        }
+    }
+
+    /** Opens connections that send what they are given, read nothing and stay open. */
+    function openConnections(count: number, address: string, parts: readonly string[]): Socket[] {
+        const { hostname, port } = new URL(`http://${address}`);
+        const opened = Array.from({ length: count }, () => {
+            const socket = connect(Number(port), hostname);
+            socket.on("error", () => undefined);
+            socket.pause();
+            parts.forEach(part => socket.write(part));
+            return socket;
+        });
+        sockets.push(...opened);
+        return opened;
+    }
+
+    /** @returns Processor time that the process has used, in ticks of 10 ms; 0 if it has ended. */
+    function readCpuTicks(): number {
+        try {
+            const fields = readFileSync(`/proc/${router.pid}/stat`, "utf8").split(") ")[1]!.split(" ");
+            return Number(fields[11]) + Number(fields[12]);
+        }
+        catch {
+            return 0;
+        }
+    }
+
+    /** Waits until the process has ended, or has read nothing more from the crowd and has been nearly idle for {@link QuietMs}. */
+    async function untilQuiet(): Promise<void> {
+        const checkMs = 100;
+        const unsentBytes = (): number => sockets.reduce((sum, socket) => sum + socket.writableLength, 0);
+        const connectingCount = (): number => sockets.filter(socket => socket.connecting).length;
+        let [lastState, lastTicks, quietMs] = ["", 0, 0];
+        while (!isExited && quietMs < QuietMs) {
+            await delay(checkMs);
+            const state = `${unsentBytes()} ${connectingCount()}`;
+            const ticks = readCpuTicks();
+            quietMs = state === lastState && ticks - lastTicks <= MaxIdleTicks ? quietMs + checkMs : 0;
+            [lastState, lastTicks] = [state, ticks];
+        }
+    }
+
+    /** Expects that the process lives within its limits and answers an ordinary request. */
+    async function expectService(): Promise<void> {
+        await untilQuiet();
+        takeSample();
+        expect({ isExited }).toEqual({ isExited: false });
+        expect(maxRssMb).toBeLessThan(MaxRssMb);
+        expect(maxDescriptors).toBeLessThan(MaxDescriptors);
+        const response = await fetch(`http://${addresses.caller}/v1/chat/completions`, {
+            method: "POST",
+            headers: { authorization: `Bearer ${ExampleApiKey}` },
+            body: JSON.stringify({ model: "assistant", messages: [{ role: "user", content: "hello" }], max_tokens: 5 }),
+        });
+        expect([response.status, await response.text()]).toEqual([200, expect.stringContaining("\"choices\"")]);
+        expect({ isExited }).toEqual({ isExited: false });
+    }
+
+    describe("given unfinished bodies in chunks of one byte", () => {
+        it("serves on (guards against chunks that retain a receive buffer each)", async () => {
+            openConnections(8, addresses.caller, [ChatHead, ...Array<string>(20).fill("1\r\nx\r\n".repeat(20_000))]);
+            await expectService();
+        });
+    });
+
+    describe("given pipelined requests whose responses are not read", () => {
+        const createSale = (key: string): string =>
+            "POST /services/sales/buy HTTP/1.1\r\nHost: h\r\n" +
+            `Authorization: Bearer ${ExampleApiKey}\r\nIdempotency-Key: ${key}\r\nContent-Length: 9\r\n\r\n10 tokens`;
+
+        it("serves on (guards against responses that are kept behind one that takes long)", async () => {
+            const requests = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n".repeat(10_000);
+            for (let index = 0; index < 40; index++) {
+                openConnections(1, addresses.caller, [createSale(`sale-${index}`) + requests]);
+            }
+            await expectService();
+        });
+
+        it("serves on at the operator listener (guards against states that are kept for a client that reads none)", async () => {
+            openConnections(20, addresses.operator, ["GET /state HTTP/1.1\r\nHost: h\r\n\r\n".repeat(2_000)]);
+            await expectService();
+        });
+    });
+
+    describe("given many unfinished large bodies that stay open", () => {
+        it("serves on (guards against bodies that together exceed the memory)", async () => {
+            const chunk = `${(MaxBodyBytes - 1).toString(16)}\r\n${"x".repeat(MaxBodyBytes - 1_000)}`;
+            openConnections(60, addresses.caller, [ChatHead, chunk]);
+            await expectService();
+        });
+    });
+
+    describe.each(["caller", "operator"] as const)(
+        "given many connections to the %s listener that send nothing",
+        name => {
+            it("serves on (guards against running out of descriptors)", async () => {
+                openConnections(400, addresses[name], []);
+                await expectService();
+            });
+        },
+    );
+});
--- a/src/gateway/gatewaySettings.ts
+++ b/src/gateway/gatewaySettings.ts
@@ -7,6 +7,16 @@
     maxBodyBytes: z.number().int().positive().default(10_000_000),
     /** Maximum time from the head of a caller's request to the end of its body. */
     bodyTimeoutMs: z.number().int().positive().default(30_000),
+    /**
+     * Maximum memory that callers make the process hold: open and waiting requests, their bodies and unsent responses; by
+     * default a quarter of the memory, or half of the heap if that is less.
+     */
+    callerMemoryBytes: z.number().int().positive().optional(),
+    /**
+     * Maximum number of connections of callers; by default half of the descriptors above 200, as each request also needs
+     * one to its upstream. The connection that has sent least is closed for a new one.
+     */
+    maxConnections: z.number().int().positive().optional(),
     connectTimeoutMs: z.number().int().positive().default(1_000),
     /** Maximum wait for the first byte of a streamed response. */
     firstByteTimeoutMs: z.number().int().positive().default(15_000),
