Bound what callers make the router process hold

Cause: chunks were kept as slices of their receive buffers, all pipelined requests of a chunk of 64 KB were begun, and connections had no limit, neither at the caller listener nor at the operator listener.

Change: bodies are copied into one buffer and counted in the process's account; the one to refuse gets 429 Overloaded and has not run. At most 32 requests of a connection are processed at a time, later ones are not parsed or wait. Unsent response bytes are counted, and connections that take none are closed. Above maxConnections the connection that sent least is closed.

--- a/src/gateway/bodyReader.ts
+++ b/src/gateway/bodyReader.ts
@@ -1,45 +1,99 @@
-/** Reads request bodies with limits on size and time. */
+/** Reads request bodies with limits on size, time and memory. */
 import type { IncomingMessage } from "node:http";
+import { GrowingBuffer } from "../base/growingBuffer.js";
+import type { CallerMemory, MemoryHolder } from "../scheduling/callerMemory.js";
+
+/** Heap that a request occupies from its begin to the end of its response, besides its body, in bytes. */
+const RequestBytes = 10_240;
 
 /** Outcome of reading a body. */
 export type BodyReadOutcome =
-    | { readonly status: "read"; readonly body: Buffer; }
+    /** The memory of the request is held until its holder is closed. */
+    | { readonly status: "read"; readonly body: Buffer; readonly holder: MemoryHolder; }
     | { readonly status: "tooLarge"; }
+    /** Callers hold too much memory, and this request is the one to refuse. */
+    | { readonly status: "noMemory"; }
     /** The connection was closed or the body did not arrive in time. */
     | { readonly status: "broken"; };
 
+/** Limits of a body. */
+export interface BodyLimits {
+    /** Maximum size in bytes; a larger body is refused by its stated length or as soon as it exceeds the limit. */
+    readonly maxBytes: number;
+    /** Maximum time until the end of the body, in milliseconds. */
+    readonly timeoutMs: number;
+    readonly memory: CallerMemory;
+}
+
 /**
  * Reads a complete body.
- * @param maxBytes Maximum size; a larger body is refused by its stated length or as soon as it exceeds the limit.
- * @param timeoutMs Maximum time until the end of the body.
  * @returns The outcome. Never rejects.
  */
-export function readBody(incoming: IncomingMessage, maxBytes: number, timeoutMs: number): Promise<BodyReadOutcome> {
+export function readBody(incoming: IncomingMessage, limits: BodyLimits): Promise<BodyReadOutcome> {
+    const { maxBytes, timeoutMs, memory } = limits;
     if (Number(incoming.headers["content-length"] ?? 0) > maxBytes) {
         return Promise.resolve({ status: "tooLarge" });
     }
     return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let bytes = 0;
-        const timer = setTimeout(() => finish({ status: "broken" }), timeoutMs);
+        const buffer = new GrowingBuffer(maxBytes);
         const finish = (outcome: BodyReadOutcome): void => {
             clearTimeout(timer);
             incoming.removeAllListeners("data");
+            if (outcome.status !== "read") {
+                memory.close(holder);
+                buffer.clear();
+            }
             resolve(outcome);
         };
+        const timer = setTimeout(() => finish({ status: "broken" }), timeoutMs);
+        const holder = memory.open(() => finish({ status: "noMemory" }));
+        if (!memory.tryTake(holder, RequestBytes)) {
+            finish({ status: "noMemory" });
+            return;
+        }
         incoming.on("data", (chunk: Buffer) => {
-            chunks.push(chunk);
-            bytes += chunk.length;
-            if (bytes > maxBytes) {
+            if (!buffer.hasRoomFor(chunk.length)) {
                 finish({ status: "tooLarge" });
             }
+            else if (!appendCounted(buffer, chunk, memory, holder)) {
+                finish({ status: "noMemory" });
+            }
+        });
+        incoming.once("end", () => {
+            if (!holder.isClosed) {
+                memory.protect(holder);
+                finish({ status: "read", body: buffer.take(), holder });
+            }
         });
-        incoming.once("end", () => finish({ status: "read", body: Buffer.concat(chunks) }));
-        incoming.once("error", () => finish({ status: "broken" }));
-        incoming.once("close", () => finish({ status: "broken" }));
+        const finishBroken = (): void => {
+            if (!incoming.readableEnded) {
+                finish({ status: "broken" });
+            }
+        };
+        incoming.once("error", finishBroken);
+        incoming.once("close", finishBroken);
     });
 }
 
+/**
+ * Appends a chunk. While the buffer grows, the old and the new allocation exist, and both are counted.
+ * @returns Whether the memory could be taken.
+ */
+function appendCounted(buffer: GrowingBuffer, chunk: Buffer, memory: CallerMemory, holder: MemoryHolder): boolean {
+    const { allocatedBytes } = buffer;
+    const neededBytes = buffer.allocatedBytesAfter(chunk.length);
+    const isGrowing = neededBytes > allocatedBytes;
+    if (isGrowing && !memory.tryTake(holder, neededBytes)) {
+        return false;
+    }
+    buffer.append(chunk);
+    if (isGrowing) {
+        memory.release(holder, allocatedBytes);
+    }
+    memory.recordProgress(holder);
+    return true;
+}
+
 /** Maximum time for which the remainder of a refused body is read and discarded. */
 const DiscardTimeMs = 2_000;
 
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -11,7 +11,9 @@
 import { authenticateTeam } from "./authentication.js";
 import { discardRemainingBody, readBody } from "./bodyReader.js";
 import { CallerConnections } from "./callerConnections.js";
+import { getMaxConnections } from "./callerLimits.js";
 import { CallerResponse, writeErrorResponse } from "./callerResponse.js";
+import { ConnectionLimiter } from "./connectionLimiter.js";
 import type { CallerRequest, GatewayDependencies } from "./gatewayTypes.js";
 import { validateHeaders } from "./headerValidation.js";
 import { RequestFlow } from "./requestFlow.js";
@@ -29,6 +31,7 @@
     NotReady: 1_000,
     ClaimUnavailable: 1_000,
     ShuttingDown: 0,
+    Overloaded: 1_000,
 };
 
 /** Number of hexadecimal digits of a request id. */
@@ -46,6 +49,7 @@
 export class CallerServer {
     readonly #dependencies: GatewayDependencies;
     readonly #connections = new CallerConnections();
+    readonly #limiter: ConnectionLimiter;
     readonly #stopLimit: StopLimit;
     readonly #openFlows = new Set<RequestFlow>();
     /** Callbacks that refuse the requests whose bodies are being read. */
@@ -62,6 +66,19 @@
             { requireHostHeader: false, keepAliveTimeout: 65_000 },
             (incoming, outgoing) => this.#accept(incoming, outgoing, listener),
         );
+        const { settings, callerMemory, clock, kernel } = dependencies;
+        this.#limiter = new ConnectionLimiter(this.#server, {
+            memory: callerMemory,
+            clock,
+            counters: kernel.counters,
+            listener: "gateway",
+            limits: {
+                maxConnections: getMaxConnections(settings),
+                maxOpenRequests: settings.maxOpenRequestsPerConnection,
+                maxStallMs: settings.callerStallMs,
+                maxScarceStallMs: settings.scarceMemoryStallMs,
+            },
+        });
         this.#server.on("clientError", (_error, socket) => rejectMalformedRequest(socket as Socket));
     }
 
@@ -110,6 +127,14 @@
             this.#dependencies.kernel.counters.add("gateway.requestsAfterClose");
             return;
         }
+        this.#limiter.accept(incoming, outgoing, () => this.#begin(incoming, outgoing, listener));
+    }
+
+    #begin(
+        incoming: IncomingMessage,
+        outgoing: ServerResponse,
+        listener: (incoming: IncomingMessage, outgoing: ServerResponse) => Promise<void>,
+    ): void {
         const headerError = validateHeaders(incoming);
         if (headerError !== undefined) {
             this.#refuse(incoming, outgoing, this.#createRequestId(), "MalformedHeader", headerError);
@@ -161,7 +186,7 @@
     }
 
     async #handleRequest(incoming: IncomingMessage, outgoing: ServerResponse, handle: RequestHandler): Promise<void> {
-        const { settings } = this.#dependencies;
+        const { settings, callerMemory } = this.#dependencies;
         const requestId = this.#createRequestId();
         const team = this.#identify(incoming);
         if (typeof team !== "string") {
@@ -170,11 +195,23 @@
         }
         const refuse = (): void => this.#refuse(incoming, outgoing, requestId, "ShuttingDown");
         this.#bodyReads.add(refuse);
-        const read = await readBody(incoming, settings.maxBodyBytes, settings.bodyTimeoutMs);
+        const read = await readBody(incoming, {
+            maxBytes: settings.maxBodyBytes,
+            timeoutMs: settings.bodyTimeoutMs,
+            memory: callerMemory,
+        });
         this.#bodyReads.delete(refuse);
+        if (read.status === "read") {
+            onceClosed(outgoing, () => callerMemory.close(read.holder));
+        }
         if (outgoing.headersSent) {
             return;
         }
+        if (read.status === "noMemory") {
+            this.#dependencies.kernel.counters.add("gateway.refusedForMemory");
+            this.#refuse(incoming, outgoing, requestId, "Overloaded", "callers hold too much memory");
+            return;
+        }
         if (read.status !== "read") {
             this.#refuse(incoming, outgoing, requestId, read.status === "tooLarge" ? "BodyTooLarge" : "MalformedBody");
             return;
--- /dev/null
+++ b/src/gateway/connectionLimiter.ts
@@ -0,0 +1,268 @@
+/** Bounds the connections of a listener, the open requests of each connection, and the memory that both hold. */
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Clock } from "../base/clock.js";
+import type { Counters } from "../base/counters.js";
+import { log } from "../base/log.js";
+import type { CallerMemory, MemoryHolder } from "../scheduling/callerMemory.js";
+import { RequestReader } from "./requestReader.js";
+
+/** Heap that a request occupies which has been read and waits for earlier ones of its connection, in bytes. */
+const WaitingRequestBytes = 6_144;
+
+/** Interval at which unsent bytes are counted and connections are checked for a reader that has stopped, in milliseconds. */
+const CheckIntervalMs = 250;
+
+/** Age below which the bytes of a connection are not compared by their rate, in milliseconds. */
+const MinAgeMs = 1_000;
+
+/** Minimum time between two log lines about the same limit, in milliseconds. */
+const LogIntervalMs = 60_000;
+
+/** Counter of each reason for which a connection is closed. */
+const CloseCounters = {
+    limit: "connections.closedForLimit",
+    memory: "connections.closedForMemory",
+    stalled: "connections.closedStalled",
+} as const;
+type CloseReason = keyof typeof CloseCounters;
+
+/** Limits of one listener. */
+export interface ConnectionLimits {
+    readonly maxConnections: number;
+    /** Requests of a connection that are processed at the same time; later ones are not read, or wait. At least 2. */
+    readonly maxOpenRequests: number;
+    /** Time without progress of a response, in milliseconds, after which its connection is closed. */
+    readonly maxStallMs: number;
+    /** The same while the memory is scarce. */
+    readonly maxScarceStallMs: number;
+}
+
+/** Collaborators of {@link ConnectionLimiter}. */
+export interface ConnectionLimiterDependencies {
+    readonly memory: CallerMemory;
+    readonly clock: Clock;
+    readonly counters: Pick<Counters, "add" | "set">;
+    /** Prefix of the names of the counters. */
+    readonly listener: "gateway" | "operator";
+    readonly limits: ConnectionLimits;
+}
+
+/** A request that has been read and waits for earlier ones of its connection. */
+interface WaitingRequest {
+    readonly incoming: IncomingMessage;
+    readonly outgoing: ServerResponse;
+    readonly begin: () => void;
+}
+
+interface ConnectionState {
+    readonly socket: Socket;
+    readonly reader: RequestReader;
+    readonly openedAtMs: number;
+    /** Requests that have begun and whose responses have not been sent completely. */
+    readonly open: Map<ServerResponse, IncomingMessage>;
+    waiting: WaitingRequest[];
+    /** Memory of the waiting requests; may be evicted, as none of them has begun. */
+    waitingHolder: MemoryHolder | undefined;
+    /** Memory of the unsent bytes of responses; `undefined` while there are none. */
+    unsentHolder: MemoryHolder | undefined;
+    /** Bytes handed to the operating system at the latest check, and since when. */
+    sentBytes: number;
+    sentAtMs: number;
+}
+
+/** Applies the limits to all connections of a server. */
+export class ConnectionLimiter {
+    readonly #dependencies: ConnectionLimiterDependencies;
+    readonly #states = new Map<Socket, ConnectionState>();
+    readonly #loggedAtMs = new Map<CloseReason, number>();
+
+    constructor(server: Server, dependencies: ConnectionLimiterDependencies) {
+        this.#dependencies = dependencies;
+        server.on("connection", (socket: Socket) => this.#add(socket));
+        const timer = setInterval(() => this.#check(), CheckIntervalMs);
+        timer.unref();
+        server.once("close", () => clearInterval(timer));
+    }
+
+    /**
+     * Begins a request at once, or when enough earlier requests of its connection have their responses. It is never begun when the
+     * connection closes before.
+     */
+    accept(incoming: IncomingMessage, outgoing: ServerResponse, begin: () => void): void {
+        const state = this.#states.get(incoming.socket);
+        if (state === undefined || incoming.socket.destroyed) {
+            return;
+        }
+        if (state.waiting.length === 0 && state.open.size < this.#dependencies.limits.maxOpenRequests) {
+            this.#begin(state, { incoming, outgoing, begin });
+        }
+        else {
+            this.#addWaiting(state, { incoming, outgoing, begin });
+        }
+        this.#updateReading(state);
+    }
+
+    #add(socket: Socket): void {
+        const nowMs = this.#dependencies.clock.monotonicMs();
+        const state: ConnectionState = {
+            socket,
+            reader: new RequestReader(socket),
+            openedAtMs: nowMs,
+            open: new Map(),
+            waiting: [],
+            waitingHolder: undefined,
+            unsentHolder: undefined,
+            sentBytes: 0,
+            sentAtMs: nowMs,
+        };
+        socket.once("close", () => this.#remove(state));
+        if (this.#states.size >= this.#dependencies.limits.maxConnections) {
+            this.#close(this.#findLeastUseful(nowMs) ?? state, "limit");
+        }
+        if (!socket.destroyed) {
+            this.#states.set(socket, state);
+        }
+    }
+
+    /** @returns The connection that has sent fewest bytes per second, the oldest of several; never one whose request may run. */
+    #findLeastUseful(nowMs: number): ConnectionState | undefined {
+        let least: ConnectionState | undefined;
+        let leastRate = Number.POSITIVE_INFINITY;
+        for (const state of this.#states.values()) {
+            const rate = state.socket.bytesRead / Math.max(MinAgeMs, nowMs - state.openedAtMs);
+            if (rate < leastRate && !state.socket.destroyed && !hasCompleteRequest(state)) {
+                [least, leastRate] = [state, rate];
+            }
+        }
+        return least;
+    }
+
+    #begin(state: ConnectionState, { incoming, outgoing, begin }: WaitingRequest): void {
+        state.open.set(outgoing, incoming);
+        outgoing.once("close", () => {
+            state.open.delete(outgoing);
+            this.#beginWaiting(state);
+            this.#updateReading(state);
+        });
+        begin();
+    }
+
+    #beginWaiting(state: ConnectionState): void {
+        const { memory, limits } = this.#dependencies;
+        while (!state.socket.destroyed && state.open.size < limits.maxOpenRequests) {
+            const next = state.waiting.shift();
+            if (next === undefined) {
+                return;
+            }
+            if (state.waitingHolder !== undefined) {
+                memory.release(state.waitingHolder, WaitingRequestBytes);
+                memory.recordProgress(state.waitingHolder);
+            }
+            if (state.waiting.length === 0) {
+                this.#closeWaitingHolder(state);
+            }
+            this.#begin(state, next);
+        }
+    }
+
+    #addWaiting(state: ConnectionState, request: WaitingRequest): void {
+        const { memory } = this.#dependencies;
+        state.waitingHolder ??= memory.open(() => this.#close(state, "memory"));
+        if (memory.tryTake(state.waitingHolder, WaitingRequestBytes)) {
+            state.waiting.push(request);
+        }
+        else {
+            this.#close(state, "memory");
+        }
+    }
+
+    #updateReading(state: ConnectionState): void {
+        if (!state.socket.destroyed) {
+            const requestCount = state.open.size + state.waiting.length;
+            state.reader.setPaused(requestCount >= this.#dependencies.limits.maxOpenRequests);
+        }
+    }
+
+    #remove(state: ConnectionState): void {
+        this.#states.delete(state.socket);
+        state.waiting = [];
+        this.#closeWaitingHolder(state);
+        this.#setUnsentBytes(state, 0);
+    }
+
+    #closeWaitingHolder(state: ConnectionState): void {
+        if (state.waitingHolder !== undefined) {
+            this.#dependencies.memory.close(state.waitingHolder);
+            state.waitingHolder = undefined;
+        }
+    }
+
+    #check(): void {
+        const { memory, clock, counters, listener, limits } = this.#dependencies;
+        const nowMs = clock.monotonicMs();
+        counters.set(`${listener}.connections.open`, this.#states.size);
+        const maxStallMs = memory.isUnderPressure ? limits.maxScarceStallMs : limits.maxStallMs;
+        for (const state of this.#states.values()) {
+            this.#setUnsentBytes(state, countUnsentBytes(state));
+            const sentBytes = state.socket.bytesWritten - state.socket.writableLength;
+            if (sentBytes !== state.sentBytes || state.socket.writableLength === 0) {
+                [state.sentBytes, state.sentAtMs] = [sentBytes, nowMs];
+            }
+            else if (nowMs - state.sentAtMs >= maxStallMs) {
+                this.#close(state, "stalled");
+            }
+        }
+    }
+
+    #setUnsentBytes(state: ConnectionState, bytes: number): void {
+        const { memory } = this.#dependencies;
+        if (bytes === 0 && state.unsentHolder !== undefined) {
+            memory.close(state.unsentHolder);
+            state.unsentHolder = undefined;
+        }
+        else if (bytes > 0) {
+            state.unsentHolder ??= memory.open();
+            memory.release(state.unsentHolder);
+            memory.take(state.unsentHolder, bytes);
+        }
+    }
+
+    #close(state: ConnectionState, reason: CloseReason): void {
+        if (state.socket.destroyed) {
+            return;
+        }
+        const { counters, clock, listener, limits, memory } = this.#dependencies;
+        counters.add(`${listener}.${CloseCounters[reason]}`);
+        const nowMs = clock.monotonicMs();
+        if (nowMs - (this.#loggedAtMs.get(reason) ?? Number.NEGATIVE_INFINITY) >= LogIntervalMs) {
+            this.#loggedAtMs.set(reason, nowMs);
+            log.warn("connections are closed: callers exceed a limit", {
+                listener,
+                reason,
+                connections: this.#states.size,
+                maxConnections: limits.maxConnections,
+                callerMemoryBytes: memory.heldBytes,
+            });
+        }
+        // The socket reports its close later; the parser may add requests of the connection until then.
+        state.waiting = [];
+        this.#closeWaitingHolder(state);
+        this.#states.delete(state.socket);
+        state.socket.destroy();
+    }
+}
+
+/** @returns Whether a request of the connection has been read completely, so that it may run. */
+function hasCompleteRequest({ open }: ConnectionState): boolean {
+    return [...open.values()].some(incoming => incoming.complete);
+}
+
+function countUnsentBytes({ open, socket }: ConnectionState): number {
+    let bytes = socket.writableLength;
+    for (const outgoing of open.keys()) {
+        // The first response has the socket, whose bytes its length contains.
+        bytes += outgoing.socket === null ? outgoing.writableLength : 0;
+    }
+    return bytes;
+}
--- a/src/gateway/gatewaySettings.ts
+++ b/src/gateway/gatewaySettings.ts
@@ -17,6 +17,16 @@
      * one to its upstream. The connection that has sent least is closed for a new one.
      */
     maxConnections: z.number().int().positive().optional(),
+    /**
+     * Maximum number of requests of one connection that are processed at the same time. Later ones are not read, or wait
+     * without being refused.
+     */
+    maxOpenRequestsPerConnection: z.number().int().min(2).default(32),
+    /**
+     * Maximum time without progress of a body or a response while callers hold more than three quarters of
+     * `callerMemoryBytes`; the request is then refused, or the connection closed.
+     */
+    scarceMemoryStallMs: z.number().int().positive().default(5_000),
     connectTimeoutMs: z.number().int().positive().default(1_000),
     /** Maximum wait for the first byte of a streamed response. */
     firstByteTimeoutMs: z.number().int().positive().default(15_000),
--- a/src/gateway/gatewayTypes.ts
+++ b/src/gateway/gatewayTypes.ts
@@ -7,6 +7,7 @@
 import type { ControllerClient } from "../kernel/controllerClient.js";
 import type { Kernel } from "../kernel/kernel.js";
 import type { RoutePlan, RouteQuery } from "../routing/routePlan.js";
+import type { CallerMemory } from "../scheduling/callerMemory.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import type { UpstreamClient } from "./upstreamClient.js";
 
@@ -18,6 +19,8 @@
     readonly kernel: Kernel;
     readonly controllerClient: ControllerClient;
     readonly upstreamClient: UpstreamClient;
+    /** Account of all listeners of the process. */
+    readonly callerMemory: CallerMemory;
     readonly clock: Clock;
     readonly random: Random;
     readonly settings: GatewaySettings;
--- a/src/router/operatorServer.ts
+++ b/src/router/operatorServer.ts
@@ -1,10 +1,24 @@
 /** The operator listener: HTTP endpoints for state, metrics, readiness and draining. */
-import { type HttpBindings, serve, type ServerType } from "@hono/node-server";
+import { getRequestListener, type HttpBindings } from "@hono/node-server";
 import { Hono } from "hono";
+import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { equalHashes, sha256Hex } from "../base/hashing.js";
 import { errorBody, ResultCodes } from "../base/resultCodes.js";
 import { extractBearerKey } from "../gateway/authentication.js";
+import {
+    ConnectionLimiter,
+    type ConnectionLimiterDependencies,
+    type ConnectionLimits,
+} from "../gateway/connectionLimiter.js";
+
+/** Limits of the listener. A dump of the state may be large, so that few are prepared for one connection. */
+const OperatorLimits: ConnectionLimits = {
+    maxConnections: 64,
+    maxOpenRequests: 2,
+    maxStallMs: 30_000,
+    maxScarceStallMs: 5_000,
+};
 
 /** Actions of a router that operators can request. */
 export interface OperatorActions {
@@ -21,14 +35,19 @@
     readonly tokenHash?: string | undefined;
 }
 
+/** Collaborators of {@link OperatorServer}. */
+export type OperatorServerDependencies = Pick<ConnectionLimiterDependencies, "memory" | "clock" | "counters">;
+
 /** HTTP server for operators; requires the operator token if one is set. */
 export class OperatorServer {
     readonly #settings: OperatorSettings;
+    readonly #dependencies: OperatorServerDependencies;
     readonly #actions: OperatorActions;
-    #server: ServerType | undefined;
+    #server: Server | undefined;
 
-    constructor(settings: OperatorSettings, actions: OperatorActions) {
+    constructor(settings: OperatorSettings, dependencies: OperatorServerDependencies, actions: OperatorActions) {
         this.#settings = settings;
+        this.#dependencies = dependencies;
         this.#actions = actions;
     }
 
@@ -42,11 +61,26 @@
         if (tokenHash === undefined && !isLoopback(host)) {
             throw new Error("operator.host: a listener without operator.tokenHash needs a loopback address");
         }
-        const address = await new Promise<AddressInfo>((resolve, reject) => {
-            this.#server = serve({ fetch: this.#createApp().fetch, hostname: host, port }, resolve);
-            this.#server.once("error", reject);
+        const server = this.#createServer();
+        this.#server = server;
+        await new Promise<void>((resolve, reject) => {
+            server.once("error", reject);
+            server.listen(port, host, resolve);
+        });
+        return (server.address() as AddressInfo).port;
+    }
+
+    #createServer(): Server {
+        const listener = getRequestListener(this.#createApp().fetch, { overrideGlobalObjects: false });
+        const server = createServer((incoming, outgoing) =>
+            limiter.accept(incoming, outgoing, () => void listener(incoming, outgoing))
+        );
+        const limiter = new ConnectionLimiter(server, {
+            ...this.#dependencies,
+            listener: "operator",
+            limits: OperatorLimits,
         });
-        return address.port;
+        return server;
     }
 
     /** Stops at once and destroys all connections. */
@@ -57,9 +91,7 @@
             return;
         }
         const closed = new Promise<void>(resolve => server.close(() => resolve()));
-        if ("closeAllConnections" in server) {
-            server.closeAllConnections();
-        }
+        server.closeAllConnections();
         await closed;
     }
 
--- a/src/router/routerProcess.ts
+++ b/src/router/routerProcess.ts
@@ -6,6 +6,7 @@
 import { NetworkByteCounter } from "../base/networkByteCounter.js";
 import { type Random, SystemRandom } from "../base/random.js";
 import { createControllerFactory } from "../features/registry.js";
+import { getCallerMemoryBytes } from "../gateway/callerLimits.js";
 import { CallerServer } from "../gateway/callerServer.js";
 import type { RoutePlanner } from "../gateway/gatewayTypes.js";
 import { LoadPoller } from "../gateway/loadPoller.js";
@@ -16,6 +17,7 @@
 import { TickIntervalMs } from "../kernel/events.js";
 import { type ControllerFactory, Kernel } from "../kernel/kernel.js";
 import type { ListedHost } from "../platform/platformStore.js";
+import { CallerMemory } from "../scheduling/callerMemory.js";
 import { OperatorServer } from "./operatorServer.js";
 import type { RouterDependencies, RouterDependenciesFactory } from "./routerDependencies.js";
 import { RouterEffectRunner } from "./routerEffectRunner.js";
@@ -50,6 +52,7 @@
     readonly #random: Random = new SystemRandom();
     readonly #counters = new Counters();
     readonly #networkByteCounter = new NetworkByteCounter(socket => !this.#isOperatorSocket(socket));
+    readonly #callerMemory: CallerMemory;
     readonly #dependencies: RouterDependencies;
     readonly #operatorServer: OperatorServer;
     readonly #upstreamClient: UndiciUpstreamClient;
@@ -74,7 +77,9 @@
             getHostIdentity: () => this.#getHostIdentity(),
         });
         this.#upstreamClient = new UndiciUpstreamClient(settings.gateway);
-        this.#operatorServer = new OperatorServer(settings.operator, {
+        this.#callerMemory = new CallerMemory(getCallerMemoryBytes(settings.gateway), this.#clock);
+        const collaborators = { memory: this.#callerMemory, clock: this.#clock, counters: this.#counters };
+        this.#operatorServer = new OperatorServer(settings.operator, collaborators, {
             dumpState: () => this.dumpState(),
             readMetrics: () => this.#readMetrics(),
             drain: () => this.drain(),
@@ -122,6 +127,7 @@
             kernel,
             controllerClient,
             upstreamClient: this.#upstreamClient,
+            callerMemory: this.#callerMemory,
             clock: this.#clock,
             random: this.#random,
             settings: this.#settings.gateway,
@@ -233,6 +239,8 @@
         const { receivedBytes, sentBytes } = this.#networkByteCounter.totals();
         this.#counters.set("network.receivedBytes", receivedBytes);
         this.#counters.set("network.sentBytes", sentBytes);
+        this.#counters.set("callerMemory.heldBytes", this.#callerMemory.heldBytes);
+        this.#counters.set("callerMemory.evicted", this.#callerMemory.evictedCount);
         return this.#counters.snapshot();
     }
 
@@ -255,7 +263,10 @@
         for (const watcher of this.#dependencies.watchers) {
             watcher.start({ board: kernel.board, post: event => kernel.post(event) });
         }
-        this.#tickTimer = setInterval(() => kernel.post({ type: "tick" }), TickIntervalMs);
+        this.#tickTimer = setInterval(() => {
+            kernel.post({ type: "tick" });
+            this.#callerMemory.evictStalled(this.#settings.gateway.scarceMemoryStallMs);
+        }, TickIntervalMs);
         this.#stopMetrics = startMetrics(this.#counters, this.#settings.metrics);
         log.info("router listens", { hostId: this.#settings.hostId, ...this.#addresses });
     }
--- a/src/standins/router/gatewayHarness.ts
+++ b/src/standins/router/gatewayHarness.ts
@@ -6,6 +6,7 @@
 import { SystemRandom } from "../../base/random.js";
 import type { ResultCodeName } from "../../base/resultCodes.js";
 import { type Upstream, UpstreamSchema } from "../../features/config/configTypes.js";
+import { getCallerMemoryBytes } from "../../gateway/callerLimits.js";
 import { CallerServer } from "../../gateway/callerServer.js";
 import { type GatewaySettings, GatewaySettingsSchema } from "../../gateway/gatewaySettings.js";
 import type { RoutePlanner } from "../../gateway/gatewayTypes.js";
@@ -14,6 +15,7 @@
 import { ControllerClient } from "../../kernel/controllerClient.js";
 import { EffectRunner, Kernel } from "../../kernel/kernel.js";
 import type { RoutePlan, RouteQuery } from "../../routing/routePlan.js";
+import { CallerMemory } from "../../scheduling/callerMemory.js";
 import { PermissiveController } from "./permissiveController.js";
 
 /** API key of the only team of the harness. */
@@ -65,6 +67,7 @@
             kernel: this.kernel,
             controllerClient,
             upstreamClient: this.#upstreamClient,
+            callerMemory: new CallerMemory(getCallerMemoryBytes(parsed), clock),
             clock,
             random,
             settings: parsed,
