--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -6,6 +6,7 @@
 import { Counters } from "../base/counters.js";
 import { log } from "../base/log.js";
 import { type Random, SystemRandom } from "../base/random.js";
+import { steadyMs } from "../base/steadyClock.js";
 import { CallCountingStore } from "../platform/callCountingStore.js";
 import { CircuitBreakerStore } from "../platform/circuitBreakerStore.js";
 import type { PlatformStore } from "../platform/platformStore.js";
@@ -34,7 +35,7 @@
 import { RelayServer } from "./relay/relayServer.js";
 import { StoreProxyClient } from "./relay/storeProxyClient.js";
 import { StoreProxyServer } from "./relay/storeProxyServer.js";
-import { orderStoreHelpers, selectWatchSource, type WatchSource } from "./relay/watchSource.js";
+import { StoreRoutes } from "./relay/storeRoutes.js";
 import { RequestDurations } from "./stop/requestDurations.js";
 import { StopAdmission } from "./stop/stopAdmission.js";
 import { StopSequence } from "./stopSequence.js";
@@ -58,7 +59,6 @@
 /** Interval of periodic work, in milliseconds. */
 const TickIntervalMs = 20;
 
-const NsPerMs = 1_000_000n;
 const BytesPerMbit = 125_000;
 
 /**
@@ -68,7 +68,6 @@
 const ProbeIntervalMs = 500;
 const RelayedProbeIntervalMs = 1_500;
 
-const NoHosts: readonly PeerHost[] = [];
 const NoServices: readonly Service[] = [];
 
 /** Number of hosts to assume for each zone until the hosts are listed. */
@@ -99,6 +98,7 @@
     readonly #relayClient = new RelayClient();
     readonly #relayServer: RelayServer;
     readonly #listeners: ProcessListeners;
+    readonly #storeRoutes: StoreRoutes;
     readonly #peerChannel: UdpPeerChannel;
     readonly #loadReporter: LoadReporter;
     readonly #quarantine: PromptQuarantine;
@@ -113,8 +113,6 @@
     readonly #incarnation: string;
     readonly #processStart: ProcessStart;
     #tickTimer: NodeJS.Timeout | undefined;
-    #cachedWatchSource: { readonly others: readonly PeerHost[]; readonly source: WatchSource<PeerHost>; } | undefined;
-    #cachedStoreHelpers: { readonly others: readonly PeerHost[]; readonly addresses: readonly string[]; } | undefined;
     #stopSequence: StopSequence | undefined;
     #stopped: Promise<void> | undefined;
     #wasStoreConnected = true;
@@ -123,6 +121,8 @@
     constructor(settings: EdgeSettings, dependencies: EdgeDependencies) {
         this.#settings = settings;
         this.#dependencies = dependencies;
+        const ownHost: PeerHost = { hostId: settings.hostId, zone: settings.zone, peerAddress: settings.peerAddress };
+        this.#storeRoutes = new StoreRoutes(ownHost, () => this.#members.otherHosts);
         this.#incarnation = `${Math.floor(this.#clock.wallMs()).toString(36)}${this.#random.hex(6)}`;
         this.#storeCallLog = new StoreCallLog(this.#clock, dependencies.objectCodec, this.#incarnation);
         this.#ownStore = new CircuitBreakerStore(
@@ -138,7 +138,7 @@
             clock: this.#clock,
             counters: this.#metrics.counters,
             probeKey: this.#recordKey(settings),
-            helpers: () => this.#storeHelpers,
+            helpers: () => this.#storeRoutes.helpers,
         });
         this.#processStart = { wallMs: this.#clock.wallMs(), steadyMs: steadyMs() };
         this.#directory = new UpstreamDirectory(this.#clock, () => this.#evacuations?.zoneFilter);
@@ -165,7 +165,7 @@
             store: this.#store,
             clock: this.#clock,
             prefix: dependencies.objectCodec.hostPrefix,
-            ownHost: { hostId: settings.hostId, zone: settings.zone, peerAddress: settings.peerAddress },
+            ownHost,
         });
         this.#peerChannel = new UdpPeerChannel(
             address => this.#members.hasAddress(address),
@@ -176,7 +176,7 @@
             clock: this.#clock,
             directory: this.#directory,
             channel: this.#peerChannel,
-            ownHost: { hostId: settings.hostId, zone: settings.zone, peerAddress: settings.peerAddress },
+            ownHost,
             incarnation: this.#incarnation,
             otherHosts: () => this.#members.otherHosts,
         };
@@ -342,7 +342,7 @@
 
     /** @returns Whether a watcher reports the store's recovery to this host, which has no open budget ledgers in the store. */
     get #canRelyOnWatcher(): boolean {
-        return this.#watchSource.kind === "askWatchers" && !this.#budgets.hasOpenLedgers &&
+        return this.#storeRoutes.watchSource.kind === "askWatchers" && !this.#budgets.hasOpenLedgers &&
             this.#configuration.routeTable !== undefined;
     }
 
@@ -374,30 +374,10 @@
         }
     }
 
-    /** The source depends only on the list of hosts and is recomputed when that changes. */
-    get #watchSource(): WatchSource<PeerHost> {
-        const others = this.#members.otherHosts ?? NoHosts;
-        if (this.#cachedWatchSource?.others !== others) {
-            const { hostId, zone, peerAddress } = this.#settings;
-            const own = { hostId, zone, peerAddress };
-            this.#cachedWatchSource = { others, source: selectWatchSource([...others, own], own) };
-        }
-        return this.#cachedWatchSource.source;
-    }
-
     #recordKey({ hostId }: EdgeSettings): string {
         return `${this.#dependencies.objectCodec.budgetPrefix}host-${hostId}`;
     }
 
-    /** The order in which other hosts are asked to call the store depends only on the list of hosts. */
-    get #storeHelpers(): readonly string[] {
-        const others = this.#members.otherHosts ?? NoHosts;
-        if (this.#cachedStoreHelpers?.others !== others) {
-            this.#cachedStoreHelpers = { others, addresses: orderStoreHelpers(others, this.#settings) };
-        }
-        return this.#cachedStoreHelpers.addresses;
-    }
-
     /** Creates the store for both feeds; its watches go to a watcher of the zone where there is one. */
     #createRelayedStore(): RelayedStore {
         return new RelayedStore({
@@ -405,7 +385,7 @@
             client: this.#relayClient,
             clock: this.#clock,
             counters: this.#metrics.counters,
-            watchSource: () => this.#watchSource,
+            watchSource: () => this.#storeRoutes.watchSource,
         });
     }
 
@@ -468,8 +448,3 @@
         });
     }
 }
-
-/** @returns The host's monotonic clock in milliseconds; all processes since one boot of the host share it. */
-function steadyMs(): number {
-    return Number(process.hrtime.bigint() / NsPerMs);
-}
