Pass the measured speeds of upstreams on to the hosts of the zone

Cause: a host of a large fleet sends an upstream one request in some ten seconds, so that a host that starts treats slow upstreams as fast for a long time.

Change: load reports and fleet sums have an optional field with the event times of four upstreams in each message, in turn. Older hosts ignore it, and messages stay within a datagram. None are sent between zones or without gatherers.

The effect on callers was not measured.

--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -424,6 +424,7 @@
             memoryBytes: memoryMb === undefined ? undefined : memoryMb * BytesPerMb,
             linkBytesPerS: linkMbps === undefined ? undefined : linkMbps * BytesPerMbit,
             peerLoad: upstream => this.#loadReporter.peerLoadAt(upstream.entry.id),
+            peerEventTimeMs: upstream => this.#loadReporter.peerEventTimeMs(upstream.entry.id),
             onSent: promptTokens => this.#loadReporter.recordSend(promptTokens),
             hostCount: () => this.#hostCount,
             configuration: () => this.#configuration,
--- a/src/edge/flow/flowTypes.ts
+++ b/src/edge/flow/flowTypes.ts
@@ -46,6 +46,8 @@
     readonly zone: string;
     /** @returns Load that other hosts put on an upstream. */
     peerLoad(upstream: Upstream): PeerLoad;
+    /** @returns Time between output events of an upstream by the samples of other hosts, in milliseconds; `undefined` when unknown. */
+    peerEventTimeMs?(upstream: Upstream): number | undefined;
     /** Called after a request with a number of prompt tokens was sent to an upstream. */
     onSent(promptTokens: number): void;
     /** @returns Number of hosts of the fleet. */
--- a/src/edge/flow/upstreamSelector.ts
+++ b/src/edge/flow/upstreamSelector.ts
@@ -53,6 +53,7 @@
             engineSlots: this.#request.table.findService(this.#service)?.engine?.slots,
             objectiveMs: route.objectiveMs,
             pauseObjectiveMs: route.pauseObjectiveMs,
+            peerEventTimeMs: candidate => this.#dependencies.peerEventTimeMs?.(candidate),
             onPlaced: chosen => {
                 placement = chosen;
             },
--- a/src/edge/peers/fleetLoad.ts
+++ b/src/edge/peers/fleetLoad.ts
@@ -5,8 +5,9 @@
  */
 import type { Clock } from "../../base/clock.js";
 import { log } from "../../base/log.js";
+import { EventTimeRotation, type EventTimeTracker } from "./eventTimes.js";
 import { determineGatheringRole, type GatheringRole, type ReportingHost } from "./loadGatherers.js";
-import { loadKeyOf, LoadSum, ReceivedSum, type ZoneSum } from "./loadSums.js";
+import { type EventTimes, loadKeyOf, LoadSum, ReceivedSum, type ZoneSum } from "./loadSums.js";
 import type { PeerChannel } from "./peerChannel.js";
 import type { LoadReport, PeerLoad, PeerLoadTracker } from "./peerLoadTracker.js";
 
@@ -42,6 +43,10 @@
     otherHosts(): readonly ReportingHost[] | undefined;
     /** @returns This host's own load. */
     ownLoad(): LoadReport["l"];
+    /** Event times that other hosts have measured. */
+    readonly eventTimes: EventTimeTracker;
+    /** @returns Event times that a gatherer passes on, by id of the upstream. */
+    collectEventTimes(): readonly (readonly [upstreamId: string, eventTimeMs: number])[];
 }
 
 /** Gathers, passes on and provides the sums at one host. */
@@ -54,6 +59,7 @@
     #timer: NodeJS.Timeout | undefined;
     #lastTickMs = Number.NEGATIVE_INFINITY;
     #collectUntilMs = Number.POSITIVE_INFINITY;
+    readonly #eventTimeRotation = new EventTimeRotation();
     #sumNumber = 0;
     #hadFleetSum = false;
 
@@ -67,6 +73,7 @@
             }
             else if (message.k === "t") {
                 receivedSumOf(this.#fleetSums, sender).record(message.n, message.l, nowMs, sender);
+                this.#recordEventTimes(message.s);
             }
         });
     }
@@ -220,8 +227,17 @@
         }
         const includesUnassigned = isBackupDue || isOtherSilent;
         const receivers = [...role.assignedAddresses, ...includesUnassigned ? role.unassignedAddresses : []];
+        const eventTimes = this.#dependencies.collectEventTimes();
         for (const l of zoneSum.toMessages()) {
-            receivers.forEach(address => channel.send(address, { k: "t", n, l }));
+            const s = this.#eventTimeRotation.next(eventTimes);
+            receivers.forEach(address => channel.send(address, { k: "t", n, l, s }));
+        }
+    }
+
+    /** Gatherers know the times from the reports themselves; those of the other gatherer may be their own ones. */
+    #recordEventTimes(times: EventTimes | undefined): void {
+        if (this.#role?.rank === undefined) {
+            this.#dependencies.eventTimes.record(times);
         }
     }
 
--- a/src/edge/peers/loadReporter.ts
+++ b/src/edge/peers/loadReporter.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../../base/clock.js";
 import type { Random } from "../../base/random.js";
 import type { UpstreamDirectory } from "../upstream/upstreamDirectory.js";
+import { EventTimeRotation, EventTimeTracker } from "./eventTimes.js";
 import { FleetLoad } from "./fleetLoad.js";
 import type { ReportingHost } from "./loadGatherers.js";
 import type { PeerChannel } from "./peerChannel.js";
@@ -42,6 +43,8 @@
     readonly #dependencies: LoadReporterDependencies;
     readonly #peerLoads = new PeerLoadTracker();
     readonly #fleetLoad: FleetLoad;
+    readonly #peerEventTimes = new EventTimeTracker();
+    readonly #ownEventTimes = new EventTimeRotation();
     #timer: NodeJS.Timeout | undefined;
     #reportNumber = 0;
     #wasIdle = false;
@@ -53,10 +56,13 @@
             ...dependencies,
             reports: this.#peerLoads,
             ownLoad: () => this.#collectOwnLoad(),
+            eventTimes: this.#peerEventTimes,
+            collectEventTimes: () => this.#collectEventTimes(),
         });
         dependencies.channel.onMessage(message => {
             if (message.k === "l") {
                 this.#peerLoads.recordReport(message, dependencies.clock.monotonicMs());
+                this.#peerEventTimes.record(message.s);
             }
         });
     }
@@ -67,6 +73,11 @@
             this.#peerLoads.loadAt(upstream, this.#dependencies.clock.monotonicMs());
     }
 
+    /** @returns Time between output events of an upstream by the samples of other hosts, in milliseconds; `undefined` when unknown. */
+    peerEventTimeMs(upstream: string): number | undefined {
+        return this.#peerEventTimes.eventTimeMs(upstream);
+    }
+
     /** @returns Whether this host knows the load of the whole fleet, and not only that of some hosts. */
     get isFleetLoadKnown(): boolean {
         return this.#fleetLoad.hasFleetSum;
@@ -105,12 +116,34 @@
         this.#lastSentMs = this.#dependencies.clock.monotonicMs();
         this.#fleetLoad.recordOwnReport(load);
         const { ownHost, incarnation, channel } = this.#dependencies;
-        const report: LoadReport = { k: "l", h: ownHost.hostId, i: incarnation, n: ++this.#reportNumber, l: load };
+        const report: LoadReport = {
+            k: "l",
+            h: ownHost.hostId,
+            i: incarnation,
+            n: ++this.#reportNumber,
+            l: load,
+            // Without gatherers, reports go to many hosts, also of other zones, to which each byte is charged.
+            s: this.#fleetLoad.hasFleetSum ? this.#ownEventTimes.next(this.#collectOwnEventTimes()) : undefined,
+        };
         for (const address of this.#selectReceivers()) {
             channel.send(address, report);
         }
     }
 
+    #collectOwnEventTimes(): (readonly [string, number])[] {
+        return this.#dependencies.directory.all.flatMap(({ entry, eventTime }) =>
+            eventTime.medianMs === undefined ? [] : [[entry.id, eventTime.medianMs] as const]
+        );
+    }
+
+    /** @returns Event times by this host's samples, or else by those of other hosts. */
+    #collectEventTimes(): (readonly [string, number])[] {
+        return this.#dependencies.directory.all.flatMap(({ entry, eventTime }) => {
+            const timeMs = eventTime.medianMs ?? this.#peerEventTimes.eventTimeMs(entry.id);
+            return timeMs === undefined ? [] : [[entry.id, timeMs] as const];
+        });
+    }
+
     /** @returns Load at the upstreams with the most open requests; the others hardly affect the selection of an upstream. */
     #collectOwnLoad(): LoadReport["l"] {
         const busy = this.#dependencies.directory.all.filter(upstream => upstream.openRequestCount > 0);
--- a/src/edge/peers/loadSums.ts
+++ b/src/edge/peers/loadSums.ts
@@ -14,11 +14,21 @@
 /** Open requests and hundreds of unread prompt tokens by key of the upstream; see {@link loadKeyOf}. */
 const SumsSchema = z.record(z.string(), z.tuple([CountSchema, CountSchema]));
 
+/** Time between output events in tenths of a millisecond by key of the upstream; see {@link loadKeyOf}. */
+export const EventTimesSchema = z.record(z.string(), z.number().int().positive());
+export type EventTimes = z.infer<typeof EventTimesSchema>;
+
 /** The sum of the hosts of one zone, for the gatherers of the other zones. Parts with the same number belong together. */
 export const ZoneSumSchema = z.object({ k: z.literal("z"), z: z.string(), n: CountSchema, l: SumsSchema });
 export type ZoneSum = z.infer<typeof ZoneSumSchema>;
 /** The sum of the whole fleet, for the hosts of the gatherer's zone. */
-export const FleetSumSchema = z.object({ k: z.literal("t"), n: CountSchema, l: SumsSchema });
+export const FleetSumSchema = z.object({
+    k: z.literal("t"),
+    n: CountSchema,
+    l: SumsSchema,
+    /** Event times of some upstreams; all of them take turns. */
+    s: EventTimesSchema.optional(),
+});
 
 const keys = new Map<string, string>();
 /** Maximum number of cached keys; far more than there are upstreams at the same time. */
--- a/src/edge/peers/peerLoadTracker.ts
+++ b/src/edge/peers/peerLoadTracker.ts
@@ -1,5 +1,6 @@
 /** Load of other hosts at upstreams, as they last reported it. */
 import { z } from "zod";
+import { EventTimesSchema } from "./loadSums.js";
 
 /** Maximum age of a report that is used, in milliseconds; an older one does not reflect the current load. */
 const ReportMaxAgeMs = 1_000;
@@ -18,6 +19,8 @@
     n: z.number().int(),
     /** Load by id of the upstream; idle upstreams are omitted. */
     l: z.record(z.string(), UpstreamLoadSchema),
+    /** Event times of some upstreams, by the samples of this host. */
+    s: EventTimesSchema.optional(),
 });
 export type LoadReport = z.infer<typeof LoadReportSchema>;
 
