Pass the rest of a body of known length to the parser at once

Change: no request can begin within such a body, so that its rest is one slice, and the connection does not give way within it.

--- a/src/edge/listener/listenerLimits.ts
+++ b/src/edge/listener/listenerLimits.ts
@@ -38,7 +38,6 @@
     /** Requests that have been read and wait for those before them, in their order. */
     readonly waiting: { readonly response: ServerResponse; readonly start: () => void; }[];
     latestRequest: IncomingMessage | undefined;
-    requestCount: number;
     idleSinceMs: number;
     /** Holds what exceeds the fixed cost of a connection; `undefined` while that is nothing. */
     holder: MemoryHolder | undefined;
@@ -97,7 +96,6 @@
             return;
         }
         connection.latestRequest = request;
-        connection.requestCount++;
         connection.waiting.push({ response, start });
         this.#startWaiting(connection);
     }
@@ -120,11 +118,10 @@
         const nowMs = this.#options.clock.monotonicMs();
         const connection: Connection = {
             socket,
-            reader: new SocketReader(socket, () => this.#mayRead(connection), () => connection.requestCount),
+            reader: new SocketReader(socket, () => this.#mayRead(connection), () => connection.latestRequest),
             open: new Set(),
             waiting: [],
             latestRequest: undefined,
-            requestCount: 0,
             idleSinceMs: nowMs,
             holder: undefined,
             sentBytes: 0,
--- a/src/edge/listener/socketReader.ts
+++ b/src/edge/listener/socketReader.ts
@@ -1,4 +1,5 @@
 /** Bounds what the server reads of one connection. */
+import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 
 /**
@@ -14,7 +15,9 @@
 export class SocketReader {
     readonly #socket: Socket;
     readonly #mayRead: () => boolean;
-    readonly #requestCount: () => number;
+    readonly #latestRequest: () => IncomingMessage | undefined;
+    /** At least the bytes that are missing of the body of the latest request, if its length is announced; at most one slice more. */
+    #missingBodyBytes = 0;
     readonly #deliver: (bytes: Buffer) => void;
     #pending: Buffer | undefined;
     #isHeld = false;
@@ -25,12 +28,12 @@
      * Takes the place of the server's own listener for received bytes.
      * @param socket Connection of an HTTP server, which has handled its `connection` event.
      * @param mayRead Returns whether further requests may begin on the connection.
-     * @param requestCount Returns the number of requests that have begun on the connection.
+     * @param latestRequest Returns the request that began last on the connection.
      */
-    constructor(socket: Socket, mayRead: () => boolean, requestCount: () => number) {
+    constructor(socket: Socket, mayRead: () => boolean, latestRequest: () => IncomingMessage | undefined) {
         this.#socket = socket;
         this.#mayRead = mayRead;
-        this.#requestCount = requestCount;
+        this.#latestRequest = latestRequest;
         const [listener] = socket.listeners("data") as ((bytes: Buffer) => void)[];
         this.#deliver = bytes => listener?.call(socket, bytes);
         if (listener !== undefined) {
@@ -73,11 +76,8 @@
                 if (this.#pending === undefined) {
                     break;
                 }
-                const slice = this.#pending.subarray(0, SliceBytes);
-                this.#pending = this.#pending.length > SliceBytes ? this.#pending.subarray(SliceBytes) : undefined;
-                const requestCount = this.#requestCount();
-                this.#deliver(slice);
-                if (this.#requestCount() > requestCount && this.#pending !== undefined) {
+                const hasBegun = this.#deliverSlice(this.#pending);
+                if (hasBegun && this.#pending !== undefined && this.#latestRequest()?.complete === true) {
                     this.#yield();
                     break;
                 }
@@ -88,6 +88,23 @@
         }
     }
 
+    /** @returns Whether a request has begun in the slice. */
+    #deliverSlice(pending: Buffer): boolean {
+        // No request can begin in the rest of a body.
+        const sliceBytes = Math.max(SliceBytes, this.#missingBodyBytes);
+        const slice = pending.subarray(0, sliceBytes);
+        this.#pending = pending.length > sliceBytes ? pending.subarray(sliceBytes) : undefined;
+        const before = this.#latestRequest();
+        this.#deliver(slice);
+        const latest = this.#latestRequest();
+        if (latest === before) {
+            this.#missingBodyBytes = Math.max(0, this.#missingBodyBytes - slice.length);
+            return false;
+        }
+        this.#missingBodyBytes = latest?.complete === false ? Number(latest.headers["content-length"] ?? 0) : 0;
+        return true;
+    }
+
     #yield(): void {
         this.#isYielding = true;
         setImmediate(() => {
