--- a/src/edge/upstream/upstreamChoice.ts
+++ b/src/edge/upstream/upstreamChoice.ts
@@ -1,5 +1,6 @@
 /** Chooses the upstream for a request: those that may get it, and the rule by which one of them is chosen. */
 import type { Random } from "../../base/random.js";
+import { isSlotContended } from "../../scheduling/contention.js";
 import type { ChoiceInput } from "./choiceStrategy.js";
 import { LeastCostStrategy } from "./leastCostStrategy.js";
 import { LeastLoadedStrategy } from "./leastLoadedStrategy.js";
@@ -7,12 +8,6 @@
 
 export { affinityKey, type ChoiceInput } from "./choiceStrategy.js";
 
-/**
- * Hosts for each slot of an engine above which the choice considers what a prompt does to the streams beside it: so few requests run on one
- * engine that the fixed penalties of {@link LeastLoadedStrategy}, in numbers of requests, exceed its slots.
- */
-const HostsPerSlot = 2;
-
 const leastLoaded = new LeastLoadedStrategy();
 const leastCost = new LeastCostStrategy();
 
@@ -38,6 +33,6 @@
         return undefined;
     }
     const { isGeneration, engineSlots, hostCount } = input;
-    const isCostBased = isGeneration && engineSlots !== undefined && hostCount > engineSlots * HostsPerSlot;
+    const isCostBased = isGeneration && isSlotContended(engineSlots, hostCount);
     return (isCostBased ? leastCost : leastLoaded).choose(available, input, random);
 }
--- a/src/scheduling/contention.ts
+++ b/src/scheduling/contention.ts
@@ -1,6 +1,9 @@
 /** Tells whether the hosts of a fleet compete for the slots of each engine. */
 
-/** Number of hosts for each slot of an engine from which a host's own requests say little about the load of an engine. */
+/**
+ * Number of hosts for each slot of an engine from which a host's own requests say little about the load of an engine. So few requests run
+ * on one engine that fixed penalties in numbers of requests exceed its slots.
+ */
 const HostsPerSlot = 2;
 
 /**
