--- a/src/edge/readout/fleetStateReader.ts
+++ b/src/edge/readout/fleetStateReader.ts
@@ -31,7 +31,7 @@
      * or it is invalid.
      */
     async configuration(): Promise<CommandResult> {
-        const configuration = await this.#readConfiguration();
+        const configuration = await this.readConfiguration();
         return configuration.map(({ version, routes, services, teams }) => ({
             value: {
                 version,
@@ -60,7 +60,7 @@
      * invalid ledger.
      */
     async balances(): Promise<CommandResult> {
-        const results = combineResults(await this.#readConfiguration(), await this.#readLedgers());
+        const results = combineResults(await this.readConfiguration(), await this.#readLedgers());
         return results.map(([configuration, ledgers]) => {
             const balances = (configuration.teams ?? [])
                 .filter(team => team.prepaidTokens !== undefined)
@@ -156,7 +156,8 @@
         });
     }
 
-    async #readConfiguration(): Promise<Result<EdgeConfiguration, CommandFailure>> {
+    /** @returns The configuration in force, with its API keys. Fails if there is none or it is invalid. */
+    async readConfiguration(): Promise<Result<EdgeConfiguration, CommandFailure>> {
         const outcome = await this.#store.get(this.#objects.configurationKey);
         if (outcome.status === "unavailable") {
             return storeUnavailable(outcome.reason);
