Read caller connections of both paths with one reader

Cause: the gateway's RequestReader and the edge's SocketReader both take the place of the HTTP server's listener for data and pass bytes on in slices of 2 KB. Change: SocketReader moves to src/base and serves ConnectionLimiter too, with the same bound on open requests; RequestReader is gone. The cost per request was not measured.

--- a/src/edge/listener/listenerLimits.ts
+++ b/src/edge/listener/listenerLimits.ts
@@ -2,9 +2,9 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Clock } from "../../base/clock.js";
+import { SocketReader } from "../../base/socketReader.js";
 import type { CallerMemory, MemoryHolder } from "../../scheduling/callerMemory.js";
 import { ConnectionBytes } from "./processLimits.js";
-import { SocketReader } from "./socketReader.js";
 
 /** Interval at which the memory of the connections is measured, in milliseconds. */
 const MeasureIntervalMs = 100;
--- a/src/gateway/connectionLimiter.ts
+++ b/src/gateway/connectionLimiter.ts
@@ -4,8 +4,8 @@
 import type { Clock } from "../base/clock.js";
 import type { Counters } from "../base/counters.js";
 import { log } from "../base/log.js";
+import { SocketReader } from "../base/socketReader.js";
 import type { CallerMemory, MemoryHolder } from "../scheduling/callerMemory.js";
-import { RequestReader } from "./requestReader.js";
 
 /** Heap that a request occupies which has been read and waits for earlier ones of its connection, in bytes. */
 const WaitingRequestBytes = 6_144;
@@ -57,11 +57,12 @@
 
 interface ConnectionState {
     readonly socket: Socket;
-    readonly reader: RequestReader;
+    readonly reader: SocketReader;
     readonly openedAtMs: number;
     /** Requests that have begun and whose responses have not been sent completely. */
     readonly open: Map<ServerResponse, IncomingMessage>;
     waiting: WaitingRequest[];
+    latestRequest: IncomingMessage | undefined;
     /** Memory of the waiting requests; may be evicted, as none of them has begun. */
     waitingHolder: MemoryHolder | undefined;
     /** Memory of the unsent bytes of responses; `undefined` while there are none. */
@@ -94,23 +95,24 @@
         if (state === undefined || incoming.socket.destroyed) {
             return;
         }
+        state.latestRequest = incoming;
         if (state.waiting.length === 0 && state.open.size < this.#dependencies.limits.maxOpenRequests) {
             this.#begin(state, { incoming, outgoing, begin });
         }
         else {
             this.#addWaiting(state, { incoming, outgoing, begin });
         }
-        this.#updateReading(state);
     }
 
     #add(socket: Socket): void {
         const nowMs = this.#dependencies.clock.monotonicMs();
         const state: ConnectionState = {
             socket,
-            reader: new RequestReader(socket),
+            reader: new SocketReader(socket, () => this.#mayRead(state), () => state.latestRequest),
             openedAtMs: nowMs,
             open: new Map(),
             waiting: [],
+            latestRequest: undefined,
             waitingHolder: undefined,
             unsentHolder: undefined,
             sentBytes: 0,
@@ -143,7 +145,9 @@
         outgoing.once("close", () => {
             state.open.delete(outgoing);
             this.#beginWaiting(state);
-            this.#updateReading(state);
+            if (!state.socket.destroyed) {
+                state.reader.check();
+            }
         });
         begin();
     }
@@ -177,11 +181,8 @@
         }
     }
 
-    #updateReading(state: ConnectionState): void {
-        if (!state.socket.destroyed) {
-            const requestCount = state.open.size + state.waiting.length;
-            state.reader.setPaused(requestCount >= this.#dependencies.limits.maxOpenRequests);
-        }
+    #mayRead({ open, waiting }: ConnectionState): boolean {
+        return open.size + waiting.length < this.#dependencies.limits.maxOpenRequests;
     }
 
     #remove(state: ConnectionState): void {
