Append counted chunks, and list a prefix of the store, in one place each

Cause: the change counted a growing body in three places (callers, calls of other hosts, gateway), and listed evacuations with a copy of StoreFeed's loop that lacked its check for a store that comes back from a copy during the listing. Change: appendCounted serves all three, and states whether the old allocation is counted beside the new one, as the gateway does; listObjects serves StoreFeed and EvacuationFeed, whose listing now fails in that case, as that of the feed does.

--- a/src/edge/evacuation/evacuationFeed.ts
+++ b/src/edge/evacuation/evacuationFeed.ts
@@ -1,13 +1,11 @@
 /** Follows the evacuations in the platform's store. */
 import type { Clock } from "../../base/clock.js";
 import { log } from "../../base/log.js";
+import { listObjects } from "../../platform/listObjects.js";
 import type { PlatformStore, StoredObject } from "../../platform/platformStore.js";
 import type { ObjectCodec } from "../protocolCodec.js";
 import { StoreFeed } from "../storeFeed.js";
 
-/** Maximum number of objects on one page of a listing. */
-const PageSize = 500;
-
 /** The evacuated zones as of a version of the store. */
 export interface StoredEvacuations {
     readonly zones: ReadonlySet<string>;
@@ -73,20 +71,12 @@
 
     /** @returns The set by a listing that begins now; `undefined` if the store cannot be reached. */
     async list(): Promise<StoredEvacuations | undefined> {
-        const objects: StoredObject[] = [];
-        let version: number | undefined;
-        let afterKey = "";
-        for (let more = true; more;) {
-            const page = await this.#store.list(this.#codec.evacuationPrefix, afterKey, PageSize);
-            if (page.status === "unavailable" || page.revision === undefined) {
-                return undefined;
-            }
-            version ??= page.revision;
-            objects.push(...page.objects);
-            more = page.more && page.objects.length > 0;
-            afterKey = page.objects.at(-1)?.key ?? "";
+        const listing = await listObjects(this.#store, this.#codec.evacuationPrefix);
+        if (listing.status === "unavailable" || listing.revision === undefined) {
+            return undefined;
         }
-        return { zones: new Set(this.#readZones(objects).map(({ zone }) => zone)), version: version ?? 0 };
+        const zones = new Set(this.#readZones(listing.objects).map(({ zone }) => zone));
+        return { zones, version: listing.revision };
     }
 
     #applyChange(key: string, object: StoredObject | undefined): void {
--- a/src/edge/flow/requestBody.ts
+++ b/src/edge/flow/requestBody.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from "node:http";
 import { GrowingBuffer } from "../../base/growingBuffer.js";
 import type { CallerMemory, MemoryHolder } from "../../scheduling/callerMemory.js";
+import { appendCounted, type AppendRefusal } from "../../scheduling/countedBuffer.js";
 
 /** @returns Whether the head of a request announces a body. */
 export function hasBody(message: IncomingMessage): boolean {
@@ -15,7 +16,7 @@
 }
 
 /** Why a body is not collected: it exceeds its own limit, or there is no memory for it beside those of other requests. */
-export type BodyRefusal = "tooLarge" | "noMemory";
+export type BodyRefusal = AppendRefusal;
 
 /**
  * Collects a body.
@@ -37,20 +38,12 @@
         if (refusal !== undefined || holder.isClosed) {
             return;
         }
-        const addedBytes = buffer.allocatedBytesAfter(chunk.length) - buffer.allocatedBytes;
-        refusal = !buffer.hasRoomFor(chunk.length) ?
-            "tooLarge" :
-            addedBytes === 0 || memory.tryTake(holder, addedBytes) ?
-            undefined :
-            "noMemory";
-        if (refusal === undefined) {
-            buffer.append(chunk);
-            memory.recordProgress(holder);
-            return;
+        refusal = appendCounted(buffer, chunk, memory, holder);
+        if (refusal !== undefined) {
+            buffer.clear();
+            memory.close(holder);
+            done(refusal);
         }
-        buffer.clear();
-        memory.close(holder);
-        done(refusal);
     });
     message.on("end", () => {
         if (refusal === undefined && !holder.isClosed) {
--- a/src/edge/relay/storeProxyServer.ts
+++ b/src/edge/relay/storeProxyServer.ts
@@ -1,10 +1,12 @@
 /** Makes calls to the store for hosts that cannot reach it themselves. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { SystemClock } from "../../base/clock.js";
 import { GrowingBuffer } from "../../base/growingBuffer.js";
 import { log } from "../../base/log.js";
 import type { CircuitBreakerStore } from "../../platform/circuitBreakerStore.js";
 import { MaxValueBytes } from "../../platform/platformStore.js";
-import type { CallerMemory } from "../../scheduling/callerMemory.js";
+import { CallerMemory } from "../../scheduling/callerMemory.js";
+import { appendCounted } from "../../scheduling/countedBuffer.js";
 import {
     type StoreCall,
     type StoreCallOutcome,
@@ -18,13 +20,16 @@
 /** Serves the endpoint. Calls go to this host's own connection to the store only, so that no call is passed on in a circle. */
 export class StoreProxyServer {
     readonly #store: CircuitBreakerStore;
-    readonly #memory: CallerMemory | undefined;
+    readonly #memory: CallerMemory;
 
     /**
      * @param store This host's own access to the store.
-     * @param memory Account of the memory that requests take; `undefined` when it is not bounded.
+     * @param memory Account of the memory that requests take; by default without a limit.
      */
-    constructor(store: CircuitBreakerStore, memory?: CallerMemory) {
+    constructor(
+        store: CircuitBreakerStore,
+        memory: CallerMemory = new CallerMemory(Number.POSITIVE_INFINITY, new SystemClock()),
+    ) {
         this.#store = store;
         this.#memory = memory;
     }
@@ -69,22 +74,14 @@
  * @returns The call in the body; `undefined` when the body is too large, is not a call, or there is no memory for it. Rejects when it
  * breaks off.
  */
-async function readCall(request: IncomingMessage, memory: CallerMemory | undefined): Promise<StoreCall | undefined> {
+async function readCall(request: IncomingMessage, memory: CallerMemory): Promise<StoreCall | undefined> {
     const buffer = new GrowingBuffer(MaxRequestBytes);
-    const holder = memory?.open(() => request.destroy());
+    const holder = memory.open(() => request.destroy());
     try {
         for await (const chunk of request as AsyncIterable<Buffer>) {
-            const addedBytes = buffer.allocatedBytesAfter(chunk.length) - buffer.allocatedBytes;
-            if (
-                !buffer.hasRoomFor(chunk.length) ||
-                (holder !== undefined && addedBytes > 0 && memory?.tryTake(holder, addedBytes) === false)
-            ) {
+            if (appendCounted(buffer, chunk, memory, holder) !== undefined) {
                 return undefined;
             }
-            buffer.append(chunk);
-            if (holder !== undefined) {
-                memory?.recordProgress(holder);
-            }
         }
         return StoreCallSchema.safeParse(JSON.parse(buffer.take().toString("utf8"))).data;
     }
@@ -96,9 +93,7 @@
         return undefined;
     }
     finally {
-        if (holder !== undefined) {
-            memory?.close(holder);
-        }
+        memory.close(holder);
     }
 }
 
--- a/src/edge/storeFeed.ts
+++ b/src/edge/storeFeed.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../base/clock.js";
 import { log } from "../base/log.js";
 import { sleep } from "../base/sleep.js";
+import { listObjects } from "../platform/listObjects.js";
 import type { PlatformStore, StoredObject, WatchedChange } from "../platform/platformStore.js";
 import { historyOf } from "../platform/storeHistory.js";
 
@@ -17,9 +18,6 @@
 /** Pause after a failed call, in milliseconds; short enough to be up to date well before the store counts as stable. */
 const FailurePauseMs = 400;
 
-/** Maximum number of objects on one page of a listing. */
-const PageSize = 500;
-
 /** Pause between two watch calls, in milliseconds, so that frequent changes are read in batches. */
 const WatchPauseMs = 30;
 
@@ -112,34 +110,21 @@
 
     /** @returns Revision to watch from; `undefined` when the listing failed. */
     async #list(): Promise<number | undefined> {
-        const objects: StoredObject[] = [];
-        let afterKey = "";
-        let revision: number | undefined;
-        for (let more = true; more;) {
-            const page = await this.#store.list(this.#prefix, afterKey, PageSize);
-            if (page.status === "unavailable") {
-                this.#recordFailure(page.reason);
-                return undefined;
-            }
-            if (revision !== undefined && historyOf(page.revision ?? revision) !== historyOf(revision)) {
-                this.#recordFailure("the store has come back from a copy during the listing");
-                return undefined;
-            }
-            objects.push(...page.objects);
-            // The first page has the oldest revision; watching from it repeats changes that occurred during the listing.
-            revision ??= page.revision ?? 0;
-            more = page.more && page.objects.length > 0;
-            afterKey = page.objects.at(-1)?.key ?? "";
+        const listing = await listObjects(this.#store, this.#prefix);
+        if (listing.status === "unavailable") {
+            this.#recordFailure(listing.reason);
+            return undefined;
         }
+        const { objects, revision = 0 } = listing;
         this.#recordSuccess();
-        const history = historyOf(revision ?? 0);
+        const history = historyOf(revision);
         const isNewHistory = this.#history !== undefined && this.#history !== history;
         if (isNewHistory) {
             log.info("store listed after it came back from a copy", { prefix: this.#prefix, objects: objects.length });
         }
         this.#history = history;
         this.#listener.onSnapshot(objects, isNewHistory);
-        this.#listener.onConfirmed?.(revision ?? 0, 0);
+        this.#listener.onConfirmed?.(revision, 0);
         return revision;
     }
 
--- a/src/gateway/bodyReader.ts
+++ b/src/gateway/bodyReader.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from "node:http";
 import { GrowingBuffer } from "../base/growingBuffer.js";
 import type { CallerMemory, MemoryHolder } from "../scheduling/callerMemory.js";
+import { appendCounted } from "../scheduling/countedBuffer.js";
 
 /** Heap that a request occupies from its begin to the end of its response, besides its body, in bytes. */
 const RequestBytes = 10_240;
@@ -52,11 +53,9 @@
             return;
         }
         incoming.on("data", (chunk: Buffer) => {
-            if (!buffer.hasRoomFor(chunk.length)) {
-                finish({ status: "tooLarge" });
-            }
-            else if (!appendCounted(buffer, chunk, memory, holder)) {
-                finish({ status: "noMemory" });
+            const refusal = appendCounted(buffer, chunk, memory, holder, "both");
+            if (refusal !== undefined) {
+                finish({ status: refusal });
             }
         });
         incoming.once("end", () => {
@@ -75,25 +74,6 @@
     });
 }
 
-/**
- * Appends a chunk. While the buffer grows, the old and the new allocation exist, and both are counted.
- * @returns Whether the memory could be taken.
- */
-function appendCounted(buffer: GrowingBuffer, chunk: Buffer, memory: CallerMemory, holder: MemoryHolder): boolean {
-    const { allocatedBytes } = buffer;
-    const neededBytes = buffer.allocatedBytesAfter(chunk.length);
-    const isGrowing = neededBytes > allocatedBytes;
-    if (isGrowing && !memory.tryTake(holder, neededBytes)) {
-        return false;
-    }
-    buffer.append(chunk);
-    if (isGrowing) {
-        memory.release(holder, allocatedBytes);
-    }
-    memory.recordProgress(holder);
-    return true;
-}
-
 /** Maximum time for which the remainder of a refused body is read and discarded. */
 const DiscardTimeMs = 2_000;
 
