Send event times of upstreams only where placement by cost uses them

The choice looked up each upstream's time twice, and a dispatch kept a flag beside the time it follows from. Change: LoadReporter leaves out upstreams whose slots are not contended; the choice looks times up once; OpenDispatch derives the first byte from the time of the latest one.

--- a/src/edge/peers/eventTimes.spec.ts
+++ b/src/edge/peers/eventTimes.spec.ts
@@ -63,7 +63,7 @@
 
     describe("given a host that has measured two engines, and others without samples", () => {
         it("tells the hosts of its zone (guards against hosts that have just started and treat slow engines as fast)", () => {
-            const fleet = new LoadTestFleet(40, 20, 2);
+            const fleet = new LoadTestFleet(60, 20, 2);
             const measuring = fleet.hosts[0]!;
             for (const [index, intervalMs] of [[3, 30], [4, 60]] as const) {
                 for (let count = 0; count < 50; count++) {
@@ -80,4 +80,19 @@
             }
         });
     });
+
+    describe("given engines with more slots than half of the hosts", () => {
+        it("sends none (guards against messages that grow in fleets that do not use them)", () => {
+            const fleet = new LoadTestFleet(40, 20, 2);
+            const measuring = fleet.hosts[0]!;
+            for (let count = 0; count < 50; count++) {
+                measuring.directory.all[3]!.eventTime.record(30);
+            }
+            fleet.play(3_000, 0.3);
+            fleet.stop();
+            expect(fleet.hosts.filter(({ reporter }) => reporter.peerEventTimeMs("engine-3") !== undefined)).toEqual(
+                [],
+            );
+        });
+    });
 });
--- a/src/edge/peers/loadReporter.ts
+++ b/src/edge/peers/loadReporter.ts
@@ -1,6 +1,8 @@
 /** Exchange of load reports with other hosts. A lost report only reduces accuracy. */
 import type { Clock } from "../../base/clock.js";
 import type { Random } from "../../base/random.js";
+import { isSlotContended } from "../../scheduling/contention.js";
+import type { Upstream } from "../upstream/upstream.js";
 import type { UpstreamDirectory } from "../upstream/upstreamDirectory.js";
 import { EventTimeRotation, EventTimeTracker } from "./eventTimes.js";
 import { FleetLoad } from "./fleetLoad.js";
@@ -130,15 +132,22 @@
         }
     }
 
+    /** Event times matter only where hosts compete for the slots of engines; elsewhere none are sent. */
+    get #contendedUpstreams(): Upstream[] {
+        const { directory, otherHosts } = this.#dependencies;
+        const hostCount = (otherHosts()?.length ?? 0) + 1;
+        return directory.all.filter(({ entry }) => isSlotContended(entry.slots, hostCount));
+    }
+
     #collectOwnEventTimes(): (readonly [string, number])[] {
-        return this.#dependencies.directory.all.flatMap(({ entry, eventTime }) =>
+        return this.#contendedUpstreams.flatMap(({ entry, eventTime }) =>
             eventTime.medianMs === undefined ? [] : [[entry.id, eventTime.medianMs] as const]
         );
     }
 
     /** @returns Event times by this host's samples, or else by those of other hosts. */
     #collectEventTimes(): (readonly [string, number])[] {
-        return this.#dependencies.directory.all.flatMap(({ entry, eventTime }) => {
+        return this.#contendedUpstreams.flatMap(({ entry, eventTime }) => {
             const timeMs = eventTime.medianMs ?? this.#peerEventTimes.eventTimeMs(entry.id);
             return timeMs === undefined ? [] : [[entry.id, timeMs] as const];
         });
--- a/src/edge/upstream/leastCostStrategy.ts
+++ b/src/edge/upstream/leastCostStrategy.ts
@@ -41,13 +41,14 @@
             objectiveMs: input.objectiveMs ?? DefaultObjectiveMs,
             pauseObjectiveMs: input.pauseObjectiveMs ?? DefaultPauseObjectiveMs,
         };
-        const relativeTimeOf = relativeTimes(available.map(upstream => eventTimeMs(upstream, input)));
+        const eventTimesMs = new Map(available.map(upstream => [upstream, eventTimeMs(upstream, input)]));
+        const relativeTimeOf = relativeTimes([...eventTimesMs.values()]);
         const candidates = [...compared].map(upstream =>
             toCandidate(
                 upstream,
                 input,
                 cachedProbabilities.get(upstream) ?? 0,
-                relativeTimeOf(eventTimeMs(upstream, input)),
+                relativeTimeOf(eventTimesMs.get(upstream)),
             )
         );
         const chosen = choosePlacement(candidates, request, () => random.next())!;
--- a/src/edge/upstream/upstream.ts
+++ b/src/edge/upstream/upstream.ts
@@ -13,7 +13,6 @@
     readonly prefillTokens: number;
     /** Time without any response bytes after which the upstream counts as silent, in milliseconds. */
     readonly silentAfterMs: number;
-    hasFirstByte: boolean;
     /** Monotonic time of the latest bytes of the response, in milliseconds; `undefined` before the first ones. */
     lastByteAtMs: number | undefined;
 }
@@ -92,7 +91,7 @@
     get waitingPrefillTokens(): number {
         let tokens = 0;
         for (const dispatch of this.#openDispatches) {
-            tokens += dispatch.hasFirstByte ? 0 : dispatch.prefillTokens;
+            tokens += dispatch.lastByteAtMs === undefined ? dispatch.prefillTokens : 0;
         }
         return tokens;
     }
@@ -106,7 +105,6 @@
             startedAtMs: this.#clock.monotonicMs(),
             prefillTokens,
             silentAfterMs,
-            hasFirstByte: false,
             lastByteAtMs: undefined,
         };
         this.#openDispatches.add(dispatch);
@@ -119,7 +117,6 @@
         if (dispatch.lastByteAtMs !== undefined) {
             this.eventTime.record(nowMs - dispatch.lastByteAtMs);
         }
-        dispatch.hasFirstByte = true;
         dispatch.lastByteAtMs = nowMs;
         this.#lastByteAtMs = nowMs;
         this.health.recordBytes();
@@ -166,7 +163,7 @@
     isSilent(nowMs: number): boolean {
         for (const dispatch of this.#openDispatches) {
             const sinceMs = Math.max(dispatch.startedAtMs, this.#lastByteAtMs);
-            if (!dispatch.hasFirstByte && nowMs - sinceMs > dispatch.silentAfterMs) {
+            if (dispatch.lastByteAtMs === undefined && nowMs - sinceMs > dispatch.silentAfterMs) {
                 return true;
             }
         }
