Share the cases, channel and calls that tests of both paths wrote twice

The status lines, the early ends of responses, the channel of a host in a test fleet and the calls to all hosts in turn stood in two files each.

--- a/src/gateway/invalidStatusLines.spec.ts
+++ b/src/gateway/invalidStatusLines.spec.ts
@@ -2,27 +2,9 @@
 import { GatewayFixture } from "../standins/router/gatewayFixture.js";
 import { HarnessApiKey } from "../standins/router/gatewayHarness.js";
 import { UnreadUpstream } from "../standins/router/unreadUpstream.js";
+import { InvalidStatusCases } from "../standins/upstream/invalidStatusCases.js";
 
-const statuses = ["000", "099", "600", "999", "0200"];
-
-const interimResponses = [
-    ["at once", ""],
-    ["behind a 100", "HTTP/1.1 100 Continue\r\n\r\n"],
-    ["behind a 103", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"],
-] as const;
-
-const framings = [
-    ["a length", "Content-Length: 2\r\n\r\nok"],
-    ["the end of the connection", "\r\nok"],
-] as const;
-
-const cases = statuses.flatMap(status =>
-    interimResponses.flatMap(([place, interim]) =>
-        framings.flatMap(([framing, rest]) =>
-            ["GET", "POST"].map(method => ({ status, place, interim, framing, rest, method }))
-        )
-    )
-);
+const cases = InvalidStatusCases.flatMap(response => ["GET", "POST"].map(method => ({ ...response, method })));
 
 describe("gateway in front of an upstream whose status is not a number from 100 to 599", () => {
     let fixture: GatewayFixture;
--- a/src/gateway/truncatedResponses.spec.ts
+++ b/src/gateway/truncatedResponses.spec.ts
@@ -4,6 +4,7 @@
 import { GatewayFixture } from "../standins/router/gatewayFixture.js";
 import { HarnessApiKey } from "../standins/router/gatewayHarness.js";
 import { type UnreadRequestHandler, UnreadUpstream } from "../standins/router/unreadUpstream.js";
+import { truncationCases } from "../standins/upstream/truncationCases.js";
 
 /** Upload that the buffers of the kernel take whole, although the upstream reads none of it. */
 const BufferedBytes = 3_000_000;
@@ -33,25 +34,7 @@
     socket.once("close", () => clearInterval(timer));
 };
 
-/** What an upstream does after it has written the first part of its response. */
-const ends: readonly (readonly [string, (socket: Socket) => unknown])[] = [
-    ["a reset at once", socket => socket.resetAndDestroy()],
-    ["a reset after 30 ms", socket => setTimeout(() => socket.resetAndDestroy(), 30)],
-    [
-        "a reset behind a second part",
-        socket => setTimeout(() => socket.write(Part, () => socket.resetAndDestroy()), 30),
-    ],
-    [
-        "a reset between two parts",
-        socket => setTimeout(() => socket.write(Part, () => setTimeout(() => socket.resetAndDestroy(), 15)), 15),
-    ],
-    ...[10, 40].map(delayMs =>
-        [
-            `an end, and a reset ${delayMs} ms later`,
-            (socket: Socket) => socket.end(() => setTimeout(() => socket.resetAndDestroy(), delayMs)),
-        ] as const
-    ),
-];
+const ends = truncationCases(Part);
 
 describe("gateway in front of an upstream that responds without a length to an upload", () => {
     let fixture: GatewayFixture;
--- a/src/standins/evacuationTestFleet.ts
+++ b/src/standins/evacuationTestFleet.ts
@@ -6,7 +6,7 @@
 import { sleep } from "../base/sleep.js";
 import { EvacuationManager } from "../edge/evacuation/evacuationManager.js";
 import type { ReportingHost } from "../edge/peers/loadGatherers.js";
-import { PeerChannel, type PeerMessage, type PeerMessageListener } from "../edge/peers/peerChannel.js";
+import type { PeerMessage } from "../edge/peers/peerChannel.js";
 import {
     type ListOutcome,
     PlatformStore,
@@ -18,6 +18,7 @@
 import { historyOf, numberInHistory, versionInHistory } from "../platform/storeHistory.js";
 import type { EvacuationStatus } from "../scheduling/evacuationConfirmations.js";
 import { evacuationTestCodec } from "./evacuationTestCodec.js";
+import { ForwardingPeerChannel } from "./forwardingPeerChannel.js";
 import { ObjectStore, type ObjectStoreCopy } from "./platform/objectStore.js";
 
 /** Interval of periodic work of a host, in milliseconds. */
@@ -43,29 +44,6 @@
     }
 }
 
-/** Channel of one host over the messages of the fleet. */
-class FleetChannel extends PeerChannel {
-    readonly #onSend: (address: string, message: PeerMessage) => void;
-    readonly #listeners: PeerMessageListener[] = [];
-
-    constructor(onSend: (address: string, message: PeerMessage) => void) {
-        super();
-        this.#onSend = onSend;
-    }
-
-    override send(address: string, message: PeerMessage): void {
-        this.#onSend(address, message);
-    }
-
-    override onMessage(listener: PeerMessageListener): void {
-        this.#listeners.push(listener);
-    }
-
-    deliver(message: PeerMessage, sender: string): void {
-        this.#listeners.forEach(listener => listener(message, sender));
-    }
-}
-
 /** Access of one host to the store of the fleet; a response waits while the host stands still. */
 class HostStore extends PlatformStore {
     readonly #fleet: EvacuationTestFleet;
@@ -149,7 +127,7 @@
     readonly clock: HostClock;
     store: HostStore;
     manager: EvacuationManager;
-    channel: FleetChannel;
+    channel: ForwardingPeerChannel;
     counters: Counters;
     isDown: boolean;
     isCutOffFromStore: boolean;
@@ -206,7 +184,7 @@
     start(host: EvacuationTestHost): void {
         host.isDown = false;
         host.counters = new Counters();
-        host.channel = new FleetChannel((address, message) => this.#send(host, address, message));
+        host.channel = new ForwardingPeerChannel((address, message) => this.#send(host, address, message));
         host.store = new HostStore(this, () => host);
         const others = this.hosts?.map(({ identity }) => identity) ?? [];
         let known: readonly ReportingHost[] | undefined;
--- a/src/standins/rateLimitTestFleet.ts
+++ b/src/standins/rateLimitTestFleet.ts
@@ -4,10 +4,11 @@
 import { SeededRandom } from "../base/random.js";
 import type { UpstreamEntry } from "../edge/edgeTypes.js";
 import type { ReportingHost } from "../edge/peers/loadGatherers.js";
-import { PeerChannel, type PeerMessage, type PeerMessageListener } from "../edge/peers/peerChannel.js";
+import type { PeerMessage } from "../edge/peers/peerChannel.js";
 import { ColdLimits } from "../edge/rateLimit/coldLimits.js";
 import type { UpstreamIdentity } from "../edge/rateLimit/limitTracker.js";
 import { RateLimits } from "../edge/rateLimit/rateLimits.js";
+import { ForwardingPeerChannel } from "./forwardingPeerChannel.js";
 
 /** Step of the simulation and delay of a message, in milliseconds. */
 const StepMs = 5;
@@ -74,32 +75,13 @@
     }
 }
 
-/** Channel of one host over the messages of the fleet. */
-class FleetChannel extends PeerChannel {
-    readonly #onSend: (address: string, message: PeerMessage) => void;
-    readonly listeners: PeerMessageListener[] = [];
-
-    constructor(onSend: (address: string, message: PeerMessage) => void) {
-        super();
-        this.#onSend = onSend;
-    }
-
-    override send(address: string, message: PeerMessage): void {
-        this.#onSend(address, message);
-    }
-
-    override onMessage(listener: PeerMessageListener): void {
-        this.listeners.push(listener);
-    }
-}
-
 /** One host. */
 export interface RateLimitTestHost {
     readonly identity: ReportingHost;
     readonly clock: HostClock;
     limits: RateLimits;
     cold: ColdLimits;
-    channel: FleetChannel;
+    channel: ForwardingPeerChannel;
     /** Start time of each listed upstream by this host's list; `undefined` for one that is not listed. */
     readonly starts: (number | undefined)[];
     /** Time at which the host lost its connection to the store, in milliseconds; `undefined` while it is connected. */
@@ -295,7 +277,7 @@
     #deliverReports(): void {
         const connected = this.hosts.filter(({ isCutOff, isFrozen, isDown }) => !isCutOff && !isFrozen && !isDown);
         for (const { channel } of connected.length > 1 ? connected : []) {
-            channel.listeners.forEach(listener => listener(LoadReport, ""));
+            channel.deliver(LoadReport, "");
         }
     }
 
@@ -314,7 +296,7 @@
         });
         this.#entries.forEach(listed => listed !== undefined && cold.recordEntry(...listed));
         cold.endFirstList();
-        const channel = new FleetChannel((address, message) => this.#send(identity, address, message));
+        const channel = new ForwardingPeerChannel((address, message) => this.#send(identity, address, message));
         const startedMs = clock.monotonicMs();
         let others: ReportingHost[] | undefined;
         const limits = new RateLimits({
@@ -355,7 +337,7 @@
         const receiver = this.#hostsByAddress.get(address);
         if (receiver !== undefined && sender?.isCutOff === false && !receiver.isCutOff) {
             this.#schedule(StepMs, receiver, () => {
-                receiver.channel.listeners.forEach(listener => listener(message, from.peerAddress));
+                receiver.channel.deliver(message, from.peerAddress);
             });
         }
     }
