Review cases 6 and 7: tenants exceed their prepaid tokens after a drill

Case 6 needs one disruption: the store comes back from a copy that lacks the ledger of a tenant that was added since.

--- /dev/null
+++ b/review/harness/drill.mjs
@@ -0,0 +1,224 @@
+// A drill, in which the store comes back from a copy some seconds old, while a tenant uses its prepaid tokens.
+import { writeFileSync } from "node:fs";
+import { sendStream } from "./caller.mjs";
+import { Engine, Stride } from "./engine.mjs";
+import { allReady, freeAddresses, Machine, sleep } from "./fleet.mjs";
+import { Store } from "./store.mjs";
+
+/** Prepaid tokens of all observed tenants together. */
+const AllPrepaid = 400_000;
+const InputTokens = 2_000;
+const OutputTokens = 40;
+const DeadlineMs = 4_000;
+
+/** Traffic starts 12 s after the machines do; they start within 0.3 s of each other. */
+const TrafficAfterMs = 12_000;
+/** Time between the operator's write of the tenant and the first request of the tenant: `config-apply-ms`. */
+const ConfigApplyMs = 2_000;
+const KillAfterAwayMs = 200;
+const RestartDelayMs = 1_000;
+
+/** The machines of suds-coop. */
+const Zones = ["ie-south-a", "ie-south-a", "ie-south-a", "ie-south-b", "ie-south-c", "ie-south-c"];
+
+function configuration(version, tenants) {
+    return {
+        version,
+        routes: [{
+            "name": "r-chat",
+            "host": "ficu95.example",
+            "path-prefix": "/chat/",
+            "kind": "streaming",
+            "timeout-ms": 5_000,
+            "target-latency-ms": 600,
+            "priority": 0,
+            "service": "lm-pool",
+            "max-attempts": 1,
+            "public": false,
+            "sticky": true,
+            "resumable": false,
+            "gap-target-ms": 300,
+        }],
+        services: [{
+            "name": "lm-pool",
+            "health-path": "/health",
+            "max-conns": 610,
+            "protocol": "h1",
+            "tls": false,
+            "engine": { "slots": 128, "kv-tokens": 435_624, "kv-token-bytes": 131_072, "stride": Stride },
+        }],
+        limits: {
+            "max-header-bytes": 16_384,
+            "max-body-bytes": 4_194_304,
+            "header-timeout-ms": 3_000,
+            "idle-timeout-ms": 15_000,
+        },
+        tenants,
+    };
+}
+
+const OtherTenant = { "name": "bova113", "api-keys": ["wsjnbanfqasnmgkcuyj8"], "priority": 1, "prepaid": AllPrepaid };
+
+function observedTenants(count) {
+    return Array.from({ length: count }, (_, index) => ({
+        "name": `huka27${index}`,
+        "api-keys": [`xd9dnn2ctnfzs989anu${index}`],
+        "priority": 1,
+        "prepaid": AllPrepaid / count,
+    }));
+}
+
+/** One run of the case. */
+class DrillRun {
+    #lines = [];
+    #startedMs = Date.now();
+    #store = new Store();
+    #engines = [];
+    #machines = [];
+    #lastLedgerWriter;
+    #sending = [];
+    #statusCounts = new Map();
+    #tenants;
+    /** Tokens that each tenant has got: input tokens once for each request with output, and output tokens that were delivered. */
+    #consumedTokens = new Map();
+
+    record(text) {
+        this.#lines.push(`${((Date.now() - this.#startedMs) / 1_000).toFixed(3)} ${text}`);
+    }
+
+    get lines() {
+        return this.#lines;
+    }
+
+    stop() {
+        this.#machines.forEach(machine => machine.stop());
+        this.#engines.forEach(engine => engine.stop());
+        this.#store.stop();
+    }
+
+    get #consumption() {
+        return this.#tenants.map(({ name, prepaid }) => `${name} ${this.#consumedTokens.get(name) ?? 0} of ${prepaid}`)
+            .join(", ");
+    }
+
+    /** @returns 1 if a tenant got more than its prepaid tokens, 0 if not, 2 if the case could not run. */
+    async run({ tenantCount, areTenantsNew, hasDrill, hasKill, requestsPerS, drillAfterMs, awayMs, trafficMs }) {
+        this.#tenants = observedTenants(tenantCount);
+        const operatorConfiguration = configuration(7, [OtherTenant, ...this.#tenants]);
+        this.#store.set("config/main", areTenantsNew ? configuration(5, [OtherTenant]) : operatorConfiguration);
+        this.#store.onWrite = ({ key, caller }) => {
+            if (this.#tenants.some(({ name }) => key.includes(name))) {
+                this.#lastLedgerWriter = caller;
+            }
+        };
+        await this.#start();
+        if (!await allReady(this.#machines)) {
+            this.record("the machines are not ready");
+            return 2;
+        }
+        await sleep(Math.max(0, TrafficAfterMs - (Date.now() - this.#startedMs)));
+        const copy = this.#store.copy();
+        this.record("the copy is made");
+        if (areTenantsNew) {
+            this.#store.set("config/main", operatorConfiguration);
+            this.record("the operator adds the tenants; the store has acknowledged it");
+            await sleep(ConfigApplyMs);
+        }
+        this.record("the tenants' requests begin");
+        const timer = this.#startTraffic(requestsPerS);
+        await sleep(drillAfterMs);
+        if (hasDrill) {
+            this.#store.goAway();
+            this.record(`the drill begins: the store is away; tokens so far: ${this.#consumption}`);
+        }
+        await sleep(KillAfterAwayMs);
+        if (hasKill) {
+            const machine = this.#machines.find(({ name }) => name === this.#lastLedgerWriter);
+            machine.signal("SIGKILL");
+            this.record(`killed: the process on ${machine.name}, which wrote last to the store for a tenant`);
+        }
+        await sleep(awayMs - KillAfterAwayMs);
+        if (hasDrill) {
+            this.#store.comeBackFrom(copy);
+            this.#store.set("config/main", operatorConfiguration);
+            this.#engines.forEach(engine => engine.beat());
+            this.record("the store is back from the copy; the operator and the workers have written again");
+        }
+        await sleep(trafficMs - drillAfterMs - awayMs);
+        clearInterval(timer);
+        await Promise.all(this.#sending);
+        const counts = [...this.#statusCounts].map(([status, count]) => `${status}: ${count}`).join(", ");
+        this.record(`requests ${this.#sending.length}; by status ${counts}`);
+        this.record(`tokens that the tenants got: ${this.#consumption}`);
+        const hasEndedByItself = this.#machines.some(({ ends }) => ends.some(({ signal }) => signal === null));
+        if (this.#consumedTokens.size < tenantCount || hasEndedByItself) {
+            return 2;
+        }
+        return this.#tenants.some(({ name, prepaid }) => this.#consumedTokens.get(name) > prepaid) ? 1 : 0;
+    }
+
+    async #start() {
+        const [storeIp, ...ips] = await freeAddresses(Zones.length + 3);
+        for (const [index, zone] of ["ie-south-a", "ie-south-b"].entries()) {
+            const engine = new Engine(`i-${index + 1}`, "lm-pool", zone, this.#store);
+            await engine.start(ips[index]);
+            this.#engines.push(engine);
+        }
+        for (const [index, zone] of Zones.entries()) {
+            const name = `front-${index + 1}`;
+            const storeAddress = await this.#store.listen(storeIp, name);
+            this.#machines.push(new Machine(name, zone, ips[2 + index], storeAddress));
+        }
+        this.#machines.forEach(machine => machine.start(RestartDelayMs));
+    }
+
+    #startTraffic(requestsPerS) {
+        const startedMs = Date.now();
+        return setInterval(() => {
+            while (this.#sending.length < (Date.now() - startedMs) * requestsPerS / 1_000) {
+                const count = this.#sending.length;
+                const tenant = this.#tenants[Math.floor(count / this.#machines.length) % this.#tenants.length];
+                this.#sending.push(this.#send(this.#machines[count % this.#machines.length].front, tenant));
+            }
+        }, 10);
+    }
+
+    async #send(front, tenant) {
+        const result = await sendStream(front, {
+            host: "ficu95.example",
+            path: "/chat/1",
+            key: tenant["api-keys"][0],
+            inputTokens: InputTokens,
+            outputTokens: OutputTokens,
+            deadlineMs: DeadlineMs,
+        });
+        const { id, status, events, isComplete } = result;
+        const tokens = events === 0 ? 0 : InputTokens + events * Stride;
+        this.#consumedTokens.set(tenant.name, (this.#consumedTokens.get(tenant.name) ?? 0) + tokens);
+        this.#statusCounts.set(status, (this.#statusCounts.get(status) ?? 0) + 1);
+        this.record(
+            `request ${id} of ${tenant.name} at ${front.host} status ${status} events ${events} complete ${isComplete} ` +
+                `tokens ${tokens} total ${this.#consumedTokens.get(tenant.name)}`,
+        );
+    }
+}
+
+/**
+ * Runs the case, writes its record and ends this process with the result. `drillAfterMs` is the time from the first request until the
+ * store goes away, `awayMs` the time for which it is away, `trafficMs` the time in which requests are sent.
+ */
+export async function runDrill(options, recordUrl) {
+    const run = new DrillRun();
+    let code = 2;
+    try {
+        code = await run.run(options);
+    }
+    catch (error) {
+        run.record(`error ${error.stack}`);
+    }
+    run.stop();
+    run.record(["held", "BROKEN: BUDGET", "the case could not run"][code]);
+    writeFileSync(recordUrl, `${run.lines.join("\n")}\n`);
+    console.log(run.lines.slice(-2).join("\n"));
+    setTimeout(() => process.exit(code), 500);
+}
