--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -1,13 +1,15 @@
-// A drill, in which the store comes back from a copy that was made before a tenant was added.
+// A drill, in which the store comes back from a copy that was made before tenants were added.
 import { runDrill } from "../harness/drill.mjs";
 
 await runDrill({
-    tenantCount: 1,
+    tenantCount: 4,
+    prepaid: 100_000,
+    roundCount: 3,
     areTenantsNew: true,
     hasDrill: process.env.TROUBLE !== "0",
     hasKill: false,
     requestsPerS: 30,
-    drillAfterMs: 6_000,
-    awayMs: 2_500,
-    trafficMs: 22_000,
+    drillAfterMs: 4_000,
+    awayMs: 1_500,
+    trafficMs: 14_000,
 }, new URL("record.txt", import.meta.url));
--- a/review/harness/drill.mjs
+++ b/review/harness/drill.mjs
@@ -5,8 +5,6 @@
 import { allReady, freeAddresses, Machine, sleep } from "./fleet.mjs";
 import { Store } from "./store.mjs";
 
-/** Prepaid tokens of all observed tenants together. */
-const AllPrepaid = 400_000;
 const InputTokens = 2_000;
 const OutputTokens = 40;
 const DeadlineMs = 4_000;
@@ -57,14 +55,14 @@
     };
 }
 
-const OtherTenant = { "name": "bova113", "api-keys": ["wsjnbanfqasnmgkcuyj8"], "priority": 1, "prepaid": AllPrepaid };
+const OtherTenant = { "name": "bova113", "api-keys": ["wsjnbanfqasnmgkcuyj8"], "priority": 1, "prepaid": 400_000 };
 
-function observedTenants(count) {
+function observedTenants(count, prepaid) {
     return Array.from({ length: count }, (_, index) => ({
-        "name": `huka27${index}`,
-        "api-keys": [`xd9dnn2ctnfzs989anu${index}`],
+        "name": `huka2${70 + index}`,
+        "api-keys": [`xd9dnn2ctnfzs989an${10 + index}`],
         "priority": 1,
-        "prepaid": AllPrepaid / count,
+        prepaid,
     }));
 }
 
@@ -76,7 +74,8 @@
     #engines = [];
     #machines = [];
     #lastLedgerWriter;
-    #sending = [];
+    #version;
+    #sentCount = 0;
     #statusCounts = new Map();
     #tenants;
     /** Tokens that each tenant has got: input tokens once for each request with output, and output tokens that were delivered. */
@@ -96,16 +95,12 @@
         this.#store.stop();
     }
 
-    get #consumption() {
-        return this.#tenants.map(({ name, prepaid }) => `${name} ${this.#consumedTokens.get(name) ?? 0} of ${prepaid}`)
-            .join(", ");
-    }
-
     /** @returns 1 if a tenant got more than its prepaid tokens, 0 if not, 2 if the case could not run. */
-    async run({ tenantCount, areTenantsNew, hasDrill, hasKill, requestsPerS, drillAfterMs, awayMs, trafficMs }) {
-        this.#tenants = observedTenants(tenantCount);
-        const operatorConfiguration = configuration(7, [OtherTenant, ...this.#tenants]);
-        this.#store.set("config/main", areTenantsNew ? configuration(5, [OtherTenant]) : operatorConfiguration);
+    async run(options) {
+        const { tenantCount, prepaid, areTenantsNew, roundCount } = options;
+        this.#tenants = observedTenants(tenantCount * roundCount, prepaid);
+        this.#version = 5;
+        this.#store.set("config/main", configuration(this.#version, areTenantsNew ? [OtherTenant] : this.#tenants));
         this.#store.onWrite = ({ key, caller }) => {
             if (this.#tenants.some(({ name }) => key.includes(name))) {
                 this.#lastLedgerWriter = caller;
@@ -117,19 +112,47 @@
             return 2;
         }
         await sleep(Math.max(0, TrafficAfterMs - (Date.now() - this.#startedMs)));
+        for (let round = 0; round < roundCount && !this.#isBroken; round++) {
+            await this.#runRound(this.#tenants.slice(round * tenantCount, (round + 1) * tenantCount), options);
+        }
+        const counts = [...this.#statusCounts].map(([status, count]) => `${status}: ${count}`).join(", ");
+        this.record(`requests ${this.#sentCount}; by status ${counts}`);
+        this.record(`tokens that the tenants got: ${this.#describeConsumption(this.#tenants)}`);
+        const hasEndedByItself = this.#machines.some(({ ends }) => ends.some(({ signal }) => signal === null));
+        if (this.#consumedTokens.size < tenantCount || hasEndedByItself) {
+            return 2;
+        }
+        return this.#isBroken ? 1 : 0;
+    }
+
+    get #isBroken() {
+        return this.#tenants.some(({ name, prepaid }) => (this.#consumedTokens.get(name) ?? 0) > prepaid);
+    }
+
+    #describeConsumption(tenants) {
+        return tenants.map(({ name, prepaid }) => `${name} ${this.#consumedTokens.get(name) ?? 0} of ${prepaid}`).join(", ");
+    }
+
+    /** One drill, while some tenants use their prepaid tokens until nothing is left. */
+    async #runRound(tenants, { areTenantsNew, hasDrill, hasKill, requestsPerS, drillAfterMs, awayMs, trafficMs }) {
         const copy = this.#store.copy();
         this.record("the copy is made");
+        const lastIndex = this.#tenants.indexOf(tenants.at(-1));
+        this.#version += areTenantsNew ? 2 : 0;
+        const knownTenants = areTenantsNew ? [OtherTenant, ...this.#tenants.slice(0, lastIndex + 1)] : this.#tenants;
+        const operatorConfiguration = configuration(this.#version, knownTenants);
         if (areTenantsNew) {
             this.#store.set("config/main", operatorConfiguration);
             this.record("the operator adds the tenants; the store has acknowledged it");
             await sleep(ConfigApplyMs);
         }
         this.record("the tenants' requests begin");
-        const timer = this.#startTraffic(requestsPerS);
+        const sending = [];
+        const timer = this.#startTraffic(tenants, requestsPerS, sending);
         await sleep(drillAfterMs);
         if (hasDrill) {
             this.#store.goAway();
-            this.record(`the drill begins: the store is away; tokens so far: ${this.#consumption}`);
+            this.record(`the drill begins: the store is away; tokens so far: ${this.#describeConsumption(tenants)}`);
         }
         await sleep(KillAfterAwayMs);
         if (hasKill) {
@@ -146,15 +169,7 @@
         }
         await sleep(trafficMs - drillAfterMs - awayMs);
         clearInterval(timer);
-        await Promise.all(this.#sending);
-        const counts = [...this.#statusCounts].map(([status, count]) => `${status}: ${count}`).join(", ");
-        this.record(`requests ${this.#sending.length}; by status ${counts}`);
-        this.record(`tokens that the tenants got: ${this.#consumption}`);
-        const hasEndedByItself = this.#machines.some(({ ends }) => ends.some(({ signal }) => signal === null));
-        if (this.#consumedTokens.size < tenantCount || hasEndedByItself) {
-            return 2;
-        }
-        return this.#tenants.some(({ name, prepaid }) => this.#consumedTokens.get(name) > prepaid) ? 1 : 0;
+        await Promise.all(sending);
     }
 
     async #start() {
@@ -172,18 +187,18 @@
         this.#machines.forEach(machine => machine.start(RestartDelayMs));
     }
 
-    #startTraffic(requestsPerS) {
+    #startTraffic(tenants, requestsPerS, sending) {
         const startedMs = Date.now();
         return setInterval(() => {
-            while (this.#sending.length < (Date.now() - startedMs) * requestsPerS / 1_000) {
-                const count = this.#sending.length;
-                const tenant = this.#tenants[Math.floor(count / this.#machines.length) % this.#tenants.length];
-                this.#sending.push(this.#send(this.#machines[count % this.#machines.length].front, tenant));
+            while (sending.length < (Date.now() - startedMs) * requestsPerS / 1_000) {
+                const tenant = tenants[Math.floor(sending.length / this.#machines.length) % tenants.length];
+                sending.push(this.#send(this.#machines[sending.length % this.#machines.length].front, tenant));
             }
         }, 10);
     }
 
     async #send(front, tenant) {
+        this.#sentCount++;
         const result = await sendStream(front, {
             host: "ficu95.example",
             path: "/chat/1",
@@ -204,8 +219,9 @@
 }
 
 /**
- * Runs the case, writes its record and ends this process with the result. `drillAfterMs` is the time from the first request until the
- * store goes away, `awayMs` the time for which it is away, `trafficMs` the time in which requests are sent.
+ * Runs the case, writes its record and ends this process with the result. `drillAfterMs` is the time from the first request of a round
+ * until the store goes away, `awayMs` the time for which it is away, `trafficMs` the time in which requests are sent. Later rounds, each
+ * with other tenants and another drill, follow while no tenant has got too much.
  */
 export async function runDrill(options, recordUrl) {
     const run = new DrillRun();
