--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -4,12 +4,12 @@
 await runDrill({
     tenantCount: 4,
     prepaid: 100_000,
-    roundCount: 3,
+    roundCount: 5,
     areTenantsNew: true,
     hasDrill: process.env.TROUBLE !== "0",
-    hasKill: false,
+    hasStop: false,
     requestsPerS: 30,
     drillAfterMs: 4_000,
-    awayMs: 1_500,
-    trafficMs: 14_000,
+    awayMs: [1_500, 200, 2_500, 800, 3_500],
+    trafficMs: 12_000,
 }, new URL("record.txt", import.meta.url));
--- a/review/harness/drill.mjs
+++ b/review/harness/drill.mjs
@@ -13,7 +13,8 @@
 const TrafficAfterMs = 12_000;
 /** Time between the operator's write of the tenant and the first request of the tenant: `config-apply-ms`. */
 const ConfigApplyMs = 2_000;
-const KillAfterAwayMs = 200;
+/** Time from the SIGTERM until the store goes away, in milliseconds. */
+const StopBeforeAwayMs = 2_800;
 const RestartDelayMs = 1_000;
 
 /** The machines of suds-coop. */
@@ -113,12 +114,14 @@
         }
         await sleep(Math.max(0, TrafficAfterMs - (Date.now() - this.#startedMs)));
         for (let round = 0; round < roundCount && !this.#isBroken; round++) {
-            await this.#runRound(this.#tenants.slice(round * tenantCount, (round + 1) * tenantCount), options);
+            const tenants = this.#tenants.slice(round * tenantCount, (round + 1) * tenantCount);
+            await this.#runRound(tenants, { ...options, awayMs: options.awayMs[round] });
         }
         const counts = [...this.#statusCounts].map(([status, count]) => `${status}: ${count}`).join(", ");
         this.record(`requests ${this.#sentCount}; by status ${counts}`);
-        this.record(`tokens that the tenants got: ${this.#describeConsumption(this.#tenants)}`);
-        const hasEndedByItself = this.#machines.some(({ ends }) => ends.some(({ signal }) => signal === null));
+        const served = this.#tenants.filter(({ name }) => this.#consumedTokens.has(name));
+        this.record(`tokens that the tenants got: ${this.#describeConsumption(served)}`);
+        const hasEndedByItself = this.#machines.some(({ ends }) => ends.some(({ isExpected }) => !isExpected));
         if (this.#consumedTokens.size < tenantCount || hasEndedByItself) {
             return 2;
         }
@@ -134,7 +137,7 @@
     }
 
     /** One drill, while some tenants use their prepaid tokens until nothing is left. */
-    async #runRound(tenants, { areTenantsNew, hasDrill, hasKill, requestsPerS, drillAfterMs, awayMs, trafficMs }) {
+    async #runRound(tenants, { areTenantsNew, hasDrill, hasStop, requestsPerS, drillAfterMs, awayMs, trafficMs }) {
         const copy = this.#store.copy();
         this.record("the copy is made");
         const lastIndex = this.#tenants.indexOf(tenants.at(-1));
@@ -149,18 +152,15 @@
         this.record("the tenants' requests begin");
         const sending = [];
         const timer = this.#startTraffic(tenants, requestsPerS, sending);
+        if (hasStop) {
+            setTimeout(() => this.#stopWriter(), drillAfterMs - StopBeforeAwayMs);
+        }
         await sleep(drillAfterMs);
         if (hasDrill) {
             this.#store.goAway();
             this.record(`the drill begins: the store is away; tokens so far: ${this.#describeConsumption(tenants)}`);
         }
-        await sleep(KillAfterAwayMs);
-        if (hasKill) {
-            const machine = this.#machines.find(({ name }) => name === this.#lastLedgerWriter);
-            machine.signal("SIGKILL");
-            this.record(`killed: the process on ${machine.name}, which wrote last to the store for a tenant`);
-        }
-        await sleep(awayMs - KillAfterAwayMs);
+        await sleep(awayMs);
         if (hasDrill) {
             this.#store.comeBackFrom(copy);
             this.#store.set("config/main", operatorConfiguration);
@@ -172,6 +172,13 @@
         await Promise.all(sending);
     }
 
+    /** Stops the process that wrote last to the store under a condition, for one of the tenants. */
+    #stopWriter() {
+        const machine = this.#machines.find(({ name }) => name === this.#lastLedgerWriter);
+        machine.signal("SIGTERM", text => this.record(`${machine.name}: ${text}`));
+        this.record(`SIGTERM: the process on ${machine.name}, which wrote last to the store for a tenant`);
+    }
+
     async #start() {
         const [storeIp, ...ips] = await freeAddresses(Zones.length + 3);
         for (const [index, zone] of ["ie-south-a", "ie-south-b"].entries()) {
@@ -220,8 +227,8 @@
 
 /**
  * Runs the case, writes its record and ends this process with the result. `drillAfterMs` is the time from the first request of a round
- * until the store goes away, `awayMs` the time for which it is away, `trafficMs` the time in which requests are sent. Later rounds, each
- * with other tenants and another drill, follow while no tenant has got too much.
+ * until the store goes away, `awayMs` the time for which it is away in each round, `trafficMs` the time in which requests are sent. Later
+ * rounds, each with other tenants and another drill, follow while no tenant has got too much.
  */
 export async function runDrill(options, recordUrl) {
     const run = new DrillRun();
--- a/review/harness/fleet.mjs
+++ b/review/harness/fleet.mjs
@@ -45,7 +45,8 @@
     #directory = mkdtempSync(join(tmpdir(), "review-"));
     #child;
     #isStopped = false;
-    #heldUntilMs = 0;
+    #isEndExpected = false;
+    #onEvent = () => undefined;
 
     constructor(name, zone, ip, storeAddress, settings = {}) {
         this.name = name;
@@ -68,12 +69,15 @@
             stdio: ["ignore", log, log],
         });
         this.#child.once("exit", (code, signal) => {
-            this.ends.push({ code, signal });
+            this.ends.push({ code, signal, isExpected: this.#isEndExpected });
+            this.#onEvent(`the process has ended, code ${code}, signal ${signal}`);
+            this.#isEndExpected = false;
             setTimeout(() => {
                 if (!this.#isStopped) {
                     this.start(restartDelayMs);
+                    this.#onEvent("the process is started again");
                 }
-            }, Math.max(restartDelayMs, this.#heldUntilMs - Date.now()));
+            }, restartDelayMs);
         });
     }
 
@@ -81,9 +85,10 @@
         return this.#child?.pid;
     }
 
-    /** @param darkMs Minimum time until the next start. */
-    signal(name, darkMs = 0) {
-        this.#heldUntilMs = Date.now() + darkMs;
+    /** Sends a signal that ends the process. @param onEvent Called with a text for the record at the end and at the next start. */
+    signal(name, onEvent = () => undefined) {
+        this.#isEndExpected = true;
+        this.#onEvent = onEvent;
         this.#child?.kill(name);
     }
 
@@ -105,6 +110,7 @@
 
     stop() {
         this.#isStopped = true;
+        this.#isEndExpected = true;
         this.#child?.kill("SIGCONT");
         this.#child?.kill("SIGKILL");
         if (process.env.KEEP_LOGS === undefined) {
