Review case 6: simpler stand-ins; case 7 dropped

Case 6 keeps its own stand-ins: the workers no longer write entries in which only the counter changes, and the record names what the workers ran.

--- a/review/harness/drill.mjs
+++ b/review/harness/drill.mjs
@@ -13,8 +13,6 @@
 const TrafficAfterMs = 12_000;
 /** Time between the operator's write of the tenant and the first request of the tenant: `config-apply-ms`. */
 const ConfigApplyMs = 2_000;
-/** Time from the SIGTERM until the store goes away, in milliseconds. */
-const StopBeforeAwayMs = 2_800;
 const RestartDelayMs = 1_000;
 
 /** The machines of suds-coop. */
@@ -74,7 +72,6 @@
     #store = new Store();
     #engines = [];
     #machines = [];
-    #lastLedgerWriter;
     #version;
     #sentCount = 0;
     #statusCounts = new Map();
@@ -98,15 +95,10 @@
 
     /** @returns 1 if a tenant got more than its prepaid tokens, 0 if not, 2 if the case could not run. */
     async run(options) {
-        const { tenantCount, prepaid, areTenantsNew, roundCount } = options;
+        const { tenantCount, prepaid, roundCount } = options;
         this.#tenants = observedTenants(tenantCount * roundCount, prepaid);
         this.#version = 5;
-        this.#store.set("config/main", configuration(this.#version, areTenantsNew ? [OtherTenant] : this.#tenants));
-        this.#store.onWrite = ({ key, caller }) => {
-            if (this.#tenants.some(({ name }) => key.includes(name))) {
-                this.#lastLedgerWriter = caller;
-            }
-        };
+        this.#store.set("config/main", configuration(this.#version, [OtherTenant]));
         await this.#start();
         if (!await allReady(this.#machines)) {
             this.record("the machines are not ready");
@@ -119,9 +111,15 @@
         }
         const counts = [...this.#statusCounts].map(([status, count]) => `${status}: ${count}`).join(", ");
         this.record(`requests ${this.#sentCount}; by status ${counts}`);
+        for (const engine of this.#engines) {
+            for (const { id, tenant, atMs, events } of engine.runs) {
+                const atS = ((atMs - this.#startedMs) / 1_000).toFixed(3);
+                this.record(`run of request ${id} at ${engine.id}, from ${atS}, for ${tenant}, events ${events}`);
+            }
+        }
         const served = this.#tenants.filter(({ name }) => this.#consumedTokens.has(name));
         this.record(`tokens that the tenants got: ${this.#describeConsumption(served)}`);
-        const hasEndedByItself = this.#machines.some(({ ends }) => ends.some(({ isExpected }) => !isExpected));
+        const hasEndedByItself = this.#machines.some(({ ends }) => ends.length > 0);
         if (this.#consumedTokens.size < tenantCount || hasEndedByItself) {
             return 2;
         }
@@ -137,24 +135,18 @@
     }
 
     /** One drill, while some tenants use their prepaid tokens until nothing is left. */
-    async #runRound(tenants, { areTenantsNew, hasDrill, hasStop, requestsPerS, drillAfterMs, awayMs, trafficMs }) {
+    async #runRound(tenants, { hasDrill, requestsPerS, drillAfterMs, awayMs, trafficMs }) {
         const copy = this.#store.copy();
         this.record("the copy is made");
-        const lastIndex = this.#tenants.indexOf(tenants.at(-1));
-        this.#version += areTenantsNew ? 2 : 0;
-        const knownTenants = areTenantsNew ? [OtherTenant, ...this.#tenants.slice(0, lastIndex + 1)] : this.#tenants;
-        const operatorConfiguration = configuration(this.#version, knownTenants);
-        if (areTenantsNew) {
-            this.#store.set("config/main", operatorConfiguration);
-            this.record("the operator adds the tenants; the store has acknowledged it");
-            await sleep(ConfigApplyMs);
-        }
+        const knownCount = this.#tenants.indexOf(tenants.at(-1)) + 1;
+        this.#version += 2;
+        const operatorConfiguration = configuration(this.#version, [OtherTenant, ...this.#tenants.slice(0, knownCount)]);
+        this.#store.set("config/main", operatorConfiguration);
+        this.record("the operator adds the tenants; the store has acknowledged it");
+        await sleep(ConfigApplyMs);
         this.record("the tenants' requests begin");
         const sending = [];
         const timer = this.#startTraffic(tenants, requestsPerS, sending);
-        if (hasStop) {
-            setTimeout(() => this.#stopWriter(), drillAfterMs - StopBeforeAwayMs);
-        }
         await sleep(drillAfterMs);
         if (hasDrill) {
             this.#store.goAway();
@@ -172,24 +164,16 @@
         await Promise.all(sending);
     }
 
-    /** Stops the process that wrote last to the store under a condition, for one of the tenants. */
-    #stopWriter() {
-        const machine = this.#machines.find(({ name }) => name === this.#lastLedgerWriter);
-        machine.signal("SIGTERM", text => this.record(`${machine.name}: ${text}`));
-        this.record(`SIGTERM: the process on ${machine.name}, which wrote last to the store for a tenant`);
-    }
-
     async #start() {
         const [storeIp, ...ips] = await freeAddresses(Zones.length + 3);
+        await this.#store.start(storeIp);
         for (const [index, zone] of ["ie-south-a", "ie-south-b"].entries()) {
             const engine = new Engine(`i-${index + 1}`, "lm-pool", zone, this.#store);
             await engine.start(ips[index]);
             this.#engines.push(engine);
         }
         for (const [index, zone] of Zones.entries()) {
-            const name = `front-${index + 1}`;
-            const storeAddress = await this.#store.listen(storeIp, name);
-            this.#machines.push(new Machine(name, zone, ips[2 + index], storeAddress));
+            this.#machines.push(new Machine(`front-${index + 1}`, zone, ips[2 + index], this.#store.address));
         }
         this.#machines.forEach(machine => machine.start(RestartDelayMs));
     }
@@ -232,6 +216,9 @@
  */
 export async function runDrill(options, recordUrl) {
     const run = new DrillRun();
+    process.once("exit", () => run.stop());
+    process.once("SIGINT", () => process.exit(2));
+    process.once("SIGTERM", () => process.exit(2));
     let code = 2;
     try {
         code = await run.run(options);
--- a/review/harness/engine.mjs
+++ b/review/harness/engine.mjs
@@ -29,8 +29,9 @@
         this.#timer = setInterval(() => this.beat(), HeartbeatMs);
     }
 
+    /** Writes the entry, unless nothing but `seq` would change. */
     beat() {
-        if (!this.store.isAway) {
+        if (!this.store.isAway && this.store.get(`servers/${this.id}`) === undefined) {
             this.store.set(`servers/${this.id}`, {
                 service: this.service,
                 address: this.address,
--- a/review/harness/fleet.mjs
+++ b/review/harness/fleet.mjs
@@ -45,8 +45,6 @@
     #directory = mkdtempSync(join(tmpdir(), "review-"));
     #child;
     #isStopped = false;
-    #isEndExpected = false;
-    #onEvent = () => undefined;
 
     constructor(name, zone, ip, storeAddress, settings = {}) {
         this.name = name;
@@ -69,28 +67,15 @@
             stdio: ["ignore", log, log],
         });
         this.#child.once("exit", (code, signal) => {
-            this.ends.push({ code, signal, isExpected: this.#isEndExpected });
-            this.#onEvent(`the process has ended, code ${code}, signal ${signal}`);
-            this.#isEndExpected = false;
+            this.ends.push({ code, signal });
             setTimeout(() => {
                 if (!this.#isStopped) {
                     this.start(restartDelayMs);
-                    this.#onEvent("the process is started again");
                 }
             }, restartDelayMs);
         });
     }
 
-    get pid() {
-        return this.#child?.pid;
-    }
-
-    /** Sends a signal that ends the process. @param onEvent Called with a text for the record at the end and at the next start. */
-    signal(name, onEvent = () => undefined) {
-        this.#isEndExpected = true;
-        this.#onEvent = onEvent;
-        this.#child?.kill(name);
-    }
 
     async isReady() {
         return await new Promise(resolve => {
@@ -110,7 +95,6 @@
 
     stop() {
         this.#isStopped = true;
-        this.#isEndExpected = true;
         this.#child?.kill("SIGCONT");
         this.#child?.kill("SIGKILL");
         if (process.env.KEEP_LOGS === undefined) {
--- a/review/harness/store.mjs
+++ b/review/harness/store.mjs
@@ -10,35 +10,21 @@
     era = 1;
     /** Whether the store is away: connections are reset. */
     isAway = false;
-    /** Called with each write that a host of the fleet makes and the store applies. */
-    onWrite = () => undefined;
-    /** Delays or drops a call; returns whether it is served at once. */
-    intercept = undefined;
     #objects = new Map();
     #revision = 1;
     #changes = [];
     #oldestRevision = 1;
     #waiting = new Set();
-    #servers = [];
+    #server = createServer((request, response) => this.#serve(request, response));
 
-    /**
-     * Opens an address for one caller, which shows the store who calls.
-     * @returns The address as `IP:port`.
-     */
-    async listen(ip, caller) {
-        const server = createServer((request, response) => this.#serve(request, response, caller));
-        this.#servers.push(server);
-        await new Promise(resolve => server.listen(0, ip, resolve));
-        return `${ip}:${server.address().port}`;
+    async start(ip) {
+        await new Promise(resolve => this.#server.listen(0, ip, resolve));
+        this.address = `${ip}:${this.#server.address().port}`;
     }
 
     stop() {
-        this.#servers.forEach(server => server.close());
-        this.#closeConnections();
-    }
-
-    #closeConnections() {
-        this.#servers.forEach(server => server.closeAllConnections());
+        this.#server.close();
+        this.#server.closeAllConnections();
     }
 
     get revision() {
@@ -76,7 +62,7 @@
     goAway() {
         this.isAway = true;
         this.#waiting.clear();
-        this.#closeConnections();
+        this.#server.closeAllConnections();
     }
 
     comeBack() {
@@ -90,7 +76,7 @@
         this.#changes = [];
         this.#oldestRevision = revision;
         this.#waiting.clear();
-        this.#closeConnections();
+        this.#server.closeAllConnections();
         this.era++;
         this.isAway = false;
     }
@@ -113,7 +99,7 @@
         }
     }
 
-    async #serve(request, response, caller) {
+    async #serve(request, response) {
         if (this.isAway) {
             request.socket.resetAndDestroy();
             return;
@@ -136,11 +122,7 @@
             part,
             query: url.searchParams,
             body: chunks.length === 0 ? undefined : JSON.parse(Buffer.concat(chunks).toString()),
-            caller,
         };
-        if (this.intercept?.(call, request, response, () => this.#perform(call, response)) === true) {
-            return;
-        }
         this.#perform(call, response);
     }
 
@@ -164,7 +146,7 @@
         }
     }
 
-    #write({ method, kind, name, part, query, body, caller }, response) {
+    #write({ method, kind, name, part, query, body }, response) {
         const key = `${kind}/${name ?? body?.metadata?.name}`;
         const known = this.#objects.get(key);
         if (method === "POST" ? known !== undefined : known === undefined) {
@@ -176,7 +158,6 @@
             this.#respond(response, 409, wireObject(key, known));
             return;
         }
-        this.onWrite({ method, key, caller, body });
         if (method === "DELETE") {
             this.remove(key);
             this.#respond(response, 200, wireObject(key, known));
