Share the processor time for parsing among connections

What callers saw: beside clients that send bodies in chunks of one byte, ordinary callers got no answer, on any listener's account; after the clients had left, the host went on parsing for up to 47 s. Cause: SocketReader gave other connections a turn only after a slice in which a request began, so that a receive buffer of 64 KB with 10,900 chunks was parsed at once, up to 32 times in a row for one connection. Nothing counted the time. A yield alone makes the process grow: the HTTP server resumes a connection whenever a message is read, and each time another receive buffer was added to the bytes that waited. Change: ParseScheduler (one per process, on both paths) measures the time that each connection takes, bounds a turn of the event loop, and lets the connection go first that used least. When several expensive requests compete for callerLimits.maxParseContentionMs, those that began last get 429, not run, or are closed; a single one is never evicted. When connections run out, the one whose incomplete request took most time is closed. The gateway has no test of its own yet.

--- /dev/null
+++ b/src/base/parseAccount.ts
@@ -0,0 +1,20 @@
+/** The processor time that parsing the bytes of one connection takes, and may take. */
+export abstract class ParseAccount {
+    /** @returns Whether the connection may parse now; if not, it must wait for its turn. */
+    abstract get mayParse(): boolean;
+
+    /** @returns Processor time since the latest complete request, in milliseconds: that of a request which is not complete, or of none. */
+    abstract get requestMs(): number;
+
+    /** Parses some bytes, and adds the time to the account. Errors of the function are passed on. */
+    abstract measure(parse: () => void): void;
+
+    /** Records that a request has been read completely. */
+    abstract recordRequest(): void;
+
+    /** Calls back the owner of the connection when it may parse. */
+    abstract waitForTurn(): void;
+
+    /** Removes the connection; it is not called back any more. */
+    abstract close(): void;
+}
--- a/src/edge/edgeProcess.ts
+++ b/src/edge/edgeProcess.ts
@@ -435,6 +435,7 @@
             zone,
             maxHeaderBytes,
             callerMemory: this.#listeners.memory,
+            parsing: this.#listeners.parsing,
             processLimits: this.#listeners.limits,
             callerLimits,
             linkBytesPerS: linkMbps === undefined ? undefined : linkMbps * BytesPerMbit,
--- a/src/edge/edgeSettings.ts
+++ b/src/edge/edgeSettings.ts
@@ -37,6 +37,12 @@
             "time without progress of a body, or of unread responses, while memory or open requests are short",
         ),
         bodyTimeoutMs: z.number().positive().default(60_000).describe("time without progress of a body at any load"),
+        expensiveParseMs: z.number().positive().default(50).describe(
+            "processor time for parsing one request from which it is expensive",
+        ),
+        maxParseContentionMs: z.number().positive().default(3_000).describe(
+            "time for which several expensive requests may compete for the processor before the latest of them are refused",
+        ),
     }).prefault({}),
     storeAddress: AddressSchema.describe("address of the platform's store"),
     graceMs: z.number().positive().default(8_000).describe("time between the termination signal and the kill"),
--- a/src/edge/flow/callerConnections.ts
+++ b/src/edge/flow/callerConnections.ts
@@ -20,11 +20,13 @@
     requests: EdgeCounterNames.connectionsClosedRequests,
     memory: EdgeCounterNames.connectionsClosedMemory,
     unread: EdgeCounterNames.connectionsClosedUnread,
+    parsing: EdgeCounterNames.connectionsClosedParsing,
 } as const;
 
 /**
  * Why the server closes a connection: no request came in time, a request head took too long, bytes are no request, the process stops,
- * the host's link is full, there are too many connections or requests, memory is short, or responses are not read.
+ * the host's link is full, there are too many connections or requests, memory is short, responses are not read, or parsing takes too
+ * long beside others.
  */
 export type CloseReason = keyof typeof CloseCounters;
 
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -6,6 +6,7 @@
 import { findInvalidHeaderName } from "../../base/headerSyntax.js";
 import { log } from "../../base/log.js";
 import type { CallerMemory } from "../../scheduling/callerMemory.js";
+import type { ParseScheduler } from "../../scheduling/parseScheduler.js";
 import type { EdgeSettings } from "../edgeSettings.js";
 import type { CallerLimits, EdgeTeam, RequestMetadata, Route } from "../edgeTypes.js";
 import { ListenerLimits } from "../listener/listenerLimits.js";
@@ -18,7 +19,7 @@
 import { ConnectionByteCounter } from "./connectionByteCounter.js";
 import type { FlowDependencies } from "./flowTypes.js";
 import { HeaderTimeout } from "./headerTimeout.js";
-import { IncomingBody, NoMemory } from "./incomingBody.js";
+import { IncomingBody, NoMemory, NoProcessorTime } from "./incomingBody.js";
 import { LinkLoad } from "./linkLoad.js";
 import type { OpenRequest } from "./openRequest.js";
 import { OutgoingLinkBacklog } from "./outgoingLinkBacklog.js";
@@ -43,6 +44,8 @@
     configuration(): ConfigurationView;
     /** Account of what callers make the process hold. */
     readonly callerMemory: CallerMemory;
+    /** Account of the processor time that parsing takes. */
+    readonly parsing: ParseScheduler;
     readonly processLimits: ProcessLimits;
     readonly callerLimits: EdgeSettings["callerLimits"];
     /** Capacity of the host's link in each direction, in bytes per second; `undefined` when unknown. */
@@ -134,6 +137,7 @@
         this.#listenerLimits = new ListenerLimits(this.#server, {
             clock: dependencies.clock,
             memory: dependencies.callerMemory,
+            parsing: dependencies.parsing,
             maxConnections: dependencies.processLimits.callerConnections,
             maxPipelinedRequests: dependencies.callerLimits.maxPipelinedRequests,
             maxOpenRequests: dependencies.processLimits.openRequests,
@@ -420,9 +424,14 @@
         const { callerMemory } = this.#dependencies;
         const holder = callerMemory.open(() => {
             this.#connections.closeAfterResponse(message, response, "memory");
-            body.evict();
+            body.evict(NoMemory);
         }, announcedLength(message) ?? routed.table.configuration.limits.maxBodyBytes);
         response.once("close", () => callerMemory.close(holder));
+        this.#listenerLimits.onEvict(message.socket, () => {
+            callerMemory.close(holder);
+            this.#connections.closeAfterResponse(message, response, "parsing");
+            body.evict(NoProcessorTime);
+        });
         body.read(callerMemory, holder, run);
     }
 }
--- a/src/edge/flow/incomingBody.ts
+++ b/src/edge/flow/incomingBody.ts
@@ -16,6 +16,15 @@
 /** Refusal of a request for whose body there is no memory. */
 export const NoMemory: EdgeFailure = { code: "Overloaded", ran: "no", retryAfterMs: NoMemoryRetryMs };
 
+/**
+ * Retry-After of a body whose parsing takes too long beside others, in milliseconds: bodies that compete with it may end in this time, and
+ * another host may have none.
+ */
+const NoProcessorTimeRetryMs = 1_000;
+
+/** Refusal of a request whose body takes too long to parse beside others. */
+export const NoProcessorTime: EdgeFailure = { code: "Overloaded", ran: "no", retryAfterMs: NoProcessorTimeRetryMs };
+
 /** The message of a request, and the response to it. */
 export interface IncomingExchange {
     readonly message: IncomingMessage;
@@ -64,13 +73,13 @@
         this.#discard = collectBody(message, maxBodyBytes, memory, holder, guard.wrap(onEnd));
     }
 
-    /** Refuses the request, as its memory goes to requests that hold less or arrive faster. */
-    evict(): void {
+    /** Refuses the request, as its memory or processor time goes to others. */
+    evict(failure: EdgeFailure): void {
         this.#discard();
         this.#exchange.guard.run(() => {
             if (!this.#exchange.response.isEnded) {
                 this.#dependencies.metrics.counters.add(EdgeCounterNames.bodiesEvicted);
-                this.#refuse(NoMemory, { reason: "evicted" });
+                this.#refuse(failure, { reason: "evicted" });
             }
         });
     }
--- a/src/edge/listener/listenerLimits.spec.ts
+++ b/src/edge/listener/listenerLimits.spec.ts
@@ -3,6 +3,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { ManualClock } from "../../base/clock.js";
 import { CallerMemory } from "../../scheduling/callerMemory.js";
+import { ParseScheduler } from "../../scheduling/parseScheduler.js";
 import { type LimitCloseReason, ListenerLimits } from "./listenerLimits.js";
 
 const MaxPipelined = 4;
@@ -48,6 +49,7 @@
         limits = new ListenerLimits(server, {
             clock,
             memory: new CallerMemory(100_000, clock),
+            parsing: new ParseScheduler(clock, { expensiveParseMs: 50, maxParseContentionMs: 3_000 }),
             maxConnections: MaxConnections,
             maxPipelinedRequests: MaxPipelined,
             maxOpenRequests: MaxOpenRequests,
--- a/src/edge/listener/listenerLimits.ts
+++ b/src/edge/listener/listenerLimits.ts
@@ -2,23 +2,32 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Clock } from "../../base/clock.js";
+import type { ParseAccount } from "../../base/parseAccount.js";
 import { SocketReader } from "../../base/socketReader.js";
 import type { CallerMemory, MemoryHolder } from "../../scheduling/callerMemory.js";
+import type { ParseScheduler } from "../../scheduling/parseScheduler.js";
 import { ConnectionBytes } from "./processLimits.js";
 
 /** Interval at which the memory of the connections is measured, in milliseconds. */
 const MeasureIntervalMs = 100;
 
+/**
+ * Processor time for parsing a request that is not complete, in milliseconds, from which its connection may be closed when there are too
+ * many. The largest body of known length takes less.
+ */
+const MinClosableParseMs = 5;
+
 /**
  * Why a connection is closed: there are too many and it brought least, it has most of too many requests, it holds most while memory is
- * short, or its responses are not read while open requests are short.
+ * short, its responses are not read while open requests are short, or parsing takes most time while others wait.
  */
-export type LimitCloseReason = "connections" | "requests" | "memory" | "unread";
+export type LimitCloseReason = "connections" | "requests" | "memory" | "unread" | "parsing";
 
 /** Collaborators and limits of {@link ListenerLimits}. */
 export interface ListenerLimitsOptions {
     readonly clock: Clock;
     readonly memory: CallerMemory;
+    readonly parsing: ParseScheduler;
     readonly maxConnections: number;
     /** Open requests of one connection, from which the connection is not read. */
     readonly maxPipelinedRequests: number;
@@ -34,10 +43,13 @@
 interface Connection {
     readonly socket: Socket;
     readonly reader: SocketReader;
+    readonly account: ParseAccount;
     readonly open: Set<ServerResponse>;
     /** Requests that have been read and wait for those before them, in their order. */
     readonly waiting: { readonly response: ServerResponse; readonly start: () => void; }[];
     latestRequest: IncomingMessage | undefined;
+    /** Refuses the latest request while it is being read; without it the connection is closed. */
+    refuse: (() => void) | undefined;
     idleSinceMs: number;
     /** Holds what exceeds the fixed cost of a connection; `undefined` while that is nothing. */
     holder: MemoryHolder | undefined;
@@ -96,10 +108,23 @@
             return;
         }
         connection.latestRequest = request;
+        connection.refuse = undefined;
         connection.waiting.push({ response, start });
         this.#startWaiting(connection);
     }
 
+    /**
+     * Sets what is done with the latest request of a connection, instead of closing the connection, when parsing it takes too long beside
+     * others.
+     * @param refuse Called at most once, while the request is not complete.
+     */
+    onEvict(socket: Socket, refuse: () => void): void {
+        const connection = this.#connections.get(socket);
+        if (connection !== undefined) {
+            connection.refuse = refuse;
+        }
+    }
+
     /** Measures the memory of the connections and closes those that hold it without progress; called every few tens of milliseconds. */
     tick(): void {
         const nowMs = this.#options.clock.monotonicMs();
@@ -116,12 +141,22 @@
 
     #onConnection(socket: Socket): void {
         const nowMs = this.#options.clock.monotonicMs();
+        const account = this.#options.parsing.open({
+            resume: () => connection.reader.takeTurn(),
+            evict: () => this.#evict(connection),
+        });
         const connection: Connection = {
             socket,
-            reader: new SocketReader(socket, () => this.#mayRead(connection), () => connection.latestRequest),
+            account,
+            reader: new SocketReader(socket, {
+                account,
+                mayRead: () => this.#mayRead(connection),
+                latestRequest: () => connection.latestRequest,
+            }),
             open: new Set(),
             waiting: [],
             latestRequest: undefined,
+            refuse: undefined,
             idleSinceMs: nowMs,
             holder: undefined,
             sentBytes: 0,
@@ -130,7 +165,7 @@
         this.#connections.set(socket, connection);
         socket.once("close", () => this.#onClosed(connection));
         if (this.#connections.size > this.#options.maxConnections) {
-            this.#close(this.#findLeastUsed() ?? connection, "connections");
+            this.#close(this.#findLeastUsed() ?? this.#findMostExpensive() ?? connection, "connections");
         }
     }
 
@@ -149,6 +184,19 @@
         return idle;
     }
 
+    /** @returns The connection whose incomplete request has taken most time to parse; `undefined` if none has taken much. */
+    #findMostExpensive(): Connection | undefined {
+        let most: Connection | undefined;
+        let mostMs = MinClosableParseMs;
+        for (const connection of this.#connections.values()) {
+            const { requestMs } = connection.account;
+            if (requestMs >= mostMs && !hasCompleteRequest(connection)) {
+                [most, mostMs] = [connection, requestMs];
+            }
+        }
+        return most;
+    }
+
     /** The bytes behind a request that is not complete belong to it. */
     #mayRead({ open, waiting, latestRequest }: Connection): boolean {
         return latestRequest?.complete === false || open.size + waiting.length < this.#options.maxPipelinedRequests;
@@ -214,6 +262,21 @@
         }
     }
 
+    /** @returns Whether the request that is being read, or the connection, has been ended. */
+    #evict(connection: Connection): boolean {
+        const { refuse, latestRequest } = connection;
+        connection.refuse = undefined;
+        if (refuse !== undefined && latestRequest?.complete === false) {
+            refuse();
+            return true;
+        }
+        if (hasCompleteRequest(connection)) {
+            return false;
+        }
+        this.#close(connection, "parsing");
+        return true;
+    }
+
     #close(connection: Connection, reason: LimitCloseReason): void {
         if (!connection.socket.destroyed) {
             this.#options.onClose(connection.socket, reason);
@@ -242,3 +305,8 @@
         }
     }
 }
+
+/** @returns Whether a request of the connection has been read completely, so that it may run. */
+function hasCompleteRequest({ open }: Connection): boolean {
+    return [...open].some(({ req }) => req.complete);
+}
--- a/src/edge/listener/processListeners.ts
+++ b/src/edge/listener/processListeners.ts
@@ -1,8 +1,9 @@
-/** The limits of all listeners of one process, and the account of memory that they share. */
+/** The limits of all listeners of one process, and the accounts of memory and processor time that they share. */
 import type { Server } from "node:http";
 import type { Clock } from "../../base/clock.js";
 import { log } from "../../base/log.js";
 import { CallerMemory } from "../../scheduling/callerMemory.js";
+import { ParseScheduler } from "../../scheduling/parseScheduler.js";
 import type { EdgeSettings } from "../edgeSettings.js";
 import { ListenerLimits } from "./listenerLimits.js";
 import { deriveLimits, type ProcessLimits } from "./processLimits.js";
@@ -10,6 +11,7 @@
 /** Creates the limits of listeners that are not for callers. */
 export class ProcessListeners {
     readonly memory: CallerMemory;
+    readonly parsing: ParseScheduler;
     readonly limits: ProcessLimits;
     readonly #settings: EdgeSettings;
     readonly #clock: Clock;
@@ -20,6 +22,7 @@
         this.#clock = clock;
         this.limits = deriveLimits(settings);
         this.memory = new CallerMemory(this.limits.callerMemoryBytes, clock);
+        this.parsing = new ParseScheduler(clock, settings.callerLimits);
     }
 
     /** Bounds the connections of a listener of other hosts. */
@@ -41,6 +44,7 @@
         const limits = new ListenerLimits(server, {
             clock: this.#clock,
             memory: this.memory,
+            parsing: this.parsing,
             maxConnections,
             maxPipelinedRequests,
             maxOpenRequests: Number.POSITIVE_INFINITY,
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -36,6 +36,7 @@
     connectionsClosedRequests: "edge.connections.closed.requests",
     connectionsClosedMemory: "edge.connections.closed.memory",
     connectionsClosedUnread: "edge.connections.closed.unread",
+    connectionsClosedParsing: "edge.connections.closed.parsing",
     bodiesEvicted: "edge.bodies.evicted",
     sends: "edge.sends",
     repeatedSends: "edge.sends.repeated",
--- a/src/gateway/bodyReader.ts
+++ b/src/gateway/bodyReader.ts
@@ -14,6 +14,8 @@
     | { readonly status: "tooLarge"; }
     /** Callers hold too much memory, and this request is the one to refuse. */
     | { readonly status: "noMemory"; }
+    /** Parsing takes too long beside other requests. */
+    | { readonly status: "noProcessorTime"; }
     /** The connection was closed or the body did not arrive in time. */
     | { readonly status: "broken"; };
 
@@ -24,6 +26,8 @@
     /** Maximum time until the end of the body, in milliseconds. */
     readonly timeoutMs: number;
     readonly memory: CallerMemory;
+    /** Registers a callback that ends the reading when parsing the body takes too long beside other requests. */
+    onEvict(evict: () => void): void;
 }
 
 /**
@@ -48,6 +52,7 @@
         };
         const timer = setTimeout(() => finish({ status: "broken" }), timeoutMs);
         const holder = memory.open(() => finish({ status: "noMemory" }));
+        limits.onEvict(() => finish({ status: "noProcessorTime" }));
         if (!memory.tryTake(holder, RequestBytes)) {
             finish({ status: "noMemory" });
             return;
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -66,9 +66,10 @@
             { requireHostHeader: false, keepAliveTimeout: 65_000 },
             (incoming, outgoing) => this.#accept(incoming, outgoing, listener),
         );
-        const { settings, callerMemory, clock, kernel } = dependencies;
+        const { settings, callerMemory, parsing, clock, kernel } = dependencies;
         this.#limiter = new ConnectionLimiter(this.#server, {
             memory: callerMemory,
+            parsing,
             clock,
             counters: kernel.counters,
             listener: "gateway",
@@ -199,6 +200,7 @@
             maxBytes: settings.maxBodyBytes,
             timeoutMs: settings.bodyTimeoutMs,
             memory: callerMemory,
+            onEvict: evict => this.#limiter.onEvict(incoming, evict),
         });
         this.#bodyReads.delete(refuse);
         if (read.status === "read") {
@@ -212,6 +214,11 @@
             this.#refuse(incoming, outgoing, requestId, "Overloaded", "callers hold too much memory");
             return;
         }
+        if (read.status === "noProcessorTime") {
+            this.#dependencies.kernel.counters.add("gateway.refusedForParsing");
+            this.#refuse(incoming, outgoing, requestId, "Overloaded", "the body takes too long to parse beside others");
+            return;
+        }
         if (read.status !== "read") {
             this.#refuse(incoming, outgoing, requestId, read.status === "tooLarge" ? "BodyTooLarge" : "MalformedBody");
             return;
--- a/src/gateway/connectionLimiter.spec.ts
+++ b/src/gateway/connectionLimiter.spec.ts
@@ -4,6 +4,7 @@
 import { SystemClock } from "../base/clock.js";
 import { Counters } from "../base/counters.js";
 import { CallerMemory } from "../scheduling/callerMemory.js";
+import { ParseScheduler } from "../scheduling/parseScheduler.js";
 import { ConnectionLimiter } from "./connectionLimiter.js";
 
 const MaxOpenRequests = 4;
@@ -34,7 +35,15 @@
             maxStallMs: 10_000,
             maxScarceStallMs: 10_000,
         };
-        const limiter = new ConnectionLimiter(server, { memory, clock, counters, listener: "gateway", limits });
+        const parsing = new ParseScheduler(clock, { expensiveParseMs: 50, maxParseContentionMs: 3_000 });
+        const limiter = new ConnectionLimiter(server, {
+            memory,
+            parsing,
+            clock,
+            counters,
+            listener: "gateway",
+            limits,
+        });
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     });
 
--- a/src/gateway/connectionLimiter.ts
+++ b/src/gateway/connectionLimiter.ts
@@ -6,6 +6,7 @@
 import { log } from "../base/log.js";
 import { SocketReader } from "../base/socketReader.js";
 import type { CallerMemory, MemoryHolder } from "../scheduling/callerMemory.js";
+import type { ParseScheduler } from "../scheduling/parseScheduler.js";
 
 /** Heap that a request occupies which has been read and waits for earlier ones of its connection, in bytes. */
 const WaitingRequestBytes = 6_144;
@@ -24,6 +25,7 @@
     limit: "connections.closedForLimit",
     memory: "connections.closedForMemory",
     stalled: "connections.closedStalled",
+    parsing: "connections.closedForParsing",
 } as const;
 type CloseReason = keyof typeof CloseCounters;
 
@@ -41,6 +43,7 @@
 /** Collaborators of {@link ConnectionLimiter}. */
 export interface ConnectionLimiterDependencies {
     readonly memory: CallerMemory;
+    readonly parsing: ParseScheduler;
     readonly clock: Clock;
     readonly counters: Pick<Counters, "add" | "set">;
     /** Prefix of the names of the counters. */
@@ -63,6 +66,8 @@
     readonly open: Map<ServerResponse, IncomingMessage>;
     waiting: WaitingRequest[];
     latestRequest: IncomingMessage | undefined;
+    /** Refuses the latest request while it is being read; without it the connection is closed. */
+    refuse: (() => void) | undefined;
     /** Memory of the waiting requests; may be evicted, as none of them has begun. */
     waitingHolder: MemoryHolder | undefined;
     /** Memory of the unsent bytes of responses; `undefined` while there are none. */
@@ -96,6 +101,7 @@
             return;
         }
         state.latestRequest = incoming;
+        state.refuse = undefined;
         if (state.waiting.length === 0 && state.open.size < this.#dependencies.limits.maxOpenRequests) {
             this.#begin(state, { incoming, outgoing, begin });
         }
@@ -104,15 +110,35 @@
         }
     }
 
+    /**
+     * Sets what is done with a request, instead of closing its connection, when parsing it takes too long beside others.
+     * @param refuse Called at most once, while the request is not complete.
+     */
+    onEvict(incoming: IncomingMessage, refuse: () => void): void {
+        const state = this.#states.get(incoming.socket);
+        if (state?.latestRequest === incoming) {
+            state.refuse = refuse;
+        }
+    }
+
     #add(socket: Socket): void {
         const nowMs = this.#dependencies.clock.monotonicMs();
+        const account = this.#dependencies.parsing.open({
+            resume: () => state.reader.takeTurn(),
+            evict: () => this.#evict(state),
+        });
         const state: ConnectionState = {
             socket,
-            reader: new SocketReader(socket, () => this.#mayRead(state), () => state.latestRequest),
+            reader: new SocketReader(socket, {
+                account,
+                mayRead: () => this.#mayRead(state),
+                latestRequest: () => state.latestRequest,
+            }),
             openedAtMs: nowMs,
             open: new Map(),
             waiting: [],
             latestRequest: undefined,
+            refuse: undefined,
             waitingHolder: undefined,
             unsentHolder: undefined,
             sentBytes: 0,
@@ -229,6 +255,21 @@
         }
     }
 
+    /** @returns Whether the request that is being read, or the connection, has been ended. */
+    #evict(state: ConnectionState): boolean {
+        const { refuse, latestRequest } = state;
+        state.refuse = undefined;
+        if (refuse !== undefined && latestRequest?.complete === false) {
+            refuse();
+            return true;
+        }
+        if (hasCompleteRequest(state)) {
+            return false;
+        }
+        this.#close(state, "parsing");
+        return true;
+    }
+
     #close(state: ConnectionState, reason: CloseReason): void {
         if (state.socket.destroyed) {
             return;
--- a/src/gateway/gatewaySettings.ts
+++ b/src/gateway/gatewaySettings.ts
@@ -27,6 +27,10 @@
      * `callerMemoryBytes`; the request is then refused, or the connection closed.
      */
     scarceMemoryStallMs: z.number().int().positive().default(5_000),
+    /** Processor time for parsing one request from which it is expensive. */
+    expensiveParseMs: z.number().positive().default(50),
+    /** Time for which several expensive requests may compete for the processor before the latest of them are refused. */
+    maxParseContentionMs: z.number().positive().default(3_000),
     connectTimeoutMs: z.number().int().positive().default(1_000),
     /** Maximum wait for the first byte of a streamed response. */
     firstByteTimeoutMs: z.number().int().positive().default(15_000),
--- a/src/gateway/gatewayTypes.ts
+++ b/src/gateway/gatewayTypes.ts
@@ -8,6 +8,7 @@
 import type { Kernel } from "../kernel/kernel.js";
 import type { RoutePlan, RouteQuery } from "../routing/routePlan.js";
 import type { CallerMemory } from "../scheduling/callerMemory.js";
+import type { ParseScheduler } from "../scheduling/parseScheduler.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import type { UpstreamClient } from "./upstreamClient.js";
 
@@ -19,8 +20,9 @@
     readonly kernel: Kernel;
     readonly controllerClient: ControllerClient;
     readonly upstreamClient: UpstreamClient;
-    /** Account of all listeners of the process. */
+    /** Accounts of all listeners of the process. */
     readonly callerMemory: CallerMemory;
+    readonly parsing: ParseScheduler;
     readonly clock: Clock;
     readonly random: Random;
     readonly settings: GatewaySettings;
--- a/src/router/operatorServer.ts
+++ b/src/router/operatorServer.ts
@@ -36,7 +36,10 @@
 }
 
 /** Collaborators of {@link OperatorServer}. */
-export type OperatorServerDependencies = Pick<ConnectionLimiterDependencies, "memory" | "clock" | "counters">;
+export type OperatorServerDependencies = Pick<
+    ConnectionLimiterDependencies,
+    "memory" | "parsing" | "clock" | "counters"
+>;
 
 /** HTTP server for operators; requires the operator token if one is set. */
 export class OperatorServer {
--- a/src/router/routerProcess.ts
+++ b/src/router/routerProcess.ts
@@ -18,6 +18,7 @@
 import { type ControllerFactory, Kernel } from "../kernel/kernel.js";
 import type { ListedHost } from "../platform/platformStore.js";
 import { CallerMemory } from "../scheduling/callerMemory.js";
+import { ParseScheduler } from "../scheduling/parseScheduler.js";
 import { OperatorServer } from "./operatorServer.js";
 import type { RouterDependencies, RouterDependenciesFactory } from "./routerDependencies.js";
 import { RouterEffectRunner } from "./routerEffectRunner.js";
@@ -53,6 +54,7 @@
     readonly #counters = new Counters();
     readonly #networkByteCounter = new NetworkByteCounter(socket => !this.#isOperatorSocket(socket));
     readonly #callerMemory: CallerMemory;
+    readonly #parsing: ParseScheduler;
     readonly #dependencies: RouterDependencies;
     readonly #operatorServer: OperatorServer;
     readonly #upstreamClient: UndiciUpstreamClient;
@@ -78,7 +80,13 @@
         });
         this.#upstreamClient = new UndiciUpstreamClient(settings.gateway);
         this.#callerMemory = new CallerMemory(getCallerMemoryBytes(settings.gateway), this.#clock);
-        const collaborators = { memory: this.#callerMemory, clock: this.#clock, counters: this.#counters };
+        this.#parsing = new ParseScheduler(this.#clock, settings.gateway);
+        const collaborators = {
+            memory: this.#callerMemory,
+            parsing: this.#parsing,
+            clock: this.#clock,
+            counters: this.#counters,
+        };
         this.#operatorServer = new OperatorServer(settings.operator, collaborators, {
             dumpState: () => this.dumpState(),
             readMetrics: () => this.#readMetrics(),
@@ -128,6 +136,7 @@
             controllerClient,
             upstreamClient: this.#upstreamClient,
             callerMemory: this.#callerMemory,
+            parsing: this.#parsing,
             clock: this.#clock,
             random: this.#random,
             settings: this.#settings.gateway,
@@ -241,6 +250,8 @@
         this.#counters.set("network.sentBytes", sentBytes);
         this.#counters.set("callerMemory.heldBytes", this.#callerMemory.heldBytes);
         this.#counters.set("callerMemory.evicted", this.#callerMemory.evictedCount);
+        this.#counters.set("parsing.waiting", this.#parsing.waitingCount);
+        this.#counters.set("parsing.evicted", this.#parsing.evictedCount);
         return this.#counters.snapshot();
     }
 
--- a/src/standins/router/gatewayHarness.ts
+++ b/src/standins/router/gatewayHarness.ts
@@ -16,6 +16,7 @@
 import { EffectRunner, Kernel } from "../../kernel/kernel.js";
 import type { RoutePlan, RouteQuery } from "../../routing/routePlan.js";
 import { CallerMemory } from "../../scheduling/callerMemory.js";
+import { ParseScheduler } from "../../scheduling/parseScheduler.js";
 import { PermissiveController } from "./permissiveController.js";
 
 /** API key of the only team of the harness. */
@@ -68,6 +69,7 @@
             controllerClient,
             upstreamClient: this.#upstreamClient,
             callerMemory: new CallerMemory(getCallerMemoryBytes(parsed), clock),
+            parsing: new ParseScheduler(clock, parsed),
             clock,
             random,
             settings: parsed,
