Close expensive connections before new ones when connections run out

What callers saw: beside 60 clients that send 600 KB of chunks of one byte and leave after 0.6 s, again and again, an ordinary caller's connection was closed, also after the clients had left. Cause: bytes of clients that have left stay in the socket buffers, so that their connections keep a request that is not complete until those are parsed. With all connections in use, "the oldest without a request" was the new connection of the ordinary caller itself. Change: a connection has 1 s for its first request; before that, the connection whose incomplete request took most time to parse (5 ms or more) is closed, then the one that is idle longest. A new connection is closed only if each other one has an ordinary request. Both new tests of listenerLimits.spec.ts fail without the change.

--- a/src/edge/listener/listenerLimits.spec.ts
+++ b/src/edge/listener/listenerLimits.spec.ts
@@ -16,9 +16,10 @@
     let server: Server;
     let limits: ListenerLimits;
     let clock: ManualClock;
+    let parsingClock: ManualClock;
     let closes: LimitCloseReason[];
     let started: { readonly url: string; readonly response: ServerResponse; }[];
-    let clients: Socket[];
+    let clients: (Socket & { text?: string; })[];
 
     /** Opens a connection and waits until the server has it. */
     async function open(text = ""): Promise<Socket & { text?: string; }> {
@@ -37,19 +38,21 @@
 
     beforeEach(async () => {
         clock = new ManualClock();
+        parsingClock = new ManualClock();
         closes = [];
         started = [];
         clients = [];
         server = createServer((request, response) =>
             limits.admit(request, response, () => {
                 request.resume();
+                parsingClock.advance(request.url === "/expensive" ? 20 : 0);
                 started.push({ url: request.url!, response });
             })
         );
         limits = new ListenerLimits(server, {
             clock,
             memory: new CallerMemory(100_000, clock),
-            parsing: new ParseScheduler(clock, { expensiveParseMs: 50, maxParseContentionMs: 3_000 }),
+            parsing: new ParseScheduler(parsingClock, { expensiveParseMs: 50, maxParseContentionMs: 3_000 }),
             maxConnections: MaxConnections,
             maxPipelinedRequests: MaxPipelined,
             maxOpenRequests: MaxOpenRequests,
@@ -113,6 +116,40 @@
             expect(closes).toEqual(["connections"]);
         });
 
+        it("closes the most expensive unfinished request first (guards against ordinary callers refused because of a crowd)", async () => {
+            const unfinished = (path: string): string =>
+                `POST /${path} HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n`;
+            const upload = await open(unfinished("upload"));
+            const expensive = await open(unfinished("expensive"));
+            await vi.waitFor(() => expect(started.length).toBe(2));
+            const idle = await open(head("idle"));
+            await vi.waitFor(() => expect(started.length).toBe(3));
+            started[2]!.response.end("/idle");
+            await vi.waitFor(() => expect(idle.text).toContain("/idle"));
+            const latest = await open(head("latest"));
+            await vi.waitFor(() => expect(expensive.destroyed).toBe(true));
+            await vi.waitFor(() => expect(started.length).toBe(4));
+            respondToAll();
+            await vi.waitFor(() => expect(latest.text).toContain("/latest"));
+            expect([upload.destroyed, idle.destroyed]).toEqual([false, false]);
+            expect(closes).toEqual(["connections"]);
+        });
+
+        it("leaves a connection time for its first request (guards against callers closed before they are read)", async () => {
+            for (let index = 0; index < MaxConnections - 1; index++) {
+                await open(head(index));
+            }
+            await vi.waitFor(() => expect(started.length).toBe(MaxConnections - 1));
+            const fresh = await open();
+            started[0]!.response.end("/0");
+            await vi.waitFor(() => expect(clients[0]!.text).toContain("/0"));
+            await open();
+            await vi.waitFor(() => expect(clients[0]!.destroyed).toBe(true));
+            clock.advance(2_000);
+            await open();
+            await vi.waitFor(() => expect(fresh.destroyed).toBe(true));
+        });
+
         it("closes the new one while each has an open request (guards against requests that are broken off)", async () => {
             for (let index = 0; index < MaxConnections; index++) {
                 await open(head(index));
--- a/src/edge/listener/listenerLimits.ts
+++ b/src/edge/listener/listenerLimits.ts
@@ -17,6 +17,12 @@
  */
 const MinClosableParseMs = 5;
 
+/**
+ * Time that a connection has for its first request before it is closed in place of more expensive ones, in milliseconds. The first
+ * request usually follows at once.
+ */
+const FirstRequestGraceMs = 1_000;
+
 /**
  * Why a connection is closed: there are too many and it brought least, it has most of too many requests, it holds most while memory is
  * short, its responses are not read while open requests are short, or parsing takes most time while others wait.
@@ -165,23 +171,30 @@
         this.#connections.set(socket, connection);
         socket.once("close", () => this.#onClosed(connection));
         if (this.#connections.size > this.#options.maxConnections) {
-            this.#close(this.#findLeastUsed() ?? this.#findMostExpensive() ?? connection, "connections");
+            this.#close(this.#findLeastUseful(connection, nowMs) ?? connection, "connections");
         }
     }
 
-    /** @returns The oldest connection without a request or, if each has had one, the one that is idle longest. */
-    #findLeastUsed(): Connection | undefined {
+    /**
+     * @param latest Connection that has just been opened; its first request may be on its way.
+     * @returns The oldest connection that has had time for a request and sent none, or the one whose incomplete request is most expensive,
+     * or the one that is idle longest, or the oldest without a request; `undefined` if each other connection has an ordinary request.
+     */
+    #findLeastUseful(latest: Connection, nowMs: number): Connection | undefined {
+        let oldestUnused: Connection | undefined;
         let idle: Connection | undefined;
         for (const connection of this.#connections.values()) {
             if (connection.latestRequest === undefined) {
-                return connection;
+                oldestUnused ??= connection === latest ? undefined : connection;
+                continue;
             }
             const isIdle = connection.open.size === 0 && connection.waiting.length === 0;
             if (isIdle && connection.idleSinceMs < (idle?.idleSinceMs ?? Number.POSITIVE_INFINITY)) {
                 idle = connection;
             }
         }
-        return idle;
+        const hadTime = oldestUnused !== undefined && nowMs - oldestUnused.idleSinceMs >= FirstRequestGraceMs;
+        return hadTime ? oldestUnused : this.#findMostExpensive() ?? idle ?? oldestUnused;
     }
 
     /** @returns The connection whose incomplete request has taken most time to parse; `undefined` if none has taken much. */
