Close connections whose bytes belong to no request

What callers saw: beside 40 clients that send line ends without a request, or any bytes behind a request that asks for another protocol, every request was refused with 429, Retry-After 0.05. Cause: the parser skips line ends before a request without a limit, and after an error behind a request that still runs the connection was read on until the response. The bytes count for the load of the link, and a full link refuses new requests. Any other bytes that belong to no request have the same effect. Change: SocketReader counts the bytes in a row that neither begin nor belong to a request. Above callerLimits.maxStrayBytes (32,768, twice the largest head; gateway.maxStrayBytes on the gateway) the connection is not read any more and is closed, with requests that may run after their responses. Three new tests in listenerLimits.spec.ts, one of them that a few line ends before each request are still ignored.

--- a/src/base/socketReader.ts
+++ b/src/base/socketReader.ts
@@ -13,10 +13,14 @@
 export interface SocketReaderOptions {
     /** Account of the time for parsing. Its owner calls {@link SocketReader.takeTurn} when the connection may parse. */
     readonly account: ParseAccount;
+    /** Maximum bytes in a row that belong to no request: line ends, or a head that is not complete. More than the largest head. */
+    readonly maxStrayBytes: number;
     /** @returns Whether further requests may begin on the connection. */
     mayRead(): boolean;
     /** @returns The request that began last on the connection. */
     latestRequest(): IncomingMessage | undefined;
+    /** Called when the connection has exceeded {@link SocketReaderOptions.maxStrayBytes}; may be called again. */
+    onStrayBytes(): void;
 }
 
 /**
@@ -28,6 +32,7 @@
     readonly #options: SocketReaderOptions;
     /** At least the bytes that are missing of the body of the latest request, if its length is announced; at most one slice more. */
     #missingBodyBytes = 0;
+    #strayBytes = 0;
     readonly #deliver: (bytes: Buffer) => void;
     #pending: Buffer | undefined;
     /** Why the connection is paused, unless the server itself has paused it. */
@@ -128,7 +133,15 @@
         else {
             this.#missingBodyBytes = latest?.complete === false ? Number(latest.headers["content-length"] ?? 0) : 0;
         }
-        if (latest?.complete === true && !(latest === before && wasComplete)) {
+        if (latest === before && wasComplete) {
+            this.#strayBytes += slice.length;
+            if (this.#strayBytes > this.#options.maxStrayBytes) {
+                this.#options.onStrayBytes();
+            }
+            return;
+        }
+        this.#strayBytes = 0;
+        if (latest?.complete === true) {
             account.recordRequest();
         }
     }
--- a/src/edge/edgeSettings.ts
+++ b/src/edge/edgeSettings.ts
@@ -37,6 +37,9 @@
             "time without progress of a body, or of unread responses, while memory or open requests are short",
         ),
         bodyTimeoutMs: z.number().positive().default(60_000).describe("time without progress of a body at any load"),
+        maxStrayBytes: z.number().int().positive().default(32_768).describe(
+            "bytes in a row that belong to no request, such as line ends, from which a connection is closed; more than maxHeaderBytes",
+        ),
         expensiveParseMs: z.number().positive().default(50).describe(
             "processor time for parsing one request from which it is expensive",
         ),
--- a/src/edge/flow/callerConnections.ts
+++ b/src/edge/flow/callerConnections.ts
@@ -21,12 +21,13 @@
     memory: EdgeCounterNames.connectionsClosedMemory,
     unread: EdgeCounterNames.connectionsClosedUnread,
     parsing: EdgeCounterNames.connectionsClosedParsing,
+    stray: EdgeCounterNames.connectionsClosedStray,
 } as const;
 
 /**
  * Why the server closes a connection: no request came in time, a request head took too long, bytes are no request, the process stops,
- * the host's link is full, there are too many connections or requests, memory is short, responses are not read, or parsing takes too
- * long beside others.
+ * the host's link is full, there are too many connections or requests, memory is short, responses are not read, parsing takes too
+ * long beside others, or too many bytes belong to no request.
  */
 export type CloseReason = keyof typeof CloseCounters;
 
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -142,6 +142,7 @@
             maxPipelinedRequests: dependencies.callerLimits.maxPipelinedRequests,
             maxOpenRequests: dependencies.processLimits.openRequests,
             unreadTimeoutMs: dependencies.callerLimits.unreadTimeoutMs,
+            maxStrayBytes: dependencies.callerLimits.maxStrayBytes,
             onClose: (socket, reason) => this.#connections.recordClose(socket, reason),
         });
     }
--- a/src/edge/listener/listenerLimits.spec.ts
+++ b/src/edge/listener/listenerLimits.spec.ts
@@ -9,6 +9,7 @@
 const MaxPipelined = 4;
 const MaxConnections = 3;
 const MaxOpenRequests = 12;
+const MaxStrayBytes = 32_768;
 
 const head = (id: number | string): string => `GET /${id} HTTP/1.1\r\nHost: h\r\n\r\n`;
 
@@ -57,6 +58,7 @@
             maxPipelinedRequests: MaxPipelined,
             maxOpenRequests: MaxOpenRequests,
             unreadTimeoutMs: 3_000,
+            maxStrayBytes: MaxStrayBytes,
             onClose: (_socket, reason) => closes.push(reason),
         });
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
@@ -162,6 +164,37 @@
         });
     });
 
+    describe("given bytes that belong to no request", () => {
+        it("closes the connection (guards against line ends without end)", async () => {
+            const client = await open("\r\n".repeat(MaxStrayBytes));
+            await vi.waitFor(() => expect(client.destroyed).toBe(true));
+            expect(closes).toEqual(["stray"]);
+        });
+
+        it("answers a request behind a few line ends (guards against clients refused that send one too many)", async () => {
+            const client = await open();
+            for (let index = 0; index < 20; index++) {
+                client.write("\r\n".repeat(5_000) + head(index));
+                await vi.waitFor(() => expect(started.length).toBe(1));
+                respondToAll();
+            }
+            await vi.waitFor(() => expect(client.text).toContain("/19"));
+            expect(closes).toEqual([]);
+        });
+
+        it("closes the connection after the response to the request before them (guards against responses that are lost)", async () => {
+            const client = await open(head("first") + "\r\n".repeat(MaxStrayBytes));
+            await vi.waitFor(() => expect(started.length).toBe(1));
+            client.write("\r\n".repeat(20_000_000));
+            await new Promise(resolve => setTimeout(resolve, 100));
+            expect(client.writableLength).toBeGreaterThan(0);
+            respondToAll();
+            await vi.waitFor(() => expect(client.text).toContain("/first"));
+            await vi.waitFor(() => expect(client.destroyed).toBe(true), { timeout: 5_000 });
+            expect(closes).toEqual(["stray"]);
+        });
+    });
+
     describe("given unread responses beyond the memory", () => {
         it("closes their connection (guards against responses that take all memory)", async () => {
             const client = await open();
--- a/src/edge/listener/listenerLimits.ts
+++ b/src/edge/listener/listenerLimits.ts
@@ -17,6 +17,9 @@
  */
 const MinClosableParseMs = 5;
 
+/** Time in which a caller reads its responses before a connection that is not read any more is closed, in milliseconds. */
+const LingerMs = 1_000;
+
 /**
  * Time that a connection has for its first request before it is closed in place of more expensive ones, in milliseconds. The first
  * request usually follows at once.
@@ -25,9 +28,10 @@
 
 /**
  * Why a connection is closed: there are too many and it brought least, it has most of too many requests, it holds most while memory is
- * short, its responses are not read while open requests are short, or parsing takes most time while others wait.
+ * short, its responses are not read while open requests are short, parsing takes most time while others wait, or it sends bytes that
+ * belong to no request.
  */
-export type LimitCloseReason = "connections" | "requests" | "memory" | "unread" | "parsing";
+export type LimitCloseReason = "connections" | "requests" | "memory" | "unread" | "parsing" | "stray";
 
 /** Collaborators and limits of {@link ListenerLimits}. */
 export interface ListenerLimitsOptions {
@@ -41,6 +45,8 @@
     readonly maxOpenRequests: number;
     /** Time for which responses may stay unread while open requests are short, in milliseconds. */
     readonly unreadTimeoutMs: number;
+    /** Bytes in a row that belong to no request, from which a connection is closed. */
+    readonly maxStrayBytes: number;
     /** Called before a connection is closed. */
     onClose(socket: Socket, reason: LimitCloseReason): void;
 }
@@ -56,6 +62,8 @@
     latestRequest: IncomingMessage | undefined;
     /** Refuses the latest request while it is being read; without it the connection is closed. */
     refuse: (() => void) | undefined;
+    /** Why the connection is not read any more, and is closed after the responses to its requests. */
+    endReason: LimitCloseReason | undefined;
     idleSinceMs: number;
     /** Holds what exceeds the fixed cost of a connection; `undefined` while that is nothing. */
     holder: MemoryHolder | undefined;
@@ -158,11 +166,14 @@
                 account,
                 mayRead: () => this.#mayRead(connection),
                 latestRequest: () => connection.latestRequest,
+                maxStrayBytes: this.#options.maxStrayBytes,
+                onStrayBytes: () => this.#end(connection, "stray"),
             }),
             open: new Set(),
             waiting: [],
             latestRequest: undefined,
             refuse: undefined,
+            endReason: undefined,
             idleSinceMs: nowMs,
             holder: undefined,
             sentBytes: 0,
@@ -211,7 +222,10 @@
     }
 
     /** The bytes behind a request that is not complete belong to it. */
-    #mayRead({ open, waiting, latestRequest }: Connection): boolean {
+    #mayRead({ open, waiting, latestRequest, endReason }: Connection): boolean {
+        if (endReason !== undefined) {
+            return false;
+        }
         return latestRequest?.complete === false || open.size + waiting.length < this.#options.maxPipelinedRequests;
     }
 
@@ -240,6 +254,25 @@
         if (!connection.socket.destroyed) {
             this.#startWaiting(connection);
             connection.reader.check();
+            this.#closeEnded(connection);
+        }
+    }
+
+    /** Closes a connection without reading on, after the responses to the requests that have been read. */
+    #end(connection: Connection, reason: LimitCloseReason): void {
+        connection.endReason = reason;
+        if (connection.open.size + connection.waiting.length === 0) {
+            this.#close(connection, reason);
+        }
+    }
+
+    #closeEnded({ socket, open, waiting, endReason }: Connection): void {
+        if (endReason !== undefined && open.size + waiting.length === 0) {
+            this.#options.onClose(socket, endReason);
+            socket.end();
+            // Bytes that were not read reset the connection; the caller could lose its response.
+            const timer = setTimeout(() => socket.destroy(), LingerMs);
+            socket.once("close", () => clearTimeout(timer));
         }
     }
 
--- a/src/edge/listener/processListeners.ts
+++ b/src/edge/listener/processListeners.ts
@@ -40,7 +40,7 @@
     }
 
     #limit(listener: string, server: Server, maxConnections: number): ListenerLimits {
-        const { maxPipelinedRequests, unreadTimeoutMs } = this.#settings.callerLimits;
+        const { maxPipelinedRequests, unreadTimeoutMs, maxStrayBytes } = this.#settings.callerLimits;
         const limits = new ListenerLimits(server, {
             clock: this.#clock,
             memory: this.memory,
@@ -49,6 +49,7 @@
             maxPipelinedRequests,
             maxOpenRequests: Number.POSITIVE_INFINITY,
             unreadTimeoutMs,
+            maxStrayBytes,
             onClose: ({ remoteAddress, remotePort }, reason) =>
                 log.info("connection closed", { listener, reason, remote: `${remoteAddress}:${remotePort}` }),
         });
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -37,6 +37,7 @@
     connectionsClosedMemory: "edge.connections.closed.memory",
     connectionsClosedUnread: "edge.connections.closed.unread",
     connectionsClosedParsing: "edge.connections.closed.parsing",
+    connectionsClosedStray: "edge.connections.closed.stray",
     bodiesEvicted: "edge.bodies.evicted",
     sends: "edge.sends",
     repeatedSends: "edge.sends.repeated",
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -78,6 +78,7 @@
                 maxOpenRequests: settings.maxOpenRequestsPerConnection,
                 maxStallMs: settings.callerStallMs,
                 maxScarceStallMs: settings.scarceMemoryStallMs,
+                maxStrayBytes: settings.maxStrayBytes,
             },
         });
         this.#server.on("clientError", (_error, socket) => rejectMalformedRequest(socket as Socket));
--- a/src/gateway/connectionLimiter.spec.ts
+++ b/src/gateway/connectionLimiter.spec.ts
@@ -34,6 +34,7 @@
             maxOpenRequests: MaxOpenRequests,
             maxStallMs: 10_000,
             maxScarceStallMs: 10_000,
+            maxStrayBytes: 32_768,
         };
         const parsing = new ParseScheduler(clock, { expensiveParseMs: 50, maxParseContentionMs: 3_000 });
         const limiter = new ConnectionLimiter(server, {
--- a/src/gateway/connectionLimiter.ts
+++ b/src/gateway/connectionLimiter.ts
@@ -26,6 +26,7 @@
     memory: "connections.closedForMemory",
     stalled: "connections.closedStalled",
     parsing: "connections.closedForParsing",
+    stray: "connections.closedForStrayBytes",
 } as const;
 type CloseReason = keyof typeof CloseCounters;
 
@@ -38,6 +39,8 @@
     readonly maxStallMs: number;
     /** The same while the memory is scarce. */
     readonly maxScarceStallMs: number;
+    /** Bytes in a row that belong to no request, from which a connection is closed. More than the largest head. */
+    readonly maxStrayBytes: number;
 }
 
 /** Collaborators of {@link ConnectionLimiter}. */
@@ -66,6 +69,8 @@
     readonly open: Map<ServerResponse, IncomingMessage>;
     waiting: WaitingRequest[];
     latestRequest: IncomingMessage | undefined;
+    /** Whether the connection is not read any more, as it sent bytes that belong to no request. */
+    isEnding: boolean;
     /** Refuses the latest request while it is being read; without it the connection is closed. */
     refuse: (() => void) | undefined;
     /** Memory of the waiting requests; may be evicted, as none of them has begun. */
@@ -133,11 +138,14 @@
                 account,
                 mayRead: () => this.#mayRead(state),
                 latestRequest: () => state.latestRequest,
+                maxStrayBytes: this.#dependencies.limits.maxStrayBytes,
+                onStrayBytes: () => this.#onStrayBytes(state),
             }),
             openedAtMs: nowMs,
             open: new Map(),
             waiting: [],
             latestRequest: undefined,
+            isEnding: false,
             refuse: undefined,
             waitingHolder: undefined,
             unsentHolder: undefined,
@@ -171,6 +179,9 @@
         outgoing.once("close", () => {
             state.open.delete(outgoing);
             this.#beginWaiting(state);
+            if (state.isEnding && state.open.size === 0) {
+                this.#close(state, "stray");
+            }
             if (!state.socket.destroyed) {
                 state.reader.check();
             }
@@ -207,8 +218,8 @@
         }
     }
 
-    #mayRead({ open, waiting }: ConnectionState): boolean {
-        return open.size + waiting.length < this.#dependencies.limits.maxOpenRequests;
+    #mayRead({ open, waiting, isEnding }: ConnectionState): boolean {
+        return !isEnding && open.size + waiting.length < this.#dependencies.limits.maxOpenRequests;
     }
 
     #remove(state: ConnectionState): void {
@@ -255,6 +266,14 @@
         }
     }
 
+    /** Closes the connection; one with a request that may run is not read any more, and is closed after the response. */
+    #onStrayBytes(state: ConnectionState): void {
+        state.isEnding = true;
+        if (!hasCompleteRequest(state)) {
+            this.#close(state, "stray");
+        }
+    }
+
     /** @returns Whether the request that is being read, or the connection, has been ended. */
     #evict(state: ConnectionState): boolean {
         const { refuse, latestRequest } = state;
--- a/src/gateway/gatewaySettings.ts
+++ b/src/gateway/gatewaySettings.ts
@@ -27,6 +27,8 @@
      * `callerMemoryBytes`; the request is then refused, or the connection closed.
      */
     scarceMemoryStallMs: z.number().int().positive().default(5_000),
+    /** Bytes in a row that belong to no request, such as line ends, from which a connection is closed; more than a request head. */
+    maxStrayBytes: z.number().int().positive().default(32_768),
     /** Processor time for parsing one request from which it is expensive. */
     expensiveParseMs: z.number().positive().default(50),
     /** Time for which several expensive requests may compete for the processor before the latest of them are refused. */
--- a/src/router/operatorServer.ts
+++ b/src/router/operatorServer.ts
@@ -18,6 +18,7 @@
     maxOpenRequests: 2,
     maxStallMs: 30_000,
     maxScarceStallMs: 5_000,
+    maxStrayBytes: 32_768,
 };
 
 /** Actions of a router that operators can request. */
