Test the gateway's listeners with clients that are expensive to read

Cause: the shared scheduler for parsing had tests with real processes on the edge only. Change: five isolated tests of the caller and the operator listener with 40 to 60 clients; the crowd of the edge's tests moves to src/standins, as both paths use it.

--- a/src/gateway/callerLimits.isolated.ts
+++ b/src/gateway/callerLimits.isolated.ts
@@ -7,6 +7,7 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { waitForReady } from "../bench/processes.js";
 import type { RouterSettingsInput } from "../router/routerSettings.js";
+import { ClientCrowd, type CrowdPlan } from "../standins/clientCrowd.js";
 import { PlatformServer } from "../standins/platform/platformServer.js";
 import {
     createExampleResources,
@@ -38,11 +39,24 @@
 /** Time after which a crowd that no longer changes is taken to have been read as far as it will be, in milliseconds. */
 const QuietMs = 1_000;
 
+/** Time that a crowd has acted when an ordinary request is sent beside it, in milliseconds. */
+const CrowdMs = 3_000;
+
+/** Time within which an ordinary caller wants its response, in milliseconds. */
+const DeadlineMs = 30_000;
+
 /** Processor time up to which a process counts as idle in a tenth of a second, in ticks of 10 ms. */
 const MaxIdleTicks = 3;
 
-const ChatHead = "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\n" +
-    `Authorization: Bearer ${ExampleApiKey}\r\nTransfer-Encoding: chunked\r\n\r\n`;
+/** @returns The head of a request with a body in chunks. */
+function chunkedHead(path: string, apiKey = ExampleApiKey): string {
+    return `POST ${path} HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\n` +
+        `Authorization: Bearer ${apiKey}\r\nTransfer-Encoding: chunked\r\n\r\n`;
+}
+
+const ChatPath = "/v1/chat/completions";
+const ChatHead = chunkedHead(ChatPath);
+const SmallChunks = "1\r\nx\r\n".repeat(5_000);
 
 describe("a router process whose callers do not respect the limits", () => {
     let platform: PlatformServer;
@@ -161,22 +175,44 @@
         }
     }
 
-    /** Expects that the process lives within its limits and answers an ordinary request. */
-    async function expectService(): Promise<void> {
-        await untilQuiet();
+    /** Expects that the process lives within its limits. */
+    function expectLimits(): void {
         takeSample();
         expect({ isExited }).toEqual({ isExited: false });
         expect(maxRssMb).toBeLessThan(MaxRssMb);
         expect(maxDescriptors).toBeLessThan(MaxDescriptors);
-        const response = await fetch(`http://${addresses.caller}/v1/chat/completions`, {
+    }
+
+    /** Expects that an ordinary request is answered in time. */
+    async function expectAnswer(): Promise<void> {
+        const response = await fetch(`http://${addresses.caller}${ChatPath}`, {
             method: "POST",
             headers: { authorization: `Bearer ${ExampleApiKey}` },
             body: JSON.stringify({ model: "assistant", messages: [{ role: "user", content: "hello" }], max_tokens: 5 }),
+            signal: AbortSignal.timeout(DeadlineMs),
         });
         expect([response.status, await response.text()]).toEqual([200, expect.stringContaining("\"choices\"")]);
         expect({ isExited }).toEqual({ isExited: false });
     }
 
+    /** Expects that the process lives within its limits and answers an ordinary request. */
+    async function expectService(): Promise<void> {
+        await untilQuiet();
+        expectLimits();
+        await expectAnswer();
+    }
+
+    /** Lets a crowd act, and expects that ordinary requests beside it and after it are answered. */
+    async function expectServiceBeside(plan: CrowdPlan, address: string): Promise<void> {
+        const crowd = new ClientCrowd(plan, () => openConnections(1, address, [])[0]!);
+        crowd.start();
+        await delay(CrowdMs);
+        await expectAnswer();
+        crowd.stop();
+        await expectAnswer();
+        expectLimits();
+    }
+
     describe("given unfinished bodies in chunks of one byte", () => {
         it("serves on (guards against chunks that retain a receive buffer each)", async () => {
             openConnections(8, addresses.caller, [ChatHead, ...Array<string>(20).fill("1\r\nx\r\n".repeat(20_000))]);
@@ -220,4 +256,42 @@
             });
         },
     );
+
+    describe("given clients that send what is expensive to read", () => {
+        it.each([["a key", ExampleApiKey], ["an unknown key", "unknown"]])(
+            "with %s, serves on beside bodies in chunks of one byte (guards against a connection that holds the event loop)",
+            async (_name, apiKey) => {
+                const first = (): string => chunkedHead(ChatPath, apiKey);
+                await expectServiceBeside({ clientCount: 40, first, piece: SmallChunks }, addresses.caller);
+            },
+            90_000,
+        );
+
+        it("serves on beside those that leave (guards against bytes that are parsed for nobody)", async () => {
+            const plan = {
+                clientCount: 60,
+                first: () => ChatHead,
+                piece: SmallChunks,
+                piecesPerConnection: 20,
+                leaveAfterMs: 600,
+            };
+            await expectServiceBeside(plan, addresses.caller);
+        }, 90_000);
+
+        it("serves on beside line ends (guards against bytes that belong to no request)", async () => {
+            await expectServiceBeside(
+                { clientCount: 40, first: () => "", piece: "\r\n".repeat(20_000) },
+                addresses.caller,
+            );
+        }, 90_000);
+
+        it(
+            "serves on beside such clients of the operator listener (guards against listeners that share the event loop)",
+            async () => {
+                const plan = { clientCount: 40, first: () => chunkedHead("/state"), piece: SmallChunks };
+                await expectServiceBeside(plan, addresses.operator);
+            },
+            90_000,
+        );
+    });
 });
--- a/platform/standins/clientCrowd.ts
+++ b/src/standins/clientCrowd.ts
@@ -1,6 +1,6 @@
 /** Test fixture: many clients that ignore the limits of a listener, for as long as a test needs them. */
 import type { Socket } from "node:net";
-import { sleep } from "../../src/base/sleep.js";
+import { sleep } from "../base/sleep.js";
 
 /** Time after which a client connects again when its connection was closed, in milliseconds. */
 const ReconnectMs = 50;
