Close expensive connections before new ones at the gateway

What callers saw: when the gateway's connections run out, a connection of an ordinary caller that is opened while clients send bodies in small chunks is closed before its first request is read. Cause: the connection with the fewest received bytes per second is closed, and a new one has received none. Change: as on the edge, the connection whose incomplete request took most time to parse (5 ms or more) is closed first; both paths choose it with findMostExpensive. Evidence: the new test of connectionLimiter.spec.ts fails without the change.

--- a/src/edge/listener/listenerLimits.ts
+++ b/src/edge/listener/listenerLimits.ts
@@ -5,18 +5,12 @@
 import type { ParseAccount } from "../../base/parseAccount.js";
 import { SocketReader } from "../../base/socketReader.js";
 import type { CallerMemory, MemoryHolder } from "../../scheduling/callerMemory.js";
-import type { ParseScheduler } from "../../scheduling/parseScheduler.js";
+import { findMostExpensive, type ParseScheduler } from "../../scheduling/parseScheduler.js";
 import { ConnectionBytes } from "./processLimits.js";
 
 /** Interval at which the memory of the connections is measured, in milliseconds. */
 const MeasureIntervalMs = 100;
 
-/**
- * Processor time for parsing a request that is not complete, in milliseconds, from which its connection may be closed when there are too
- * many. The largest body of known length takes less.
- */
-const MinClosableParseMs = 5;
-
 /** Time in which a caller reads its responses before a connection that is not read any more is closed, in milliseconds. */
 const LingerMs = 1_000;
 
@@ -205,20 +199,9 @@
             }
         }
         const hadTime = oldestUnused !== undefined && nowMs - oldestUnused.idleSinceMs >= FirstRequestGraceMs;
-        return hadTime ? oldestUnused : this.#findMostExpensive() ?? idle ?? oldestUnused;
-    }
-
-    /** @returns The connection whose incomplete request has taken most time to parse; `undefined` if none has taken much. */
-    #findMostExpensive(): Connection | undefined {
-        let most: Connection | undefined;
-        let mostMs = MinClosableParseMs;
-        for (const connection of this.#connections.values()) {
-            const { requestMs } = connection.account;
-            if (requestMs >= mostMs && !hasCompleteRequest(connection)) {
-                [most, mostMs] = [connection, requestMs];
-            }
-        }
-        return most;
+        const expensive = (): Connection | undefined =>
+            findMostExpensive(this.#connections.values(), connection => !hasCompleteRequest(connection));
+        return hadTime ? oldestUnused : expensive() ?? idle ?? oldestUnused;
     }
 
     /** The bytes behind a request that is not complete belong to it. */
--- a/src/gateway/connectionLimiter.spec.ts
+++ b/src/gateway/connectionLimiter.spec.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, connect } from "node:net";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { SystemClock } from "../base/clock.js";
+import { ManualClock, SystemClock } from "../base/clock.js";
 import { Counters } from "../base/counters.js";
 import { CallerMemory } from "../scheduling/callerMemory.js";
 import { ParseScheduler } from "../scheduling/parseScheduler.js";
@@ -19,10 +19,12 @@
 
     beforeEach(async () => {
         const clock = new SystemClock();
+        const parsingClock = new ManualClock();
         [open, receivedBodies, counters] = [[], [], new Counters()];
         memory = new CallerMemory(10_000_000, clock);
         server = createServer((incoming, outgoing) =>
             limiter.accept(incoming, outgoing, () => {
+                parsingClock.advance(incoming.url === "/expensive" ? 20 : 0);
                 open.push(outgoing);
                 let body = "";
                 incoming.on("data", (bytes: Buffer) => body += bytes.toString());
@@ -36,7 +38,7 @@
             maxScarceStallMs: 10_000,
             maxStrayBytes: 32_768,
         };
-        const parsing = new ParseScheduler(clock, { expensiveParseMs: 50, maxParseContentionMs: 3_000 });
+        const parsing = new ParseScheduler(parsingClock, { expensiveParseMs: 50, maxParseContentionMs: 3_000 });
         const limiter = new ConnectionLimiter(server, {
             memory,
             parsing,
@@ -103,5 +105,20 @@
             expect(running.destroyed).toBe(false);
             expect(counters.get("gateway.connections.closedForLimit")).toBe(1);
         });
+
+        it("closes the one that is most expensive to parse (guards against callers closed before their first request)", async () => {
+            const expensive = openConnection();
+            expensive.write("POST /expensive HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n");
+            await vi.waitFor(() => expect(open.length).toBe(1));
+            const fresh = openConnection();
+            await new Promise(resolve => fresh.once("connect", resolve));
+            let isExpensiveClosed = false;
+            expensive.once("close", () => isExpensiveClosed = true);
+            openConnection();
+            await vi.waitFor(() => expect(isExpensiveClosed).toBe(true));
+            fresh.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+            await vi.waitFor(() => expect(open.length).toBe(2));
+            expect(fresh.destroyed).toBe(false);
+        });
     });
 });
--- a/src/gateway/connectionLimiter.ts
+++ b/src/gateway/connectionLimiter.ts
@@ -4,9 +4,10 @@
 import type { Clock } from "../base/clock.js";
 import type { Counters } from "../base/counters.js";
 import { log } from "../base/log.js";
+import type { ParseAccount } from "../base/parseAccount.js";
 import { SocketReader } from "../base/socketReader.js";
 import type { CallerMemory, MemoryHolder } from "../scheduling/callerMemory.js";
-import type { ParseScheduler } from "../scheduling/parseScheduler.js";
+import { findMostExpensive, type ParseScheduler } from "../scheduling/parseScheduler.js";
 
 /** Heap that a request occupies which has been read and waits for earlier ones of its connection, in bytes. */
 const WaitingRequestBytes = 6_144;
@@ -64,6 +65,7 @@
 interface ConnectionState {
     readonly socket: Socket;
     readonly reader: SocketReader;
+    readonly account: ParseAccount;
     readonly openedAtMs: number;
     /** Requests that have begun and whose responses have not been sent completely. */
     readonly open: Map<ServerResponse, IncomingMessage>;
@@ -134,6 +136,7 @@
         });
         const state: ConnectionState = {
             socket,
+            account,
             reader: new SocketReader(socket, {
                 account,
                 mayRead: () => this.#mayRead(state),
@@ -161,13 +164,21 @@
         }
     }
 
-    /** @returns The connection that has sent fewest bytes per second, the oldest of several; never one whose request may run. */
+    /**
+     * @returns The connection whose incomplete request is most expensive to parse or, if there is none, the one that has sent fewest bytes
+     * per second, the oldest of several; never one whose request may run.
+     */
     #findLeastUseful(nowMs: number): ConnectionState | undefined {
+        const canClose = (state: ConnectionState): boolean => !state.socket.destroyed && !hasCompleteRequest(state);
+        const expensive = findMostExpensive(this.#states.values(), canClose);
+        if (expensive !== undefined) {
+            return expensive;
+        }
         let least: ConnectionState | undefined;
         let leastRate = Number.POSITIVE_INFINITY;
         for (const state of this.#states.values()) {
             const rate = state.socket.bytesRead / Math.max(MinAgeMs, nowMs - state.openedAtMs);
-            if (rate < leastRate && !state.socket.destroyed && !hasCompleteRequest(state)) {
+            if (rate < leastRate && canClose(state)) {
                 [least, leastRate] = [state, rate];
             }
         }
--- a/src/scheduling/parseScheduler.ts
+++ b/src/scheduling/parseScheduler.ts
@@ -24,6 +24,12 @@
  */
 const AlikeRatio = 2;
 
+/**
+ * Processor time for parsing a request that is not complete, in milliseconds, from which its connection may be closed when there are too
+ * many. The largest body of known length takes less.
+ */
+const MinClosableMs = 5;
+
 /** Limits of a {@link ParseScheduler}. */
 export interface ParseLimits {
     /** Processor time for parsing one request, from which it is expensive, in milliseconds. */
@@ -183,6 +189,24 @@
     }
 }
 
+/**
+ * @param canClose Returns whether a connection may be closed; called only for those that cost more than the ones before.
+ * @returns The connection whose incomplete request has taken most time to parse; `undefined` if none has taken much.
+ */
+export function findMostExpensive<T extends { readonly account: ParseAccount; }>(
+    connections: Iterable<T>,
+    canClose: (connection: T) => boolean,
+): T | undefined {
+    let most: T | undefined;
+    for (const connection of connections) {
+        const mostMs = most?.account.requestMs ?? MinClosableMs;
+        if (connection.account.requestMs >= mostMs && canClose(connection)) {
+            most = connection;
+        }
+    }
+    return most;
+}
+
 /** What an account asks its scheduler. */
 interface AccountScheduler {
     mayParse(account: ClientAccount): boolean;
