Read whole URLs in request lines

What callers saw: 404 for a request whose request line has a URL (POST http://h.example/order/ HTTP/1.1). Cause: the edge took the URL for a path. RFC 9112, section 3.2.2: a server accepts it, and takes the host from it, not from the Host header. Change: readTarget splits the target once; routing, the request line to the upstream and its Host header use the result. URLs of other schemes, without a host, with a user or with a fragment get 400, not run. The gateway was not changed.

--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -25,6 +25,7 @@
 import { OutgoingLinkBacklog } from "./outgoingLinkBacklog.js";
 import { announcedLength, discardBody, hasBody } from "./requestBody.js";
 import { RequestFlow } from "./requestFlow.js";
+import { readTarget, replaceHost, type RequestTarget } from "./requestTarget.js";
 import { findStopRefusal } from "./stopCheck.js";
 import type { AffectedRequest, StopLogFields } from "./stopMonitor.js";
 
@@ -263,8 +264,10 @@
     /** @param guard Runs the callbacks of the request until its flow begins. */
     #onRequest(request: IncomingMessage, response: ServerResponse, guard: CallbackGuard): void {
         const arrivedAtMs = this.#dependencies.clock.monotonicMs();
-        const isHeadValid = findInvalidHeaderName(request.rawHeaders) === undefined;
-        const closeReason = isHeadValid ? this.#closeReason(arrivedAtMs) : "unreadable";
+        const target = findInvalidHeaderName(request.rawHeaders) === undefined ?
+            readTarget(request.url ?? "", request.headers.host) :
+            undefined;
+        const closeReason = target !== undefined ? this.#closeReason(arrivedAtMs) : "unreadable";
         if (!this.#connections.recordRequest(request, response, closeReason)) {
             this.#ignore(request);
             return;
@@ -286,13 +289,13 @@
                 log.info("response aborted", { request: metadata.requestId, hasBegun: response.headersSent });
             },
         );
-        const routed = isHeadValid ? this.#route(request, metadata, arrivedAtMs) : MalformedHead;
+        const routed = target === undefined ? MalformedHead : this.#route(request, target, metadata, arrivedAtMs);
         if ("code" in routed) {
             this.#dependencies.metrics.counters.add(EdgeCounterNames.requestsRefused);
             log.info("request refused", {
                 request: metadata.requestId,
-                host: request.headers.host,
-                path: pathOf(request.url ?? ""),
+                host: target?.host,
+                path: pathOf(target?.path ?? ""),
                 configuration: this.#dependencies.configuration().routeTable?.configuration.version,
                 ...routed,
             });
@@ -347,7 +350,12 @@
         return this.#linkLoad.shouldCloseConnections(nowMs) ? "link" : undefined;
     }
 
-    #route(request: IncomingMessage, metadata: RequestMetadata, arrivedAtMs: number): RoutedRequest | EdgeFailure {
+    #route(
+        request: IncomingMessage,
+        target: RequestTarget,
+        metadata: RequestMetadata,
+        arrivedAtMs: number,
+    ): RoutedRequest | EdgeFailure {
         const { routeTable: table, isFresh } = this.#dependencies.configuration();
         if (this.#isRefusing) {
             return this.#refuseForStop("NotReady", { arrivedAtMs, neededMs: undefined, remainingMs: undefined });
@@ -365,7 +373,7 @@
         if (metadata.requestId === undefined) {
             return { code: "MalformedHeader", ran: "no" };
         }
-        const route = table.findRoute(request.headers.host ?? "", pathOf(request.url ?? ""));
+        const route = table.findRoute(target.host ?? "", pathOf(target.path));
         if (route === undefined) {
             return unknownFailure("UnknownPath", isFresh);
         }
@@ -381,7 +389,14 @@
             return NoMemory;
         }
         const service = chooseService(route, this.#dependencies.random.next());
-        const routed = { table, route, team, service, deadlineAtMs: arrivedAtMs + timeLimitOf(metadata, route) };
+        const routed = {
+            target,
+            table,
+            route,
+            team,
+            service,
+            deadlineAtMs: arrivedAtMs + timeLimitOf(metadata, route),
+        };
         // Before the body is read, so that the caller can go on elsewhere at once.
         const refusal = findStopRefusal(this.#dependencies, { ...routed, metadata });
         return refusal === undefined ? routed : this.#refuseForStop("ShuttingDown", { arrivedAtMs, ...refusal });
@@ -400,14 +415,16 @@
         arrivedAtMs: number,
         guard: CallbackGuard,
     ): void {
+        const { target, ...choice } = routed;
+        const hasOtherHost = target.host !== undefined && target.host !== message.headers.host;
         const disconnectMonitor = new CallerDisconnectMonitor(message, response);
         const request = {
             requestId: metadata.requestId!,
             method: message.method ?? "GET",
-            target: message.url ?? "/",
-            headers: message.rawHeaders,
+            target: target.path,
+            headers: hasOtherHost ? replaceHost(message.rawHeaders, target.host!) : message.rawHeaders,
             metadata,
-            ...routed,
+            ...choice,
             arrivedAtMs,
         };
         const run = (body: Buffer | undefined) => {
@@ -437,11 +454,12 @@
     }
 }
 
-/** Refusal of a request whose head has an invalid header name, which an upstream might read as another header. */
+/** Refusal of a request whose head has an invalid header name, which an upstream might read as another header, or an invalid target. */
 const MalformedHead: EdgeFailure = { code: "MalformedHeader", ran: "no" };
 
-/** Route, service and team of a request, with the configuration that they come from. */
+/** Target, route, service and team of a request, with the configuration that they come from. */
 interface RoutedRequest {
+    readonly target: RequestTarget;
     readonly table: RouteTable;
     readonly route: Route;
     readonly team: EdgeTeam | undefined;
