Bound the connections of the peer listener

What happened: 400 connections to a router's peer listener that send nothing stayed open; each takes a descriptor that callers need. Cause: the gRPC server has no limit on connections. Change: PeerServer accepts the connections itself and passes them on to the gRPC server. Above peer.maxConnections (1,024) it closes the oldest one without an accepted call, then the one whose latest accepted call is longest ago, so that routers keep theirs. Evidence: the isolated test of the peer listener had 428 descriptors on, where fewer than 264 are allowed. Memory and processor time of this listener are still not bounded.

--- a/src/gateway/callerLimits.isolated.ts
+++ b/src/gateway/callerLimits.isolated.ts
@@ -64,7 +64,7 @@
     let sales: UpstreamServer;
     let folder: string;
     let router: ChildProcess;
-    let addresses: { readonly caller: string; readonly operator: string; };
+    let addresses: { readonly caller: string; readonly operator: string; readonly peer: string; };
     let sockets: Socket[];
     let isExited: boolean;
     let maxRssMb: number;
@@ -85,6 +85,7 @@
             zone: "z1",
             caller: { port: 0 },
             operator: { port: 0 },
+            peer: { maxConnections: MaxConnections },
             platform: { url: platformUrl },
             gateway: {
                 maxBodyBytes: MaxBodyBytes,
@@ -247,7 +248,7 @@
         });
     });
 
-    describe.each(["caller", "operator"] as const)(
+    describe.each(["caller", "operator", "peer"] as const)(
         "given many connections to the %s listener that send nothing",
         name => {
             it("serves on (guards against running out of descriptors)", async () => {
--- a/src/peer/peer.spec.ts
+++ b/src/peer/peer.spec.ts
@@ -98,6 +98,26 @@
         });
     });
 
+    describe("given more connections than the limit", () => {
+        it("closes those without an accepted call (guards against routers that cannot reach each other)", async () => {
+            const address = await startServer({ maxConnections: 4 });
+            const peers = [createClient(), createClient()];
+            const call = (client: GrpcPeerClient): Promise<unknown> => client.call(address, cancel, TimeoutMs);
+            const reply = { status: "replied", reply: { method: "CancelTransfer", body: { transferId: "t1" } } };
+            expect(await Promise.all(peers.map(call))).toEqual([reply, reply]);
+            const closed = Array.from({ length: 20 }, () => {
+                const socket = connect(Number(address.split(":")[1]), "127.0.0.1");
+                closers.push(() => socket.destroy());
+                return new Promise<void>(resolve =>
+                    socket.once("close", resolve).on("error", () => undefined).resume()
+                );
+            });
+            await Promise.all(closed.slice(0, 18));
+            expect(await Promise.all(peers.map(call))).toEqual([reply, reply]);
+            expect(await call(createClient())).toEqual(reply);
+        });
+    });
+
     describe("without a key and without TLS", () => {
         it("uses loopback addresses only (guards against an open port on a real network)", async () => {
             await expect(startServer({ listenHost: "0.0.0.0" })).rejects.toThrow("loopback");
--- a/src/peer/peerServer.ts
+++ b/src/peer/peerServer.ts
@@ -9,12 +9,15 @@
     status,
 } from "@grpc/grpc-js";
 import { readFileSync } from "node:fs";
+import { type AddressInfo, createServer, type Server as NetServer } from "node:net";
 import type { Clock } from "../base/clock.js";
 import type { Counters } from "../base/counters.js";
+import { log } from "../base/log.js";
 import type { PeerRequestReceived } from "../kernel/effectResults.js";
 import { PeerAuthenticator, SenderMetadataKey, SignatureMetadataKey } from "./peerAuthenticator.js";
 import { PeerCallRateLimiter } from "./peerCallRateLimiter.js";
 import { decodeRequest, encodeMessage, methodPath } from "./peerCodec.js";
+import { PeerConnections } from "./peerConnections.js";
 import { MaxPeerMessageBytes, type PeerMethod, PeerMethods, type PeerReply } from "./peerMessages.js";
 import { hostOfAddress, isLoopbackAddress, type PeerSettings } from "./peerSettings.js";
 
@@ -51,6 +54,8 @@
     readonly #rateLimiter: PeerCallRateLimiter;
     readonly #pendingRequests = new Map<string, PendingRequest>();
     readonly #server: Server;
+    readonly #connections: PeerConnections;
+    #listener: NetServer | undefined;
     #requestCount = 0;
 
     constructor(dependencies: PeerServerDependencies) {
@@ -58,6 +63,7 @@
         const { settings } = dependencies;
         this.#authenticator = new PeerAuthenticator(settings.sharedKey, settings.maxClockDifferenceMs);
         this.#rateLimiter = new PeerCallRateLimiter(settings.maxCallsPerS);
+        this.#connections = new PeerConnections(settings.maxConnections, dependencies.clock, dependencies.counters);
         this.#server = new Server({
             "grpc.max_receive_message_length": MaxPeerMessageBytes,
             "grpc.keepalive_time_ms": settings.keepaliveMs * 6,
@@ -79,17 +85,20 @@
         if (!isProtected && !isLoopbackAddress(settings.listenHost)) {
             throw new Error("a peer listener without a shared key and without TLS needs a loopback address");
         }
-        const host = settings.listenHost.includes(":") ? `[${settings.listenHost}]` : settings.listenHost;
-        return new Promise((resolve, reject) => {
-            this.#server.bindAsync(`${host}:${settings.listenPort}`, serverCredentials(settings), (error, port) => {
-                if (error === null) {
-                    resolve(port);
-                }
-                else {
-                    reject(error);
-                }
-            });
+        const injector = this.#server.createConnectionInjector(serverCredentials(settings));
+        const listener = createServer({ noDelay: true }, socket => {
+            socket.on("error", error => log.debug("peer connection failed", { error: error.message }));
+            this.#connections.add(socket);
+            if (!socket.destroyed) {
+                injector.injectConnection(socket);
+            }
         });
+        this.#listener = listener;
+        await new Promise<void>((resolve, reject) => {
+            listener.once("error", reject);
+            listener.listen(settings.listenPort, settings.listenHost, resolve);
+        });
+        return (listener.address() as AddressInfo).port;
     }
 
     /** Sends a controller's reply to the peer. A reply after the request's timeout is dropped. */
@@ -117,7 +126,9 @@
         for (const exchangeId of [...this.#pendingRequests.keys()]) {
             this.#refuse(this.#takePending(exchangeId)!.callback, status.UNAVAILABLE, "the listener closes");
         }
+        this.#listener?.close();
         this.#server.forceShutdown();
+        this.#connections.closeAll();
     }
 
     #addService(): void {
@@ -152,6 +163,7 @@
             this.#refuse(callback, status.INVALID_ARGUMENT, request.error);
             return;
         }
+        this.#connections.recordCall(call.getPeer());
         this.#requestCount++;
         const exchangeId = `peer/${this.#requestCount}`;
         const timer = setTimeout(() => this.#expire(exchangeId), settings.answerTimeoutMs);
--- a/src/peer/peerSettings.ts
+++ b/src/peer/peerSettings.ts
@@ -21,6 +21,8 @@
     }).optional(),
     /** Maximum calls of one peer that are served per second; also the maximum burst. */
     maxCallsPerS: z.number().positive().default(50),
+    /** Maximum number of connections; above it, those without an accepted call are closed first. */
+    maxConnections: z.number().int().positive().default(1_024),
     /** Maximum wait for a controller's reply to a request. */
     answerTimeoutMs: z.number().int().positive().default(2_000),
     /** Silence of a connection with a call in progress after which the connection is checked. */
