Count the start of pipelined requests as processor time of their connection

Cause: a request that was read behind another one starts when the response before it has been sent. That was not measured, and so was not part of a turn: one connection started up to 32 requests in a row. Change: ParseAccount measures the start of such requests too, and they wait for the turn of their connection, on both paths. The time counts for the order of connections, not for the cost of the request that is being parsed.

--- a/src/edge/listener/listenerLimits.ts
+++ b/src/edge/listener/listenerLimits.ts
@@ -118,7 +118,9 @@
         connection.latestRequest = request;
         connection.refuse = undefined;
         connection.waiting.push({ response, start });
-        this.#startWaiting(connection);
+        while (this.#canStart(connection)) {
+            this.#startNext(connection);
+        }
     }
 
     /**
@@ -150,7 +152,10 @@
     #onConnection(socket: Socket): void {
         const nowMs = this.#options.clock.monotonicMs();
         const account = this.#options.parsing.open({
-            resume: () => connection.reader.takeTurn(),
+            resume: () => {
+                this.#continue(connection);
+                connection.reader.takeTurn();
+            },
             evict: () => this.#evict(connection),
         });
         const connection: Connection = {
@@ -198,10 +203,14 @@
                 idle = connection;
             }
         }
-        const hadTime = oldestUnused !== undefined && nowMs - oldestUnused.idleSinceMs >= FirstRequestGraceMs;
-        const expensive = (): Connection | undefined =>
-            findMostExpensive(this.#connections.values(), connection => !hasCompleteRequest(connection));
-        return hadTime ? oldestUnused : expensive() ?? idle ?? oldestUnused;
+        if (oldestUnused !== undefined && nowMs - oldestUnused.idleSinceMs >= FirstRequestGraceMs) {
+            return oldestUnused;
+        }
+        const expensive = findMostExpensive(
+            this.#connections.values(),
+            connection => !hasCompleteRequest(connection),
+        );
+        return expensive ?? idle ?? oldestUnused;
     }
 
     /** The bytes behind a request that is not complete belong to it. */
@@ -212,19 +221,32 @@
         return latestRequest?.complete === false || open.size + waiting.length < this.#options.maxPipelinedRequests;
     }
 
-    #startWaiting(connection: Connection): void {
-        const { open, waiting, socket } = connection;
+    #canStart({ open, waiting, socket }: Connection): boolean {
         const { maxPipelinedRequests, maxOpenRequests } = this.#options;
-        while (
-            waiting.length > 0 && !socket.destroyed &&
-            (open.size === 0 || (open.size < maxPipelinedRequests && this.#openCount < maxOpenRequests / 2))
-        ) {
-            const { response, start } = waiting.shift()!;
-            open.add(response);
-            this.#openCount++;
-            response.once("close", () => this.#onResponseClosed(connection, response));
-            start();
+        return waiting.length > 0 && !socket.destroyed &&
+            (open.size === 0 || (open.size < maxPipelinedRequests && this.#openCount < maxOpenRequests / 2));
+    }
+
+    #startNext(connection: Connection): void {
+        const { response, start } = connection.waiting.shift()!;
+        connection.open.add(response);
+        this.#openCount++;
+        response.once("close", () => this.#onResponseClosed(connection, response));
+        start();
+    }
+
+    /** Starts requests that wait, while the connection has time for it, and reads on. */
+    #continue(connection: Connection): void {
+        const { account, reader } = connection;
+        while (this.#canStart(connection)) {
+            if (!account.mayParse) {
+                account.waitForTurn();
+                return;
+            }
+            account.measureStart(() => this.#startNext(connection));
         }
+        reader.check();
+        this.#closeEnded(connection);
     }
 
     #onResponseClosed(connection: Connection, response: ServerResponse): void {
@@ -235,9 +257,7 @@
         connection.idleSinceMs = this.#options.clock.monotonicMs();
         connection.progressAtMs = connection.idleSinceMs;
         if (!connection.socket.destroyed) {
-            this.#startWaiting(connection);
-            connection.reader.check();
-            this.#closeEnded(connection);
+            this.#continue(connection);
         }
     }
 
@@ -250,7 +270,7 @@
     }
 
     #closeEnded({ socket, open, waiting, endReason }: Connection): void {
-        if (endReason !== undefined && open.size + waiting.length === 0) {
+        if (endReason !== undefined && open.size + waiting.length === 0 && socket.writable) {
             this.#options.onClose(socket, endReason);
             socket.end();
             // Bytes that were not read reset the connection; the caller could lose its response.
--- a/src/gateway/connectionLimiter.ts
+++ b/src/gateway/connectionLimiter.ts
@@ -131,7 +131,10 @@
     #add(socket: Socket): void {
         const nowMs = this.#dependencies.clock.monotonicMs();
         const account = this.#dependencies.parsing.open({
-            resume: () => state.reader.takeTurn(),
+            resume: () => {
+                this.#continue(state);
+                state.reader.takeTurn();
+            },
             evict: () => this.#evict(state),
         });
         const state: ConnectionState = {
@@ -189,33 +192,40 @@
         state.open.set(outgoing, incoming);
         outgoing.once("close", () => {
             state.open.delete(outgoing);
-            this.#beginWaiting(state);
-            if (state.isEnding && state.open.size === 0) {
-                this.#close(state, "stray");
-            }
-            if (!state.socket.destroyed) {
-                state.reader.check();
-            }
+            this.#continue(state);
         });
         begin();
     }
 
-    #beginWaiting(state: ConnectionState): void {
-        const { memory, limits } = this.#dependencies;
-        while (!state.socket.destroyed && state.open.size < limits.maxOpenRequests) {
-            const next = state.waiting.shift();
-            if (next === undefined) {
+    /** Begins requests that wait, while the connection has time for it, and reads on. */
+    #continue(state: ConnectionState): void {
+        const { account, open, socket, reader } = state;
+        while (!socket.destroyed && state.waiting.length > 0 && open.size < this.#dependencies.limits.maxOpenRequests) {
+            if (!account.mayParse) {
+                account.waitForTurn();
                 return;
             }
-            if (state.waitingHolder !== undefined) {
-                memory.release(state.waitingHolder, WaitingRequestBytes);
-                memory.recordProgress(state.waitingHolder);
-            }
-            if (state.waiting.length === 0) {
-                this.#closeWaitingHolder(state);
-            }
-            this.#begin(state, next);
+            account.measureStart(() => this.#beginWaiting(state));
+        }
+        if (state.isEnding && open.size === 0) {
+            this.#close(state, "stray");
+        }
+        if (!socket.destroyed) {
+            reader.check();
+        }
+    }
+
+    #beginWaiting(state: ConnectionState): void {
+        const { memory } = this.#dependencies;
+        const next = state.waiting.shift()!;
+        if (state.waitingHolder !== undefined) {
+            memory.release(state.waitingHolder, WaitingRequestBytes);
+            memory.recordProgress(state.waitingHolder);
+        }
+        if (state.waiting.length === 0) {
+            this.#closeWaitingHolder(state);
         }
+        this.#begin(state, next);
     }
 
     #addWaiting(state: ConnectionState, request: WaitingRequest): void {
--- a/src/scheduling/parseScheduler.spec.ts
+++ b/src/scheduling/parseScheduler.spec.ts
@@ -50,7 +50,7 @@
                     this.account.waitForTurn();
                     return;
                 }
-                this.account.measure(() => clock.advance(SliceMs));
+                this.account.measureParsing(() => clock.advance(SliceMs));
                 this.remaining--;
                 this.parsedMs += SliceMs;
                 this.emptiedAtMs = clock.monotonicMs();
@@ -101,7 +101,7 @@
         it("passes errors on and counts the time (guards against work that fails for free)", () => {
             const { account } = new SimulatedConnection();
             expect(() =>
-                account.measure(() => {
+                account.measureParsing(() => {
                     clock.advance(7);
                     throw new Error("invalid");
                 })
--- a/src/scheduling/parseScheduler.ts
+++ b/src/scheduling/parseScheduler.ts
@@ -1,4 +1,4 @@
-/** The account of the processor time that connections take for parsing what they send, on all listeners of a process. */
+/** The account of the processor time that connections take: parsing what they send, and starting requests, on all listeners of a process. */
 import type { Clock } from "../base/clock.js";
 import { ParseAccount } from "../base/parseAccount.js";
 
@@ -41,7 +41,7 @@
 /** What a {@link ParseScheduler} does with a connection. */
 export interface ParseClient {
     /**
-     * Continues to parse, at once or before the next tick of the process. Called after {@link ParseAccount.waitForTurn}.
+     * Continues to parse and to start requests, at once or before the next tick of the process. Called after {@link ParseAccount.waitForTurn}.
      */
     resume(): void;
     /**
@@ -248,13 +248,23 @@
         return this.#scheduler.mayParse(this);
     }
 
-    override measure(parse: () => void): void {
+    override measureParsing(parse: () => void): void {
+        this.#measure(parse, elapsedMs => this.#requestMs += elapsedMs);
+    }
+
+    override measureStart(start: () => void): void {
+        this.#measure(start, () => undefined);
+    }
+
+    #measure(work: () => void, onMeasured: (elapsedMs: number) => void): void {
         const beganAtMs = this.#clock.monotonicMs();
         try {
-            parse();
+            work();
         }
         finally {
-            this.#scheduler.record(this, this.#clock.monotonicMs() - beganAtMs);
+            const elapsedMs = this.#clock.monotonicMs() - beganAtMs;
+            onMeasured(elapsedMs);
+            this.#scheduler.record(this, elapsedMs);
         }
     }
 
@@ -288,6 +298,5 @@
         this.#turn = turn;
         this.#recentMs = this.recentMs(nowMs) + elapsedMs;
         this.#recentAtMs = nowMs;
-        this.#requestMs += elapsedMs;
     }
 }
