Close connections with silent requests before new ones

What callers saw: while 200 clients keep connections on which a body stops short of its end, or on which the client waits for "100 Continue", each new connection of an ordinary caller was closed on a host that allows 174 of them. Cause: connections with an incomplete request counted as ordinary ones, however long they were silent. Change: when connections run out, the one whose incomplete request has been silent longest, for 100 ms or more and with nothing received that waits to be parsed, is closed before idle and new ones. The new test of listenerLimits.spec.ts has an upload that goes on beside one that is silent.

--- a/src/edge/listener/listenerLimits.spec.ts
+++ b/src/edge/listener/listenerLimits.spec.ts
@@ -137,6 +137,32 @@
             expect(closes).toEqual(["connections"]);
         });
 
+        it("closes the unfinished request that is silent longest (guards against slots that stopped uploads keep)", async () => {
+            const unfinished = (path: string): string =>
+                `POST /${path} HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n`;
+            const upload = await open(unfinished("upload"));
+            const silent = await open(unfinished("silent"));
+            await open(head("running"));
+            await vi.waitFor(() => expect(started.length).toBe(3));
+            clock.advance(500);
+            upload.write("b".repeat(50));
+            await vi.waitFor(() => {
+                limits.tick();
+                clock.advance(100);
+                expect(clock.monotonicMs()).toBeGreaterThan(1_500);
+            }, { interval: 5 });
+            upload.write("b".repeat(10));
+            await new Promise(resolve => setTimeout(resolve, 20));
+            limits.tick();
+            const latest = await open(head("latest"));
+            await vi.waitFor(() => expect(silent.destroyed).toBe(true));
+            await vi.waitFor(() => expect(started.length).toBe(4));
+            respondToAll();
+            await vi.waitFor(() => expect(latest.text).toContain("/latest"));
+            expect(upload.destroyed).toBe(false);
+            expect(closes).toEqual(["connections"]);
+        });
+
         it("leaves a connection time for its first request (guards against callers closed before they are read)", async () => {
             for (let index = 0; index < MaxConnections - 1; index++) {
                 await open(head(index));
--- a/src/edge/listener/listenerLimits.ts
+++ b/src/edge/listener/listenerLimits.ts
@@ -20,6 +20,9 @@
  */
 const FirstRequestGraceMs = 1_000;
 
+/** Time without a byte of an incomplete request from which its connection may be closed when there are too many, in milliseconds. */
+const MinSilenceMs = 100;
+
 /**
  * Why a connection is closed: there are too many and it brought least, it has most of too many requests, it holds most while memory is
  * short, its responses are not read while open requests are short, parsing takes most time while others wait, or it sends bytes that
@@ -59,6 +62,9 @@
     /** Why the connection is not read any more, and is closed after the responses to its requests. */
     endReason: LimitCloseReason | undefined;
     idleSinceMs: number;
+    /** Bytes received up to the latest measurement, and the time at which they had grown or the latest request began. */
+    receivedBytes: number;
+    receivedAtMs: number;
     /** Holds what exceeds the fixed cost of a connection; `undefined` while that is nothing. */
     holder: MemoryHolder | undefined;
     sentBytes: number;
@@ -116,6 +122,7 @@
             return;
         }
         connection.latestRequest = request;
+        connection.receivedAtMs = this.#options.clock.monotonicMs();
         connection.refuse = undefined;
         connection.waiting.push({ response, start });
         while (this.#canStart(connection)) {
@@ -174,6 +181,8 @@
             refuse: undefined,
             endReason: undefined,
             idleSinceMs: nowMs,
+            receivedBytes: 0,
+            receivedAtMs: nowMs,
             holder: undefined,
             sentBytes: 0,
             progressAtMs: nowMs,
@@ -188,10 +197,13 @@
     /**
      * @param latest Connection that has just been opened; its first request may be on its way.
      * @returns The oldest connection that has had time for a request and sent none, or the one whose incomplete request is most expensive,
-     * or the one that is idle longest, or the oldest without a request; `undefined` if each other connection has an ordinary request.
+     * or the one whose incomplete request is silent longest, or the one that is idle longest, or the oldest without a request;
+     * `undefined` if each other connection has an ordinary request.
      */
     #findLeastUseful(latest: Connection, nowMs: number): Connection | undefined {
         let oldestUnused: Connection | undefined;
+        let silent: Connection | undefined;
+        let silentSinceMs = nowMs - MinSilenceMs;
         let idle: Connection | undefined;
         for (const connection of this.#connections.values()) {
             if (connection.latestRequest === undefined) {
@@ -202,6 +214,9 @@
             if (isIdle && connection.idleSinceMs < (idle?.idleSinceMs ?? Number.POSITIVE_INFINITY)) {
                 idle = connection;
             }
+            if (connection.receivedAtMs <= silentSinceMs && isSilent(connection)) {
+                [silent, silentSinceMs] = [connection, connection.receivedAtMs];
+            }
         }
         if (oldestUnused !== undefined && nowMs - oldestUnused.idleSinceMs >= FirstRequestGraceMs) {
             return oldestUnused;
@@ -210,7 +225,7 @@
             this.#connections.values(),
             connection => !hasCompleteRequest(connection),
         );
-        return expensive ?? idle ?? oldestUnused;
+        return expensive ?? silent ?? idle ?? oldestUnused;
     }
 
     /** The bytes behind a request that is not complete belong to it. */
@@ -282,6 +297,10 @@
     #measure(connection: Connection, nowMs: number): void {
         const { memory, maxOpenRequests, unreadTimeoutMs } = this.#options;
         const { socket, open, waiting, reader } = connection;
+        if (socket.bytesRead !== connection.receivedBytes) {
+            connection.receivedBytes = socket.bytesRead;
+            connection.receivedAtMs = nowMs;
+        }
         const sentBytes = socket.bytesWritten - socket.writableLength;
         const hasProgress = sentBytes > connection.sentBytes;
         connection.sentBytes = sentBytes;
@@ -355,6 +374,12 @@
     }
 }
 
+/** @returns Whether the connection waits for the rest of a request that is not complete, and nothing that was received waits for it. */
+function isSilent(connection: Connection): boolean {
+    const { latestRequest, reader } = connection;
+    return latestRequest?.complete === false && reader.pendingBytes === 0 && !hasCompleteRequest(connection);
+}
+
 /** @returns Whether a request of the connection has been read completely, so that it may run. */
 function hasCompleteRequest({ open }: Connection): boolean {
     return [...open].some(({ req }) => req.complete);
