Judge expensive connections by their cost per byte, and shorten turns for them

What callers saw: beside 400 clients with bodies in chunks of one byte on a host that allows 174 connections, ordinary requests took 2.1 s (median of a trial), as connections wait to be accepted. Cause: a turn of the event loop accepts one connection, and a turn took up to 8 ms. With shorter turns, connections of the crowd are closed before one has taken 5 ms, so that new ones of ordinary callers were closed instead (65 of 150 in a trial). Change: connections that wait parse for 2 ms a turn together. When connections run out, the one whose incomplete request took most time is closed if that is 1 ms or more, and 20 ns or more for each byte, which bodies of known length and in chunks of 1 KB do not reach. A new isolated test of the gateway (bodies that stop short, more than its connections) passes on too.

--- a/src/base/parseAccount.ts
+++ b/src/base/parseAccount.ts
@@ -6,8 +6,11 @@
     /** @returns Processor time since the latest complete request, in milliseconds: that of a request which is not complete, or of none. */
     abstract get requestMs(): number;
 
-    /** Parses some bytes, and adds the time to the account and to the request. Errors of the function are passed on. */
-    abstract measureParsing(parse: () => void): void;
+    /** @returns Bytes parsed in that time. */
+    abstract get requestBytes(): number;
+
+    /** Parses some bytes, and adds them and the time to the account and to the request. Errors of the function are passed on. */
+    abstract measureParsing(bytes: number, parse: () => void): void;
 
     /** Starts a request that was parsed before, and adds the time to the account. Errors of the function are passed on. */
     abstract measureStart(start: () => void): void;
--- a/src/base/socketReader.ts
+++ b/src/base/socketReader.ts
@@ -125,7 +125,7 @@
         const { account, latestRequest } = this.#options;
         const before = latestRequest();
         const wasComplete = before?.complete !== false;
-        account.measureParsing(() => this.#deliver(slice));
+        account.measureParsing(slice.length, () => this.#deliver(slice));
         const latest = latestRequest();
         if (latest === before) {
             this.#missingBodyBytes = Math.max(0, this.#missingBodyBytes - slice.length);
--- a/src/gateway/callerLimits.isolated.ts
+++ b/src/gateway/callerLimits.isolated.ts
@@ -279,6 +279,16 @@
             await expectServiceBeside(plan, addresses.caller);
         }, 90_000);
 
+        it(
+            "serves on beside more connections than the limit whose bodies stop short (guards against connections that wait for nothing)",
+            async () => {
+                const first = (): string => `${ChatHead}2800\r\n${"x".repeat(10_000)}`;
+                const plan = { clientCount: 100, first, piece: "", piecesPerConnection: 0 };
+                await expectServiceBeside(plan, addresses.caller);
+            },
+            90_000,
+        );
+
         it("serves on beside line ends (guards against bytes that belong to no request)", async () => {
             await expectServiceBeside(
                 { clientCount: 40, first: () => "", piece: "\r\n".repeat(20_000) },
--- a/src/scheduling/parseScheduler.spec.ts
+++ b/src/scheduling/parseScheduler.spec.ts
@@ -5,6 +5,7 @@
 import { ParseScheduler } from "./parseScheduler.js";
 
 const SliceMs = 0.5;
+const SliceBytes = 2_048;
 const Limits = { expensiveParseMs: 50, maxParseContentionMs: 3_000 };
 
 describe("ParseScheduler", () => {
@@ -50,7 +51,7 @@
                     this.account.waitForTurn();
                     return;
                 }
-                this.account.measureParsing(() => clock.advance(SliceMs));
+                this.account.measureParsing(SliceBytes, () => clock.advance(SliceMs));
                 this.remaining--;
                 this.parsedMs += SliceMs;
                 this.emptiedAtMs = clock.monotonicMs();
@@ -101,7 +102,7 @@
         it("passes errors on and counts the time (guards against work that fails for free)", () => {
             const { account } = new SimulatedConnection();
             expect(() =>
-                account.measureParsing(() => {
+                account.measureParsing(SliceBytes, () => {
                     clock.advance(7);
                     throw new Error("invalid");
                 })
--- a/src/scheduling/parseScheduler.ts
+++ b/src/scheduling/parseScheduler.ts
@@ -2,8 +2,12 @@
 import type { Clock } from "../base/clock.js";
 import { ParseAccount } from "../base/parseAccount.js";
 
-/** Processor time of all connections together in a turn of the event loop, before and after it polls its sockets, in milliseconds. */
-const TurnMs = 4;
+/**
+ * Processor time of all connections together in a turn of the event loop, in milliseconds: of those that the poll finds readable, and of
+ * those that wait. A turn accepts one connection, so that long turns delay new callers.
+ */
+const PollMs = 4;
+const WaitingMs = 2;
 
 /** Processor time of one connection in a turn, in milliseconds. */
 const QuantumMs = 1;
@@ -25,10 +29,13 @@
 const AlikeRatio = 2;
 
 /**
- * Processor time for parsing a request that is not complete, in milliseconds, from which its connection may be closed when there are too
- * many. The largest body of known length takes less.
+ * Processor time for parsing a request that is not complete, in milliseconds, and per byte, from which its connection may be closed when
+ * there are too many. Bodies of known length and in chunks of 1 KB take less per byte, and heads less in all.
  */
-const MinClosableMs = 5;
+const MinClosableMs = 1;
+const MinClosableNsPerByte = 20;
+
+const NsPerMs = 1_000_000;
 
 /** Limits of a {@link ParseScheduler}. */
 export interface ParseLimits {
@@ -87,7 +94,7 @@
     /** @returns The account of a new connection. */
     open(client: ParseClient): ParseAccount {
         return new ClientAccount(client, this.#clock, {
-            mayParse: account => this.#usedMs < TurnMs && account.usedMsInTurn(this.#turn) < QuantumMs,
+            mayParse: account => this.#usedMs < PollMs && account.usedMsInTurn(this.#turn) < QuantumMs,
             record: (account, elapsedMs) => this.#record(account, elapsedMs),
             wait: account => this.#wait(account),
             remove: account => this.#waiting.delete(account),
@@ -132,7 +139,7 @@
     /** Resumes the waiting connections one by one: each parses before the next tick. */
     #resumeNext(order: readonly ClientAccount[], index: number): void {
         const account = order[index];
-        if (account === undefined || this.#usedMs >= TurnMs) {
+        if (account === undefined || this.#usedMs >= WaitingMs) {
             this.#finishTurn();
             return;
         }
@@ -191,7 +198,8 @@
 
 /**
  * @param canClose Returns whether a connection may be closed; called only for those that cost more than the ones before.
- * @returns The connection whose incomplete request has taken most time to parse; `undefined` if none has taken much.
+ * @returns The connection whose incomplete request has taken most time to parse, of those that take much for each byte; `undefined` if
+ * there is none.
  */
 export function findMostExpensive<T extends { readonly account: ParseAccount; }>(
     connections: Iterable<T>,
@@ -199,8 +207,10 @@
 ): T | undefined {
     let most: T | undefined;
     for (const connection of connections) {
-        const mostMs = most?.account.requestMs ?? MinClosableMs;
-        if (connection.account.requestMs >= mostMs && canClose(connection)) {
+        const { requestMs, requestBytes } = connection.account;
+        const isExpensive = requestMs >= (most?.account.requestMs ?? MinClosableMs) &&
+            requestMs * NsPerMs >= requestBytes * MinClosableNsPerByte;
+        if (isExpensive && canClose(connection)) {
             most = connection;
         }
     }
@@ -225,6 +235,7 @@
     #recentMs = 0;
     #recentAtMs = 0;
     #requestMs = 0;
+    #requestBytes = 0;
     #requestBeganAtMs: number;
 
     constructor(client: ParseClient, clock: Clock, scheduler: AccountScheduler) {
@@ -248,8 +259,15 @@
         return this.#scheduler.mayParse(this);
     }
 
-    override measureParsing(parse: () => void): void {
-        this.#measure(parse, elapsedMs => this.#requestMs += elapsedMs);
+    override get requestBytes(): number {
+        return this.#requestBytes;
+    }
+
+    override measureParsing(bytes: number, parse: () => void): void {
+        this.#measure(parse, elapsedMs => {
+            this.#requestMs += elapsedMs;
+            this.#requestBytes += bytes;
+        });
     }
 
     override measureStart(start: () => void): void {
@@ -270,6 +288,7 @@
 
     override recordRequest(): void {
         this.#requestMs = 0;
+        this.#requestBytes = 0;
         this.#requestBeganAtMs = this.#clock.monotonicMs();
     }
 
