--- a/src/edge/edgeSettings.ts
+++ b/src/edge/edgeSettings.ts
@@ -38,7 +38,7 @@
         ),
         bodyTimeoutMs: z.number().positive().default(60_000).describe("time without progress of a body at any load"),
         maxStrayBytes: z.number().int().positive().default(32_768).describe(
-            "bytes in a row that belong to no request, such as line ends, from which a connection is closed; more than maxHeaderBytes",
+            "bytes in a row that belong to no request, such as line ends, from which a connection is closed; at least twice maxHeaderBytes",
         ),
         expensiveParseMs: z.number().positive().default(50).describe(
             "processor time for parsing one request from which it is expensive",
--- a/src/edge/flow/callerServer.ts
+++ b/src/edge/flow/callerServer.ts
@@ -143,7 +143,8 @@
             maxPipelinedRequests: dependencies.callerLimits.maxPipelinedRequests,
             maxOpenRequests: dependencies.processLimits.openRequests,
             unreadTimeoutMs: dependencies.callerLimits.unreadTimeoutMs,
-            maxStrayBytes: dependencies.callerLimits.maxStrayBytes,
+            // A head that is not complete belongs to no request.
+            maxStrayBytes: Math.max(dependencies.callerLimits.maxStrayBytes, 2 * dependencies.maxHeaderBytes),
             onClose: (socket, reason) => this.#connections.recordClose(socket, reason),
         });
     }
