--- a/src/edge/listener/listenerLimits.spec.ts
+++ b/src/edge/listener/listenerLimits.spec.ts
@@ -11,6 +11,9 @@
 const MaxOpenRequests = 12;
 const MaxStrayBytes = 32_768;
 
+/** Time that a slow read of the clock takes, in milliseconds. */
+const SlowReadMs = 1;
+
 const head = (id: number | string): string => `GET /${id} HTTP/1.1\r\nHost: h\r\n\r\n`;
 
 describe("ListenerLimits", () => {
@@ -19,6 +22,8 @@
     let clock: ManualClock;
     let parsingClock: ManualClock;
     let closes: LimitCloseReason[];
+    /** Whether each read of the clock for parsing takes time, so that all parsing is expensive. */
+    let isSlow: boolean;
     let started: { readonly url: string; readonly response: ServerResponse; }[];
     let clients: (Socket & { text?: string; })[];
 
@@ -39,7 +44,13 @@
 
     beforeEach(async () => {
         clock = new ManualClock();
-        parsingClock = new ManualClock();
+        isSlow = false;
+        parsingClock = new class extends ManualClock {
+            override monotonicMs(): number {
+                this.advance(isSlow ? SlowReadMs : 0);
+                return super.monotonicMs();
+            }
+        }();
         closes = [];
         started = [];
         clients = [];
@@ -190,6 +201,45 @@
         });
     });
 
+    describe("given expensive requests that compete", () => {
+        /** Opens connections whose unfinished requests have taken time, and lets them wait for each other until some are evicted. */
+        async function compete(
+            paths: readonly string[],
+            onStarted: (path: string, index: number) => void,
+        ): Promise<void> {
+            for (const [index, path] of paths.entries()) {
+                await open(`POST /${path} HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n`);
+                await vi.waitFor(() => expect(started.length).toBe(index + 1));
+                onStarted(path, index);
+            }
+            await vi.waitFor(() => {
+                clients.forEach(client => client.write("1\r\nb\r\n".repeat(2_000)));
+                expect(closes.length + refused.length).toBeGreaterThan(0);
+            }, { timeout: 10_000, interval: 5 });
+        }
+
+        let refused: number[];
+
+        beforeEach(() => {
+            refused = [];
+            isSlow = true;
+        });
+
+        it("refuses the one that began last, by its owner (guards against callers that hear nothing)", async () => {
+            await compete(
+                ["first", "last"],
+                (_path, index) => limits.onEvict(started[index]!.response.req.socket, () => refused.push(index)),
+            );
+            expect(refused).toEqual([1]);
+            expect(closes).toEqual([]);
+        });
+
+        it("closes one that nobody refuses (guards against connections that go on for ever)", async () => {
+            await compete(["first", "last"], () => undefined);
+            expect(closes).toEqual(["parsing"]);
+        });
+    });
+
     describe("given bytes that belong to no request", () => {
         it("closes the connection (guards against line ends without end)", async () => {
             const client = await open("\r\n".repeat(MaxStrayBytes));
--- a/src/gateway/callerLimits.isolated.ts
+++ b/src/gateway/callerLimits.isolated.ts
@@ -42,6 +42,9 @@
 /** Time that a crowd has acted when an ordinary request is sent beside it, in milliseconds. */
 const CrowdMs = 3_000;
 
+/** Time between two requests that compete, in milliseconds. */
+const SendMs = 300;
+
 /** Time within which an ordinary caller wants its response, in milliseconds. */
 const DeadlineMs = 30_000;
 
@@ -258,6 +261,34 @@
         },
     );
 
+    describe("given several bodies of the maximum size in chunks of one byte", () => {
+        /** Sends a request on a new connection. @returns The status of the response; 0 when the connection closes without one. */
+        function requestStatus(text: string): Promise<number> {
+            const [socket] = openConnections(1, addresses.caller, [text]) as [Socket];
+            return new Promise(resolve => {
+                socket.once("close", () => resolve(0));
+                socket.once("data", bytes => resolve(Number(/^HTTP\/1\.1 (\d{3}) /.exec(bytes.toString())?.[1] ?? 0)));
+                socket.resume();
+            });
+        }
+
+        it("serves the first and refuses the others (guards against bodies of which none completes)", async () => {
+            const content = JSON.stringify({
+                model: "assistant",
+                messages: [{ role: "user", content: "hello" }],
+                max_tokens: 5,
+            });
+            const body = [...content.padEnd(MaxBodyBytes)].map(character => `1\r\n${character}\r\n`).join("");
+            const statuses: Promise<number>[] = [];
+            for (let index = 0; index < 3; index++) {
+                statuses.push(requestStatus(`${ChatHead}${body}0\r\n\r\n`));
+                await delay(SendMs);
+            }
+            expect(await Promise.all(statuses)).toEqual([200, 429, 429]);
+            expectLimits();
+        }, 90_000);
+    });
+
     describe("given clients that send what is expensive to read", () => {
         it.each([["a key", ExampleApiKey], ["an unknown key", "unknown"]])(
             "with %s, serves on beside bodies in chunks of one byte (guards against a connection that holds the event loop)",
